Add the frame: four layers, value types, peer messages and codec

Cause: the first commit sets down the folders, the core types and the shape that all later code keeps to.

Ruled out: C++20 std::string_view in public interfaces, because Debian's Abseil is built with its own absl::string_view and the two do not convert. Mutable structs for messages: const members with defaulted comparison let the compiler enforce that values never change.

Change: layers transport, protocol, coordination and state as libraries with one public header each; CMake and tools/check_layers check that they depend downwards only; peer messages as value types with a protobuf codec; the ring and the duty thread; counters for each refusal and retry reason; formatter, linter, build and test scripts.

--- /dev/null
+++ b/src/coordination/api/strategy.h
@@ -0,0 +1,48 @@
+#ifndef COORDINATION_API_STRATEGY_H_
+#define COORDINATION_API_STRATEGY_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+#include "absl/strings/string_view.h"
+
+#include "absl/random/bit_gen_ref.h"
+#include "state/state.h"
+
+namespace gooseberrygap::coordination {
+
+// What an ingress knows of a target when it chooses.
+struct Candidate {
+  const std::string target_ = {};
+  // Attempts that this daemon has in flight there.
+  const int own_in_flight_ = 0;
+  // The last load heard from the guard, and its age. Without a report,
+  // `has_load_` is false.
+  const bool has_load_ = false;
+  const state::GuardLoad load_ = {};
+  const state::Millis load_age_ = {};
+  // Share of its slots that a cold target may take, from 0 to 1.
+  const double ramp_ = 1;
+
+  friend bool operator==(const Candidate&, const Candidate&) = default;
+};
+
+// Chooses among candidates. Implementations keep no references to arguments.
+// Not thread-safe.
+class Strategy {
+ public:
+  virtual ~Strategy() = default;
+  // Returns an index into `candidates`. Precondition: it is not empty.
+  virtual size_t Choose(const std::vector<Candidate>& candidates,
+                        absl::BitGenRef random) = 0;
+};
+
+// Returns a new strategy of that name, or null when there is none. Thread-safe.
+std::unique_ptr<Strategy> MakeStrategy(absl::string_view name);
+
+// Returns the names that MakeStrategy knows. Thread-safe.
+std::vector<absl::string_view> StrategyNames();
+
+}  // namespace gooseberrygap::coordination
+
+#endif  // COORDINATION_API_STRATEGY_H_
--- /dev/null
+++ b/src/coordination/coordination.h
@@ -0,0 +1,15 @@
+#ifndef COORDINATION_COORDINATION_H_
+#define COORDINATION_COORDINATION_H_
+
+// Public header of the coordination library: the decisions of gooseberrygap as
+// functions of state, event and time, without sockets, threads, clocks or
+// codecs.
+
+#include "coordination/api/commands.h"
+#include "coordination/api/control_client.h"
+#include "coordination/api/messages.h"
+#include "coordination/api/register_client.h"
+#include "coordination/api/router.h"
+#include "coordination/api/strategy.h"
+
+#endif  // COORDINATION_COORDINATION_H_
--- /dev/null
+++ b/src/daemon/main.cc
@@ -0,0 +1,3 @@
+int main() {
+  return 0;
+}
--- /dev/null
+++ b/src/protocol/api/header_names.h
@@ -0,0 +1,21 @@
+#ifndef PROTOCOL_API_HEADER_NAMES_H_
+#define PROTOCOL_API_HEADER_NAMES_H_
+
+#include "absl/strings/string_view.h"
+
+namespace gooseberrygap::protocol {
+
+inline constexpr absl::string_view kIdempotencyKeyHeader = "Idempotency-Key";
+inline constexpr absl::string_view kDeadlineHeader =
+    "Gooseberrygap-Deadline-Ms";
+inline constexpr absl::string_view kDepthHeader = "Gooseberrygap-Depth";
+inline constexpr absl::string_view kOutcomeHeader = "Gooseberrygap-Outcome";
+inline constexpr absl::string_view kReasonHeader = "Gooseberrygap-Reason";
+inline constexpr absl::string_view kRequestIdHeader =
+    "Gooseberrygap-Request-Id";
+inline constexpr absl::string_view kAttemptHeader = "Gooseberrygap-Attempt";
+inline constexpr absl::string_view kTargetHeader = "Gooseberrygap-Target";
+
+}  // namespace gooseberrygap::protocol
+
+#endif  // PROTOCOL_API_HEADER_NAMES_H_
--- /dev/null
+++ b/src/protocol/api/metrics_text.h
@@ -0,0 +1,16 @@
+#ifndef PROTOCOL_API_METRICS_TEXT_H_
+#define PROTOCOL_API_METRICS_TEXT_H_
+
+#include <string>
+#include <vector>
+
+#include "state/state.h"
+
+namespace gooseberrygap::protocol {
+
+// Returns the samples in the Prometheus text format. Thread-safe.
+std::string PrintMetrics(const std::vector<state::CounterSample>& samples);
+
+}  // namespace gooseberrygap::protocol
+
+#endif  // PROTOCOL_API_METRICS_TEXT_H_
--- /dev/null
+++ b/src/protocol/internal/peer_codec.cc
@@ -0,0 +1,586 @@
+#include <memory>
+
+#include "protocol/internal/wire_values.h"
+#include "protocol/protocol.h"
+
+namespace gooseberrygap::protocol {
+
+namespace {
+
+// "gbg1": the protocol's name and version.
+constexpr uint32_t kMagic = 0x67626731;
+
+using coordination::PeerMessage;
+
+void CrashToWire(const coordination::CrashReport& value,
+                 wire::CrashReport* out) {
+  out->set_fingerprint(value.fingerprint_);
+  out->set_crash_id(value.crash_id_);
+  out->set_alone(value.alone_);
+}
+
+template <class Repeated>
+std::vector<coordination::CrashReport> CrashesFromWire(const Repeated& in) {
+  std::vector<coordination::CrashReport> crashes;
+  crashes.reserve(in.size());
+  for (const wire::CrashReport& crash : in) {
+    crashes.push_back(
+        coordination::CrashReport{.fingerprint_ = crash.fingerprint(),
+                                  .crash_id_ = crash.crash_id(),
+                                  .alone_ = crash.alone()});
+  }
+  return crashes;
+}
+
+void RefusedToWire(const coordination::RefusedFingerprint& value,
+                   wire::RefusedFingerprint* out) {
+  out->set_fingerprint(value.fingerprint_);
+  out->set_left(value.left_.value());
+  out->set_convicted(value.convicted_);
+}
+
+template <class Repeated>
+std::vector<coordination::RefusedFingerprint> RefusedFromWire(
+    const Repeated& in,
+    WireReader* reader) {
+  std::vector<coordination::RefusedFingerprint> refused;
+  refused.reserve(in.size());
+  for (const wire::RefusedFingerprint& entry : in) {
+    refused.push_back(coordination::RefusedFingerprint{
+        .fingerprint_ = entry.fingerprint(),
+        .left_ = reader->MillisOf(entry.left()),
+        .convicted_ = entry.convicted()});
+  }
+  return refused;
+}
+
+template <class Message>
+void RouteToWire(const Message& message, wire::LogRoute* out) {
+  out->set_group(message.group_);
+  out->set_from(message.from_);
+  out->set_to(message.to_);
+  out->set_term(message.term_);
+}
+
+// Messages of the log that carry no term.
+template <class Message>
+void RouteWithoutTermToWire(const Message& message, wire::LogRoute* out) {
+  out->set_group(message.group_);
+  out->set_from(message.from_);
+  out->set_to(message.to_);
+}
+
+// One overload for each message: writes it into the envelope.
+struct Encoder {
+  wire::Envelope* envelope_;
+
+  void operator()(const coordination::Attempt& message) const {
+    wire::Attempt* out = envelope_->mutable_attempt();
+    out->set_request_id(message.request_id_);
+    out->set_attempt(message.attempt_);
+    out->set_service(message.service_);
+    out->set_target(message.target_);
+    ToWire(message.request_, out->mutable_request());
+    out->set_deadline_left(message.deadline_left_.value());
+    out->set_depth(message.depth_);
+    out->set_request_class(static_cast<uint32_t>(message.request_class_));
+    out->set_configuration_index(message.configuration_index_);
+    out->set_may_queue(message.may_queue_);
+    out->set_has_twin(message.has_twin_);
+    out->set_cross_region(message.cross_region_);
+    out->set_key(message.key_);
+    out->set_digest(message.digest_);
+    out->set_register_group(message.register_group_);
+    out->set_register_attempt(message.register_attempt_);
+  }
+  void operator()(const coordination::AttemptAnswer& message) const {
+    wire::AttemptAnswer* out = envelope_->mutable_attempt_answer();
+    out->set_request_id(message.request_id_);
+    out->set_attempt(message.attempt_);
+    out->set_result(static_cast<uint32_t>(message.result_));
+    out->set_refusal(static_cast<uint32_t>(message.refusal_));
+    ToWire(message.answer_, out->mutable_answer());
+    ToWire(message.load_, out->mutable_load());
+    out->set_target(message.target_);
+    out->set_guard_time(message.guard_time_.value());
+  }
+  void operator()(const coordination::Cancel& message) const {
+    wire::Cancel* out = envelope_->mutable_cancel();
+    out->set_request_id(message.request_id_);
+    out->set_attempt(message.attempt_);
+  }
+  void operator()(const coordination::Probe& message) const {
+    envelope_->mutable_probe()->set_probe_id(message.probe_id_);
+  }
+  void operator()(const coordination::ProbeReply& message) const {
+    wire::ProbeReply* out = envelope_->mutable_probe_reply();
+    out->set_probe_id(message.probe_id_);
+    out->set_target(message.target_);
+    ToWire(message.load_, out->mutable_load());
+  }
+  void operator()(const coordination::LeaseRenew& message) const {
+    wire::LeaseRenew* out = envelope_->mutable_lease_renew();
+    out->set_instance(message.instance_);
+    ToWire(message.record_, out->mutable_record());
+    out->set_configuration_index(message.configuration_index_);
+    out->set_wants_vouched(message.wants_vouched_);
+    out->set_membership_epoch(message.membership_epoch_);
+    out->set_membership_version(message.membership_version_);
+    for (const std::string& service : message.services_) {
+      out->add_services(service);
+    }
+    for (const coordination::CrashReport& crash : message.crashes_) {
+      CrashToWire(crash, out->add_crashes());
+    }
+  }
+  void operator()(const coordination::LeaseReply& message) const {
+    wire::LeaseReply* out = envelope_->mutable_lease_reply();
+    out->set_control_instance(message.control_instance_);
+    out->set_granted(message.granted_);
+    out->set_known_incarnation(message.known_incarnation_);
+    out->set_configuration_index(message.configuration_index_);
+    out->set_configuration_vouched(message.configuration_vouched_);
+    out->set_delta_base_index(message.delta_base_index_);
+    for (const std::string& service : message.removed_services_) {
+      out->add_removed_services(service);
+    }
+    if (message.configuration_ != nullptr) {
+      ToWire(*message.configuration_, out->mutable_configuration());
+    }
+    out->set_membership_epoch(message.membership_epoch_);
+    out->set_membership_version(message.membership_version_);
+    out->set_membership_full(message.membership_full_);
+    for (const state::TargetRecord& record : message.membership_) {
+      ToWire(record, out->add_membership());
+    }
+    for (const auto& refused : message.refused_fingerprints_) {
+      RefusedToWire(refused, out->add_refused_fingerprints());
+    }
+    out->set_knowledge_age(message.knowledge_age_.value());
+    out->set_leader_address(message.leader_address_);
+  }
+  void operator()(const coordination::RegisterCall& message) const {
+    wire::RegisterCall* out = envelope_->mutable_register_call();
+    out->set_call_id(message.call_id_);
+    out->set_group(message.group_);
+    ToWire(message.command_, out->mutable_command());
+  }
+  void operator()(const coordination::RegisterReply& message) const {
+    wire::RegisterReply* out = envelope_->mutable_register_reply();
+    out->set_call_id(message.call_id_);
+    out->set_status(static_cast<uint32_t>(message.status_));
+    ToWire(message.result_, out->mutable_result());
+    out->set_leader_address(message.leader_address_);
+  }
+  void operator()(const coordination::MembershipSync& message) const {
+    wire::MembershipSync* out = envelope_->mutable_membership_sync();
+    out->set_instance(message.instance_);
+    out->set_epoch(message.epoch_);
+    out->set_from_version(message.from_version_);
+    out->set_to_version(message.to_version_);
+    for (const coordination::LeasedRecord& change : message.changes_) {
+      wire::LeasedRecord* wire_change = out->add_changes();
+      ToWire(change.record_, wire_change->mutable_record());
+      wire_change->set_holder(change.holder_);
+    }
+    for (const auto& refused : message.refused_fingerprints_) {
+      RefusedToWire(refused, out->add_refused_fingerprints());
+    }
+    for (const coordination::CrashReport& crash : message.crashes_) {
+      CrashToWire(crash, out->add_crashes());
+    }
+  }
+  void operator()(const coordination::MembershipSyncAck& message) const {
+    wire::MembershipSyncAck* out = envelope_->mutable_membership_sync_ack();
+    out->set_instance(message.instance_);
+    out->set_epoch(message.epoch_);
+    out->set_version(message.version_);
+  }
+  void operator()(const coordination::ConfigSubmit& message) const {
+    wire::ConfigSubmit* out = envelope_->mutable_config_submit();
+    out->set_call_id(message.call_id_);
+    out->set_submission(message.submission_);
+    if (message.configuration_ != nullptr) {
+      ToWire(*message.configuration_, out->mutable_configuration());
+    }
+  }
+  void operator()(const coordination::ConfigSubmitReply& message) const {
+    wire::ConfigSubmitReply* out = envelope_->mutable_config_submit_reply();
+    out->set_call_id(message.call_id_);
+    out->set_status(static_cast<uint32_t>(message.status_));
+    out->set_index(message.index_);
+    out->set_current_version(message.current_version_);
+    out->set_winner_submission(message.winner_submission_);
+    out->set_leader_address(message.leader_address_);
+  }
+  void operator()(const coordination::VoteRequest& message) const {
+    wire::VoteRequest* out = envelope_->mutable_vote_request();
+    RouteToWire(message, out->mutable_route());
+    out->set_pre_vote(message.pre_vote_);
+    out->set_last_index(message.last_index_);
+    out->set_last_term(message.last_term_);
+  }
+  void operator()(const coordination::VoteReply& message) const {
+    wire::VoteReply* out = envelope_->mutable_vote_reply();
+    RouteToWire(message, out->mutable_route());
+    out->set_pre_vote(message.pre_vote_);
+    out->set_granted(message.granted_);
+  }
+  void operator()(const coordination::AppendRequest& message) const {
+    wire::AppendRequest* out = envelope_->mutable_append_request();
+    RouteToWire(message, out->mutable_route());
+    out->set_previous_index(message.previous_index_);
+    out->set_previous_term(message.previous_term_);
+    out->set_commit_index(message.commit_index_);
+    out->set_round(message.round_);
+    for (const state::LogEntry& entry : message.entries_) {
+      ToWire(entry, out->add_entries());
+    }
+  }
+  void operator()(const coordination::AppendReply& message) const {
+    wire::AppendReply* out = envelope_->mutable_append_reply();
+    RouteToWire(message, out->mutable_route());
+    out->set_success(message.success_);
+    out->set_index(message.index_);
+    out->set_round(message.round_);
+  }
+  void operator()(const coordination::InstallSnapshot& message) const {
+    wire::InstallSnapshot* out = envelope_->mutable_install_snapshot();
+    RouteToWire(message, out->mutable_route());
+    out->set_round(message.round_);
+    ToWire(message.snapshot_, out->mutable_snapshot());
+  }
+  void operator()(const coordination::ReadIndexRequest& message) const {
+    wire::ReadIndexRequest* out = envelope_->mutable_read_index_request();
+    RouteWithoutTermToWire(message, out->mutable_route());
+    out->set_read_id(message.read_id_);
+  }
+  void operator()(const coordination::ReadIndexReply& message) const {
+    wire::ReadIndexReply* out = envelope_->mutable_read_index_reply();
+    RouteWithoutTermToWire(message, out->mutable_route());
+    out->set_read_id(message.read_id_);
+    out->set_confirmed(message.confirmed_);
+    out->set_index(message.index_);
+  }
+};
+
+std::shared_ptr<const state::Configuration> SharedConfiguration(
+    const wire::Configuration& in,
+    WireReader* reader) {
+  return std::make_shared<const state::Configuration>(FromWire(in, reader));
+}
+
+// One function for each message kind: reads it from the envelope.
+
+PeerMessage ReadAttempt(const wire::Envelope& envelope, WireReader* reader) {
+  const wire::Attempt& in = envelope.attempt();
+  return coordination::Attempt{
+      .request_id_ = in.request_id(),
+      .attempt_ = in.attempt(),
+      .service_ = in.service(),
+      .target_ = in.target(),
+      .request_ = FromWire(in.request(), reader),
+      .deadline_left_ = reader->MillisOf(in.deadline_left()),
+      .depth_ = in.depth(),
+      .request_class_ =
+          reader->EnumOf(in.request_class(), state::RequestClass::kAction),
+      .configuration_index_ = in.configuration_index(),
+      .may_queue_ = in.may_queue(),
+      .has_twin_ = in.has_twin(),
+      .cross_region_ = in.cross_region(),
+      .key_ = in.key(),
+      .digest_ = in.digest(),
+      .register_group_ = in.register_group(),
+      .register_attempt_ = in.register_attempt()};
+}
+
+PeerMessage ReadAttemptAnswer(const wire::Envelope& envelope,
+                              WireReader* reader) {
+  const wire::AttemptAnswer& in = envelope.attempt_answer();
+  return coordination::AttemptAnswer{
+      .request_id_ = in.request_id(),
+      .attempt_ = in.attempt(),
+      .result_ =
+          reader->EnumOf(in.result(), coordination::AttemptResult::kUnknown),
+      .refusal_ =
+          reader->EnumOf(in.refusal(), state::RefusalReason::kTargetTimeout),
+      .answer_ = FromWire(in.answer(), reader),
+      .load_ = FromWire(in.load(), reader),
+      .target_ = in.target(),
+      .guard_time_ = reader->MillisOf(in.guard_time())};
+}
+
+PeerMessage ReadCancel(const wire::Envelope& envelope, WireReader*) {
+  const wire::Cancel& in = envelope.cancel();
+  return coordination::Cancel{.request_id_ = in.request_id(),
+                              .attempt_ = in.attempt()};
+}
+
+PeerMessage ReadProbe(const wire::Envelope& envelope, WireReader*) {
+  return coordination::Probe{.probe_id_ = envelope.probe().probe_id()};
+}
+
+PeerMessage ReadProbeReply(const wire::Envelope& envelope, WireReader* reader) {
+  const wire::ProbeReply& in = envelope.probe_reply();
+  return coordination::ProbeReply{.probe_id_ = in.probe_id(),
+                                  .target_ = in.target(),
+                                  .load_ = FromWire(in.load(), reader)};
+}
+
+PeerMessage ReadLeaseRenew(const wire::Envelope& envelope, WireReader* reader) {
+  const wire::LeaseRenew& in = envelope.lease_renew();
+  return coordination::LeaseRenew{
+      .instance_ = in.instance(),
+      .record_ = FromWire(in.record(), reader),
+      .configuration_index_ = in.configuration_index(),
+      .wants_vouched_ = in.wants_vouched(),
+      .membership_epoch_ = in.membership_epoch(),
+      .membership_version_ = in.membership_version(),
+      .services_ = {in.services().begin(), in.services().end()},
+      .crashes_ = CrashesFromWire(in.crashes())};
+}
+
+PeerMessage ReadLeaseReply(const wire::Envelope& envelope, WireReader* reader) {
+  const wire::LeaseReply& in = envelope.lease_reply();
+  std::vector<state::TargetRecord> membership;
+  membership.reserve(in.membership_size());
+  for (const wire::TargetRecord& record : in.membership()) {
+    membership.push_back(FromWire(record, reader));
+  }
+  return coordination::LeaseReply{
+      .control_instance_ = in.control_instance(),
+      .granted_ = in.granted(),
+      .known_incarnation_ = in.known_incarnation(),
+      .configuration_index_ = in.configuration_index(),
+      .configuration_vouched_ = in.configuration_vouched(),
+      .delta_base_index_ = in.delta_base_index(),
+      .removed_services_ = {in.removed_services().begin(),
+                            in.removed_services().end()},
+      .configuration_ = in.has_configuration()
+                            ? SharedConfiguration(in.configuration(), reader)
+                            : nullptr,
+      .membership_epoch_ = in.membership_epoch(),
+      .membership_version_ = in.membership_version(),
+      .membership_full_ = in.membership_full(),
+      .membership_ = membership,
+      .refused_fingerprints_ =
+          RefusedFromWire(in.refused_fingerprints(), reader),
+      .knowledge_age_ = reader->MillisOf(in.knowledge_age()),
+      .leader_address_ = in.leader_address()};
+}
+
+PeerMessage ReadRegisterCall(const wire::Envelope& envelope,
+                             WireReader* reader) {
+  const wire::RegisterCall& in = envelope.register_call();
+  return coordination::RegisterCall{.call_id_ = in.call_id(),
+                                    .group_ = in.group(),
+                                    .command_ = FromWire(in.command(), reader)};
+}
+
+PeerMessage ReadRegisterReply(const wire::Envelope& envelope,
+                              WireReader* reader) {
+  const wire::RegisterReply& in = envelope.register_reply();
+  return coordination::RegisterReply{
+      .call_id_ = in.call_id(),
+      .status_ =
+          reader->EnumOf(in.status(), coordination::RegisterStatus::kNoQuorum),
+      .result_ = FromWire(in.result(), reader),
+      .leader_address_ = in.leader_address()};
+}
+
+PeerMessage ReadMembershipSync(const wire::Envelope& envelope,
+                               WireReader* reader) {
+  const wire::MembershipSync& in = envelope.membership_sync();
+  std::vector<coordination::LeasedRecord> changes;
+  changes.reserve(in.changes_size());
+  for (const wire::LeasedRecord& change : in.changes()) {
+    changes.push_back(
+        coordination::LeasedRecord{.record_ = FromWire(change.record(), reader),
+                                   .holder_ = change.holder()});
+  }
+  return coordination::MembershipSync{
+      .instance_ = in.instance(),
+      .epoch_ = in.epoch(),
+      .from_version_ = in.from_version(),
+      .to_version_ = in.to_version(),
+      .changes_ = changes,
+      .refused_fingerprints_ =
+          RefusedFromWire(in.refused_fingerprints(), reader),
+      .crashes_ = CrashesFromWire(in.crashes())};
+}
+
+PeerMessage ReadMembershipSyncAck(const wire::Envelope& envelope, WireReader*) {
+  const wire::MembershipSyncAck& in = envelope.membership_sync_ack();
+  return coordination::MembershipSyncAck{.instance_ = in.instance(),
+                                         .epoch_ = in.epoch(),
+                                         .version_ = in.version()};
+}
+
+PeerMessage ReadConfigSubmit(const wire::Envelope& envelope,
+                             WireReader* reader) {
+  const wire::ConfigSubmit& in = envelope.config_submit();
+  return coordination::ConfigSubmit{
+      .call_id_ = in.call_id(),
+      .submission_ = in.submission(),
+      .configuration_ = SharedConfiguration(in.configuration(), reader)};
+}
+
+PeerMessage ReadConfigSubmitReply(const wire::Envelope& envelope,
+                                  WireReader* reader) {
+  const wire::ConfigSubmitReply& in = envelope.config_submit_reply();
+  return coordination::ConfigSubmitReply{
+      .call_id_ = in.call_id(),
+      .status_ =
+          reader->EnumOf(in.status(), coordination::SubmitStatus::kNotFormed),
+      .index_ = in.index(),
+      .current_version_ = in.current_version(),
+      .winner_submission_ = in.winner_submission(),
+      .leader_address_ = in.leader_address()};
+}
+
+PeerMessage ReadVoteRequest(const wire::Envelope& envelope, WireReader*) {
+  const wire::VoteRequest& in = envelope.vote_request();
+  return coordination::VoteRequest{.group_ = in.route().group(),
+                                   .from_ = in.route().from(),
+                                   .to_ = in.route().to(),
+                                   .term_ = in.route().term(),
+                                   .pre_vote_ = in.pre_vote(),
+                                   .last_index_ = in.last_index(),
+                                   .last_term_ = in.last_term()};
+}
+
+PeerMessage ReadVoteReply(const wire::Envelope& envelope, WireReader*) {
+  const wire::VoteReply& in = envelope.vote_reply();
+  return coordination::VoteReply{.group_ = in.route().group(),
+                                 .from_ = in.route().from(),
+                                 .to_ = in.route().to(),
+                                 .term_ = in.route().term(),
+                                 .pre_vote_ = in.pre_vote(),
+                                 .granted_ = in.granted()};
+}
+
+PeerMessage ReadAppendRequest(const wire::Envelope& envelope,
+                              WireReader* reader) {
+  const wire::AppendRequest& in = envelope.append_request();
+  std::vector<state::LogEntry> entries;
+  entries.reserve(in.entries_size());
+  for (const wire::LogEntry& entry : in.entries()) {
+    entries.push_back(FromWire(entry, reader));
+  }
+  return coordination::AppendRequest{.group_ = in.route().group(),
+                                     .from_ = in.route().from(),
+                                     .to_ = in.route().to(),
+                                     .term_ = in.route().term(),
+                                     .previous_index_ = in.previous_index(),
+                                     .previous_term_ = in.previous_term(),
+                                     .commit_index_ = in.commit_index(),
+                                     .round_ = in.round(),
+                                     .entries_ = entries};
+}
+
+PeerMessage ReadAppendReply(const wire::Envelope& envelope, WireReader*) {
+  const wire::AppendReply& in = envelope.append_reply();
+  return coordination::AppendReply{.group_ = in.route().group(),
+                                   .from_ = in.route().from(),
+                                   .to_ = in.route().to(),
+                                   .term_ = in.route().term(),
+                                   .success_ = in.success(),
+                                   .index_ = in.index(),
+                                   .round_ = in.round()};
+}
+
+PeerMessage ReadInstallSnapshot(const wire::Envelope& envelope,
+                                WireReader* reader) {
+  const wire::InstallSnapshot& in = envelope.install_snapshot();
+  return coordination::InstallSnapshot{
+      .group_ = in.route().group(),
+      .from_ = in.route().from(),
+      .to_ = in.route().to(),
+      .term_ = in.route().term(),
+      .round_ = in.round(),
+      .snapshot_ = FromWire(in.snapshot(), reader)};
+}
+
+PeerMessage ReadReadIndexRequest(const wire::Envelope& envelope, WireReader*) {
+  const wire::ReadIndexRequest& in = envelope.read_index_request();
+  return coordination::ReadIndexRequest{.group_ = in.route().group(),
+                                        .from_ = in.route().from(),
+                                        .to_ = in.route().to(),
+                                        .read_id_ = in.read_id()};
+}
+
+PeerMessage ReadReadIndexReply(const wire::Envelope& envelope, WireReader*) {
+  const wire::ReadIndexReply& in = envelope.read_index_reply();
+  return coordination::ReadIndexReply{.group_ = in.route().group(),
+                                      .from_ = in.route().from(),
+                                      .to_ = in.route().to(),
+                                      .read_id_ = in.read_id(),
+                                      .confirmed_ = in.confirmed(),
+                                      .index_ = in.index()};
+}
+
+struct DecoderRow {
+  const wire::Envelope::MessageCase kind_;
+  PeerMessage (*const read_)(const wire::Envelope&, WireReader*);
+};
+
+constexpr DecoderRow kDecoders[] = {
+    {wire::Envelope::kAttempt, ReadAttempt},
+    {wire::Envelope::kAttemptAnswer, ReadAttemptAnswer},
+    {wire::Envelope::kCancel, ReadCancel},
+    {wire::Envelope::kProbe, ReadProbe},
+    {wire::Envelope::kProbeReply, ReadProbeReply},
+    {wire::Envelope::kLeaseRenew, ReadLeaseRenew},
+    {wire::Envelope::kLeaseReply, ReadLeaseReply},
+    {wire::Envelope::kRegisterCall, ReadRegisterCall},
+    {wire::Envelope::kRegisterReply, ReadRegisterReply},
+    {wire::Envelope::kMembershipSync, ReadMembershipSync},
+    {wire::Envelope::kMembershipSyncAck, ReadMembershipSyncAck},
+    {wire::Envelope::kConfigSubmit, ReadConfigSubmit},
+    {wire::Envelope::kConfigSubmitReply, ReadConfigSubmitReply},
+    {wire::Envelope::kVoteRequest, ReadVoteRequest},
+    {wire::Envelope::kVoteReply, ReadVoteReply},
+    {wire::Envelope::kAppendRequest, ReadAppendRequest},
+    {wire::Envelope::kAppendReply, ReadAppendReply},
+    {wire::Envelope::kInstallSnapshot, ReadInstallSnapshot},
+    {wire::Envelope::kReadIndexRequest, ReadReadIndexRequest},
+    {wire::Envelope::kReadIndexReply, ReadReadIndexReply},
+};
+
+state::Error Malformed(absl::string_view what) {
+  return state::MakeError(state::ErrorKind::kMalformedMessage, what);
+}
+
+}  // namespace
+
+std::string EncodePeerMessage(const coordination::PeerMessage& message) {
+  wire::Envelope envelope;
+  envelope.set_magic(kMagic);
+  std::visit(Encoder{.envelope_ = &envelope}, message);
+  return envelope.SerializeAsString();
+}
+
+state::Result<coordination::PeerMessage> DecodePeerMessage(
+    absl::string_view bytes) {
+  wire::Envelope envelope;
+  if (!envelope.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return Malformed("The peer message is not a whole envelope");
+  }
+  if (envelope.magic() != kMagic) {
+    return Malformed("The peer message is not of this protocol");
+  }
+  for (const DecoderRow& row : kDecoders) {
+    if (row.kind_ != envelope.message_case()) {
+      continue;
+    }
+    WireReader reader;
+    PeerMessage message = row.read_(envelope, &reader);
+    if (!reader.valid()) {
+      return Malformed("The peer message has a field that is out of range");
+    }
+    return message;
+  }
+  return Malformed("The peer message is of no known kind");
+}
+
+}  // namespace gooseberrygap::protocol
--- /dev/null
+++ b/src/protocol/protocol.h
@@ -0,0 +1,13 @@
+#ifndef PROTOCOL_PROTOCOL_H_
+#define PROTOCOL_PROTOCOL_H_
+
+// Public header of the protocol library: the encodings of peer messages,
+// settings, configuration and metrics.
+
+#include "protocol/api/configuration_json.h"
+#include "protocol/api/header_names.h"
+#include "protocol/api/metrics_text.h"
+#include "protocol/api/peer_codec.h"
+#include "protocol/api/settings.h"
+
+#endif  // PROTOCOL_PROTOCOL_H_
--- /dev/null
+++ b/src/state/api/bytes.h
@@ -0,0 +1,45 @@
+#ifndef STATE_API_BYTES_H_
+#define STATE_API_BYTES_H_
+
+#include <compare>
+#include <memory>
+#include <string>
+#include <utility>
+#include "absl/strings/string_view.h"
+
+namespace gooseberrygap::state {
+
+// An immutable byte string that is cheap to copy: copies share the content.
+// Thread-safe, since the content never changes.
+class Bytes {
+ public:
+  Bytes() = default;
+  // Takes over `content`.
+  explicit Bytes(std::string content)
+      : content_(std::make_shared<const std::string>(std::move(content))) {}
+
+  // Returns the content; valid as long as any copy of this value lives.
+  absl::string_view view() const {
+    return content_ == nullptr ? absl::string_view()
+                               : absl::string_view(*content_);
+  }
+  // Returns a copy of the content.
+  std::string ToString() const { return std::string(view()); }
+  size_t size() const { return view().size(); }
+  bool empty() const { return view().empty(); }
+
+  friend bool operator==(const Bytes& left, const Bytes& right) {
+    return left.content_ == right.content_ || left.view() == right.view();
+  }
+  friend std::strong_ordering operator<=>(const Bytes& left,
+                                          const Bytes& right) {
+    return left.view().compare(right.view()) <=> 0;
+  }
+
+ private:
+  std::shared_ptr<const std::string> content_;
+};
+
+}  // namespace gooseberrygap::state
+
+#endif  // STATE_API_BYTES_H_
--- /dev/null
+++ b/src/state/api/clock.h
@@ -0,0 +1,68 @@
+#ifndef STATE_API_CLOCK_H_
+#define STATE_API_CLOCK_H_
+
+#include <atomic>
+#include <compare>
+#include <cstdint>
+
+namespace gooseberrygap::state {
+
+// A number of milliseconds: a point of steady time, or a duration. A double,
+// because service times and added latency are fractions of a millisecond.
+class Millis {
+ public:
+  constexpr Millis() = default;
+  constexpr explicit Millis(double value) : value_(value) {}
+
+  constexpr double value() const { return value_; }
+
+  friend constexpr auto operator<=>(const Millis&, const Millis&) = default;
+  friend constexpr Millis operator+(Millis left, Millis right) {
+    return Millis(left.value_ + right.value_);
+  }
+  friend constexpr Millis operator-(Millis left, Millis right) {
+    return Millis(left.value_ - right.value_);
+  }
+  friend constexpr Millis operator*(Millis left, double factor) {
+    return Millis(left.value_ * factor);
+  }
+  friend constexpr Millis operator/(Millis left, double divisor) {
+    return Millis(left.value_ / divisor);
+  }
+
+ private:
+  double value_ = 0;
+};
+
+// Source of steady time. Implementations are thread-safe.
+class Clock {
+ public:
+  virtual ~Clock() = default;
+  // Returns the time since an arbitrary fixed point; never goes back.
+  virtual Millis Now() const = 0;
+};
+
+// The monotonic clock of the operating system. Thread-safe.
+class SteadyClock : public Clock {
+ public:
+  Millis Now() const override;
+};
+
+// A clock for tests that moves only when told. Thread-safe.
+class ManualClock : public Clock {
+ public:
+  Millis Now() const override;
+  // Moves the clock forward. Precondition: `step` is not negative.
+  void Advance(Millis step);
+
+ private:
+  std::atomic<double> now_ = 0;
+};
+
+// Returns milliseconds since the Unix epoch. Only for incarnations, since wall
+// time may jump. Thread-safe.
+uint64_t WallMillis();
+
+}  // namespace gooseberrygap::state
+
+#endif  // STATE_API_CLOCK_H_
--- /dev/null
+++ b/src/state/api/counters.h
@@ -0,0 +1,102 @@
+#ifndef STATE_API_COUNTERS_H_
+#define STATE_API_COUNTERS_H_
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "state/api/reasons.h"
+
+namespace gooseberrygap::state {
+
+enum class Counter {
+  kCallsReceived,
+  kCallsComplete,
+  kCallsNotRun,
+  kCallsUnknown,
+  kCallsCrossRegion,
+  kAttemptsSent,
+  kAttemptsReceived,
+  kAttemptsDuplicate,
+  kAnswersLate,
+  kAnswersCut,
+  kDeliveries,
+  kDeliveriesCancelled,
+  kProbesSent,
+  kLoadBytesDomain,
+  kLoadBytesRegion,
+  kLoadBytesCrossRegion,
+  kLoadMessagesDomain,
+  kLoadMessagesRegion,
+  kLoadMessagesCrossRegion,
+  kLoadBudgetExhausted,
+  kPeerMessagesSent,
+  kPeerMessagesReceived,
+  kPeerMessagesMalformed,
+  kPeerBytesSent,
+  kPeerBytesReceived,
+  kPeerSendsRefused,
+  kLinksReset,
+  kLeasesRenewed,
+  kLeaseControlMoves,
+  kConfigurationsApplied,
+  kConfigurationsOlderIgnored,
+  kMembershipChanges,
+  kMembershipStaleIgnored,
+  kRegisterBegins,
+  kRegisterStarts,
+  kRegisterFences,
+  kRegisterReleases,
+  kRegisterFinishes,
+  kRegisterAbandons,
+  kElectionsStarted,
+  kLeaderChanges,
+  kLogAppends,
+  kLogSyncs,
+  kSnapshotsSaved,
+  kTargetsEjected,
+  kCrashesSeen,
+  kFingerprintsConvicted,
+  kHttpRequestsMalformed,
+  kHttpConnectionsAccepted,
+  kCount,
+};
+
+// One line of the counters page.
+struct CounterSample {
+  const std::string name_ = {};    // Family name.
+  const std::string labels_ = {};  // `reason="..."` or empty.
+  const std::string help_ = {};
+  const uint64_t value_ = 0;
+
+  friend bool operator==(const CounterSample&, const CounterSample&) = default;
+};
+
+// All counters of a process. Thread-safe; never decreases.
+class Counters {
+ public:
+  void Add(Counter counter, uint64_t amount = 1);
+  void Add(RefusalReason reason);
+  void Add(RetryReason reason);
+  uint64_t Get(Counter counter) const;
+  uint64_t Get(RefusalReason reason) const;
+  uint64_t Get(RetryReason reason) const;
+  // Returns every counter, also those that are zero, ordered by family.
+  std::vector<CounterSample> Samples() const;
+
+ private:
+  template <class Enum>
+  using Table =
+      std::array<std::atomic<uint64_t>, static_cast<size_t>(Enum::kCount)>;
+
+  Table<Counter> counters_ = {};
+  Table<RefusalReason> refusals_ = {};
+  Table<RetryReason> retries_ = {};
+};
+
+}  // namespace gooseberrygap::state
+
+#endif  // STATE_API_COUNTERS_H_
--- /dev/null
+++ b/src/state/api/error.h
@@ -0,0 +1,57 @@
+#ifndef STATE_API_ERROR_H_
+#define STATE_API_ERROR_H_
+
+#include <boost/outcome/basic_result.hpp>
+#include <boost/outcome/policy/terminate.hpp>
+#include <string>
+#include "absl/strings/string_view.h"
+
+namespace gooseberrygap::state {
+
+enum class ErrorKind {
+  kNone,
+  kInvalidSettings,
+  kInvalidConfiguration,
+  kInvalidRequest,
+  kMalformedMessage,
+  kAddressInUse,
+  kUnreachable,
+  kTimeout,
+  kCorruptLog,
+  kDiskFailed,
+  kDiskFull,
+  kNotFormed,
+  kAlreadyFormed,
+  kVersionConflict,
+  kNoQuorum,
+  kNotFound,
+  kCount,
+};
+
+// A failure of a known kind. Make it with MakeError, so that the message ends
+// with the remedy of its kind.
+struct Error {
+  const ErrorKind kind_ = ErrorKind::kNone;
+  const std::string message_ = {};
+
+  friend bool operator==(const Error&, const Error&) = default;
+};
+
+// A value or an Error. Reading the wrong one of the two ends the process.
+template <class T>
+using Result = BOOST_OUTCOME_V2_NAMESPACE::
+    basic_result<T, Error, BOOST_OUTCOME_V2_NAMESPACE::policy::terminate>;
+
+// Returns the name of the kind, in snake_case. Thread-safe.
+absl::string_view NameOf(ErrorKind kind);
+
+// Returns what the operator can do about an error of this kind. Thread-safe.
+absl::string_view RemedyOf(ErrorKind kind);
+
+// Returns an error whose message is `what` followed by the remedy.
+// Thread-safe.
+Error MakeError(ErrorKind kind, absl::string_view what);
+
+}  // namespace gooseberrygap::state
+
+#endif  // STATE_API_ERROR_H_
--- /dev/null
+++ b/src/state/api/http.h
@@ -0,0 +1,37 @@
+#ifndef STATE_API_HTTP_H_
+#define STATE_API_HTTP_H_
+
+#include <string>
+#include <vector>
+
+#include "state/api/bytes.h"
+
+namespace gooseberrygap::state {
+
+struct HttpHeader {
+  const std::string name_ = {};
+  const std::string value_ = {};
+
+  friend bool operator==(const HttpHeader&, const HttpHeader&) = default;
+};
+
+struct HttpRequest {
+  const std::string method_ = {};
+  const std::string path_ = {};  // With the query, without the service.
+  const std::vector<HttpHeader> headers_ = {};
+  const Bytes body_ = {};
+
+  friend bool operator==(const HttpRequest&, const HttpRequest&) = default;
+};
+
+struct HttpAnswer {
+  const int status_ = 0;
+  const std::vector<HttpHeader> headers_ = {};
+  const Bytes body_ = {};
+
+  friend bool operator==(const HttpAnswer&, const HttpAnswer&) = default;
+};
+
+}  // namespace gooseberrygap::state
+
+#endif  // STATE_API_HTTP_H_
--- /dev/null
+++ b/src/state/internal/error.cc
@@ -0,0 +1,81 @@
+#include "absl/strings/str_cat.h"
+
+#include <array>
+
+#include "state/state.h"
+
+namespace gooseberrygap::state {
+
+namespace {
+
+struct ErrorRow {
+  const ErrorKind kind_;
+  const absl::string_view name_;
+  const absl::string_view remedy_;
+};
+
+constexpr std::array<ErrorRow, static_cast<size_t>(ErrorKind::kCount)> kRows = {
+    {
+        {ErrorKind::kNone, "none", ""},
+        {ErrorKind::kInvalidSettings, "invalid_settings",
+         "Correct the settings file and start again."},
+        {ErrorKind::kInvalidConfiguration, "invalid_configuration",
+         "Correct the document and check it with 'gooseberrygapctl config "
+         "check'."},
+        {ErrorKind::kInvalidRequest, "invalid_request",
+         "Correct the request; docs/INTERFACE.md lists what is allowed."},
+        {ErrorKind::kMalformedMessage, "malformed_message",
+         "Check that only gooseberrygapd instances of compatible versions "
+         "connect "
+         "to the peer port."},
+        {ErrorKind::kAddressInUse, "address_in_use",
+         "Stop the process that listens there or choose another address."},
+        {ErrorKind::kUnreachable, "unreachable",
+         "Check that the instance runs and that its address is right."},
+        {ErrorKind::kTimeout, "timeout",
+         "Repeat the request; if it fails again, check the instance's load and "
+         "links."},
+        {ErrorKind::kCorruptLog, "corrupt_log",
+         "Move the data folder away, start the instance with an empty one and "
+         "add "
+         "it with 'gooseberrygapctl control add'."},
+        {ErrorKind::kDiskFailed, "disk_failed",
+         "Replace the disk, start the instance with an empty data folder and "
+         "add "
+         "it with 'gooseberrygapctl control add'."},
+        {ErrorKind::kDiskFull, "disk_full",
+         "Free space on the disk of the data folder and start the instance "
+         "again."},
+        {ErrorKind::kNotFormed, "not_formed",
+         "Form the control group with 'gooseberrygapctl control form'."},
+        {ErrorKind::kAlreadyFormed, "already_formed",
+         "Use 'gooseberrygapctl control add' to add an instance to the group."},
+        {ErrorKind::kVersionConflict, "version_conflict",
+         "Read the configuration in force with 'gooseberrygapctl config show', "
+         "merge the change and submit it with the next version."},
+        {ErrorKind::kNoQuorum, "no_quorum",
+         "Restore a majority of the control instances and repeat the request."},
+        {ErrorKind::kNotFound, "not_found",
+         "Check the name; 'gooseberrygapctl targets' lists what is known."},
+    }};
+
+const ErrorRow& RowOf(ErrorKind kind) {
+  return kRows.at(static_cast<size_t>(kind));
+}
+
+}  // namespace
+
+absl::string_view NameOf(ErrorKind kind) {
+  return RowOf(kind).name_;
+}
+
+absl::string_view RemedyOf(ErrorKind kind) {
+  return RowOf(kind).remedy_;
+}
+
+Error MakeError(ErrorKind kind, absl::string_view what) {
+  return Error{.kind_ = kind,
+               .message_ = absl::StrCat(what, ". ", RemedyOf(kind))};
+}
+
+}  // namespace gooseberrygap::state
--- /dev/null
+++ b/src/state/internal/reasons.cc
@@ -0,0 +1,66 @@
+#include <array>
+
+#include "state/state.h"
+
+namespace gooseberrygap::state {
+
+namespace {
+
+constexpr std::array<absl::string_view,
+                     static_cast<size_t>(RefusalReason::kCount)>
+    kRefusalNames = {
+        "none",
+        "bad_request",
+        "no_service",
+        "no_rule",
+        "no_target",
+        "not_serving",
+        "draining",
+        "overloaded",
+        "deadline",
+        "too_deep",
+        "stale_configuration",
+        "key_missing",
+        "key_reused",
+        "stale_attempt",
+        "already_started",
+        "register_full",
+        "no_quorum",
+        "control_too_old",
+        "poisoned",
+        "suspect",
+        "connect_failed",
+        "target_shed",
+        "internal_queue_full",
+        "answer_too_large",
+        "link_lost",
+        "cancelled",
+        "target_crashed",
+        "target_timeout",
+};
+
+constexpr std::array<absl::string_view,
+                     static_cast<size_t>(RetryReason::kCount)>
+    kRetryNames = {
+        "refused",
+        "connection_lost",
+        "silent_link",
+        "hedge",
+        "queued_elsewhere",
+        "stale_configuration",
+        "register_unanswered",
+        "register_moved",
+        "budget_exhausted",
+};
+
+}  // namespace
+
+absl::string_view NameOf(RefusalReason reason) {
+  return kRefusalNames.at(static_cast<size_t>(reason));
+}
+
+absl::string_view NameOf(RetryReason reason) {
+  return kRetryNames.at(static_cast<size_t>(reason));
+}
+
+}  // namespace gooseberrygap::state
--- /dev/null
+++ b/src/state/state.h
@@ -0,0 +1,19 @@
+#ifndef STATE_STATE_H_
+#define STATE_STATE_H_
+
+// Public header of the state library: value types, time, errors, counters and
+// the durable and replicated state of gooseberrygap.
+
+#include "state/api/action.h"
+#include "state/api/bytes.h"
+#include "state/api/clock.h"
+#include "state/api/configuration.h"
+#include "state/api/counters.h"
+#include "state/api/error.h"
+#include "state/api/http.h"
+#include "state/api/log.h"
+#include "state/api/reasons.h"
+#include "state/api/replace.h"
+#include "state/api/target.h"
+
+#endif  // STATE_STATE_H_
--- /dev/null
+++ b/src/transport/api/http_server.h
@@ -0,0 +1,43 @@
+#ifndef TRANSPORT_API_HTTP_SERVER_H_
+#define TRANSPORT_API_HTTP_SERVER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "state/state.h"
+
+namespace gooseberrygap::transport {
+
+// The `http-accept`, `http-idle` and `http-worker` duties: serves HTTP/1.1 with
+// keep-alive. Idle connections cost no thread: they wait in one epoll.
+class HttpServer {
+ public:
+  struct Options {
+    const std::string listen_address_ = {};  // "127.0.0.1:8101"
+    const int workers_ = 64;
+    const int max_connections_ = 2048;
+    const size_t max_header_bytes_ = 16384;
+    const size_t max_body_bytes_ = 1048576;
+    // Time in which a started request must arrive whole.
+    const state::Millis request_timeout_ = state::Millis(5000);
+  };
+
+  // Answers a request. Runs on a worker thread and may block it.
+  using Handler = std::function<state::HttpAnswer(const state::HttpRequest&)>;
+
+  // Binds and starts the threads. `counters` must outlive the server.
+  static state::Result<std::unique_ptr<HttpServer>>
+  Start(const Options& options, Handler handler, state::Counters* counters);
+
+  virtual ~HttpServer() = default;
+
+  // Stops accepting connections, answers every request that has begun to
+  // arrive, closes idle connections and returns when no request is left.
+  // Thread-safe; a second call waits for the first.
+  virtual void StopGracefully() = 0;
+};
+
+}  // namespace gooseberrygap::transport
+
+#endif  // TRANSPORT_API_HTTP_SERVER_H_
--- /dev/null
+++ b/src/transport/api/peer_endpoint.h
@@ -0,0 +1,52 @@
+#ifndef TRANSPORT_API_PEER_ENDPOINT_H_
+#define TRANSPORT_API_PEER_ENDPOINT_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "coordination/coordination.h"
+
+namespace gooseberrygap::transport {
+
+// A message that came from a peer.
+struct PeerArrival {
+  // Set when a peer's own connection carried it: pass it to Reply.
+  const std::string connection_ = {};
+  // Set when it came back on this daemon's connection to that address.
+  const std::string address_ = {};
+  const coordination::PeerMessage message_ = {};
+};
+
+// The `peer` duty: owns all ZeroMQ sockets, one bound ROUTER and one DEALER for
+// each remote address.
+class PeerEndpoint {
+ public:
+  struct Options {
+    const std::string listen_address_ = {};  // "127.0.0.1:9101"
+    const int high_water_mark_ = 4096;       // Messages for each connection.
+    const state::Millis heartbeat_interval_ = state::Millis(1000);
+    const state::Millis heartbeat_timeout_ = state::Millis(3000);
+    const size_t ring_capacity_ = 8192;
+  };
+
+  // Called on the peer thread for each decoded message; must not block.
+  using Handler = std::function<void(PeerArrival)>;
+
+  // Binds and starts the thread. `counters` must outlive the endpoint.
+  static state::Result<std::unique_ptr<PeerEndpoint>>
+  Start(const Options& options, Handler handler, state::Counters* counters);
+
+  // Sends what is queued for a moment, then stops the thread.
+  virtual ~PeerEndpoint() = default;
+
+  // Queue a message or a reset for the peer thread. They return false, and the
+  // message is counted and dropped, when the ring is full. Thread-safe.
+  virtual bool Send(coordination::SendToPeer command) = 0;
+  virtual bool Reply(coordination::ReplyToPeer command) = 0;
+  virtual bool Reset(coordination::ResetLink command) = 0;
+};
+
+}  // namespace gooseberrygap::transport
+
+#endif  // TRANSPORT_API_PEER_ENDPOINT_H_
--- /dev/null
+++ b/src/transport/api/target_client.h
@@ -0,0 +1,59 @@
+#ifndef TRANSPORT_API_TARGET_CLIENT_H_
+#define TRANSPORT_API_TARGET_CLIENT_H_
+
+#include <functional>
+#include <memory>
+
+#include "coordination/coordination.h"
+
+namespace gooseberrygap::transport {
+
+enum class DeliveryEnd {
+  kAnswered,       // `answer_` is whole.
+  kConnectFailed,  // No byte of the request was sent.
+  kCut,            // Sent in part or whole; the answer is missing or not whole.
+  kTimeout,        // Sent; no whole answer within the timeout.
+  kCancelled,      // Cancelled after it was sent.
+};
+
+struct DeliveryResult {
+  const uint64_t delivery_id_ = 0;
+  const DeliveryEnd end_ = DeliveryEnd::kAnswered;
+  const state::HttpAnswer answer_ = {};
+};
+
+// The `target-worker` duties: a bounded pool that sends requests to the
+// daemon's own target over kept-alive HTTP connections, one for each worker.
+class TargetClient {
+ public:
+  struct Options {
+    const int workers_ = 16;
+    const size_t ring_capacity_ = 1024;
+    // A kept connection that was idle for longer is not used for a delivery
+    // that wants a fresh one.
+    const state::Millis fresh_for_ = state::Millis(500);
+    const size_t max_answer_bytes_ = 4194304;
+  };
+
+  // Called on a worker thread when a delivery has ended; must not block.
+  using Handler = std::function<void(DeliveryResult)>;
+
+  static std::unique_ptr<TargetClient> Start(const Options& options,
+                                             Handler handler,
+                                             state::Counters* counters);
+
+  // Waits for deliveries in flight to end.
+  virtual ~TargetClient() = default;
+
+  // Queues a delivery. Returns false when the ring is full; the handler is then
+  // not called. A request is sent at most once: it is never repeated on another
+  // connection after a byte of it has been sent. Thread-safe.
+  virtual bool Deliver(coordination::DeliverToTarget delivery) = 0;
+  // Cancels a delivery by closing its connection; does nothing when it has
+  // ended. Thread-safe.
+  virtual void Cancel(uint64_t delivery_id) = 0;
+};
+
+}  // namespace gooseberrygap::transport
+
+#endif  // TRANSPORT_API_TARGET_CLIENT_H_
--- /dev/null
+++ b/tests/support/test_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
