--- a/src/coordination/api/commands.h
+++ b/src/coordination/api/commands.h
@@ -53,6 +53,11 @@
   const uint64_t delivery_id_ = 0;
   const std::string address_ = {};  // HTTP address of the target.
   const state::HttpRequest request_ = {};
+  const std::string request_id_ = {};
+  const uint32_t attempt_ = 0;
+  const uint32_t depth_ = 0;
+  // Only connect and close, to find out whether the target's process lives.
+  const bool connect_only_ = false;
   const state::Millis timeout_ = {};
   // Use a connection that is new or was used a moment ago.
   const bool fresh_connection_ = false;
--- a/src/coordination/api/messages.h
+++ b/src/coordination/api/messages.h
@@ -27,6 +27,9 @@
   // Another copy of the same lookup may be running elsewhere.
   const bool has_twin_ = false;
   const bool cross_region_ = false;
+  // An earlier attempt ended in a crash of its target, so that the guard runs
+  // this one alone: a second crash can then be blamed on it.
+  const bool run_alone_ = false;
   // Of actions only.
   const std::string key_ = {};
   const std::string digest_ = {};
--- /dev/null
+++ b/src/coordination/api/node.h
@@ -0,0 +1,61 @@
+#ifndef COORDINATION_API_NODE_H_
+#define COORDINATION_API_NODE_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/random/bit_gen_ref.h"
+#include "coordination/api/commands.h"
+#include "coordination/api/control_client.h"
+#include "coordination/api/events.h"
+
+namespace gooseberrygap::coordination {
+
+// What a daemon reports of itself.
+struct NodeStatus {
+  const uint64_t configuration_index_ = 0;
+  const uint64_t configuration_version_ = 0;
+  const state::Millis knowledge_age_ = {};
+  const state::TargetRecord record_ = {};
+  const state::GuardLoad load_ = {};
+  const size_t calls_in_progress_ = 0;
+  const size_t work_in_progress_ = 0;
+};
+
+// All decisions of a daemon's call path: joins the ingress, the guard, the
+// router, the register client, the link monitor and the control client, and
+// passes events to those concerned. Not thread-safe: the node duty owns it.
+class Node {
+ public:
+  struct Options {
+    // This daemon without a target; its version carries the incarnation.
+    const state::TargetRecord self_ = {};
+    const std::vector<ControlAddress> control_instances_ = {};
+  };
+
+  // `random` and `counters` must outlive the node.
+  Node(const Options& options,
+       absl::BitGenRef random,
+       state::Counters* counters);
+  ~Node();
+
+  // Handles an event. Send a Ticked whenever TickInterval has passed.
+  Commands Handle(const NodeEvent& event, state::Millis now);
+
+  // Returns the longest time until the next Ticked: short while calls are in
+  // progress, long when idle, so that an idle daemon rarely wakes.
+  state::Millis TickInterval() const;
+
+  NodeStatus Status(state::Millis now) const;
+  const state::IndexedConfiguration& configuration() const;
+  std::vector<state::TargetRecord> Targets() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace gooseberrygap::coordination
+
+#endif  // COORDINATION_API_NODE_H_
--- a/src/coordination/api/strategy.h
+++ b/src/coordination/api/strategy.h
@@ -21,6 +21,9 @@
   const bool has_load_ = false;
   const state::GuardLoad load_ = {};
   const state::Millis load_age_ = {};
+  // Round trip to the guard beyond that to a guard in the own failure domain.
+  const state::Millis link_latency_ = {};
+  const int slots_ = 1;
   // Share of its slots that a cold target may take, from 0 to 1.
   const double ramp_ = 1;
 
--- a/src/coordination/coordination.h
+++ b/src/coordination/coordination.h
@@ -7,7 +7,13 @@
 
 #include "coordination/api/commands.h"
 #include "coordination/api/control_client.h"
+#include "coordination/api/digest.h"
+#include "coordination/api/events.h"
+#include "coordination/api/guard.h"
+#include "coordination/api/ingress.h"
+#include "coordination/api/link_monitor.h"
 #include "coordination/api/messages.h"
+#include "coordination/api/node.h"
 #include "coordination/api/register_client.h"
 #include "coordination/api/router.h"
 #include "coordination/api/strategy.h"
--- /dev/null
+++ b/src/coordination/internal/action_calls.cc
@@ -0,0 +1,282 @@
+#include "coordination/internal/action_calls.h"
+
+#include <algorithm>
+
+#include "coordination/internal/register_tags.h"
+
+namespace gooseberrygap::coordination {
+
+namespace {
+
+using state::ActionState;
+using state::RefusalReason;
+using state::RegisterOperation;
+
+constexpr uint32_t kMaxRefusals = 8;
+constexpr uint32_t kRefusalsBeforeQueueing = 2;
+constexpr uint32_t kMaxLosses = 3;
+// How often the register is asked about an action that runs.
+constexpr state::Millis kPollInterval(100);
+// An attempt without an answer is fenced this long before the deadline, so that
+// the caller can be told not-run in time. At most a quarter of the call's time.
+constexpr state::Millis kResolveMargin(500);
+
+// Refusals of begin that leave the entry of the key untouched.
+bool IsRefusedForGood(RefusalReason reason) {
+  return reason == RefusalReason::kKeyReused ||
+         reason == RefusalReason::kRegisterFull;
+}
+
+bool MeansOvertaken(RefusalReason reason) {
+  return reason == RefusalReason::kStaleAttempt ||
+         reason == RefusalReason::kAlreadyStarted;
+}
+
+}  // namespace
+
+Commands ActionCalls::OnCall(const ClassifiedCall& call, state::Millis now) {
+  const auto [entry, inserted] = actions_.emplace(
+      call.request_id_, std::make_unique<Action>(call, router_));
+  Action* action = entry->second.get();
+  const state::Millis margin =
+      std::min(kResolveMargin, (call.deadline_ - now) / 4);
+  action->resolve_at_ = call.deadline_ - margin;
+  return Begin(action, now);
+}
+
+Commands ActionCalls::CallRegister(Action* action,
+                                   RegisterOperation operation,
+                                   uint64_t attempt,
+                                   state::Millis now) {
+  const uint64_t tag = IngressTag(next_tag_++);
+  request_by_tag_.emplace(tag, action->call_.request_id_);
+  return register_client_->Call(
+      state::RegisterCommand{.operation_ = operation,
+                             .key_ = action->call_.key_,
+                             .attempt_ = attempt,
+                             .digest_ = action->call_.digest_,
+                             .request_id_ = action->call_.request_id_},
+      tag, action->call_.deadline_, now);
+}
+
+Commands ActionCalls::Begin(Action* action, state::Millis now) {
+  action->poll_at_.reset();
+  return CallRegister(action, RegisterOperation::kBegin, 0, now);
+}
+
+Commands ActionCalls::Fence(Action* action,
+                            uint64_t attempt,
+                            state::Millis now) {
+  action->phase_ = Phase::kResolving;
+  action->poll_at_.reset();
+  return CallRegister(action, RegisterOperation::kFence, attempt, now);
+}
+
+Commands ActionCalls::OnRegisterEnd(const RegisterEnd& end, state::Millis now) {
+  const auto tagged = request_by_tag_.find(end.tag_);
+  if (tagged == request_by_tag_.end()) {
+    return {};
+  }
+  const auto entry = actions_.find(tagged->second);
+  request_by_tag_.erase(tagged);
+  if (entry == actions_.end()) {
+    return {};
+  }
+  Action* action = entry->second.get();
+  return end.command_.operation_ == RegisterOperation::kBegin
+             ? OnBegun(action, end, now)
+             : OnFenced(action, end, now);
+}
+
+Commands ActionCalls::OnBegun(Action* action,
+                              const RegisterEnd& end,
+                              state::Millis now) {
+  const bool was_sent = action->attempts_.sent() > 0;
+  if (!end.answered_) {
+    // Without an attempt nothing can have run under this request.
+    return Finish(action,
+                  was_sent || action->phase_ == Phase::kFollowing
+                      ? UnknownOutcome(action->call_, RefusalReason::kNoQuorum)
+                      : NotRun(action->call_, RefusalReason::kNoQuorum),
+                  now);
+  }
+  const state::RegisterResult& result = end.result_;
+  if (IsRefusedForGood(result.refusal_)) {
+    return Finish(action, NotRun(action->call_, result.refusal_), now);
+  }
+  if (result.state_ != ActionState::kOpen) {
+    return Follow(action, result, now);
+  }
+  if (action->phase_ == Phase::kFollowing) {
+    // The request that ran it has released it without running it.
+    action->overtaken_ = true;
+    return Fence(action, result.attempt_, now);
+  }
+  action->register_attempt_ = result.attempt_;
+  return SendNext(action, now);
+}
+
+Commands ActionCalls::SendNext(Action* action, state::Millis now) {
+  const ClassifiedCall& call = action->call_;
+  AttemptSet& attempts = action->attempts_;
+  const AttemptSet::NextTarget next = attempts.ChooseNext(now);
+  if (!next.target_.has_value()) {
+    if (attempts.sent() == 0) {
+      return Finish(action, NotRun(call, RefusalReason::kNoTarget), now);
+    }
+    action->overtaken_ = true;
+    return Fence(action, action->register_attempt_, now);
+  }
+  action->phase_ = Phase::kRunning;
+  return {attempts.Send(
+      *next.target_,
+      AttemptSet::SendOptions{
+          .may_queue_ =
+              next.all_tried_ || action->refusals_ >= kRefusalsBeforeQueueing,
+          .register_attempt_ = action->register_attempt_},
+      now)};
+}
+
+std::optional<Commands> ActionCalls::OnAnswer(const AttemptAnswer& answer,
+                                              state::Millis now) {
+  const auto entry = actions_.find(answer.request_id_);
+  if (entry == actions_.end()) {
+    return std::nullopt;
+  }
+  Action* action = entry->second.get();
+  const AttemptEnd end =
+      answer.result_ == AttemptResult::kComplete  ? AttemptEnd::kServed
+      : answer.result_ == AttemptResult::kRefused ? AttemptEnd::kRefused
+                                                  : AttemptEnd::kFailed;
+  if (!action->attempts_.End(answer.attempt_, end, answer.load_, now)) {
+    counters_->Add(state::Counter::kAnswersLate);
+    return Commands();
+  }
+  if (answer.result_ == AttemptResult::kComplete) {
+    return Finish(action,
+                  Complete(action->call_, answer.target_, answer.answer_), now);
+  }
+  if (answer.result_ != AttemptResult::kRefused) {
+    return Finish(action, UnknownOutcome(action->call_, answer.refusal_), now);
+  }
+  action->last_reason_ = answer.refusal_;
+  if (action->phase_ != Phase::kRunning) {
+    return Commands();
+  }
+  action->overtaken_ = action->overtaken_ || MeansOvertaken(answer.refusal_);
+  ++action->refusals_;
+  const bool is_final =
+      action->overtaken_ || action->refusals_ >= kMaxRefusals ||
+      answer.refusal_ == RefusalReason::kPoisoned || now >= action->resolve_at_;
+  if (is_final) {
+    action->overtaken_ = true;
+    return Fence(action, action->register_attempt_, now);
+  }
+  counters_->Add(state::RetryReason::kRefused);
+  // The same register attempt: the register grants one start of it at most.
+  return SendNext(action, now);
+}
+
+Commands ActionCalls::OnFenced(Action* action,
+                               const RegisterEnd& end,
+                               state::Millis now) {
+  const ClassifiedCall& call = action->call_;
+  if (!end.answered_) {
+    return Finish(action, UnknownOutcome(call, RefusalReason::kNoQuorum), now);
+  }
+  const state::RegisterResult& result = end.result_;
+  if (result.state_ != ActionState::kOpen) {
+    return Follow(action, result, now);
+  }
+  if (!result.granted_) {
+    // Another request has fenced further; fence its attempt too.
+    action->overtaken_ = true;
+    return Fence(action, result.attempt_, now);
+  }
+  action->register_attempt_ = result.attempt_;
+  Commands commands = action->attempts_.CancelAll(now);
+  const bool may_retry = !action->overtaken_ && now < action->resolve_at_ &&
+                         action->losses_ <= kMaxLosses;
+  Append(&commands,
+         may_retry ? SendNext(action, now)
+                   : Finish(action, NotRun(call, action->last_reason_), now));
+  return commands;
+}
+
+Commands ActionCalls::Follow(Action* action,
+                             const state::RegisterResult& result,
+                             state::Millis now) {
+  const ClassifiedCall& call = action->call_;
+  if (result.state_ == ActionState::kDone) {
+    AnswerCall answer = Complete(call, "", result.answer_);
+    return Finish(action, std::move(answer), now);
+  }
+  if (result.state_ == ActionState::kUnknown) {
+    return Finish(action, UnknownOutcome(call, RefusalReason::kTargetCrashed),
+                  now);
+  }
+  action->phase_ = Phase::kFollowing;
+  action->poll_at_ = now + kPollInterval;
+  return {};
+}
+
+Commands ActionCalls::Finish(Action* action,
+                             AnswerCall answer,
+                             state::Millis now) {
+  Commands commands = action->attempts_.CancelAll(now);
+  commands.push_back(std::move(answer));
+  const std::string request_id = action->call_.request_id_;
+  actions_.erase(request_id);
+  return commands;
+}
+
+Commands ActionCalls::OnLinkLost(const std::string& address,
+                                 state::Millis now) {
+  Commands commands;
+  for (const auto& [request_id, action] : actions_) {
+    const bool is_affected = action->attempts_.EndAt(address, now) > 0;
+    if (!is_affected || action->phase_ != Phase::kRunning) {
+      continue;
+    }
+    ++action->losses_;
+    action->last_reason_ = RefusalReason::kLinkLost;
+    counters_->Add(state::RetryReason::kSilentLink);
+    Append(&commands, Fence(action.get(), action->register_attempt_, now));
+  }
+  return commands;
+}
+
+Commands ActionCalls::Tick(state::Millis now) {
+  Commands commands;
+  std::vector<Action*> due;
+  for (const auto& [request_id, action] : actions_) {
+    const bool poll_due =
+        action->poll_at_.has_value() && now >= *action->poll_at_;
+    const bool resolve_due =
+        action->phase_ == Phase::kRunning && now >= action->resolve_at_;
+    if (poll_due || resolve_due || now >= action->call_.deadline_) {
+      due.push_back(action.get());
+    }
+  }
+  for (Action* action : due) {
+    const bool register_call_ends_it = action->phase_ == Phase::kBeginning ||
+                                       action->phase_ == Phase::kResolving;
+    if (now >= action->call_.deadline_) {
+      if (!register_call_ends_it) {
+        Append(&commands,
+               Finish(action,
+                      UnknownOutcome(action->call_, RefusalReason::kDeadline),
+                      now));
+      }
+    } else if (action->phase_ == Phase::kRunning) {
+      action->last_reason_ = RefusalReason::kDeadline;
+      action->overtaken_ = true;
+      Append(&commands, Fence(action, action->register_attempt_, now));
+    } else if (action->phase_ == Phase::kFollowing) {
+      Append(&commands, Begin(action, now));
+    }
+  }
+  return commands;
+}
+
+}  // namespace gooseberrygap::coordination
--- /dev/null
+++ b/src/coordination/internal/action_calls.h
@@ -0,0 +1,86 @@
+#ifndef COORDINATION_INTERNAL_ACTION_CALLS_H_
+#define COORDINATION_INTERNAL_ACTION_CALLS_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "coordination/internal/call.h"
+
+namespace gooseberrygap::coordination {
+
+// The actions in progress. An action is sent only under the attempt number that
+// the register gave it, and its caller is told not-run only after a fence, or
+// when no attempt was sent. Not thread-safe.
+class ActionCalls {
+ public:
+  ActionCalls(Router* router,
+              RegisterClient* register_client,
+              state::Counters* counters)
+      : router_(router),
+        register_client_(register_client),
+        counters_(counters) {}
+
+  Commands OnCall(const ClassifiedCall& call, state::Millis now);
+  // Returns nothing when the answer belongs to no action in progress.
+  std::optional<Commands> OnAnswer(const AttemptAnswer& answer,
+                                   state::Millis now);
+  Commands OnRegisterEnd(const RegisterEnd& end, state::Millis now);
+  Commands OnLinkLost(const std::string& address, state::Millis now);
+  Commands Tick(state::Millis now);
+  size_t size() const { return actions_.size(); }
+
+ private:
+  enum class Phase {
+    kBeginning,  // Waits for the register to give an attempt number.
+    kRunning,    // An attempt is at a guard.
+    kResolving,  // Waits for a fence.
+    kFollowing,  // Another request runs it, or the end of the own is awaited.
+  };
+
+  struct Action {
+    explicit Action(const ClassifiedCall& classified, Router* router)
+        : call_(classified), attempts_(call_, router) {}
+
+    const ClassifiedCall call_;
+    AttemptSet attempts_;
+    Phase phase_ = Phase::kBeginning;
+    uint64_t register_attempt_ = 0;
+    // Another request under the same key has fenced this one off, so that it
+    // may not be sent again.
+    bool overtaken_ = false;
+    uint32_t refusals_ = 0;
+    uint32_t losses_ = 0;
+    // When to fence an attempt that has not been answered.
+    state::Millis resolve_at_;
+    std::optional<state::Millis> poll_at_;
+    state::RefusalReason last_reason_ = state::RefusalReason::kNone;
+  };
+
+  Commands Begin(Action* action, state::Millis now);
+  Commands Fence(Action* action, uint64_t attempt, state::Millis now);
+  Commands SendNext(Action* action, state::Millis now);
+  Commands OnBegun(Action* action, const RegisterEnd& end, state::Millis now);
+  Commands OnFenced(Action* action, const RegisterEnd& end, state::Millis now);
+  // Follows an entry that is not open: done, started or unknown.
+  Commands Follow(Action* action,
+                  const state::RegisterResult& result,
+                  state::Millis now);
+  Commands Finish(Action* action, AnswerCall answer, state::Millis now);
+  Commands CallRegister(Action* action,
+                        state::RegisterOperation operation,
+                        uint64_t attempt,
+                        state::Millis now);
+
+  Router* const router_;
+  RegisterClient* const register_client_;
+  state::Counters* const counters_;
+  std::map<std::string, std::unique_ptr<Action>> actions_;
+  std::map<uint64_t, std::string> request_by_tag_;
+  uint64_t next_tag_ = 0;
+};
+
+}  // namespace gooseberrygap::coordination
+
+#endif  // COORDINATION_INTERNAL_ACTION_CALLS_H_
--- /dev/null
+++ b/src/coordination/internal/call.cc
@@ -0,0 +1,125 @@
+#include "coordination/internal/call.h"
+
+namespace gooseberrygap::coordination {
+
+AttemptSet::NextTarget AttemptSet::ChooseNext(state::Millis now) const {
+  const std::string& service = call_.service_->name_;
+  const state::Millis deadline_left = call_.deadline_ - now;
+  const std::optional<state::TargetRecord> untried =
+      router_->Choose(ChoiceQuery{.service_ = service,
+                                  .deadline_left_ = deadline_left,
+                                  .tried_ = tried_},
+                      now);
+  // A second copy beside an open attempt goes to another target or nowhere.
+  if (untried.has_value() || tried_.empty() || !open_.empty()) {
+    return NextTarget{.target_ = untried};
+  }
+  return NextTarget{
+      .target_ = router_->Choose(
+          ChoiceQuery{.service_ = service, .deadline_left_ = deadline_left},
+          now),
+      .all_tried_ = true};
+}
+
+SendToPeer AttemptSet::Send(const state::TargetRecord& target,
+                            const SendOptions& options,
+                            state::Millis now) {
+  const uint32_t number = ++sent_;
+  open_.push_back(
+      OpenAttempt{.number_ = number, .target_ = target, .sent_at_ = now});
+  tried_.push_back(target.target_);
+  router_->OnSent(target.target_, now);
+  return SendToPeer{
+      .address_ = target.guard_address_,
+      .message_ = Attempt{.request_id_ = call_.request_id_,
+                          .attempt_ = number,
+                          .service_ = call_.service_->name_,
+                          .target_ = target.target_,
+                          .request_ = call_.request_,
+                          .deadline_left_ = call_.deadline_ - now,
+                          .depth_ = call_.depth_,
+                          .request_class_ = call_.request_class_,
+                          .configuration_index_ = call_.configuration_index_,
+                          .may_queue_ = options.may_queue_,
+                          .has_twin_ = options.has_twin_,
+                          .run_alone_ = options.run_alone_,
+                          .key_ = call_.key_,
+                          .digest_ = call_.digest_,
+                          .register_attempt_ = options.register_attempt_}};
+}
+
+bool AttemptSet::End(uint32_t number,
+                     AttemptEnd how,
+                     const std::optional<state::GuardLoad>& load,
+                     state::Millis now) {
+  std::vector<OpenAttempt> still_open;
+  bool found = false;
+  for (const OpenAttempt& attempt : open_) {
+    if (attempt.number_ != number) {
+      still_open.push_back(attempt);
+      continue;
+    }
+    found = true;
+    router_->OnEnd(AttemptOutcome{.service_ = call_.service_->name_,
+                                  .target_ = attempt.target_.target_,
+                                  .end_ = how,
+                                  .latency_ = now - attempt.sent_at_,
+                                  .load_ = load},
+                   now);
+  }
+  open_.swap(still_open);
+  return found;
+}
+
+Commands AttemptSet::CancelAll(state::Millis now) {
+  Commands commands;
+  while (!open_.empty()) {
+    const OpenAttempt attempt = open_.back();
+    commands.push_back(
+        SendToPeer{.address_ = attempt.target_.guard_address_,
+                   .message_ = Cancel{.request_id_ = call_.request_id_,
+                                      .attempt_ = attempt.number_}});
+    End(attempt.number_, AttemptEnd::kCancelled, std::nullopt, now);
+  }
+  return commands;
+}
+
+size_t AttemptSet::EndAt(const std::string& address, state::Millis now) {
+  std::vector<uint32_t> numbers;
+  for (const OpenAttempt& attempt : open_) {
+    if (attempt.target_.guard_address_ == address) {
+      numbers.push_back(attempt.number_);
+    }
+  }
+  for (const uint32_t number : numbers) {
+    End(number, AttemptEnd::kLost, std::nullopt, now);
+  }
+  return numbers.size();
+}
+
+AnswerCall NotRun(const ClassifiedCall& call, state::RefusalReason reason) {
+  return AnswerCall{.call_id_ = call.call_id_,
+                    .answer_ = CallAnswer{.outcome_ = Outcome::kNotRun,
+                                          .reason_ = reason,
+                                          .request_id_ = call.request_id_}};
+}
+
+AnswerCall UnknownOutcome(const ClassifiedCall& call,
+                          state::RefusalReason reason) {
+  return AnswerCall{.call_id_ = call.call_id_,
+                    .answer_ = CallAnswer{.outcome_ = Outcome::kUnknown,
+                                          .reason_ = reason,
+                                          .request_id_ = call.request_id_}};
+}
+
+AnswerCall Complete(const ClassifiedCall& call,
+                    const std::string& target,
+                    const state::HttpAnswer& answer) {
+  return AnswerCall{.call_id_ = call.call_id_,
+                    .answer_ = CallAnswer{.outcome_ = Outcome::kComplete,
+                                          .request_id_ = call.request_id_,
+                                          .target_ = target,
+                                          .answer_ = answer}};
+}
+
+}  // namespace gooseberrygap::coordination
--- /dev/null
+++ b/src/coordination/internal/call.h
@@ -0,0 +1,93 @@
+#ifndef COORDINATION_INTERNAL_CALL_H_
+#define COORDINATION_INTERNAL_CALL_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coordination/coordination.h"
+
+namespace gooseberrygap::coordination {
+
+// A call after classification. Shared by the lookup and the action decisions.
+struct ClassifiedCall {
+  const uint64_t call_id_ = 0;
+  const std::string request_id_ = {};
+  const std::shared_ptr<const state::Configuration> configuration_ = {};
+  const uint64_t configuration_index_ = 0;
+  const state::Service* const service_ = nullptr;  // In `configuration_`.
+  const state::RequestClass request_class_ = state::RequestClass::kLookup;
+  const state::HttpRequest request_ = {};
+  const std::string key_ = {};     // Register key of an action.
+  const std::string digest_ = {};  // Also the fingerprint.
+  const state::Millis arrival_ = {};
+  const state::Millis deadline_ = {};
+  const uint32_t depth_ = 0;
+};
+
+// An attempt that was sent and has not ended.
+struct OpenAttempt {
+  const uint32_t number_ = 0;
+  const state::TargetRecord target_ = {};
+  const state::Millis sent_at_ = {};
+};
+
+// Attempts of one call: numbers them, and reports each end to the router.
+class AttemptSet {
+ public:
+  AttemptSet(const ClassifiedCall& call, Router* router)
+      : call_(call), router_(router) {}
+
+  // Where the next attempt may go. `all_tried_` tells that only targets that
+  // the call has tried before were left.
+  struct NextTarget {
+    const std::optional<state::TargetRecord> target_ = {};
+    const bool all_tried_ = false;
+  };
+  NextTarget ChooseNext(state::Millis now) const;
+
+  struct SendOptions {
+    const bool may_queue_ = false;
+    const bool has_twin_ = false;
+    const bool run_alone_ = false;
+    const uint64_t register_attempt_ = 0;
+  };
+  // Sends the next attempt to the target.
+  SendToPeer Send(const state::TargetRecord& target,
+                  const SendOptions& options,
+                  state::Millis now);
+  // Ends the attempt of this number. Returns false when it is not open.
+  bool End(uint32_t number,
+           AttemptEnd how,
+           const std::optional<state::GuardLoad>& load,
+           state::Millis now);
+  // Ends all open attempts, and returns the cancels for their guards.
+  Commands CancelAll(state::Millis now);
+  // Ends the open attempts that went to this address; returns how many.
+  size_t EndAt(const std::string& address, state::Millis now);
+
+  const std::vector<OpenAttempt>& open() const { return open_; }
+  const std::vector<std::string>& tried() const { return tried_; }
+  uint32_t sent() const { return sent_; }
+
+ private:
+  const ClassifiedCall& call_;
+  Router* const router_;
+  std::vector<OpenAttempt> open_;
+  std::vector<std::string> tried_;
+  uint32_t sent_ = 0;
+};
+
+// Returns the answers that end a call.
+AnswerCall NotRun(const ClassifiedCall& call, state::RefusalReason reason);
+AnswerCall UnknownOutcome(const ClassifiedCall& call,
+                          state::RefusalReason reason);
+AnswerCall Complete(const ClassifiedCall& call,
+                    const std::string& target,
+                    const state::HttpAnswer& answer);
+
+}  // namespace gooseberrygap::coordination
+
+#endif  // COORDINATION_INTERNAL_CALL_H_
--- /dev/null
+++ b/src/coordination/internal/guard.cc
@@ -0,0 +1,720 @@
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "coordination/internal/guard_work.h"
+#include "coordination/internal/register_tags.h"
+
+namespace gooseberrygap::coordination {
+
+namespace {
+
+using state::RefusalReason;
+using state::RegisterOperation;
+using state::TargetState;
+
+// The target announces itself every second; after three misses it is gone.
+constexpr state::Millis kAnnouncementLifetime(3000);
+// How long the result of an action is reported to the register. Beyond it the
+// entry stays `started`, which is never run again.
+constexpr state::Millis kReportTime(30 * 1000);
+// How long the answer about a crash waits for the control group to take the
+// report, so that the caller's resend meets daemons that know of it.
+constexpr state::Millis kCrashReportWait(300);
+
+AttemptAnswer Refusal(const Attempt& attempt, RefusalReason reason) {
+  return AttemptAnswer{.request_id_ = attempt.request_id_,
+                       .attempt_ = attempt.attempt_,
+                       .result_ = AttemptResult::kRefused,
+                       .refusal_ = reason};
+}
+
+}  // namespace
+
+class Guard::Impl {
+ public:
+  Impl(std::string instance,
+       uint64_t incarnation,
+       RegisterClient* register_client,
+       state::Counters* counters)
+      : instance_(std::move(instance)),
+        incarnation_(incarnation),
+        register_client_(register_client),
+        counters_(counters),
+        crash_detector_(absl::StrCat(instance_, "-", incarnation, "-")) {}
+
+  void UpdateConfiguration(const state::IndexedConfiguration& configuration) {
+    configuration_.emplace(configuration);
+  }
+
+  void UpdateRefusedFingerprints(
+      const std::vector<RefusedFingerprint>& fingerprints) {
+    convicted_.clear();
+    suspects_.clear();
+    for (const RefusedFingerprint& refused : fingerprints) {
+      (refused.convicted_ ? convicted_ : suspects_)
+          .insert(refused.fingerprint_);
+    }
+  }
+
+  Commands OnAnnounced(const TargetAnnounced& announced, state::Millis now) {
+    last_announced_ = now;
+    const bool is_new_process = announced.incarnation_ != 0 &&
+                                target_.has_value() &&
+                                target_->incarnation_ != announced.incarnation_;
+    if (is_new_process) {
+      ReportCrash();
+    }
+    const TargetState state =
+        draining_ && announced.state_ != TargetState::kLeft
+            ? TargetState::kDraining
+            : announced.state_;
+    target_.emplace(TargetAnnounced{.target_ = announced.target_,
+                                    .service_ = announced.service_,
+                                    .address_ = announced.address_,
+                                    .slots_ = announced.slots_,
+                                    .state_ = state,
+                                    .incarnation_ = announced.incarnation_});
+    return StartQueued(now);
+  }
+
+  Commands OnWithdrawn(state::Millis now) {
+    SetTargetState(TargetState::kLeft);
+    return RefuseQueued(RefusalReason::kDraining, now);
+  }
+
+  Commands Drain(state::Millis) {
+    draining_ = true;
+    SetTargetState(TargetState::kDraining);
+    return {};
+  }
+
+  Commands OnAttempt(const std::string& connection,
+                     const Attempt& attempt,
+                     state::Millis now) {
+    counters_->Add(state::Counter::kAttemptsReceived);
+    if (!memory_.Insert(attempt.request_id_, attempt.attempt_)) {
+      counters_->Add(state::Counter::kAttemptsDuplicate);
+      return {};
+    }
+    const std::string fingerprint = attempt.digest_;
+    const RefusalReason refusal = CheckAdmission(attempt, fingerprint);
+    if (refusal != RefusalReason::kNone) {
+      return {Reply(connection, Refusal(attempt, refusal))};
+    }
+    queue_.push_back(GuardWork{
+        .connection_ = connection,
+        .attempt_ = attempt,
+        .arrival_ = now,
+        .deadline_ = now + attempt.deadline_left_,
+        .fingerprint_ = fingerprint,
+        .run_alone_ = attempt.run_alone_ || suspects_.contains(fingerprint)});
+    return StartQueued(now);
+  }
+
+  Commands OnCancel(const Cancel& cancel, state::Millis now) {
+    const auto matches = [&cancel](const GuardWork& work) {
+      return work.attempt_.request_id_ == cancel.request_id_ &&
+             work.attempt_.attempt_ == cancel.attempt_;
+    };
+    std::deque<GuardWork> kept;
+    for (const GuardWork& work : queue_) {
+      if (!matches(work)) {
+        kept.push_back(work);
+      }
+    }
+    queue_.swap(kept);
+    for (auto& [delivery_id, running] : running_) {
+      // An action that was granted runs to its end: its answer is kept in the
+      // register for a resend.
+      const bool is_lookup =
+          running.work_.attempt_.request_class_ == state::RequestClass::kLookup;
+      if (is_lookup && matches(running.work_) && !running.cancelled_) {
+        running.cancelled_ = true;
+        counters_->Add(state::Counter::kDeliveriesCancelled);
+        return {CancelDelivery{.delivery_id_ = delivery_id}};
+      }
+    }
+    return StartQueued(now);
+  }
+
+  Commands OnDeliveryEnded(const DeliveryEnded& ended, state::Millis now) {
+    if (ended.delivery_id_ == check_id_) {
+      return OnChecked(ended.end_);
+    }
+    const auto entry = running_.find(ended.delivery_id_);
+    if (entry == running_.end()) {
+      return {};
+    }
+    const Running running = entry->second;
+    const int in_flight = static_cast<int>(running_.size());
+    running_.erase(entry);
+    Commands commands;
+    switch (ended.end_) {
+      case DeliveryEnd::kAnswered:
+        commands = OnAnswered(running, ended.answer_, now);
+        break;
+      case DeliveryEnd::kConnectFailed:
+        commands = OnConnectFailed(running, now);
+        break;
+      case DeliveryEnd::kNotSent:
+        commands =
+            OnNotDelivered(running, RefusalReason::kInternalQueueFull, now);
+        break;
+      case DeliveryEnd::kCut:
+        crash_detector_.OnCut(running.work_.fingerprint_, in_flight, now);
+        commands = OnUnanswered(running, RefusalReason::kTargetCrashed, now);
+        break;
+      case DeliveryEnd::kTimeout:
+        commands = OnUnanswered(running, RefusalReason::kTargetTimeout, now);
+        break;
+      case DeliveryEnd::kCancelled:
+        break;
+    }
+    Append(&commands, StartQueued(now));
+    return commands;
+  }
+
+  Commands OnRegisterEnd(const RegisterEnd& end, state::Millis now) {
+    const auto entry = register_calls_.find(end.tag_);
+    if (entry == register_calls_.end()) {
+      return {};
+    }
+    const uint64_t delivery_id = entry->second;
+    register_calls_.erase(entry);
+    if (end.command_.operation_ != RegisterOperation::kStart) {
+      return {};
+    }
+    const auto running = running_.find(delivery_id);
+    if (running == running_.end()) {
+      return {};
+    }
+    if (end.answered_ && end.result_.granted_) {
+      return OnGranted(delivery_id, &running->second, now);
+    }
+    const GuardWork work = running->second.work_;
+    running_.erase(running);
+    // Without an answer the start may have been applied, so that this is no
+    // refusal: the ingress resolves it with a fence.
+    const RefusalReason reason = !end.answered_ ? RefusalReason::kAlreadyStarted
+                                 : end.result_.refusal_ == RefusalReason::kNone
+                                     ? RefusalReason::kStaleAttempt
+                                     : end.result_.refusal_;
+    Commands commands = {
+        Reply(work.connection_, Refusal(work.attempt_, reason))};
+    Append(&commands, StartQueued(now));
+    return commands;
+  }
+
+  Commands OnCrashesReported(state::Millis now) { return FlushHeld(now, true); }
+
+  Commands Tick(state::Millis now) {
+    Commands commands;
+    const bool is_gone = target_.has_value() &&
+                         target_->state_ != TargetState::kLeft &&
+                         now - last_announced_ > kAnnouncementLifetime;
+    if (is_gone) {
+      ReportCrash();
+      SetTargetState(TargetState::kLeft);
+      commands = RefuseQueued(RefusalReason::kNotServing, now);
+    }
+    crash_detector_.Tick(now);
+    Append(&commands, FlushHeld(now, false));
+    Append(&commands, RefuseExpired(now));
+    return commands;
+  }
+
+  state::GuardLoad Load() const {
+    const int waiting = static_cast<int>(running_.size() + queue_.size());
+    const int slots = target_.has_value() ? target_->slots_ : 0;
+    return state::GuardLoad{
+        .in_flight_ = static_cast<int>(running_.size()),
+        .queued_ = static_cast<int>(queue_.size()),
+        .slots_ = slots,
+        .latency_ = latency_.At(waiting + 1, slots),
+        .state_ = target_.has_value() ? target_->state_ : TargetState::kLeft};
+  }
+
+  const TargetAnnounced& target() const {
+    static const TargetAnnounced kNone;
+    return target_.has_value() ? *target_ : kNone;
+  }
+
+  std::vector<CrashReport> TakeCrashes() {
+    std::vector<CrashReport> crashes;
+    crashes.swap(crashes_);
+    return crashes;
+  }
+
+  size_t work_in_progress() const {
+    return queue_.size() + running_.size() + held_.size() +
+           register_calls_.size();
+  }
+
+ private:
+  struct Running {
+    GuardWork work_;
+    state::Millis started_;
+    std::string nonce_;
+    bool cancelled_ = false;
+  };
+  struct Held {
+    const ReplyToPeer reply_;
+    const state::Millis until_;
+  };
+
+  ReplyToPeer Reply(const std::string& connection,
+                    const AttemptAnswer& answer) {
+    if (answer.result_ == AttemptResult::kRefused) {
+      counters_->Add(answer.refusal_);
+    }
+    return ReplyToPeer{
+        .connection_ = connection,
+        .message_ = AttemptAnswer{.request_id_ = answer.request_id_,
+                                  .attempt_ = answer.attempt_,
+                                  .result_ = answer.result_,
+                                  .refusal_ = answer.refusal_,
+                                  .answer_ = answer.answer_,
+                                  .load_ = Load(),
+                                  .target_ = target().target_,
+                                  .guard_time_ = answer.guard_time_}};
+  }
+
+  RefusalReason CheckAdmission(const Attempt& attempt,
+                               const std::string& fingerprint) const {
+    if (!target_.has_value() || target_->state_ == TargetState::kStarting) {
+      return RefusalReason::kNotServing;
+    }
+    if (target_->state_ != TargetState::kServing) {
+      return RefusalReason::kDraining;
+    }
+    if (target_->target_ != attempt.target_ ||
+        target_->service_ != attempt.service_) {
+      return RefusalReason::kNoTarget;
+    }
+    if (convicted_.contains(fingerprint)) {
+      return RefusalReason::kPoisoned;
+    }
+    const RefusalReason stale = CheckConfiguration(attempt);
+    if (stale != RefusalReason::kNone) {
+      return stale;
+    }
+    return CheckLoad(attempt);
+  }
+
+  // Refuses a request that a newer rule of its route classifies otherwise.
+  RefusalReason CheckConfiguration(const Attempt& attempt) const {
+    const bool is_newer_here =
+        configuration_.has_value() &&
+        configuration_->configuration_ != nullptr &&
+        configuration_->index_ > attempt.configuration_index_;
+    if (!is_newer_here) {
+      return RefusalReason::kNone;
+    }
+    const state::Service* service =
+        state::FindService(*configuration_->configuration_, attempt.service_);
+    const state::Rule* rule =
+        service == nullptr ? nullptr
+                           : state::FindRule(*service, attempt.request_.method_,
+                                             attempt.request_.path_);
+    const bool is_same =
+        rule != nullptr && rule->request_class_ == attempt.request_class_;
+    return is_same ? RefusalReason::kNone : RefusalReason::kStaleConfiguration;
+  }
+
+  RefusalReason CheckLoad(const Attempt& attempt) const {
+    const int waiting = static_cast<int>(running_.size() + queue_.size());
+    if (waiting < target_->slots_ && queue_.empty()) {
+      return RefusalReason::kNone;
+    }
+    const state::Service* service =
+        configuration_.has_value() && configuration_->configuration_ != nullptr
+            ? state::FindService(*configuration_->configuration_,
+                                 attempt.service_)
+            : nullptr;
+    const int max_queue = service == nullptr ? 0 : service->max_queue_;
+    if (static_cast<int>(queue_.size()) >= max_queue) {
+      return RefusalReason::kOverloaded;
+    }
+    const bool fits =
+        latency_.At(waiting + 1, target_->slots_) <= attempt.deadline_left_;
+    // Elsewhere a slot may be free, so a first attempt is queued only briefly.
+    const bool is_short_queue =
+        static_cast<int>(queue_.size()) < std::max(1, target_->slots_ / 4);
+    return attempt.may_queue_ || (fits && is_short_queue)
+               ? RefusalReason::kNone
+               : RefusalReason::kOverloaded;
+  }
+
+  Commands StartQueued(state::Millis now) {
+    Commands commands;
+    while (!queue_.empty() && MayStart(queue_.front())) {
+      const GuardWork work = queue_.front();
+      queue_.pop_front();
+      if (now >= work.deadline_) {
+        commands.push_back(
+            Reply(work.connection_,
+                  Refusal(work.attempt_, RefusalReason::kDeadline)));
+        continue;
+      }
+      Append(&commands, Start(work, now));
+    }
+    return commands;
+  }
+
+  bool MayStart(const GuardWork& work) const {
+    if (!target_.has_value()) {
+      return false;
+    }
+    const bool has_slot = static_cast<int>(running_.size()) < target_->slots_;
+    return has_slot && !runs_alone_ && (!work.run_alone_ || running_.empty());
+  }
+
+  Commands Start(const GuardWork& work, state::Millis now) {
+    const uint64_t delivery_id = next_delivery_++;
+    runs_alone_ = work.run_alone_;
+    Running running{.work_ = work, .started_ = now};
+    if (work.attempt_.request_class_ == state::RequestClass::kLookup) {
+      running_.emplace(delivery_id, running);
+      return {Deliver(delivery_id, work, now)};
+    }
+    running.nonce_ =
+        absl::StrCat(instance_, "-", incarnation_, "-", delivery_id);
+    running_.emplace(delivery_id, running);
+    return CallRegister(delivery_id, running, RegisterOperation::kStart, {},
+                        work.deadline_, now);
+  }
+
+  DeliverToTarget Deliver(uint64_t delivery_id,
+                          const GuardWork& work,
+                          state::Millis now) {
+    counters_->Add(state::Counter::kDeliveries);
+    return DeliverToTarget{.delivery_id_ = delivery_id,
+                           .address_ = target_->address_,
+                           .request_ = work.attempt_.request_,
+                           .request_id_ = work.attempt_.request_id_,
+                           .attempt_ = work.attempt_.attempt_,
+                           .depth_ = work.attempt_.depth_,
+                           .timeout_ = work.deadline_ - now,
+                           .fresh_connection_ = work.attempt_.request_class_ ==
+                                                state::RequestClass::kAction};
+  }
+
+  Commands OnGranted(uint64_t delivery_id,
+                     Running* running,
+                     state::Millis now) {
+    const GuardWork work = running->work_;
+    const bool may_deliver = now < work.deadline_ && target_.has_value() &&
+                             (target_->state_ == TargetState::kServing ||
+                              target_->state_ == TargetState::kDraining);
+    if (may_deliver) {
+      running->started_ = now;
+      return {Deliver(delivery_id, work, now)};
+    }
+    const Running ended = *running;
+    running_.erase(delivery_id);
+    return Release(ended, RefusalReason::kDeadline, now);
+  }
+
+  // Gives a granted start back when no byte has reached the target.
+  Commands Release(const Running& running,
+                   RefusalReason reason,
+                   state::Millis now) {
+    Commands commands = CallRegister(0, running, RegisterOperation::kRelease,
+                                     {}, now + kReportTime, now);
+    commands.push_back(Reply(running.work_.connection_,
+                             Refusal(running.work_.attempt_, reason)));
+    return commands;
+  }
+
+  Commands CallRegister(uint64_t delivery_id,
+                        const Running& running,
+                        RegisterOperation operation,
+                        const state::HttpAnswer& answer,
+                        state::Millis deadline,
+                        state::Millis now) {
+    const Attempt& attempt = running.work_.attempt_;
+    const uint64_t tag = GuardTag(next_tag_++);
+    register_calls_.emplace(tag, delivery_id);
+    return register_client_->Call(
+        state::RegisterCommand{.operation_ = operation,
+                               .key_ = attempt.key_,
+                               .attempt_ = attempt.register_attempt_,
+                               .digest_ = attempt.digest_,
+                               .guard_ = instance_,
+                               .incarnation_ = incarnation_,
+                               .nonce_ = running.nonce_,
+                               .request_id_ = attempt.request_id_,
+                               .answer_ = answer},
+        tag, deadline, now);
+  }
+
+  Commands OnAnswered(const Running& running,
+                      const state::HttpAnswer& answer,
+                      state::Millis now) {
+    EndAlone(running);
+    const GuardWork& work = running.work_;
+    const bool is_action =
+        work.attempt_.request_class_ == state::RequestClass::kAction;
+    latency_.Add(now - running.started_);
+    if (IsShed(answer)) {
+      return is_action ? Release(running, RefusalReason::kTargetShed, now)
+                       : Commands{Reply(work.connection_,
+                                        Refusal(work.attempt_,
+                                                RefusalReason::kTargetShed))};
+    }
+    Commands commands = {
+        Reply(work.connection_,
+              AttemptAnswer{.request_id_ = work.attempt_.request_id_,
+                            .attempt_ = work.attempt_.attempt_,
+                            .answer_ = answer,
+                            .guard_time_ = now - work.arrival_})};
+    if (is_action) {
+      Append(&commands, CallRegister(0, running, RegisterOperation::kFinish,
+                                     answer, now + kReportTime, now));
+    }
+    return commands;
+  }
+
+  // The target states that it did not run the request.
+  static bool IsShed(const state::HttpAnswer& answer) {
+    return std::any_of(answer.headers_.begin(), answer.headers_.end(),
+                       [](const state::HttpHeader& header) {
+                         return header.name_ == "Gooseberrygap-Shed";
+                       });
+  }
+
+  Commands OnConnectFailed(const Running& running, state::Millis now) {
+    // A refused connection confirms that the process has gone, and keeps work
+    // away until the next announcement.
+    ReportCrash();
+    SetTargetState(TargetState::kStarting);
+    return OnNotDelivered(running, RefusalReason::kConnectFailed, now);
+  }
+
+  // No byte of the request has reached the target.
+  Commands OnNotDelivered(const Running& running,
+                          RefusalReason reason,
+                          state::Millis now) {
+    EndAlone(running);
+    const GuardWork& work = running.work_;
+    if (work.attempt_.request_class_ == state::RequestClass::kAction) {
+      return Release(running, reason, now);
+    }
+    return {Reply(work.connection_, Refusal(work.attempt_, reason))};
+  }
+
+  // The request was delivered and no whole answer came.
+  Commands OnUnanswered(const Running& running,
+                        RefusalReason reason,
+                        state::Millis now) {
+    EndAlone(running);
+    if (running.cancelled_) {
+      return {};
+    }
+    const GuardWork& work = running.work_;
+    const bool is_action =
+        work.attempt_.request_class_ == state::RequestClass::kAction;
+    ReplyToPeer reply =
+        Reply(work.connection_,
+              AttemptAnswer{.request_id_ = work.attempt_.request_id_,
+                            .attempt_ = work.attempt_.attempt_,
+                            .result_ = is_action ? AttemptResult::kUnknown
+                                                 : AttemptResult::kCut,
+                            .refusal_ = reason,
+                            .guard_time_ = now - work.arrival_});
+    if (reason != RefusalReason::kTargetCrashed) {
+      return {std::move(reply)};
+    }
+    check_id_ = next_delivery_++;
+    Commands commands = {DeliverToTarget{.delivery_id_ = check_id_,
+                                         .address_ = target().address_,
+                                         .connect_only_ = true,
+                                         .timeout_ = kCrashReportWait}};
+    if (is_action || work.run_alone_) {
+      held_.push_back(
+          Held{.reply_ = std::move(reply), .until_ = now + kCrashReportWait});
+    } else {
+      commands.push_back(std::move(reply));
+    }
+    return commands;
+  }
+
+  // The connection after a cut answer tells whether the process has gone.
+  Commands OnChecked(DeliveryEnd end) {
+    if (end == DeliveryEnd::kConnectFailed) {
+      ReportCrash();
+      SetTargetState(TargetState::kStarting);
+    }
+    return {};
+  }
+
+  void EndAlone(const Running& running) {
+    if (running.work_.run_alone_) {
+      runs_alone_ = false;
+    }
+  }
+
+  void ReportCrash() {
+    const std::vector<CrashReport> reports = crash_detector_.Confirm();
+    if (reports.empty()) {
+      return;
+    }
+    counters_->Add(state::Counter::kCrashesSeen);
+    for (const CrashReport& report : reports) {
+      crashes_.push_back(report);
+    }
+  }
+
+  Commands FlushHeld(state::Millis now, bool all) {
+    Commands commands;
+    std::vector<Held> kept;
+    for (const Held& held : held_) {
+      if (all || now >= held.until_) {
+        commands.push_back(held.reply_);
+      } else {
+        kept.push_back(held);
+      }
+    }
+    held_.swap(kept);
+    return commands;
+  }
+
+  Commands RefuseQueued(RefusalReason reason, state::Millis) {
+    Commands commands;
+    for (const GuardWork& work : queue_) {
+      commands.push_back(
+          Reply(work.connection_, Refusal(work.attempt_, reason)));
+    }
+    queue_.clear();
+    return commands;
+  }
+
+  Commands RefuseExpired(state::Millis now) {
+    Commands commands;
+    std::deque<GuardWork> kept;
+    for (const GuardWork& work : queue_) {
+      if (now < work.deadline_) {
+        kept.push_back(work);
+        continue;
+      }
+      commands.push_back(Reply(
+          work.connection_, Refusal(work.attempt_, RefusalReason::kDeadline)));
+    }
+    queue_.swap(kept);
+    return commands;
+  }
+
+  void SetTargetState(TargetState target_state) {
+    if (!target_.has_value()) {
+      return;
+    }
+    const TargetAnnounced old = *target_;
+    target_.emplace(TargetAnnounced{.target_ = old.target_,
+                                    .service_ = old.service_,
+                                    .address_ = old.address_,
+                                    .slots_ = old.slots_,
+                                    .state_ = target_state,
+                                    .incarnation_ = old.incarnation_});
+  }
+
+  const std::string instance_;
+  const uint64_t incarnation_;
+  RegisterClient* const register_client_;
+  state::Counters* const counters_;
+  std::optional<state::IndexedConfiguration> configuration_;
+  absl::flat_hash_set<std::string> convicted_;
+  absl::flat_hash_set<std::string> suspects_;
+  std::optional<TargetAnnounced> target_;
+  state::Millis last_announced_;
+  bool draining_ = false;
+  AttemptMemory memory_;
+  LatencyEstimate latency_;
+  CrashDetector crash_detector_;
+  std::vector<CrashReport> crashes_;
+  std::deque<GuardWork> queue_;
+  std::map<uint64_t, Running> running_;
+  bool runs_alone_ = false;
+  std::map<uint64_t, uint64_t> register_calls_;  // Delivery by tag.
+  std::vector<Held> held_;
+  uint64_t next_delivery_ = 1;
+  uint64_t check_id_ = 0;
+  uint64_t next_tag_ = 0;
+};
+
+Guard::Guard(std::string instance,
+             uint64_t incarnation,
+             RegisterClient* register_client,
+             state::Counters* counters)
+    : impl_(std::make_unique<Impl>(std::move(instance),
+                                   incarnation,
+                                   register_client,
+                                   counters)) {}
+
+Guard::~Guard() = default;
+
+void Guard::UpdateConfiguration(
+    const state::IndexedConfiguration& configuration) {
+  impl_->UpdateConfiguration(configuration);
+}
+
+void Guard::UpdateRefusedFingerprints(
+    const std::vector<RefusedFingerprint>& fingerprints) {
+  impl_->UpdateRefusedFingerprints(fingerprints);
+}
+
+Commands Guard::OnAnnounced(const TargetAnnounced& announced,
+                            state::Millis now) {
+  return impl_->OnAnnounced(announced, now);
+}
+
+Commands Guard::OnWithdrawn(state::Millis now) {
+  return impl_->OnWithdrawn(now);
+}
+
+Commands Guard::Drain(state::Millis now) {
+  return impl_->Drain(now);
+}
+
+Commands Guard::OnAttempt(const std::string& connection,
+                          const Attempt& attempt,
+                          state::Millis now) {
+  return impl_->OnAttempt(connection, attempt, now);
+}
+
+Commands Guard::OnCancel(const Cancel& cancel, state::Millis now) {
+  return impl_->OnCancel(cancel, now);
+}
+
+Commands Guard::OnDeliveryEnded(const DeliveryEnded& ended, state::Millis now) {
+  return impl_->OnDeliveryEnded(ended, now);
+}
+
+Commands Guard::OnRegisterEnd(const RegisterEnd& end, state::Millis now) {
+  return impl_->OnRegisterEnd(end, now);
+}
+
+Commands Guard::OnCrashesReported(state::Millis now) {
+  return impl_->OnCrashesReported(now);
+}
+
+Commands Guard::Tick(state::Millis now) {
+  return impl_->Tick(now);
+}
+
+state::GuardLoad Guard::Load() const {
+  return impl_->Load();
+}
+
+const TargetAnnounced& Guard::target() const {
+  return impl_->target();
+}
+
+std::vector<CrashReport> Guard::TakeCrashes() {
+  return impl_->TakeCrashes();
+}
+
+size_t Guard::work_in_progress() const {
+  return impl_->work_in_progress();
+}
+
+}  // namespace gooseberrygap::coordination
--- /dev/null
+++ b/src/coordination/internal/ingress.cc
@@ -0,0 +1,201 @@
+#include <algorithm>
+
+#include "absl/container/flat_hash_set.h"
+#include "absl/strings/str_cat.h"
+#include "coordination/internal/action_calls.h"
+#include "coordination/internal/lookup_calls.h"
+
+namespace gooseberrygap::coordination {
+
+namespace {
+
+using state::RefusalReason;
+
+// Chains of calls are up to 11 deep; a deeper one is most likely a cycle.
+constexpr uint32_t kMaxDepth = 16;
+constexpr state::Millis kMaxDeadline(60 * 1000);
+
+}  // namespace
+
+class Ingress::Impl {
+ public:
+  Impl(std::string request_id_prefix,
+       Router* router,
+       RegisterClient* register_client,
+       state::Counters* counters)
+      : request_id_prefix_(std::move(request_id_prefix)),
+        counters_(counters),
+        lookups_(router, counters),
+        actions_(router, register_client, counters) {}
+
+  void UpdateConfiguration(const state::IndexedConfiguration& configuration) {
+    configuration_.emplace(configuration);
+  }
+
+  void UpdateRefusedFingerprints(
+      const std::vector<RefusedFingerprint>& fingerprints) {
+    convicted_.clear();
+    for (const RefusedFingerprint& refused : fingerprints) {
+      if (refused.convicted_) {
+        convicted_.insert(refused.fingerprint_);
+      }
+    }
+  }
+
+  void SetActionsAllowed(bool allowed) { actions_allowed_ = allowed; }
+
+  Commands OnCall(const CallArrived& arrived, state::Millis now) {
+    counters_->Add(state::Counter::kCallsReceived);
+    const std::string request_id =
+        absl::StrCat(request_id_prefix_, "-", next_request_++);
+    const auto refuse = [&](RefusalReason reason) -> Commands {
+      return {AnswerCall{.call_id_ = arrived.call_id_,
+                         .answer_ = CallAnswer{.outcome_ = Outcome::kNotRun,
+                                               .reason_ = reason,
+                                               .request_id_ = request_id}}};
+    };
+    if (arrived.depth_ > kMaxDepth) {
+      return refuse(RefusalReason::kTooDeep);
+    }
+    if (!configuration_.has_value() ||
+        configuration_->configuration_ == nullptr) {
+      return refuse(RefusalReason::kNoService);
+    }
+    const auto configuration = configuration_->configuration_;
+    const state::Service* service =
+        state::FindService(*configuration, arrived.service_);
+    if (service == nullptr) {
+      return refuse(RefusalReason::kNoService);
+    }
+    const state::Rule* rule = state::FindRule(
+        *service, arrived.request_.method_, arrived.request_.path_);
+    if (rule == nullptr) {
+      return refuse(RefusalReason::kNoRule);
+    }
+    const std::string digest = DigestOf(service->name_, arrived.request_);
+    if (convicted_.contains(digest)) {
+      return refuse(RefusalReason::kPoisoned);
+    }
+    const bool is_action = rule->request_class_ == state::RequestClass::kAction;
+    const std::string key = rule->key_source_ == state::KeySource::kPath
+                                ? arrived.request_.path_
+                                : arrived.idempotency_key_;
+    if (is_action && key.empty()) {
+      return refuse(RefusalReason::kKeyMissing);
+    }
+    if (is_action && !actions_allowed_) {
+      return refuse(RefusalReason::kControlTooOld);
+    }
+    const state::Millis time_limit =
+        std::min(arrived.deadline_left_.value_or(service->default_deadline_),
+                 kMaxDeadline);
+    if (time_limit <= state::Millis(0)) {
+      return refuse(RefusalReason::kDeadline);
+    }
+    const ClassifiedCall call{
+        .call_id_ = arrived.call_id_,
+        .request_id_ = request_id,
+        .configuration_ = configuration,
+        .configuration_index_ = configuration_->index_,
+        .service_ = service,
+        .request_class_ = rule->request_class_,
+        .request_ = arrived.request_,
+        .key_ = is_action ? absl::StrCat(service->name_, "/", key) : "",
+        .digest_ = digest,
+        .arrival_ = now,
+        .deadline_ = now + time_limit,
+        .depth_ = arrived.depth_};
+    return is_action ? actions_.OnCall(call, now) : lookups_.OnCall(call, now);
+  }
+
+  Commands OnAnswer(const AttemptAnswer& answer, state::Millis now) {
+    std::optional<Commands> commands = lookups_.OnAnswer(answer, now);
+    if (!commands.has_value()) {
+      commands = actions_.OnAnswer(answer, now);
+    }
+    if (!commands.has_value()) {
+      counters_->Add(state::Counter::kAnswersLate);
+      return {};
+    }
+    return *std::move(commands);
+  }
+
+  Commands OnRegisterEnd(const RegisterEnd& end, state::Millis now) {
+    return actions_.OnRegisterEnd(end, now);
+  }
+
+  Commands OnLinkLost(const std::string& address, state::Millis now) {
+    Commands commands = lookups_.OnLinkLost(address, now);
+    Append(&commands, actions_.OnLinkLost(address, now));
+    return commands;
+  }
+
+  Commands Tick(state::Millis now) {
+    Commands commands = lookups_.Tick(now);
+    Append(&commands, actions_.Tick(now));
+    return commands;
+  }
+
+  size_t calls_in_progress() const { return lookups_.size() + actions_.size(); }
+
+ private:
+  const std::string request_id_prefix_;
+  state::Counters* const counters_;
+  LookupCalls lookups_;
+  ActionCalls actions_;
+  std::optional<state::IndexedConfiguration> configuration_;
+  absl::flat_hash_set<std::string> convicted_;
+  bool actions_allowed_ = false;
+  uint64_t next_request_ = 1;
+};
+
+Ingress::Ingress(std::string request_id_prefix,
+                 Router* router,
+                 RegisterClient* register_client,
+                 state::Counters* counters)
+    : impl_(std::make_unique<Impl>(std::move(request_id_prefix),
+                                   router,
+                                   register_client,
+                                   counters)) {}
+
+Ingress::~Ingress() = default;
+
+void Ingress::UpdateConfiguration(
+    const state::IndexedConfiguration& configuration) {
+  impl_->UpdateConfiguration(configuration);
+}
+
+void Ingress::UpdateRefusedFingerprints(
+    const std::vector<RefusedFingerprint>& fingerprints) {
+  impl_->UpdateRefusedFingerprints(fingerprints);
+}
+
+void Ingress::SetActionsAllowed(bool allowed) {
+  impl_->SetActionsAllowed(allowed);
+}
+
+Commands Ingress::OnCall(const CallArrived& call, state::Millis now) {
+  return impl_->OnCall(call, now);
+}
+
+Commands Ingress::OnAnswer(const AttemptAnswer& answer, state::Millis now) {
+  return impl_->OnAnswer(answer, now);
+}
+
+Commands Ingress::OnRegisterEnd(const RegisterEnd& end, state::Millis now) {
+  return impl_->OnRegisterEnd(end, now);
+}
+
+Commands Ingress::OnLinkLost(const std::string& address, state::Millis now) {
+  return impl_->OnLinkLost(address, now);
+}
+
+Commands Ingress::Tick(state::Millis now) {
+  return impl_->Tick(now);
+}
+
+size_t Ingress::calls_in_progress() const {
+  return impl_->calls_in_progress();
+}
+
+}  // namespace gooseberrygap::coordination
--- /dev/null
+++ b/src/coordination/internal/link_monitor.cc
@@ -0,0 +1,57 @@
+#include "coordination/coordination.h"
+
+namespace gooseberrygap::coordination {
+
+namespace {
+
+// A link with a request outstanding is probed after this time without a byte.
+constexpr state::Millis kProbeAfter(150);
+// And replaced after this time. A round trip between regions takes 26 ms, so a
+// probe that was sent has had time to be answered several times over.
+constexpr state::Millis kSilentAfter(400);
+
+}  // namespace
+
+void LinkMonitor::OnSent(const std::string& address, state::Millis now) {
+  Link& link = links_[address];
+  if (!link.waiting_) {
+    link = Link{.waiting_since_ = now, .waiting_ = true};
+  }
+}
+
+void LinkMonitor::OnReceived(const std::string& address, state::Millis now) {
+  const auto entry = links_.find(address);
+  if (entry == links_.end()) {
+    return;
+  }
+  // Other requests may still be outstanding; they wait from now on.
+  entry->second = Link{.waiting_since_ = now, .waiting_ = false};
+}
+
+LinkMonitor::Step LinkMonitor::Tick(state::Millis now) {
+  Step step;
+  for (auto entry = links_.begin(); entry != links_.end();) {
+    auto& [address, link] = *entry;
+    const state::Millis silence = now - link.waiting_since_;
+    if (!link.waiting_) {
+      ++entry;
+      continue;
+    }
+    if (silence >= kSilentAfter) {
+      step.commands_.push_back(ResetLink{.address_ = address});
+      step.silent_.push_back(address);
+      entry = links_.erase(entry);
+      continue;
+    }
+    if (silence >= kProbeAfter && !link.probed_) {
+      link.probed_ = true;
+      step.commands_.push_back(
+          SendToPeer{.address_ = address,
+                     .message_ = Probe{.probe_id_ = next_probe_id_++}});
+    }
+    ++entry;
+  }
+  return step;
+}
+
+}  // namespace gooseberrygap::coordination
--- /dev/null
+++ b/src/coordination/internal/lookup_calls.cc
@@ -0,0 +1,208 @@
+#include "coordination/internal/lookup_calls.h"
+
+namespace gooseberrygap::coordination {
+
+namespace {
+
+// Refusals cost the targets nothing, so they are limited only to bound the
+// messages of one call.
+constexpr uint32_t kMaxRefusals = 8;
+// After this many refusals the guard is asked to queue the attempt. Giving up
+// instead failed 1 to 7% of the calls in a trial.
+constexpr uint32_t kRefusalsBeforeQueueing = 2;
+
+bool IsServerError(int status) {
+  return status >= 500;
+}
+
+}  // namespace
+
+Commands LookupCalls::OnCall(const ClassifiedCall& call, state::Millis now) {
+  const auto [entry, inserted] = lookups_.emplace(
+      call.request_id_, std::make_unique<Lookup>(call, router_));
+  Lookup* lookup = entry->second.get();
+  const bool is_outermost = call.depth_ == 0;
+  if (is_outermost && call.service_->hedge_.enabled_) {
+    const auto delay = router_->HedgeDelay(call.service_->name_);
+    if (delay.has_value()) {
+      lookup->hedge_at_ = now + *delay;
+    }
+  }
+  return SendNext(lookup, now);
+}
+
+Commands LookupCalls::SendNext(Lookup* lookup, state::Millis now) {
+  AttemptSet& attempts = lookup->attempts_;
+  const AttemptSet::NextTarget next = attempts.ChooseNext(now);
+  if (!next.target_.has_value()) {
+    if (lookup->last_reason_ == state::RefusalReason::kNone) {
+      lookup->last_reason_ = state::RefusalReason::kNoTarget;
+    }
+    return attempts.open().empty() ? GiveUp(lookup, now) : Commands();
+  }
+  const bool may_queue =
+      next.all_tried_ || lookup->refusals_ >= kRefusalsBeforeQueueing;
+  return {attempts.Send(
+      *next.target_,
+      AttemptSet::SendOptions{.may_queue_ = may_queue,
+                              .has_twin_ = !attempts.open().empty(),
+                              .run_alone_ = lookup->crashes_ > 0},
+      now)};
+}
+
+std::optional<Commands> LookupCalls::OnAnswer(const AttemptAnswer& answer,
+                                              state::Millis now) {
+  const auto entry = lookups_.find(answer.request_id_);
+  if (entry == lookups_.end()) {
+    return std::nullopt;
+  }
+  Lookup* lookup = entry->second.get();
+  const bool is_served = answer.result_ == AttemptResult::kComplete &&
+                         !IsServerError(answer.answer_.status_);
+  const bool is_refused = answer.result_ == AttemptResult::kRefused;
+  const AttemptEnd end = is_served    ? AttemptEnd::kServed
+                         : is_refused ? AttemptEnd::kRefused
+                                      : AttemptEnd::kFailed;
+  if (!lookup->attempts_.End(answer.attempt_, end, answer.load_, now)) {
+    counters_->Add(state::Counter::kAnswersLate);
+    return Commands();
+  }
+  if (is_served) {
+    return Finish(lookup,
+                  Complete(lookup->call_, answer.target_, answer.answer_), now);
+  }
+  if (is_refused) {
+    return OnRefused(lookup, answer, now);
+  }
+  if (answer.result_ == AttemptResult::kComplete) {
+    lookup->error_answer_.emplace(answer);
+  }
+  if (answer.refusal_ == state::RefusalReason::kTargetCrashed) {
+    ++lookup->crashes_;
+  }
+  lookup->last_reason_ = answer.refusal_;
+  return OnFailed(lookup, now);
+}
+
+Commands LookupCalls::OnRefused(Lookup* lookup,
+                                const AttemptAnswer& answer,
+                                state::Millis now) {
+  ++lookup->refusals_;
+  lookup->last_reason_ = answer.refusal_;
+  const bool is_final = answer.refusal_ == state::RefusalReason::kPoisoned ||
+                        lookup->refusals_ >= kMaxRefusals ||
+                        now >= lookup->call_.deadline_;
+  if (is_final) {
+    return lookup->attempts_.open().empty() ? GiveUp(lookup, now) : Commands();
+  }
+  counters_->Add(state::RetryReason::kRefused);
+  return SendNext(lookup, now);
+}
+
+Commands LookupCalls::OnFailed(Lookup* lookup, state::Millis now) {
+  ++lookup->failures_;
+  if (!lookup->attempts_.open().empty()) {
+    return {};
+  }
+  const ClassifiedCall& call = lookup->call_;
+  const auto max_attempts =
+      static_cast<uint32_t>(call.service_->retry_.max_attempts_);
+  const auto crash_limit =
+      static_cast<uint32_t>(call.configuration_->poison_.crashes_);
+  const bool is_final = lookup->failures_ >= max_attempts ||
+                        lookup->crashes_ >= crash_limit ||
+                        now >= call.deadline_;
+  if (is_final) {
+    return GiveUp(lookup, now);
+  }
+  if (!router_->TakeRetry(call.service_->name_)) {
+    counters_->Add(state::RetryReason::kBudgetExhausted);
+    return GiveUp(lookup, now);
+  }
+  counters_->Add(state::RetryReason::kConnectionLost);
+  return SendNext(lookup, now);
+}
+
+Commands LookupCalls::GiveUp(Lookup* lookup, state::Millis now) {
+  const ClassifiedCall& call = lookup->call_;
+  if (lookup->error_answer_.has_value()) {
+    const AttemptAnswer answer = *lookup->error_answer_;
+    return Finish(lookup, Complete(call, answer.target_, answer.answer_), now);
+  }
+  if (lookup->failures_ == 0) {
+    return Finish(lookup, NotRun(call, lookup->last_reason_), now);
+  }
+  return Finish(lookup, UnknownOutcome(call, lookup->last_reason_), now);
+}
+
+Commands LookupCalls::Finish(Lookup* lookup,
+                             AnswerCall answer,
+                             state::Millis now) {
+  Commands commands = lookup->attempts_.CancelAll(now);
+  commands.push_back(std::move(answer));
+  const std::string request_id = lookup->call_.request_id_;
+  lookups_.erase(request_id);
+  return commands;
+}
+
+Commands LookupCalls::OnLinkLost(const std::string& address,
+                                 state::Millis now) {
+  Commands commands;
+  std::vector<Lookup*> affected;
+  for (const auto& [request_id, lookup] : lookups_) {
+    if (lookup->attempts_.EndAt(address, now) > 0) {
+      affected.push_back(lookup.get());
+    }
+  }
+  for (Lookup* lookup : affected) {
+    ++lookup->failures_;
+    lookup->last_reason_ = state::RefusalReason::kLinkLost;
+    if (!lookup->attempts_.open().empty()) {
+      continue;
+    }
+    // Outside the retry budget: a lost link says nothing about load, and the
+    // number of links bounds these retries.
+    counters_->Add(state::RetryReason::kSilentLink);
+    Append(&commands, SendNext(lookup, now));
+  }
+  return commands;
+}
+
+Commands LookupCalls::Tick(state::Millis now) {
+  Commands commands;
+  std::vector<Lookup*> due;
+  for (const auto& [request_id, lookup] : lookups_) {
+    const bool hedge_due =
+        lookup->hedge_at_.has_value() && now >= *lookup->hedge_at_;
+    if (hedge_due || now >= lookup->call_.deadline_) {
+      due.push_back(lookup.get());
+    }
+  }
+  for (Lookup* lookup : due) {
+    Append(&commands, now >= lookup->call_.deadline_ ? OnDeadline(lookup, now)
+                                                     : Hedge(lookup, now));
+  }
+  return commands;
+}
+
+Commands LookupCalls::OnDeadline(Lookup* lookup, state::Millis now) {
+  const bool may_have_run =
+      !lookup->attempts_.open().empty() || lookup->failures_ > 0;
+  const auto reason = state::RefusalReason::kDeadline;
+  return Finish(lookup,
+                may_have_run ? UnknownOutcome(lookup->call_, reason)
+                             : NotRun(lookup->call_, reason),
+                now);
+}
+
+Commands LookupCalls::Hedge(Lookup* lookup, state::Millis now) {
+  lookup->hedge_at_.reset();
+  const bool has_one_open = lookup->attempts_.open().size() == 1;
+  if (!has_one_open || !router_->TakeHedge(lookup->call_.service_->name_)) {
+    return {};
+  }
+  counters_->Add(state::RetryReason::kHedge);
+  return SendNext(lookup, now);
+}
+
+}  // namespace gooseberrygap::coordination
--- /dev/null
+++ b/src/coordination/internal/lookup_calls.h
@@ -0,0 +1,64 @@
+#ifndef COORDINATION_INTERNAL_LOOKUP_CALLS_H_
+#define COORDINATION_INTERNAL_LOOKUP_CALLS_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "coordination/internal/call.h"
+
+namespace gooseberrygap::coordination {
+
+// The lookups in progress: sends attempts, retries and hedges. Not thread-safe.
+class LookupCalls {
+ public:
+  LookupCalls(Router* router, state::Counters* counters)
+      : router_(router), counters_(counters) {}
+
+  Commands OnCall(const ClassifiedCall& call, state::Millis now);
+  // Returns nothing when the answer belongs to no lookup in progress.
+  std::optional<Commands> OnAnswer(const AttemptAnswer& answer,
+                                   state::Millis now);
+  Commands OnLinkLost(const std::string& address, state::Millis now);
+  Commands Tick(state::Millis now);
+  size_t size() const { return lookups_.size(); }
+
+ private:
+  struct Lookup {
+    explicit Lookup(const ClassifiedCall& classified, Router* router)
+        : call_(classified), attempts_(call_, router) {}
+
+    const ClassifiedCall call_;
+    AttemptSet attempts_;
+    std::optional<state::Millis> hedge_at_;
+    uint32_t refusals_ = 0;
+    uint32_t failures_ = 0;
+    uint32_t crashes_ = 0;
+    state::RefusalReason last_reason_ = state::RefusalReason::kNone;
+    // A target's own error answer, handed on when no retry is left.
+    std::optional<AttemptAnswer> error_answer_;
+  };
+  using Lookups = std::map<std::string, std::unique_ptr<Lookup>>;
+
+  // Sends the next attempt, or ends the lookup when none can be sent and none
+  // is open.
+  Commands SendNext(Lookup* lookup, state::Millis now);
+  Commands OnRefused(Lookup* lookup,
+                     const AttemptAnswer& answer,
+                     state::Millis now);
+  Commands OnFailed(Lookup* lookup, state::Millis now);
+  Commands OnDeadline(Lookup* lookup, state::Millis now);
+  Commands Hedge(Lookup* lookup, state::Millis now);
+  Commands Finish(Lookup* lookup, AnswerCall answer, state::Millis now);
+  // Ends the lookup after its last attempt ended without an answer.
+  Commands GiveUp(Lookup* lookup, state::Millis now);
+
+  Router* const router_;
+  state::Counters* const counters_;
+  Lookups lookups_;
+};
+
+}  // namespace gooseberrygap::coordination
+
+#endif  // COORDINATION_INTERNAL_LOOKUP_CALLS_H_
--- /dev/null
+++ b/src/coordination/internal/node.cc
@@ -0,0 +1,343 @@
+#include "absl/strings/str_cat.h"
+#include "coordination/coordination.h"
+#include "coordination/internal/register_tags.h"
+
+namespace gooseberrygap::coordination {
+
+namespace {
+
+// Without a control instance for longer than this, a daemon runs no actions:
+// their rules may have changed. Lookups go on.
+constexpr state::Millis kMaxKnowledgeAge(10 * 1000);
+
+// Hedges are due a few milliseconds after a call's arrival.
+constexpr state::Millis kBusyTick(2);
+constexpr state::Millis kIdleTick(50);
+
+std::vector<std::string> AddressesOf(
+    const std::vector<ControlAddress>& instances) {
+  std::vector<std::string> addresses;
+  addresses.reserve(instances.size());
+  for (const ControlAddress& instance : instances) {
+    addresses.push_back(instance.address_);
+  }
+  return addresses;
+}
+
+}  // namespace
+
+class Node::Impl {
+ public:
+  Impl(const Options& options,
+       absl::BitGenRef random,
+       state::Counters* counters)
+      : self_(options.self_),
+        counters_(counters),
+        router_(options.self_, random, counters),
+        register_client_(AddressesOf(options.control_instances_), counters),
+        control_client_(options.self_, options.control_instances_, counters),
+        ingress_(
+            absl::StrCat(self_.instance_, "-", self_.version_.incarnation_),
+            &router_,
+            &register_client_,
+            counters),
+        guard_(self_.instance_,
+               self_.version_.incarnation_,
+               &register_client_,
+               counters) {}
+
+  Commands Handle(const NodeEvent& event, state::Millis now) {
+    Commands commands = std::visit(
+        [this, now](const auto& concrete) { return On(concrete, now); }, event);
+    Append(&commands, AnnounceChanges(now));
+    return CarryOutLocally(std::move(commands), now);
+  }
+
+  state::Millis TickInterval() const {
+    const bool is_busy =
+        ingress_.calls_in_progress() + guard_.work_in_progress() > 0;
+    return is_busy ? kBusyTick : kIdleTick;
+  }
+
+  NodeStatus Status(state::Millis now) const {
+    const state::IndexedConfiguration& indexed =
+        control_client_.configuration();
+    return NodeStatus{
+        .configuration_index_ = indexed.index_,
+        .configuration_version_ = indexed.configuration_ == nullptr
+                                      ? 0
+                                      : indexed.configuration_->version_,
+        .knowledge_age_ = control_client_.KnowledgeAge(now),
+        .record_ = control_client_.record(),
+        .load_ = guard_.Load(),
+        .calls_in_progress_ = ingress_.calls_in_progress(),
+        .work_in_progress_ = guard_.work_in_progress()};
+  }
+
+  const state::IndexedConfiguration& configuration() const {
+    return control_client_.configuration();
+  }
+
+  std::vector<state::TargetRecord> Targets() const {
+    return control_client_.Targets();
+  }
+
+ private:
+  Commands On(const CallArrived& call, state::Millis now) {
+    return ingress_.OnCall(call, now);
+  }
+
+  Commands On(const PeerMessageArrived& arrived, state::Millis now) {
+    if (!arrived.address_.empty()) {
+      link_monitor_.OnReceived(arrived.address_, now);
+    }
+    return std::visit(
+        [&](const auto& message) { return OnMessage(message, arrived, now); },
+        arrived.message_);
+  }
+
+  Commands On(const DeliveryEnded& ended, state::Millis now) {
+    return guard_.OnDeliveryEnded(ended, now);
+  }
+
+  Commands On(const TargetAnnounced& announced, state::Millis now) {
+    return guard_.OnAnnounced(announced, now);
+  }
+
+  Commands On(const TargetWithdrawn&, state::Millis now) {
+    return guard_.OnWithdrawn(now);
+  }
+
+  Commands On(const DrainRequested&, state::Millis now) {
+    return guard_.Drain(now);
+  }
+
+  Commands On(const Ticked&, state::Millis now) {
+    Commands commands = Apply(control_client_.Tick(now), now);
+    ingress_.SetActionsAllowed(control_client_.KnowledgeAge(now) <=
+                               kMaxKnowledgeAge);
+    Append(&commands, Apply(register_client_.Tick(now), now));
+    Append(&commands, ingress_.Tick(now));
+    Append(&commands, guard_.Tick(now));
+    Append(&commands, router_.Tick(now));
+    LinkMonitor::Step links = link_monitor_.Tick(now);
+    Append(&commands, std::move(links.commands_));
+    for (const std::string& address : links.silent_) {
+      counters_->Add(state::Counter::kLinksReset);
+      Append(&commands, ingress_.OnLinkLost(address, now));
+    }
+    return commands;
+  }
+
+  Commands OnMessage(const Attempt& attempt,
+                     const PeerMessageArrived& arrived,
+                     state::Millis now) {
+    return guard_.OnAttempt(arrived.connection_, attempt, now);
+  }
+
+  Commands OnMessage(const Cancel& cancel,
+                     const PeerMessageArrived&,
+                     state::Millis now) {
+    return guard_.OnCancel(cancel, now);
+  }
+
+  Commands OnMessage(const Probe& probe,
+                     const PeerMessageArrived& arrived,
+                     state::Millis) {
+    return {
+        ReplyToPeer{.connection_ = arrived.connection_,
+                    .message_ = ProbeReply{.probe_id_ = probe.probe_id_,
+                                           .target_ = guard_.target().target_,
+                                           .load_ = guard_.Load()}}};
+  }
+
+  Commands OnMessage(const AttemptAnswer& answer,
+                     const PeerMessageArrived&,
+                     state::Millis now) {
+    return ingress_.OnAnswer(answer, now);
+  }
+
+  Commands OnMessage(const ProbeReply& reply,
+                     const PeerMessageArrived&,
+                     state::Millis now) {
+    router_.OnProbeReply(reply, now);
+    return {};
+  }
+
+  Commands OnMessage(const LeaseReply& reply,
+                     const PeerMessageArrived& arrived,
+                     state::Millis now) {
+    Commands commands =
+        Apply(control_client_.OnReply(arrived.address_, reply, now), now);
+    register_client_.SetLeader(control_client_.leader_address());
+    Append(&commands, guard_.OnCrashesReported(now));
+    return commands;
+  }
+
+  Commands OnMessage(const RegisterReply& reply,
+                     const PeerMessageArrived&,
+                     state::Millis now) {
+    return Apply(register_client_.OnReply(reply, now), now);
+  }
+
+  // Messages for the control role do not come here.
+  template <class Other>
+  Commands OnMessage(const Other&, const PeerMessageArrived&, state::Millis) {
+    return {};
+  }
+
+  Commands Apply(ControlClient::Step step, state::Millis now) {
+    if (step.configuration_changed_) {
+      const state::IndexedConfiguration& indexed =
+          control_client_.configuration();
+      ingress_.UpdateConfiguration(indexed);
+      guard_.UpdateConfiguration(indexed);
+      router_.UpdateConfiguration(*indexed.configuration_);
+    }
+    if (step.configuration_changed_ || step.membership_changed_) {
+      router_.UpdateTargets(control_client_.Targets(), now);
+    }
+    if (step.refused_fingerprints_changed_) {
+      ingress_.UpdateRefusedFingerprints(
+          control_client_.refused_fingerprints());
+      guard_.UpdateRefusedFingerprints(control_client_.refused_fingerprints());
+    }
+    return std::move(step.commands_);
+  }
+
+  Commands Apply(RegisterClient::Step step, state::Millis now) {
+    Commands commands = std::move(step.commands_);
+    for (const RegisterEnd& end : step.ends_) {
+      Append(&commands, IsIngressTag(end.tag_)
+                            ? ingress_.OnRegisterEnd(end, now)
+                            : guard_.OnRegisterEnd(end, now));
+    }
+    return commands;
+  }
+
+  // Tells the control group when the own target or its state has changed.
+  Commands AnnounceChanges(state::Millis now) {
+    Commands commands;
+    const TargetAnnounced& target = guard_.target();
+    const state::TargetRecord& record = control_client_.record();
+    const bool is_same = target.target_ == record.target_ &&
+                         target.service_ == record.service_ &&
+                         target.slots_ == record.slots_ &&
+                         target.state_ == record.state_;
+    if (!target.target_.empty() && !is_same) {
+      commands =
+          Apply(control_client_.Announce(target.target_, target.service_,
+                                         target.slots_, target.state_, now),
+                now);
+    }
+    const std::vector<CrashReport> crashes = guard_.TakeCrashes();
+    if (!crashes.empty()) {
+      Append(&commands, Apply(control_client_.ReportCrash(crashes, now), now));
+    }
+    return commands;
+  }
+
+  // Hands messages between this daemon's own ingress and guard over directly,
+  // and records the rest with the link monitor.
+  Commands CarryOutLocally(Commands commands, state::Millis now) {
+    Commands remaining;
+    for (size_t i = 0; i < commands.size(); ++i) {
+      const Command command = commands[i];
+      if (const auto* answer = std::get_if<AnswerCall>(&command)) {
+        Count(answer->answer_);
+      }
+      const PeerMessageArrived* local = nullptr;
+      std::optional<PeerMessageArrived> arrived;
+      if (const auto* reply = std::get_if<ReplyToPeer>(&command)) {
+        if (reply->connection_.empty()) {
+          arrived.emplace(PeerMessageArrived{.message_ = reply->message_});
+          local = &*arrived;
+        }
+      } else if (const auto* send = std::get_if<SendToPeer>(&command)) {
+        if (send->address_ == self_.guard_address_ && IsForNode(*send)) {
+          arrived.emplace(PeerMessageArrived{.message_ = send->message_});
+          local = &*arrived;
+        } else {
+          RecordSent(*send, now);
+        }
+      }
+      if (local == nullptr) {
+        remaining.push_back(command);
+        continue;
+      }
+      Commands more = On(*local, now);
+      Append(&more, AnnounceChanges(now));
+      Append(&commands, std::move(more));
+    }
+    return remaining;
+  }
+
+  static bool IsForNode(const SendToPeer& send) {
+    return std::holds_alternative<Attempt>(send.message_) ||
+           std::holds_alternative<Cancel>(send.message_) ||
+           std::holds_alternative<Probe>(send.message_);
+  }
+
+  void RecordSent(const SendToPeer& send, state::Millis now) {
+    const bool expects_answer = !std::holds_alternative<Cancel>(send.message_);
+    if (std::holds_alternative<Attempt>(send.message_)) {
+      counters_->Add(state::Counter::kAttemptsSent);
+    }
+    if (expects_answer) {
+      link_monitor_.OnSent(send.address_, now);
+    }
+  }
+
+  void Count(const CallAnswer& answer) {
+    switch (answer.outcome_) {
+      case Outcome::kComplete:
+        counters_->Add(state::Counter::kCallsComplete);
+        return;
+      case Outcome::kNotRun:
+        counters_->Add(state::Counter::kCallsNotRun);
+        break;
+      case Outcome::kUnknown:
+        counters_->Add(state::Counter::kCallsUnknown);
+        break;
+    }
+    counters_->Add(answer.reason_);
+  }
+
+  const state::TargetRecord self_;
+  state::Counters* const counters_;
+  Router router_;
+  RegisterClient register_client_;
+  ControlClient control_client_;
+  LinkMonitor link_monitor_;
+  Ingress ingress_;
+  Guard guard_;
+};
+
+Node::Node(const Options& options,
+           absl::BitGenRef random,
+           state::Counters* counters)
+    : impl_(std::make_unique<Impl>(options, random, counters)) {}
+
+Node::~Node() = default;
+
+Commands Node::Handle(const NodeEvent& event, state::Millis now) {
+  return impl_->Handle(event, now);
+}
+
+state::Millis Node::TickInterval() const {
+  return impl_->TickInterval();
+}
+
+NodeStatus Node::Status(state::Millis now) const {
+  return impl_->Status(now);
+}
+
+const state::IndexedConfiguration& Node::configuration() const {
+  return impl_->configuration();
+}
+
+std::vector<state::TargetRecord> Node::Targets() const {
+  return impl_->Targets();
+}
+
+}  // namespace gooseberrygap::coordination
--- /dev/null
+++ b/src/coordination/internal/router.cc
@@ -0,0 +1,471 @@
+#include <algorithm>
+#include <cmath>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/random/distributions.h"
+#include "coordination/coordination.h"
+#include "coordination/internal/token_bucket.h"
+
+namespace gooseberrygap::coordination {
+
+namespace {
+
+using state::TargetRecord;
+using state::TargetState;
+
+// Round trips beyond the own failure domain, from the platform's latencies.
+constexpr state::Millis kRegionRoundTrip(2);
+constexpr state::Millis kCrossRegionRoundTrip(24);
+// Wire sizes of a probe and its reply with their framing.
+constexpr double kProbeBytes = 24;
+constexpr double kProbeReplyBytes = 64;
+// A target that fails this many times in a row is ejected.
+constexpr int kFailuresToEject = 5;
+constexpr state::Millis kEjectionTime(1000);
+// Knowledge younger than this needs no probe.
+constexpr state::Millis kProbeWhenOlder(20);
+// Services that this daemon has not called for this long are not probed.
+constexpr state::Millis kProbeIdleLimit(1000);
+constexpr size_t kLatencySamples = 512;
+
+enum class LinkClass { kDomain, kRegion, kCrossRegion };
+
+struct LinkCounters {
+  const state::Counter bytes_;
+  const state::Counter messages_;
+};
+constexpr LinkCounters kLoadCounters[] = {
+    {state::Counter::kLoadBytesDomain, state::Counter::kLoadMessagesDomain},
+    {state::Counter::kLoadBytesRegion, state::Counter::kLoadMessagesRegion},
+    {state::Counter::kLoadBytesCrossRegion,
+     state::Counter::kLoadMessagesCrossRegion},
+};
+
+// Recent latencies of a service, for the quantile after which to hedge.
+class LatencyWindow {
+ public:
+  void Add(state::Millis latency) {
+    if (samples_.size() < kLatencySamples) {
+      samples_.push_back(latency);
+    } else {
+      samples_[next_] = latency;
+    }
+    next_ = (next_ + 1) % kLatencySamples;
+    ++added_;
+  }
+
+  // Returns nothing until a few samples have come.
+  std::optional<state::Millis> Quantile(double quantile) const {
+    constexpr size_t kMinSamples = 20;
+    if (samples_.size() < kMinSamples) {
+      return std::nullopt;
+    }
+    // Sorting for each call would cost more than the call.
+    constexpr size_t kRefresh = 32;
+    if (!cached_.has_value() || added_ - cached_at_ >= kRefresh) {
+      std::vector<state::Millis> sorted = samples_;
+      const auto place = std::min(
+          sorted.size() - 1,
+          static_cast<size_t>(quantile * static_cast<double>(sorted.size())));
+      std::nth_element(sorted.begin(),
+                       sorted.begin() + static_cast<int64_t>(place),
+                       sorted.end());
+      cached_ = sorted[place];
+      cached_at_ = added_;
+    }
+    return cached_;
+  }
+
+ private:
+  std::vector<state::Millis> samples_;
+  size_t next_ = 0;
+  size_t added_ = 0;
+  mutable std::optional<state::Millis> cached_;
+  mutable size_t cached_at_ = 0;
+};
+
+}  // namespace
+
+class Router::Impl {
+ public:
+  Impl(const TargetRecord& self,
+       absl::BitGenRef random,
+       state::Counters* counters)
+      : self_(self), random_(random), counters_(counters) {}
+
+  void UpdateConfiguration(const state::Configuration& configuration) {
+    for (const state::Service& service : configuration.services_) {
+      ServiceState& known = services_[service.name_];
+      if (known.policy_ == nullptr ||
+          known.policy_->strategy_ != service.strategy_) {
+        known.strategy_ = MakeStrategy(service.strategy_);
+      }
+      known.policy_ = std::make_unique<state::Service>(service);
+      known.retry_budget_.SetRatio(service.retry_.budget_ratio_);
+      known.hedge_budget_.SetRatio(service.hedge_.budget_ratio_);
+    }
+    const state::LoadBudget& budget = configuration.load_budget_;
+    load_bytes_.SetRate(budget.bytes_per_second_);
+    load_messages_.SetRate(budget.messages_per_second_);
+    load_cross_region_bytes_.SetRate(budget.cross_region_bytes_per_second_);
+    cross_region_bytes_.SetRate(configuration.cross_region_bytes_per_second_);
+  }
+
+  void UpdateTargets(const std::vector<TargetRecord>& targets,
+                     state::Millis now) {
+    absl::flat_hash_map<std::string, std::unique_ptr<Target>> previous;
+    previous.swap(targets_);
+    for (auto& [name, service] : services_) {
+      service.members_.clear();
+    }
+    for (const TargetRecord& record : targets) {
+      if (record.target_.empty()) {
+        continue;
+      }
+      const auto known = previous.find(record.target_);
+      auto target = known == previous.end() ? std::make_unique<Target>()
+                                            : std::move(known->second);
+      const bool starts_serving =
+          record.state_ == TargetState::kServing &&
+          (target->record_ == nullptr ||
+           target->record_->state_ != TargetState::kServing ||
+           target->record_->version_.incarnation_ !=
+               record.version_.incarnation_);
+      if (starts_serving) {
+        // At the daemon's own start all targets are new to it, but not cold.
+        target->serving_since_ =
+            has_targets_ ? now : state::Millis(-kEjectionTime.value() * 1e6);
+      }
+      target->record_ = std::make_unique<TargetRecord>(record);
+      AdmitMember(target.get());
+      targets_.emplace(record.target_, std::move(target));
+    }
+    has_targets_ = has_targets_ || !targets.empty();
+  }
+
+  std::optional<TargetRecord> Choose(const ChoiceQuery& query,
+                                     state::Millis now) {
+    const auto entry = services_.find(query.service_);
+    if (entry == services_.end() || entry->second.strategy_ == nullptr) {
+      return std::nullopt;
+    }
+    ServiceState& service = entry->second;
+    service.last_call_ = now;
+    const std::vector<Target*> local =
+        Eligible(service, query, /*local=*/true, now);
+    const bool local_in_time =
+        std::any_of(local.begin(), local.end(), [&](const Target* target) {
+          return MeetsDeadline(*target, query.deadline_left_, now);
+        });
+    if (local_in_time) {
+      return ChooseAmong(&service, local, now);
+    }
+    const std::vector<Target*> remote =
+        Eligible(service, query, /*local=*/false, now);
+    // The size of a call is not known here; one packet stands for it.
+    constexpr double kCallBytes = 1500;
+    if (!remote.empty() && cross_region_bytes_.Take(kCallBytes, now)) {
+      counters_->Add(state::Counter::kCallsCrossRegion);
+      return ChooseAmong(&service, remote, now);
+    }
+    return local.empty() ? std::nullopt : ChooseAmong(&service, local, now);
+  }
+
+  void OnSent(absl::string_view target, state::Millis) {
+    const auto entry = targets_.find(target);
+    if (entry != targets_.end()) {
+      ++entry->second->own_in_flight_;
+    }
+  }
+
+  void OnEnd(const AttemptOutcome& outcome, state::Millis now) {
+    const auto service = services_.find(outcome.service_);
+    if (service != services_.end() && outcome.end_ == AttemptEnd::kServed) {
+      service->second.retry_budget_.OnSuccess();
+      service->second.hedge_budget_.OnSuccess();
+      service->second.latencies_.Add(outcome.latency_);
+    }
+    const auto entry = targets_.find(outcome.target_);
+    if (entry == targets_.end()) {
+      return;
+    }
+    Target* target = entry->second.get();
+    target->own_in_flight_ = std::max(0, target->own_in_flight_ - 1);
+    if (outcome.load_.has_value()) {
+      target->load_.emplace(*outcome.load_);
+      target->load_at_ = now;
+    }
+    if (outcome.end_ == AttemptEnd::kServed) {
+      target->failures_ = 0;
+    } else if (outcome.end_ == AttemptEnd::kFailed) {
+      ++target->failures_;
+      EjectIfFailing(target, now);
+    }
+  }
+
+  void OnProbeReply(const ProbeReply& reply, state::Millis now) {
+    const auto entry = targets_.find(reply.target_);
+    if (entry == targets_.end()) {
+      return;
+    }
+    entry->second->load_.emplace(reply.load_);
+    entry->second->load_at_ = now;
+  }
+
+  bool TakeRetry(absl::string_view service) {
+    const auto entry = services_.find(service);
+    return entry != services_.end() && entry->second.retry_budget_.Take();
+  }
+
+  bool TakeHedge(absl::string_view service) {
+    const auto entry = services_.find(service);
+    return entry != services_.end() && entry->second.hedge_budget_.Take();
+  }
+
+  std::optional<state::Millis> HedgeDelay(absl::string_view service) const {
+    const auto entry = services_.find(service);
+    if (entry == services_.end()) {
+      return std::nullopt;
+    }
+    const ServiceState& known = entry->second;
+    return known.latencies_.Quantile(known.policy_->hedge_.quantile_);
+  }
+
+  Commands Tick(state::Millis now) {
+    Commands commands;
+    for (auto& [name, service] : services_) {
+      const bool is_called = service.last_call_.has_value() &&
+                             now - *service.last_call_ < kProbeIdleLimit;
+      if (is_called && !service.members_.empty()) {
+        Append(&commands, ProbeOne(service, now));
+      }
+    }
+    return commands;
+  }
+
+ private:
+  struct Target {
+    std::unique_ptr<const TargetRecord> record_;
+    int own_in_flight_ = 0;
+    std::optional<state::GuardLoad> load_;
+    state::Millis load_at_;
+    state::Millis serving_since_;
+    int failures_ = 0;
+    state::Millis ejected_until_;
+  };
+
+  struct ServiceState {
+    std::unique_ptr<const state::Service> policy_;
+    std::unique_ptr<Strategy> strategy_;
+    std::vector<Target*> members_;
+    RatioBudget retry_budget_;
+    RatioBudget hedge_budget_;
+    LatencyWindow latencies_;
+    std::optional<state::Millis> last_call_;
+  };
+
+  LinkClass LinkTo(const TargetRecord& record) const {
+    if (record.region_ != self_.region_) {
+      return LinkClass::kCrossRegion;
+    }
+    return record.failure_domain_ == self_.failure_domain_ ? LinkClass::kDomain
+                                                           : LinkClass::kRegion;
+  }
+
+  // Makes the target a member of its service if the admission policy lets it.
+  void AdmitMember(Target* target) {
+    const TargetRecord& record = *target->record_;
+    const auto entry = services_.find(record.service_);
+    if (entry == services_.end()) {
+      return;
+    }
+    const state::AdmissionPolicy& policy = entry->second.policy_->admission_;
+    const bool domain_allowed =
+        policy.failure_domains_.empty() ||
+        std::count(policy.failure_domains_.begin(),
+                   policy.failure_domains_.end(), record.failure_domain_) > 0;
+    const bool has_room =
+        static_cast<int>(entry->second.members_.size()) < policy.max_targets_;
+    if (domain_allowed && has_room && record.slots_ <= policy.max_slots_) {
+      entry->second.members_.push_back(target);
+    }
+  }
+
+  std::vector<Target*> Eligible(const ServiceState& service,
+                                const ChoiceQuery& query,
+                                bool local,
+                                state::Millis now) const {
+    std::vector<Target*> eligible;
+    std::vector<Target*> ejected;
+    for (Target* target : service.members_) {
+      const TargetRecord& record = *target->record_;
+      const bool is_local = LinkTo(record) != LinkClass::kCrossRegion;
+      const bool is_tried = std::count(query.tried_.begin(), query.tried_.end(),
+                                       record.target_) > 0;
+      const bool takes_work = record.state_ == TargetState::kServing &&
+                              (!target->load_.has_value() ||
+                               target->load_->state_ == TargetState::kServing ||
+                               now - target->load_at_ > kEjectionTime);
+      if (is_local != local || is_tried || !takes_work) {
+        continue;
+      }
+      (now < target->ejected_until_ ? ejected : eligible).push_back(target);
+    }
+    return eligible.empty() ? ejected : eligible;
+  }
+
+  static bool MeetsDeadline(const Target& target,
+                            state::Millis deadline_left,
+                            state::Millis now) {
+    const bool knows_load =
+        target.load_.has_value() && now - target.load_at_ < kEjectionTime;
+    return !knows_load || target.load_->latency_ < deadline_left;
+  }
+
+  std::optional<TargetRecord> ChooseAmong(ServiceState* service,
+                                          const std::vector<Target*>& targets,
+                                          state::Millis now) {
+    std::vector<Candidate> candidates;
+    candidates.reserve(targets.size());
+    for (const Target* target : targets) {
+      candidates.push_back(CandidateOf(*target, *service->policy_, now));
+    }
+    const size_t index = service->strategy_->Choose(candidates, random_);
+    return *targets[index]->record_;
+  }
+
+  Candidate CandidateOf(const Target& target,
+                        const state::Service& policy,
+                        state::Millis now) const {
+    constexpr state::Millis kLinkLatency[] = {
+        state::Millis(0), kRegionRoundTrip, kCrossRegionRoundTrip};
+    const double ramp_up_ms = std::max(1.0, policy.ramp_up_.value());
+    const double ramp = (now - target.serving_since_).value() / ramp_up_ms;
+    const LinkClass link = LinkTo(*target.record_);
+    return Candidate{.target_ = target.record_->target_,
+                     .own_in_flight_ = target.own_in_flight_,
+                     .has_load_ = target.load_.has_value(),
+                     .load_ = target.load_.value_or(state::GuardLoad{}),
+                     .load_age_ = now - target.load_at_,
+                     .link_latency_ = kLinkLatency[static_cast<size_t>(link)],
+                     .slots_ = target.record_->slots_,
+                     .ramp_ = std::clamp(ramp, 0.0, 1.0)};
+  }
+
+  // Ejects a target that fails again and again, unless half of its service is
+  // ejected already: then the fault is likely not the target's.
+  void EjectIfFailing(Target* target, state::Millis now) {
+    const auto entry = services_.find(target->record_->service_);
+    if (target->failures_ < kFailuresToEject || entry == services_.end()) {
+      return;
+    }
+    const std::vector<Target*>& members = entry->second.members_;
+    const auto ejected = std::count_if(
+        members.begin(), members.end(),
+        [now](const Target* member) { return now < member->ejected_until_; });
+    if (2 * (ejected + 1) > static_cast<int64_t>(members.size())) {
+      return;
+    }
+    target->ejected_until_ = now + kEjectionTime;
+    target->failures_ = 0;
+    counters_->Add(state::Counter::kTargetsEjected);
+  }
+
+  Commands ProbeOne(const ServiceState& service, state::Millis now) {
+    const Target* target = service.members_[absl::Uniform<size_t>(
+        random_, 0, service.members_.size())];
+    const bool is_fresh =
+        target->load_.has_value() && now - target->load_at_ < kProbeWhenOlder;
+    const bool is_own = target->record_->guard_address_ == self_.guard_address_;
+    if (is_fresh || is_own) {
+      return {};
+    }
+    const LinkClass link = LinkTo(*target->record_);
+    constexpr double kBytes = kProbeBytes + kProbeReplyBytes;
+    constexpr double kMessages = 2;
+    const bool is_paid = link == LinkClass::kCrossRegion;
+    const bool has_budget =
+        load_bytes_.Has(kBytes, now) && load_messages_.Has(kMessages, now) &&
+        (!is_paid || load_cross_region_bytes_.Has(kBytes, now));
+    if (!has_budget) {
+      counters_->Add(state::Counter::kLoadBudgetExhausted);
+      return {};
+    }
+    load_bytes_.Take(kBytes, now);
+    load_messages_.Take(kMessages, now);
+    if (is_paid) {
+      load_cross_region_bytes_.Take(kBytes, now);
+    }
+    const LinkCounters& link_counters =
+        kLoadCounters[static_cast<size_t>(link)];
+    counters_->Add(link_counters.bytes_, static_cast<uint64_t>(kBytes));
+    counters_->Add(link_counters.messages_, static_cast<uint64_t>(kMessages));
+    counters_->Add(state::Counter::kProbesSent);
+    return {SendToPeer{.address_ = target->record_->guard_address_,
+                       .message_ = Probe{.probe_id_ = next_probe_id_++}}};
+  }
+
+  const TargetRecord self_;
+  absl::BitGenRef random_;
+  state::Counters* const counters_;
+  std::map<std::string, ServiceState, std::less<>> services_;
+  absl::flat_hash_map<std::string, std::unique_ptr<Target>> targets_;
+  bool has_targets_ = false;
+  TokenBucket load_bytes_;
+  TokenBucket load_messages_;
+  TokenBucket load_cross_region_bytes_;
+  TokenBucket cross_region_bytes_;
+  uint64_t next_probe_id_ = 1;
+};
+
+Router::Router(TargetRecord self,
+               absl::BitGenRef random,
+               state::Counters* counters)
+    : impl_(std::make_unique<Impl>(self, random, counters)) {}
+
+Router::~Router() = default;
+
+void Router::UpdateConfiguration(const state::Configuration& configuration) {
+  impl_->UpdateConfiguration(configuration);
+}
+
+void Router::UpdateTargets(const std::vector<TargetRecord>& targets,
+                           state::Millis now) {
+  impl_->UpdateTargets(targets, now);
+}
+
+std::optional<TargetRecord> Router::Choose(const ChoiceQuery& query,
+                                           state::Millis now) {
+  return impl_->Choose(query, now);
+}
+
+void Router::OnSent(absl::string_view target, state::Millis now) {
+  impl_->OnSent(target, now);
+}
+
+void Router::OnEnd(const AttemptOutcome& outcome, state::Millis now) {
+  impl_->OnEnd(outcome, now);
+}
+
+void Router::OnProbeReply(const ProbeReply& reply, state::Millis now) {
+  impl_->OnProbeReply(reply, now);
+}
+
+bool Router::TakeRetry(absl::string_view service) {
+  return impl_->TakeRetry(service);
+}
+
+bool Router::TakeHedge(absl::string_view service) {
+  return impl_->TakeHedge(service);
+}
+
+std::optional<state::Millis> Router::HedgeDelay(
+    absl::string_view service) const {
+  return impl_->HedgeDelay(service);
+}
+
+Commands Router::Tick(state::Millis now) {
+  return impl_->Tick(now);
+}
+
+}  // namespace gooseberrygap::coordination
--- /dev/null
+++ b/src/coordination/internal/strategy.cc
@@ -0,0 +1,165 @@
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+#include "absl/random/distributions.h"
+#include "coordination/coordination.h"
+
+namespace gooseberrygap::coordination {
+
+namespace {
+
+using Candidates = std::vector<Candidate>;
+
+size_t UniformIndex(size_t count, absl::BitGenRef random) {
+  return absl::Uniform<size_t>(random, 0, count);
+}
+
+// Returns the index with the lowest cost; ties are broken at random.
+template <class Cost>
+size_t LowestCost(size_t count, absl::BitGenRef random, Cost cost) {
+  size_t best = 0;
+  size_t ties = 1;
+  for (size_t i = 1; i < count; ++i) {
+    if (cost(i) < cost(best)) {
+      best = i;
+      ties = 1;
+    } else if (cost(i) == cost(best)) {
+      ++ties;
+      if (absl::Uniform<size_t>(random, 0, ties) == 0) {
+        best = i;
+      }
+    }
+  }
+  return best;
+}
+
+class RandomStrategy : public Strategy {
+ public:
+  size_t Choose(const Candidates& candidates, absl::BitGenRef random) override {
+    return UniformIndex(candidates.size(), random);
+  }
+};
+
+class RoundRobinStrategy : public Strategy {
+ public:
+  size_t Choose(const Candidates& candidates, absl::BitGenRef) override {
+    return next_++ % candidates.size();
+  }
+
+ private:
+  size_t next_ = 0;
+};
+
+class LeastInFlightStrategy : public Strategy {
+ public:
+  size_t Choose(const Candidates& candidates, absl::BitGenRef random) override {
+    return LowestCost(candidates.size(), random, [&candidates](size_t i) {
+      return candidates[i].own_in_flight_;
+    });
+  }
+};
+
+class TwoChoicesStrategy : public Strategy {
+ public:
+  size_t Choose(const Candidates& candidates, absl::BitGenRef random) override {
+    const size_t first = UniformIndex(candidates.size(), random);
+    const size_t second = UniformIndex(candidates.size(), random);
+    return candidates[second].own_in_flight_ < candidates[first].own_in_flight_
+               ? second
+               : first;
+  }
+};
+
+// Weighs own attempts in flight with what guards have reported, the less the
+// older it is, and prefers the lowest expected time.
+class ProbedLatencyStrategy : public Strategy {
+ public:
+  size_t Choose(const Candidates& candidates, absl::BitGenRef random) override {
+    const double typical_ms = TypicalLatency(candidates);
+    return LowestCost(candidates.size(), random,
+                      [&candidates, typical_ms](size_t i) {
+                        return ExpectedMillis(candidates[i], typical_ms);
+                      });
+  }
+
+ private:
+  // A report loses half of its weight in this time: load shifts within
+  // milliseconds.
+  static constexpr double kHalfLifeMs = 5;
+  // A target whose load is unknown counts as typical.
+  static constexpr double kDefaultLatencyMs = 5;
+
+  static double Weight(const Candidate& candidate) {
+    return candidate.has_load_
+               ? std::exp2(-candidate.load_age_.value() / kHalfLifeMs)
+               : 0;
+  }
+
+  static double TypicalLatency(const Candidates& candidates) {
+    std::vector<double> known;
+    for (const Candidate& candidate : candidates) {
+      if (candidate.has_load_) {
+        known.push_back(candidate.load_.latency_.value());
+      }
+    }
+    if (known.empty()) {
+      return kDefaultLatencyMs;
+    }
+    const auto middle = known.begin() + static_cast<int64_t>(known.size() / 2);
+    std::nth_element(known.begin(), middle, known.end());
+    return *middle;
+  }
+
+  static double ExpectedMillis(const Candidate& candidate, double typical_ms) {
+    const double weight = Weight(candidate);
+    const int reported = candidate.load_.in_flight_ + candidate.load_.queued_;
+    const int others = std::max(0, reported - candidate.own_in_flight_);
+    const double in_flight = candidate.own_in_flight_ + weight * others;
+    const double slots =
+        std::max(1.0, candidate.slots_ * std::max(0.1, candidate.ramp_));
+    const double service_ms =
+        weight * candidate.load_.latency_.value() + (1 - weight) * typical_ms;
+    return candidate.link_latency_.value() +
+           service_ms * (1 + in_flight / slots);
+  }
+};
+
+template <class Concrete>
+std::unique_ptr<Strategy> Make() {
+  return std::make_unique<Concrete>();
+}
+
+struct StrategyRow {
+  const absl::string_view name_;
+  std::unique_ptr<Strategy> (*const make_)();
+};
+
+constexpr std::array<StrategyRow, 5> kStrategies = {{
+    {"probed_latency", Make<ProbedLatencyStrategy>},
+    {"random", Make<RandomStrategy>},
+    {"round_robin", Make<RoundRobinStrategy>},
+    {"least_in_flight", Make<LeastInFlightStrategy>},
+    {"two_choices", Make<TwoChoicesStrategy>},
+}};
+
+}  // namespace
+
+std::unique_ptr<Strategy> MakeStrategy(absl::string_view name) {
+  for (const StrategyRow& row : kStrategies) {
+    if (row.name_ == name) {
+      return row.make_();
+    }
+  }
+  return nullptr;
+}
+
+std::vector<absl::string_view> StrategyNames() {
+  std::vector<absl::string_view> names;
+  for (const StrategyRow& row : kStrategies) {
+    names.push_back(row.name_);
+  }
+  return names;
+}
+
+}  // namespace gooseberrygap::coordination
--- a/src/protocol/internal/peer_codec.cc
+++ b/src/protocol/internal/peer_codec.cc
@@ -88,6 +88,7 @@
     out->set_may_queue(message.may_queue_);
     out->set_has_twin(message.has_twin_);
     out->set_cross_region(message.cross_region_);
+    out->set_run_alone(message.run_alone_);
     out->set_key(message.key_);
     out->set_digest(message.digest_);
     out->set_register_group(message.register_group_);
@@ -288,6 +289,7 @@
       .may_queue_ = in.may_queue(),
       .has_twin_ = in.has_twin(),
       .cross_region_ = in.cross_region(),
+      .run_alone_ = in.run_alone(),
       .key_ = in.key(),
       .digest_ = in.digest(),
       .register_group_ = in.register_group(),
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -4,6 +4,7 @@
 // Public header of the transport library: duty threads and the bounded rings
 // that join them, the HTTP server and client, and the peer endpoint.
 
+#include "transport/api/answer_slot.h"
 #include "transport/api/duty_thread.h"
 #include "transport/api/http_server.h"
 #include "transport/api/peer_endpoint.h"
