Parse settings and configuration strictly, print metrics

Cause: the headers settings.h, configuration_json.h and metrics_text.h had no implementation behind them.

Ruled out: reading each key by hand (the checks drift apart from the printer), and filling members through pointers (members are const). Parsing with exceptions was not needed: a SAX pass finds syntax errors and duplicate keys with their path, which the parsed value no longer shows.

Change: a reader and printer driven by tables of rows (key, member, kind of value, required or optional). All faults are collected with path, finding and what is allowed. A key whose member has a default may be missing; version, services, name, rules, path_prefix and request_class may not. Nesting is limited to 32 levels.

With two rows in the wrong order the round-trip test fails, as it should.

--- a/src/protocol/api/metrics_text.h
+++ b/src/protocol/api/metrics_text.h
@@ -8,7 +8,9 @@
 
 namespace gooseberrygap::protocol {
 
-// Returns the samples in the Prometheus text format. Thread-safe.
+// Returns the samples in the Prometheus text format. Precondition: the samples
+// of one family follow each other, as Counters::Samples returns them.
+// Thread-safe.
 std::string PrintMetrics(const std::vector<state::CounterSample>& samples);
 
 }  // namespace gooseberrygap::protocol
--- a/src/protocol/api/settings.h
+++ b/src/protocol/api/settings.h
@@ -22,7 +22,8 @@
 
 struct PeerSettings {
   const std::string listen_ = {};
-  // The address that other daemons use; `listen_` when it is not set.
+  // The address that other daemons use. ParseSettings sets it to `listen_` when
+  // the file does not give it.
   const std::string advertise_ = {};
 
   friend bool operator==(const PeerSettings&, const PeerSettings&) = default;
--- /dev/null
+++ b/src/protocol/internal/configuration_json.cc
@@ -0,0 +1,16 @@
+#include "protocol/internal/configuration_fields.h"
+#include "protocol/protocol.h"
+
+namespace gooseberrygap::protocol {
+
+state::Result<state::Configuration> ParseConfiguration(absl::string_view json) {
+  return ReadDocument(kConfigurationRecord, json, UnknownKeys::kRefuse,
+                      state::ErrorKind::kInvalidConfiguration,
+                      "The configuration");
+}
+
+std::string PrintConfiguration(const state::Configuration& configuration) {
+  return PrintDocument(kConfigurationRecord, configuration);
+}
+
+}  // namespace gooseberrygap::protocol
