Add the peer endpoint on ZeroMQ

Cause: daemons need a link to each other that never blocks the node thread and whose losses are counted.

Ruled out: zmq_poll, which inspects every socket at every wake-up and so grows with the number of peers. IMMEDIATE=1 on the DEALERs, which refuses the first message to every peer.

Change: one thread owns a ROUTER and a DEALER for each address and sleeps in one epoll over their descriptors and an eventfd. A socket that has sent is read again, since sending may take the signal of an arrival off its descriptor. Sends return at once; refused ones are counted. ZMQ_MAX_SOCKETS is raised from 1023, so that the number of peers is not limited by it. PeerEndpoint gains address(), max_message_bytes_ and close_unused_after_.

--- a/src/transport/api/peer_endpoint.h
+++ b/src/transport/api/peer_endpoint.h
@@ -28,6 +28,10 @@
     const state::Millis heartbeat_interval_ = state::Millis(1000);
     const state::Millis heartbeat_timeout_ = state::Millis(3000);
     const size_t ring_capacity_ = 8192;
+    // Larger messages are refused by the sender and by the receiver.
+    const size_t max_message_bytes_ = 67108864;
+    // A connection to an address without traffic for longer is closed.
+    const state::Millis close_unused_after_ = state::Millis(300000);
   };
 
   // Called on the peer thread for each decoded message; must not block.
@@ -45,6 +49,10 @@
   virtual bool Send(coordination::SendToPeer command) = 0;
   virtual bool Reply(coordination::ReplyToPeer command) = 0;
   virtual bool Reset(coordination::ResetLink command) = 0;
+
+  // Returns the address that it listens at, with the port chosen when the
+  // options say port 0. Thread-safe.
+  virtual std::string address() const = 0;
 };
 
 }  // namespace gooseberrygap::transport
--- /dev/null
+++ b/src/transport/internal/peer_endpoint.cc
@@ -0,0 +1,275 @@
+#include "transport/internal/peer_endpoint_impl.h"
+
+#include <sys/epoll.h>
+#include <zmq.h>
+
+#include <utility>
+
+#include "protocol/protocol.h"
+
+namespace gooseberrygap::transport {
+
+namespace {
+
+// Messages taken from one socket before the others get their turn.
+constexpr int kMessagesPerTurn = 256;
+// One socket for each peer; the default of ZeroMQ is 1023.
+constexpr int kMaxSockets = 16384;
+constexpr state::Millis kLinkCheckInterval(30000);
+constexpr state::Millis kShutdownLinger(300);
+
+ZmqOptions SocketOptionsOf(const PeerEndpoint::Options& options) {
+  return {.high_water_mark_ = options.high_water_mark_,
+          .heartbeat_interval_ = options.heartbeat_interval_,
+          .heartbeat_timeout_ = options.heartbeat_timeout_,
+          .max_message_bytes_ = options.max_message_bytes_};
+}
+
+}  // namespace
+
+ZmqContext::ZmqContext() : context_(zmq_ctx_new()) {
+  zmq_ctx_set(context_, ZMQ_MAX_SOCKETS, kMaxSockets);
+}
+
+ZmqContext::~ZmqContext() {
+  zmq_ctx_term(context_);
+}
+
+state::Result<std::unique_ptr<PeerEndpoint>> PeerEndpoint::Start(
+    const Options& options,
+    Handler handler,
+    state::Counters* counters) {
+  state::Result<std::unique_ptr<Poller>> poller = Poller::Create();
+  if (!poller) {
+    return poller.error();
+  }
+  auto endpoint = std::make_unique<PeerEndpointImpl>(
+      options, std::move(handler), counters, std::move(poller).value());
+  state::Result<void> bound = endpoint->Bind();
+  if (!bound) {
+    return bound.error();
+  }
+  endpoint->StartThread();
+  return std::unique_ptr<PeerEndpoint>(std::move(endpoint));
+}
+
+PeerEndpointImpl::PeerEndpointImpl(const Options& options,
+                                   Handler handler,
+                                   state::Counters* counters,
+                                   std::unique_ptr<Poller> poller)
+    : options_(options),
+      handler_(std::move(handler)),
+      counters_(counters),
+      poller_(std::move(poller)),
+      ring_(options.ring_capacity_) {}
+
+PeerEndpointImpl::~PeerEndpointImpl() {
+  ring_.Close();
+  poller_->Wake();
+  thread_.reset();
+}
+
+state::Result<void> PeerEndpointImpl::Bind() {
+  state::Result<ZmqSocket> socket = ZmqSocket::Open(
+      context_.get(), ZmqKind::kRouter, SocketOptionsOf(options_));
+  if (!socket) {
+    return socket.error();
+  }
+  state::Result<void> bound = socket.value().Bind(options_.listen_address_);
+  if (!bound) {
+    return bound.error();
+  }
+  address_ = socket.value().BoundAddress();
+  router_ = AddLink("", std::move(socket).value());
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void PeerEndpointImpl::StartThread() {
+  thread_ = std::make_unique<DutyThread>("peer", [this] { Run(); });
+}
+
+bool PeerEndpointImpl::Send(coordination::SendToPeer command) {
+  return Push(std::move(command));
+}
+
+bool PeerEndpointImpl::Reply(coordination::ReplyToPeer command) {
+  return Push(std::move(command));
+}
+
+bool PeerEndpointImpl::Reset(coordination::ResetLink command) {
+  return Push(std::move(command));
+}
+
+bool PeerEndpointImpl::Push(PeerCommand command) {
+  if (!ring_.TryPush(std::move(command))) {
+    counters_->Add(state::Counter::kPeerSendsRefused);
+    return false;
+  }
+  poller_->Wake();
+  return true;
+}
+
+void PeerEndpointImpl::Run() {
+  while (!ring_.closed()) {
+    const std::vector<int> ready =
+        poller_->Wait(touched_.empty() ? kLinkCheckInterval : state::Millis(0));
+    touched_.insert(ready.begin(), ready.end());
+    ExecuteCommands();
+    ReceiveAll();
+    CloseUnusedLinks();
+  }
+  ExecuteCommands();
+  for (auto& [fd, link] : links_) {
+    link->socket_.SetLinger(kShutdownLinger);
+  }
+  links_.clear();
+}
+
+void PeerEndpointImpl::ExecuteCommands() {
+  // Bounded, so that a stream of commands does not hold up arrivals.
+  for (size_t i = 0; i < options_.ring_capacity_; ++i) {
+    std::optional<PeerCommand> command = ring_.TryPop();
+    if (!command) {
+      return;
+    }
+    std::visit([this](const auto& item) { Execute(item); }, *command);
+  }
+  poller_->Wake();
+}
+
+void PeerEndpointImpl::Execute(const coordination::SendToPeer& command) {
+  Link* link = DealerFor(command.address_);
+  if (link == nullptr) {
+    counters_->Add(state::Counter::kPeerSendsRefused);
+    return;
+  }
+  SendOn(link, {}, command.message_);
+}
+
+void PeerEndpointImpl::Execute(const coordination::ReplyToPeer& command) {
+  SendOn(router_, {command.connection_}, command.message_);
+}
+
+void PeerEndpointImpl::Execute(const coordination::ResetLink& command) {
+  const auto dealer = dealers_.find(command.address_);
+  if (dealer == dealers_.end()) {
+    return;
+  }
+  CloseLink(dealer->second);
+  counters_->Add(state::Counter::kLinksReset);
+}
+
+void PeerEndpointImpl::SendOn(Link* link,
+                              std::vector<absl::string_view> frames,
+                              const coordination::PeerMessage& message) {
+  const std::string payload = protocol::EncodePeerMessage(message);
+  frames.push_back(payload);
+  // A receiver closes the connection on a message above the limit, which would
+  // lose the others in flight.
+  if (payload.size() > options_.max_message_bytes_ ||
+      !link->socket_.Send(frames)) {
+    counters_->Add(state::Counter::kPeerSendsRefused);
+  } else {
+    counters_->Add(state::Counter::kPeerMessagesSent);
+    counters_->Add(state::Counter::kPeerBytesSent, payload.size());
+  }
+  link->last_used_ = clock_.Now();
+  // Sending may take the signal of an arrival off the poll descriptor.
+  touched_.insert(link->fd_);
+}
+
+void PeerEndpointImpl::ReceiveAll() {
+  for (const int fd : std::exchange(touched_, {})) {
+    const auto link = links_.find(fd);
+    if (link != links_.end() && !ReceiveSome(link->second.get())) {
+      touched_.insert(fd);
+    }
+  }
+}
+
+bool PeerEndpointImpl::ReceiveSome(Link* link) {
+  std::vector<std::string> frames;
+  for (int i = 0; i < kMessagesPerTurn; ++i) {
+    if (!link->socket_.Receive(&frames)) {
+      return true;
+    }
+    link->last_used_ = clock_.Now();
+    HandleFrames(*link, frames);
+  }
+  return false;
+}
+
+void PeerEndpointImpl::HandleFrames(const Link& link,
+                                    const std::vector<std::string>& frames) {
+  const size_t expected = &link == router_ ? 2 : 1;
+  if (frames.size() != expected) {
+    counters_->Add(state::Counter::kPeerMessagesMalformed);
+    return;
+  }
+  const std::string& payload = frames.back();
+  state::Result<coordination::PeerMessage> message =
+      protocol::DecodePeerMessage(payload);
+  if (!message) {
+    counters_->Add(state::Counter::kPeerMessagesMalformed);
+    return;
+  }
+  counters_->Add(state::Counter::kPeerMessagesReceived);
+  counters_->Add(state::Counter::kPeerBytesReceived, payload.size());
+  handler_({.connection_ = &link == router_ ? frames.front() : std::string(),
+            .address_ = link.address_,
+            .message_ = std::move(message).value()});
+}
+
+PeerEndpointImpl::Link* PeerEndpointImpl::DealerFor(
+    const std::string& address) {
+  const auto known = dealers_.find(address);
+  if (known != dealers_.end()) {
+    return known->second;
+  }
+  state::Result<ZmqSocket> socket = ZmqSocket::Open(
+      context_.get(), ZmqKind::kDealer, SocketOptionsOf(options_));
+  if (!socket || !socket.value().Connect(address)) {
+    return nullptr;
+  }
+  Link* link = AddLink(address, std::move(socket).value());
+  dealers_.emplace(address, link);
+  return link;
+}
+
+PeerEndpointImpl::Link* PeerEndpointImpl::AddLink(const std::string& address,
+                                                  ZmqSocket socket) {
+  const int fd = socket.PollDescriptor();
+  auto link = std::make_unique<Link>(address, fd, std::move(socket));
+  link->last_used_ = clock_.Now();
+  Link* added = link.get();
+  links_.emplace(fd, std::move(link));
+  poller_->Add(fd, EPOLLIN);
+  touched_.insert(fd);
+  return added;
+}
+
+void PeerEndpointImpl::CloseLink(Link* link) {
+  // Before closing: ZeroMQ closes the descriptor later, on another thread.
+  poller_->Remove(link->fd_);
+  dealers_.erase(link->address_);
+  links_.erase(link->fd_);
+}
+
+void PeerEndpointImpl::CloseUnusedLinks() {
+  const state::Millis now = clock_.Now();
+  if (now < next_link_check_) {
+    return;
+  }
+  next_link_check_ = now + kLinkCheckInterval;
+  std::vector<Link*> unused;
+  for (const auto& [address, link] : dealers_) {
+    if (now - link->last_used_ > options_.close_unused_after_) {
+      unused.push_back(link);
+    }
+  }
+  for (Link* link : unused) {
+    CloseLink(link);
+  }
+}
+
+}  // namespace gooseberrygap::transport
--- /dev/null
+++ b/src/transport/internal/peer_endpoint_impl.h
@@ -0,0 +1,110 @@
+#ifndef TRANSPORT_INTERNAL_PEER_ENDPOINT_IMPL_H_
+#define TRANSPORT_INTERNAL_PEER_ENDPOINT_IMPL_H_
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+#include "absl/strings/string_view.h"
+
+#include "transport/internal/poller.h"
+#include "transport/internal/zmq_socket.h"
+#include "transport/transport.h"
+
+namespace gooseberrygap::transport {
+
+// Owns a ZeroMQ context. Ending it waits until closed sockets have sent what
+// their linger time allows.
+class ZmqContext {
+ public:
+  ZmqContext();
+  ~ZmqContext();
+
+  ZmqContext(const ZmqContext&) = delete;
+  ZmqContext& operator=(const ZmqContext&) = delete;
+
+  void* get() const { return context_; }
+
+ private:
+  void* const context_;
+};
+
+class PeerEndpointImpl : public PeerEndpoint {
+ public:
+  PeerEndpointImpl(const Options& options,
+                   Handler handler,
+                   state::Counters* counters,
+                   std::unique_ptr<Poller> poller);
+  ~PeerEndpointImpl() override;
+
+  // Binds the ROUTER. Call before StartThread, once.
+  state::Result<void> Bind();
+  void StartThread();
+
+  bool Send(coordination::SendToPeer command) override;
+  bool Reply(coordination::ReplyToPeer command) override;
+  bool Reset(coordination::ResetLink command) override;
+  std::string address() const override { return address_; }
+
+ private:
+  using PeerCommand = std::variant<coordination::SendToPeer,
+                                   coordination::ReplyToPeer,
+                                   coordination::ResetLink>;
+
+  struct Link {
+    Link(std::string address, int fd, ZmqSocket socket)
+        : address_(std::move(address)), fd_(fd), socket_(std::move(socket)) {}
+
+    const std::string address_;  // Empty for the ROUTER.
+    const int fd_;               // Poll descriptor.
+    ZmqSocket socket_;
+    state::Millis last_used_;
+  };
+
+  bool Push(PeerCommand command);
+
+  // All below run on the peer thread.
+  void Run();
+  void ExecuteCommands();
+  void Execute(const coordination::SendToPeer& command);
+  void Execute(const coordination::ReplyToPeer& command);
+  void Execute(const coordination::ResetLink& command);
+  // Appends the encoded message to `frames` and sends them.
+  void SendOn(Link* link,
+              std::vector<absl::string_view> frames,
+              const coordination::PeerMessage& message);
+  void ReceiveAll();
+  // Returns true when the socket has no message left.
+  bool ReceiveSome(Link* link);
+  void HandleFrames(const Link& link, const std::vector<std::string>& frames);
+  // Returns nullptr when the address is not valid.
+  Link* DealerFor(const std::string& address);
+  Link* AddLink(const std::string& address, ZmqSocket socket);
+  void CloseLink(Link* link);
+  void CloseUnusedLinks();
+
+  const Options options_;
+  const Handler handler_;
+  state::Counters* const counters_;
+  const state::SteadyClock clock_;
+  const std::unique_ptr<Poller> poller_;
+  Ring<PeerCommand> ring_;
+  std::string address_;
+
+  ZmqContext context_;
+  std::map<int, std::unique_ptr<Link>> links_;  // By poll descriptor.
+  std::map<std::string, Link*> dealers_;        // By address.
+  Link* router_ = nullptr;
+  // Poll descriptors of sockets that may have messages.
+  std::set<int> touched_;
+  state::Millis next_link_check_;
+
+  std::unique_ptr<DutyThread> thread_;
+};
+
+}  // namespace gooseberrygap::transport
+
+#endif  // TRANSPORT_INTERNAL_PEER_ENDPOINT_IMPL_H_
--- /dev/null
+++ b/src/transport/internal/zmq_socket.h
@@ -0,0 +1,64 @@
+#ifndef TRANSPORT_INTERNAL_ZMQ_SOCKET_H_
+#define TRANSPORT_INTERNAL_ZMQ_SOCKET_H_
+
+#include <string>
+#include <utility>
+#include <vector>
+#include "absl/strings/string_view.h"
+
+#include "state/state.h"
+
+namespace gooseberrygap::transport {
+
+enum class ZmqKind { kRouter, kDealer };
+
+struct ZmqOptions {
+  const int high_water_mark_ = 0;  // Messages for each connection.
+  const state::Millis heartbeat_interval_ = {};
+  const state::Millis heartbeat_timeout_ = {};
+  const size_t max_message_bytes_ = 0;
+};
+
+// One ZeroMQ socket over TCP. Only for the thread that owns it. All operations
+// return at once.
+class ZmqSocket {
+ public:
+  // Precondition: `context` lives until the socket is closed.
+  static state::Result<ZmqSocket> Open(void* context,
+                                       ZmqKind kind,
+                                       const ZmqOptions& options);
+  ~ZmqSocket();
+
+  ZmqSocket(ZmqSocket&& other) noexcept
+      : socket_(std::exchange(other.socket_, nullptr)) {}
+  ZmqSocket& operator=(ZmqSocket&&) = delete;
+
+  // Address "127.0.0.1:9101". Port 0 chooses a free one.
+  state::Result<void> Bind(const std::string& address);
+  // Connects in the background, also to a peer that is not there yet.
+  state::Result<void> Connect(const std::string& address);
+
+  // Returns the address that was bound, with its port.
+  std::string BoundAddress() const;
+  // Returns the descriptor that is readable when the socket may have work. It
+  // stays readable until Receive has returned false.
+  int PollDescriptor() const;
+
+  // Sends all frames or nothing. Returns false when the peer is gone or its
+  // queue is full.
+  bool Send(const std::vector<absl::string_view>& frames);
+  // Takes the next message. Returns false when there is none.
+  bool Receive(std::vector<std::string>* frames);
+
+  // How long closing keeps trying to send what is queued.
+  void SetLinger(state::Millis linger);
+
+ private:
+  explicit ZmqSocket(void* socket) : socket_(socket) {}
+
+  void* socket_;
+};
+
+}  // namespace gooseberrygap::transport
+
+#endif  // TRANSPORT_INTERNAL_ZMQ_SOCKET_H_
--- /dev/null
+++ b/src/transport/tests/peer_endpoint_test.cc
@@ -0,0 +1,196 @@
+#include <zmq.h>
+#include <catch2/catch.hpp>
+
+#include <functional>
+
+#include "transport/tests/support.h"
+#include "transport/transport.h"
+
+namespace gooseberrygap::transport {
+namespace {
+
+using coordination::PeerMessage;
+using coordination::Probe;
+using coordination::ProbeReply;
+using state::Counter;
+
+constexpr int kMessages = 2000;
+constexpr int kHighWaterMark = 10;
+
+// An endpoint whose arrivals are collected; probes are answered.
+class Peer {
+ public:
+  explicit Peer(PeerEndpoint::Options options = {
+                    .listen_address_ = "127.0.0.1:0"}) {
+    auto started = PeerEndpoint::Start(
+        options, [this](PeerArrival arrival) { Take(std::move(arrival)); },
+        &counters_);
+    REQUIRE(started);
+    endpoint_ = std::move(started).value();
+    ready_.Notify();
+  }
+
+  void Take(PeerArrival arrival) {
+    ready_.WaitForNotification();
+    if (const auto* probe = std::get_if<Probe>(&arrival.message_)) {
+      endpoint_->Reply({.connection_ = arrival.connection_,
+                        .message_ = ProbeReply{.probe_id_ = probe->probe_id_}});
+    }
+    arrivals_.TryPush(std::move(arrival));
+  }
+
+  bool SendProbe(const std::string& address, uint64_t id) {
+    return endpoint_->Send(
+        {.address_ = address, .message_ = Probe{.probe_id_ = id}});
+  }
+
+  std::optional<PeerArrival> Next() { return arrivals_.Pop(kHang); }
+
+  state::Counters counters_;
+  Ring<PeerArrival> arrivals_{1024};
+  absl::Notification ready_;
+  std::unique_ptr<PeerEndpoint> endpoint_;
+};
+
+// Guards against answers that go to another peer than the one that asked, and
+// arrivals that do not say on which connection they came.
+TEST_CASE("a peer message and its answer come back to the sender") {
+  Peer guard;
+  Peer ingress;
+  REQUIRE(ingress.SendProbe(guard.endpoint_->address(), 7));
+  const auto arrived = guard.Next();
+  REQUIRE(arrived);
+  CHECK(arrived->message_ == PeerMessage(Probe{.probe_id_ = 7}));
+  CHECK_FALSE(arrived->connection_.empty());
+  CHECK(arrived->address_.empty());
+  const auto answer = ingress.Next();
+  REQUIRE(answer);
+  CHECK(answer->message_ == PeerMessage(ProbeReply{.probe_id_ = 7}));
+  CHECK(answer->address_ == guard.endpoint_->address());
+  CHECK(answer->connection_.empty());
+  CHECK(ingress.counters_.Get(Counter::kPeerMessagesSent) == 1);
+  CHECK(ingress.counters_.Get(Counter::kPeerBytesSent) ==
+        guard.counters_.Get(Counter::kPeerBytesReceived));
+}
+
+// Guards against lost wake-ups: a message that waits in a socket although its
+// poll descriptor was read.
+TEST_CASE("no message is left behind when both peers send at once") {
+  Peer left({.listen_address_ = "127.0.0.1:0"});
+  Peer right({.listen_address_ = "127.0.0.1:0"});
+  int answers = 0;
+  for (int i = 0; i < kMessages; ++i) {
+    REQUIRE(left.SendProbe(right.endpoint_->address(), i));
+    REQUIRE(right.SendProbe(left.endpoint_->address(), i));
+    if (i % 100 == 99) {
+      while (answers < 4 * (i + 1)) {
+        const bool arrived = left.Next() && right.Next();
+        REQUIRE(arrived);
+        answers += 2;
+      }
+    }
+  }
+}
+
+// Guards against a reset that leaves the link unusable or keeps the old one.
+TEST_CASE("a link that was reset is replaced by the next message") {
+  Peer guard;
+  Peer ingress;
+  const std::string address = guard.endpoint_->address();
+  ingress.SendProbe(address, 1);
+  const auto first = guard.Next();
+  REQUIRE(ingress.Next());
+  REQUIRE(ingress.endpoint_->Reset({.address_ = address}));
+  ingress.SendProbe(address, 2);
+  const auto second = guard.Next();
+  REQUIRE(first);
+  REQUIRE(second);
+  CHECK(second->connection_ != first->connection_);
+  REQUIRE(ingress.Next());
+  CHECK(ingress.counters_.Get(Counter::kLinksReset) == 1);
+  // The old connection is gone: an answer on it is counted, not lost silently.
+  CHECK(Eventually([&] {
+    guard.endpoint_->Reply(
+        {.connection_ = first->connection_, .message_ = ProbeReply{}});
+    return guard.counters_.Get(Counter::kPeerSendsRefused) > 0;
+  }));
+}
+
+// Guards against a reconnect that never happens after the peer restarted.
+TEST_CASE("a peer that restarts at its address is reached again") {
+  Peer ingress;
+  auto guard = std::make_unique<Peer>();
+  const std::string address = guard->endpoint_->address();
+  ingress.SendProbe(address, 1);
+  REQUIRE(ingress.Next());
+  guard.reset();
+  guard =
+      std::make_unique<Peer>(PeerEndpoint::Options{.listen_address_ = address});
+  ingress.SendProbe(address, 2);
+  REQUIRE(guard->Next());
+  REQUIRE(ingress.Next());
+}
+
+// Guards against garbage on the peer port that stops or blocks the endpoint.
+TEST_CASE("garbage and foreign messages are dropped and counted") {
+  Peer guard;
+  const std::string address = guard.endpoint_->address();
+  TestSocket garbage = TestSocket::Connect(address);
+  garbage.Send("GET / HTTP/1.1\r\n\r\n" + std::string(100000, '\xff'));
+  TestSocket silent = TestSocket::Connect(address);
+
+  void* context = zmq_ctx_new();
+  void* foreign = zmq_socket(context, ZMQ_REQ);
+  const int linger = 0;
+  zmq_setsockopt(foreign, ZMQ_LINGER, &linger, sizeof linger);
+  zmq_connect(foreign, ("tcp://" + address).c_str());
+  zmq_send(foreign, "other", 5, 0);
+  void* dealer = zmq_socket(context, ZMQ_DEALER);
+  zmq_setsockopt(dealer, ZMQ_LINGER, &linger, sizeof linger);
+  zmq_connect(dealer, ("tcp://" + address).c_str());
+  zmq_send(dealer, "\x01\xff garbage", 10, 0);
+  CHECK(Eventually([&] {
+    return guard.counters_.Get(Counter::kPeerMessagesMalformed) == 2;
+  }));
+  zmq_close(foreign);
+  zmq_close(dealer);
+  zmq_ctx_term(context);
+
+  Peer ingress;
+  ingress.SendProbe(address, 3);
+  REQUIRE(guard.Next());
+  REQUIRE(ingress.Next());
+}
+
+// Guards against a sender that blocks, or drops silently, when the queue of a
+// peer that is not there is full, and against a wrong address that ends it.
+TEST_CASE("messages above the high-water mark are refused and counted") {
+  Peer ingress(
+      {.listen_address_ = "127.0.0.1:0", .high_water_mark_ = kHighWaterMark});
+  const std::string gone = TestListener().address();
+  constexpr uint64_t refused = 2 * uint64_t{kHighWaterMark};
+  for (int i = 0; i < 3 * kHighWaterMark; ++i) {
+    REQUIRE(ingress.SendProbe(gone, i));
+  }
+  CHECK(Eventually([&] {
+    return ingress.counters_.Get(Counter::kPeerSendsRefused) == refused;
+  }));
+  ingress.SendProbe("not an address", 1);
+  CHECK(Eventually([&] {
+    return ingress.counters_.Get(Counter::kPeerSendsRefused) == refused + 1;
+  }));
+}
+
+// Guards against two daemons that share a port without noticing.
+TEST_CASE("a peer address in use is reported with its kind") {
+  Peer guard;
+  state::Counters counters;
+  const auto second = PeerEndpoint::Start(
+      {.listen_address_ = guard.endpoint_->address()}, [](PeerArrival) {},
+      &counters);
+  REQUIRE_FALSE(second);
+  CHECK(second.error().kind_ == state::ErrorKind::kAddressInUse);
+}
+
+}  // namespace
+}  // namespace gooseberrygap::transport
