Split what the guard knows of its target from its work

Cause: guard.cc had grown to 700 lines with two jobs.

Change: GuardTarget holds the announcement, the refused fingerprints and the admission checks; the guard keeps the queue, the running work and the register calls.

--- a/src/coordination/api/guard.h
+++ b/src/coordination/api/guard.h
@@ -29,9 +29,9 @@
       const std::vector<RefusedFingerprint>& fingerprints);
 
   Commands OnAnnounced(const TargetAnnounced& announced, state::Millis now);
-  Commands OnWithdrawn(state::Millis now);
+  Commands OnWithdrawn();
   // Refuses new work from now on and for good. Work that was admitted goes on.
-  Commands Drain(state::Millis now);
+  void Drain();
 
   // Handles an attempt; the answer goes to `connection` by ReplyToPeer.
   Commands OnAttempt(const std::string& connection,
--- a/src/coordination/internal/guard.cc
+++ b/src/coordination/internal/guard.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "coordination/internal/guard_target.h"
 #include "coordination/internal/guard_work.h"
 #include "coordination/internal/register_tags.h"
 
@@ -12,8 +13,6 @@
 using state::RegisterOperation;
 using state::TargetState;
 
-// The target announces itself every second; after three misses it is gone.
-constexpr state::Millis kAnnouncementLifetime(3000);
 // How long the result of an action is reported to the register. Beyond it the
 // entry stays `started`, which is never run again.
 constexpr state::Millis kReportTime(30 * 1000);
@@ -42,50 +41,20 @@
         counters_(counters),
         crash_detector_(absl::StrCat(instance_, "-", incarnation, "-")) {}
 
-  void UpdateConfiguration(const state::IndexedConfiguration& configuration) {
-    configuration_.emplace(configuration);
-  }
-
-  void UpdateRefusedFingerprints(
-      const std::vector<RefusedFingerprint>& fingerprints) {
-    convicted_.clear();
-    suspects_.clear();
-    for (const RefusedFingerprint& refused : fingerprints) {
-      (refused.convicted_ ? convicted_ : suspects_)
-          .insert(refused.fingerprint_);
-    }
-  }
+  GuardTarget* target() { return &target_; }
+  const GuardTarget& target() const { return target_; }
 
   Commands OnAnnounced(const TargetAnnounced& announced, state::Millis now) {
-    last_announced_ = now;
-    const bool is_new_process = announced.incarnation_ != 0 &&
-                                target_.has_value() &&
-                                target_->incarnation_ != announced.incarnation_;
+    const bool is_new_process = target_.Announce(announced, now);
     if (is_new_process) {
       ReportCrash();
     }
-    const TargetState state =
-        draining_ && announced.state_ != TargetState::kLeft
-            ? TargetState::kDraining
-            : announced.state_;
-    target_.emplace(TargetAnnounced{.target_ = announced.target_,
-                                    .service_ = announced.service_,
-                                    .address_ = announced.address_,
-                                    .slots_ = announced.slots_,
-                                    .state_ = state,
-                                    .incarnation_ = announced.incarnation_});
     return StartQueued(now);
   }
 
-  Commands OnWithdrawn(state::Millis now) {
-    SetTargetState(TargetState::kLeft);
-    return RefuseQueued(RefusalReason::kDraining, now);
-  }
-
-  Commands Drain(state::Millis) {
-    draining_ = true;
-    SetTargetState(TargetState::kDraining);
-    return {};
+  Commands OnWithdrawn() {
+    target_.SetState(TargetState::kLeft);
+    return RefuseQueued(RefusalReason::kDraining);
   }
 
   Commands OnAttempt(const std::string& connection,
@@ -96,18 +65,18 @@
       counters_->Add(state::Counter::kAttemptsDuplicate);
       return {};
     }
-    const std::string fingerprint = attempt.digest_;
-    const RefusalReason refusal = CheckAdmission(attempt, fingerprint);
+    const RefusalReason refusal =
+        target_.Check(attempt, running_count(), queued_count(), Expected());
     if (refusal != RefusalReason::kNone) {
       return {Reply(connection, Refusal(attempt, refusal))};
     }
-    queue_.push_back(GuardWork{
-        .connection_ = connection,
-        .attempt_ = attempt,
-        .arrival_ = now,
-        .deadline_ = now + attempt.deadline_left_,
-        .fingerprint_ = fingerprint,
-        .run_alone_ = attempt.run_alone_ || suspects_.contains(fingerprint)});
+    queue_.push_back(
+        GuardWork{.connection_ = connection,
+                  .attempt_ = attempt,
+                  .arrival_ = now,
+                  .deadline_ = now + attempt.deadline_left_,
+                  .run_alone_ = attempt.run_alone_ ||
+                                target_.IsSuspect(attempt.digest_)});
     return StartQueued(now);
   }
 
@@ -161,7 +130,7 @@
             OnNotDelivered(running, RefusalReason::kInternalQueueFull, now);
         break;
       case DeliveryEnd::kCut:
-        crash_detector_.OnCut(running.work_.fingerprint_, in_flight, now);
+        crash_detector_.OnCut(running.work_.attempt_.digest_, in_flight, now);
         commands = OnUnanswered(running, RefusalReason::kTargetCrashed, now);
         break;
       case DeliveryEnd::kTimeout:
@@ -209,13 +178,10 @@
 
   Commands Tick(state::Millis now) {
     Commands commands;
-    const bool is_gone = target_.has_value() &&
-                         target_->state_ != TargetState::kLeft &&
-                         now - last_announced_ > kAnnouncementLifetime;
-    if (is_gone) {
+    if (target_.IsGone(now)) {
       ReportCrash();
-      SetTargetState(TargetState::kLeft);
-      commands = RefuseQueued(RefusalReason::kNotServing, now);
+      target_.SetState(TargetState::kLeft);
+      commands = RefuseQueued(RefusalReason::kNotServing);
     }
     crash_detector_.Tick(now);
     Append(&commands, FlushHeld(now, false));
@@ -224,19 +190,11 @@
   }
 
   state::GuardLoad Load() const {
-    const int waiting = static_cast<int>(running_.size() + queue_.size());
-    const int slots = target_.has_value() ? target_->slots_ : 0;
-    return state::GuardLoad{
-        .in_flight_ = static_cast<int>(running_.size()),
-        .queued_ = static_cast<int>(queue_.size()),
-        .slots_ = slots,
-        .latency_ = latency_.At(waiting + 1, slots),
-        .state_ = target_.has_value() ? target_->state_ : TargetState::kLeft};
-  }
-
-  const TargetAnnounced& target() const {
-    static const TargetAnnounced kNone;
-    return target_.has_value() ? *target_ : kNone;
+    return state::GuardLoad{.in_flight_ = running_count(),
+                            .queued_ = queued_count(),
+                            .slots_ = target_.slots(),
+                            .latency_ = Expected(),
+                            .state_ = target_.state()};
   }
 
   std::vector<CrashReport> TakeCrashes() {
@@ -275,74 +233,16 @@
                                   .refusal_ = answer.refusal_,
                                   .answer_ = answer.answer_,
                                   .load_ = Load(),
-                                  .target_ = target().target_,
+                                  .target_ = target_.announced().target_,
                                   .guard_time_ = answer.guard_time_}};
   }
 
-  RefusalReason CheckAdmission(const Attempt& attempt,
-                               const std::string& fingerprint) const {
-    if (!target_.has_value() || target_->state_ == TargetState::kStarting) {
-      return RefusalReason::kNotServing;
-    }
-    if (target_->state_ != TargetState::kServing) {
-      return RefusalReason::kDraining;
-    }
-    if (target_->target_ != attempt.target_ ||
-        target_->service_ != attempt.service_) {
-      return RefusalReason::kNoTarget;
-    }
-    if (convicted_.contains(fingerprint)) {
-      return RefusalReason::kPoisoned;
-    }
-    const RefusalReason stale = CheckConfiguration(attempt);
-    if (stale != RefusalReason::kNone) {
-      return stale;
-    }
-    return CheckLoad(attempt);
-  }
+  int running_count() const { return static_cast<int>(running_.size()); }
+  int queued_count() const { return static_cast<int>(queue_.size()); }
 
-  // Refuses a request that a newer rule of its route classifies otherwise.
-  RefusalReason CheckConfiguration(const Attempt& attempt) const {
-    const bool is_newer_here =
-        configuration_.has_value() &&
-        configuration_->configuration_ != nullptr &&
-        configuration_->index_ > attempt.configuration_index_;
-    if (!is_newer_here) {
-      return RefusalReason::kNone;
-    }
-    const state::Service* service =
-        state::FindService(*configuration_->configuration_, attempt.service_);
-    const state::Rule* rule =
-        service == nullptr ? nullptr
-                           : state::FindRule(*service, attempt.request_.method_,
-                                             attempt.request_.path_);
-    const bool is_same =
-        rule != nullptr && rule->request_class_ == attempt.request_class_;
-    return is_same ? RefusalReason::kNone : RefusalReason::kStaleConfiguration;
-  }
-
-  RefusalReason CheckLoad(const Attempt& attempt) const {
-    const int waiting = static_cast<int>(running_.size() + queue_.size());
-    if (waiting < target_->slots_ && queue_.empty()) {
-      return RefusalReason::kNone;
-    }
-    const state::Service* service =
-        configuration_.has_value() && configuration_->configuration_ != nullptr
-            ? state::FindService(*configuration_->configuration_,
-                                 attempt.service_)
-            : nullptr;
-    const int max_queue = service == nullptr ? 0 : service->max_queue_;
-    if (static_cast<int>(queue_.size()) >= max_queue) {
-      return RefusalReason::kOverloaded;
-    }
-    const bool fits =
-        latency_.At(waiting + 1, target_->slots_) <= attempt.deadline_left_;
-    // Elsewhere a slot may be free, so a first attempt is queued only briefly.
-    const bool is_short_queue =
-        static_cast<int>(queue_.size()) < std::max(1, target_->slots_ / 4);
-    return attempt.may_queue_ || (fits && is_short_queue)
-               ? RefusalReason::kNone
-               : RefusalReason::kOverloaded;
+  // Returns the expected time to answer one more attempt.
+  state::Millis Expected() const {
+    return latency_.At(running_count() + queued_count() + 1, target_.slots());
   }
 
   Commands StartQueued(state::Millis now) {
@@ -362,10 +262,7 @@
   }
 
   bool MayStart(const GuardWork& work) const {
-    if (!target_.has_value()) {
-      return false;
-    }
-    const bool has_slot = static_cast<int>(running_.size()) < target_->slots_;
+    const bool has_slot = running_count() < target_.slots();
     return has_slot && !runs_alone_ && (!work.run_alone_ || running_.empty());
   }
 
@@ -389,7 +286,7 @@
                           state::Millis now) {
     counters_->Add(state::Counter::kDeliveries);
     return DeliverToTarget{.delivery_id_ = delivery_id,
-                           .address_ = target_->address_,
+                           .address_ = target_.announced().address_,
                            .request_ = work.attempt_.request_,
                            .request_id_ = work.attempt_.request_id_,
                            .attempt_ = work.attempt_.attempt_,
@@ -403,9 +300,9 @@
                      Running* running,
                      state::Millis now) {
     const GuardWork work = running->work_;
-    const bool may_deliver = now < work.deadline_ && target_.has_value() &&
-                             (target_->state_ == TargetState::kServing ||
-                              target_->state_ == TargetState::kDraining);
+    const bool may_deliver =
+        now < work.deadline_ && (target_.state() == TargetState::kServing ||
+                                 target_.state() == TargetState::kDraining);
     if (may_deliver) {
       running->started_ = now;
       return {Deliver(delivery_id, work, now)};
@@ -487,7 +384,7 @@
     // A refused connection confirms that the process has gone, and keeps work
     // away until the next announcement.
     ReportCrash();
-    SetTargetState(TargetState::kStarting);
+    target_.SetState(TargetState::kStarting);
     return OnNotDelivered(running, RefusalReason::kConnectFailed, now);
   }
 
@@ -526,10 +423,11 @@
       return {std::move(reply)};
     }
     check_id_ = next_delivery_++;
-    Commands commands = {DeliverToTarget{.delivery_id_ = check_id_,
-                                         .address_ = target().address_,
-                                         .connect_only_ = true,
-                                         .timeout_ = kCrashReportWait}};
+    Commands commands = {
+        DeliverToTarget{.delivery_id_ = check_id_,
+                        .address_ = target_.announced().address_,
+                        .connect_only_ = true,
+                        .timeout_ = kCrashReportWait}};
     if (is_action || work.run_alone_) {
       held_.push_back(
           Held{.reply_ = std::move(reply), .until_ = now + kCrashReportWait});
@@ -543,7 +441,7 @@
   Commands OnChecked(DeliveryEnd end) {
     if (end == DeliveryEnd::kConnectFailed) {
       ReportCrash();
-      SetTargetState(TargetState::kStarting);
+      target_.SetState(TargetState::kStarting);
     }
     return {};
   }
@@ -579,7 +477,7 @@
     return commands;
   }
 
-  Commands RefuseQueued(RefusalReason reason, state::Millis) {
+  Commands RefuseQueued(RefusalReason reason) {
     Commands commands;
     for (const GuardWork& work : queue_) {
       commands.push_back(
@@ -604,29 +502,11 @@
     return commands;
   }
 
-  void SetTargetState(TargetState target_state) {
-    if (!target_.has_value()) {
-      return;
-    }
-    const TargetAnnounced old = *target_;
-    target_.emplace(TargetAnnounced{.target_ = old.target_,
-                                    .service_ = old.service_,
-                                    .address_ = old.address_,
-                                    .slots_ = old.slots_,
-                                    .state_ = target_state,
-                                    .incarnation_ = old.incarnation_});
-  }
-
   const std::string instance_;
   const uint64_t incarnation_;
   RegisterClient* const register_client_;
   state::Counters* const counters_;
-  std::optional<state::IndexedConfiguration> configuration_;
-  absl::flat_hash_set<std::string> convicted_;
-  absl::flat_hash_set<std::string> suspects_;
-  std::optional<TargetAnnounced> target_;
-  state::Millis last_announced_;
-  bool draining_ = false;
+  GuardTarget target_;
   AttemptMemory memory_;
   LatencyEstimate latency_;
   CrashDetector crash_detector_;
@@ -654,12 +534,12 @@
 
 void Guard::UpdateConfiguration(
     const state::IndexedConfiguration& configuration) {
-  impl_->UpdateConfiguration(configuration);
+  impl_->target()->UpdateConfiguration(configuration);
 }
 
 void Guard::UpdateRefusedFingerprints(
     const std::vector<RefusedFingerprint>& fingerprints) {
-  impl_->UpdateRefusedFingerprints(fingerprints);
+  impl_->target()->UpdateRefusedFingerprints(fingerprints);
 }
 
 Commands Guard::OnAnnounced(const TargetAnnounced& announced,
@@ -667,12 +547,12 @@
   return impl_->OnAnnounced(announced, now);
 }
 
-Commands Guard::OnWithdrawn(state::Millis now) {
-  return impl_->OnWithdrawn(now);
+Commands Guard::OnWithdrawn() {
+  return impl_->OnWithdrawn();
 }
 
-Commands Guard::Drain(state::Millis now) {
-  return impl_->Drain(now);
+void Guard::Drain() {
+  impl_->target()->Drain();
 }
 
 Commands Guard::OnAttempt(const std::string& connection,
@@ -706,7 +586,7 @@
 }
 
 const TargetAnnounced& Guard::target() const {
-  return impl_->target();
+  return impl_->target()->announced();
 }
 
 std::vector<CrashReport> Guard::TakeCrashes() {
--- /dev/null
+++ b/src/coordination/internal/guard_target.h
@@ -0,0 +1,63 @@
+#ifndef COORDINATION_INTERNAL_GUARD_TARGET_H_
+#define COORDINATION_INTERNAL_GUARD_TARGET_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_set.h"
+#include "coordination/coordination.h"
+
+namespace gooseberrygap::coordination {
+
+// What a guard knows of its target, and whether an attempt may be admitted to
+// it. Not thread-safe.
+class GuardTarget {
+ public:
+  void UpdateConfiguration(const state::IndexedConfiguration& configuration);
+  void UpdateRefusedFingerprints(
+      const std::vector<RefusedFingerprint>& fingerprints);
+
+  // Takes an announcement. Returns true when it comes from a new process.
+  bool Announce(const TargetAnnounced& announced, state::Millis now);
+  void SetState(state::TargetState target_state);
+  // Keeps the target draining whatever it announces later.
+  void Drain();
+  // Returns true once no announcement has come for too long.
+  bool IsGone(state::Millis now) const;
+
+  // Returns why the attempt must be refused, or kNone. `expected` is the
+  // time that the attempt would take to be answered.
+  state::RefusalReason Check(const Attempt& attempt,
+                             int running,
+                             int queued,
+                             state::Millis expected) const;
+  bool IsSuspect(const std::string& fingerprint) const {
+    return suspects_.contains(fingerprint);
+  }
+
+  bool known() const { return announced_.has_value(); }
+  int slots() const { return known() ? announced_->slots_ : 0; }
+  // The state that other daemons are told.
+  state::TargetState state() const;
+  // A target without a name when none has announced itself.
+  const TargetAnnounced& announced() const;
+
+ private:
+  state::RefusalReason CheckConfiguration(const Attempt& attempt) const;
+  state::RefusalReason CheckLoad(const Attempt& attempt,
+                                 int running,
+                                 int queued,
+                                 state::Millis expected) const;
+
+  std::optional<state::IndexedConfiguration> configuration_;
+  absl::flat_hash_set<std::string> convicted_;
+  absl::flat_hash_set<std::string> suspects_;
+  std::optional<TargetAnnounced> announced_;
+  state::Millis last_announced_;
+  bool draining_ = false;
+};
+
+}  // namespace gooseberrygap::coordination
+
+#endif  // COORDINATION_INTERNAL_GUARD_TARGET_H_
--- a/src/coordination/internal/guard_work.h
+++ b/src/coordination/internal/guard_work.h
@@ -21,7 +21,6 @@
   const Attempt attempt_ = {};
   const state::Millis arrival_ = {};
   const state::Millis deadline_ = {};
-  const std::string fingerprint_ = {};
   const bool run_alone_ = false;
 };
 
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -104,12 +104,13 @@
     return guard_.OnAnnounced(announced, now);
   }
 
-  Commands On(const TargetWithdrawn&, state::Millis now) {
-    return guard_.OnWithdrawn(now);
+  Commands On(const TargetWithdrawn&, state::Millis) {
+    return guard_.OnWithdrawn();
   }
 
-  Commands On(const DrainRequested&, state::Millis now) {
-    return guard_.Drain(now);
+  Commands On(const DrainRequested&, state::Millis) {
+    guard_.Drain();
+    return {};
   }
 
   Commands On(const Ticked&, state::Millis now) {
