--- /dev/null
+++ b/spec/action_register.pml
@@ -0,0 +1,216 @@
+/*
+ * The register entry of one action key: two ingresses that carry the same
+ * action (a caller and its resend), two guards, lost, late and repeated
+ * messages, lost register replies, a guard that restarts at any moment.
+ *
+ * Invariants:
+ *   - the target runs the action at most once;
+ *   - an ingress that told its caller not-run was not run, then or later;
+ *   - once the entry is done, nothing runs.
+ *
+ * Broken variants, each of which must fail:
+ *   -DNO_ATTEMPT_CHECK  start is granted under any attempt number
+ *   -DNO_FENCE          not-run is told after a timeout without a fence
+ *   -DNO_NONCE          start is granted again to another start of the attempt
+ */
+
+#define INGRESSES 2
+#define GUARDS    2
+#define MAX_N     3   /* attempt numbers 1 .. MAX_N - 1 are used */
+
+mtype = { OPEN, STARTED, DONE, UNKNOWN_END }
+
+/* The register entry. Operations are atomic: the replicated log orders them. */
+mtype entry = OPEN;
+byte entry_n = 1;
+byte entry_nonce = 0;
+
+/* sent[k]: the attempt message k was sent. A message stays, so that it may
+ * arrive late and more than once; loss is the guard's choice not to take it. */
+bool sent[GUARDS * INGRESSES * MAX_N];
+#define MESSAGE(g, i, n) (((g) * INGRESSES + (i)) * MAX_N + (n))
+
+/* answered[i]: a guard's complete answer is under way to ingress i. */
+bool answered[INGRESSES];
+
+byte runs = 0;
+bool ran_for[INGRESSES];
+bool told_not_run[INGRESSES];
+
+proctype Ingress(byte i) {
+  byte n = 0;
+  byte g;
+
+  /* begin */
+  atomic {
+    if
+    :: entry == OPEN && entry_n < MAX_N -> n = entry_n
+    :: else -> goto told  /* done, unknown, or follows the other request */
+    fi
+  }
+
+send:
+  if
+  :: g = 0
+  :: g = 1
+  fi;
+  sent[MESSAGE(g, i, n)] = true;
+
+  if
+  :: answered[i] -> goto told          /* complete */
+  :: true -> skip                      /* timeout, link lost, or a refusal */
+  fi;
+
+#ifdef NO_FENCE
+  atomic {
+    told_not_run[i] = true;
+    assert(!ran_for[i]);
+    goto told
+  }
+#endif
+
+fence:
+  atomic {
+    if
+    :: entry != OPEN -> goto told      /* unknown, or the stored answer */
+    :: entry == OPEN && entry_n <= n && n + 1 < MAX_N ->
+         entry_n = n + 1
+    :: entry == OPEN && entry_n <= n && n + 1 >= MAX_N ->
+         entry_n = n + 1;
+         goto not_run
+    :: entry == OPEN && entry_n > n ->
+         /* overtaken by another request: fence its attempt too */
+         if
+         :: entry_n + 1 <= MAX_N -> n = entry_n; entry_n = entry_n + 1;
+              goto not_run
+         :: else -> goto told          /* bound of the model */
+         fi
+    fi
+  };
+  /* The fence holds: try again under the next number, or give up. */
+  n = n + 1;
+  if
+  :: goto send
+  :: goto not_run
+  fi;
+
+not_run:
+  atomic {
+    assert(!ran_for[i]);
+    told_not_run[i] = true
+  };
+
+told:
+  skip
+}
+
+proctype Guard(byte g) {
+  bool seen[INGRESSES * MAX_N];
+  byte restarts = 0;
+  byte i;
+  byte n;
+  byte nonce;
+  bool granted;
+
+idle:
+  /* Take any message that was not seen in this incarnation. */
+  if
+  :: i = 0
+  :: i = 1
+  fi;
+  if
+  :: n = 1
+  :: n = 2
+  :: goto end
+  fi;
+  if
+  :: sent[MESSAGE(g, i, n)] && !seen[i * MAX_N + n] -> seen[i * MAX_N + n] = true
+  :: goto end
+  fi;
+  /* Unique to the guard's incarnation and the attempt. */
+  nonce = 1 + MESSAGE(2 * g + restarts, i, n);
+
+start:
+  atomic {
+    granted = false;
+    if
+#ifdef NO_ATTEMPT_CHECK
+    :: entry == OPEN ->
+#else
+    :: entry == OPEN && entry_n == n ->
+#endif
+         entry = STARTED; entry_n = n; entry_nonce = nonce; granted = true
+#ifdef NO_NONCE
+    :: entry == STARTED && entry_n == n -> granted = true
+#else
+    :: entry == STARTED && entry_nonce == nonce -> granted = true
+#endif
+    :: else -> skip
+    fi
+  };
+  if
+  :: !granted -> goto idle             /* refused */
+  :: granted -> skip
+  :: granted -> goto start             /* the reply was lost: ask again */
+  :: granted && restarts < 1 -> goto restart  /* killed after the grant */
+  fi;
+
+  if
+  :: true -> skip
+  :: atomic {                          /* release: no byte was sent */
+       if
+       :: entry == STARTED && entry_nonce == nonce && entry_n + 1 <= MAX_N ->
+            entry = OPEN; entry_n = entry_n + 1
+       :: else -> skip
+       fi
+     };
+     goto idle
+  fi;
+
+  atomic {                             /* deliver */
+    runs = runs + 1;
+    assert(runs <= 1);
+    assert(!told_not_run[i]);
+    ran_for[i] = true
+  };
+  if
+  :: answered[i] = true
+  :: true -> skip                      /* the answer is lost */
+  :: restarts < 1 -> goto restart
+  fi;
+  if
+  :: atomic { entry == STARTED || entry == UNKNOWN_END -> entry = DONE }
+  :: true -> skip                      /* finish is lost for good */
+  fi;
+  goto idle;
+
+restart:
+  restarts = restarts + 1;
+  d_step {                             /* the memory of attempts is lost */
+    i = 0;
+    do
+    :: i < INGRESSES * MAX_N -> seen[i] = false; i = i + 1
+    :: else -> break
+    od;
+    i = 0
+  };
+  atomic {                             /* abandon */
+    if
+    :: entry == STARTED && entry_nonce == nonce -> entry = UNKNOWN_END
+    :: true -> skip
+    fi
+  };
+  goto idle;
+
+end:
+  skip
+}
+
+init {
+  atomic {
+    run Ingress(0);
+    run Ingress(1);
+    run Guard(0);
+    run Guard(1)
+  }
+}
--- /dev/null
+++ b/src/daemon/control_duty.cc
@@ -0,0 +1,399 @@
+#include "daemon/control_duty.h"
+
+#include <log4cplus/loggingmacros.h>
+
+#include <array>
+#include <cmath>
+
+#include "absl/strings/str_cat.h"
+#include "daemon/logging.h"
+
+namespace gooseberrygap::daemon {
+
+namespace {
+
+using coordination::ProposalStatus;
+using coordination::RaftEvent;
+
+constexpr size_t kRingCapacity = 16384;
+constexpr state::Millis kTickInterval(10);
+// Items that are handled together, with one write to the disk.
+constexpr size_t kMaxBatch = 512;
+constexpr state::Millis kStatusTimeout(2000);
+constexpr state::Millis kChangeTimeout(5000);
+// Tags of membership changes differ from those of the control service.
+constexpr uint64_t kChangeTagBit = uint64_t{1} << 63;
+// A leader that heard from its quorum this lately may answer for the group.
+constexpr state::Millis kQuorumFresh(500);
+
+constexpr std::array<absl::string_view, 4> kRoleNames = {
+    "follower", "pre_candidate", "candidate", "leader"};
+
+absl::string_view NameOf(coordination::RaftRole role) {
+  return kRoleNames.at(static_cast<size_t>(role));
+}
+
+struct ChangeErrorRow {
+  const ProposalStatus status_;
+  const state::ErrorKind kind_;
+  const absl::string_view what_;
+};
+
+constexpr std::array<ChangeErrorRow, 7> kChangeErrors = {{
+    {ProposalStatus::kNotLeader, state::ErrorKind::kNoQuorum,
+     "This control instance does not lead the group; ask the leader that "
+     "'gooseberrygapctl control status' names"},
+    {ProposalStatus::kLost, state::ErrorKind::kNoQuorum,
+     "Another leader took over before the change was accepted"},
+    {ProposalStatus::kUnknown, state::ErrorKind::kNoQuorum,
+     "It is not known whether the change was accepted"},
+    {ProposalStatus::kOverloaded, state::ErrorKind::kNoQuorum,
+     "Too many changes wait for a majority"},
+    {ProposalStatus::kChangePending, state::ErrorKind::kNoQuorum,
+     "Another change of the members is under way"},
+    {ProposalStatus::kInvalidChange, state::ErrorKind::kInvalidRequest,
+     "The change does not fit the members of the group"},
+    {ProposalStatus::kAlreadyFormed, state::ErrorKind::kAlreadyFormed,
+     "The data folder belongs to a control group"},
+}};
+
+coordination::ProposalOutcome OutcomeOf(ProposalStatus status) {
+  switch (status) {
+    case ProposalStatus::kCommitted:
+      return coordination::ProposalOutcome::kCommitted;
+    case ProposalStatus::kLost:
+    case ProposalStatus::kUnknown:
+      return coordination::ProposalOutcome::kLost;
+    default:
+      return coordination::ProposalOutcome::kRefused;
+  }
+}
+
+bool IsLogMessage(const coordination::PeerMessage& message) {
+  return std::holds_alternative<coordination::VoteRequest>(message) ||
+         std::holds_alternative<coordination::VoteReply>(message) ||
+         std::holds_alternative<coordination::AppendRequest>(message) ||
+         std::holds_alternative<coordination::AppendReply>(message) ||
+         std::holds_alternative<coordination::InstallSnapshot>(message) ||
+         std::holds_alternative<coordination::ReadIndexRequest>(message) ||
+         std::holds_alternative<coordination::ReadIndexReply>(message);
+}
+
+}  // namespace
+
+state::Result<std::unique_ptr<ControlDuty>> ControlDuty::Open(
+    const Options& options,
+    state::Counters* counters) {
+  BOOST_OUTCOME_TRY(auto store,
+                    state::LogStore::Open(options.settings_.data_dir_));
+  return std::unique_ptr<ControlDuty>(
+      new ControlDuty(options, std::move(store), counters));
+}
+
+ControlDuty::ControlDuty(const Options& options,
+                         std::unique_ptr<state::LogStore> store,
+                         state::Counters* counters)
+    : options_(options),
+      counters_(counters),
+      store_(std::move(store)),
+      raft_(coordination::RaftOptions{}, store_->Load(), random_, clock_.Now()),
+      service_(options.self_,
+               options.control_instances_,
+               options.incarnation_,
+               counters,
+               clock_.Now()),
+      ring_(kRingCapacity) {}
+
+ControlDuty::~ControlDuty() {
+  Stop();
+}
+
+void ControlDuty::Stop() {
+  ring_.Close();
+  if (thread_ != nullptr) {
+    thread_->Join();
+  }
+}
+
+void ControlDuty::Start(transport::PeerEndpoint* peers) {
+  peers_ = peers;
+  disk_ = std::make_unique<DiskDuty>(
+      std::move(store_),
+      [this](const state::Result<uint64_t>& result) { OnDiskEnd(result); },
+      counters_);
+  thread_ =
+      std::make_unique<transport::DutyThread>("control", [this] { Run(); });
+}
+
+bool ControlDuty::Post(transport::PeerArrival arrival) {
+  return ring_.TryPush(Item(std::move(arrival)));
+}
+
+void ControlDuty::OnDiskEnd(const state::Result<uint64_t>& result) {
+  if (result) {
+    ring_.TryPush(Item(
+        RaftEvent(coordination::RaftPersisted{.sequence_ = result.value()})));
+  } else {
+    ring_.TryPush(Item(DiskFailed{.error_ = result.error()}));
+  }
+}
+
+state::Result<void> ControlDuty::Form(
+    const std::vector<state::ControlMember>& members) {
+  return Change([&members](uint64_t tag) -> RaftEvent {
+    return coordination::RaftForm{.tag_ = tag, .members_ = members};
+  });
+}
+
+state::Result<void> ControlDuty::AddMember(const state::ControlMember& member) {
+  return Change([&member](uint64_t tag) -> RaftEvent {
+    return coordination::RaftAddMember{.tag_ = tag, .member_ = member};
+  });
+}
+
+state::Result<void> ControlDuty::RemoveMember(const std::string& identity) {
+  return Change([&identity](uint64_t tag) -> RaftEvent {
+    return coordination::RaftRemoveMember{.tag_ = tag, .identity_ = identity};
+  });
+}
+
+state::Result<void> ControlDuty::Change(
+    const std::function<RaftEvent(uint64_t tag)>& make_event) {
+  const auto opened = change_slots_.Open();
+  ring_.TryPush(Item(make_event(opened.id_ | kChangeTagBit)));
+  const auto end = opened.slot_->Wait(kChangeTimeout);
+  change_slots_.Close(opened.id_);
+  if (!end.has_value()) {
+    return state::MakeError(state::ErrorKind::kTimeout,
+                            "The change was not accepted in time");
+  }
+  for (const ChangeErrorRow& row : kChangeErrors) {
+    if (row.status_ == end->status_) {
+      return state::MakeError(row.kind_, row.what_);
+    }
+  }
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+std::optional<protocol::ControlStatus> ControlDuty::Status() {
+  auto slot = std::make_shared<StatusSlot>();
+  if (!ring_.TryPush(Item(StatusRequest{.slot_ = slot}))) {
+    return std::nullopt;
+  }
+  return slot->Wait(kStatusTimeout);
+}
+
+void ControlDuty::Run() {
+  // The first step restores the snapshot that the data folder holds.
+  Drive({coordination::RaftTick{}});
+  state::Millis next_tick = clock_.Now();
+  while (!ring_.closed()) {
+    const state::Millis wait =
+        std::max(state::Millis(0), next_tick - clock_.Now());
+    RaftEvents events;
+    std::optional<Item> item = ring_.Pop(wait);
+    for (size_t i = 0; i < kMaxBatch && item.has_value(); ++i) {
+      Accept(*item, &events);
+      const std::optional<Item> next = ring_.TryPop();
+      item.reset();
+      if (next.has_value()) {
+        item.emplace(*next);
+      }
+    }
+    if (item.has_value()) {
+      Accept(*item, &events);
+    }
+    if (clock_.Now() >= next_tick) {
+      next_tick = clock_.Now() + kTickInterval;
+      Tick(&events);
+    }
+    Drive(std::move(events));
+  }
+}
+
+void ControlDuty::Accept(const Item& item, RaftEvents* raft_events) {
+  if (const auto* request = std::get_if<StatusRequest>(&item)) {
+    AnswerStatus(request->slot_.get());
+    return;
+  }
+  if (failed_) {
+    return;
+  }
+  if (const auto* disk_failed = std::get_if<DiskFailed>(&item)) {
+    Fail(disk_failed->error_);
+    return;
+  }
+  if (const auto* event = std::get_if<RaftEvent>(&item)) {
+    raft_events->push_back(*event);
+    return;
+  }
+  const auto& arrival = std::get<transport::PeerArrival>(item);
+  const std::string& connection =
+      arrival.connection_.empty() ? arrival.address_ : arrival.connection_;
+  if (IsLogMessage(arrival.message_)) {
+    raft_events->emplace_back(coordination::RaftMessageReceived{
+        .connection_ = connection, .message_ = arrival.message_});
+    return;
+  }
+  Serve(coordination::ControlMessage{.connection_ = connection,
+                                     .message_ = arrival.message_},
+        raft_events);
+}
+
+void ControlDuty::Tick(RaftEvents* raft_events) {
+  raft_events->emplace_back(coordination::RaftTick{});
+  Serve(CurrentLogStatus(clock_.Now()), raft_events);
+  Serve(coordination::ControlTick{.wall_millis_ = state::WallMillis()},
+        raft_events);
+  const auto limit =
+      static_cast<uint64_t>(options_.settings_.snapshot_entries_);
+  if (raft_.EntriesSinceSnapshot() > limit) {
+    raft_events->emplace_back(coordination::RaftSnapshotMade{
+        .index_ = service_.applied_index(),
+        .content_ = state::Bytes(
+            protocol::EncodeReplicatedState(service_.Snapshot()))});
+  }
+}
+
+void ControlDuty::Serve(const coordination::ControlEvent& event,
+                        RaftEvents* raft_events) {
+  Apply(service_.Handle(event, clock_.Now()), raft_events);
+}
+
+void ControlDuty::Drive(RaftEvents events) {
+  while (!events.empty() && !failed_) {
+    RaftEvents next;
+    Apply(raft_.Handle(absl::MakeConstSpan(events), clock_.Now()), &next);
+    events.swap(next);
+  }
+}
+
+void ControlDuty::Apply(coordination::Raft::Step step,
+                        RaftEvents* raft_events) {
+  if (step.batch_.has_value() && !disk_->Write(*step.batch_)) {
+    Fail(state::MakeError(state::ErrorKind::kDiskFailed,
+                          "The disk does not keep up with the log"));
+    return;
+  }
+  CarryOut(step.commands_);
+  if (step.restore_.has_value()) {
+    const auto restored =
+        protocol::DecodeReplicatedState(step.restore_->content_.view());
+    if (!restored) {
+      Fail(restored.error());
+      return;
+    }
+    Serve(coordination::SnapshotRestored{.index_ = step.restore_->index_,
+                                         .state_ = restored.value()},
+          raft_events);
+  }
+  for (const state::LogEntry& entry : step.committed_) {
+    if (entry.kind_ != state::LogEntryKind::kCommand) {
+      Serve(coordination::EntryCommitted{.index_ = entry.index_}, raft_events);
+      continue;
+    }
+    const auto command = protocol::DecodeLogCommand(entry.payload_.view());
+    if (!command) {
+      Fail(command.error());
+      return;
+    }
+    Serve(coordination::EntryCommitted{.index_ = entry.index_,
+                                       .command_ = command.value()},
+          raft_events);
+  }
+  for (const coordination::ProposalEnd& end : step.ended_) {
+    EndProposal(end, raft_events);
+  }
+  for (const coordination::ReadAnswer& read : step.reads_) {
+    Serve(coordination::ReadIndexAnswered{.read_id_ = read.read_id_,
+                                          .confirmed_ = read.confirmed_,
+                                          .index_ = read.index_},
+          raft_events);
+  }
+  if (step.role_change_.has_value()) {
+    LOG4CPLUS_INFO(Logger(),
+                   "Control role: "
+                       << NameOf(step.role_change_->role_).data() << " in term "
+                       << step.role_change_->term_ << ", leader at \""
+                       << step.role_change_->leader_address_ << "\".");
+    Serve(CurrentLogStatus(clock_.Now()), raft_events);
+  }
+}
+
+void ControlDuty::Apply(const coordination::ControlStep& step,
+                        RaftEvents* raft_events) {
+  CarryOut(step.commands_);
+  for (const coordination::Proposal& proposal : step.proposals_) {
+    raft_events->emplace_back(coordination::RaftPropose{
+        .tag_ = proposal.tag_,
+        .payload_ =
+            state::Bytes(protocol::EncodeLogCommand(proposal.command_))});
+  }
+  for (const uint64_t read_id : step.read_ids_) {
+    raft_events->emplace_back(coordination::RaftReadIndex{.read_id_ = read_id});
+  }
+}
+
+void ControlDuty::EndProposal(const coordination::ProposalEnd& end,
+                              RaftEvents* raft_events) {
+  if ((end.tag_ & kChangeTagBit) != 0) {
+    change_slots_.Put(end.tag_ & ~kChangeTagBit, end);
+    return;
+  }
+  Serve(coordination::ProposalEnded{.tag_ = end.tag_,
+                                    .outcome_ = OutcomeOf(end.status_)},
+        raft_events);
+}
+
+void ControlDuty::CarryOut(const coordination::Commands& commands) {
+  for (const coordination::Command& command : commands) {
+    // A message that does not fit the peer ring is lost like one on a broken
+    // link; the log and the leases repeat theirs.
+    if (const auto* send = std::get_if<coordination::SendToPeer>(&command)) {
+      peers_->Send(*send);
+    } else if (const auto* reply =
+                   std::get_if<coordination::ReplyToPeer>(&command)) {
+      peers_->Reply(*reply);
+    } else if (const auto* reset =
+                   std::get_if<coordination::ResetLink>(&command)) {
+      peers_->Reset(*reset);
+    }
+  }
+}
+
+coordination::LogStatus ControlDuty::CurrentLogStatus(state::Millis now) const {
+  const bool leads = raft_.role() == coordination::RaftRole::kLeader;
+  const state::Millis age = raft_.KnowledgeAge(now);
+  std::optional<state::Millis> heard;
+  if (std::isfinite(age.value())) {
+    heard.emplace(now - age);
+  }
+  return coordination::LogStatus{.formed_ = !raft_.members().empty(),
+                                 .leads_ = leads,
+                                 .has_quorum_ = leads && age <= kQuorumFresh,
+                                 .leader_address_ = raft_.leader_address(),
+                                 .leader_heard_ = heard};
+}
+
+void ControlDuty::AnswerStatus(StatusSlot* slot) const {
+  const std::string role(failed_ ? "failed" : NameOf(raft_.role()));
+  slot->Put(protocol::ControlStatus{.identity_ = raft_.identity(),
+                                    .instance_ = options_.self_.instance_,
+                                    .address_ = options_.self_.address_,
+                                    .formed_ = !raft_.members().empty(),
+                                    .role_ = role,
+                                    .term_ = raft_.term(),
+                                    .leader_ = raft_.leader(),
+                                    .commit_index_ = raft_.commit_index(),
+                                    .members_ = raft_.members()});
+}
+
+void ControlDuty::Fail(const state::Error& error) {
+  if (failed_) {
+    return;
+  }
+  failed_ = true;
+  LOG4CPLUS_ERROR(Logger(), "The control role has stopped: " << error.message_);
+}
+
+}  // namespace gooseberrygap::daemon
--- /dev/null
+++ b/src/daemon/control_duty.h
@@ -0,0 +1,108 @@
+#ifndef DAEMON_CONTROL_DUTY_H_
+#define DAEMON_CONTROL_DUTY_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "absl/random/random.h"
+#include "daemon/disk_duty.h"
+#include "transport/transport.h"
+
+namespace gooseberrygap::daemon {
+
+// The `control` duty: joins the replicated log and the control service of one
+// control instance, and hands their commands to the peer endpoint and the disk.
+class ControlDuty {
+ public:
+  struct Options {
+    const coordination::ControlAddress self_ = {};
+    const std::vector<coordination::ControlAddress> control_instances_ = {};
+    const uint64_t incarnation_ = 0;
+    const protocol::ControlSettings settings_ = {};
+  };
+
+  // Opens the data folder. `counters` must outlive the duty.
+  static state::Result<std::unique_ptr<ControlDuty>> Open(
+      const Options& options,
+      state::Counters* counters);
+  ~ControlDuty();
+
+  // Starts the threads. `peers` must outlive the duty. Call it once.
+  void Start(transport::PeerEndpoint* peers);
+  // Stops the threads; events that are posted later are refused.
+  void Stop();
+
+  // Hands a message for the control role over. Returns false when the ring is
+  // full. Thread-safe.
+  bool Post(transport::PeerArrival arrival);
+
+  // Change the members of the control group; they block for at most a few
+  // seconds. Thread-safe.
+  state::Result<void> Form(const std::vector<state::ControlMember>& members);
+  state::Result<void> AddMember(const state::ControlMember& member);
+  state::Result<void> RemoveMember(const std::string& identity);
+
+  // Returns nothing when the duty does not answer in time. Thread-safe.
+  std::optional<protocol::ControlStatus> Status();
+
+ private:
+  using StatusSlot = transport::AnswerSlot<protocol::ControlStatus>;
+  struct StatusRequest {
+    std::shared_ptr<StatusSlot> slot_;
+  };
+  struct DiskFailed {
+    const state::Error error_ = {};
+  };
+  using Item = std::variant<transport::PeerArrival,
+                            coordination::RaftEvent,
+                            StatusRequest,
+                            DiskFailed>;
+  using RaftEvents = std::vector<coordination::RaftEvent>;
+
+  ControlDuty(const Options& options,
+              std::unique_ptr<state::LogStore> store,
+              state::Counters* counters);
+
+  void Run();
+  // Sorts an item into events of the log, or handles it.
+  void Accept(const Item& item, RaftEvents* raft_events);
+  void Tick(RaftEvents* raft_events);
+  // Handles events of the log, and all that follows from them.
+  void Drive(RaftEvents events);
+  void Apply(coordination::Raft::Step step, RaftEvents* raft_events);
+  void Apply(const coordination::ControlStep& step, RaftEvents* raft_events);
+  void Serve(const coordination::ControlEvent& event, RaftEvents* raft_events);
+  void CarryOut(const coordination::Commands& commands);
+  void EndProposal(const coordination::ProposalEnd& end,
+                   RaftEvents* raft_events);
+  coordination::LogStatus CurrentLogStatus(state::Millis now) const;
+  void AnswerStatus(StatusSlot* slot) const;
+  // Hands a membership change with a new tag to the log and waits for its end.
+  state::Result<void> Change(
+      const std::function<coordination::RaftEvent(uint64_t tag)>& make_event);
+  void OnDiskEnd(const state::Result<uint64_t>& result);
+  // Ends the control role of this daemon; its call path goes on.
+  void Fail(const state::Error& error);
+
+  const state::SteadyClock clock_;
+  const Options options_;
+  state::Counters* const counters_;
+  absl::BitGen random_;
+  std::unique_ptr<state::LogStore> store_;
+  coordination::Raft raft_;
+  coordination::ControlService service_;
+  transport::Ring<Item> ring_;
+  transport::AnswerSlots<coordination::ProposalEnd> change_slots_;
+  transport::PeerEndpoint* peers_ = nullptr;
+  bool failed_ = false;
+  std::unique_ptr<DiskDuty> disk_;
+  std::unique_ptr<transport::DutyThread> thread_;
+};
+
+}  // namespace gooseberrygap::daemon
+
+#endif  // DAEMON_CONTROL_DUTY_H_
--- /dev/null
+++ b/src/daemon/daemon.cc
@@ -0,0 +1,197 @@
+#include "daemon/daemon.h"
+
+#include <log4cplus/loggingmacros.h>
+
+#include <atomic>
+
+#include "absl/time/clock.h"
+#include "daemon/logging.h"
+
+namespace gooseberrygap::daemon {
+
+namespace {
+
+using coordination::PeerMessage;
+
+// Long enough for the drain to reach the daemons that call this target, so that
+// few attempts are refused by the closing guard.
+constexpr absl::Duration kDrainNotice = absl::Milliseconds(300);
+constexpr absl::Duration kWorkPollInterval = absl::Milliseconds(20);
+
+bool IsForControl(const PeerMessage& message) {
+  return std::holds_alternative<coordination::LeaseRenew>(message) ||
+         std::holds_alternative<coordination::RegisterCall>(message) ||
+         std::holds_alternative<coordination::MembershipSync>(message) ||
+         std::holds_alternative<coordination::MembershipSyncAck>(message) ||
+         std::holds_alternative<coordination::ConfigSubmit>(message) ||
+         std::holds_alternative<coordination::VoteRequest>(message) ||
+         std::holds_alternative<coordination::VoteReply>(message) ||
+         std::holds_alternative<coordination::AppendRequest>(message) ||
+         std::holds_alternative<coordination::AppendReply>(message) ||
+         std::holds_alternative<coordination::InstallSnapshot>(message) ||
+         std::holds_alternative<coordination::ReadIndexRequest>(message) ||
+         std::holds_alternative<coordination::ReadIndexReply>(message);
+}
+
+std::string AdvertisedAddress(const protocol::Settings& settings) {
+  return settings.peer_.advertise_.empty() ? settings.peer_.listen_
+                                           : settings.peer_.advertise_;
+}
+
+state::TargetRecord SelfRecord(const protocol::Settings& settings,
+                               uint64_t incarnation) {
+  return state::TargetRecord{
+      .instance_ = settings.instance_,
+      .guard_address_ = AdvertisedAddress(settings),
+      .region_ = settings.region_,
+      .failure_domain_ = settings.failure_domain_,
+      .version_ = state::LeaseVersion{.incarnation_ = incarnation}};
+}
+
+std::vector<std::string> ControlAddresses(const protocol::Settings& settings) {
+  std::vector<std::string> addresses;
+  for (const coordination::ControlAddress& instance :
+       settings.control_instances_) {
+    addresses.push_back(instance.address_);
+  }
+  return addresses;
+}
+
+}  // namespace
+
+state::Result<std::unique_ptr<Daemon>> Daemon::Start(
+    const protocol::Settings& settings) {
+  std::unique_ptr<Daemon> daemon(new Daemon(settings));
+  BOOST_OUTCOME_TRYV(daemon->StartDuties());
+  return daemon;
+}
+
+Daemon::Daemon(const protocol::Settings& settings)
+    : settings_(settings), incarnation_(state::WallMillis()) {}
+
+Daemon::~Daemon() {
+  // Threads end in the order in which they feed each other; the peer thread
+  // hands arrivals to the others until it has ended.
+  http_server_.reset();
+  if (control_ != nullptr) {
+    control_->Stop();
+  }
+  if (node_ != nullptr) {
+    node_->Stop();
+  }
+  peers_.reset();
+}
+
+state::Result<void> Daemon::StartDuties() {
+  if (settings_.control_.has_value()) {
+    BOOST_OUTCOME_TRY(
+        control_, ControlDuty::Open(
+                      ControlDuty::Options{
+                          .self_ =
+                              coordination::ControlAddress{
+                                  .instance_ = settings_.instance_,
+                                  .address_ = AdvertisedAddress(settings_),
+                                  .region_ = settings_.region_},
+                          .control_instances_ = settings_.control_instances_,
+                          .incarnation_ = incarnation_,
+                          .settings_ = *settings_.control_},
+                      &counters_));
+  }
+  node_ = std::make_unique<NodeDuty>(
+      coordination::Node::Options{
+          .self_ = SelfRecord(settings_, incarnation_),
+          .control_instances_ = settings_.control_instances_},
+      settings_.target_workers_, &call_slots_, &counters_);
+  BOOST_OUTCOME_TRY(peers_, transport::PeerEndpoint::Start(
+                                transport::PeerEndpoint::Options{
+                                    .listen_address_ = settings_.peer_.listen_},
+                                [this](transport::PeerArrival arrival) {
+                                  OnPeerArrival(std::move(arrival));
+                                },
+                                &counters_));
+  gateway_ = std::make_unique<OperatorGateway>(ControlAddresses(settings_),
+                                               peers_.get());
+  if (control_ != nullptr) {
+    control_->Start(peers_.get());
+  }
+  node_->Start(peers_.get());
+  front_ = std::make_unique<HttpFront>(
+      node_.get(), &call_slots_, gateway_.get(), control_.get(), &counters_);
+  BOOST_OUTCOME_TRY(
+      http_server_,
+      transport::HttpServer::Start(
+          transport::HttpServer::Options{
+              .listen_address_ = settings_.http_.listen_,
+              .workers_ = settings_.http_.workers_,
+              .max_connections_ = settings_.http_.max_connections_,
+              .max_header_bytes_ =
+                  static_cast<size_t>(settings_.http_.max_header_bytes_),
+              .max_body_bytes_ =
+                  static_cast<size_t>(settings_.http_.max_body_bytes_)},
+          [this](const state::HttpRequest& request) {
+            return front_->Handle(request);
+          },
+          &counters_));
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void Daemon::OnPeerArrival(transport::PeerArrival arrival) {
+  if (const auto* reply =
+          std::get_if<coordination::ConfigSubmitReply>(&arrival.message_)) {
+    // The control service relays submissions, so a control instance may wait
+    // for this reply instead of an operator here.
+    gateway_->OnReply(*reply);
+    return;
+  }
+  if (IsForControl(arrival.message_)) {
+    if (control_ != nullptr && !control_->Post(std::move(arrival))) {
+      counters_.Add(state::RefusalReason::kInternalQueueFull);
+    }
+    return;
+  }
+  const bool accepted = node_->Post(
+      coordination::PeerMessageArrived{.connection_ = arrival.connection_,
+                                       .address_ = arrival.address_,
+                                       .message_ = arrival.message_});
+  if (!accepted) {
+    RefuseArrival(arrival);
+  }
+}
+
+void Daemon::RefuseArrival(const transport::PeerArrival& arrival) {
+  counters_.Add(state::RefusalReason::kInternalQueueFull);
+  const auto* attempt = std::get_if<coordination::Attempt>(&arrival.message_);
+  if (attempt == nullptr) {
+    return;
+  }
+  peers_->Reply(coordination::ReplyToPeer{
+      .connection_ = arrival.connection_,
+      .message_ = coordination::AttemptAnswer{
+          .request_id_ = attempt->request_id_,
+          .attempt_ = attempt->attempt_,
+          .result_ = coordination::AttemptResult::kRefused,
+          .refusal_ = state::RefusalReason::kInternalQueueFull,
+          .target_ = attempt->target_}});
+}
+
+void Daemon::StopGracefully() {
+  LOG4CPLUS_INFO(Logger(), "Draining.");
+  node_->Post(coordination::DrainRequested{});
+  absl::SleepFor(kDrainNotice);
+  http_server_->StopGracefully();
+  while (true) {
+    const std::optional<NodeView> view = node_->View();
+    const bool is_done = view.has_value() &&
+                         view->status_.calls_in_progress_ == 0 &&
+                         view->status_.work_in_progress_ == 0;
+    if (is_done) {
+      break;
+    }
+    absl::SleepFor(kWorkPollInterval);
+  }
+  node_->Post(coordination::TargetWithdrawn{});
+  absl::SleepFor(kWorkPollInterval);
+  LOG4CPLUS_INFO(Logger(), "All work is done; stopping.");
+}
+
+}  // namespace gooseberrygap::daemon
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,46 @@
+#ifndef DAEMON_DAEMON_H_
+#define DAEMON_DAEMON_H_
+
+#include <memory>
+
+#include "daemon/control_duty.h"
+#include "daemon/http_front.h"
+#include "daemon/node_duty.h"
+#include "daemon/operator_gateway.h"
+
+namespace gooseberrygap::daemon {
+
+// One running daemon: its duties, joined by their rings.
+class Daemon {
+ public:
+  // Binds its addresses and starts all duties.
+  static state::Result<std::unique_ptr<Daemon>> Start(
+      const protocol::Settings& settings);
+  ~Daemon();
+
+  // Drains: refuses new work for the own target, answers the calls and finishes
+  // the work in progress, and returns when all is done. Call it once.
+  void StopGracefully();
+
+ private:
+  explicit Daemon(const protocol::Settings& settings);
+
+  state::Result<void> StartDuties();
+  void OnPeerArrival(transport::PeerArrival arrival);
+  void RefuseArrival(const transport::PeerArrival& arrival);
+
+  const protocol::Settings settings_;
+  const uint64_t incarnation_;
+  state::Counters counters_;
+  CallSlots call_slots_;
+  std::unique_ptr<ControlDuty> control_;
+  std::unique_ptr<NodeDuty> node_;
+  std::unique_ptr<transport::PeerEndpoint> peers_;
+  std::unique_ptr<OperatorGateway> gateway_;
+  std::unique_ptr<HttpFront> front_;
+  std::unique_ptr<transport::HttpServer> http_server_;
+};
+
+}  // namespace gooseberrygap::daemon
+
+#endif  // DAEMON_DAEMON_H_
--- /dev/null
+++ b/src/daemon/http_front.h
@@ -0,0 +1,68 @@
+#ifndef DAEMON_HTTP_FRONT_H_
+#define DAEMON_HTTP_FRONT_H_
+
+#include <atomic>
+#include <functional>
+#include <string>
+
+#include "daemon/control_duty.h"
+#include "daemon/node_duty.h"
+#include "daemon/operator_gateway.h"
+
+namespace gooseberrygap::daemon {
+
+// Answers HTTP requests: calls of callers, and the administration endpoints
+// under "/-/". Runs on the HTTP workers.
+class HttpFront {
+ public:
+  // All must outlive the front. `control` is null without the control role.
+  HttpFront(NodeDuty* node,
+            CallSlots* slots,
+            OperatorGateway* gateway,
+            ControlDuty* control,
+            state::Counters* counters);
+
+  // Answers a request; blocks until the call has ended. Thread-safe.
+  state::HttpAnswer Handle(const state::HttpRequest& request);
+
+ private:
+  using AdminHandler =
+      state::HttpAnswer (HttpFront::*)(const state::HttpRequest& request);
+  struct AdminRow {
+    const absl::string_view method_;
+    const absl::string_view path_;
+    const AdminHandler handler_;
+  };
+  static const AdminRow kAdminRows[];
+
+  state::HttpAnswer HandleCall(const state::HttpRequest& request);
+  state::HttpAnswer HandleAdmin(const state::HttpRequest& request);
+
+  state::HttpAnswer Announce(const state::HttpRequest& request);
+  state::HttpAnswer Withdraw(const state::HttpRequest& request);
+  state::HttpAnswer Drain(const state::HttpRequest& request);
+  state::HttpAnswer ShowTargets(const state::HttpRequest& request);
+  state::HttpAnswer ShowCounters(const state::HttpRequest& request);
+  state::HttpAnswer ShowMetrics(const state::HttpRequest& request);
+  state::HttpAnswer ShowStatus(const state::HttpRequest& request);
+  state::HttpAnswer ShowConfiguration(const state::HttpRequest& request);
+  state::HttpAnswer SubmitConfiguration(const state::HttpRequest& request);
+  state::HttpAnswer FormGroup(const state::HttpRequest& request);
+  state::HttpAnswer AddMember(const state::HttpRequest& request);
+  state::HttpAnswer RemoveMember(const state::HttpRequest& request);
+  state::HttpAnswer ShowControlStatus(const state::HttpRequest& request);
+
+  state::HttpAnswer Post(coordination::NodeEvent event);
+  state::HttpAnswer WithView(
+      const std::function<std::string(const NodeView&)>& print);
+
+  NodeDuty* const node_;
+  CallSlots* const slots_;
+  OperatorGateway* const gateway_;
+  ControlDuty* const control_;
+  state::Counters* const counters_;
+};
+
+}  // namespace gooseberrygap::daemon
+
+#endif  // DAEMON_HTTP_FRONT_H_
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,3 +1,96 @@
-int main() {
+#include <log4cplus/loggingmacros.h>
+#include <pthread.h>
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+#include <string>
+
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "absl/flags/usage.h"
+#include "daemon/daemon.h"
+#include "daemon/logging.h"
+
+ABSL_FLAG(std::string, settings, "", "Path of the settings file (JSON).");
+ABSL_FLAG(bool, check, false, "Check the settings file and exit.");
+
+namespace gooseberrygap::daemon {
+namespace {
+
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+
+int ReportError(const state::Error& error, int exit_code) {
+  std::fprintf(stderr, "gooseberrygapd: %s\n", error.message_.c_str());
+  return exit_code;
+}
+
+state::Result<protocol::Settings> ReadSettings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    return state::MakeError(
+        state::ErrorKind::kInvalidSettings,
+        "The settings file \"" + path + "\" cannot be read");
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  return protocol::ParseSettings(text.str());
+}
+
+// Blocks the signals that end the daemon, for all threads started later.
+sigset_t BlockStopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+int Run() {
+  const auto settings = ReadSettings(absl::GetFlag(FLAGS_settings));
+  if (!settings) {
+    return ReportError(settings.error(), kExitUsage);
+  }
+  if (absl::GetFlag(FLAGS_check)) {
+    std::puts("The settings are valid.");
+    return 0;
+  }
+  const sigset_t signals = BlockStopSignals();
+  StartLogging(settings.value().log_level_);
+  const auto daemon = Daemon::Start(settings.value());
+  if (!daemon) {
+    return ReportError(daemon.error(), kExitFailed);
+  }
+  LOG4CPLUS_INFO(Logger(),
+                 "Instance " << settings.value().instance_ << " serves HTTP on "
+                             << settings.value().http_.listen_
+                             << " and peers on "
+                             << settings.value().peer_.listen_ << ".");
+  int signal = 0;
+  sigwait(&signals, &signal);
+  // Further stop signals stay blocked, so that they cut no work short.
+  daemon.value()->StopGracefully();
   return 0;
 }
+
+}  // namespace
+}  // namespace gooseberrygap::daemon
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage(
+      "The gooseberrygap daemon. It runs beside one target, accepts calls over "
+      "HTTP, and guards its target.\n\n"
+      "  gooseberrygapd --settings=FILE          run until SIGTERM or SIGINT\n"
+      "  gooseberrygapd --settings=FILE --check  check the settings and "
+      "exit\n\n"
+      "SIGTERM and SIGINT start a graceful stop: no request in flight is cut. "
+      "A second signal does not shorten it.\n"
+      "Exit codes: 0 stopped gracefully, 1 could not start, 2 invalid settings "
+      "or flags.");
+  absl::ParseCommandLine(argc, argv);
+  return gooseberrygap::daemon::Run();
+}
--- /dev/null
+++ b/src/daemon/node_duty.cc
@@ -0,0 +1,182 @@
+#include "daemon/node_duty.h"
+
+#include <log4cplus/loggingmacros.h>
+
+#include "daemon/logging.h"
+
+namespace gooseberrygap::daemon {
+
+namespace {
+
+using coordination::NodeEvent;
+
+constexpr size_t kRingCapacity = 16384;
+constexpr state::Millis kViewTimeout(2000);
+
+// The headers that tell the target of a request's identity and time limit.
+state::HttpRequest WithRequestHeaders(
+    const coordination::DeliverToTarget& delivery) {
+  std::vector<state::HttpHeader> headers = delivery.request_.headers_;
+  const auto add = [&headers](absl::string_view name, std::string value) {
+    headers.push_back(state::HttpHeader{.name_ = std::string(name),
+                                        .value_ = std::move(value)});
+  };
+  add(protocol::kRequestIdHeader, delivery.request_id_);
+  add(protocol::kAttemptHeader, std::to_string(delivery.attempt_));
+  add(protocol::kDeadlineHeader,
+      std::to_string(static_cast<int64_t>(delivery.timeout_.value())));
+  add(protocol::kDepthHeader, std::to_string(delivery.depth_ + 1));
+  return state::HttpRequest{.method_ = delivery.request_.method_,
+                            .path_ = delivery.request_.path_,
+                            .headers_ = headers,
+                            .body_ = delivery.request_.body_};
+}
+
+}  // namespace
+
+NodeDuty::NodeDuty(const coordination::Node::Options& options,
+                   int target_workers,
+                   CallSlots* slots,
+                   state::Counters* counters)
+    : slots_(slots),
+      counters_(counters),
+      node_(options, random_, counters),
+      ring_(kRingCapacity),
+      target_client_(transport::TargetClient::Start(
+          transport::TargetClient::Options{.workers_ = target_workers},
+          [this](coordination::DeliveryEnded ended) {
+            // Deliveries in flight are far fewer than the ring's places.
+            Post(std::move(ended));
+          },
+          counters)) {}
+
+NodeDuty::~NodeDuty() {
+  Stop();
+}
+
+void NodeDuty::Stop() {
+  ring_.Close();
+  if (thread_ != nullptr) {
+    thread_->Join();
+  }
+  target_client_.reset();
+}
+
+void NodeDuty::Start(transport::PeerEndpoint* peers) {
+  peers_ = peers;
+  thread_ = std::make_unique<transport::DutyThread>("node", [this] { Run(); });
+}
+
+bool NodeDuty::Post(NodeEvent event) {
+  return ring_.TryPush(Item(std::move(event)));
+}
+
+std::optional<NodeView> NodeDuty::View() {
+  auto slot = std::make_shared<ViewSlot>();
+  if (!ring_.TryPush(Item(ViewRequest{.slot_ = slot}))) {
+    return std::nullopt;
+  }
+  return slot->Wait(kViewTimeout);
+}
+
+void NodeDuty::Run() {
+  state::Millis next_tick = clock_.Now();
+  while (!ring_.closed()) {
+    const state::Millis now = clock_.Now();
+    if (now >= next_tick) {
+      Handle(coordination::Ticked{});
+      next_tick = now + node_.TickInterval();
+    }
+    // Work that arrives at an idle node shortens the wait for the next tick.
+    next_tick = std::min(next_tick, now + node_.TickInterval());
+    const std::optional<Item> item =
+        ring_.Pop(std::max(state::Millis(0), next_tick - clock_.Now()));
+    if (!item.has_value()) {
+      continue;
+    }
+    if (const auto* event = std::get_if<NodeEvent>(&*item)) {
+      Handle(*event);
+      continue;
+    }
+    std::get<ViewRequest>(*item).slot_->Put(
+        NodeView{.status_ = node_.Status(clock_.Now()),
+                 .configuration_ = node_.configuration(),
+                 .targets_ = node_.Targets()});
+  }
+}
+
+void NodeDuty::Handle(const NodeEvent& event) {
+  std::vector<NodeEvent> events = {event};
+  while (!events.empty()) {
+    follow_ups_.clear();
+    for (const NodeEvent& each : events) {
+      for (const coordination::Command& command :
+           node_.Handle(each, clock_.Now())) {
+        std::visit([this](const auto& concrete) { CarryOut(concrete); },
+                   command);
+      }
+    }
+    events.swap(follow_ups_);
+  }
+  const uint64_t index = node_.configuration().index_;
+  if (index != logged_index_) {
+    logged_index_ = index;
+    LOG4CPLUS_INFO(Logger(), "Configuration " << index << " is in force.");
+  }
+}
+
+void NodeDuty::CarryOut(const coordination::SendToPeer& command) {
+  if (peers_->Send(command)) {
+    return;
+  }
+  // The ingress learns at once that its attempt was not sent.
+  const auto* attempt = std::get_if<coordination::Attempt>(&command.message_);
+  if (attempt != nullptr) {
+    follow_ups_.emplace_back(coordination::PeerMessageArrived{
+        .message_ = coordination::AttemptAnswer{
+            .request_id_ = attempt->request_id_,
+            .attempt_ = attempt->attempt_,
+            .result_ = coordination::AttemptResult::kRefused,
+            .refusal_ = state::RefusalReason::kInternalQueueFull,
+            .target_ = attempt->target_}});
+  }
+}
+
+void NodeDuty::CarryOut(const coordination::ReplyToPeer& command) {
+  // A lost answer is found by the ingress through its deadline.
+  peers_->Reply(command);
+}
+
+void NodeDuty::CarryOut(const coordination::ResetLink& command) {
+  LOG4CPLUS_WARN(Logger(), "The connection to " << command.address_
+                                                << " was silent; replaced.");
+  peers_->Reset(command);
+}
+
+void NodeDuty::CarryOut(const coordination::AnswerCall& command) {
+  slots_->Put(command.call_id_, command.answer_);
+}
+
+void NodeDuty::CarryOut(const coordination::DeliverToTarget& command) {
+  const bool accepted = target_client_->Deliver(coordination::DeliverToTarget{
+      .delivery_id_ = command.delivery_id_,
+      .address_ = command.address_,
+      .request_ = WithRequestHeaders(command),
+      .request_id_ = command.request_id_,
+      .attempt_ = command.attempt_,
+      .depth_ = command.depth_,
+      .connect_only_ = command.connect_only_,
+      .timeout_ = command.timeout_,
+      .fresh_connection_ = command.fresh_connection_});
+  if (!accepted) {
+    follow_ups_.emplace_back(coordination::DeliveryEnded{
+        .delivery_id_ = command.delivery_id_,
+        .end_ = coordination::DeliveryEnd::kNotSent});
+  }
+}
+
+void NodeDuty::CarryOut(const coordination::CancelDelivery& command) {
+  target_client_->Cancel(command.delivery_id_);
+}
+
+}  // namespace gooseberrygap::daemon
--- /dev/null
+++ b/src/daemon/node_duty.h
@@ -0,0 +1,79 @@
+#ifndef DAEMON_NODE_DUTY_H_
+#define DAEMON_NODE_DUTY_H_
+
+#include <memory>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "absl/random/random.h"
+#include "transport/transport.h"
+
+namespace gooseberrygap::daemon {
+
+// What the administration endpoints read of the node.
+struct NodeView {
+  const coordination::NodeStatus status_ = {};
+  const state::IndexedConfiguration configuration_ = {};
+  const std::vector<state::TargetRecord> targets_ = {};
+};
+
+using CallSlots = transport::AnswerSlots<coordination::CallAnswer>;
+
+// The `node` duty: feeds the node's decisions from its ring, and passes their
+// commands to the peer endpoint, the target client and the waiting callers.
+class NodeDuty {
+ public:
+  // `slots` and `counters` must outlive the duty.
+  NodeDuty(const coordination::Node::Options& options,
+           int target_workers,
+           CallSlots* slots,
+           state::Counters* counters);
+  ~NodeDuty();
+
+  // Starts the thread. `peers` must outlive the duty. Call it once.
+  void Start(transport::PeerEndpoint* peers);
+  // Stops the threads; events that are posted later are refused.
+  void Stop();
+
+  // Hands an event to the node. Returns false when the ring is full.
+  // Thread-safe.
+  bool Post(coordination::NodeEvent event);
+
+  // Returns what the node reports, or nothing when it does not answer in time.
+  // Thread-safe.
+  std::optional<NodeView> View();
+
+ private:
+  using ViewSlot = transport::AnswerSlot<NodeView>;
+  struct ViewRequest {
+    std::shared_ptr<ViewSlot> slot_;
+  };
+  using Item = std::variant<coordination::NodeEvent, ViewRequest>;
+
+  void Run();
+  void Handle(const coordination::NodeEvent& event);
+  void CarryOut(const coordination::SendToPeer& command);
+  void CarryOut(const coordination::ReplyToPeer& command);
+  void CarryOut(const coordination::ResetLink& command);
+  void CarryOut(const coordination::AnswerCall& command);
+  void CarryOut(const coordination::DeliverToTarget& command);
+  void CarryOut(const coordination::CancelDelivery& command);
+
+  const state::SteadyClock clock_;
+  absl::BitGen random_;
+  CallSlots* const slots_;
+  state::Counters* const counters_;
+  coordination::Node node_;
+  transport::Ring<Item> ring_;
+  std::unique_ptr<transport::TargetClient> target_client_;
+  transport::PeerEndpoint* peers_ = nullptr;
+  // Events that carrying out commands gave rise to.
+  std::vector<coordination::NodeEvent> follow_ups_;
+  uint64_t logged_index_ = 0;
+  std::unique_ptr<transport::DutyThread> thread_;
+};
+
+}  // namespace gooseberrygap::daemon
+
+#endif  // DAEMON_NODE_DUTY_H_
--- /dev/null
+++ b/src/daemon/operator_gateway.cc
@@ -0,0 +1,72 @@
+#include "daemon/operator_gateway.h"
+
+#include <memory>
+
+#include "absl/time/clock.h"
+
+namespace gooseberrygap::daemon {
+
+namespace {
+
+using coordination::ConfigSubmitReply;
+using coordination::SubmitStatus;
+
+// A new leader is elected within 2 s.
+constexpr state::Millis kSubmitTimeout(5000);
+// Longer than a commit across regions.
+constexpr state::Millis kInstanceTimeout(1000);
+constexpr absl::Duration kNoLeaderPause = absl::Milliseconds(100);
+
+}  // namespace
+
+OperatorGateway::OperatorGateway(std::vector<std::string> control_addresses,
+                                 transport::PeerEndpoint* peers)
+    : control_addresses_(std::move(control_addresses)), peers_(peers) {}
+
+ConfigSubmitReply OperatorGateway::Submit(
+    const protocol::ConfigSubmission& submission) {
+  const state::SteadyClock clock;
+  const state::Millis end = clock.Now() + kSubmitTimeout;
+  const auto configuration =
+      std::make_shared<const state::Configuration>(submission.configuration_);
+  SubmitStatus last_status = SubmitStatus::kNoQuorum;
+  std::string leader;
+  for (size_t i = 0; clock.Now() < end && !control_addresses_.empty(); ++i) {
+    const std::string address =
+        leader.empty() ? control_addresses_[i % control_addresses_.size()]
+                       : leader;
+    leader.clear();
+    const auto opened = slots_.Open();
+    // The submission id makes the repeated request harmless.
+    peers_->Send(coordination::SendToPeer{
+        .address_ = address,
+        .message_ =
+            coordination::ConfigSubmit{.call_id_ = opened.id_,
+                                       .submission_ = submission.submission_,
+                                       .configuration_ = configuration}});
+    const auto reply = opened.slot_->Wait(kInstanceTimeout);
+    slots_.Close(opened.id_);
+    if (!reply.has_value()) {
+      continue;
+    }
+    const bool is_final = reply->status_ == SubmitStatus::kAccepted ||
+                          reply->status_ == SubmitStatus::kConflict ||
+                          reply->status_ == SubmitStatus::kWrongVersion;
+    if (is_final) {
+      return *reply;
+    }
+    last_status = reply->status_;
+    leader = reply->leader_address_;
+    if (leader.empty() || leader == address) {
+      leader.clear();
+      absl::SleepFor(kNoLeaderPause);
+    }
+  }
+  return ConfigSubmitReply{.status_ = last_status};
+}
+
+void OperatorGateway::OnReply(const ConfigSubmitReply& reply) {
+  slots_.Put(reply.call_id_, reply);
+}
+
+}  // namespace gooseberrygap::daemon
--- /dev/null
+++ b/src/daemon/operator_gateway.h
@@ -0,0 +1,35 @@
+#ifndef DAEMON_OPERATOR_GATEWAY_H_
+#define DAEMON_OPERATOR_GATEWAY_H_
+
+#include <string>
+#include <vector>
+
+#include "transport/transport.h"
+
+namespace gooseberrygap::daemon {
+
+// Carries an operator's configuration to the leader of the control group, from
+// whichever daemon the operator has asked.
+class OperatorGateway {
+ public:
+  // `peers` must outlive the gateway.
+  OperatorGateway(std::vector<std::string> control_addresses,
+                  transport::PeerEndpoint* peers);
+
+  // Submits the configuration; asks one control instance after another until
+  // one answers for the leader, for at most a few seconds. Blocks. Thread-safe.
+  coordination::ConfigSubmitReply Submit(
+      const protocol::ConfigSubmission& submission);
+
+  // Takes a reply from the peer thread. Thread-safe.
+  void OnReply(const coordination::ConfigSubmitReply& reply);
+
+ private:
+  const std::vector<std::string> control_addresses_;
+  transport::PeerEndpoint* const peers_;
+  transport::AnswerSlots<coordination::ConfigSubmitReply> slots_;
+};
+
+}  // namespace gooseberrygap::daemon
+
+#endif  // DAEMON_OPERATOR_GATEWAY_H_
