Add the target client

Cause: the guard needs to send a request to its target at most once and to know whether an answer is whole.

Ruled out: the public methods of httplib's client. They decide by themselves when to connect again and use select, which cannot watch descriptors above 1023; a daemon with 2048 caller connections would pass that. The workers call the protected process_request with a stream of their own, so there is one place that sends and one that knows whether a byte was sent.

Change: a bounded ring and a pool of workers with one kept connection each. An answer without a length or chunks is kCut, since its end cannot be told from a cut. DeliveryResult gains sent_, which tells a delivery cancelled in the queue from one that may have run.

Conclusion: ready to be used by the guard.

--- a/src/transport/api/target_client.h
+++ b/src/transport/api/target_client.h
@@ -11,15 +11,18 @@
 enum class DeliveryEnd {
   kAnswered,       // `answer_` is whole.
   kConnectFailed,  // No byte of the request was sent.
-  kCut,            // Sent in part or whole; the answer is missing or not whole.
+  kCut,            // Sent in part or whole; the answer is missing, not whole,
+                   // too large, or has no mark by which its end is certain.
   kTimeout,        // Sent; no whole answer within the timeout.
-  kCancelled,      // Cancelled after it was sent.
+  kCancelled,      // Cancelled; `sent_` says whether it may have run.
 };
 
 struct DeliveryResult {
   const uint64_t delivery_id_ = 0;
   const DeliveryEnd end_ = DeliveryEnd::kAnswered;
   const state::HttpAnswer answer_ = {};
+  // Whether a byte of the request may have reached the target.
+  const bool sent_ = false;
 };
 
 // The `target-worker` duties: a bounded pool that sends requests to the
@@ -42,15 +45,20 @@
                                              Handler handler,
                                              state::Counters* counters);
 
-  // Waits for deliveries in flight to end.
+  // Waits for the deliveries that were accepted to end.
   virtual ~TargetClient() = default;
 
   // Queues a delivery. Returns false when the ring is full; the handler is then
   // not called. A request is sent at most once: it is never repeated on another
-  // connection after a byte of it has been sent. Thread-safe.
+  // connection after a byte of it has been sent. Its timeout runs from this
+  // call; one that passes before anything was sent ends as kConnectFailed.
+  // Headers of the connection and of the framing are not passed on, in either
+  // direction. Precondition: no other delivery in progress has this id.
+  // Thread-safe.
   virtual bool Deliver(coordination::DeliverToTarget delivery) = 0;
-  // Cancels a delivery by closing its connection; does nothing when it has
-  // ended. Thread-safe.
+  // Cancels a delivery by closing its connection, or before it is sent; the
+  // handler still learns of its end. Does nothing when it has ended.
+  // Thread-safe.
   virtual void Cancel(uint64_t delivery_id) = 0;
 };
 
--- /dev/null
+++ b/src/transport/internal/socket_stream.cc
@@ -0,0 +1,180 @@
+#include "transport/internal/socket_stream.h"
+
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cmath>
+#include <cstring>
+#include <utility>
+
+#include "transport/internal/http_head.h"
+
+namespace gooseberrygap::transport {
+
+namespace {
+
+constexpr size_t kReadBytes = 16384;
+// A body that is written in pieces leaves in portions of this size.
+constexpr size_t kFlushBytes = 262144;
+// Upper bound of one sleep, so that the milliseconds fit an int.
+constexpr double kLongestWaitMs = 3600000;
+
+bool IsRetryable(int code) {
+  return code == EAGAIN || code == EINTR;
+}
+
+}  // namespace
+
+SocketStream::SocketStream(Descriptor socket,
+                           MessageKind kind,
+                           size_t max_head_bytes)
+    : socket_(std::move(socket)),
+      kind_(kind),
+      max_head_bytes_(max_head_bytes) {}
+
+void SocketStream::BeginMessage(state::Millis deadline) {
+  deadline_ = deadline;
+  has_sent_ = false;
+  head_loaded_ = false;
+  chunks_.reset();
+  head_.clear();
+  head_position_ = 0;
+}
+
+bool SocketStream::LoadHead() {
+  while (!head_loaded_ && end_ == StreamEnd::kOpen) {
+    const size_t size = HeadSize(buffered());
+    if (size > max_head_bytes_ ||
+        (size == 0 && buffered().size() > max_head_bytes_)) {
+      end_ = StreamEnd::kHeadTooLarge;
+    } else if (size == 0) {
+      FillWaiting();
+    } else {
+      const absl::string_view head = buffered().substr(0, size);
+      const bool interim =
+          kind_ == MessageKind::kResponse && IsInterimResponse(head);
+      head_ = EscapeHead(head);
+      if (!IsWellFormedHead(head)) {
+        end_ = StreamEnd::kHeadMalformed;
+      } else if (!FitsLineLimit(head_)) {
+        end_ = StreamEnd::kHeadTooLarge;
+      }
+      head_loaded_ = !interim && end_ == StreamEnd::kOpen;
+      Discard(size);
+    }
+  }
+  return head_loaded_;
+}
+
+bool SocketStream::FillAvailable() {
+  std::array<char, kReadBytes> bytes;
+  const ssize_t count =
+      recv(socket_.get(), bytes.data(), bytes.size(), MSG_DONTWAIT);
+  if (count > 0) {
+    input_.erase(0, std::exchange(position_, 0));
+    input_.append(bytes.data(), count);
+  } else if (count == 0) {
+    end_ = StreamEnd::kClosed;
+  } else if (!IsRetryable(errno)) {
+    end_ = StreamEnd::kFailed;
+  }
+  return count > 0;
+}
+
+bool SocketStream::FillWaiting() {
+  while (end_ == StreamEnd::kOpen) {
+    if (FillAvailable()) {
+      return true;
+    }
+    if (end_ == StreamEnd::kOpen && !WaitFor(POLLIN)) {
+      end_ = StreamEnd::kTimeout;
+    }
+  }
+  return false;
+}
+
+bool SocketStream::WaitFor(short event) {
+  pollfd entry = {.fd = socket_.get(), .events = event, .revents = 0};
+  while (true) {
+    const double left = (deadline_ - clock_.Now()).value();
+    if (left <= 0) {
+      return false;
+    }
+    const double wait_ms = std::ceil(std::min(left, kLongestWaitMs));
+    if (poll(&entry, 1, static_cast<int>(wait_ms)) > 0) {
+      return true;
+    }
+  }
+}
+
+bool SocketStream::Flush() {
+  size_t sent = 0;
+  // A peer may have ended its sending side only, and still read.
+  while (sent < output_.size() &&
+         (end_ == StreamEnd::kOpen || end_ == StreamEnd::kClosed)) {
+    const ssize_t count =
+        send(socket_.get(), output_.data() + sent, output_.size() - sent,
+             MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (count > 0) {
+      has_sent_ = true;
+      sent += count;
+    } else if (!IsRetryable(errno)) {
+      end_ = StreamEnd::kFailed;
+    } else if (!WaitFor(POLLOUT)) {
+      end_ = StreamEnd::kTimeout;
+    }
+  }
+  const bool whole = sent == output_.size();
+  output_.clear();
+  return whole;
+}
+
+void SocketStream::Discard(size_t count) {
+  position_ += count;
+}
+
+ssize_t SocketStream::read(char* ptr, size_t size) {
+  if (!Flush() || !LoadHead()) {
+    return -1;
+  }
+  if (head_position_ < head_.size()) {
+    const size_t count = std::min(size, head_.size() - head_position_);
+    memcpy(ptr, head_.data() + head_position_, count);
+    head_position_ += count;
+    return static_cast<ssize_t>(count);
+  }
+  if (buffered().empty() && !FillWaiting()) {
+    return end_ == StreamEnd::kClosed ? 0 : -1;
+  }
+  const size_t count = std::min(size, buffered().size());
+  memcpy(ptr, buffered().data(), count);
+  if (chunks_) {
+    chunks_->Take(buffered().substr(0, count));
+  }
+  Discard(count);
+  return static_cast<ssize_t>(count);
+}
+
+ssize_t SocketStream::write(const char* ptr, size_t size) {
+  output_.append(ptr, size);
+  if (output_.size() >= kFlushBytes && !Flush()) {
+    return -1;
+  }
+  return static_cast<ssize_t>(size);
+}
+
+// The addresses are of no use to the handlers, which never see them.
+void SocketStream::get_remote_ip_and_port(std::string& ip, int& port) const {
+  ip.clear();
+  port = 0;
+}
+
+void SocketStream::get_local_ip_and_port(std::string& ip, int& port) const {
+  ip.clear();
+  port = 0;
+}
+
+}  // namespace gooseberrygap::transport
--- a/src/transport/tests/peer_endpoint_test.cc
+++ b/src/transport/tests/peer_endpoint_test.cc
@@ -1,8 +1,6 @@
 #include <zmq.h>
 #include <catch2/catch.hpp>
 
-#include <functional>
-
 #include "transport/tests/support.h"
 #include "transport/transport.h"
 
--- a/src/transport/tests/support.h
+++ b/src/transport/tests/support.h
@@ -120,7 +120,9 @@
   ~TestListener() { close(fd_); }
 
   std::string address() const { return address_; }
-  TestSocket Accept() { return TestSocket(accept(fd_, nullptr, nullptr)); }
+  TestSocket Accept() const {
+    return TestSocket(accept(fd_, nullptr, nullptr));
+  }
 
  private:
   const int fd_;
