--- /dev/null
+++ b/tests/support/process.h
@@ -0,0 +1,56 @@
+#ifndef SUPPORT_PROCESS_H_
+#define SUPPORT_PROCESS_H_
+
+#include <sys/types.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "state/state.h"
+
+namespace gooseberrygap::test_support {
+
+struct Command {
+  const std::string program_ = {};
+  const std::vector<std::string> arguments_ = {};
+  // Takes standard output and error, appended; empty inherits both.
+  const std::string log_path_ = {};
+
+  friend bool operator==(const Command&, const Command&) = default;
+};
+
+// A child process. Not thread-safe.
+class Process {
+ public:
+  // Starts the program. The kernel kills it when the calling thread ends, so
+  // call this from a thread that outlives the process.
+  static state::Result<std::unique_ptr<Process>> Start(const Command& command);
+  // Kills the process if it still runs.
+  ~Process();
+
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  pid_t pid() const { return pid_; }
+
+  // Sends the signal, for example SIGTERM, SIGKILL, SIGSTOP or SIGCONT. Does
+  // nothing when the process has ended.
+  void Signal(int signal);
+
+  // Returns the exit code, or 128 + signal when a signal ended the process, or
+  // nothing when it still runs after `timeout`.
+  std::optional<int> Wait(state::Millis timeout);
+
+ private:
+  Process(pid_t pid, int descriptor) : pid_(pid), descriptor_(descriptor) {}
+
+  const pid_t pid_;
+  const int descriptor_;  // A pidfd, which poll can wait for.
+  std::optional<int> exit_code_;
+};
+
+}  // namespace gooseberrygap::test_support
+
+#endif  // SUPPORT_PROCESS_H_
