--- /dev/null
+++ b/operators/python/gooseberrygap/__main__.py
@@ -0,0 +1,7 @@
+"""Prints the JSON schema of the configuration."""
+
+import sys
+
+import gooseberrygap
+
+sys.stdout.write(gooseberrygap.print_schema())
