--- a/src/state/api/error.h
+++ b/src/state/api/error.h
@@ -20,6 +20,7 @@
   kCorruptLog,
   kDiskFailed,
   kDiskFull,
+  kFolderInUse,
   kNotFormed,
   kAlreadyFormed,
   kVersionConflict,
--- /dev/null
+++ b/src/state/api/log_store.h
@@ -0,0 +1,76 @@
+#ifndef STATE_API_LOG_STORE_H_
+#define STATE_API_LOG_STORE_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+#include "absl/types/span.h"
+
+#include "state/api/error.h"
+#include "state/api/log.h"
+
+namespace gooseberrygap::state {
+
+// What a data folder holds. Entries follow the snapshot without a gap.
+struct LoadedLog {
+  const std::string identity_ = {};
+  const VoteRecord vote_ = {};
+  const std::optional<LogSnapshot> snapshot_ = {};
+  const std::vector<LogEntry> entries_ = {};
+
+  friend bool operator==(const LoadedLog&, const LoadedLog&) = default;
+};
+
+struct LogStoreOptions {
+  // A new file is begun when the last one is longer. Whole files are removed
+  // once a snapshot covers them.
+  const uint64_t segment_bytes_ = 4 * 1024 * 1024;
+
+  friend bool operator==(const LogStoreOptions&,
+                         const LogStoreOptions&) = default;
+};
+
+// The log, the vote and the snapshot of a control group's member in one data
+// folder. The first error of a write ends all writing: every further write
+// returns the same error, since after a failed sync it is not known what the
+// disk holds. Not thread-safe.
+class LogStore {
+ public:
+  // Locks the folder and reads it; creates the folder and a random identity on
+  // first use. Cuts an incomplete record at the end of the log. Errors:
+  // kFolderInUse, kCorruptLog, kDiskFailed, kDiskFull.
+  static Result<std::unique_ptr<LogStore>> Open(const std::string& folder,
+                                                LogStoreOptions options = {});
+  ~LogStore();
+  LogStore(const LogStore&) = delete;
+  LogStore& operator=(const LogStore&) = delete;
+
+  // Identity of the folder: 32 hexadecimal digits.
+  const std::string& identity() const;
+  // Returns what the folder held when it was opened. Call it once; it gives the
+  // content away.
+  LoadedLog Load();
+
+  // Writes entries behind the last one; durable after Sync. Precondition: the
+  // indexes follow the last entry, or the snapshot, without a gap.
+  Result<void> Append(absl::Span<const LogEntry> entries);
+  // Removes the entries from `index` on; durable on return.
+  Result<void> TruncateFrom(uint64_t index);
+  // Durable on return.
+  Result<void> SaveVote(const VoteRecord& vote);
+  // Durable on return. Entries that the snapshot covers are no longer loaded.
+  Result<void> SaveSnapshot(const LogSnapshot& snapshot);
+  // Makes the appended entries durable.
+  Result<void> Sync();
+
+ private:
+  class Impl;
+  explicit LogStore(std::unique_ptr<Impl> impl);
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace gooseberrygap::state
+
+#endif  // STATE_API_LOG_STORE_H_
--- a/src/state/internal/error.cc
+++ b/src/state/internal/error.cc
@@ -46,6 +46,9 @@
         {ErrorKind::kDiskFull, "disk_full",
          "Free space on the disk of the data folder and start the instance "
          "again."},
+        {ErrorKind::kFolderInUse, "folder_in_use",
+         "Stop the other process that uses the data folder or choose another "
+         "folder."},
         {ErrorKind::kNotFormed, "not_formed",
          "Form the control group with 'gooseberrygapctl control form'."},
         {ErrorKind::kAlreadyFormed, "already_formed",
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -12,6 +12,7 @@
 #include "state/api/error.h"
 #include "state/api/http.h"
 #include "state/api/log.h"
+#include "state/api/log_store.h"
 #include "state/api/reasons.h"
 #include "state/api/replace.h"
 #include "state/api/target.h"
