--- a/src/coordination/api/raft.h
+++ b/src/coordination/api/raft.h
@@ -29,13 +29,13 @@
   const state::Millis candidate_max_ = state::Millis(400);
   // Limits of one append message and of what a follower has not acknowledged.
   const uint64_t batch_entries_ = 256;
-  const uint64_t batch_bytes_ = 256 * 1024;
+  const uint64_t batch_bytes_ = uint64_t{256} * 1024;
   const uint64_t window_entries_ = 4096;
-  const uint64_t window_bytes_ = 2 * 1024 * 1024;
+  const uint64_t window_bytes_ = uint64_t{2} * 1024 * 1024;
   // Entries kept in memory behind a snapshot, so that a follower that is a
   // little behind needs no snapshot.
   const uint64_t tail_entries_ = 1024;
-  const uint64_t tail_bytes_ = 4 * 1024 * 1024;
+  const uint64_t tail_bytes_ = uint64_t{4} * 1024 * 1024;
   // Proposals beyond this many uncommitted entries are refused.
   const uint64_t max_uncommitted_ = 8192;
   // A learner becomes a voter when it lacks at most this many entries.
--- a/src/state/api/error.h
+++ b/src/state/api/error.h
@@ -3,6 +3,7 @@
 
 #include <boost/outcome/basic_result.hpp>
 #include <boost/outcome/policy/terminate.hpp>
+#include <boost/outcome/try.hpp>
 #include <string>
 #include "absl/strings/string_view.h"
 
--- a/src/state/api/log_store.h
+++ b/src/state/api/log_store.h
@@ -26,7 +26,7 @@
 struct LogStoreOptions {
   // A new file is begun when the last one is longer. Whole files are removed
   // once a snapshot covers them.
-  const uint64_t segment_bytes_ = 4 * 1024 * 1024;
+  const uint64_t segment_bytes_ = uint64_t{4} * 1024 * 1024;
 
   friend bool operator==(const LogStoreOptions&,
                          const LogStoreOptions&) = default;
@@ -56,7 +56,8 @@
   // Writes entries behind the last one; durable after Sync. Precondition: the
   // indexes follow the last entry, or the snapshot, without a gap.
   Result<void> Append(absl::Span<const LogEntry> entries);
-  // Removes the entries from `index` on; durable on return.
+  // Removes the entries from `index` on; durable on return. Precondition: no
+  // snapshot covers `index`.
   Result<void> TruncateFrom(uint64_t index);
   // Durable on return.
   Result<void> SaveVote(const VoteRecord& vote);
--- /dev/null
+++ b/src/state/tests/log_store_test.cc
@@ -0,0 +1,332 @@
+#include <fcntl.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include "absl/strings/match.h"
+
+#include "state/state.h"
+
+namespace gooseberrygap::state {
+namespace {
+
+namespace fs = std::filesystem;
+
+// A folder that is removed at the end of the test.
+class TemporaryFolder {
+ public:
+  TemporaryFolder() {
+    std::string name =
+        (fs::temp_directory_path() / "log_store_XXXXXX").string();
+    REQUIRE(::mkdtemp(name.data()) != nullptr);
+    path_ = name;
+  }
+  ~TemporaryFolder() { fs::remove_all(path_); }
+  std::string operator/(const std::string& name) const {
+    return (path_ / name).string();
+  }
+
+ private:
+  fs::path path_;
+};
+
+LogEntry Entry(uint64_t index, uint64_t term, const std::string& payload) {
+  return LogEntry{.index_ = index,
+                  .term_ = term,
+                  .kind_ = LogEntryKind::kCommand,
+                  .payload_ = Bytes(payload)};
+}
+
+const ControlMember kMember = {.identity_ = "id",
+                               .instance_ = "control-1",
+                               .address_ = "127.0.0.1:7001",
+                               .voter_ = false};
+
+const std::vector<LogEntry> kEntries = {
+    Entry(1, 1, "begin batch-17"),
+    LogEntry{.index_ = 2,
+             .term_ = 1,
+             .kind_ = LogEntryKind::kMembers,
+             .members_ = {kMember}},
+    LogEntry{.index_ = 3, .term_ = 2}, Entry(4, 2, std::string(64, '\0')),
+    Entry(5, 3, "finish batch-17")};
+
+const LogSnapshot kSnapshot = {.index_ = 3,
+                               .term_ = 2,
+                               .members_ = {kMember},
+                               .content_ = Bytes("register")};
+
+std::unique_ptr<LogStore> OpenStore(const std::string& folder,
+                                    LogStoreOptions options = {}) {
+  auto store = LogStore::Open(folder, options);
+  REQUIRE(store.has_value());
+  return std::move(store).value();
+}
+
+LoadedLog Reload(const std::string& folder) {
+  return OpenStore(folder)->Load();
+}
+
+std::string Read(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+void Write(const std::string& path, const std::string& content) {
+  std::ofstream(path, std::ios::binary | std::ios::trunc) << content;
+}
+
+bool IsPrefix(const std::vector<LogEntry>& entries) {
+  return entries.size() <= kEntries.size() &&
+         std::equal(entries.begin(), entries.end(), kEntries.begin());
+}
+
+constexpr char kFirstSegment[] = "log-00000000000000000001";
+// Length of a segment without entries.
+constexpr size_t kSegmentHeader = 44;
+
+// Writes kEntries with a sync after every entry up to `synced`, and returns the
+// content of the segment.
+std::string WriteEntries(const std::string& folder, size_t synced) {
+  const auto store = OpenStore(folder);
+  for (size_t i = 0; i < kEntries.size(); ++i) {
+    REQUIRE(store->Append({&kEntries[i], 1}));
+    REQUIRE((i >= synced || store->Sync().has_value()));
+  }
+  return Read(folder + "/" + kFirstSegment);
+}
+
+// Guards against a restart that loses or changes identity, vote, snapshot or
+// entries.
+TEST_CASE("a folder returns what was stored", "[disk]") {
+  const TemporaryFolder temporary;
+  const std::string folder = temporary / "data";
+  std::string identity;
+  {
+    const auto store = OpenStore(folder);
+    identity = store->identity();
+    CHECK(identity.size() == 32);
+    CHECK(store->Load() == LoadedLog{.identity_ = identity});
+    REQUIRE(store->Append(kEntries));
+    REQUIRE(store->Sync());
+    REQUIRE(store->SaveVote({.term_ = 3, .voted_for_ = "other"}));
+    REQUIRE(store->SaveSnapshot(kSnapshot));
+    REQUIRE(store->TruncateFrom(5));
+    REQUIRE(store->Append({&kEntries[4], 1}));
+    REQUIRE(store->Sync());
+  }
+  CHECK(Reload(folder) ==
+        LoadedLog{.identity_ = identity,
+                  .vote_ = {.term_ = 3, .voted_for_ = "other"},
+                  .snapshot_ = kSnapshot,
+                  .entries_ = {kEntries[3], kEntries[4]}});
+  CHECK(OpenStore(temporary / "other")->identity() != identity);
+}
+
+// Guards against gaps and leftovers when the log has several files: truncation
+// across files, a snapshot that covers some, and one beyond the end.
+TEST_CASE("files are begun and removed without a gap", "[disk]") {
+  const TemporaryFolder temporary;
+  const std::string folder = temporary / "data";
+  const auto files = [&] {
+    return std::distance(fs::directory_iterator(folder), {}) - 3;
+  };
+  auto store = OpenStore(folder, {.segment_bytes_ = 1});
+  for (const LogEntry& entry : kEntries) {
+    REQUIRE(store->Append({&entry, 1}));
+  }
+  REQUIRE(store->Sync());
+  CHECK(files() == 5);
+  REQUIRE(store->TruncateFrom(4));
+  REQUIRE(store->Append({&kEntries[3], 1}));
+  REQUIRE(store->Sync());
+  store.reset();
+  CHECK(Reload(folder).entries_ ==
+        std::vector<LogEntry>(kEntries.begin(), kEntries.begin() + 4));
+
+  store = OpenStore(folder, {.segment_bytes_ = 1});
+  REQUIRE(store->SaveSnapshot(kSnapshot));
+  store.reset();
+  CHECK(Reload(folder).entries_ == std::vector<LogEntry>{kEntries[3]});
+
+  store = OpenStore(folder, {.segment_bytes_ = 1});
+  REQUIRE(store->SaveSnapshot({.index_ = 40, .term_ = 4}));
+  const LogEntry next = Entry(41, 4, "next");
+  REQUIRE(store->Append({&next, 1}));
+  REQUIRE(store->Sync());
+  store.reset();
+  CHECK(Reload(folder).entries_ == std::vector<LogEntry>{next});
+  CHECK(files() == 2);  // The snapshot and one segment.
+}
+
+// Guards against a crash between the snapshot and the removal of what it
+// covers: the folder must open as if the removal had been done.
+TEST_CASE("a snapshot wins over the entries it covers", "[disk]") {
+  const TemporaryFolder temporary;
+  const std::string folder = temporary / "data";
+  const std::string segment = WriteEntries(folder, 5);
+  const uint64_t index = GENERATE(3, 5, 9);
+  OpenStore(folder)->SaveSnapshot({.index_ = index, .term_ = 3}).value();
+  for (const auto& file : fs::directory_iterator(folder)) {
+    if (absl::StartsWith(file.path().filename().string(), "log-")) {
+      fs::remove(file.path());
+    }
+  }
+  Write(folder + "/" + kFirstSegment, segment);
+  const auto store = OpenStore(folder);
+  const std::vector<LogEntry> loaded = store->Load().entries_;
+  CHECK(loaded.size() == (index == 3 ? 2 : 0));
+  const LogEntry next = Entry(std::max<uint64_t>(index, 5) + 1, 3, "next");
+  CHECK(store->Append({&next, 1}));
+}
+
+// Guards against a write that a crash cut short stopping the voter, and against
+// accepting a part of it.
+TEST_CASE("a torn tail of every length is cut", "[disk]") {
+  const TemporaryFolder temporary;
+  const std::string folder = temporary / "data";
+  const size_t synced = GENERATE(0, 3);
+  const std::string content = WriteEntries(folder, synced);
+  size_t most = 0;
+  for (size_t length = 0; length <= content.size(); ++length) {
+    Write(folder + "/" + kFirstSegment, content.substr(0, length));
+    const auto store = LogStore::Open(folder);
+    if (length < kSegmentHeader) {
+      REQUIRE(!store);
+      REQUIRE(store.error().kind_ == ErrorKind::kCorruptLog);
+      continue;
+    }
+    REQUIRE(store);
+    const std::vector<LogEntry> entries = store.value()->Load().entries_;
+    REQUIRE(IsPrefix(entries));
+    REQUIRE(entries.size() >= most);
+    most = entries.size();
+    // The place that was cut is written again.
+    if (most < kEntries.size()) {
+      REQUIRE(store.value()->Append({&kEntries[most], 1}));
+    }
+  }
+  CHECK(most == kEntries.size());
+}
+
+// Guards against accepting a damaged entry, and against losing one that was
+// durable: damage before the last synced byte stops the voter.
+TEST_CASE("a flipped byte is never accepted", "[disk]") {
+  const TemporaryFolder temporary;
+  const std::string folder = temporary / "data";
+  const size_t synced = GENERATE(3, 5);
+  const std::string content = WriteEntries(folder, synced);
+  size_t refused = 0;
+  for (size_t at = 0; at < content.size(); ++at) {
+    std::string damaged = content;
+    damaged[at] = static_cast<char>(damaged[at] ^ (1 << (at % 8)));
+    Write(folder + "/" + kFirstSegment, damaged);
+    const auto store = LogStore::Open(folder);
+    if (!store) {
+      REQUIRE(store.error().kind_ == ErrorKind::kCorruptLog);
+      REQUIRE(absl::StrContains(store.error().message_, "control add"));
+      ++refused;
+      continue;
+    }
+    const std::vector<LogEntry> entries = store.value()->Load().entries_;
+    REQUIRE(IsPrefix(entries));
+    REQUIRE(entries.size() >= synced);
+  }
+  CHECK(refused >= kSegmentHeader + synced);
+}
+
+// Guards against damage or loss of the small files passing unnoticed.
+TEST_CASE("a damaged or missing file stops the voter", "[disk]") {
+  const TemporaryFolder temporary;
+  const std::string folder = temporary / "data";
+  WriteEntries(folder, 5);
+  REQUIRE(OpenStore(folder)->SaveSnapshot(kSnapshot));
+  const std::string path =
+      folder + "/" + GENERATE("identity", "vote", "snapshot");
+  const std::string content = Read(path);
+  for (size_t at = 0; at < content.size(); ++at) {
+    std::string damaged = content;
+    damaged[at] = static_cast<char>(damaged[at] ^ 0x10);
+    Write(path, damaged);
+    const auto store = LogStore::Open(folder);
+    REQUIRE(!store);
+    REQUIRE(store.error().kind_ == ErrorKind::kCorruptLog);
+  }
+  fs::remove(path);
+  // The log still reaches back to its first entry without the snapshot.
+  CHECK(LogStore::Open(folder).has_value() == absl::EndsWith(path, "snapshot"));
+}
+
+// Guards against two processes that write one folder.
+TEST_CASE("a folder is opened once at a time", "[disk]") {
+  const TemporaryFolder temporary;
+  const auto store = OpenStore(temporary / "data");
+  const auto second = LogStore::Open(temporary / "data");
+  REQUIRE(!second);
+  CHECK(second.error().kind_ == ErrorKind::kFolderInUse);
+}
+
+// Guards against writing on after the disk was full, which would leave a hole,
+// and against losing what was durable before.
+TEST_CASE("a full disk ends all writing", "[disk]") {
+  const TemporaryFolder temporary;
+  const std::string folder = temporary / "data";
+  const auto old_handler = std::signal(SIGXFSZ, SIG_IGN);
+  rlimit old_limit = {};
+  REQUIRE(::getrlimit(RLIMIT_FSIZE, &old_limit) == 0);
+  size_t durable = 0;
+  {
+    const auto store = OpenStore(folder);
+    const rlimit limit = {.rlim_cur = 200, .rlim_max = old_limit.rlim_max};
+    REQUIRE(::setrlimit(RLIMIT_FSIZE, &limit) == 0);
+    while (durable < kEntries.size() &&
+           store->Append({&kEntries[durable], 1}) && store->Sync()) {
+      ++durable;
+    }
+    REQUIRE(::setrlimit(RLIMIT_FSIZE, &old_limit) == 0);
+    REQUIRE(durable < kEntries.size());
+    const Result<void> result = store->Sync();
+    REQUIRE(!result);
+    CHECK(result.error().kind_ == ErrorKind::kDiskFull);
+    CHECK(store->Append({&kEntries[durable], 1}).error() == result.error());
+    CHECK(store->SaveVote({.term_ = 9}).error() == result.error());
+    CHECK(store->SaveSnapshot(kSnapshot).error() == result.error());
+    CHECK(store->TruncateFrom(1).error() == result.error());
+  }
+  std::signal(SIGXFSZ, old_handler);
+  const LoadedLog log = Reload(folder);
+  CHECK(log.vote_ == VoteRecord{});
+  CHECK(IsPrefix(log.entries_));
+  CHECK(log.entries_.size() == durable);
+}
+
+// Guards against a second sync that seems to succeed although the first one
+// lost what it should have written.
+TEST_CASE("a failed sync ends all writing", "[disk]") {
+  const TemporaryFolder temporary;
+  const auto store = OpenStore(temporary / "data");
+  REQUIRE(store->Append(kEntries));
+  // A pipe in place of the segment's descriptor cannot be synced.
+  int pipe_ends[2] = {};
+  REQUIRE(::pipe(pipe_ends) == 0);
+  for (const auto& link : fs::directory_iterator("/proc/self/fd")) {
+    std::error_code code;
+    if (fs::read_symlink(link.path(), code) ==
+        temporary / "data" + "/" + kFirstSegment) {
+      REQUIRE(::dup2(pipe_ends[1], std::stoi(link.path().filename())) >= 0);
+    }
+  }
+  const Result<void> result = store->Sync();
+  ::close(pipe_ends[0]);
+  ::close(pipe_ends[1]);
+  REQUIRE(!result);
+  CHECK(result.error().kind_ == ErrorKind::kDiskFailed);
+  CHECK(store->SaveVote({.term_ = 9}).error() == result.error());
+}
+
+}  // namespace
+}  // namespace gooseberrygap::state
