Add headers of the replicated state, control service and log codec

Cause: the daemon is wired in parallel and needs the interfaces first. Ruled out: control events as variants of PeerMessage commands, since the replicated log and the call path would then share one command variant and every visitor would have to know both. Change: headers of ActionRegister, ConfigurationStore, MembershipTable, LogCommand, ControlService and the log codec; the control client gets options with the services to subscribe to.

--- a/src/coordination/api/control_client.h
+++ b/src/coordination/api/control_client.h
@@ -20,17 +20,27 @@
                          const ControlAddress&) = default;
 };
 
+struct ControlClientOptions {
+  // Services whose targets the daemon needs; "*" stands for all.
+  const std::vector<std::string> services_ = {"*"};
+
+  friend bool operator==(const ControlClientOptions&,
+                         const ControlClientOptions&) = default;
+};
+
 // Keeps a daemon's lease with one control instance, and follows configuration
 // and membership through it. Never takes a configuration with a lower index
 // than the one in force, and takes the first one only when it is vouched for.
 // Not thread-safe.
 class ControlClient {
  public:
-  // `self` is the daemon without a target. Instances of the own region are
-  // preferred. `counters` must outlive the client.
+  // `self` is the daemon without a target; its incarnation is the wall time of
+  // the start. Instances of the own region are preferred. `counters` must
+  // outlive the client.
   ControlClient(state::TargetRecord self,
                 std::vector<ControlAddress> control_instances,
-                state::Counters* counters);
+                state::Counters* counters,
+                ControlClientOptions options = {});
   ~ControlClient();
 
   // What an event leads to. `configuration_changed_` and `membership_changed_`
@@ -66,7 +76,7 @@
   // Returns the leader's address as last heard, or an empty string.
   const std::string& leader_address() const;
   // Returns how long ago a control instance that knew a quorum's leader was
-  // heard from.
+  // heard from; infinity if never.
   state::Millis KnowledgeAge(state::Millis now) const;
   // Returns the record that this daemon last announced.
   const state::TargetRecord& record() const;
--- a/src/coordination/coordination.h
+++ b/src/coordination/coordination.h
@@ -7,6 +7,7 @@
 
 #include "coordination/api/commands.h"
 #include "coordination/api/control_client.h"
+#include "coordination/api/control_service.h"
 #include "coordination/api/messages.h"
 #include "coordination/api/register_client.h"
 #include "coordination/api/router.h"
--- a/src/protocol/protocol.h
+++ b/src/protocol/protocol.h
@@ -6,6 +6,7 @@
 
 #include "protocol/api/configuration_json.h"
 #include "protocol/api/header_names.h"
+#include "protocol/api/log_codec.h"
 #include "protocol/api/metrics_text.h"
 #include "protocol/api/peer_codec.h"
 #include "protocol/api/settings.h"
--- /dev/null
+++ b/src/state/api/log_command.h
@@ -0,0 +1,48 @@
+#ifndef STATE_API_LOG_COMMAND_H_
+#define STATE_API_LOG_COMMAND_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "state/api/action.h"
+#include "state/api/action_register.h"
+#include "state/api/configuration_store.h"
+
+namespace gooseberrygap::state {
+
+// Removes the action keys whose retention has passed.
+struct ExpireKeys {
+  friend bool operator==(const ExpireKeys&, const ExpireKeys&) = default;
+};
+
+using LogChange =
+    std::variant<SubmittedConfiguration, RegisterCommand, ExpireKeys>;
+
+// What the payload of a log entry says.
+struct LogCommand {
+  // Incarnation of the control instance that proposed it, and its tag there:
+  // the proposer recognizes its own command when it is applied.
+  const uint64_t proposer_ = 0;
+  const uint64_t tag_ = 0;
+  // Wall time of the proposer, so that all replicas use the same time.
+  const uint64_t wall_millis_ = 0;
+  const LogChange change_ = {};
+
+  friend bool operator==(const LogCommand&, const LogCommand&) = default;
+};
+
+// Everything that the log's commands have built up; the content of a snapshot.
+struct ReplicatedState {
+  const RegisterSnapshot register_ = {};
+  const std::vector<StoredConfiguration> configurations_ = {};
+
+  friend bool operator==(const ReplicatedState&,
+                         const ReplicatedState&) = default;
+};
+
+}  // namespace gooseberrygap::state
+
+#endif  // STATE_API_LOG_COMMAND_H_
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -5,13 +5,17 @@
 // the durable and replicated state of gooseberrygap.
 
 #include "state/api/action.h"
+#include "state/api/action_register.h"
 #include "state/api/bytes.h"
 #include "state/api/clock.h"
 #include "state/api/configuration.h"
+#include "state/api/configuration_store.h"
 #include "state/api/counters.h"
 #include "state/api/error.h"
 #include "state/api/http.h"
 #include "state/api/log.h"
+#include "state/api/log_command.h"
+#include "state/api/membership_table.h"
 #include "state/api/reasons.h"
 #include "state/api/replace.h"
 #include "state/api/target.h"
