--- a/src/state/api/membership_table.h
+++ b/src/state/api/membership_table.h
@@ -65,6 +65,11 @@
   std::vector<MembershipRecord> ChangesSince(uint64_t version) const;
 
  private:
+  // Notes that a holder which has restarted still holds the lease. Subscribers
+  // would see no difference, so the version stays.
+  void Confirm(const MembershipRecord& known,
+               absl::string_view holder,
+               uint64_t holder_epoch);
   void Put(const MembershipRecord& record);
 
   uint64_t version_ = 0;
--- /dev/null
+++ b/src/state/internal/configuration_store.cc
@@ -0,0 +1,167 @@
+#include <algorithm>
+#include <set>
+
+#include "state/state.h"
+
+namespace gooseberrygap::state {
+
+namespace {
+
+// 17 minutes of changes at 4,100 a day; a daemon that is further behind gets
+// the whole document.
+constexpr size_t kKeptConfigurations = 48;
+
+Configuration WithServices(const Configuration& configuration,
+                           const std::vector<Service>& services) {
+  return Configuration{.version_ = configuration.version_,
+                       .services_ = services,
+                       .load_budget_ = configuration.load_budget_,
+                       .cross_region_bytes_per_second_ =
+                           configuration.cross_region_bytes_per_second_,
+                       .actions_ = configuration.actions_,
+                       .poison_ = configuration.poison_};
+}
+
+std::optional<ConfigurationDelta> MakeDelta(uint64_t base_index,
+                                            const Configuration& base,
+                                            const Configuration& newer) {
+  std::vector<Service> changed;
+  for (const Service& service : newer.services_) {
+    const Service* old = FindService(base, service.name_);
+    if (old == nullptr || !(*old == service)) {
+      changed.push_back(service);
+    }
+  }
+  std::vector<std::string> removed;
+  for (const Service& service : base.services_) {
+    if (FindService(newer, service.name_) == nullptr) {
+      removed.push_back(service.name_);
+    }
+  }
+  const Configuration changes = WithServices(newer, changed);
+  // A delta cannot express every change, for example another order.
+  if (!(ApplyDelta(base, changes, removed) == newer)) {
+    return std::nullopt;
+  }
+  return ConfigurationDelta{
+      .base_index_ = base_index,
+      .removed_services_ = removed,
+      .changes_ = std::make_shared<const Configuration>(changes)};
+}
+
+}  // namespace
+
+bool operator==(const SubmittedConfiguration& left,
+                const SubmittedConfiguration& right) {
+  if (left.submission_ != right.submission_) {
+    return false;
+  }
+  if (left.configuration_ == right.configuration_) {
+    return true;
+  }
+  return left.configuration_ != nullptr && right.configuration_ != nullptr &&
+         *left.configuration_ == *right.configuration_;
+}
+
+Configuration ApplyDelta(const Configuration& base,
+                         const Configuration& changes,
+                         const std::vector<std::string>& removed_services) {
+  const std::set<std::string> removed(removed_services.begin(),
+                                      removed_services.end());
+  std::vector<Service> services;
+  for (const Service& service : base.services_) {
+    if (removed.contains(service.name_)) {
+      continue;
+    }
+    const Service* changed = FindService(changes, service.name_);
+    services.push_back(changed == nullptr ? service : *changed);
+  }
+  for (const Service& service : changes.services_) {
+    if (FindService(base, service.name_) == nullptr) {
+      services.push_back(service);
+    }
+  }
+  return WithServices(changes, services);
+}
+
+SubmissionResult ConfigurationStore::Submit(
+    uint64_t index,
+    const SubmittedConfiguration& submitted) {
+  const uint64_t version = submitted.configuration_->version_;
+  const uint64_t current_version = CurrentVersion();
+  for (const StoredConfiguration& stored : kept_) {
+    const SubmittedConfiguration& winner = stored.submitted_;
+    if (winner.configuration_->version_ != version) {
+      continue;
+    }
+    const bool is_same = *winner.configuration_ == *submitted.configuration_;
+    return SubmissionResult{
+        .status_ =
+            is_same ? SubmissionStatus::kAccepted : SubmissionStatus::kConflict,
+        .index_ = stored.index_,
+        .current_version_ = current_version,
+        .winner_submission_ = is_same ? std::string() : winner.submission_};
+  }
+  if (version != current_version + 1) {
+    return SubmissionResult{.status_ = SubmissionStatus::kWrongVersion,
+                            .current_version_ = current_version};
+  }
+  kept_.push_back(
+      StoredConfiguration{.index_ = index, .submitted_ = submitted});
+  if (kept_.size() > kKeptConfigurations) {
+    kept_.pop_front();
+  }
+  deltas_.clear();
+  return SubmissionResult{.status_ = SubmissionStatus::kAccepted,
+                          .index_ = index,
+                          .current_version_ = version};
+}
+
+IndexedConfiguration ConfigurationStore::current() const {
+  if (kept_.empty()) {
+    return IndexedConfiguration();
+  }
+  return IndexedConfiguration{
+      .index_ = kept_.back().index_,
+      .configuration_ = kept_.back().submitted_.configuration_};
+}
+
+std::optional<ConfigurationDelta> ConfigurationStore::DeltaFrom(
+    uint64_t base_index) const {
+  const auto cached = deltas_.find(base_index);
+  if (cached != deltas_.end()) {
+    return cached->second;
+  }
+  const auto base = std::find_if(kept_.begin(), kept_.end(),
+                                 [base_index](const StoredConfiguration& kept) {
+                                   return kept.index_ == base_index;
+                                 });
+  // Not cached: a daemon may name any index.
+  if (base == kept_.end()) {
+    return std::nullopt;
+  }
+  return deltas_
+      .emplace(base_index,
+               MakeDelta(base_index, *base->submitted_.configuration_,
+                         *kept_.back().submitted_.configuration_))
+      .first->second;
+}
+
+std::vector<StoredConfiguration> ConfigurationStore::Snapshot() const {
+  return {kept_.begin(), kept_.end()};
+}
+
+void ConfigurationStore::Restore(
+    const std::vector<StoredConfiguration>& configurations) {
+  kept_.clear();
+  deltas_.clear();
+  for (const StoredConfiguration& configuration : configurations) {
+    kept_.push_back(configuration);
+  }
+}
+
+uint64_t ConfigurationStore::CurrentVersion() const {
+  return kept_.empty() ? 0 : kept_.back().submitted_.configuration_->version_;
+}
+
+}  // namespace gooseberrygap::state
--- /dev/null
+++ b/src/state/internal/membership_table.cc
@@ -0,0 +1,159 @@
+#include "state/state.h"
+
+namespace gooseberrygap::state {
+
+namespace {
+
+// Longer than any daemon or control instance lags behind without asking for
+// the whole table.
+constexpr Millis kTombstoneRetention(5.0 * 60 * 1000);
+
+bool IsTombstone(const MembershipRecord& record) {
+  return record.suspended_ || record.record_.state_ == TargetState::kLeft;
+}
+
+TargetRecord WithState(const TargetRecord& record, TargetState state) {
+  return TargetRecord{.target_ = record.target_,
+                      .service_ = record.service_,
+                      .instance_ = record.instance_,
+                      .guard_address_ = record.guard_address_,
+                      .region_ = record.region_,
+                      .failure_domain_ = record.failure_domain_,
+                      .slots_ = record.slots_,
+                      .state_ = state,
+                      .version_ = record.version_};
+}
+
+}  // namespace
+
+MergeResult MembershipTable::Merge(const TargetRecord& record,
+                                   absl::string_view holder,
+                                   uint64_t holder_epoch,
+                                   Millis now) {
+  const MembershipRecord* known = Find(record.instance_);
+  std::string former_service;
+  if (known != nullptr) {
+    if (record.version_ < known->record_.version_) {
+      return MergeResult::kOlder;
+    }
+    const bool has_left = record.state_ == TargetState::kLeft;
+    const bool known_has_left = known->record_.state_ == TargetState::kLeft;
+    if (record.version_ == known->record_.version_) {
+      if (has_left == known_has_left) {
+        Confirm(*known, holder, holder_epoch);
+        return MergeResult::kSame;
+      }
+      if (known_has_left) {
+        return MergeResult::kOlder;
+      }
+    }
+    former_service = known->record_.service_ == record.service_
+                         ? known->former_service_
+                         : known->record_.service_;
+  }
+  Put(MembershipRecord{.record_ = record,
+                       .holder_ = std::string(holder),
+                       .holder_epoch_ = holder_epoch,
+                       .former_service_ = former_service,
+                       .change_version_ = ++version_,
+                       .changed_at_ = now});
+  return MergeResult::kNewer;
+}
+
+void MembershipTable::Confirm(const MembershipRecord& known,
+                              absl::string_view holder,
+                              uint64_t holder_epoch) {
+  if (known.holder_ != holder || known.holder_epoch_ == holder_epoch) {
+    return;
+  }
+  Put(MembershipRecord{.record_ = known.record_,
+                       .holder_ = known.holder_,
+                       .holder_epoch_ = holder_epoch,
+                       .suspended_ = known.suspended_,
+                       .former_service_ = known.former_service_,
+                       .change_version_ = known.change_version_,
+                       .changed_at_ = known.changed_at_});
+}
+
+bool MembershipTable::Expire(absl::string_view instance, Millis now) {
+  const MembershipRecord* known = Find(instance);
+  if (known == nullptr || known->record_.state_ == TargetState::kLeft) {
+    return false;
+  }
+  Put(MembershipRecord{.record_ = WithState(known->record_, TargetState::kLeft),
+                       .holder_ = known->holder_,
+                       .holder_epoch_ = known->holder_epoch_,
+                       .former_service_ = known->former_service_,
+                       .change_version_ = ++version_,
+                       .changed_at_ = now});
+  return true;
+}
+
+bool MembershipTable::SetSuspended(absl::string_view instance,
+                                   bool suspended,
+                                   Millis now) {
+  const MembershipRecord* known = Find(instance);
+  if (known == nullptr || known->suspended_ == suspended) {
+    return false;
+  }
+  Put(MembershipRecord{.record_ = known->record_,
+                       .holder_ = known->holder_,
+                       .holder_epoch_ = known->holder_epoch_,
+                       .suspended_ = suspended,
+                       .former_service_ = known->former_service_,
+                       .change_version_ = ++version_,
+                       .changed_at_ = now});
+  return true;
+}
+
+void MembershipTable::Purge(Millis now) {
+  for (auto entry = records_.begin(); entry != records_.end();) {
+    const MembershipRecord& record = entry->second;
+    if (!IsTombstone(record) ||
+        now - record.changed_at_ < kTombstoneRetention) {
+      ++entry;
+      continue;
+    }
+    purged_version_ = std::max(purged_version_, record.change_version_);
+    by_version_.erase(record.change_version_);
+    entry = records_.erase(entry);
+  }
+}
+
+const MembershipRecord* MembershipTable::Find(
+    absl::string_view instance) const {
+  const auto entry = records_.find(instance);
+  return entry == records_.end() ? nullptr : &entry->second;
+}
+
+bool MembershipTable::HasChangesSince(uint64_t version) const {
+  return version >= purged_version_ && version <= version_;
+}
+
+std::vector<MembershipRecord> MembershipTable::ChangesSince(
+    uint64_t version) const {
+  std::vector<MembershipRecord> changes;
+  for (auto entry = by_version_.upper_bound(version);
+       entry != by_version_.end(); ++entry) {
+    changes.push_back(records_.find(entry->second)->second);
+  }
+  return changes;
+}
+
+void MembershipTable::Put(const MembershipRecord& record) {
+  const std::string instance = record.record_.instance_;
+  const auto known = records_.find(instance);
+  if (known != records_.end()) {
+    by_version_.erase(known->second.change_version_);
+    records_.erase(known);
+  }
+  by_version_.emplace(record.change_version_, instance);
+  records_.emplace(instance, record);
+}
+
+TargetRecord EffectiveRecord(const MembershipRecord& record) {
+  return record.suspended_ ? WithState(record.record_, TargetState::kLeft)
+                           : record.record_;
+}
+
+}  // namespace gooseberrygap::state
--- /dev/null
+++ b/src/state/tests/configuration_store_test.cc
@@ -0,0 +1,83 @@
+#include <catch2/catch.hpp>
+
+#include "state/state.h"
+
+namespace gooseberrygap::state {
+namespace {
+
+SubmittedConfiguration Make(uint64_t version,
+                            const std::string& submission,
+                            const std::vector<std::string>& services) {
+  std::vector<Service> list;
+  for (const std::string& name : services) {
+    // "a+" is service a with another limit.
+    const bool is_changed = name.back() == '+';
+    list.push_back(
+        Service{.name_ = is_changed ? name.substr(0, name.size() - 1) : name,
+                .max_queue_ = is_changed ? 1 : 2});
+  }
+  return SubmittedConfiguration{
+      .submission_ = submission,
+      .configuration_ = std::make_shared<const Configuration>(
+          Configuration{.version_ = version, .services_ = list})};
+}
+
+// Guards against two operators who both believe that their document is in
+// force, and against a resend that is refused or counted twice.
+TEST_CASE("equal versions conflict unless the content is equal",
+          "[configuration]") {
+  ConfigurationStore store;
+  CHECK(store.Submit(7, Make(1, "first", {"a"})).index_ == 7);
+  const SubmissionResult resend = store.Submit(9, Make(1, "first", {"a"}));
+  CHECK(resend.status_ == SubmissionStatus::kAccepted);
+  CHECK(resend.index_ == 7);
+  const SubmissionResult loser = store.Submit(10, Make(1, "second", {"b"}));
+  CHECK(loser.status_ == SubmissionStatus::kConflict);
+  CHECK(loser.winner_submission_ == "first");
+  CHECK(store.Submit(11, Make(3, "third", {"b"})).status_ ==
+        SubmissionStatus::kWrongVersion);
+  CHECK(store.current().index_ == 7);
+
+  // A resend that comes after the next version is still a resend.
+  CHECK(store.Submit(12, Make(2, "next", {"a", "b"})).index_ == 12);
+  CHECK(store.Submit(13, Make(1, "first", {"a"})).index_ == 7);
+  CHECK(store.current().index_ == 12);
+}
+
+// Guards against a daemon whose document differs after a delta.
+TEST_CASE("a delta gives the newest document", "[configuration]") {
+  ConfigurationStore store;
+  const SubmittedConfiguration base = Make(1, "s1", {"a", "b", "c"});
+  store.Submit(5, base);
+  store.Submit(6, Make(2, "s2", {"a", "b", "c", "d"}));
+  store.Submit(8, Make(3, "s3", {"a", "b+", "d"}));
+  const auto delta = store.DeltaFrom(5);
+  REQUIRE(delta.has_value());
+  CHECK(delta->changes_->services_.size() == 2);
+  CHECK(delta->removed_services_ == std::vector<std::string>{"c"});
+  CHECK(ApplyDelta(*base.configuration_, *delta->changes_,
+                   delta->removed_services_) ==
+        *store.current().configuration_);
+  CHECK_FALSE(store.DeltaFrom(7).has_value());
+
+  store.Submit(9, Make(4, "s4", {"d", "b+", "a"}));
+  CHECK_FALSE(store.DeltaFrom(8).has_value());
+}
+
+// Guards against a restored replica that judges a resend differently.
+TEST_CASE("a restored store keeps versions and deltas", "[configuration]") {
+  ConfigurationStore store;
+  for (uint64_t version = 1; version <= 100; ++version) {
+    store.Submit(version * 2, Make(version, "s", {"a"}));
+  }
+  CHECK_FALSE(store.DeltaFrom(2).has_value());
+  ConfigurationStore restored;
+  restored.Restore(store.Snapshot());
+  CHECK(restored.DeltaFrom(198).has_value());
+  CHECK(restored.Submit(300, Make(99, "s", {"a"})).index_ == 198);
+  CHECK(restored.Submit(301, Make(1, "s", {"a"})).status_ ==
+        SubmissionStatus::kWrongVersion);
+}
+
+}  // namespace
+}  // namespace gooseberrygap::state
