--- a/src/coordination/api/events.h
+++ b/src/coordination/api/events.h
@@ -45,6 +45,8 @@
   const uint64_t delivery_id_ = 0;
   const DeliveryEnd end_ = DeliveryEnd::kAnswered;
   const state::HttpAnswer answer_ = {};
+  // Whether a byte of the request has been sent.
+  const bool sent_ = false;
 };
 
 // The own target's announcement.
--- a/src/coordination/coordination.h
+++ b/src/coordination/coordination.h
@@ -7,6 +7,7 @@
 
 #include "coordination/api/commands.h"
 #include "coordination/api/control_client.h"
+#include "coordination/api/control_service.h"
 #include "coordination/api/digest.h"
 #include "coordination/api/events.h"
 #include "coordination/api/guard.h"
--- a/src/transport/api/target_client.h
+++ b/src/transport/api/target_client.h
@@ -8,22 +8,8 @@
 
 namespace gooseberrygap::transport {
 
-enum class DeliveryEnd {
-  kAnswered,       // `answer_` is whole.
-  kConnectFailed,  // No byte of the request was sent.
-  kCut,            // Sent in part or whole; the answer is missing, not whole,
-                   // too large, or has no mark by which its end is certain.
-  kTimeout,        // Sent; no whole answer within the timeout.
-  kCancelled,      // Cancelled; `sent_` says whether it may have run.
-};
-
-struct DeliveryResult {
-  const uint64_t delivery_id_ = 0;
-  const DeliveryEnd end_ = DeliveryEnd::kAnswered;
-  const state::HttpAnswer answer_ = {};
-  // Whether a byte of the request may have reached the target.
-  const bool sent_ = false;
-};
+using coordination::DeliveryEnd;
+using coordination::DeliveryEnded;
 
 // The `target-worker` duties: a bounded pool that sends requests to the
 // daemon's own target over kept-alive HTTP connections, one for each worker.
@@ -39,7 +25,7 @@
   };
 
   // Called on a worker thread when a delivery has ended; must not block.
-  using Handler = std::function<void(DeliveryResult)>;
+  using Handler = std::function<void(DeliveryEnded)>;
 
   static std::unique_ptr<TargetClient> Start(const Options& options,
                                              Handler handler,
--- a/src/transport/internal/target_client.cc
+++ b/src/transport/internal/target_client.cc
@@ -69,12 +69,13 @@
     }
   }
 
-  DeliveryResult Run(const QueuedDelivery& queued, Connection* kept) {
+  DeliveryEnded Run(const QueuedDelivery& queued, Connection* kept) {
     const coordination::DeliverToTarget& delivery = queued.delivery_;
-    if (*kept != nullptr && !IsUsable(kept->get(), delivery)) {
+    if (delivery.connect_only_ ||
+        (*kept != nullptr && !IsUsable(kept->get(), delivery))) {
       kept->reset();
     }
-    DeliveryResult result = Exchange(queued, kept);
+    DeliveryEnded result = Exchange(queued, kept);
     // Before the connection may be closed, so that no Cancel meets a
     // descriptor that the system has given to another socket.
     const bool cancelled = in_progress_.Remove(delivery.delivery_id_);
@@ -97,11 +98,11 @@
            (is_fresh || !delivery.fresh_connection_) && kept->CanReuse();
   }
 
-  DeliveryResult Exchange(const QueuedDelivery& queued, Connection* kept) {
+  DeliveryEnded Exchange(const QueuedDelivery& queued, Connection* kept) {
     const coordination::DeliverToTarget& delivery = queued.delivery_;
     const uint64_t id = delivery.delivery_id_;
-    DeliveryResult not_sent = {.delivery_id_ = id,
-                               .end_ = DeliveryEnd::kConnectFailed};
+    DeliveryEnded not_sent = {.delivery_id_ = id,
+                              .end_ = DeliveryEnd::kConnectFailed};
     if (clock_.Now() >= queued.deadline_) {
       return not_sent;
     }
@@ -111,8 +112,11 @@
     if (*kept == nullptr || !in_progress_.Attach(id, (*kept)->descriptor())) {
       return not_sent;
     }
-    DeliveryResult result = (*kept)->Exchange(delivery, queued.deadline_,
-                                              options_.max_answer_bytes_);
+    if (delivery.connect_only_) {
+      return {.delivery_id_ = id};
+    }
+    DeliveryEnded result = (*kept)->Exchange(delivery, queued.deadline_,
+                                             options_.max_answer_bytes_);
     if (result.end_ == DeliveryEnd::kCut && (*kept)->has_answer_head()) {
       counters_->Add(state::Counter::kAnswersCut);
     }
--- a/src/transport/internal/target_connection.cc
+++ b/src/transport/internal/target_connection.cc
@@ -144,7 +144,7 @@
   set_decompress(false);
 }
 
-DeliveryResult TargetConnection::Exchange(
+DeliveryEnded TargetConnection::Exchange(
     const coordination::DeliverToTarget& delivery,
     state::Millis deadline,
     size_t max_answer_bytes) {
--- a/src/transport/internal/target_connection.h
+++ b/src/transport/internal/target_connection.h
@@ -38,9 +38,9 @@
 
   // Sends the request once and reads the answer. Precondition: CanReuse() or
   // no exchange so far.
-  DeliveryResult Exchange(const coordination::DeliverToTarget& delivery,
-                          state::Millis deadline,
-                          size_t max_answer_bytes);
+  DeliveryEnded Exchange(const coordination::DeliverToTarget& delivery,
+                         state::Millis deadline,
+                         size_t max_answer_bytes);
 
   // Returns whether the connection can carry another request: the last
   // exchange left it in order, and the target has neither closed it nor sent
--- a/src/transport/tests/target_client_test.cc
+++ b/src/transport/tests/target_client_test.cc
@@ -31,26 +31,26 @@
   explicit Client(const TargetClient::Options& options = {.workers_ = 1})
       : client_(TargetClient::Start(
             options,
-            [this](DeliveryResult result) {
+            [this](DeliveryEnded result) {
               results_.TryPush(std::move(result));
             },
             &counters_)) {}
 
-  DeliveryResult Next() {
-    std::optional<DeliveryResult> result = results_.Pop(kHang);
+  DeliveryEnded Next() {
+    std::optional<DeliveryEnded> result = results_.Pop(kHang);
     REQUIRE(result);
     return std::move(*result);
   }
 
   state::Counters counters_;
-  Ring<DeliveryResult> results_{64};
+  Ring<DeliveryEnded> results_{64};
   std::unique_ptr<TargetClient> client_;
 };
 
 // Delivers one request and lets the target answer with these bytes and close.
-DeliveryResult AnswerWith(Client* client,
-                          const std::string& answer,
-                          const std::string& method = "GET") {
+DeliveryEnded AnswerWith(Client* client,
+                         const std::string& answer,
+                         const std::string& method = "GET") {
   const TestListener target;
   REQUIRE(client->client_->Deliver(
       Delivery(target.address(), 1, {.method_ = method, .path_ = "/"})));
@@ -116,7 +116,7 @@
 // Guards against whole answers that are changed or taken for cut ones.
 TEST_CASE("whole answers come back whole") {
   Client client;
-  const DeliveryResult plain = AnswerWith(
+  const DeliveryEnded plain = AnswerWith(
       &client,
       "HTTP/1.1 201 Created\r\nX-Mark: 50%25\r\nContent-Encoding: gzip\r\n"
       "Keep-Alive: timeout=5\r\nContent-Length: 3\r\n\r\nabc");
@@ -126,14 +126,14 @@
   CHECK(HeaderOf(plain.answer_, "X-Mark") == "50%25");
   CHECK(HeaderOf(plain.answer_, "Content-Encoding") == "gzip");
   CHECK_FALSE(HeaderOf(plain.answer_, "Keep-Alive"));
-  const DeliveryResult chunked = AnswerWith(
+  const DeliveryEnded chunked = AnswerWith(
       &client,
       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
       "3\r\nabc\r\nA;x=y\r\n0123456789\r\n0\r\n\r\n");
   CHECK(chunked.end_ == DeliveryEnd::kAnswered);
   CHECK(chunked.answer_.body_.view() == "abc0123456789");
-  const DeliveryResult head = AnswerWith(
+  const DeliveryEnded head = AnswerWith(
       &client, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n", "HEAD");
   CHECK(head.end_ == DeliveryEnd::kAnswered);
   CHECK(HeaderOf(head.answer_, "Content-Length") == "7");
@@ -217,7 +217,7 @@
     connection.ReadUntil("G");
   }
   reset ? connection.Abort() : connection.Close();
-  const DeliveryResult cut = client.Next();
+  const DeliveryEnded cut = client.Next();
   CHECK(cut.end_ == DeliveryEnd::kCut);
   CHECK(cut.sent_);
   // The next connection carries the next request, not the last one again.
@@ -272,7 +272,7 @@
   const std::string gone = TestListener().address();
   Client client;
   client.client_->Deliver(Delivery(gone, 1));
-  const DeliveryResult refused = client.Next();
+  const DeliveryEnded refused = client.Next();
   CHECK(refused.end_ == DeliveryEnd::kConnectFailed);
   CHECK_FALSE(refused.sent_);
   client.client_->Deliver(Delivery("no address", 2));
@@ -286,7 +286,7 @@
   client.client_->Deliver(Delivery(target.address(), 1,
                                    {.method_ = "GET", .path_ = "/"},
                                    state::Millis(50)));
-  const DeliveryResult result = client.Next();
+  const DeliveryEnded result = client.Next();
   CHECK(result.end_ == DeliveryEnd::kTimeout);
   CHECK(result.sent_);
 }
@@ -305,11 +305,11 @@
   client.client_->Cancel(1);
   client.client_->Cancel(1);
   CHECK(connection.ReadAll().empty());
-  const DeliveryResult running = client.Next();
+  const DeliveryEnded running = client.Next();
   CHECK(running.delivery_id_ == 1);
   CHECK(running.end_ == DeliveryEnd::kCancelled);
   CHECK(running.sent_);
-  const DeliveryResult queued = client.Next();
+  const DeliveryEnded queued = client.Next();
   CHECK(queued.delivery_id_ == 2);
   CHECK(queued.end_ == DeliveryEnd::kCancelled);
   CHECK_FALSE(queued.sent_);
