--- a/tests/support/loopback.cc
+++ b/tests/support/loopback.cc
@@ -53,16 +53,15 @@
 }  // namespace
 
 std::string NewLoopbackHost() {
-  static const int block = ReserveBlock();
+  static const int kBlock = ReserveBlock();
   static std::atomic<int> next = 0;
-  return HostOf(block, 1 + next++ % kHosts);
+  return HostOf(kBlock, 1 + next++ % kHosts);
 }
 
 Address FreeAddress(const std::string& host) {
   static std::atomic<int> next = 0;
   while (true) {
-    const Address address = {.host_ = host,
-                             .port_ = kFirstPort + next++ % kPorts};
+    Address address = {.host_ = host, .port_ = kFirstPort + next++ % kPorts};
     const int descriptor = BindTo(address);
     if (descriptor >= 0) {
       close(descriptor);
--- a/tests/support/run_guarded.cc
+++ b/tests/support/run_guarded.cc
@@ -4,11 +4,12 @@
 #include <csignal>
 #include <cstdlib>
 
+constexpr int kNotStarted = 127;
+
 // Usage: run_guarded PARENT PROGRAM [ARGUMENT...]
 // Replaces itself by the program, which the kernel kills when the parent ends.
 // posix_spawn cannot set this, and the setting survives exec.
 int main(int argc, char** argv) {
-  constexpr int kNotStarted = 127;
   if (argc < 3) {
     return kNotStarted;
   }
--- a/tests/support/waiting.cc
+++ b/tests/support/waiting.cc
@@ -8,10 +8,15 @@
 
 namespace gooseberrygap::test_support {
 
+namespace {
+
+constexpr state::Millis kStep(5);
+
+}  // namespace
+
 state::Result<void> WaitUntil(absl::string_view what,
                               const std::function<bool()>& condition,
                               state::Millis timeout) {
-  constexpr absl::Duration kStep = absl::Milliseconds(5);
   const state::SteadyClock clock;
   const state::Millis until = clock.Now() + timeout;
   while (!condition()) {
@@ -20,7 +25,7 @@
           state::ErrorKind::kTimeout,
           absl::StrCat("after ", timeout.value(), " ms still no ", what));
     }
-    absl::SleepFor(kStep);
+    absl::SleepFor(absl::Milliseconds(kStep.value()));
   }
   return boost::outcome_v2::success();
 }
