--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -84,10 +84,12 @@
 state::Result<std::unique_ptr<ControlDuty>> ControlDuty::Open(
     const Options& options,
     state::Counters* counters) {
-  BOOST_OUTCOME_TRY(auto store,
-                    state::LogStore::Open(options.settings_.data_dir_));
+  auto store = state::LogStore::Open(options.settings_.data_dir_);
+  if (!store) {
+    return store.error();
+  }
   return std::unique_ptr<ControlDuty>(
-      new ControlDuty(options, std::move(store), counters));
+      new ControlDuty(options, std::move(store).value(), counters));
 }
 
 ControlDuty::ControlDuty(const Options& options,
--- a/src/daemon/control_duty.h
+++ b/src/daemon/control_duty.h
@@ -10,6 +10,7 @@
 
 #include "absl/random/random.h"
 #include "daemon/disk_duty.h"
+#include "protocol/protocol.h"
 #include "transport/transport.h"
 
 namespace gooseberrygap::daemon {
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -83,55 +83,72 @@
 }
 
 state::Result<void> Daemon::StartDuties() {
-  if (settings_.control_.has_value()) {
-    BOOST_OUTCOME_TRY(
-        control_, ControlDuty::Open(
-                      ControlDuty::Options{
-                          .self_ =
-                              coordination::ControlAddress{
-                                  .instance_ = settings_.instance_,
-                                  .address_ = AdvertisedAddress(settings_),
-                                  .region_ = settings_.region_},
-                          .control_instances_ = settings_.control_instances_,
-                          .incarnation_ = incarnation_,
-                          .settings_ = *settings_.control_},
-                      &counters_));
-  }
+  BOOST_OUTCOME_TRYV(OpenControl());
   node_ = std::make_unique<NodeDuty>(
       coordination::Node::Options{
           .self_ = SelfRecord(settings_, incarnation_),
           .control_instances_ = settings_.control_instances_},
       settings_.target_workers_, &call_slots_, &counters_);
-  BOOST_OUTCOME_TRY(peers_, transport::PeerEndpoint::Start(
-                                transport::PeerEndpoint::Options{
-                                    .listen_address_ = settings_.peer_.listen_},
-                                [this](transport::PeerArrival arrival) {
-                                  OnPeerArrival(std::move(arrival));
-                                },
-                                &counters_));
+  auto peers = transport::PeerEndpoint::Start(
+      transport::PeerEndpoint::Options{.listen_address_ =
+                                           settings_.peer_.listen_},
+      [this](transport::PeerArrival arrival) {
+        OnPeerArrival(std::move(arrival));
+      },
+      &counters_);
+  if (!peers) {
+    return peers.error();
+  }
+  peers_ = std::move(peers).value();
   gateway_ = std::make_unique<OperatorGateway>(ControlAddresses(settings_),
                                                peers_.get());
   if (control_ != nullptr) {
     control_->Start(peers_.get());
   }
   node_->Start(peers_.get());
+  return StartHttp();
+}
+
+state::Result<void> Daemon::OpenControl() {
+  if (!settings_.control_.has_value()) {
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+  auto control = ControlDuty::Open(
+      ControlDuty::Options{.self_ =
+                               coordination::ControlAddress{
+                                   .instance_ = settings_.instance_,
+                                   .address_ = AdvertisedAddress(settings_),
+                                   .region_ = settings_.region_},
+                           .control_instances_ = settings_.control_instances_,
+                           .incarnation_ = incarnation_,
+                           .settings_ = *settings_.control_},
+      &counters_);
+  if (!control) {
+    return control.error();
+  }
+  control_ = std::move(control).value();
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+state::Result<void> Daemon::StartHttp() {
   front_ = std::make_unique<HttpFront>(
       node_.get(), &call_slots_, gateway_.get(), control_.get(), &counters_);
-  BOOST_OUTCOME_TRY(
-      http_server_,
-      transport::HttpServer::Start(
-          transport::HttpServer::Options{
-              .listen_address_ = settings_.http_.listen_,
-              .workers_ = settings_.http_.workers_,
-              .max_connections_ = settings_.http_.max_connections_,
-              .max_header_bytes_ =
-                  static_cast<size_t>(settings_.http_.max_header_bytes_),
-              .max_body_bytes_ =
-                  static_cast<size_t>(settings_.http_.max_body_bytes_)},
-          [this](const state::HttpRequest& request) {
-            return front_->Handle(request);
-          },
-          &counters_));
+  const protocol::HttpSettings& http = settings_.http_;
+  auto server = transport::HttpServer::Start(
+      transport::HttpServer::Options{
+          .listen_address_ = http.listen_,
+          .workers_ = http.workers_,
+          .max_connections_ = http.max_connections_,
+          .max_header_bytes_ = static_cast<size_t>(http.max_header_bytes_),
+          .max_body_bytes_ = static_cast<size_t>(http.max_body_bytes_)},
+      [this](const state::HttpRequest& request) {
+        return front_->Handle(request);
+      },
+      &counters_);
+  if (!server) {
+    return server.error();
+  }
+  http_server_ = std::move(server).value();
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -26,6 +26,8 @@
   explicit Daemon(const protocol::Settings& settings);
 
   state::Result<void> StartDuties();
+  state::Result<void> OpenControl();
+  state::Result<void> StartHttp();
   void OnPeerArrival(transport::PeerArrival arrival);
   void RefuseArrival(const transport::PeerArrival& arrival);
 
--- a/src/daemon/node_duty.h
+++ b/src/daemon/node_duty.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/random/random.h"
+#include "protocol/protocol.h"
 #include "transport/transport.h"
 
 namespace gooseberrygap::daemon {
--- a/src/daemon/operator_gateway.h
+++ b/src/daemon/operator_gateway.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "protocol/protocol.h"
 #include "transport/transport.h"
 
 namespace gooseberrygap::daemon {
