Add the HTTP server

Cause: callers hold hundreds of idle connections, which cost httplib's own server a thread and a poll loop each.

Ruled out: httplib's accept loop, which ends for good at a failed accept and resets connections it has not accepted when it stops. Showing httplib the request as it came: it takes the body of a GET for the next request, reads a POST without a length until the connection ends, cuts answers to a Range that the target has already cut, compresses answers and parses forms.

Change: an accept thread, an idle thread that reads heads in one epoll, and a bounded pool of workers, joined by rings that pass the connection on. Each worker is a subclass of httplib::Server and is shown every request as a POST of '/' with the framing headers only; the handler gets what the caller sent. A slow head holds no worker. After a refusal the connection lingers for up to a second, since closing it with unread bytes would destroy the answer. HttpServer gains address() and refusal_headers_; Counters gains kHttpConnectionsRefused.

--- a/src/state/api/counters.h
+++ b/src/state/api/counters.h
@@ -62,6 +62,7 @@
   kFingerprintsConvicted,
   kHttpRequestsMalformed,
   kHttpConnectionsAccepted,
+  kHttpConnectionsRefused,
   kCount,
 };
 
--- a/src/state/internal/counters.cc
+++ b/src/state/internal/counters.cc
@@ -98,9 +98,12 @@
         {Counter::kFingerprintsConvicted, "poison_convicted",
          "Request fingerprints refused because they crashed targets."},
         {Counter::kHttpRequestsMalformed, "http_request_malformed",
-         "HTTP requests that could not be parsed."},
+         "HTTP requests refused as malformed, too large or not whole in time."},
         {Counter::kHttpConnectionsAccepted, "http_connection_accepted",
          "HTTP connections accepted."},
+        {Counter::kHttpConnectionsRefused, "http_connection_refused",
+         "HTTP connections closed because the limit of connections was "
+         "reached."},
     }};
 
 constexpr bool RowsAreInEnumOrder() {
--- a/src/transport/api/http_server.h
+++ b/src/transport/api/http_server.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "state/state.h"
 
@@ -21,9 +22,15 @@
     const size_t max_body_bytes_ = 1048576;
     // Time in which a started request must arrive whole.
     const state::Millis request_timeout_ = state::Millis(5000);
+    // Added to the answers that the server gives itself: 400, 408, 413 and 431,
+    // when a request is refused before the handler sees it.
+    const std::vector<state::HttpHeader> refusal_headers_ = {};
   };
 
-  // Answers a request. Runs on a worker thread and may block it.
+  // Answers a request. Runs on a worker thread and may block it. The path is
+  // whole and has its query, as the caller sent it; the body is whole; headers
+  // of the connection and of the framing are left out. The server adds those to
+  // the answer.
   using Handler = std::function<state::HttpAnswer(const state::HttpRequest&)>;
 
   // Binds and starts the threads. `counters` must outlive the server.
@@ -36,6 +43,10 @@
   // arrive, closes idle connections and returns when no request is left.
   // Thread-safe; a second call waits for the first.
   virtual void StopGracefully() = 0;
+
+  // Returns the address that it listens at, with the port chosen when the
+  // options say port 0. Thread-safe.
+  virtual std::string address() const = 0;
 };
 
 }  // namespace gooseberrygap::transport
--- a/src/transport/internal/socket_stream.cc
+++ b/src/transport/internal/socket_stream.cc
@@ -45,28 +45,36 @@
 }
 
 bool SocketStream::LoadHead() {
-  while (!head_loaded_ && end_ == StreamEnd::kOpen) {
+  while (!head_loaded_) {
     const size_t size = HeadSize(buffered());
-    if (size > max_head_bytes_ ||
-        (size == 0 && buffered().size() > max_head_bytes_)) {
+    if ((size == 0 ? buffered().size() : size) > max_head_bytes_) {
       end_ = StreamEnd::kHeadTooLarge;
-    } else if (size == 0) {
-      FillWaiting();
-    } else {
-      const absl::string_view head = buffered().substr(0, size);
-      const bool interim =
-          kind_ == MessageKind::kResponse && IsInterimResponse(head);
-      head_ = EscapeHead(head);
-      if (!IsWellFormedHead(head)) {
-        end_ = StreamEnd::kHeadMalformed;
-      } else if (!FitsLineLimit(head_)) {
-        end_ = StreamEnd::kHeadTooLarge;
-      }
-      head_loaded_ = !interim && end_ == StreamEnd::kOpen;
-      Discard(size);
+      return false;
+    }
+    if (size > 0 && !TakeHead(size)) {
+      return false;
+    }
+    if (size == 0 && !FillWaiting()) {
+      return false;
     }
   }
-  return head_loaded_;
+  return true;
+}
+
+bool SocketStream::TakeHead(size_t size) {
+  const absl::string_view head = buffered().substr(0, size);
+  head_ = EscapeHead(head);
+  if (!IsWellFormedHead(head)) {
+    end_ = StreamEnd::kHeadMalformed;
+    return false;
+  }
+  if (!FitsLineLimit(head_)) {
+    end_ = StreamEnd::kHeadTooLarge;
+    return false;
+  }
+  head_loaded_ = kind_ == MessageKind::kRequest || !IsInterimResponse(head);
+  Discard(size);
+  return true;
 }
 
 bool SocketStream::FillAvailable() {
@@ -112,9 +120,8 @@
 
 bool SocketStream::Flush() {
   size_t sent = 0;
-  // A peer may have ended its sending side only, and still read.
-  while (sent < output_.size() &&
-         (end_ == StreamEnd::kOpen || end_ == StreamEnd::kClosed)) {
+  // The answer to a request that was cut off or came too slowly is still sent.
+  while (sent < output_.size() && end_ != StreamEnd::kFailed) {
     const ssize_t count =
         send(socket_.get(), output_.data() + sent, output_.size() - sent,
              MSG_DONTWAIT | MSG_NOSIGNAL);
@@ -125,6 +132,7 @@
       end_ = StreamEnd::kFailed;
     } else if (!WaitFor(POLLOUT)) {
       end_ = StreamEnd::kTimeout;
+      break;
     }
   }
   const bool whole = sent == output_.size();
@@ -132,6 +140,11 @@
   return whole;
 }
 
+void SocketStream::SendRefusal(const std::string& response) {
+  send(socket_.get(), response.data(), response.size(),
+       MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
 void SocketStream::Discard(size_t count) {
   position_ += count;
 }
--- a/src/transport/internal/socket_stream.h
+++ b/src/transport/internal/socket_stream.h
@@ -45,6 +45,9 @@
   bool LoadHead();
   // Reads without waiting. Returns false when nothing came.
   bool FillAvailable();
+  // Replaces what was written by a whole response and sends what the system
+  // takes of it at once. The head of a request may have failed.
+  void SendRefusal(const std::string& response);
   // Sends what was written. Returns false when the stream ended before.
   bool Flush();
 
@@ -82,6 +85,8 @@
   // Waits for an event of poll(2). Returns false at the deadline.
   bool WaitFor(short event);
   bool FillWaiting();
+  // Checks and escapes the buffered head of this size.
+  bool TakeHead(size_t size);
 
   const Descriptor socket_;
   const MessageKind kind_;
--- a/src/transport/tests/measure_test.cc
+++ b/src/transport/tests/measure_test.cc
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <iostream>
 
@@ -13,6 +15,8 @@
 namespace {
 
 constexpr int kRounds = 5000;
+constexpr int kIdleConnections = 240;
+constexpr int kIdleSeconds = 10;
 
 void PrintRoundTrips(const char* what, const std::function<void(int)>& round) {
   const state::SteadyClock clock;
@@ -28,6 +32,64 @@
             << " rounds\n";
 }
 
+std::unique_ptr<HttpServer> StartHttpServer(state::Counters* counters) {
+  auto started = HttpServer::Start(
+      {.listen_address_ = "127.0.0.1:0"},
+      [](const state::HttpRequest&) {
+        return state::HttpAnswer{.status_ = 200, .body_ = state::Bytes("ok")};
+      },
+      counters);
+  REQUIRE(started);
+  return std::move(started).value();
+}
+
+double CpuMillis() {
+  rusage usage = {};
+  getrusage(RUSAGE_SELF, &usage);
+  const auto millis = [](const timeval& time) {
+    return static_cast<double>(time.tv_sec) * 1000 +
+           static_cast<double>(time.tv_usec) / 1000;
+  };
+  return millis(usage.ru_utime) + millis(usage.ru_stime);
+}
+
+TEST_CASE("round trip of a request", "[.measure]") {
+  state::Counters counters;
+  const auto server = StartHttpServer(&counters);
+  TestSocket caller = TestSocket::Connect(server->address());
+  PrintRoundTrips("HTTP round trip", [&](int) {
+    caller.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    caller.ReadUntil("ok");
+  });
+  TargetClient::Options options = {.workers_ = 1};
+  Ring<int> answers(16);
+  const auto client = TargetClient::Start(
+      options, [&](DeliveryResult) { answers.TryPush(1); }, &counters);
+  PrintRoundTrips("target client to HTTP server and back", [&](int i) {
+    client->Deliver({.delivery_id_ = static_cast<uint64_t>(i),
+                     .address_ = server->address(),
+                     .request_ = {.method_ = "GET", .path_ = "/"},
+                     .timeout_ = kHang});
+    REQUIRE(answers.Pop(kHang));
+  });
+}
+
+TEST_CASE("processor time of idle connections", "[.measure]") {
+  state::Counters counters;
+  const auto server = StartHttpServer(&counters);
+  std::vector<TestSocket> idle;
+  for (int i = 0; i < kIdleConnections; ++i) {
+    idle.push_back(TestSocket::Connect(server->address()));
+    idle.back().Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    idle.back().ReadUntil("ok");
+  }
+  const double start = CpuMillis();
+  std::this_thread::sleep_for(std::chrono::seconds(kIdleSeconds));
+  std::cout << kIdleConnections << " idle connections: "
+            << (CpuMillis() - start) / (kIdleSeconds * 10.0)
+            << "% of a core over " << kIdleSeconds << " s\n";
+}
+
 TEST_CASE("round trip of a peer message", "[.measure]") {
   state::Counters counters;
   std::unique_ptr<PeerEndpoint> guard;
