Send peer messages from the instance's own address

Cause: the fault proxy tells senders apart by their address, and an instance with several addresses would be seen under any of them.

Change: the DEALER sockets bind the host of peer.listen.

Conclusion: links can be cut for one sender only.

--- a/src/transport/internal/peer_endpoint.cc
+++ b/src/transport/internal/peer_endpoint.cc
@@ -228,7 +228,9 @@
   }
   state::Result<ZmqSocket> socket = ZmqSocket::Open(
       context_.get(), ZmqKind::kDealer, SocketOptionsOf(options_));
-  if (!socket || !socket.value().Connect(address)) {
+  const absl::string_view listen = options_.listen_address_;
+  const absl::string_view source_host = listen.substr(0, listen.rfind(':'));
+  if (!socket || !socket.value().Connect(source_host, address)) {
     return nullptr;
   }
   Link* link = AddLink(address, std::move(socket).value());
--- a/src/transport/internal/zmq_socket.cc
+++ b/src/transport/internal/zmq_socket.cc
@@ -95,8 +95,11 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-state::Result<void> ZmqSocket::Connect(const std::string& address) {
-  if (zmq_connect(socket_, absl::StrCat(kTcp, address).c_str()) != 0) {
+state::Result<void> ZmqSocket::Connect(absl::string_view source_host,
+                                       const std::string& address) {
+  const std::string endpoint =
+      absl::StrCat(kTcp, source_host, ":0;", address);
+  if (zmq_connect(socket_, endpoint.c_str()) != 0) {
     return ZmqError("Cannot connect to the peer", address);
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
--- a/src/transport/internal/zmq_socket.h
+++ b/src/transport/internal/zmq_socket.h
@@ -35,8 +35,11 @@
 
   // Address "127.0.0.1:9101". Port 0 chooses a free one.
   state::Result<void> Bind(const std::string& address);
-  // Connects in the background, also to a peer that is not there yet.
-  state::Result<void> Connect(const std::string& address);
+  // Connects in the background, also to a peer that is not there yet. The
+  // connection comes from `source_host`, so that an instance with several
+  // addresses is always seen under the one that it listens on.
+  state::Result<void> Connect(absl::string_view source_host,
+                              const std::string& address);
 
   // Returns the address that was bound, with its port.
   std::string BoundAddress() const;
--- a/src/transport/tests/measure_test.cc
+++ b/src/transport/tests/measure_test.cc
@@ -64,7 +64,7 @@
   TargetClient::Options options = {.workers_ = 1};
   Ring<int> answers(16);
   const auto client = TargetClient::Start(
-      options, [&](DeliveryResult) { answers.TryPush(1); }, &counters);
+      options, [&](DeliveryEnded) { answers.TryPush(1); }, &counters);
   PrintRoundTrips("target client to HTTP server and back", [&](int i) {
     client->Deliver({.delivery_id_ = static_cast<uint64_t>(i),
                      .address_ = server->address(),
