--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -2,8 +2,8 @@
 
 #include <log4cplus/loggingmacros.h>
 
+#include <algorithm>
 #include <array>
-#include <cmath>
 
 #include "absl/strings/str_cat.h"
 #include "daemon/logging.h"
@@ -61,11 +61,10 @@
   switch (status) {
     case ProposalStatus::kCommitted:
       return coordination::ProposalOutcome::kCommitted;
-    case ProposalStatus::kLost:
     case ProposalStatus::kUnknown:
-      return coordination::ProposalOutcome::kLost;
+      return coordination::ProposalOutcome::kUnknown;
     default:
-      return coordination::ProposalOutcome::kRefused;
+      return coordination::ProposalOutcome::kNotCommitted;
   }
 }
 
@@ -366,15 +365,12 @@
 coordination::LogStatus ControlDuty::CurrentLogStatus(state::Millis now) const {
   const bool leads = raft_.role() == coordination::RaftRole::kLeader;
   const state::Millis age = raft_.KnowledgeAge(now);
-  std::optional<state::Millis> heard;
-  if (std::isfinite(age.value())) {
-    heard.emplace(now - age);
-  }
-  return coordination::LogStatus{.formed_ = !raft_.members().empty(),
-                                 .leads_ = leads,
-                                 .has_quorum_ = leads && age <= kQuorumFresh,
-                                 .leader_address_ = raft_.leader_address(),
-                                 .leader_heard_ = heard};
+  return coordination::LogStatus{
+      .formed_ = !raft_.members().empty(),
+      .leads_ = leads,
+      .has_quorum_ = leads && age <= kQuorumFresh,
+      .leader_address_ = raft_.leader_address(),
+      .knowledge_age_ = std::min(age, coordination::kNeverHeard)};
 }
 
 void ControlDuty::AnswerStatus(StatusSlot* slot) const {
--- a/tests/integration/fixture.cc
+++ b/tests/integration/fixture.cc
@@ -85,6 +85,11 @@
       .dump();
 }
 
+std::string Submission(const std::string& id, const std::string& document) {
+  return json{{"submission", id}, {"configuration", json::parse(document)}}
+      .dump();
+}
+
 std::unique_ptr<Deployment> StartDeployment(const FixtureOptions& options) {
   auto created = Deployment::Create(MakeSpec(options));
   REQUIRE(created);
@@ -96,7 +101,8 @@
   check(deployment->StartAll());
   check(deployment->FormControlGroup());
   const test_support::CallAnswer submitted = deployment->SubmitConfiguration(
-      deployment->spec().instances_.front().name_, ConfigurationDocument(1));
+      deployment->spec().instances_.front().name_,
+      Submission("fixture", ConfigurationDocument(1)));
   INFO(submitted.body_ << submitted.failure_);
   REQUIRE(submitted.status_ == 200);
   const uint64_t index = json::parse(submitted.body_)["index"];
--- a/tests/integration/fixture.h
+++ b/tests/integration/fixture.h
@@ -36,6 +36,9 @@
     uint64_t version,
     const std::string& strategy = "probed_latency");
 
+// Returns the body of `PUT /-/config`.
+std::string Submission(const std::string& id, const std::string& document);
+
 // A deployment whose processes run, with the control group formed, the
 // configuration in force and all targets known everywhere. Fails the running
 // test otherwise. Not thread-safe.
