Add the control service and the daemon's control client

Cause: daemons need leases, membership, vouched configurations and refused fingerprints; the register needs a leader that proposes and answers. Ruled out: pushing from the last push on, since a push that is lost with its connection would leave a gap; pushes start from what the daemon has confirmed. Ruled out: moving away from a stale instance at once, since during a loss of quorum each move changes the membership of everybody; the daemon asks the others first and moves only to a fresh one. Ruled out: convicting by the number of crashes alone, since it blames requests that shared them. Ruled out: telling membership from the first moment, since a restarted instance would make daemons forget targets. Change: ControlService (leases, membership exchange, pushes, proposals, abandons, crash convictions) and ControlClient. Conclusion: the pure parts are complete; wiring to Raft is the daemon's.

--- a/src/coordination/api/control_service.h
+++ b/src/coordination/api/control_service.h
@@ -30,15 +30,15 @@
   const std::optional<state::LogCommand> command_ = {};
 };
 
-enum class ProposalEnd {
-  kCommitted,  // The entry is given as EntryCommitted, before or after.
-  kRefused,    // Never appended.
-  kLost,       // May be committed later or never.
+enum class ProposalOutcome {
+  kCommitted,     // The entry is given as EntryCommitted, before or after.
+  kNotCommitted,  // And never will be.
+  kUnknown,       // May be committed already or later.
 };
 
 struct ProposalEnded {
   const uint64_t tag_ = 0;
-  const ProposalEnd end_ = ProposalEnd::kCommitted;
+  const ProposalOutcome outcome_ = ProposalOutcome::kCommitted;
 };
 
 struct ReadIndexAnswered {
@@ -47,6 +47,9 @@
   const uint64_t index_ = 0;
 };
 
+// Stands for no contact at all; finite, so that it can be sent.
+inline constexpr state::Millis kNeverHeard(1e9);
+
 // What the replicated log knows of its leader. Give it on every change and
 // before every tick.
 struct LogStatus {
@@ -54,8 +57,9 @@
   const bool leads_ = false;
   const bool has_quorum_ = false;          // Of the leader itself.
   const std::string leader_address_ = {};  // Empty when unknown.
-  // When a leader with a quorum was last heard from; nothing if never.
-  const std::optional<state::Millis> leader_heard_ = {};
+  // Time since this instance last heard from a leader, or as the leader from a
+  // quorum; kNeverHeard if never.
+  const state::Millis knowledge_age_ = kNeverHeard;
 };
 
 // The replicated state was replaced by a snapshot.
--- /dev/null
+++ b/src/coordination/internal/control_choice.cc
@@ -0,0 +1,147 @@
+#include "coordination/internal/control_choice.h"
+
+#include <algorithm>
+#include <functional>
+#include <tuple>
+#include <utility>
+
+namespace gooseberrygap::coordination {
+
+namespace {
+
+// What an instance said of its knowledge holds for this long.
+constexpr state::Millis kAgeValid(2000);
+// Pause between questions to other instances: while the current one is stale,
+// and while it is only in another region.
+constexpr state::Millis kAskWhenStale(500);
+constexpr state::Millis kAskWhenFar(10000);
+
+}  // namespace
+
+ControlChoice::ControlChoice(const state::TargetRecord& self,
+                             std::vector<ControlAddress> instances) {
+  for (ControlAddress& address : instances) {
+    const bool in_own_region = address.region_ == self.region_;
+    instances_.push_back(Instance{.address_ = std::move(address),
+                                  .in_own_region_ = in_own_region});
+  }
+  // A list of values with const members cannot be sorted in place.
+  std::vector<Instance> ordered;
+  for (const bool own : {true, false}) {
+    for (const Instance& instance : instances_) {
+      if (instance.in_own_region_ == own) {
+        ordered.push_back(instance);
+      }
+    }
+  }
+  instances_.swap(ordered);
+  const auto own_count = static_cast<size_t>(std::count_if(
+      instances_.begin(), instances_.end(),
+      [](const Instance& instance) { return instance.in_own_region_; }));
+  const size_t choices = own_count > 0 ? own_count : instances_.size();
+  if (choices > 0) {
+    current_ = std::hash<std::string>()(self.instance_) % choices;
+  }
+}
+
+const std::string& ControlChoice::address() const {
+  return instances_[current_].address_.address_;
+}
+
+bool ControlChoice::IsCurrent(const std::string& instance,
+                              const std::string& address) const {
+  const ControlAddress& current = instances_[current_].address_;
+  return instance == current.instance_ || address == current.address_;
+}
+
+bool ControlChoice::OnAge(const std::string& instance,
+                          state::Millis age,
+                          state::Millis now) {
+  Instance* replied = Find(instance);
+  if (replied == nullptr) {
+    return false;
+  }
+  replied->has_replied_ = true;
+  replied->replied_at_ = now;
+  replied->age_ = age;
+  const Instance& current = instances_[current_];
+  if (replied == &current || !IsFresh(*replied, now)) {
+    return false;
+  }
+  return IsStale(current, now) ||
+         (replied->in_own_region_ && !current.in_own_region_);
+}
+
+void ControlChoice::MoveTo(const std::string& instance) {
+  Instance* chosen = Find(instance);
+  if (chosen != nullptr) {
+    current_ = static_cast<size_t>(chosen - instances_.data());
+  }
+}
+
+void ControlChoice::MoveOn(state::Millis now) {
+  instances_[current_].tried_at_ = now;
+  instances_[current_].has_replied_ = false;
+  const auto rank = [this, now](size_t index) {
+    const Instance& instance = instances_[index];
+    const bool is_current = index == current_;
+    return std::tuple(is_current, !IsFresh(instance, now), instance.tried_at_,
+                      !instance.in_own_region_, index);
+  };
+  size_t best = current_;
+  for (size_t index = 0; index < instances_.size(); ++index) {
+    if (rank(index) < rank(best)) {
+      best = index;
+    }
+  }
+  current_ = best;
+}
+
+std::string ControlChoice::AddressToAsk(state::Millis now) {
+  const Instance& current = instances_[current_];
+  const bool is_stale = IsStale(current, now);
+  const bool has_own_region = instances_.front().in_own_region_;
+  const bool is_far = has_own_region && !current.in_own_region_;
+  if (now < ask_at_ || (!is_stale && !is_far)) {
+    return {};
+  }
+  ask_at_ = now + (is_stale ? kAskWhenStale : kAskWhenFar);
+  Instance* chosen = nullptr;
+  for (Instance& instance : instances_) {
+    const bool is_candidate =
+        &instance != &current && (is_stale || instance.in_own_region_);
+    if (is_candidate &&
+        (chosen == nullptr || instance.tried_at_ < chosen->tried_at_)) {
+      chosen = &instance;
+    }
+  }
+  if (chosen == nullptr) {
+    return {};
+  }
+  chosen->tried_at_ = now;
+  return chosen->address_.address_;
+}
+
+bool ControlChoice::IsFresh(const Instance& instance, state::Millis now) const {
+  return HasValidAge(instance, now) && instance.age_ <= kFreshKnowledge;
+}
+
+bool ControlChoice::IsStale(const Instance& instance, state::Millis now) const {
+  return HasValidAge(instance, now) && instance.age_ > kFreshKnowledge;
+}
+
+bool ControlChoice::HasValidAge(const Instance& instance,
+                                state::Millis now) const {
+  return instance.has_replied_ && now - instance.replied_at_ <= kAgeValid;
+}
+
+ControlChoice::Instance* ControlChoice::Find(const std::string& instance) {
+  const auto found =
+      std::find_if(instances_.begin(), instances_.end(),
+                   [&instance](const Instance& candidate) {
+                     return candidate.address_.instance_ == instance;
+                   });
+  return found == instances_.end() ? nullptr : &*found;
+}
+
+}  // namespace gooseberrygap::coordination
--- /dev/null
+++ b/src/coordination/internal/control_service_log.cc
@@ -0,0 +1,315 @@
+#include <utility>
+
+#include "coordination/internal/control_service_impl.h"
+
+namespace gooseberrygap::coordination {
+
+namespace {
+
+// Keys are kept for hours, so that a minute more does not matter.
+constexpr state::Millis kExpireKeysEvery(60000);
+// An abandon for a crash is dropped when no leader was found for so long: the
+// callers that it would inform have given up.
+constexpr state::Millis kCrashAbandonTime(10000);
+
+struct OperationCounter {
+  state::RegisterOperation operation_;
+  state::Counter counter_;
+};
+
+constexpr OperationCounter kOperationCounters[] = {
+    {state::RegisterOperation::kBegin, state::Counter::kRegisterBegins},
+    {state::RegisterOperation::kStart, state::Counter::kRegisterStarts},
+    {state::RegisterOperation::kFence, state::Counter::kRegisterFences},
+    {state::RegisterOperation::kRelease, state::Counter::kRegisterReleases},
+    {state::RegisterOperation::kFinish, state::Counter::kRegisterFinishes},
+    {state::RegisterOperation::kAbandon, state::Counter::kRegisterAbandons},
+};
+
+}  // namespace
+
+bool ControlService::Impl::LeadsWithQuorum() const {
+  return status_.has_value() && status_->leads_ && status_->has_quorum_;
+}
+
+uint64_t ControlService::Impl::Propose(const state::LogChange& change,
+                                       const Pending& pending,
+                                       state::Millis now) {
+  const uint64_t tag = next_tag_++;
+  const double since_tick = (now - wall_at_).value();
+  pending_.emplace(tag, pending);
+  step_.proposals_.push_back(Proposal{
+      .tag_ = tag,
+      .command_ = state::LogCommand{
+          .proposer_ = epoch_,
+          .tag_ = tag,
+          .wall_millis_ = wall_millis_ + static_cast<uint64_t>(since_tick),
+          .change_ = change}});
+  return tag;
+}
+
+void ControlService::Impl::OnMessage(const std::string& connection,
+                                     const RegisterCall& call,
+                                     state::Millis now) {
+  const Caller caller{.connection_ = connection, .call_id_ = call.call_id_};
+  if (!LeadsWithQuorum()) {
+    RefuseCall(caller);
+    return;
+  }
+  // A resend of a call that is under way gets the same reply. Calls with id 0
+  // come from control instances, which wait for no reply.
+  if (call.call_id_ != 0 && !pending_callers_.insert(caller).second) {
+    return;
+  }
+  for (const OperationCounter& row : kOperationCounters) {
+    if (row.operation_ == call.command_.operation_) {
+      counters_->Add(row.counter_);
+    }
+  }
+  Propose(call.command_,
+          Pending{.kind_ = PendingKind::kRegisterCall, .caller_ = caller}, now);
+}
+
+void ControlService::Impl::OnMessage(const std::string& connection,
+                                     const ConfigSubmit& submit,
+                                     state::Millis now) {
+  const Caller caller{.connection_ = connection, .call_id_ = submit.call_id_};
+  if (submit.configuration_ == nullptr) {
+    return;
+  }
+  if (!LeadsWithQuorum()) {
+    RefuseSubmit(caller);
+    return;
+  }
+  Propose(
+      state::SubmittedConfiguration{.submission_ = submit.submission_,
+                                    .configuration_ = submit.configuration_},
+      Pending{.kind_ = PendingKind::kConfigSubmit, .caller_ = caller}, now);
+}
+
+void ControlService::Impl::RefuseCall(const Caller& caller) {
+  const bool other_leads = status_.has_value() && !status_->leads_ &&
+                           !status_->leader_address_.empty();
+  std::string leader = other_leads ? status_->leader_address_ : std::string();
+  const RegisterStatus status =
+      other_leads ? RegisterStatus::kNotLeader : RegisterStatus::kNoQuorum;
+  const RegisterReply reply{.call_id_ = caller.call_id_,
+                            .status_ = status,
+                            .leader_address_ = std::move(leader)};
+  step_.commands_.push_back(
+      ReplyToPeer{.connection_ = caller.connection_, .message_ = reply});
+}
+
+void ControlService::Impl::RefuseSubmit(const Caller& caller) {
+  const bool formed = status_.has_value() && status_->formed_;
+  const bool other_leads =
+      formed && !status_->leads_ && !status_->leader_address_.empty();
+  const std::string leader =
+      other_leads ? status_->leader_address_ : std::string();
+  const ConfigSubmitReply reply{.call_id_ = caller.call_id_,
+                                .status_ = !formed ? SubmitStatus::kNotFormed
+                                           : other_leads
+                                               ? SubmitStatus::kNotLeader
+                                               : SubmitStatus::kNoQuorum,
+                                .leader_address_ = leader};
+  step_.commands_.push_back(
+      ReplyToPeer{.connection_ = caller.connection_, .message_ = reply});
+}
+
+void ControlService::Impl::On(const ProposalEnded& event, state::Millis) {
+  const auto pending = pending_.find(event.tag_);
+  if (pending == pending_.end() ||
+      event.outcome_ == ProposalOutcome::kCommitted) {
+    return;
+  }
+  // When the end is unknown no reply is true; the caller sends again.
+  if (event.outcome_ == ProposalOutcome::kNotCommitted) {
+    if (pending->second.kind_ == PendingKind::kRegisterCall) {
+      RefuseCall(pending->second.caller_);
+    } else if (pending->second.kind_ == PendingKind::kConfigSubmit) {
+      RefuseSubmit(pending->second.caller_);
+    }
+  }
+  ForgetPending(pending);
+}
+
+void ControlService::Impl::ForgetPending(
+    std::map<uint64_t, Pending>::iterator pending) {
+  pending_callers_.erase(pending->second.caller_);
+  pending_abandons_.erase(pending->second.guard_);
+  pending_.erase(pending);
+}
+
+void ControlService::Impl::On(const EntryCommitted& event, state::Millis now) {
+  // Entries that a snapshot contains already are handed out again after it.
+  if (event.index_ <= applied_index_) {
+    return;
+  }
+  applied_index_ = event.index_;
+  if (event.command_.has_value()) {
+    std::visit(
+        [this, &event, now](const auto& change) { Apply(change, event, now); },
+        event.command_->change_);
+  }
+  ReplyVouched(now);
+}
+
+std::optional<ControlService::Impl::Pending> ControlService::Impl::TakePending(
+    const state::LogCommand& command) {
+  if (command.proposer_ != epoch_) {
+    return std::nullopt;
+  }
+  const auto entry = pending_.find(command.tag_);
+  if (entry == pending_.end()) {
+    return std::nullopt;
+  }
+  Pending pending = entry->second;
+  ForgetPending(entry);
+  return pending;
+}
+
+void ControlService::Impl::Apply(const state::SubmittedConfiguration& change,
+                                 const EntryCommitted& entry,
+                                 state::Millis now) {
+  const state::SubmissionResult result =
+      configurations_.Submit(entry.index_, change);
+  if (result.index_ == entry.index_) {
+    ApplyConfigurationPolicy();
+    for (const auto& [instance, session] : sessions_) {
+      if (session.wants_vouched_) {
+        vouch_waiting_.insert(instance);
+      }
+    }
+    push_all_ = true;
+    PushSoon(now);
+  }
+  constexpr std::pair<state::SubmissionStatus, SubmitStatus> statuses[] = {
+      {state::SubmissionStatus::kAccepted, SubmitStatus::kAccepted},
+      {state::SubmissionStatus::kConflict, SubmitStatus::kConflict},
+      {state::SubmissionStatus::kWrongVersion, SubmitStatus::kWrongVersion}};
+  const std::optional<Pending> pending = TakePending(*entry.command_);
+  if (!pending.has_value()) {
+    return;
+  }
+  for (const auto& [from, to] : statuses) {
+    if (from == result.status_) {
+      step_.commands_.push_back(
+          ReplyToPeer{.connection_ = pending->caller_.connection_,
+                      .message_ = ConfigSubmitReply{
+                          .call_id_ = pending->caller_.call_id_,
+                          .status_ = to,
+                          .index_ = result.index_,
+                          .current_version_ = result.current_version_,
+                          .winner_submission_ = result.winner_submission_}});
+    }
+  }
+}
+
+void ControlService::Impl::Apply(const state::RegisterCommand& change,
+                                 const EntryCommitted& entry,
+                                 state::Millis) {
+  const state::RegisterResult result =
+      register_.Apply(change, entry.command_->wall_millis_);
+  const std::optional<Pending> pending = TakePending(*entry.command_);
+  if (!pending.has_value() || pending->kind_ != PendingKind::kRegisterCall) {
+    return;
+  }
+  step_.commands_.push_back(ReplyToPeer{
+      .connection_ = pending->caller_.connection_,
+      .message_ = RegisterReply{
+          .call_id_ = pending->caller_.call_id_,
+          .status_ = RegisterStatus::kApplied,
+          .result_ = result,
+          .leader_address_ =
+              status_.has_value() ? status_->leader_address_ : std::string()}});
+}
+
+void ControlService::Impl::Apply(const state::ExpireKeys&,
+                                 const EntryCommitted& entry,
+                                 state::Millis) {
+  register_.Expire(entry.command_->wall_millis_);
+  TakePending(*entry.command_);
+}
+
+void ControlService::Impl::ApplyConfigurationPolicy() {
+  const state::IndexedConfiguration current = configurations_.current();
+  if (current.configuration_ != nullptr) {
+    register_.SetPolicy(current.configuration_->actions_);
+  }
+}
+
+void ControlService::Impl::On(const SnapshotRestored& event,
+                              state::Millis now) {
+  applied_index_ = event.index_;
+  register_.Restore(event.state_.register_);
+  configurations_.Restore(event.state_.configurations_);
+  ApplyConfigurationPolicy();
+  push_all_ = true;
+  PushSoon(now);
+  ReplyVouched(now);
+}
+
+state::ReplicatedState ControlService::Impl::Snapshot() const {
+  return state::ReplicatedState{.register_ = register_.Snapshot(),
+                                .configurations_ = configurations_.Snapshot()};
+}
+
+void ControlService::Impl::ProposeAbandon(const std::string& guard,
+                                          uint64_t incarnation,
+                                          state::Millis now) {
+  if (!pending_abandons_.insert(guard).second) {
+    return;
+  }
+  counters_->Add(state::Counter::kRegisterAbandons);
+  Propose(
+      state::RegisterCommand{.operation_ = state::RegisterOperation::kAbandon,
+                             .guard_ = guard,
+                             .incarnation_ = incarnation},
+      Pending{.kind_ = PendingKind::kAbandon, .guard_ = guard}, now);
+}
+
+void ControlService::Impl::AbandonOutdated(state::Millis now) {
+  if (!LeadsWithQuorum()) {
+    return;
+  }
+  for (const state::GuardIncarnation& started : register_.StartedGuards()) {
+    const state::MembershipRecord* known = table_.Find(started.guard_);
+    if (known != nullptr &&
+        known->record_.version_.incarnation_ > started.incarnation_) {
+      ProposeAbandon(started.guard_, known->record_.version_.incarnation_, now);
+    }
+  }
+}
+
+void ControlService::Impl::SendCrashAbandons(state::Millis now) {
+  for (auto entry = crash_abandons_.begin(); entry != crash_abandons_.end();) {
+    const auto& [guard, abandon] = *entry;
+    const auto& [incarnation, crashed_at] = abandon;
+    if (LeadsWithQuorum()) {
+      ProposeAbandon(guard, incarnation, now);
+    } else if (status_.has_value() && !status_->leads_ &&
+               !status_->leader_address_.empty()) {
+      step_.commands_.push_back(SendToPeer{
+          .address_ = status_->leader_address_,
+          .message_ =
+              RegisterCall{.command_ = state::RegisterCommand{
+                               .operation_ = state::RegisterOperation::kAbandon,
+                               .guard_ = guard,
+                               .incarnation_ = incarnation}}});
+    } else if (now - crashed_at < kCrashAbandonTime) {
+      ++entry;
+      continue;
+    }
+    entry = crash_abandons_.erase(entry);
+  }
+}
+
+void ControlService::Impl::ProposeExpiry(state::Millis now) {
+  if (!LeadsWithQuorum() || now < expire_keys_at_) {
+    return;
+  }
+  expire_keys_at_ = now + kExpireKeysEvery;
+  Propose(state::ExpireKeys{}, Pending{.kind_ = PendingKind::kExpire}, now);
+}
+
+}  // namespace gooseberrygap::coordination
--- /dev/null
+++ b/src/coordination/internal/crash_history.h
@@ -0,0 +1,59 @@
+#ifndef COORDINATION_INTERNAL_CRASH_HISTORY_H_
+#define COORDINATION_INTERNAL_CRASH_HISTORY_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "coordination/api/messages.h"
+
+namespace gooseberrygap::coordination {
+
+// Decides from crash reports which requests are suspected of crashing their
+// targets and which are convicted. Not thread-safe.
+class CrashHistory {
+ public:
+  // Records a report. Returns whether Refused() has changed.
+  bool Add(const CrashReport& report,
+           const state::PoisonPolicy& policy,
+           state::Millis now);
+  // Takes over a conviction of another control instance. Returns whether
+  // Refused() has changed.
+  bool Adopt(const RefusedFingerprint& refused, state::Millis now);
+  // Forgets what has passed its window or hold. Returns whether Refused() has
+  // changed.
+  bool Tick(const state::PoisonPolicy& policy, state::Millis now);
+
+  // Whether a report of that crash was recorded.
+  bool Knows(const std::string& crash_id) const;
+  // Returns suspects and convicted fingerprints with the time left.
+  std::vector<RefusedFingerprint> Refused(const state::PoisonPolicy& policy,
+                                          state::Millis now) const;
+  std::vector<RefusedFingerprint> Convicted(state::Millis now) const;
+  size_t convictions() const { return convictions_; }
+
+ private:
+  struct Crash {
+    std::string crash_id_;
+    bool alone_ = false;
+    state::Millis at_;
+  };
+
+  bool IsGuilty(const std::vector<Crash>& crashes,
+                const state::PoisonPolicy& policy) const;
+  void Convict(const std::string& fingerprint, state::Millis until);
+
+  // Crashes within the window of each suspect, in order of arrival.
+  std::map<std::string, std::vector<Crash>> suspects_;
+  std::map<std::string, state::Millis> convicted_until_;
+  // Crashes that were recorded, by id, with their time.
+  std::map<std::string, state::Millis> crashes_;
+  // Crashes that a convicted request has caused: no other request is suspected
+  // because of them.
+  std::map<std::string, state::Millis> explained_;
+  size_t convictions_ = 0;
+};
+
+}  // namespace gooseberrygap::coordination
+
+#endif  // COORDINATION_INTERNAL_CRASH_HISTORY_H_
--- /dev/null
+++ b/src/coordination/internal/followed_state.cc
@@ -0,0 +1,185 @@
+#include "coordination/internal/followed_state.h"
+
+#include <cmath>
+#include <utility>
+
+namespace gooseberrygap::coordination {
+
+namespace {
+
+// Two ends of a hold that differ by less are the same: the difference is the
+// way of the message.
+constexpr state::Millis kHoldTolerance(1000);
+
+bool IsSameHold(const std::vector<RefusedFingerprint>& left,
+                const std::vector<RefusedFingerprint>& right,
+                state::Millis elapsed) {
+  if (left.size() != right.size()) {
+    return false;
+  }
+  for (size_t i = 0; i < left.size(); ++i) {
+    const double difference =
+        (left[i].left_ - elapsed - right[i].left_).value();
+    if (left[i].fingerprint_ != right[i].fingerprint_ ||
+        left[i].convicted_ != right[i].convicted_ ||
+        std::abs(difference) > kHoldTolerance.value()) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+FollowedState::FollowedState(state::Counters* counters) : counters_(counters) {
+  configuration_.emplace();
+}
+
+FollowedState::Changes FollowedState::Take(const LeaseReply& reply,
+                                           state::Millis now) {
+  Changes changes;
+  const bool wanted_whole = wants_whole_;
+  changes.configuration_ = TakeConfiguration(reply);
+  changes.membership_ = TakeMembership(reply);
+  changes.refused_fingerprints_ = TakeRefused(reply, now);
+  changes.needs_whole_ = wants_whole_ && !wanted_whole;
+  return changes;
+}
+
+bool FollowedState::TakeConfiguration(const LeaseReply& reply) {
+  const state::IndexedConfiguration& current = *configuration_;
+  if (reply.configuration_ != nullptr && reply.delta_base_index_ == 0) {
+    wants_whole_ = false;
+  }
+  if (reply.configuration_ == nullptr ||
+      reply.configuration_index_ == current.index_) {
+    return false;
+  }
+  if (reply.configuration_index_ < current.index_) {
+    counters_->Add(state::Counter::kConfigurationsOlderIgnored);
+    return false;
+  }
+  // The first one could be older than what this daemon applied before its
+  // restart, unless a quorum vouches for it.
+  if (current.index_ == 0 && !reply.configuration_vouched_) {
+    return false;
+  }
+  if (reply.delta_base_index_ != 0 &&
+      reply.delta_base_index_ != current.index_) {
+    wants_whole_ = true;
+    return false;
+  }
+  const std::shared_ptr<const state::Configuration> newer =
+      reply.delta_base_index_ == 0
+          ? reply.configuration_
+          : std::make_shared<const state::Configuration>(state::ApplyDelta(
+                *current.configuration_, *reply.configuration_,
+                reply.removed_services_));
+  configuration_.emplace(state::IndexedConfiguration{
+      .index_ = reply.configuration_index_, .configuration_ = newer});
+  counters_->Add(state::Counter::kConfigurationsApplied);
+  return true;
+}
+
+bool FollowedState::TakeMembership(const LeaseReply& reply) {
+  // An instance that has just started does not know the membership yet.
+  if (reply.membership_epoch_ == 0) {
+    return false;
+  }
+  if (reply.membership_full_) {
+    return TakeWholeMembership(reply);
+  }
+  if (reply.membership_epoch_ != membership_epoch_ ||
+      reply.membership_version_ < membership_version_) {
+    return false;
+  }
+  membership_version_ = reply.membership_version_;
+  bool changed = false;
+  for (const state::TargetRecord& record : reply.membership_) {
+    changed = TakeRecord(record) || changed;
+  }
+  return changed;
+}
+
+bool FollowedState::TakeWholeMembership(const LeaseReply& reply) {
+  if (reply.membership_epoch_ == membership_epoch_ &&
+      reply.membership_version_ < membership_version_) {
+    return false;
+  }
+  membership_epoch_ = reply.membership_epoch_;
+  membership_version_ = reply.membership_version_;
+  std::map<std::string, state::TargetRecord> old;
+  old.swap(records_);
+  for (const state::TargetRecord& record : reply.membership_) {
+    const auto known = old.find(record.instance_);
+    const bool is_newer =
+        known != old.end() && record.version_ < known->second.version_;
+    records_.emplace(record.instance_, is_newer ? known->second : record);
+  }
+  return old != records_;
+}
+
+bool FollowedState::TakeRecord(const state::TargetRecord& record) {
+  const auto known = records_.find(record.instance_);
+  if (known != records_.end()) {
+    if (known->second == record) {
+      return false;
+    }
+    if (record.version_ < known->second.version_) {
+      counters_->Add(state::Counter::kMembershipStaleIgnored);
+      return false;
+    }
+  }
+  counters_->Add(state::Counter::kMembershipChanges);
+  state::Replace(&records_, record.instance_, record);
+  return true;
+}
+
+bool FollowedState::TakeRefused(const LeaseReply& reply, state::Millis now) {
+  const bool is_same =
+      IsSameHold(refused_, reply.refused_fingerprints_, now - refused_at_);
+  if (is_same) {
+    return false;
+  }
+  refused_at_ = now;
+  std::vector<RefusedFingerprint> refused = reply.refused_fingerprints_;
+  refused_.swap(refused);
+  return true;
+}
+
+bool FollowedState::DropExpired(state::Millis now) {
+  std::vector<RefusedFingerprint> left;
+  for (const RefusedFingerprint& refused : refused_) {
+    if (refused.left_ > now - refused_at_) {
+      left.push_back(refused);
+    }
+  }
+  if (left.size() == refused_.size()) {
+    return false;
+  }
+  // The times that are left count from the same moment as before.
+  refused_.swap(left);
+  return true;
+}
+
+const state::IndexedConfiguration& FollowedState::configuration() const {
+  return *configuration_;
+}
+
+uint64_t FollowedState::index_to_report() const {
+  return wants_whole_ ? 0 : configuration_->index_;
+}
+
+std::vector<state::TargetRecord> FollowedState::Targets() const {
+  std::vector<state::TargetRecord> targets;
+  targets.reserve(records_.size());
+  for (const auto& [instance, record] : records_) {
+    if (!record.service_.empty() &&
+        record.state_ != state::TargetState::kLeft) {
+      targets.push_back(record);
+    }
+  }
+  return targets;
+}
+
+}  // namespace gooseberrygap::coordination
