--- a/src/coordination/api/control_service.h
+++ b/src/coordination/api/control_service.h
@@ -31,9 +31,9 @@
 };
 
 enum class ProposalOutcome {
-  kCommitted,     // The entry is given as EntryCommitted, before or after.
-  kNotCommitted,  // And never will be.
-  kUnknown,       // May be committed already or later.
+  kCommitted,  // The entry is given as EntryCommitted, before or after.
+  kRefused,    // Not committed, and never will be.
+  kLost,       // May be committed already, later or never.
 };
 
 struct ProposalEnded {
--- a/src/coordination/internal/control_service_log.cc
+++ b/src/coordination/internal/control_service_log.cc
@@ -123,7 +123,7 @@
     return;
   }
   // When the end is unknown no reply is true; the caller sends again.
-  if (event.outcome_ == ProposalOutcome::kNotCommitted) {
+  if (event.outcome_ == ProposalOutcome::kRefused) {
     if (pending->second.kind_ == PendingKind::kRegisterCall) {
       RefuseCall(pending->second.caller_);
     } else if (pending->second.kind_ == PendingKind::kConfigSubmit) {
--- a/src/coordination/tests/control_service_test.cc
+++ b/src/coordination/tests/control_service_test.cc
@@ -165,7 +165,7 @@
   const ControlStep proposed = control.Message(call);
   CHECK(control
             .Give(ProposalEnded{.tag_ = proposed.proposals_[0].tag_,
-                                .outcome_ = ProposalOutcome::kUnknown})
+                                .outcome_ = ProposalOutcome::kLost})
             .commands_.empty());
   CHECK(control.Message(call).proposals_.size() == 1);
 }
