--- a/src/coordination/api/control_service.h
+++ b/src/coordination/api/control_service.h
@@ -47,7 +47,8 @@
   const uint64_t index_ = 0;
 };
 
-// Stands for no contact at all; finite, so that it can be sent.
+// Age of the knowledge of an instance that has never heard from a leader;
+// finite, so that it can be sent.
 inline constexpr state::Millis kNeverHeard(1e9);
 
 // What the replicated log knows of its leader. Give it on every change and
@@ -57,9 +58,8 @@
   const bool leads_ = false;
   const bool has_quorum_ = false;          // Of the leader itself.
   const std::string leader_address_ = {};  // Empty when unknown.
-  // Time since this instance last heard from a leader, or as the leader from a
-  // quorum; kNeverHeard if never.
-  const state::Millis knowledge_age_ = kNeverHeard;
+  // When a leader with a quorum was last heard from; nothing if never.
+  const std::optional<state::Millis> leader_heard_ = {};
 };
 
 // The replicated state was replaced by a snapshot.
--- a/src/coordination/internal/control_service.cc
+++ b/src/coordination/internal/control_service.cc
@@ -67,7 +67,6 @@
                 &table_,
                 counters,
                 now),
-      status_at_(now),
       wall_at_(now),
       last_tick_(now) {}
 
@@ -112,7 +111,6 @@
   const bool new_leader =
       !status_.has_value() || status_->leader_address_ != event.leader_address_;
   status_.emplace(event);
-  status_at_ = now;
   if (new_leader && !event.leader_address_.empty()) {
     push_all_ = true;
     PushSoon(now);
--- a/src/coordination/internal/control_service_impl.h
+++ b/src/coordination/internal/control_service_impl.h
@@ -189,7 +189,6 @@
   state::ConfigurationStore configurations_;
   uint64_t applied_index_ = 0;
   std::optional<LogStatus> status_;
-  state::Millis status_at_;
   uint64_t next_tag_ = 1;
   std::map<uint64_t, Pending> pending_;  // By tag.
   std::set<Caller> pending_callers_;
--- a/src/coordination/internal/control_service_leases.cc
+++ b/src/coordination/internal/control_service_leases.cc
@@ -266,13 +266,13 @@
 }
 
 state::Millis ControlService::Impl::KnowledgeAge(state::Millis now) const {
-  if (!status_.has_value()) {
-    return kNeverHeard;
-  }
   if (LeadsWithQuorum()) {
     return state::Millis();
   }
-  return std::min(kNeverHeard, status_->knowledge_age_ + (now - status_at_));
+  if (!status_.has_value() || !status_->leader_heard_.has_value()) {
+    return kNeverHeard;
+  }
+  return now - *status_->leader_heard_;
 }
 
 state::PoisonPolicy ControlService::Impl::poison_policy() const {
--- a/src/coordination/tests/control_service_test.cc
+++ b/src/coordination/tests/control_service_test.cc
@@ -31,7 +31,7 @@
                    .leads_ = true,
                    .has_quorum_ = true,
                    .leader_address_ = "addr1",
-                   .knowledge_age_ = Millis(0)});
+                   .leader_heard_ = now_});
   }
   // Ticks every 10 ms and returns all that this leads to.
   ControlStep Run(double milliseconds) {
