--- a/src/coordination/api/control_service.h
+++ b/src/coordination/api/control_service.h
@@ -32,8 +32,8 @@
 
 enum class ProposalOutcome {
   kCommitted,  // The entry is given as EntryCommitted, before or after.
-  kRefused,    // Never appended.
-  kLost,       // May be committed later or never.
+  kRefused,    // Not committed, and never will be.
+  kLost,       // May be committed already, later or never.
 };
 
 struct ProposalEnded {
@@ -47,6 +47,10 @@
   const uint64_t index_ = 0;
 };
 
+// Age of the knowledge of an instance that has never heard from a leader;
+// finite, so that it can be sent.
+inline constexpr state::Millis kNeverHeard(1e9);
+
 // What the replicated log knows of its leader. Give it on every change and
 // before every tick.
 struct LogStatus {
