--- a/src/protocol/api/configuration_json.h
+++ b/src/protocol/api/configuration_json.h
@@ -17,6 +17,11 @@
 // that equal configurations give equal bytes. Thread-safe.
 std::string PrintConfiguration(const state::Configuration& configuration);
 
+// Returns the same document on many lines, for people to read and edit.
+// Thread-safe.
+std::string PrintConfigurationIndented(
+    const state::Configuration& configuration);
+
 }  // namespace gooseberrygap::protocol
 
 #endif  // PROTOCOL_API_CONFIGURATION_JSON_H_
--- a/src/protocol/internal/configuration_json.cc
+++ b/src/protocol/internal/configuration_json.cc
@@ -13,4 +13,10 @@
   return PrintDocument(kConfigurationRecord, configuration);
 }
 
+std::string PrintConfigurationIndented(
+    const state::Configuration& configuration) {
+  return PrintJson(kConfigurationRecord.Print(configuration),
+                   Layout::kIndented);
+}
+
 }  // namespace gooseberrygap::protocol
--- a/src/protocol/internal/json_document.cc
+++ b/src/protocol/internal/json_document.cc
@@ -212,9 +212,9 @@
                      /*allow_exceptions=*/false);
 }
 
-std::string PrintJson(const json& value) {
-  return value.dump(-1, ' ', /*ensure_ascii=*/false,
-                    json::error_handler_t::replace);
+std::string PrintJson(const json& value, Layout layout) {
+  return value.dump(layout == Layout::kIndented ? 2 : -1, ' ',
+                    /*ensure_ascii=*/false, json::error_handler_t::replace);
 }
 
 }  // namespace gooseberrygap::protocol
--- a/src/protocol/internal/json_document.h
+++ b/src/protocol/internal/json_document.h
@@ -64,9 +64,12 @@
 // added to `faults`. Thread-safe.
 nlohmann::json ReadJson(absl::string_view text, Faults* faults);
 
-// Returns the text of a value on one line, with sorted keys. Bytes that are not
-// valid UTF-8 are replaced. Thread-safe.
-std::string PrintJson(const nlohmann::json& value);
+enum class Layout { kOneLine, kIndented };
+
+// Returns the text of a value, with sorted keys. Bytes that are not valid UTF-8
+// are replaced. Thread-safe.
+std::string PrintJson(const nlohmann::json& value,
+                      Layout layout = Layout::kOneLine);
 
 }  // namespace gooseberrygap::protocol
 
--- a/src/protocol/protocol.h
+++ b/src/protocol/protocol.h
@@ -4,6 +4,7 @@
 // Public header of the protocol library: the encodings of peer messages,
 // settings, configuration and metrics.
 
+#include "protocol/api/administration_json.h"
 #include "protocol/api/configuration_json.h"
 #include "protocol/api/header_names.h"
 #include "protocol/api/metrics_text.h"
--- /dev/null
+++ b/src/protocol/tests/administration_json_test.cc
@@ -0,0 +1,100 @@
+#include <catch2/catch.hpp>
+
+#include "protocol/protocol.h"
+
+namespace gooseberrygap::protocol {
+namespace {
+
+using coordination::ConfigSubmit;
+using coordination::ConfigSubmitReply;
+using coordination::SubmitStatus;
+
+// Guards against a row in another order than the members, and against a member
+// that one side writes and the other does not read.
+TEST_CASE("administration bodies keep their members") {
+  const ControlStatus status = {.identity_ = "a",
+                                .instance_ = "b",
+                                .address_ = "c",
+                                .formed_ = true,
+                                .role_ = "d",
+                                .term_ = 1,
+                                .leader_ = "e",
+                                .commit_index_ = 2,
+                                .members_ = {{.identity_ = "f",
+                                              .instance_ = "g",
+                                              .address_ = "h",
+                                              .voter_ = false}}};
+  CHECK(ParseControlStatus(PrintControlStatus(status)).value() == status);
+
+  const std::vector<state::TargetRecord> targets = {
+      {.target_ = "t",
+       .service_ = "s",
+       .instance_ = "i",
+       .region_ = "r",
+       .failure_domain_ = "d",
+       .slots_ = 3,
+       .state_ = state::TargetState::kServing}};
+  CHECK(ParseTargets(PrintTargets(targets)).value() == targets);
+
+  const std::vector<state::CounterSample> samples = {
+      {.name_ = "n", .labels_ = "l", .value_ = 4}};
+  CHECK(ParseCounters(PrintCounters(samples)).value() == samples);
+
+  const state::ControlMember member = {
+      .identity_ = "x", .instance_ = "y", .address_ = "127.0.0.1:1"};
+  CHECK(ParseControlAdd(PrintControlAdd(member)).value() == member);
+  CHECK(ParseControlForm(PrintControlForm({member})).value().front() == member);
+  CHECK(ParseControlRemove(PrintControlRemove("x")).value() == "x");
+
+  const auto error = state::MakeError(state::ErrorKind::kNotFormed, "no group");
+  CHECK(ParseErrorAnswer(PrintErrorAnswer(error)) == error);
+}
+
+// Guards against a status that reaches the operator as another one.
+TEST_CASE("every submission status survives") {
+  for (int i = 0; i <= static_cast<int>(SubmitStatus::kNotFormed); ++i) {
+    const ConfigSubmitReply reply = {.status_ = static_cast<SubmitStatus>(i),
+                                     .index_ = 5,
+                                     .current_version_ = 6,
+                                     .winner_submission_ = "w"};
+    CHECK(ParseSubmissionAnswer(PrintSubmissionAnswer(reply)).value() == reply);
+  }
+}
+
+// Guards against a body whose configuration escapes the strict checks, or whose
+// faults have paths that are not those of the body.
+TEST_CASE("a submission's configuration is checked with its path") {
+  const auto faulty = ParseSubmission(
+      R"({"submission": "", "configuration": {"version": 0, "services": []}})");
+  REQUIRE(faulty.has_error());
+  CHECK(faulty.error().kind_ == state::ErrorKind::kInvalidConfiguration);
+  CHECK_THAT(faulty.error().message_,
+             Catch::Matchers::Contains("configuration.version: found 0") &&
+                 Catch::Matchers::Contains("\n  submission: found \"\""));
+  const auto good = ParseSubmission(
+      PrintSubmission({.submission_ = "s",
+                       .configuration_ = std::make_shared<state::Configuration>(
+                           state::Configuration{.version_ = 2})}));
+  REQUIRE(good.has_value());
+  CHECK(good.value().submission_ == "s");
+  CHECK(*good.value().configuration_ == state::Configuration{.version_ = 2});
+}
+
+// Guards against a request with a misspelt key that is carried out, and an
+// answer with a new key that is refused.
+TEST_CASE("unknown keys are refused in requests and ignored in answers") {
+  CHECK(ParseControlRemove(R"({"identity":"x","force":true})").has_error());
+  CHECK(ParseCounters(R"({"counters":[],"since":1})").has_value());
+}
+
+// Guards against an index that comes without its document.
+TEST_CASE("a configuration answer has both parts or neither") {
+  CHECK(ParseConfigurationAnswer(R"({"index":0})").has_value());
+  CHECK(ParseConfigurationAnswer(R"({"index":3})").has_error());
+  CHECK(ParseConfigurationAnswer(
+            R"({"index":0,"configuration":{"version":1,"services":[]}})")
+            .has_error());
+}
+
+}  // namespace
+}  // namespace gooseberrygap::protocol
--- a/src/state/api/error.h
+++ b/src/state/api/error.h
@@ -25,6 +25,11 @@
   kVersionConflict,
   kNoQuorum,
   kNotFound,
+  kMalformedAnswer,
+  kRefused,
+  kFileUnreadable,
+  kUsage,
+  kNoConfiguration,
   kCount,
 };
 
--- a/src/state/internal/error.cc
+++ b/src/state/internal/error.cc
@@ -57,6 +57,18 @@
          "Restore a majority of the control instances and repeat the request."},
         {ErrorKind::kNotFound, "not_found",
          "Check the name; 'gooseberrygapctl targets' lists what is known."},
+        {ErrorKind::kMalformedAnswer, "malformed_answer",
+         "Check that the address is the HTTP address of a gooseberrygapd of a "
+         "compatible version."},
+        {ErrorKind::kRefused, "refused",
+         "Check the instance's log and 'gooseberrygapctl counters'."},
+        {ErrorKind::kFileUnreadable, "file_unreadable",
+         "Check the path and the permissions of the file."},
+        {ErrorKind::kUsage, "usage",
+         "'gooseberrygapctl COMMAND --help' describes each command."},
+        {ErrorKind::kNoConfiguration, "no_configuration",
+         "Submit one with 'gooseberrygapctl config apply', or wait until the "
+         "instance has reached the control group."},
     }};
 
 const ErrorRow& RowOf(ErrorKind kind) {
