--- a/src/protocol/protocol.h
+++ b/src/protocol/protocol.h
@@ -10,6 +10,7 @@
 #include "protocol/api/log_codec.h"
 #include "protocol/api/metrics_text.h"
 #include "protocol/api/numeric_address.h"
+#include "protocol/api/operator_json.h"
 #include "protocol/api/peer_codec.h"
 #include "protocol/api/settings.h"
 
--- a/src/state/api/error.h
+++ b/src/state/api/error.h
@@ -27,6 +27,11 @@
   kVersionConflict,
   kNoQuorum,
   kNotFound,
+  kMalformedAnswer,
+  kRefused,
+  kFileUnreadable,
+  kUsage,
+  kNoConfiguration,
   kCount,
 };
 
