--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 #include "absl/strings/str_cat.h"
 #include "daemon/logging.h"
@@ -62,9 +63,9 @@
     case ProposalStatus::kCommitted:
       return coordination::ProposalOutcome::kCommitted;
     case ProposalStatus::kUnknown:
-      return coordination::ProposalOutcome::kUnknown;
+      return coordination::ProposalOutcome::kLost;
     default:
-      return coordination::ProposalOutcome::kNotCommitted;
+      return coordination::ProposalOutcome::kRefused;
   }
 }
 
@@ -365,12 +366,15 @@
 coordination::LogStatus ControlDuty::CurrentLogStatus(state::Millis now) const {
   const bool leads = raft_.role() == coordination::RaftRole::kLeader;
   const state::Millis age = raft_.KnowledgeAge(now);
-  return coordination::LogStatus{
-      .formed_ = !raft_.members().empty(),
-      .leads_ = leads,
-      .has_quorum_ = leads && age <= kQuorumFresh,
-      .leader_address_ = raft_.leader_address(),
-      .knowledge_age_ = std::min(age, coordination::kNeverHeard)};
+  std::optional<state::Millis> heard;
+  if (std::isfinite(age.value())) {
+    heard.emplace(now - age);
+  }
+  return coordination::LogStatus{.formed_ = !raft_.members().empty(),
+                                 .leads_ = leads,
+                                 .has_quorum_ = leads && age <= kQuorumFresh,
+                                 .leader_address_ = raft_.leader_address(),
+                                 .leader_heard_ = heard};
 }
 
 void ControlDuty::AnswerStatus(StatusSlot* slot) const {
--- /dev/null
+++ b/src/protocol/internal/node_json.cc
@@ -0,0 +1,106 @@
+#include <array>
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "protocol/protocol.h"
+
+namespace gooseberrygap::protocol {
+
+namespace {
+
+using nlohmann::json;
+using state::ErrorKind;
+
+constexpr std::array<const char*, 4> kTargetStateNames = {"starting", "serving",
+                                                          "draining", "left"};
+state::Error InvalidRequest(absl::string_view what) {
+  return state::MakeError(ErrorKind::kInvalidRequest, what);
+}
+
+state::Result<json> ParseObject(absl::string_view text) {
+  json document = json::parse(text.begin(), text.end(), nullptr, false);
+  if (!document.is_object()) {
+    return InvalidRequest("The body is not a JSON object");
+  }
+  return document;
+}
+
+// Returns the string under `key`, or an empty one when it is missing or of
+// another type.
+std::string StringAt(const json& object, const char* key) {
+  const auto entry = object.find(key);
+  return entry != object.end() && entry->is_string() ? entry->get<std::string>()
+                                                     : std::string();
+}
+
+json TargetToJson(const state::TargetRecord& record) {
+  return json{
+      {"target", record.target_},
+      {"service", record.service_},
+      {"instance", record.instance_},
+      {"region", record.region_},
+      {"failure_domain", record.failure_domain_},
+      {"slots", record.slots_},
+      {"state", kTargetStateNames.at(static_cast<size_t>(record.state_))}};
+}
+
+}  // namespace
+
+state::Result<coordination::TargetAnnounced> ParseAnnouncement(
+    absl::string_view text) {
+  const auto parsed = ParseObject(text);
+  if (!parsed) {
+    return parsed.error();
+  }
+  const json& document = parsed.value();
+  for (const char* key : {"service", "target", "address", "state"}) {
+    if (StringAt(document, key).empty()) {
+      return InvalidRequest(
+          absl::StrCat("The announcement has no \"", key, "\" of type string"));
+    }
+  }
+  const auto slots = document.find("slots");
+  constexpr int kMaxSlots = 1024;
+  const bool slots_valid =
+      slots != document.end() && slots->is_number_integer() &&
+      slots->get<int64_t>() >= 1 && slots->get<int64_t>() <= kMaxSlots;
+  if (!slots_valid) {
+    return InvalidRequest(absl::StrCat(
+        "The announcement's \"slots\" is not a whole number from 1 to ",
+        kMaxSlots));
+  }
+  const std::string state_name = StringAt(document, "state");
+  const auto* name =
+      std::find(kTargetStateNames.begin(), kTargetStateNames.end(), state_name);
+  const auto state_number = name - kTargetStateNames.begin();
+  if (state_number > static_cast<int>(state::TargetState::kDraining)) {
+    return InvalidRequest(
+        absl::StrCat("The announcement's \"state\" is \"", state_name,
+                     "\"; allowed are starting, serving and draining"));
+  }
+  const auto incarnation = document.find("incarnation");
+  const bool has_incarnation =
+      incarnation != document.end() && incarnation->is_number_unsigned();
+  return coordination::TargetAnnounced{
+      .target_ = StringAt(document, "target"),
+      .service_ = StringAt(document, "service"),
+      .address_ = StringAt(document, "address"),
+      .slots_ = slots->get<int>(),
+      .state_ = static_cast<state::TargetState>(state_number),
+      .incarnation_ = has_incarnation ? incarnation->get<uint64_t>() : 0};
+}
+
+std::string PrintNodeStatus(const coordination::NodeStatus& status) {
+  return json{{"configuration_index", status.configuration_index_},
+              {"configuration_version", status.configuration_version_},
+              {"knowledge_age_ms", status.knowledge_age_.value()},
+              {"target", TargetToJson(status.record_)},
+              {"in_flight", status.load_.in_flight_},
+              {"queued", status.load_.queued_},
+              {"latency_ms", status.load_.latency_.value()},
+              {"calls_in_progress", status.calls_in_progress_},
+              {"work_in_progress", status.work_in_progress_}}
+      .dump();
+}
+
+}  // namespace gooseberrygap::protocol
--- a/src/protocol/protocol.h
+++ b/src/protocol/protocol.h
@@ -4,11 +4,11 @@
 // Public header of the protocol library: the encodings of peer messages,
 // settings, configuration and metrics.
 
-#include "protocol/api/admin_json.h"
 #include "protocol/api/configuration_json.h"
 #include "protocol/api/header_names.h"
 #include "protocol/api/log_codec.h"
 #include "protocol/api/metrics_text.h"
+#include "protocol/api/node_json.h"
 #include "protocol/api/numeric_address.h"
 #include "protocol/api/operator_json.h"
 #include "protocol/api/peer_codec.h"
