Add the replicated log of the control group

Cause: configurations and action registers need one order that survives the loss of members.

Ruled out: ending a proposal as lost when its entry is truncated, since a third leader may still bring the entry back; it ends when its place is committed. A learner that refuses to vote, since its candidate may know that it has become a voter; candidates count only voters of their list. Waiting a whole election timeout after a refused pre-vote, since the bound is 2 s; it is asked again every 100 ms.

An in-test cluster with drops, delays, duplicates, partitions and crashes checks every message and entry.

--- /dev/null
+++ b/src/coordination/internal/raft.cc
@@ -0,0 +1,275 @@
+#include "coordination/api/raft.h"
+
+#include <array>
+#include <utility>
+#include "absl/random/uniform_int_distribution.h"
+
+#include "coordination/internal/raft_impl.h"
+
+namespace gooseberrygap::coordination {
+
+namespace {
+
+// Age of the knowledge of a member that has never heard from a leader.
+constexpr state::Millis kNever(1e15);
+
+// Messages between members of a control group.
+template <class Message>
+concept MemberMessage = requires(const Message& message) {
+  message.group_;
+  message.from_;
+  message.to_;
+};
+
+}  // namespace
+
+Raft::Impl::Impl(RaftOptions options,
+                 const state::LoadedLog& log,
+                 absl::BitGenRef random,
+                 state::Millis now)
+    : options_(options),
+      identity_(log.identity_),
+      random_(random),
+      log_(log),
+      durability_(log_.last_index()),
+      reads_(absl::uniform_int_distribution<uint64_t>()(random_)),
+      now_(now),
+      term_(log.vote_.term_),
+      voted_for_(log.vote_.voted_for_),
+      commit_(log_.snapshot_index()),
+      handed_out_(commit_),
+      verified_(commit_),
+      restore_pending_(log_.snapshot() != nullptr) {
+  ResetElectionTimer();
+}
+
+template <size_t kIndex>
+void Raft::Impl::HandleMessageAs(const RaftMessageReceived& received) {
+  const auto& message = std::get<kIndex>(received.message_);
+  using Message = std::remove_cvref_t<decltype(message)>;
+  if constexpr (MemberMessage<Message>) {
+    if (message.group_ == options_.group_ && message.to_ == identity_) {
+      OnPeer(message, received.connection_);
+    }
+  }
+}
+
+template <size_t... kIndexes>
+constexpr std::array<Raft::Impl::EventHandler, sizeof...(kIndexes)>
+Raft::Impl::EventTable(std::index_sequence<kIndexes...> /*indexes*/) {
+  return {&Impl::HandleEventAs<kIndexes>...};
+}
+
+template <size_t... kIndexes>
+constexpr std::array<Raft::Impl::MessageHandler, sizeof...(kIndexes)>
+Raft::Impl::MessageTable(std::index_sequence<kIndexes...> /*indexes*/) {
+  return {&Impl::HandleMessageAs<kIndexes>...};
+}
+
+Raft::Step Raft::Impl::Handle(absl::Span<const RaftEvent> events,
+                              state::Millis now) {
+  static constexpr auto kHandlers =
+      EventTable(std::make_index_sequence<std::variant_size_v<RaftEvent>>());
+  now_ = now;
+  step_.emplace();
+  for (const RaftEvent& event : events) {
+    (this->*kHandlers.at(event.index()))(event);
+  }
+  Flush();
+  return *std::move(step_);
+}
+
+void Raft::Impl::On(const RaftMessageReceived& event) {
+  static constexpr auto kHandlers = MessageTable(
+      std::make_index_sequence<std::variant_size_v<PeerMessage>>());
+  (this->*kHandlers.at(event.message_.index()))(event);
+}
+
+void Raft::Impl::On(const RaftPersisted& event) {
+  durability_.OnPersisted(event.sequence_);
+  const uint64_t durable = std::min(verified_, durability_.durable_index());
+  if (role_ == RaftRole::kFollower && !leader_.empty() &&
+      durable > acknowledged_) {
+    AcknowledgeAppend();
+  }
+  if (role_ == RaftRole::kCandidate) {
+    CountVotes();
+  }
+  if (role_ == RaftRole::kLeader) {
+    AdvanceCommit();
+  }
+}
+
+void Raft::Impl::On(const RaftSnapshotMade& event) {
+  if (event.index_ <= log_.snapshot_index() || event.index_ > handed_out_) {
+    return;
+  }
+  const auto snapshot = std::make_shared<const state::LogSnapshot>(
+      state::LogSnapshot{.index_ = event.index_,
+                         .term_ = *log_.TermAt(event.index_),
+                         .members_ = log_.MembersAt(event.index_),
+                         .content_ = event.content_});
+  log_.Compact(snapshot, options_.tail_entries_, options_.tail_bytes_);
+  durability_.SnapshotMade(snapshot);
+}
+
+void Raft::Impl::On(const RaftTick& /*event*/) {
+  static constexpr std::array<RoleHandler, 4> kTicks = {
+      &Impl::TickFollower, &Impl::TickPreCandidate, &Impl::TickCandidate,
+      &Impl::TickLeader};
+  (this->*kTicks.at(static_cast<size_t>(role_)))();
+}
+
+void Raft::Impl::Flush() {
+  if (role_ == RaftRole::kLeader) {
+    PromoteLearner();
+    if (reads_.NeedsRound() && HasCommittedOwnTerm()) {
+      StartRound();
+    }
+    const uint64_t quorum_round =
+        QuorumValue(round_, &RaftProgress::acked_round);
+    AnswerLeaderReads(reads_.TakeConfirmed(quorum_round), true);
+    AnswerLeaderReads(reads_.TakeExpired(now_), false);
+    ReplicateToAll();
+    StepDownIfRemoved();
+  }
+  if (std::optional<RaftBatch> batch = durability_.TakeBatch(
+          log_, {.term_ = term_, .voted_for_ = voted_for_})) {
+    step_->batch_.emplace(*std::move(batch));
+  }
+  Append(&step_->commands_, durability_.TakeReleased());
+  FlushCommitted();
+  step_->reads_ = reads_.TakeAnswers(handed_out_, now_);
+  FlushRoleChange();
+}
+
+void Raft::Impl::FlushCommitted() {
+  if (restore_pending_) {
+    restore_pending_ = false;
+    step_->restore_.emplace(*log_.snapshot());
+    handed_out_ = log_.snapshot_index();
+  }
+  while (handed_out_ < commit_) {
+    ++handed_out_;
+    step_->committed_.push_back(log_.At(handed_out_));
+  }
+  EndCommittedProposals();
+}
+
+void Raft::Impl::FlushRoleChange() {
+  RoleChange current{.role_ = role_,
+                     .term_ = term_,
+                     .leader_ = leader_,
+                     .leader_address_ = AddressOf(leader_)};
+  if (reported_ != current) {
+    reported_.emplace(current);
+    step_->role_change_.emplace(std::move(current));
+  }
+}
+
+void Raft::Impl::Send(const std::string& identity, PeerMessage message) {
+  step_->commands_.push_back(SendToPeer{.address_ = AddressOf(identity),
+                                        .message_ = std::move(message)});
+}
+
+void Raft::Impl::ReplyWhenDurable(const std::string& connection,
+                                  PeerMessage message) {
+  durability_.Hold(
+      ReplyToPeer{.connection_ = connection, .message_ = std::move(message)});
+}
+
+std::string Raft::Impl::AddressOf(const std::string& identity) const {
+  const state::ControlMember* member = FindMember(log_.members(), identity);
+  return member == nullptr ? std::string() : member->address_;
+}
+
+std::vector<MemberStatus> Raft::Impl::Status(state::Millis now) const {
+  std::vector<MemberStatus> status;
+  for (const state::ControlMember& member : log_.members()) {
+    const auto progress = progress_.find(member.identity_);
+    const bool known = progress != progress_.end();
+    const uint64_t own =
+        role_ == RaftRole::kLeader && member.identity_ == identity_
+            ? durability_.durable_index()
+            : 0;
+    status.push_back(MemberStatus{
+        .member_ = member,
+        .match_index_ = known ? progress->second.match() : own,
+        .last_heard_age_ =
+            known ? now - progress->second.last_heard() : state::Millis()});
+  }
+  return status;
+}
+
+state::Millis Raft::Impl::KnowledgeAge(state::Millis now) const {
+  if (role_ == RaftRole::kLeader) {
+    return now - QuorumValue(now, &RaftProgress::last_heard);
+  }
+  return had_contact_ ? now - contact_ : kNever;
+}
+
+Raft::Raft(RaftOptions options,
+           const state::LoadedLog& log,
+           absl::BitGenRef random,
+           state::Millis now)
+    : impl_(std::make_unique<Impl>(options, log, random, now)) {}
+
+Raft::~Raft() = default;
+
+Raft::Step Raft::Handle(const RaftEvent& event, state::Millis now) {
+  return impl_->Handle({&event, 1}, now);
+}
+
+Raft::Step Raft::Handle(absl::Span<const RaftEvent> events, state::Millis now) {
+  return impl_->Handle(events, now);
+}
+
+const std::string& Raft::identity() const {
+  return impl_->identity();
+}
+
+RaftRole Raft::role() const {
+  return impl_->role();
+}
+
+uint64_t Raft::term() const {
+  return impl_->term();
+}
+
+const std::string& Raft::leader() const {
+  return impl_->leader();
+}
+
+std::string Raft::leader_address() const {
+  return impl_->AddressOf(impl_->leader());
+}
+
+uint64_t Raft::commit_index() const {
+  return impl_->commit_index();
+}
+
+uint64_t Raft::last_index() const {
+  return impl_->log().last_index();
+}
+
+const std::vector<state::ControlMember>& Raft::members() const {
+  return impl_->log().members();
+}
+
+std::vector<MemberStatus> Raft::Status(state::Millis now) const {
+  return impl_->Status(now);
+}
+
+state::Millis Raft::KnowledgeAge(state::Millis now) const {
+  return impl_->KnowledgeAge(now);
+}
+
+uint64_t Raft::EntriesSinceSnapshot() const {
+  return last_index() - impl_->log().snapshot_index();
+}
+
+uint64_t Raft::BytesSinceSnapshot() const {
+  return impl_->log().BytesBetween(impl_->log().snapshot_index(), last_index());
+}
+
+}  // namespace gooseberrygap::coordination
--- /dev/null
+++ b/src/coordination/internal/raft_impl.h
@@ -0,0 +1,204 @@
+#ifndef COORDINATION_INTERNAL_RAFT_IMPL_H_
+#define COORDINATION_INTERNAL_RAFT_IMPL_H_
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "coordination/api/raft.h"
+#include "coordination/internal/raft_durability.h"
+#include "coordination/internal/raft_log.h"
+#include "coordination/internal/raft_progress.h"
+#include "coordination/internal/raft_reads.h"
+
+namespace gooseberrygap::coordination {
+
+// State and rules of a member. raft.cc holds events and results,
+// raft_election.cc terms and votes, raft_follower.cc and raft_leader.cc
+// replication, raft_proposals.cc proposals, members and reads.
+class Raft::Impl {
+ public:
+  Impl(RaftOptions options,
+       const state::LoadedLog& log,
+       absl::BitGenRef random,
+       state::Millis now);
+
+  Step Handle(absl::Span<const RaftEvent> events, state::Millis now);
+
+  const std::string& identity() const { return identity_; }
+  RaftRole role() const { return role_; }
+  uint64_t term() const { return term_; }
+  const std::string& leader() const { return leader_; }
+  std::string AddressOf(const std::string& identity) const;
+  uint64_t commit_index() const { return commit_; }
+  const RaftLog& log() const { return log_; }
+  std::vector<MemberStatus> Status(state::Millis now) const;
+  state::Millis KnowledgeAge(state::Millis now) const;
+
+ private:
+  using EventHandler = void (Impl::*)(const RaftEvent&);
+  using MessageHandler = void (Impl::*)(const RaftMessageReceived&);
+  using RoleHandler = void (Impl::*)();
+
+  struct PendingProposal {
+    const uint64_t term_ = 0;
+    const uint64_t tag_ = 0;
+  };
+
+  // Events (raft.cc). The tables have one row for each alternative.
+  template <size_t kIndex>
+  void HandleEventAs(const RaftEvent& event) {
+    On(std::get<kIndex>(event));
+  }
+  template <size_t kIndex>
+  void HandleMessageAs(const RaftMessageReceived& received);
+  template <size_t... kIndexes>
+  static constexpr std::array<EventHandler, sizeof...(kIndexes)> EventTable(
+      std::index_sequence<kIndexes...>);
+  template <size_t... kIndexes>
+  static constexpr std::array<MessageHandler, sizeof...(kIndexes)> MessageTable(
+      std::index_sequence<kIndexes...>);
+  void On(const RaftMessageReceived& event);
+  void On(const RaftPersisted& event);
+  void On(const RaftPropose& event);
+  void On(const RaftForm& event);
+  void On(const RaftAddMember& event);
+  void On(const RaftRemoveMember& event);
+  void On(const RaftReadIndex& event);
+  void On(const RaftSnapshotMade& event);
+  void On(const RaftTick& event);
+  void Flush();
+  void FlushCommitted();
+  void FlushRoleChange();
+  void Send(const std::string& identity, PeerMessage message);
+  // Replies once the current term and vote are durable.
+  void ReplyWhenDurable(const std::string& connection, PeerMessage message);
+
+  // Elections.
+  bool IsVoter() const;
+  void BecomeFollower(uint64_t term, const std::string& leader);
+  void StartPreVote();
+  void StartElection();
+  void BecomeLeader();
+  void AskForVotes(bool pre_vote);
+  void CountVotes();
+  void ResetElectionTimer();
+  bool HearsFromLeader() const;
+  bool IsUpToDate(const VoteRequest& request) const;
+  void OnPeer(const VoteRequest& request, const std::string& connection);
+  void OnPeer(const VoteReply& reply, const std::string& connection);
+  void TickFollower();
+  void TickPreCandidate();
+  void TickCandidate();
+
+  // Follower.
+  void OnPeer(const AppendRequest& request, const std::string& connection);
+  void OnPeer(const InstallSnapshot& request, const std::string& connection);
+  // Returns whether the sender leads the current term; follows it then.
+  bool FollowSender(uint64_t term,
+                    const std::string& from,
+                    const std::string& connection,
+                    uint64_t round);
+  bool FitsLog(const AppendRequest& request) const;
+  void AppendFromLeader(const AppendRequest& request);
+  uint64_t RefusalHint(uint64_t previous_index) const;
+  void AcknowledgeAppend();
+  void RefuseAppend(uint64_t hint);
+
+  // Leader.
+  void OnPeer(const AppendReply& reply, const std::string& connection);
+  void TickLeader();
+  void StartRound();
+  void Replicate(const std::string& identity, RaftProgress* progress);
+  void ReplicateToAll();
+  void SendAppend(const std::string& identity,
+                  RaftProgress* progress,
+                  uint64_t last_index);
+  void SendSnapshot(const std::string& identity, RaftProgress* progress);
+  bool HasRoom(const RaftProgress& progress) const;
+  void UpdateProgressMembers();
+  void AdvanceCommit();
+  void StepDownIfRemoved();
+  bool HasCommittedOwnTerm() const;
+  // Returns the highest value that a majority of the voters has reached, where
+  // `own` is that of this member and `value_of` gives that of another one.
+  template <class Value>
+  Value QuorumValue(Value own, Value (RaftProgress::*value_of)() const) const {
+    std::vector<Value> values;
+    for (const state::ControlMember& member : log_.members()) {
+      const auto progress = progress_.find(member.identity_);
+      if (member.voter_ && member.identity_ == identity_) {
+        values.push_back(own);
+      } else if (member.voter_ && progress != progress_.end()) {
+        values.push_back((progress->second.*value_of)());
+      }
+    }
+    std::sort(values.begin(), values.end(), std::greater<>());
+    return values.empty() ? Value() : values[values.size() / 2];
+  }
+
+  // Proposals, members and reads.
+  void AppendOwn(state::LogEntryKind kind,
+                 state::Bytes payload,
+                 std::vector<state::ControlMember> members);
+  void Propose(uint64_t tag,
+               state::LogEntryKind kind,
+               state::Bytes payload,
+               std::vector<state::ControlMember> members);
+  void EndProposal(uint64_t tag, ProposalStatus status);
+  void EndCommittedProposals();
+  std::optional<ProposalStatus> RefusalOfChange() const;
+  void PromoteLearner();
+  void AnswerLeaderReads(const std::vector<LeaderRead>& reads, bool confirmed);
+  void OnPeer(const ReadIndexRequest& request, const std::string& connection);
+  void OnPeer(const ReadIndexReply& reply, const std::string& connection);
+
+  const RaftOptions options_;
+  const std::string identity_;
+  absl::BitGenRef random_;
+  RaftLog log_;
+  RaftDurability durability_;
+  RaftReads reads_;
+
+  state::Millis now_;
+  RaftRole role_ = RaftRole::kFollower;
+  uint64_t term_ = 0;
+  std::string voted_for_;
+  uint64_t commit_ = 0;
+  uint64_t handed_out_ = 0;  // Entries up to here were given to the owner.
+
+  // Follower.
+  std::string leader_;
+  std::string leader_connection_;
+  state::Millis contact_;  // Last contact with a leader or a quorum.
+  bool had_contact_ = false;
+  uint64_t leader_round_ = 0;  // Last round of the leader of this term.
+  uint64_t verified_ = 0;      // The log is the leader's up to here.
+  uint64_t acknowledged_ = 0;  // In this term.
+
+  // Candidate.
+  state::Millis election_due_;
+  state::Millis ask_again_;
+  std::set<std::string> votes_;
+
+  // Leader.
+  std::map<std::string, RaftProgress> progress_;
+  uint64_t round_ = 0;
+  state::Millis heartbeat_due_;
+  std::multimap<uint64_t, PendingProposal> proposals_;
+
+  bool restore_pending_ = false;
+  std::optional<RoleChange> reported_;
+  std::optional<Step> step_;  // What the events handled so far lead to.
+};
+
+}  // namespace gooseberrygap::coordination
+
+#endif  // COORDINATION_INTERNAL_RAFT_IMPL_H_
--- /dev/null
+++ b/src/coordination/internal/raft_proposals.cc
@@ -0,0 +1,230 @@
+#include <algorithm>
+#include <utility>
+
+#include "coordination/internal/raft_impl.h"
+
+namespace gooseberrygap::coordination {
+
+namespace {
+
+// The first entry is the same on every member, so it has a fixed term.
+constexpr uint64_t kFormationTerm = 1;
+
+}  // namespace
+
+void Raft::Impl::AppendOwn(state::LogEntryKind kind,
+                           state::Bytes payload,
+                           std::vector<state::ControlMember> members) {
+  log_.Append(state::LogEntry{.index_ = log_.last_index() + 1,
+                              .term_ = term_,
+                              .kind_ = kind,
+                              .payload_ = std::move(payload),
+                              .members_ = std::move(members)});
+  if (role_ == RaftRole::kLeader && kind == state::LogEntryKind::kMembers) {
+    UpdateProgressMembers();
+    AdvanceCommit();
+  }
+}
+
+void Raft::Impl::Propose(uint64_t tag,
+                         state::LogEntryKind kind,
+                         state::Bytes payload,
+                         std::vector<state::ControlMember> members) {
+  AppendOwn(kind, std::move(payload), std::move(members));
+  proposals_.emplace(log_.last_index(),
+                     PendingProposal{.term_ = term_, .tag_ = tag});
+}
+
+void Raft::Impl::EndProposal(uint64_t tag, ProposalStatus status) {
+  step_->ended_.push_back(ProposalEnd{.tag_ = tag, .status_ = status});
+}
+
+// A proposal whose entry was replaced in this log ends only when the place is
+// committed: a third leader may still bring the entry back.
+void Raft::Impl::EndCommittedProposals() {
+  while (!proposals_.empty() && proposals_.begin()->first <= commit_) {
+    const auto [index, proposal] = *proposals_.begin();
+    const std::optional<uint64_t> term = log_.TermAt(index);
+    if (!term) {
+      EndProposal(proposal.tag_, ProposalStatus::kUnknown);
+    } else if (*term != proposal.term_) {
+      EndProposal(proposal.tag_, ProposalStatus::kLost);
+    } else {
+      step_->ended_.push_back(
+          ProposalEnd{.tag_ = proposal.tag_, .index_ = index});
+    }
+    proposals_.erase(proposals_.begin());
+  }
+}
+
+void Raft::Impl::On(const RaftPropose& event) {
+  if (role_ != RaftRole::kLeader) {
+    EndProposal(event.tag_, ProposalStatus::kNotLeader);
+  } else if (log_.last_index() - commit_ >= options_.max_uncommitted_) {
+    EndProposal(event.tag_, ProposalStatus::kOverloaded);
+  } else {
+    Propose(event.tag_, state::LogEntryKind::kCommand, event.payload_, {});
+  }
+}
+
+void Raft::Impl::On(const RaftForm& event) {
+  const state::ControlMember* self = FindMember(event.members_, identity_);
+  if (!log_.empty()) {
+    EndProposal(event.tag_, ProposalStatus::kAlreadyFormed);
+    return;
+  }
+  if (self == nullptr || !self->voter_) {
+    EndProposal(event.tag_, ProposalStatus::kInvalidChange);
+    return;
+  }
+  if (term_ < kFormationTerm) {
+    BecomeFollower(kFormationTerm, "");
+  }
+  log_.Append(state::LogEntry{.index_ = 1,
+                              .term_ = kFormationTerm,
+                              .kind_ = state::LogEntryKind::kMembers,
+                              .members_ = event.members_});
+  proposals_.emplace(
+      1, PendingProposal{.term_ = kFormationTerm, .tag_ = event.tag_});
+  ResetElectionTimer();
+}
+
+// A change must be committed before the next one begins, and an entry of the
+// leader's term before the first; otherwise two majorities may have no member
+// in common.
+std::optional<ProposalStatus> Raft::Impl::RefusalOfChange() const {
+  if (role_ != RaftRole::kLeader) {
+    return ProposalStatus::kNotLeader;
+  }
+  if (log_.members_index() > commit_ || !HasCommittedOwnTerm()) {
+    return ProposalStatus::kChangePending;
+  }
+  return std::nullopt;
+}
+
+void Raft::Impl::On(const RaftAddMember& event) {
+  if (const std::optional<ProposalStatus> refusal = RefusalOfChange()) {
+    EndProposal(event.tag_, *refusal);
+    return;
+  }
+  const state::ControlMember& added = event.member_;
+  if (added.identity_.empty() || added.address_.empty() ||
+      FindMember(log_.members(), added.identity_) != nullptr) {
+    EndProposal(event.tag_, ProposalStatus::kInvalidChange);
+    return;
+  }
+  std::vector<state::ControlMember> members = log_.members();
+  members.push_back(state::ControlMember{.identity_ = added.identity_,
+                                         .instance_ = added.instance_,
+                                         .address_ = added.address_,
+                                         .voter_ = false});
+  Propose(event.tag_, state::LogEntryKind::kMembers, {}, std::move(members));
+}
+
+void Raft::Impl::On(const RaftRemoveMember& event) {
+  if (const std::optional<ProposalStatus> refusal = RefusalOfChange()) {
+    EndProposal(event.tag_, *refusal);
+    return;
+  }
+  std::vector<state::ControlMember> members;
+  for (const state::ControlMember& member : log_.members()) {
+    if (member.identity_ != event.identity_) {
+      members.push_back(member);
+    }
+  }
+  if (members.size() == log_.members().size() || CountVoters(members) == 0) {
+    EndProposal(event.tag_, ProposalStatus::kInvalidChange);
+    return;
+  }
+  Propose(event.tag_, state::LogEntryKind::kMembers, {}, std::move(members));
+}
+
+void Raft::Impl::PromoteLearner() {
+  if (RefusalOfChange()) {
+    return;
+  }
+  const auto is_caught_up = [&](const state::ControlMember& member) {
+    const auto progress = progress_.find(member.identity_);
+    return !member.voter_ && progress != progress_.end() &&
+           progress->second.match() > 0 &&
+           progress->second.match() + options_.promotion_lag_ >=
+               log_.last_index() &&
+           now_ - progress->second.last_heard() <= options_.election_min_;
+  };
+  const auto learner =
+      std::find_if(log_.members().begin(), log_.members().end(), is_caught_up);
+  if (learner == log_.members().end()) {
+    return;
+  }
+  std::vector<state::ControlMember> members;
+  for (const state::ControlMember& member : log_.members()) {
+    members.push_back(state::ControlMember{
+        .identity_ = member.identity_,
+        .instance_ = member.instance_,
+        .address_ = member.address_,
+        .voter_ = member.voter_ || member.identity_ == learner->identity_});
+  }
+  AppendOwn(state::LogEntryKind::kMembers, {}, std::move(members));
+}
+
+void Raft::Impl::On(const RaftReadIndex& event) {
+  const state::Millis expires = now_ + options_.election_max_;
+  if (role_ == RaftRole::kLeader) {
+    reads_.Add(LeaderRead{.read_id_ = event.read_id_, .expires_ = expires});
+    return;
+  }
+  if (AddressOf(leader_).empty()) {
+    reads_.End(event.read_id_, false, 0);
+    return;
+  }
+  Send(leader_,
+       ReadIndexRequest{.group_ = options_.group_,
+                        .from_ = identity_,
+                        .to_ = leader_,
+                        .read_id_ = reads_.Forward(event.read_id_, expires)});
+}
+
+void Raft::Impl::OnPeer(const ReadIndexRequest& request,
+                        const std::string& connection) {
+  LeaderRead read{.read_id_ = request.read_id_,
+                  .from_ = request.from_,
+                  .connection_ = connection,
+                  .expires_ = now_ + options_.election_max_};
+  if (role_ == RaftRole::kLeader) {
+    reads_.Add(std::move(read));
+  } else {
+    AnswerLeaderReads({read}, false);
+  }
+}
+
+void Raft::Impl::AnswerLeaderReads(const std::vector<LeaderRead>& reads,
+                                   bool confirmed) {
+  for (const LeaderRead& read : reads) {
+    if (read.from_.empty()) {
+      reads_.End(read.read_id_, confirmed, read.index_);
+      continue;
+    }
+    step_->commands_.push_back(
+        ReplyToPeer{.connection_ = read.connection_,
+                    .message_ = ReadIndexReply{.group_ = options_.group_,
+                                               .from_ = identity_,
+                                               .to_ = read.from_,
+                                               .read_id_ = read.read_id_,
+                                               .confirmed_ = confirmed,
+                                               .index_ = read.index_}});
+    // The reader waits for these entries; without a message of its own it
+    // would hear of their commitment only with the next heartbeat.
+    const auto progress = progress_.find(read.from_);
+    if (confirmed && progress != progress_.end() &&
+        progress->second.sent_commit() < read.index_) {
+      SendAppend(read.from_, &progress->second, 0);
+    }
+  }
+}
+
+void Raft::Impl::OnPeer(const ReadIndexReply& reply,
+                        const std::string& /*connection*/) {
+  reads_.OnLeaderAnswer(reply.read_id_, reply.confirmed_, reply.index_);
+}
+
+}  // namespace gooseberrygap::coordination
