--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -193,11 +193,11 @@
 }
 
 void Deployment::Pause(const std::string& name) {
-  Find(name)->Signal(SIGSTOP);
+  Find(name)->Pause();
 }
 
 void Deployment::Resume(const std::string& name) {
-  Find(name)->Signal(SIGCONT);
+  Find(name)->Resume();
 }
 
 Process* Deployment::Find(const std::string& name) const {
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -50,7 +50,7 @@
   void Kill(const std::string& name);
   // Kills the process if it runs, and starts it again.
   state::Result<void> Restart(const std::string& name);
-  // Send SIGSTOP and SIGCONT. Precondition: the process runs.
+  // Stop and continue all threads of the process. Precondition: it runs.
   void Pause(const std::string& name);
   void Resume(const std::string& name);
 
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -90,6 +90,22 @@
   }
 }
 
+void Process::Pause() {
+  if (exit_code_.has_value()) {
+    return;
+  }
+  Signal(SIGSTOP);
+  // The threads run on for a moment after kill returns. An exit is left for
+  // Wait to collect.
+  siginfo_t info = {};
+  waitid(P_PID, static_cast<id_t>(pid_), &info, WSTOPPED | WEXITED | WNOWAIT);
+  waitid(P_PID, static_cast<id_t>(pid_), &info, WSTOPPED | WNOHANG);
+}
+
+void Process::Resume() {
+  Signal(SIGCONT);
+}
+
 std::optional<int> Process::Wait(state::Millis timeout) {
   const state::SteadyClock clock;
   const state::Millis until = clock.Now() + timeout;
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -35,9 +35,13 @@
 
   pid_t pid() const { return pid_; }
 
-  // Sends the signal, for example SIGTERM, SIGKILL, SIGSTOP or SIGCONT. Does
-  // nothing when the process has ended.
+  // Sends the signal, for example SIGTERM or SIGKILL. Does nothing when the
+  // process has ended.
   void Signal(int signal);
+  // Sends SIGSTOP and returns when all threads of the process have stopped.
+  void Pause();
+  // Sends SIGCONT.
+  void Resume();
 
   // Returns the exit code, or 128 + signal when a signal ended the process, or
   // nothing when it still runs after `timeout`.
--- a/tests/support/tests/stand_in_target_test.cc
+++ b/tests/support/tests/stand_in_target_test.cc
@@ -1,4 +1,5 @@
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <catch2/catch.hpp>
@@ -77,6 +78,17 @@
   CallAnswer Call(const CallRequest& request) const {
     return CallOnce(addresses_.target_, request);
   }
+  // Sends a request and returns its socket without waiting for the answer.
+  int Begin(const std::string& path) const {
+    const int sent = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in name = ToSocketAddress(addresses_.target_);
+    REQUIRE(connect(sent, reinterpret_cast<const sockaddr*>(&name),
+                    sizeof(name)) == 0);
+    const std::string request = "GET " + path + " HTTP/1.1\r\n\r\n";
+    REQUIRE(send(sent, request.data(), request.size(), 0) ==
+            static_cast<ssize_t>(request.size()));
+    return sent;
+  }
   void SetBehaviour(const std::string& patch) const {
     REQUIRE(
         Call(
@@ -165,7 +177,11 @@
       {.path_ = "/late",
        .headers_ = {{.name_ = "Gooseberrygap-Deadline-Ms", .value_ = "20"}}});
   CHECK(late.status_ == 504);
-  CHECK(fixture.Call({.path_ = "/gone", .timeout_ = Millis(50)}).status_ == 0);
+  const int gone = fixture.Begin("/gone");
+  REQUIRE(WaitUntil("execution", [&] {
+            return fixture.HasLoad(1, 0);
+          }).has_value());
+  close(gone);
   REQUIRE(WaitUntil("end of the cancelled execution", [&] {
             return fixture.Log().size() == 4;
           }).has_value());
@@ -228,16 +244,20 @@
 TEST_CASE("a silent target begins requests, never answers, and still stops") {
   Fixture fixture({.service_ = "assay"});
   fixture.SetBehaviour(R"({"silent":true})");
-  CHECK(fixture.Call({.path_ = "/x", .timeout_ = Millis(100)}).status_ == 0);
-  std::atomic<int> status = -1;
-  std::thread caller([&] { status = fixture.Call({.path_ = "/y"}).status_; });
+  const int gone = fixture.Begin("/x");
   REQUIRE(WaitUntil("silent execution", [&] {
-            return fixture.Log().size() >= 3;
+            return fixture.HasLoad(1, 0);
+          }).has_value());
+  close(gone);
+  const int silent = fixture.Begin("/y");
+  REQUIRE(WaitUntil("second silent execution", [&] {
+            return fixture.Log().size() == 3;
           }).has_value());
   fixture.process().Signal(SIGTERM);
   CHECK(fixture.process().Wait(kPatience) == 0);
-  caller.join();
-  CHECK(status == 0);
+  char answer = 0;
+  CHECK(recv(silent, &answer, 1, 0) == 0);
+  close(silent);
 }
 
 // Guards against a crash that leaves no trace in the execution log.
@@ -261,7 +281,7 @@
                      })
         .has_value();
   };
-  std::thread caller([&] { fixture.Call({.path_ = "/x"}); });
+  const int running = fixture.Begin("/x");
   CHECK(announced_in_flight(1));
   fixture.SetBehaviour(R"({"load_report":"idle"})");
   CHECK(announced_in_flight(0));
@@ -269,8 +289,7 @@
   CHECK(announced_in_flight(1));
   fixture.SetBehaviour(R"({"load_lag_ms":3600000})");
   CHECK(announced_in_flight(0));
-  fixture.process().Signal(SIGKILL);
-  caller.join();
+  close(running);
 }
 
 // Guards against refused connections at the number that a target may hold.
