--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -215,12 +215,8 @@
     if (!instance.control_) {
       continue;
     }
-    const InstanceAddresses& addresses = deployment.AddressesOf(instance.name_);
-    if (arguments.size() == 2) {
-      arguments.push_back(absl::StrCat("--daemon=", ToString(addresses.http_)));
-    }
-    arguments.push_back(absl::StrCat(instance.name_, "=",
-                                     ToString(addresses.peer_for_control_)));
+    arguments.push_back(
+        ToString(deployment.AddressesOf(instance.name_).http_));
   }
   const state::Result<std::unique_ptr<Process>> tool =
       Process::Start({.program_ = BuiltPrograms().ctl_,
