Test HTTP connections on descriptors above FD_SETSIZE

Cause: a daemon may hold 2048 caller connections, and httplib uses select.

Ruled out: relying on review alone, since a later use of httplib's public client would bring the fault back without a failing test.

Change: a test takes 1024 descriptors and then sends a request through the server and two through the target client on one kept connection.

Conclusion: connections are not limited by select.

--- a/src/transport/tests/http_server_test.cc
+++ b/src/transport/tests/http_server_test.cc
@@ -160,6 +160,35 @@
   }
 }
 
+// Guards against httplib's use of select, which refuses or corrupts memory with
+// descriptors from FD_SETSIZE on.
+TEST_CASE("descriptors above the reach of select work") {
+  std::vector<TestSocket> taken;
+  for (int i = 0; i < FD_SETSIZE; ++i) {
+    taken.emplace_back(socket(AF_INET, SOCK_STREAM, 0));
+  }
+  REQUIRE(taken.back().connected());
+  Server server;
+  CHECK(
+      Contains(server.Exchange("GET /x HTTP/1.1\r\nConnection: close\r\n\r\n"),
+               "GET /x ."));
+  Ring<DeliveryResult> results(4);
+  const auto client = TargetClient::Start(
+      {.workers_ = 1},
+      [&](DeliveryResult result) { results.TryPush(std::move(result)); },
+      &server.counters_);
+  for (uint64_t id = 1; id <= 2; ++id) {
+    client->Deliver({.delivery_id_ = id,
+                     .address_ = server.server_->address(),
+                     .request_ = {.method_ = "GET", .path_ = "/x"},
+                     .timeout_ = kHang});
+    const auto result = results.Pop(kHang);
+    REQUIRE(result);
+    CHECK(result->answer_.body_.view() == "GET /x .");
+  }
+  CHECK(server.counters_.Get(Counter::kHttpConnectionsAccepted) == 2);
+}
+
 struct RefusedRequest {
   const std::string bytes_;
   const std::string status_;
