--- a/src/ctl/command_table.cc
+++ b/src/ctl/command_table.cc
@@ -130,14 +130,15 @@
      .takes_submission_ = false,
      .run_ = &RunCounters},
     {.name_ = "control form",
-     .arguments_ = "ADDRESS ADDRESS ADDRESS [ADDRESS ADDRESS]",
+     .arguments_ = "ADDRESS [ADDRESS ADDRESS [ADDRESS ADDRESS]]",
      .summary_ = "Forms the control group for the first time.",
      .description_ =
          "Forms a group of 3 or 5 control instances, named by their HTTP\n"
          "addresses. First reads the status of each; nothing is changed\n"
          "when one cannot be reached or belongs to another group. When the\n"
          "command is interrupted, repeat it with the same addresses:\n"
-         "instances that were formed by it are left as they are.\n"
+         "instances that were formed by it are left as they are. A group\n"
+         "of 1 stops at the first failure and is only for trials.\n"
          "\n"
          "Never form a second group in place of one that has lost its\n"
          "disks while a member of the first still exists: use 'control\n"
@@ -146,7 +147,7 @@
      .examples_ =
          "gooseberrygapctl control form 10.0.0.1:8101 10.0.0.2:8101 \\\n"
          "    10.0.1.1:8101",
-     .min_arguments_ = 3,
+     .min_arguments_ = 1,
      .max_arguments_ = 5,
      .takes_submission_ = false,
      .run_ = &RunControlForm},
