--- /dev/null
+++ b/src/coordination/tests/raft_member_test.cc
@@ -0,0 +1,138 @@
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "coordination/coordination.h"
+
+namespace gooseberrygap::coordination {
+namespace {
+
+// Guards against a vote of a member that is in no list, however it is asked.
+TEST_CASE("a member outside the list does not vote", "[configuration]") {
+  std::mt19937 random(1);
+  Raft raft({}, {.identity_ = "new"}, random, state::Millis(0));
+  for (const char* to : {"new", "old"}) {
+    for (const bool pre_vote : {true, false}) {
+      const Raft::Step step = raft.Handle(
+          RaftMessageReceived{.message_ = VoteRequest{.from_ = "a",
+                                                      .to_ = to,
+                                                      .term_ = 5,
+                                                      .pre_vote_ = pre_vote,
+                                                      .last_index_ = 9,
+                                                      .last_term_ = 4}},
+          state::Millis(5000));
+      CHECK(step.commands_.empty());
+      CHECK_FALSE(step.batch_);
+    }
+  }
+}
+
+// Guards against a replaced member answering for its former identity, which
+// would count one data folder as two votes.
+TEST_CASE("a member answers only to its own identity", "[configuration]") {
+  std::mt19937 random(1);
+  Raft raft({},
+            {.identity_ = "new",
+             .entries_ = {{.index_ = 1,
+                           .term_ = 1,
+                           .kind_ = state::LogEntryKind::kMembers,
+                           .members_ = {{.identity_ = "old"},
+                                        {.identity_ = "new"}}}}},
+            random, state::Millis(0));
+  for (const char* to : {"old", "new"}) {
+    const Raft::Step step = raft.Handle(
+        RaftMessageReceived{.message_ = VoteRequest{.from_ = "a",
+                                                    .to_ = to,
+                                                    .term_ = 5,
+                                                    .pre_vote_ = true,
+                                                    .last_index_ = 9,
+                                                    .last_term_ = 4}},
+        state::Millis(5000));
+    CHECK(step.commands_.empty() == (to == std::string("old")));
+  }
+}
+
+// Guards against acknowledging an entry because an entry that it replaced was
+// written in its place.
+TEST_CASE("a replaced entry does not count as durable", "[configuration]") {
+  std::mt19937 random(1);
+  Raft raft({}, {.identity_ = "a"}, random, state::Millis(0));
+  uint64_t acknowledged = 0;
+  const auto give = [&](const RaftEvent& event) {
+    const Raft::Step step = raft.Handle(event, state::Millis(0));
+    for (const Command& command : step.commands_) {
+      const auto* reply = std::get_if<ReplyToPeer>(&command);
+      REQUIRE(reply != nullptr);
+      acknowledged = std::get<AppendReply>(reply->message_).index_;
+    }
+    return step.batch_ ? step.batch_->sequence_ : 0;
+  };
+  const auto append = [&](uint64_t term, uint64_t previous, uint64_t last) {
+    std::vector<state::LogEntry> entries;
+    for (uint64_t index = previous + 1; index <= last; ++index) {
+      entries.push_back({.index_ = index, .term_ = term});
+    }
+    return give(RaftMessageReceived{
+        .message_ = AppendRequest{.from_ = "leader",
+                                  .to_ = "a",
+                                  .term_ = term,
+                                  .previous_index_ = previous,
+                                  .previous_term_ = previous == 0 ? 0U : 1U,
+                                  .entries_ = entries}});
+  };
+  append(1, 0, 3);
+  give(RaftPersisted{.sequence_ = append(2, 0, 0)});
+  const uint64_t replacement = append(2, 1, 3);
+  CHECK(acknowledged <= 1);
+  give(RaftPersisted{.sequence_ = replacement});
+  CHECK(acknowledged == 3);
+}
+
+// Guards against committing an entry of an earlier term because a majority has
+// it: a member without it may still be elected and replace it.
+TEST_CASE("an entry of an earlier term is not committed alone",
+          "[configuration]") {
+  std::mt19937 random(1);
+  state::Millis now(0);
+  const std::vector<state::ControlMember> members = {
+      {.identity_ = "a"}, {.identity_ = "b"}, {.identity_ = "c"}};
+  Raft raft({},
+            {.identity_ = "a",
+             .vote_ = {.term_ = 2},
+             .entries_ = {{.index_ = 1,
+                           .term_ = 1,
+                           .kind_ = state::LogEntryKind::kMembers,
+                           .members_ = members},
+                          {.index_ = 2, .term_ = 2}}},
+            random, now);
+  const auto give = [&](const RaftEvent& event) {
+    const Raft::Step step = raft.Handle(event, now);
+    if (step.batch_) {
+      raft.Handle(RaftPersisted{.sequence_ = step.batch_->sequence_}, now);
+    }
+  };
+  const auto receive = [&](const PeerMessage& message) {
+    give(RaftMessageReceived{.message_ = message});
+  };
+  now = state::Millis(1000);
+  give(RaftTick{});
+  for (const bool pre_vote : {true, false}) {
+    receive(VoteReply{.from_ = "b",
+                      .to_ = "a",
+                      .term_ = 3,
+                      .pre_vote_ = pre_vote,
+                      .granted_ = true});
+  }
+  REQUIRE(raft.role() == RaftRole::kLeader);
+  REQUIRE(raft.last_index() == 3);
+  for (const uint64_t index : {2U, 3U}) {
+    receive(AppendReply{.from_ = "b",
+                        .to_ = "a",
+                        .term_ = 3,
+                        .success_ = true,
+                        .index_ = index});
+    CHECK(raft.commit_index() == (index == 3 ? 3 : 0));
+  }
+}
+
+}  // namespace
+}  // namespace gooseberrygap::coordination
