--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -47,6 +47,8 @@
   sigaddset(&signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+  // A file-size limit then fails the write with an error that names it.
+  std::signal(SIGXFSZ, SIG_IGN);
   return signals;
 }
 
--- a/tests/integration/answers_test.cc
+++ b/tests/integration/answers_test.cc
@@ -24,8 +24,10 @@
   for (const auto& instance : deployment->spec().instances_) {
     REQUIRE(deployment->SetLink(
         absl::StrCat("peer:", instance.name_),
-        R"({"both": {"delay_ms": 1, "jitter_ms": 4, "duplicate": 0.1,
-            "reorder": 0.1}})"));
+        R"({"forward": {"delay_ms": 1, "jitter_ms": 4, "duplicate_share": 0.1,
+                        "reorder_share": 0.1},
+            "backward": {"delay_ms": 1, "jitter_ms": 4, "duplicate_share": 0.1,
+                         "reorder_share": 0.1}})"));
   }
   std::atomic<int> own = 0;
   std::atomic<int> not_complete = 0;
@@ -37,14 +39,14 @@
           *deployment,
           instances[static_cast<size_t>(i) % instances.size()].name_));
       for (int j = 0; j < kCallsEach; ++j) {
-        const std::string path = absl::StrCat("/samples/", i, "/", j);
+        const std::string path = absl::StrCat("/search/", i, "/", j);
         const std::string body =
             absl::StrCat(std::string(static_cast<size_t>(j) * 10, 'x'), i, j);
-        const CallAnswer answer = caller.Call(Lookup(path, body));
+        const CallAnswer answer = caller.Call(Search(path, body));
         if (answer.Outcome() != "complete") {
           ++not_complete;
         } else if (answer.body_ ==
-                   test_support::ExpectedEcho("GET", path, body)) {
+                   test_support::ExpectedEcho("POST", path, body)) {
           ++own;
         }
       }
--- a/tests/integration/fixture.cc
+++ b/tests/integration/fixture.cc
@@ -47,6 +47,10 @@
                             {"path_prefix", "/"},
                             {"request_class", "idempotent"},
                             {"key_source", "header"}};
+  const json search_rule = {{"method", "POST"},
+                            {"path_prefix", "/search"},
+                            {"request_class", "idempotent"},
+                            {"key_source", "header"}};
   const json action_rule = {{"method", "POST"},
                             {"path_prefix", "/"},
                             {"request_class", "non_idempotent"},
@@ -54,7 +58,7 @@
   return json{{"name", name},
               {"strategy", strategy},
               {"default_deadline_ms", 4000},
-              {"rules", json::array({lookup_rule, action_rule})}};
+              {"rules", json::array({lookup_rule, search_rule, action_rule})}};
 }
 
 }  // namespace
@@ -117,10 +121,17 @@
   return deployment.AddressesOf(instance).http_for_callers_;
 }
 
-test_support::CallRequest Lookup(const std::string& path,
+test_support::CallRequest Lookup(const std::string& path) {
+  return test_support::CallRequest{.path_ =
+                                       absl::StrCat("/", kLookupService, path)};
+}
+
+test_support::CallRequest Search(const std::string& path,
                                  const std::string& body) {
   return test_support::CallRequest{
-      .path_ = absl::StrCat("/", kLookupService, path), .body_ = body};
+      .method_ = "POST",
+      .path_ = absl::StrCat("/", kLookupService, path),
+      .body_ = body};
 }
 
 test_support::CallRequest Action(const std::string& key,
--- a/tests/integration/fixture.h
+++ b/tests/integration/fixture.h
@@ -50,9 +50,11 @@
     const test_support::Deployment& deployment,
     const std::string& instance);
 
-// Returns a lookup of that path, or an action under that idempotency key.
-test_support::CallRequest Lookup(const std::string& path,
-                                 const std::string& body = "");
+// Returns a lookup of that path, a lookup with a body (its path begins with
+// "/search"), or an action under that idempotency key.
+test_support::CallRequest Lookup(const std::string& path);
+test_support::CallRequest Search(const std::string& path,
+                                 const std::string& body);
 test_support::CallRequest Action(const std::string& key,
                                  const std::string& body = "");
 
