--- a/tests/integration/answers_test.cc
+++ b/tests/integration/answers_test.cc
@@ -21,14 +21,12 @@
           "[answers]") {
   const auto deployment =
       StartDeployment({.proxied_ = {.peer_ = true}, .seed_ = 7});
-  for (const auto& instance : deployment->spec().instances_) {
-    REQUIRE(deployment->SetLink(
-        absl::StrCat("peer:", instance.name_),
-        R"({"forward": {"delay_ms": 1, "jitter_ms": 4, "duplicate_share": 0.1,
-                        "reorder_share": 0.1},
-            "backward": {"delay_ms": 1, "jitter_ms": 4, "duplicate_share": 0.1,
-                         "reorder_share": 0.1}})"));
-  }
+  SetAllPeerLinks(
+      *deployment,
+      R"({"forward": {"delay_ms": 1, "jitter_ms": 4, "duplicate_share": 0.1,
+                      "reorder_share": 0.1},
+          "backward": {"delay_ms": 1, "jitter_ms": 4, "duplicate_share": 0.1,
+                       "reorder_share": 0.1}})");
   std::atomic<int> own = 0;
   std::atomic<int> not_complete = 0;
   std::vector<std::thread> threads;
--- a/tests/integration/fixture.cc
+++ b/tests/integration/fixture.cc
@@ -116,6 +116,17 @@
   return deployment;
 }
 
+void SetAllPeerLinks(const Deployment& deployment, const std::string& patch) {
+  for (const InstanceSpec& from : deployment.spec().instances_) {
+    for (const InstanceSpec& to : deployment.spec().instances_) {
+      if (from.name_ != to.name_) {
+        REQUIRE(deployment.SetLink(
+            absl::StrCat("peer:", from.name_, ">", to.name_), patch));
+      }
+    }
+  }
+}
+
 const test_support::Address& CallerAddress(const Deployment& deployment,
                                            const std::string& instance) {
   return deployment.AddressesOf(instance).http_for_callers_;
--- a/tests/integration/fixture.h
+++ b/tests/integration/fixture.h
@@ -45,6 +45,11 @@
 std::unique_ptr<test_support::Deployment> StartDeployment(
     const FixtureOptions& options);
 
+// Changes the proxied peer links between all pairs of instances, see the fault
+// proxy's control page. Fails the running test when a link is not there.
+void SetAllPeerLinks(const test_support::Deployment& deployment,
+                     const std::string& patch);
+
 // Returns the address at which callers reach the instance.
 const test_support::Address& CallerAddress(
     const test_support::Deployment& deployment,
