--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -22,6 +22,7 @@
 constexpr size_t kMaxBatch = 512;
 constexpr state::Millis kStatusTimeout(2000);
 constexpr state::Millis kChangeTimeout(5000);
+constexpr state::Millis kFormTimeout(200);
 // Tags of membership changes differ from those of the control service.
 constexpr uint64_t kChangeTagBit = uint64_t{1} << 63;
 // A leader that heard from its quorum this lately may answer for the group.
@@ -58,6 +59,15 @@
      "The data folder belongs to a control group"},
 }};
 
+state::Result<void> ResultOf(const coordination::ProposalEnd& end) {
+  for (const ChangeErrorRow& row : kChangeErrors) {
+    if (row.status_ == end.status_) {
+      return state::MakeError(row.kind_, row.what_);
+    }
+  }
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
 coordination::ProposalOutcome OutcomeOf(ProposalStatus status) {
   switch (status) {
     case ProposalStatus::kCommitted:
@@ -142,9 +152,22 @@
 
 state::Result<void> ControlDuty::Form(
     const std::vector<state::ControlMember>& members) {
-  return Change([&members](uint64_t tag) -> RaftEvent {
-    return coordination::RaftForm{.tag_ = tag, .members_ = members};
-  });
+  const auto opened = change_slots_.Open();
+  ring_.TryPush(Item(RaftEvent(coordination::RaftForm{
+      .tag_ = opened.id_ | kChangeTagBit, .members_ = members})));
+  // The first members commit nothing before a majority of them is formed, so
+  // only a refusal is waited for.
+  const auto end = opened.slot_->Wait(kFormTimeout);
+  change_slots_.Close(opened.id_);
+  if (end.has_value()) {
+    return ResultOf(*end);
+  }
+  const auto status = Status();
+  if (status.has_value() && status->formed_) {
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+  return state::MakeError(state::ErrorKind::kTimeout,
+                          "The group was not formed in time");
 }
 
 state::Result<void> ControlDuty::AddMember(const state::ControlMember& member) {
@@ -169,12 +192,7 @@
     return state::MakeError(state::ErrorKind::kTimeout,
                             "The change was not accepted in time");
   }
-  for (const ChangeErrorRow& row : kChangeErrors) {
-    if (row.status_ == end->status_) {
-      return state::MakeError(row.kind_, row.what_);
-    }
-  }
-  return BOOST_OUTCOME_V2_NAMESPACE::success();
+  return ResultOf(*end);
 }
 
 std::optional<protocol::ControlStatus> ControlDuty::Status() {
