Add latency histograms with Boost.Histogram

Cause: operators need call latency, added latency and queue time, and the house style asks for Boost.Histogram.

Ruled out: a histogram for each target; its cost grows with the fleet.

--- a/src/coordination/api/commands.h
+++ b/src/coordination/api/commands.h
@@ -2,6 +2,7 @@
 #define COORDINATION_API_COMMANDS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -39,6 +40,10 @@
   const std::string request_id_ = {};
   const std::string target_ = {};
   const state::HttpAnswer answer_ = {};  // Of kComplete.
+  // Time since the call's arrival, and the part of it that the answering guard
+  // had the attempt; absent when no guard has answered.
+  const std::optional<state::Millis> latency_ = {};
+  const std::optional<state::Millis> guard_time_ = {};
 
   friend bool operator==(const CallAnswer&, const CallAnswer&) = default;
 };
--- a/src/coordination/internal/action_calls.cc
+++ b/src/coordination/internal/action_calls.cc
@@ -153,8 +153,7 @@
     return Commands();
   }
   if (answer.result_ == AttemptResult::kComplete) {
-    return Finish(action,
-                  Complete(action->call_, answer.target_, answer.answer_), now);
+    return Finish(action, Complete(action->call_, answer, now), now);
   }
   if (answer.result_ != AttemptResult::kRefused) {
     return Finish(action, UnknownOutcome(action->call_, answer.refusal_), now);
@@ -208,7 +207,7 @@
                              state::Millis now) {
   const ClassifiedCall& call = action->call_;
   if (result.state_ == ActionState::kDone) {
-    AnswerCall answer = Complete(call, "", result.answer_);
+    AnswerCall answer = Stored(call, result.answer_);
     return Finish(action, std::move(answer), now);
   }
   if (result.state_ == ActionState::kUnknown) {
--- a/src/coordination/internal/call.cc
+++ b/src/coordination/internal/call.cc
@@ -113,12 +113,21 @@
 }
 
 AnswerCall Complete(const ClassifiedCall& call,
-                    const std::string& target,
-                    const state::HttpAnswer& answer) {
+                    const AttemptAnswer& answer,
+                    state::Millis now) {
+  return AnswerCall{.call_id_ = call.call_id_,
+                    .answer_ = CallAnswer{.outcome_ = Outcome::kComplete,
+                                          .request_id_ = call.request_id_,
+                                          .target_ = answer.target_,
+                                          .answer_ = answer.answer_,
+                                          .latency_ = now - call.arrival_,
+                                          .guard_time_ = answer.guard_time_}};
+}
+
+AnswerCall Stored(const ClassifiedCall& call, const state::HttpAnswer& answer) {
   return AnswerCall{.call_id_ = call.call_id_,
                     .answer_ = CallAnswer{.outcome_ = Outcome::kComplete,
                                           .request_id_ = call.request_id_,
-                                          .target_ = target,
                                           .answer_ = answer}};
 }
 
--- a/src/coordination/internal/call.h
+++ b/src/coordination/internal/call.h
@@ -85,8 +85,10 @@
 AnswerCall UnknownOutcome(const ClassifiedCall& call,
                           state::RefusalReason reason);
 AnswerCall Complete(const ClassifiedCall& call,
-                    const std::string& target,
-                    const state::HttpAnswer& answer);
+                    const AttemptAnswer& answer,
+                    state::Millis now);
+// The answer of an action that the register has stored.
+AnswerCall Stored(const ClassifiedCall& call, const state::HttpAnswer& answer);
 
 }  // namespace gooseberrygap::coordination
 
--- a/src/coordination/internal/guard.cc
+++ b/src/coordination/internal/guard.cc
@@ -267,6 +267,8 @@
   }
 
   Commands Start(const GuardWork& work, state::Millis now) {
+    counters_->histograms().Record(state::Histogram::kQueueTime,
+                                   now - work.arrival_);
     const uint64_t delivery_id = next_delivery_++;
     runs_alone_ = work.run_alone_;
     Running running{.work_ = work, .started_ = now};
--- a/src/coordination/internal/lookup_calls.cc
+++ b/src/coordination/internal/lookup_calls.cc
@@ -68,8 +68,7 @@
     return Commands();
   }
   if (is_served) {
-    return Finish(lookup,
-                  Complete(lookup->call_, answer.target_, answer.answer_), now);
+    return Finish(lookup, Complete(lookup->call_, answer, now), now);
   }
   if (is_refused) {
     return OnRefused(lookup, answer, now);
@@ -127,7 +126,7 @@
   const ClassifiedCall& call = lookup->call_;
   if (lookup->error_answer_.has_value()) {
     const AttemptAnswer answer = *lookup->error_answer_;
-    return Finish(lookup, Complete(call, answer.target_, answer.answer_), now);
+    return Finish(lookup, Complete(call, answer, now), now);
   }
   if (lookup->failures_ == 0) {
     return Finish(lookup, NotRun(call, lookup->last_reason_), now);
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -290,6 +290,12 @@
   }
 
   void Count(const CallAnswer& answer) {
+    state::Histograms& histograms = counters_->histograms();
+    if (answer.latency_.has_value()) {
+      histograms.Record(state::Histogram::kCallLatency, *answer.latency_);
+      histograms.Record(state::Histogram::kAddedLatency,
+                        *answer.latency_ - *answer.guard_time_);
+    }
     switch (answer.outcome_) {
       case Outcome::kComplete:
         counters_->Add(state::Counter::kCallsComplete);
--- a/src/daemon/http_front.cc
+++ b/src/daemon/http_front.cc
@@ -303,7 +303,9 @@
       .status_ = 200,
       .headers_ = {HttpHeader{.name_ = "Content-Type",
                               .value_ = "text/plain; version=0.0.4"}},
-      .body_ = state::Bytes(protocol::PrintMetrics(counters_->Samples()))};
+      .body_ = state::Bytes(absl::StrCat(
+          protocol::PrintMetrics(counters_->Samples()),
+          protocol::PrintHistograms(counters_->histograms().Samples())))};
 }
 
 HttpAnswer HttpFront::ShowStatus(const HttpRequest&) {
--- a/src/protocol/internal/metrics_text.cc
+++ b/src/protocol/internal/metrics_text.cc
@@ -30,4 +30,22 @@
   return text;
 }
 
+std::string PrintHistograms(
+    const std::vector<state::HistogramSample>& samples) {
+  std::string text;
+  for (const state::HistogramSample& sample : samples) {
+    const std::string& name = sample.name_;
+    absl::StrAppend(&text, "# HELP ", name, " ", EscapeHelp(sample.help_),
+                    "\n# TYPE ", name, " histogram\n");
+    for (const state::HistogramBucket& bucket : sample.buckets_) {
+      absl::StrAppend(&text, name, "_bucket{le=\"", bucket.upper_bound_.value(),
+                      "\"} ", bucket.cumulative_count_, "\n");
+    }
+    absl::StrAppend(&text, name, "_bucket{le=\"+Inf\"} ", sample.count_, "\n",
+                    name, "_sum ", sample.sum_.value(), "\n", name, "_count ",
+                    sample.count_, "\n");
+  }
+  return text;
+}
+
 }  // namespace gooseberrygap::protocol
--- a/src/state/api/counters.h
+++ b/src/state/api/counters.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "state/api/histograms.h"
 #include "state/api/reasons.h"
 
 namespace gooseberrygap::state {
@@ -76,7 +77,7 @@
   friend bool operator==(const CounterSample&, const CounterSample&) = default;
 };
 
-// All counters of a process. Thread-safe; never decreases.
+// All counters and histograms of a process. Thread-safe; never decreases.
 class Counters {
  public:
   void Add(Counter counter, uint64_t amount = 1);
@@ -88,6 +89,9 @@
   // Returns every counter, also those that are zero, ordered by family.
   std::vector<CounterSample> Samples() const;
 
+  Histograms& histograms() { return histograms_; }
+  const Histograms& histograms() const { return histograms_; }
+
  private:
   template <class Enum>
   using Table =
@@ -96,6 +100,7 @@
   Table<Counter> counters_ = {};
   Table<RefusalReason> refusals_ = {};
   Table<RetryReason> retries_ = {};
+  Histograms histograms_;
 };
 
 }  // namespace gooseberrygap::state
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -12,6 +12,7 @@
 #include "state/api/configuration_store.h"
 #include "state/api/counters.h"
 #include "state/api/error.h"
+#include "state/api/histograms.h"
 #include "state/api/http.h"
 #include "state/api/log.h"
 #include "state/api/log_command.h"
