Prove that the control group's disk state is safe

Cause: no test showed with real processes what a lost folder, a damaged log and a full disk do to the control group.

Change: label disk: lost data folder, second loss after a replacement, five voters without any two, a flipped byte, RLIMIT_FSIZE on each voter in turn.

--- /dev/null
+++ b/tests/integration/control_disk_test.cc
@@ -0,0 +1,288 @@
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "integration/control_pages.h"
+#include "integration/fixture.h"
+
+namespace gooseberrygap::integration {
+namespace {
+
+using test_support::Deployment;
+using test_support::WaitUntil;
+
+std::vector<std::string> Voters(int count) {
+  std::vector<std::string> names;
+  for (int i = 0; i < count; ++i) {
+    names.push_back(absl::StrCat("lookup-", i));
+  }
+  return names;
+}
+
+std::vector<std::string> Others(const std::vector<std::string>& names,
+                                const std::string& name) {
+  std::vector<std::string> others = names;
+  others.erase(std::remove(others.begin(), others.end(), name), others.end());
+  return others;
+}
+
+std::unique_ptr<Deployment> StartVoters(int count) {
+  return StartDeployment({.lookup_targets_ = count,
+                          .action_targets_ = 1,
+                          .control_instances_ = count});
+}
+
+std::string DataFolder(const Deployment& deployment,
+                       const std::string& instance) {
+  return absl::StrCat(deployment.folder(), "/", instance, ".data");
+}
+
+// Returns the paths of the files that hold log entries, oldest first.
+std::vector<std::string> LogFiles(const Deployment& deployment,
+                                  const std::string& instance) {
+  std::vector<std::string> paths;
+  for (const auto& entry :
+       std::filesystem::directory_iterator(DataFolder(deployment, instance))) {
+    if (absl::StartsWith(entry.path().filename().string(), "log")) {
+      paths.push_back(entry.path().string());
+    }
+  }
+  std::sort(paths.begin(), paths.end());
+  return paths;
+}
+
+// Deletes the data folder of the instance while it is down, starts it again,
+// and checks that it is nobody to the group until it is added. Returns the old
+// and the new identity.
+std::pair<std::string, std::string> LoseFolder(Deployment* deployment,
+                                               const std::string& victim) {
+  const std::string old_identity =
+      ReadControlPage(*deployment, victim).identity_;
+  REQUIRE(!old_identity.empty());
+  deployment->Kill(victim);
+  std::filesystem::remove_all(DataFolder(*deployment, victim));
+  Check(deployment->Start(victim));
+  const ControlPage page = ReadControlPage(*deployment, victim);
+  CHECK(!page.identity_.empty());
+  CHECK(page.identity_ != old_identity);
+  CHECK(!page.formed_);
+  CHECK(page.role_ == "follower");
+  return {old_identity, page.identity_};
+}
+
+// Adds the instance under its new identity, waits until it votes, and removes
+// the old identity.
+void Replace(const Deployment& deployment,
+             const std::vector<std::string>& others,
+             const std::string& victim,
+             const std::pair<std::string, std::string>& identities) {
+  const auto& [old_identity, new_identity] = identities;
+  const std::string address =
+      test_support::ToString(deployment.AddressesOf(victim).http_);
+  const auto run_until_done = [&](const std::vector<std::string>& arguments) {
+    ToolRun run;
+    Check(WaitUntil(absl::StrCat("gooseberrygapctl ", arguments[1]), [&] {
+      const ToolRun last =
+          RunTool(deployment, WaitForLeader(deployment, others), arguments);
+      UNSCOPED_INFO(last.output_);
+      return last.exit_code_ == 0;
+    }));
+  };
+  run_until_done({"control", "add", address});
+  Check(WaitUntil("the new voter", [&] {
+    const auto voters =
+        ReadControlPage(deployment, WaitForLeader(deployment, others)).voters_;
+    const auto voter = voters.find(new_identity);
+    return voter != voters.end() && voter->second;
+  }));
+  run_until_done({"control", "remove", old_identity});
+  Check(WaitUntil("the removal of the old identity", [&] {
+    return ReadControlPage(deployment, WaitForLeader(deployment, others))
+               .voters_.count(old_identity) == 0;
+  }));
+}
+
+// Guards against an instance that lost its folder and votes a second time, or
+// that cannot be brought back.
+TEST_CASE("a voter that lost its folder votes only after it was added",
+          "[disk]") {
+  const auto deployment = StartVoters(3);
+  const std::vector<std::string> voters = Voters(3);
+  IndexMonitor monitor(*deployment);
+  SubmitVersions(*deployment, voters, 2, 10);
+  const std::string victim = voters[2];
+  const auto identities = LoseFolder(deployment.get(), victim);
+  const std::vector<std::string> healthy = Others(voters, victim);
+
+  // Two of three voters are left. Without the second there is no majority,
+  // whatever the instance with the empty folder does.
+  deployment->Pause(healthy[1]);
+  const auto& address = deployment->AddressesOf(healthy[0]).http_;
+  const SubmitAnswer alone =
+      SubmitOnce(address, "alone", VariantDocument(11, 11));
+  CHECK(alone.status_ != "accepted");
+  const ControlPage page = ReadControlPage(*deployment, victim);
+  CHECK(page.role_ == "follower");
+  CHECK(page.commit_index_ == 0);
+  deployment->Resume(healthy[1]);
+
+  SubmitVersions(*deployment, healthy, 11, 20);
+  Replace(*deployment, healthy, victim, identities);
+  // The new voter now makes a majority with one of the others.
+  deployment->Kill(healthy[1]);
+  const uint64_t index =
+      SubmitVersions(*deployment, {healthy[0], victim}, 21, 30);
+  Check(deployment->Start(healthy[1]));
+  Check(deployment->WaitForConfiguration(index));
+  monitor.Stop();
+  CHECK(monitor.decreases() == 0);
+}
+
+// Guards against a replaced voter that counts before it holds what was
+// accepted.
+TEST_CASE("a second loss right after a replacement loses nothing", "[disk]") {
+  const auto deployment = StartVoters(3);
+  const std::vector<std::string> voters = Voters(3);
+  IndexMonitor monitor(*deployment);
+  uint64_t index = SubmitVersions(*deployment, voters, 2, 60);
+  const auto first = LoseFolder(deployment.get(), voters[0]);
+  Replace(*deployment, {voters[1], voters[2]}, voters[0], first);
+  const auto second = LoseFolder(deployment.get(), voters[1]);
+  const std::vector<std::string> healthy = {voters[0], voters[2]};
+  WaitForLeader(*deployment, healthy);
+  const SubmitAnswer resend = Submit(deployment->AddressesOf("action-0").http_,
+                                     "change-60", VariantDocument(60, 60));
+  CHECK(resend.status_ == "accepted");
+  CHECK(resend.index_ == index);
+  Replace(*deployment, healthy, voters[1], second);
+  index = SubmitVersions(*deployment, voters, 61, 70);
+  for (const auto& instance : deployment->spec().instances_) {
+    Check(deployment->Restart(instance.name_));
+  }
+  Check(deployment->WaitForConfiguration(index));
+  CHECK(ReadVersion(deployment->AddressesOf("action-0").http_) == 70);
+  monitor.Stop();
+  CHECK(monitor.decreases() == 0);
+}
+
+// Guards against a group of five that stops with three voters left.
+TEST_CASE("five voters with any two lost still accept", "[disk]") {
+  const auto deployment = StartVoters(5);
+  const std::vector<std::string> voters = Voters(5);
+  IndexMonitor monitor(*deployment);
+  uint64_t version = 1;
+  for (size_t i = 0; i < voters.size(); ++i) {
+    for (size_t j = i + 1; j < voters.size(); ++j) {
+      INFO("without " << voters[i] << " and " << voters[j]);
+      deployment->Kill(voters[i]);
+      deployment->Kill(voters[j]);
+      SubmitVersions(*deployment, {"action-0"}, version + 1, version + 2);
+      version += 2;
+      Check(deployment->Start(voters[i]));
+      Check(deployment->Start(voters[j]));
+    }
+  }
+  const uint64_t index =
+      SubmitVersions(*deployment, voters, version + 1, version + 1);
+  Check(deployment->WaitForConfiguration(index));
+  monitor.Stop();
+  CHECK(monitor.decreases() == 0);
+}
+
+// Guards against a voter that goes on with a damaged log.
+TEST_CASE("a flipped byte stops the voter with a remedy", "[disk]") {
+  const auto deployment = StartVoters(3);
+  const std::vector<std::string> voters = Voters(3);
+  IndexMonitor monitor(*deployment);
+  SubmitVersions(*deployment, voters, 2, 30);
+  const std::string victim = voters[1];
+  const std::string old_identity =
+      ReadControlPage(*deployment, victim).identity_;
+  const std::vector<std::string> healthy = Others(voters, victim);
+  deployment->Kill(victim);
+  const std::vector<std::string> files = LogFiles(*deployment, victim);
+  REQUIRE(!files.empty());
+  const auto place =
+      static_cast<std::streamoff>(std::filesystem::file_size(files[0]) / 2);
+  {
+    std::fstream file(files[0],
+                      std::ios::in | std::ios::out | std::ios::binary);
+    file.seekg(place);
+    const char byte = static_cast<char>(file.get());
+    file.seekp(place);
+    file.put(static_cast<char>(byte ^ 0x10));
+  }
+  CHECK(!deployment->Start(victim));
+  const std::string log =
+      ReadFile(test_support::LogPath(deployment->folder(), victim));
+  INFO(log);
+  CHECK(absl::StrContains(log, "Move the data folder away"));
+  CHECK(absl::StrContains(log, "gooseberrygapctl control add"));
+  SubmitVersions(*deployment, healthy, 31, 40);
+
+  // The remedy that the message names works.
+  std::filesystem::rename(
+      DataFolder(*deployment, victim),
+      absl::StrCat(DataFolder(*deployment, victim), ".bad"));
+  Check(deployment->Start(victim));
+  Replace(*deployment, healthy, victim,
+          {old_identity, ReadControlPage(*deployment, victim).identity_});
+  Check(deployment->WaitForConfiguration(
+      SubmitVersions(*deployment, voters, 41, 45)));
+  monitor.Stop();
+  CHECK(monitor.decreases() == 0);
+}
+
+// Guards against a voter that acknowledges what it could not write. Each voter
+// is hit once, so the leader is among them.
+TEST_CASE("a full disk stops the voter with a remedy", "[disk]") {
+  const auto deployment = StartVoters(3);
+  const std::vector<std::string> voters = Voters(3);
+  IndexMonitor monitor(*deployment);
+  // Log files of the process are larger than what its own messages need.
+  SubmitVersions(*deployment, voters, 2, 40);
+  uint64_t version = 40;
+  for (const std::string& victim : voters) {
+    INFO("victim " << victim);
+    const std::vector<std::string> healthy = Others(voters, victim);
+    const std::string log = test_support::LogPath(deployment->folder(), victim);
+    // The limit leaves room for the messages of the process, which go to a
+    // file too.
+    const rlimit limit = {std::filesystem::file_size(log) + 4096,
+                          RLIM_INFINITY};
+    REQUIRE(prlimit(deployment->Find(victim)->pid(), RLIMIT_FSIZE, &limit,
+                    nullptr) == 0);
+    for (int i = 0; i < 200; ++i) {
+      if (ReadControlPage(*deployment, victim).role_ == "failed") {
+        break;
+      }
+      ++version;
+      SubmitVersions(*deployment, healthy, version, version);
+    }
+    CHECK(ReadControlPage(*deployment, victim).role_ == "failed");
+    CHECK(absl::StrContains(ReadFile(log), "Free space on the disk"));
+    // The group and the daemon beside the failed role go on.
+    const uint64_t index =
+        SubmitVersions(*deployment, healthy, version + 1, version + 5);
+    version += 5;
+    Check(deployment->WaitForConfiguration(index));
+    CHECK(CallOnce(CallerAddress(*deployment, victim), Lookup("/samples/1"))
+              .Outcome() == "complete");
+    // The restart after space was freed; the new process has no limit.
+    Check(deployment->Restart(victim));
+    Check(WaitUntil("the restarted voter", [&] {
+      return ReadControlPage(*deployment, victim).commit_index_ >= index;
+    }));
+  }
+  monitor.Stop();
+  CHECK(monitor.decreases() == 0);
+}
+
+}  // namespace
+}  // namespace gooseberrygap::integration
