Let control form accept an instance that its group has reached

Cause: 'gooseberrygapctl control form' forms the instances one after another. With five voters the first three are a majority, elect a leader, and the leader can reach the fourth before the tool does. The instance then refuses the form as already formed, and the command fails although the group is right.

Change: after a failed form the tool reads the status again and goes on when the instance is formed with exactly the members that were asked for. Unit test first; it also keeps the refusal for other members.

Conclusion: the race is closed for any order of the two.

--- a/src/ctl/control_commands.cc
+++ b/src/ctl/control_commands.cc
@@ -79,6 +79,24 @@
                       member.voter_ ? "voter" : "learner", "\n");
 }
 
+// Forms the group at one instance. A refusal is a success when the instance is
+// in the group by now: the instances formed before it may be a majority, whose
+// leader can reach it first.
+state::Result<void> FormAt(const Candidate& candidate,
+                           const std::vector<ControlMember>& members) {
+  const auto answer = candidate.client_.Post("/-/control/form",
+                                             protocol::PrintMembers(members));
+  if (!answer.has_error()) {
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+  const auto status =
+      candidate.client_.Get(kStatusPath, &protocol::ParseControlStatus);
+  if (status.has_value() && IsFormedWith(status.value(), members)) {
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+  return answer.error();
+}
+
 state::Result<std::vector<Candidate>> ReadCandidates(
     const Invocation& invocation) {
   std::vector<Candidate> candidates;
@@ -123,9 +141,8 @@
     return state::MakeError(ErrorKind::kAlreadyFormed,
                             "These instances already form a group");
   }
-  const std::string body = protocol::PrintMembers(members.value());
   for (const Candidate* candidate : unformed) {
-    const auto answer = candidate->client_.Post("/-/control/form", body);
+    const auto answer = FormAt(*candidate, members.value());
     if (answer.has_error()) {
       return state::Error{
           .kind_ = answer.error().kind_,
--- a/src/ctl/tests/control_commands_test.cc
+++ b/src/ctl/tests/control_commands_test.cc
@@ -94,6 +94,20 @@
   CheckFails(daemons.Form(), ExitCode::kFailed, "already form a group");
 }
 
+// Guards against a form that fails because the first instances, which are a
+// majority, elected a leader that reached a later one before the tool did.
+TEST_CASE("control form accepts an instance that its group has reached") {
+  ThreeDaemons daemons;
+  const std::string refusal = protocol::PrintError(state::MakeError(
+      state::ErrorKind::kAlreadyFormed, "The data folder belongs to a group"));
+  daemons.at(2).Play(kForm, {{.status_ = 409, .body_ = refusal}});
+  daemons.at(2).Play(kStatus, {Status("c"), Status("c", kGroup)});
+  CheckSucceeds(daemons.Form(), "id-c");
+  daemons.at(2).Play(kStatus,
+                     {Status("c"), Status("c", {Member("c"), Member("x")})});
+  CheckFails(daemons.Form(), ExitCode::kFailed, "belongs to a group");
+}
+
 // Guards against a group that counts one instance twice.
 TEST_CASE("control form refuses the same instance twice") {
   ThreeDaemons daemons;
