Stop and restart daemons and targets without failing a call

Cause: a rolling restart under load failed calls. (1) An action whose target left after the register had granted its start was released, which raises the attempt number, but the ingress went on with the old number and told the caller not-run (stale_attempt). (2) A daemon that had just started refused calls with no_service, no_target or control_too_old until its first lease reply.

Change: the guard answers a released start once the register has taken the release, and the ingress continues with the next attempt number. Calls that arrive before the first configuration and membership are known are kept, for at most 5 s after the start.

--- a/src/coordination/internal/action_calls.cc
+++ b/src/coordination/internal/action_calls.cc
@@ -32,6 +32,13 @@
          reason == RefusalReason::kAlreadyStarted;
 }
 
+// The guard had been granted the start and has given it back, which raised the
+// attempt number of the key by one.
+bool MeansReleased(RefusalReason reason) {
+  return reason == RefusalReason::kConnectFailed ||
+         reason == RefusalReason::kTargetShed;
+}
+
 }  // namespace
 
 Commands ActionCalls::OnCall(const ClassifiedCall& call, state::Millis now) {
@@ -165,6 +172,9 @@
   }
   action->overtaken_ = action->overtaken_ || MeansOvertaken(answer.refusal_);
   ++action->refusals_;
+  if (MeansReleased(answer.refusal_)) {
+    ++action->register_attempt_;
+  }
   const bool is_final =
       action->overtaken_ || action->refusals_ >= kMaxRefusals ||
       answer.refusal_ == RefusalReason::kPoisoned || now >= action->resolve_at_;
@@ -173,7 +183,7 @@
     return Fence(action, action->register_attempt_, now);
   }
   counters_->Add(state::RetryReason::kRefused);
-  // The same register attempt: the register grants one start of it at most.
+  // The register grants one start of a register attempt at most.
   return SendNext(action, now);
 }
 
--- a/src/coordination/internal/control_client.cc
+++ b/src/coordination/internal/control_client.cc
@@ -285,6 +285,10 @@
   return impl_->followed().configuration();
 }
 
+bool ControlClient::knows_membership() const {
+  return impl_->followed().membership_epoch() != 0;
+}
+
 std::vector<state::TargetRecord> ControlClient::Targets() const {
   return impl_->followed().Targets();
 }
--- a/src/coordination/internal/guard.cc
+++ b/src/coordination/internal/guard.cc
@@ -150,6 +150,9 @@
     }
     const uint64_t delivery_id = entry->second;
     register_calls_.erase(entry);
+    if (end.command_.operation_ == RegisterOperation::kRelease) {
+      return OnReleased(end);
+    }
     if (end.command_.operation_ != RegisterOperation::kStart) {
       return {};
     }
@@ -215,6 +218,10 @@
     std::string nonce_;
     bool cancelled_ = false;
   };
+  struct PendingRelease {
+    const GuardWork work_ = {};
+    const RefusalReason reason_ = RefusalReason::kNone;
+  };
   struct Held {
     const ReplyToPeer reply_;
     const state::Millis until_;
@@ -309,18 +316,36 @@
     }
     const Running ended = *running;
     running_.erase(delivery_id);
-    return Release(ended, RefusalReason::kDeadline, now);
+    // A target that has left can no longer be reached.
+    return Release(ended,
+                   now < work.deadline_ ? RefusalReason::kConnectFailed
+                                        : RefusalReason::kDeadline,
+                   now);
   }
 
-  // Gives a granted start back when no byte has reached the target.
+  // Gives a granted start back when no byte has reached the target. The ingress
+  // is told once the register has taken it, since its next attempt would
+  // otherwise find the action started.
   Commands Release(const Running& running,
                    RefusalReason reason,
                    state::Millis now) {
-    Commands commands = CallRegister(0, running, RegisterOperation::kRelease,
-                                     {}, now + kReportTime, now);
-    commands.push_back(Reply(running.work_.connection_,
-                             Refusal(running.work_.attempt_, reason)));
-    return commands;
+    releases_.emplace(running.nonce_, PendingRelease{.work_ = running.work_,
+                                                     .reason_ = reason});
+    return CallRegister(0, running, RegisterOperation::kRelease, {},
+                        now + kReportTime, now);
+  }
+
+  Commands OnReleased(const RegisterEnd& end) {
+    const auto entry = releases_.find(end.command_.nonce_);
+    if (entry == releases_.end()) {
+      return {};
+    }
+    const PendingRelease release = entry->second;
+    releases_.erase(entry);
+    const RefusalReason reason =
+        end.answered_ ? release.reason_ : RefusalReason::kAlreadyStarted;
+    return {Reply(release.work_.connection_,
+                  Refusal(release.work_.attempt_, reason))};
   }
 
   Commands CallRegister(uint64_t delivery_id,
@@ -514,7 +539,8 @@
   std::deque<GuardWork> queue_;
   std::map<uint64_t, Running> running_;
   bool runs_alone_ = false;
-  std::map<uint64_t, uint64_t> register_calls_;  // Delivery by tag.
+  std::map<uint64_t, uint64_t> register_calls_;     // Delivery by tag.
+  std::map<std::string, PendingRelease> releases_;  // By nonce.
   std::vector<Held> held_;
   uint64_t next_delivery_ = 1;
   uint64_t check_id_ = 0;
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -1,5 +1,6 @@
 #include "absl/strings/str_cat.h"
 #include "coordination/coordination.h"
+#include "coordination/internal/early_calls.h"
 #include "coordination/internal/register_tags.h"
 
 namespace gooseberrygap::coordination {
@@ -70,7 +71,8 @@
         .knowledge_age_ = control_client_.KnowledgeAge(now),
         .record_ = control_client_.record(),
         .load_ = guard_.Load(),
-        .calls_in_progress_ = ingress_.calls_in_progress(),
+        .calls_in_progress_ =
+            ingress_.calls_in_progress() + early_calls_.size(),
         .work_in_progress_ = guard_.work_in_progress()};
   }
 
@@ -84,7 +86,8 @@
 
  private:
   Commands On(const CallArrived& call, state::Millis now) {
-    return ingress_.OnCall(call, now);
+    return early_calls_.Keep(call, now) ? Commands()
+                                        : ingress_.OnCall(call, now);
   }
 
   Commands On(const PeerMessageArrived& arrived, state::Millis now) {
@@ -117,6 +120,10 @@
     Commands commands = Apply(control_client_.Tick(now), now);
     ingress_.SetActionsAllowed(control_client_.KnowledgeAge(now) <=
                                kMaxKnowledgeAge);
+    for (const CallArrived& call :
+         early_calls_.Release(KnowsEnough(now), now)) {
+      Append(&commands, ingress_.OnCall(call, now));
+    }
     Append(&commands, Apply(register_client_.Tick(now), now));
     Append(&commands, ingress_.Tick(now));
     Append(&commands, guard_.Tick(now));
@@ -130,6 +137,12 @@
     return commands;
   }
 
+  bool KnowsEnough(state::Millis now) const {
+    return control_client_.configuration().index_ > 0 &&
+           control_client_.knows_membership() &&
+           control_client_.KnowledgeAge(now) <= kMaxKnowledgeAge;
+  }
+
   Commands OnMessage(const Attempt& attempt,
                      const PeerMessageArrived& arrived,
                      state::Millis now) {
@@ -310,6 +323,7 @@
   RegisterClient register_client_;
   ControlClient control_client_;
   LinkMonitor link_monitor_;
+  EarlyCalls early_calls_;
   Ingress ingress_;
   Guard guard_;
 };
