--- a/src/coordination/internal/call.h
+++ b/src/coordination/internal/call.h
@@ -22,6 +22,8 @@
   const state::HttpRequest request_ = {};
   const std::string key_ = {};     // Register key of an action.
   const std::string digest_ = {};  // Also the fingerprint.
+  // It was in flight when a target crashed.
+  const bool is_suspect_ = false;
   const state::Millis arrival_ = {};
   const state::Millis deadline_ = {};
   const uint32_t depth_ = 0;
--- a/src/coordination/internal/guard.cc
+++ b/src/coordination/internal/guard.cc
@@ -47,7 +47,7 @@
   Commands OnAnnounced(const TargetAnnounced& announced, state::Millis now) {
     const bool is_new_process = target_.Announce(announced, now);
     if (is_new_process) {
-      ReportCrash();
+      ReportCrash(now);
     }
     return StartQueued(now);
   }
@@ -108,7 +108,7 @@
 
   Commands OnDeliveryEnded(const DeliveryEnded& ended, state::Millis now) {
     if (ended.delivery_id_ == check_id_) {
-      return OnChecked(ended.end_);
+      return OnChecked(ended.end_, now);
     }
     const auto entry = running_.find(ended.delivery_id_);
     if (entry == running_.end()) {
@@ -130,7 +130,8 @@
             OnNotDelivered(running, RefusalReason::kInternalQueueFull, now);
         break;
       case DeliveryEnd::kCut:
-        crash_detector_.OnCut(running.work_.attempt_.digest_, in_flight, now);
+        crash_detector_.OnCut(running.work_.attempt_.digest_, in_flight,
+                              running.started_, now);
         commands = OnUnanswered(running, RefusalReason::kTargetCrashed, now);
         break;
       case DeliveryEnd::kTimeout:
@@ -179,7 +180,7 @@
   Commands Tick(state::Millis now) {
     Commands commands;
     if (target_.IsGone(now)) {
-      ReportCrash();
+      ReportCrash(now);
       target_.SetState(TargetState::kLeft);
       commands = RefuseQueued(RefusalReason::kNotServing);
     }
@@ -383,7 +384,7 @@
   Commands OnConnectFailed(const Running& running, state::Millis now) {
     // A refused connection confirms that the process has gone, and keeps work
     // away until the next announcement.
-    ReportCrash();
+    ReportCrash(now);
     target_.SetState(TargetState::kStarting);
     return OnNotDelivered(running, RefusalReason::kConnectFailed, now);
   }
@@ -438,9 +439,9 @@
   }
 
   // The connection after a cut answer tells whether the process has gone.
-  Commands OnChecked(DeliveryEnd end) {
+  Commands OnChecked(DeliveryEnd end, state::Millis now) {
     if (end == DeliveryEnd::kConnectFailed) {
-      ReportCrash();
+      ReportCrash(now);
       target_.SetState(TargetState::kStarting);
     }
     return {};
@@ -452,8 +453,8 @@
     }
   }
 
-  void ReportCrash() {
-    const std::vector<CrashReport> reports = crash_detector_.Confirm();
+  void ReportCrash(state::Millis now) {
+    const std::vector<CrashReport> reports = crash_detector_.Confirm(now);
     if (reports.empty()) {
       return;
     }
--- a/src/coordination/internal/guard_work.cc
+++ b/src/coordination/internal/guard_work.cc
@@ -45,19 +45,29 @@
 
 void CrashDetector::OnCut(const std::string& fingerprint,
                           int in_flight,
+                          state::Millis started,
                           state::Millis now) {
-  cuts_.push_back(
-      Cut{.fingerprint_ = fingerprint, .in_flight_ = in_flight, .time_ = now});
+  cuts_.push_back(Cut{.fingerprint_ = fingerprint,
+                      .in_flight_ = in_flight,
+                      .started_ = started,
+                      .time_ = now});
 }
 
-std::vector<CrashReport> CrashDetector::Confirm() {
+std::vector<CrashReport> CrashDetector::Confirm(state::Millis now) {
   std::vector<CrashReport> reports;
   if (cuts_.empty()) {
     return reports;
   }
-  const std::string crash_id = absl::StrCat(crash_id_prefix_, next_crash_++);
+  const bool is_last_crash =
+      crash_ > 0 && cuts_.front().started_ <= confirmed_at_;
+  if (!is_last_crash) {
+    ++crash_;
+    confirmed_at_ = now;
+  }
+  const std::string crash_id = absl::StrCat(crash_id_prefix_, crash_);
   // The first cut saw all requests that ran at the crash.
-  const bool alone = cuts_.size() == 1 && cuts_.front().in_flight_ == 1;
+  const bool alone =
+      !is_last_crash && cuts_.size() == 1 && cuts_.front().in_flight_ == 1;
   for (const Cut& cut : cuts_) {
     reports.push_back(CrashReport{.fingerprint_ = cut.fingerprint_,
                                   .crash_id_ = crash_id,
--- a/src/coordination/internal/guard_work.h
+++ b/src/coordination/internal/guard_work.h
@@ -52,16 +52,23 @@
 
 // Tells a crash of the target from a single broken connection. Requests that
 // were cut become reports once a failed connection, a missing announcement or a
-// new incarnation confirms that the process has gone. Not thread-safe.
+// new incarnation confirms that the process has gone. A request that was
+// started before a confirmed crash and is cut after it belongs to that crash:
+// counted as a crash of its own it would convict an innocent request. Not
+// thread-safe.
 class CrashDetector {
  public:
   explicit CrashDetector(std::string crash_id_prefix)
       : crash_id_prefix_(std::move(crash_id_prefix)) {}
 
-  // A delivery was cut while `in_flight` requests, itself included, ran.
-  void OnCut(const std::string& fingerprint, int in_flight, state::Millis now);
+  // A delivery that began at `started` was cut while `in_flight` requests,
+  // itself included, ran.
+  void OnCut(const std::string& fingerprint,
+             int in_flight,
+             state::Millis started,
+             state::Millis now);
   // Returns the reports of the crash, if cuts were waiting for confirmation.
-  std::vector<CrashReport> Confirm();
+  std::vector<CrashReport> Confirm(state::Millis now);
   // Forgets cuts that nothing confirmed for a while.
   void Tick(state::Millis now);
   bool has_cuts() const { return !cuts_.empty(); }
@@ -70,12 +77,14 @@
   struct Cut {
     const std::string fingerprint_ = {};
     const int in_flight_ = 0;
+    const state::Millis started_ = {};
     const state::Millis time_ = {};
   };
 
   const std::string crash_id_prefix_;
   std::vector<Cut> cuts_;
-  uint64_t next_crash_ = 1;
+  uint64_t crash_ = 0;  // Number of the last confirmed crash.
+  state::Millis confirmed_at_;
 };
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/internal/ingress.cc
+++ b/src/coordination/internal/ingress.cc
@@ -35,10 +35,10 @@
   void UpdateRefusedFingerprints(
       const std::vector<RefusedFingerprint>& fingerprints) {
     convicted_.clear();
+    suspects_.clear();
     for (const RefusedFingerprint& refused : fingerprints) {
-      if (refused.convicted_) {
-        convicted_.insert(refused.fingerprint_);
-      }
+      (refused.convicted_ ? convicted_ : suspects_)
+          .insert(refused.fingerprint_);
     }
   }
 
@@ -102,6 +102,7 @@
         .request_ = arrived.request_,
         .key_ = is_action ? absl::StrCat(service->name_, "/", key) : "",
         .digest_ = digest,
+        .is_suspect_ = suspects_.contains(digest),
         .arrival_ = now,
         .deadline_ = now + time_limit,
         .depth_ = arrived.depth_};
@@ -145,6 +146,7 @@
   ActionCalls actions_;
   std::optional<state::IndexedConfiguration> configuration_;
   absl::flat_hash_set<std::string> convicted_;
+  absl::flat_hash_set<std::string> suspects_;
   bool actions_allowed_ = false;
   uint64_t next_request_ = 1;
 };
--- a/src/coordination/internal/lookup_calls.cc
+++ b/src/coordination/internal/lookup_calls.cc
@@ -11,6 +11,12 @@
 // instead failed 1 to 7% of the calls in a trial.
 constexpr uint32_t kRefusalsBeforeQueueing = 2;
 
+// How long a call whose targets crashed waits for its answer. The suspicion
+// reaches all daemons meanwhile, so that the caller's resend runs alone and
+// the next crash can be attributed to it. A report takes two trips between
+// regions, 50 ms, and a push.
+constexpr state::Millis kCrashAnswerWait(300);
+
 bool IsServerError(int status) {
   return status >= 500;
 }
@@ -22,7 +28,9 @@
       call.request_id_, std::make_unique<Lookup>(call, router_));
   Lookup* lookup = entry->second.get();
   const bool is_outermost = call.depth_ == 0;
-  if (is_outermost && call.service_->hedge_.enabled_) {
+  // A second copy of a request that crashes its targets takes down two at once,
+  // neither of them for certain because of it.
+  if (is_outermost && !call.is_suspect_ && call.service_->hedge_.enabled_) {
     const auto delay = router_->HedgeDelay(call.service_->name_);
     if (delay.has_value()) {
       lookup->hedge_at_ = now + *delay;
@@ -44,9 +52,10 @@
       next.all_tried_ || lookup->refusals_ >= kRefusalsBeforeQueueing;
   return {attempts.Send(
       *next.target_,
-      AttemptSet::SendOptions{.may_queue_ = may_queue,
-                              .has_twin_ = !attempts.open().empty(),
-                              .run_alone_ = lookup->crashes_ > 0},
+      AttemptSet::SendOptions{
+          .may_queue_ = may_queue,
+          .has_twin_ = !attempts.open().empty(),
+          .run_alone_ = lookup->call_.is_suspect_ || lookup->crashes_ > 0},
       now)};
 }
 
@@ -77,11 +86,16 @@
   if (answer.result_ == AttemptResult::kComplete) {
     lookup->error_answer_.emplace(answer);
   }
+  Commands commands;
   if (answer.refusal_ == state::RefusalReason::kTargetCrashed) {
     ++lookup->crashes_;
+    // A second copy that still runs would crash its target too.
+    lookup->hedge_at_.reset();
+    commands = lookup->attempts_.CancelAll(now);
   }
   lookup->last_reason_ = answer.refusal_;
-  return OnFailed(lookup, now);
+  Append(&commands, OnFailed(lookup, now));
+  return commands;
 }
 
 Commands LookupCalls::OnRefused(Lookup* lookup,
@@ -125,6 +139,11 @@
 
 Commands LookupCalls::GiveUp(Lookup* lookup, state::Millis now) {
   const ClassifiedCall& call = lookup->call_;
+  if (lookup->crashes_ > 0 && !lookup->give_up_at_.has_value()) {
+    lookup->give_up_at_ = now + kCrashAnswerWait;
+    lookup->hedge_at_.reset();
+    return {};
+  }
   if (lookup->error_answer_.has_value()) {
     const AttemptAnswer answer = *lookup->error_answer_;
     return Finish(lookup, Complete(call, answer.target_, answer.answer_), now);
@@ -174,13 +193,16 @@
   for (const auto& [request_id, lookup] : lookups_) {
     const bool hedge_due =
         lookup->hedge_at_.has_value() && now >= *lookup->hedge_at_;
-    if (hedge_due || now >= lookup->call_.deadline_) {
+    const bool answer_due =
+        lookup->give_up_at_.has_value() && now >= *lookup->give_up_at_;
+    if (hedge_due || answer_due || now >= lookup->call_.deadline_) {
       due.push_back(lookup.get());
     }
   }
   for (Lookup* lookup : due) {
     Append(&commands, now >= lookup->call_.deadline_ ? OnDeadline(lookup, now)
-                                                     : Hedge(lookup, now));
+                      : lookup->give_up_at_.has_value() ? GiveUp(lookup, now)
+                                                        : Hedge(lookup, now));
   }
   return commands;
 }
--- a/src/coordination/internal/lookup_calls.h
+++ b/src/coordination/internal/lookup_calls.h
@@ -32,6 +32,8 @@
     const ClassifiedCall call_;
     AttemptSet attempts_;
     std::optional<state::Millis> hedge_at_;
+    // When the answer goes out after the last attempt crashed its target.
+    std::optional<state::Millis> give_up_at_;
     uint32_t refusals_ = 0;
     uint32_t failures_ = 0;
     uint32_t crashes_ = 0;
@@ -51,7 +53,9 @@
   Commands OnDeadline(Lookup* lookup, state::Millis now);
   Commands Hedge(Lookup* lookup, state::Millis now);
   Commands Finish(Lookup* lookup, AnswerCall answer, state::Millis now);
-  // Ends the lookup after its last attempt ended without an answer.
+  // Ends the lookup after its last attempt ended without an answer. After a
+  // crash the answer is delayed, so that the caller's resend meets daemons that
+  // know of it.
   Commands GiveUp(Lookup* lookup, state::Millis now);
 
   Router* const router_;
--- a/tests/support/stand_in_target/announcer.cc
+++ b/tests/support/stand_in_target/announcer.cc
@@ -23,6 +23,7 @@
     : options_(options),
       behaviour_(behaviour),
       slots_(slots),
+      incarnation_(state::WallMillis()),
       steps_(kMaxSteps),
       thread_(std::make_unique<transport::DutyThread>("announce",
                                                       [this] { Run(); })) {}
@@ -68,6 +69,7 @@
       {"address", options_.address_},
       {"slots", options_.slots_},
       {"state", behaviour->state_},
+      {"incarnation", incarnation_},
       {"load", {{"in_flight", load.in_flight_}, {"queued", load.queued_}}}};
   Post("/-/announce", announcement.dump());
 }
--- a/tests/support/stand_in_target/announcer.h
+++ b/tests/support/stand_in_target/announcer.h
@@ -47,6 +47,8 @@
   const Options options_;
   const BehaviourHolder* const behaviour_;
   const Slots* const slots_;
+  // Differs at every start, so that the daemon notices a restarted target.
+  const uint64_t incarnation_;
   transport::Ring<Step> steps_;
   std::unique_ptr<transport::DutyThread> thread_;
 };
