Repeat the abandon of a crash until it is applied

Cause: a follower passed the abandon of a crashed target's actions to the leader once. When the message was lost, the keys stayed started and callers waited for their deadline in vain. The leader also dropped it when its proposal was lost.

Change: a control instance sends or proposes the abandon every 500 ms until its own register applies it, for at most 10 s.

Ruled out: a reply from the leader as the confirmation. Replies go to the node's register client, and the applied entry says more.

Figures: the new test had 0 repeats in 2 s before. After, it passes, with no repeat after the entry is applied; 34 coordination test cases pass.

Conclusion: a lost message delays an abandon by 500 ms.

--- a/src/coordination/internal/control_service_impl.h
+++ b/src/coordination/internal/control_service_impl.h
@@ -57,6 +57,11 @@
 
     friend auto operator<=>(const Caller&, const Caller&) = default;
   };
+  struct CrashAbandon {
+    uint64_t incarnation_ = 0;
+    state::Millis crashed_at_;
+    std::optional<state::Millis> sent_at_;
+  };
   enum class PendingKind { kRegisterCall, kConfigSubmit, kAbandon, kExpire };
   struct Pending {
     PendingKind kind_ = PendingKind::kExpire;
@@ -138,6 +143,7 @@
                       state::Millis now);
   void AbandonOutdated(state::Millis now);
   void SendCrashAbandons(state::Millis now);
+  void ForgetCrashAbandon(const state::RegisterCommand& applied);
   void ProposeExpiry(state::Millis now);
   void RefuseCall(const Caller& caller);
   void RefuseSubmit(const Caller& caller);
@@ -193,8 +199,8 @@
   std::map<uint64_t, Pending> pending_;  // By tag.
   std::set<Caller> pending_callers_;
   std::set<std::string> pending_abandons_;  // Guards.
-  // Abandons because of crashes, until they are proposed or sent to the leader.
-  std::map<std::string, std::pair<uint64_t, state::Millis>> crash_abandons_;
+  // Abandons because of crashes, by guard, until they are applied.
+  std::map<std::string, CrashAbandon> crash_abandons_;
 
   // Time.
   uint64_t wall_millis_ = 0;  // At `wall_at_`.
--- a/src/coordination/internal/control_service_leases.cc
+++ b/src/coordination/internal/control_service_leases.cc
@@ -96,8 +96,9 @@
                  crash_history_.convictions() - convictions);
   if (is_new_crash) {
     // The guard's own incarnation counts too: its target has crashed.
-    state::Replace(&crash_abandons_, renew.instance_,
-                   std::pair(renew.record_.version_.incarnation_ + 1, now));
+    crash_abandons_[renew.instance_] =
+        CrashAbandon{.incarnation_ = renew.record_.version_.incarnation_ + 1,
+                     .crashed_at_ = now};
     SendCrashAbandons(now);
   }
   if (changed) {
--- a/src/coordination/internal/control_service_log.cc
+++ b/src/coordination/internal/control_service_log.cc
@@ -8,9 +8,12 @@
 
 // Keys are kept for hours, so that a minute more does not matter.
 constexpr state::Millis kExpireKeysEvery(60000);
-// An abandon for a crash is dropped when no leader was found for so long: the
+// An abandon for a crash is dropped when it was not applied for so long: the
 // callers that it would inform have given up.
 constexpr state::Millis kCrashAbandonTime(10000);
+// An abandon that was not applied is sent again after this time. Longer than a
+// commit takes, since a repeat also abandons what the guard has started since.
+constexpr state::Millis kCrashAbandonRepeat(500);
 
 struct OperationCounter {
   state::RegisterOperation operation_;
@@ -210,6 +213,7 @@
                                  state::Millis) {
   const state::RegisterResult result =
       register_.Apply(change, entry.command_->wall_millis_);
+  ForgetCrashAbandon(change);
   const std::optional<Pending> pending = TakePending(*entry.command_);
   if (!pending.has_value() || pending->kind_ != PendingKind::kRegisterCall) {
     return;
@@ -283,24 +287,42 @@
 
 void ControlService::Impl::SendCrashAbandons(state::Millis now) {
   for (auto entry = crash_abandons_.begin(); entry != crash_abandons_.end();) {
-    const auto& [guard, abandon] = *entry;
-    const auto& [incarnation, crashed_at] = abandon;
-    if (LeadsWithQuorum()) {
-      ProposeAbandon(guard, incarnation, now);
-    } else if (status_.has_value() && !status_->leads_ &&
-               !status_->leader_address_.empty()) {
-      step_.commands_.push_back(SendToPeer{
-          .address_ = status_->leader_address_,
-          .message_ =
-              RegisterCall{.command_ = state::RegisterCommand{
-                               .operation_ = state::RegisterOperation::kAbandon,
-                               .guard_ = guard,
-                               .incarnation_ = incarnation}}});
-    } else if (now - crashed_at < kCrashAbandonTime) {
-      ++entry;
+    const std::string& guard = entry->first;
+    CrashAbandon& abandon = entry->second;
+    if (now - abandon.crashed_at_ >= kCrashAbandonTime) {
+      entry = crash_abandons_.erase(entry);
       continue;
     }
-    entry = crash_abandons_.erase(entry);
+    ++entry;
+    const bool is_due = !abandon.sent_at_.has_value() ||
+                        now - *abandon.sent_at_ >= kCrashAbandonRepeat;
+    const bool other_leads = status_.has_value() && !status_->leads_ &&
+                             !status_->leader_address_.empty();
+    if (!is_due || (!LeadsWithQuorum() && !other_leads)) {
+      continue;
+    }
+    abandon.sent_at_ = now;
+    if (!other_leads) {
+      ProposeAbandon(guard, abandon.incarnation_, now);
+      continue;
+    }
+    step_.commands_.push_back(SendToPeer{
+        .address_ = status_->leader_address_,
+        .message_ =
+            RegisterCall{.command_ = state::RegisterCommand{
+                             .operation_ = state::RegisterOperation::kAbandon,
+                             .guard_ = guard,
+                             .incarnation_ = abandon.incarnation_}}});
+  }
+}
+
+void ControlService::Impl::ForgetCrashAbandon(
+    const state::RegisterCommand& applied) {
+  const auto entry = crash_abandons_.find(applied.guard_);
+  if (applied.operation_ == state::RegisterOperation::kAbandon &&
+      entry != crash_abandons_.end() && entry->second.sent_at_.has_value() &&
+      entry->second.incarnation_ <= applied.incarnation_) {
+    crash_abandons_.erase(entry);
   }
 }
 
--- a/src/coordination/tests/control_service_test.cc
+++ b/src/coordination/tests/control_service_test.cc
@@ -206,6 +206,26 @@
   CHECK(control.Run(500).proposals_.empty());
 }
 
+// Guards against started actions whose end callers await in vain, because the
+// message with their abandon to the leader was lost.
+TEST_CASE("a follower repeats an abandon until it is applied",
+          "[at_most_once]") {
+  Control control(kInstances[1]);
+  control.Give(LogStatus{.formed_ = true, .leader_address_ = "addr1"});
+  const std::vector<CrashReport> reports = {{"f", "crash1", true}};
+  const auto first = MessagesOf<RegisterCall>(control.Message(
+      Renew("g", {5, 1}, state::TargetState::kServing, reports)));
+  REQUIRE(first.size() == 1);
+  CHECK(first[0].command_.operation_ == state::RegisterOperation::kAbandon);
+  const auto repeated = MessagesOf<RegisterCall>(control.Run(2000));
+  REQUIRE(!repeated.empty());
+  CHECK(repeated[0].command_ == first[0].command_);
+  control.Give(EntryCommitted{
+      .index_ = 1,
+      .command_ = state::LogCommand{.change_ = repeated[0].command_}});
+  CHECK(MessagesOf<RegisterCall>(control.Run(2000)).empty());
+}
+
 // Guards against a daemon that starts with a configuration that was replaced:
 // a read index from before its request proves nothing.
 TEST_CASE("the first configuration is vouched by a later read index",
