Tell answers that were not kept, and start under the lease's incarnation

Cause: a resend of an action whose answer was too large was answered as complete with an empty answer, which the HTTP front could not print: the caller got no answer at all. The guard kept the incarnation of its start when the lease adopted a higher one, so the leader abandoned each action it ran. A fence or begin after the entry had expired could lead to not-run although an attempt had been sent.

Change: such a resend is told complete with the reason answer_too_large and status 410. The guard takes the incarnation of the lease record with each lease reply. After an attempt, a key that is reused or cannot be opened again leads to unknown.

The expired entry has no test of its own.

Conclusion: no caller takes an empty answer for the stored one.

--- a/src/coordination/api/commands.h
+++ b/src/coordination/api/commands.h
@@ -35,10 +35,11 @@
 // What a caller is told.
 struct CallAnswer {
   const Outcome outcome_ = Outcome::kNotRun;
+  // With kComplete, kAnswerTooLarge tells that the answer was not kept.
   const state::RefusalReason reason_ = state::RefusalReason::kNone;
   const std::string request_id_ = {};
   const std::string target_ = {};
-  const state::HttpAnswer answer_ = {};  // Of kComplete.
+  const state::HttpAnswer answer_ = {};  // Of kComplete without a reason.
 
   friend bool operator==(const CallAnswer&, const CallAnswer&) = default;
 };
--- a/src/coordination/api/guard.h
+++ b/src/coordination/api/guard.h
@@ -24,6 +24,8 @@
         state::Counters* counters);
   ~Guard();
 
+  // Later starts of actions name this incarnation, which the lease has adopted.
+  void SetIncarnation(uint64_t incarnation);
   void UpdateConfiguration(const state::IndexedConfiguration& configuration);
   void UpdateRefusedFingerprints(
       const std::vector<RefusedFingerprint>& fingerprints);
--- a/src/coordination/internal/action_calls.cc
+++ b/src/coordination/internal/action_calls.cc
@@ -102,7 +102,11 @@
   }
   const state::RegisterResult& result = end.result_;
   if (IsRefusedForGood(result.refusal_)) {
-    return Finish(action, NotRun(action->call_, result.refusal_), now);
+    // After an attempt the key's entry has expired, and what it said is lost.
+    return Finish(action,
+                  was_sent ? UnknownOutcome(action->call_, result.refusal_)
+                           : NotRun(action->call_, result.refusal_),
+                  now);
   }
   if (result.state_ != ActionState::kOpen) {
     return Follow(action, result, now);
@@ -185,6 +189,10 @@
     return Finish(action, UnknownOutcome(call, RefusalReason::kNoQuorum), now);
   }
   const state::RegisterResult& result = end.result_;
+  if (IsRefusedForGood(result.refusal_)) {
+    // The key's entry has expired, and what it said of the attempt is lost.
+    return Finish(action, UnknownOutcome(call, result.refusal_), now);
+  }
   if (result.state_ != ActionState::kOpen) {
     return Follow(action, result, now);
   }
@@ -208,8 +216,11 @@
                              state::Millis now) {
   const ClassifiedCall& call = action->call_;
   if (result.state_ == ActionState::kDone) {
-    AnswerCall answer = Complete(call, "", result.answer_);
-    return Finish(action, std::move(answer), now);
+    return Finish(action,
+                  result.refusal_ == RefusalReason::kAnswerTooLarge
+                      ? CompleteWithoutAnswer(call)
+                      : Complete(call, "", result.answer_),
+                  now);
   }
   if (result.state_ == ActionState::kUnknown) {
     return Finish(action, UnknownOutcome(call, RefusalReason::kTargetCrashed),
--- a/src/coordination/internal/call.cc
+++ b/src/coordination/internal/call.cc
@@ -112,6 +112,14 @@
                                           .request_id_ = call.request_id_}};
 }
 
+AnswerCall CompleteWithoutAnswer(const ClassifiedCall& call) {
+  return AnswerCall{
+      .call_id_ = call.call_id_,
+      .answer_ = CallAnswer{.outcome_ = Outcome::kComplete,
+                            .reason_ = state::RefusalReason::kAnswerTooLarge,
+                            .request_id_ = call.request_id_}};
+}
+
 AnswerCall Complete(const ClassifiedCall& call,
                     const std::string& target,
                     const state::HttpAnswer& answer) {
--- a/src/coordination/internal/call.h
+++ b/src/coordination/internal/call.h
@@ -84,6 +84,8 @@
 AnswerCall NotRun(const ClassifiedCall& call, state::RefusalReason reason);
 AnswerCall UnknownOutcome(const ClassifiedCall& call,
                           state::RefusalReason reason);
+// The action has run, but its answer was too large for the register to keep.
+AnswerCall CompleteWithoutAnswer(const ClassifiedCall& call);
 AnswerCall Complete(const ClassifiedCall& call,
                     const std::string& target,
                     const state::HttpAnswer& answer);
--- a/src/coordination/internal/guard.cc
+++ b/src/coordination/internal/guard.cc
@@ -41,6 +41,8 @@
         counters_(counters),
         crash_detector_(absl::StrCat(instance_, "-", incarnation, "-")) {}
 
+  void SetIncarnation(uint64_t incarnation) { incarnation_ = incarnation; }
+
   GuardTarget* target() { return &target_; }
   const GuardTarget& target() const { return target_; }
 
@@ -503,7 +505,7 @@
   }
 
   const std::string instance_;
-  const uint64_t incarnation_;
+  uint64_t incarnation_;
   RegisterClient* const register_client_;
   state::Counters* const counters_;
   GuardTarget target_;
@@ -532,6 +534,10 @@
 
 Guard::~Guard() = default;
 
+void Guard::SetIncarnation(uint64_t incarnation) {
+  impl_->SetIncarnation(incarnation);
+}
+
 void Guard::UpdateConfiguration(
     const state::IndexedConfiguration& configuration) {
   impl_->target()->UpdateConfiguration(configuration);
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -170,6 +170,7 @@
                      state::Millis now) {
     Commands commands =
         Apply(control_client_.OnReply(arrived.address_, reply, now), now);
+    guard_.SetIncarnation(control_client_.record().version_.incarnation_);
     register_client_.SetLeader(control_client_.leader_address());
     Append(&commands, guard_.OnCrashesReported(now));
     return commands;
--- /dev/null
+++ b/src/coordination/tests/node_test.cc
@@ -0,0 +1,129 @@
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "coordination/coordination.h"
+
+namespace gooseberrygap::coordination {
+namespace {
+
+using state::Millis;
+
+constexpr const char* kControl = "control-address";
+
+// A daemon's node with a target of its own, a configuration with one action
+// service, and the leader's address.
+struct TestNode {
+  TestNode()
+      : node_({.self_ = {.instance_ = "g",
+                         .guard_address_ = "g-address",
+                         .region_ = "kochi",
+                         .version_ = {.incarnation_ = 5, .sequence_ = 1}},
+               .control_instances_ = {{"c", kControl, "kochi"}}},
+              random_,
+              &counters_) {
+    node_.Handle(Ticked{}, Millis(0));
+    node_.Handle(TargetAnnounced{.target_ = "t",
+                                 .service_ = "s",
+                                 .address_ = "t-address",
+                                 .slots_ = 4,
+                                 .state_ = state::TargetState::kServing},
+                 Millis(0));
+  }
+
+  Commands Lease(uint64_t known_incarnation) {
+    return node_.Handle(
+        PeerMessageArrived{
+            .address_ = kControl,
+            .message_ =
+                LeaseReply{
+                    .control_instance_ = "c",
+                    .granted_ = true,
+                    .known_incarnation_ = known_incarnation,
+                    .configuration_index_ = 1,
+                    .configuration_vouched_ = true,
+                    .configuration_ =
+                        std::make_shared<const state::Configuration>(
+                            state::Configuration{
+                                .version_ = 1,
+                                .services_ = {state::Service{
+                                    .name_ = "s",
+                                    .rules_ = {{.path_prefix_ = "/"}}}}}),
+                    .leader_address_ = kControl}},
+        Millis(1));
+  }
+
+  std::mt19937_64 random_;
+  state::Counters counters_;
+  Node node_;
+};
+
+// Returns the first register call, or an empty one.
+RegisterCall RegisterCallOf(const Commands& commands) {
+  for (const Command& command : commands) {
+    const auto* send = std::get_if<SendToPeer>(&command);
+    if (send == nullptr) {
+      continue;
+    }
+    if (const auto* call = std::get_if<RegisterCall>(&send->message_)) {
+      return *call;
+    }
+  }
+  return {};
+}
+
+// Guards against starts under an incarnation that the group holds for outdated:
+// the leader would abandon each of them while it runs.
+TEST_CASE("the guard starts actions under the incarnation of its lease",
+          "[at_most_once]") {
+  TestNode test;
+  test.Lease(9);
+  REQUIRE(test.node_.Status(Millis(1)).record_.version_.incarnation_ == 10);
+  const RegisterCall call = RegisterCallOf(test.node_.Handle(
+      PeerMessageArrived{
+          .connection_ = "ingress",
+          .message_ = Attempt{.request_id_ = "r",
+                              .attempt_ = 1,
+                              .service_ = "s",
+                              .target_ = "t",
+                              .deadline_left_ = Millis(1000),
+                              .request_class_ = state::RequestClass::kAction,
+                              .configuration_index_ = 1,
+                              .key_ = "k",
+                              .register_attempt_ = 1}},
+      Millis(2)));
+  CHECK(call.command_.operation_ == state::RegisterOperation::kStart);
+  CHECK(call.command_.incarnation_ == 10);
+}
+
+// Guards against an empty answer that is passed off as the stored one.
+TEST_CASE("a caller is told that the stored answer was too large",
+          "[at_most_once]") {
+  TestNode test;
+  test.Lease(5);
+  test.node_.Handle(Ticked{}, Millis(2));
+  const RegisterCall call = RegisterCallOf(test.node_.Handle(
+      CallArrived{.call_id_ = 3,
+                  .service_ = "s",
+                  .request_ = {.method_ = "POST", .path_ = "/certify"},
+                  .idempotency_key_ = "k"},
+      Millis(2)));
+  REQUIRE(call.call_id_ != 0);
+  REQUIRE(call.command_.operation_ == state::RegisterOperation::kBegin);
+  const Commands commands = test.node_.Handle(
+      PeerMessageArrived{
+          .address_ = kControl,
+          .message_ =
+              RegisterReply{
+                  .call_id_ = call.call_id_,
+                  .result_ = {.refusal_ = state::RefusalReason::kAnswerTooLarge,
+                              .state_ = state::ActionState::kDone,
+                              .attempt_ = 1}}},
+      Millis(3));
+  REQUIRE(commands.size() == 1);
+  const auto& answer = std::get<AnswerCall>(commands[0]).answer_;
+  CHECK(answer.outcome_ == Outcome::kComplete);
+  CHECK(answer.reason_ == state::RefusalReason::kAnswerTooLarge);
+}
+
+}  // namespace
+}  // namespace gooseberrygap::coordination
--- a/src/daemon/http_front.cc
+++ b/src/daemon/http_front.cc
@@ -32,20 +32,27 @@
 };
 
 // Reasons that are not listed are answered with 503.
-constexpr std::array<StatusRow, 9> kStatusRows = {{
+constexpr std::array<StatusRow, 10> kStatusRows = {{
     {RefusalReason::kBadRequest, 400},
     {RefusalReason::kKeyMissing, 400},
     {RefusalReason::kTooDeep, 400},
     {RefusalReason::kNoService, 404},
     {RefusalReason::kNoRule, 404},
     {RefusalReason::kKeyReused, 409},
+    {RefusalReason::kAnswerTooLarge, 410},
     {RefusalReason::kPoisoned, 422},
     {RefusalReason::kDeadline, 504},
     {RefusalReason::kTargetTimeout, 504},
 }};
 
+// Whether the target's answer is passed to the caller.
+bool HasAnswer(const CallAnswer& answer) {
+  return answer.outcome_ == Outcome::kComplete &&
+         answer.reason_ == RefusalReason::kNone;
+}
+
 int StatusOf(const CallAnswer& answer) {
-  if (answer.outcome_ == Outcome::kComplete) {
+  if (HasAnswer(answer)) {
     return answer.answer_.status_;
   }
   for (const StatusRow& row : kStatusRows) {
@@ -109,7 +116,7 @@
   add(protocol::kOutcomeHeader, NameOf(answer.outcome_));
   add(protocol::kRequestIdHeader, answer.request_id_);
   add(protocol::kTargetHeader, answer.target_);
-  if (answer.outcome_ == Outcome::kComplete) {
+  if (HasAnswer(answer)) {
     return HttpAnswer{.status_ = answer.answer_.status_,
                       .headers_ = headers,
                       .body_ = answer.answer_.body_};
--- a/tests/integration/actions_test.cc
+++ b/tests/integration/actions_test.cc
@@ -191,18 +191,42 @@
   CHECK(ReadBegunActions(*deployment).count_by_key_.empty());
 }
 
-// Guards against a register that forgets keys when it is full.
-TEST_CASE("a full register refuses further actions as not run", "[not_run]") {
-  constexpr int kKeys = 20;
-  const auto deployment = StartDeployment(WithThreeControlInstances());
+void SetActionPolicy(const Deployment& deployment,
+                     const nlohmann::json& policy) {
   auto document = nlohmann::json::parse(ConfigurationDocument(2));
-  document["actions"] = {{"max_keys", kKeys}};
-  const CallAnswer submitted = deployment->SubmitConfiguration(
-      "lookup-0", Submission("few-keys", document.dump()));
+  document["actions"] = policy;
+  const CallAnswer submitted = deployment.SubmitConfiguration(
+      "lookup-0", Submission("policy", document.dump()));
   INFO(submitted.body_);
   REQUIRE(submitted.status_ == 200);
   const uint64_t index = nlohmann::json::parse(submitted.body_)["index"];
-  REQUIRE(deployment->WaitForConfiguration(index));
+  REQUIRE(deployment.WaitForConfiguration(index));
+}
+
+// Guards against a resend that is told an empty answer as the stored one, or
+// that runs the action again because its answer was not kept.
+TEST_CASE("a resend is told that the answer was too large to keep",
+          "[at_most_once]") {
+  const auto deployment = StartDeployment(WithThreeControlInstances());
+  SetActionPolicy(*deployment, {{"max_answer_bytes", 1024}});
+  const std::string body(4000, 'x');
+  const CallAnswer first =
+      CallOnce(CallerAddress(*deployment, "lookup-0"), Action("large", body));
+  CHECK(first.Outcome() == "complete");
+  CHECK(first.body_ == test_support::ExpectedEcho("POST", "/certify", body));
+  const CallAnswer resend =
+      CallOnce(CallerAddress(*deployment, "lookup-1"), Action("large", body));
+  CHECK(resend.status_ == 410);
+  CHECK(resend.Outcome() == "complete");
+  CHECK(resend.Header("Gooseberrygap-Reason") == "answer_too_large");
+  CHECK(ReadBegunActions(*deployment).count_by_key_.at("large") == 1);
+}
+
+// Guards against a register that forgets keys when it is full.
+TEST_CASE("a full register refuses further actions as not run", "[not_run]") {
+  constexpr int kKeys = 20;
+  const auto deployment = StartDeployment(WithThreeControlInstances());
+  SetActionPolicy(*deployment, {{"max_keys", kKeys}});
   const auto& address = CallerAddress(*deployment, "lookup-3");
   for (int i = 0; i < 2 * kKeys; ++i) {
     const CallAnswer answer = CallOnce(address, Action(absl::StrCat("f-", i)));
