--- a/tests/integration/actions_test.cc
+++ b/tests/integration/actions_test.cc
@@ -19,6 +19,8 @@
 constexpr uint64_t kSeed = 11;
 constexpr int kCallers = 24;
 constexpr int kKeysEach = 90;
+// Of the register in the test of a full one.
+constexpr int kKeys = 20;
 // The fixture's deadline of a call. An attempt that a caller has given up may
 // still be at a guard for this long.
 constexpr std::chrono::milliseconds kDeadline(4000);
@@ -224,7 +226,6 @@
 
 // Guards against a register that forgets keys when it is full.
 TEST_CASE("a full register refuses further actions as not run", "[not_run]") {
-  constexpr int kKeys = 20;
   const auto deployment = StartDeployment(WithThreeControlInstances());
   SetActionPolicy(*deployment, {{"max_keys", kKeys}});
   const auto& address = CallerAddress(*deployment, "lookup-3");
