--- a/tests/integration/configuration_test.cc
+++ b/tests/integration/configuration_test.cc
@@ -268,6 +268,20 @@
         }
       };
       set_blocked(true);
+      const uint64_t next = version + 1;
+      const std::string document =
+          VariantDocument(next, static_cast<int>(next % 1000));
+      const std::string id = absl::StrCat("change-", next);
+      if (outward && hit_leader) {
+        // The leader must not accept alone: what it accepts has the same index
+        // at the others.
+        const SubmitAnswer early =
+            SubmitOnce(deployment->AddressesOf(victim).http_, id, document);
+        const SubmitAnswer later =
+            Submit(deployment->AddressesOf(others.front()).http_, id, document);
+        CHECK(later.status_ == "accepted");
+        CHECK((early.status_ != "accepted" || early.index_ == later.index_));
+      }
       change_through(others);
       set_blocked(false);
       Check(deployment->WaitForConfiguration(change_through(kVoters)));
