Send no work to a draining target while the control instances are down

Cause: without control instances the membership goes on to list a draining target as serving, and daemons tried it again 1 ejection time after its guard had refused them. With the control instance killed, the guard received 2 further attempts (23, then 25) between 3 s and 5 s after POST /-/drain.

Change: a target whose guard said that it drains is not chosen until a probe or a new membership record tells that it serves.

--- a/src/coordination/internal/router.cc
+++ b/src/coordination/internal/router.cc
@@ -132,6 +132,7 @@
            target->record_->version_.incarnation_ !=
                record.version_.incarnation_);
       if (starts_serving) {
+        target->load_.reset();
         // At the daemon's own start all targets are new to it, but not cold.
         target->serving_since_ =
             has_targets_ ? now : state::Millis(-kEjectionTime.value() * 1e6);
@@ -303,9 +304,7 @@
       const bool is_tried = std::count(query.tried_.begin(), query.tried_.end(),
                                        record.target_) > 0;
       const bool takes_work = record.state_ == TargetState::kServing &&
-                              (!target->load_.has_value() ||
-                               target->load_->state_ == TargetState::kServing ||
-                               now - target->load_at_ > kEjectionTime);
+                              GuardTakesWork(*target, now);
       if (is_local != local || is_tried || !takes_work) {
         continue;
       }
@@ -314,6 +313,20 @@
     return eligible.empty() ? ejected : eligible;
   }
 
+  // What the guard last said. A guard that drains is not tried again until a
+  // probe or the membership tells that it serves: without control instances the
+  // membership goes on to list its target as serving.
+  static bool GuardTakesWork(const Target& target, state::Millis now) {
+    if (!target.load_.has_value()) {
+      return true;
+    }
+    const TargetState said = target.load_->state_;
+    const bool is_leaving =
+        said == TargetState::kDraining || said == TargetState::kLeft;
+    return said == TargetState::kServing ||
+           (!is_leaving && now - target.load_at_ > kEjectionTime);
+  }
+
   static bool MeetsDeadline(const Target& target,
                             state::Millis deadline_left,
                             state::Millis now) {
