Account link probes and an upper bound of probe sizes

Cause: the router accounted assumed sizes of 24 and 64 bytes, and the probes of the link monitor were not accounted at all. Ruled out: a separate message kind for link checks, which the budget does not need since link probes are rare. Change: Router::TakeProbe takes every probe from the load budget with an upper bound of its encoded size; a link without a probe stays unjudged until the budget allows one. The load_cost test counts at the fault proxy.

--- a/src/coordination/api/link_monitor.h
+++ b/src/coordination/api/link_monitor.h
@@ -2,9 +2,11 @@
 #define COORDINATION_API_LINK_MONITOR_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "absl/functional/function_ref.h"
 #include "coordination/api/commands.h"
 
 namespace gooseberrygap::coordination {
@@ -24,13 +26,16 @@
     Commands commands_;                // Probes, and resets of silent links.
     std::vector<std::string> silent_;  // Addresses whose link was reset.
   };
-  Step Tick(state::Millis now);
+  // Asks `may_probe` before each probe. Without its consent a link stays
+  // unjudged until a later tick.
+  Step Tick(state::Millis now,
+            absl::FunctionRef<bool(const std::string& address)> may_probe);
 
  private:
   struct Link {
     state::Millis waiting_since_;
     bool waiting_ = false;
-    bool probed_ = false;
+    std::optional<state::Millis> probed_at_;
   };
 
   std::map<std::string, Link> links_;
--- a/src/coordination/api/router.h
+++ b/src/coordination/api/router.h
@@ -61,6 +61,9 @@
   void OnSent(absl::string_view target, state::Millis now);
   // Records the end of an attempt. Each OnSent has exactly one OnEnd.
   void OnEnd(const AttemptOutcome& outcome, state::Millis now);
+  // Takes a probe of `address` and its reply from the load budget and counts
+  // them; false when the budget is spent.
+  bool TakeProbe(const std::string& address, state::Millis now);
   // Records the reply to a probe.
   void OnProbeReply(const ProbeReply& reply, state::Millis now);
 
--- a/src/coordination/internal/link_monitor.cc
+++ b/src/coordination/internal/link_monitor.cc
@@ -6,9 +6,9 @@
 
 // A link with a request outstanding is probed after this time without a byte.
 constexpr state::Millis kProbeAfter(150);
-// And replaced after this time. A round trip between regions takes 26 ms, so a
-// probe that was sent has had time to be answered several times over.
-constexpr state::Millis kSilentAfter(400);
+// And replaced this time after the probe. A round trip between regions takes
+// 26 ms, so the probe has had time to be answered several times over.
+constexpr state::Millis kSilentAfterProbe(250);
 
 }  // namespace
 
@@ -28,7 +28,9 @@
   entry->second = Link{.waiting_since_ = now, .waiting_ = false};
 }
 
-LinkMonitor::Step LinkMonitor::Tick(state::Millis now) {
+LinkMonitor::Step LinkMonitor::Tick(
+    state::Millis now,
+    absl::FunctionRef<bool(const std::string& address)> may_probe) {
   Step step;
   for (auto entry = links_.begin(); entry != links_.end();) {
     auto& [address, link] = *entry;
@@ -37,14 +39,16 @@
       ++entry;
       continue;
     }
-    if (silence >= kSilentAfter) {
+    if (link.probed_at_.has_value() &&
+        now - *link.probed_at_ >= kSilentAfterProbe) {
       step.commands_.push_back(ResetLink{.address_ = address});
       step.silent_.push_back(address);
       entry = links_.erase(entry);
       continue;
     }
-    if (silence >= kProbeAfter && !link.probed_) {
-      link.probed_ = true;
+    if (silence >= kProbeAfter && !link.probed_at_.has_value() &&
+        may_probe(address)) {
+      link.probed_at_ = now;
       step.commands_.push_back(
           SendToPeer{.address_ = address,
                      .message_ = Probe{.probe_id_ = next_probe_id_++}});
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -120,13 +120,17 @@
     Append(&commands, Apply(register_client_.Tick(now), now));
     Append(&commands, ingress_.Tick(now));
     Append(&commands, guard_.Tick(now));
-    Append(&commands, router_.Tick(now));
-    LinkMonitor::Step links = link_monitor_.Tick(now);
+    // Before the router, which can use up the budget.
+    LinkMonitor::Step links =
+        link_monitor_.Tick(now, [this, now](const std::string& address) {
+          return router_.TakeProbe(address, now);
+        });
     Append(&commands, std::move(links.commands_));
     for (const std::string& address : links.silent_) {
       counters_->Add(state::Counter::kLinksReset);
       Append(&commands, ingress_.OnLinkLost(address, now));
     }
+    Append(&commands, router_.Tick(now));
     return commands;
   }
 
--- a/src/coordination/internal/router.cc
+++ b/src/coordination/internal/router.cc
@@ -16,9 +16,13 @@
 // Round trips beyond the own failure domain, from the platform's latencies.
 constexpr state::Millis kRegionRoundTrip(2);
 constexpr state::Millis kCrossRegionRoundTrip(24);
-// Wire sizes of a probe and its reply with their framing.
-constexpr double kProbeBytes = 24;
-constexpr double kProbeReplyBytes = 64;
+// Upper bounds of the encoded sizes with ZMTP framing, so that the budget is
+// never exceeded: a frame header, the magic number, and each field with its
+// largest varint. The reply's bound is without the target's name.
+constexpr double kProbeBytes = 20;
+constexpr double kProbeReplyBytes = 62;
+// Length of the name of a target that is not known.
+constexpr size_t kUnknownNameBytes = 255;
 // A target that fails this many times in a row is ejected.
 constexpr int kFailuresToEject = 5;
 constexpr state::Millis kEjectionTime(1000);
@@ -203,6 +207,15 @@
     }
   }
 
+  bool TakeProbe(const std::string& address, state::Millis now) {
+    for (const auto& [name, target] : targets_) {
+      if (target->record_->guard_address_ == address) {
+        return TakeProbe(LinkTo(*target->record_), name.size(), now);
+      }
+    }
+    return TakeProbe(LinkClass::kCrossRegion, kUnknownNameBytes, now);
+  }
+
   void OnProbeReply(const ProbeReply& reply, state::Millis now) {
     const auto entry = targets_.find(reply.target_);
     if (entry == targets_.end()) {
@@ -380,29 +393,37 @@
     if (is_fresh || is_own) {
       return {};
     }
-    const LinkClass link = LinkTo(*target->record_);
-    constexpr double kBytes = kProbeBytes + kProbeReplyBytes;
+    if (!TakeProbe(LinkTo(*target->record_), target->record_->target_.size(),
+                   now)) {
+      return {};
+    }
+    return {SendToPeer{.address_ = target->record_->guard_address_,
+                       .message_ = Probe{.probe_id_ = next_probe_id_++}}};
+  }
+
+  bool TakeProbe(LinkClass link, size_t name_bytes, state::Millis now) {
+    const double bytes =
+        kProbeBytes + kProbeReplyBytes + static_cast<double>(name_bytes);
     constexpr double kMessages = 2;
     const bool is_paid = link == LinkClass::kCrossRegion;
     const bool has_budget =
-        load_bytes_.Has(kBytes, now) && load_messages_.Has(kMessages, now) &&
-        (!is_paid || load_cross_region_bytes_.Has(kBytes, now));
+        load_bytes_.Has(bytes, now) && load_messages_.Has(kMessages, now) &&
+        (!is_paid || load_cross_region_bytes_.Has(bytes, now));
     if (!has_budget) {
       counters_->Add(state::Counter::kLoadBudgetExhausted);
-      return {};
+      return false;
     }
-    load_bytes_.Take(kBytes, now);
+    load_bytes_.Take(bytes, now);
     load_messages_.Take(kMessages, now);
     if (is_paid) {
-      load_cross_region_bytes_.Take(kBytes, now);
+      load_cross_region_bytes_.Take(bytes, now);
     }
     const LinkCounters& link_counters =
         kLoadCounters[static_cast<size_t>(link)];
-    counters_->Add(link_counters.bytes_, static_cast<uint64_t>(kBytes));
+    counters_->Add(link_counters.bytes_, static_cast<uint64_t>(bytes));
     counters_->Add(link_counters.messages_, static_cast<uint64_t>(kMessages));
     counters_->Add(state::Counter::kProbesSent);
-    return {SendToPeer{.address_ = target->record_->guard_address_,
-                       .message_ = Probe{.probe_id_ = next_probe_id_++}}};
+    return true;
   }
 
   const TargetRecord self_;
@@ -447,6 +468,10 @@
   impl_->OnEnd(outcome, now);
 }
 
+bool Router::TakeProbe(const std::string& address, state::Millis now) {
+  return impl_->TakeProbe(address, now);
+}
+
 void Router::OnProbeReply(const ProbeReply& reply, state::Millis now) {
   impl_->OnProbeReply(reply, now);
 }
