--- a/src/coordination/internal/control_service_log.cc
+++ b/src/coordination/internal/control_service_log.cc
@@ -186,7 +186,7 @@
     push_all_ = true;
     PushSoon(now);
   }
-  constexpr std::pair<state::SubmissionStatus, SubmitStatus> statuses[] = {
+  constexpr std::pair<state::SubmissionStatus, SubmitStatus> kStatuses[] = {
       {state::SubmissionStatus::kAccepted, SubmitStatus::kAccepted},
       {state::SubmissionStatus::kConflict, SubmitStatus::kConflict},
       {state::SubmissionStatus::kWrongVersion, SubmitStatus::kWrongVersion}};
@@ -194,7 +194,7 @@
   if (!pending.has_value()) {
     return;
   }
-  for (const auto& [from, to] : statuses) {
+  for (const auto& [from, to] : kStatuses) {
     if (from == result.status_) {
       step_.commands_.push_back(
           ReplyToPeer{.connection_ = pending->caller_.connection_,
--- a/src/coordination/tests/node_test.cc
+++ b/src/coordination/tests/node_test.cc
@@ -48,6 +48,9 @@
                                 .services_ = {state::Service{
                                     .name_ = "s",
                                     .rules_ = {{.path_prefix_ = "/"}}}}}),
+                    .membership_epoch_ = 1,
+                    .membership_version_ = 1,
+                    .membership_full_ = true,
                     .leader_address_ = kControl}},
         Millis(1));
   }
--- a/src/ctl/control_commands.cc
+++ b/src/ctl/control_commands.cc
@@ -114,8 +114,9 @@
 
 state::Result<Report> RunControlForm(const Invocation& invocation) {
   if (invocation.arguments_.size() % 2 == 0) {
-    return state::MakeError(ErrorKind::kUsage,
-                            "A control group has 3 or 5 voters, or 1 for a trial");
+    return state::MakeError(
+        ErrorKind::kUsage,
+        "A control group has 3 or 5 voters, or 1 for a trial");
   }
   // Every instance is read before the first is formed.
   const auto candidates = ReadCandidates(invocation);
--- a/src/daemon/node_duty.cc
+++ b/src/daemon/node_duty.cc
@@ -39,7 +39,6 @@
                    CallSlots* slots,
                    state::Counters* counters)
     : slots_(slots),
-      counters_(counters),
       node_(options, random_, counters),
       ring_(kRingCapacity),
       target_client_(transport::TargetClient::Start(
--- a/src/daemon/node_duty.h
+++ b/src/daemon/node_duty.h
@@ -64,7 +64,6 @@
   const state::SteadyClock clock_;
   absl::BitGen random_;
   CallSlots* const slots_;
-  state::Counters* const counters_;
   coordination::Node node_;
   transport::Ring<Item> ring_;
   std::unique_ptr<transport::TargetClient> target_client_;
--- a/src/state/tests/action_register_test.cc
+++ b/src/state/tests/action_register_test.cc
@@ -187,19 +187,19 @@
 // Guards against keys that are forgotten early, also when the wall clock of a
 // new leader jumps ahead, and against keys that are kept for ever.
 TEST_CASE("keys expire after their retention only", "[at_most_once]") {
-  constexpr uint64_t minute_millis = 60000;
+  constexpr uint64_t kMinuteMillis = 60000;
   ActionRegister actions;
   actions.SetPolicy(ActionPolicy{.retention_ = Millis(600.0 * 1000)});
   actions.Apply(Make(kBegin, 0), kNow);
   actions.Apply(Make(kStart, 1), kNow);
-  actions.Expire(kNow + 1000 * minute_millis);
+  actions.Expire(kNow + 1000 * kMinuteMillis);
   CHECK(actions.size() == 1);
   // The jump counted as two minutes.
   for (uint64_t minute = 1; minute <= 7; ++minute) {
-    actions.Expire(kNow + (1000 + minute) * minute_millis);
+    actions.Expire(kNow + (1000 + minute) * kMinuteMillis);
     CHECK(actions.size() == 1);
   }
-  actions.Expire(kNow + 1008 * minute_millis);
+  actions.Expire(kNow + 1008 * kMinuteMillis);
   CHECK(actions.size() == 0);
 }
 
--- a/src/transport/internal/zmq_socket.cc
+++ b/src/transport/internal/zmq_socket.cc
@@ -97,8 +97,7 @@
 
 state::Result<void> ZmqSocket::Connect(absl::string_view source_host,
                                        const std::string& address) {
-  const std::string endpoint =
-      absl::StrCat(kTcp, source_host, ":0;", address);
+  const std::string endpoint = absl::StrCat(kTcp, source_host, ":0;", address);
   if (zmq_connect(socket_, endpoint.c_str()) != 0) {
     return ZmqError("Cannot connect to the peer", address);
   }
--- a/src/transport/tests/peer_endpoint_test.cc
+++ b/src/transport/tests/peer_endpoint_test.cc
@@ -166,16 +166,16 @@
   Peer ingress(
       {.listen_address_ = "127.0.0.1:0", .high_water_mark_ = kHighWaterMark});
   const std::string gone = TestListener().address();
-  constexpr uint64_t refused = 2 * uint64_t{kHighWaterMark};
+  constexpr uint64_t kRefused = 2 * uint64_t{kHighWaterMark};
   for (int i = 0; i < 3 * kHighWaterMark; ++i) {
     REQUIRE(ingress.SendProbe(gone, i));
   }
   CHECK(Eventually([&] {
-    return ingress.counters_.Get(Counter::kPeerSendsRefused) == refused;
+    return ingress.counters_.Get(Counter::kPeerSendsRefused) == kRefused;
   }));
   ingress.SendProbe("not an address", 1);
   CHECK(Eventually([&] {
-    return ingress.counters_.Get(Counter::kPeerSendsRefused) == refused + 1;
+    return ingress.counters_.Get(Counter::kPeerSendsRefused) == kRefused + 1;
   }));
 }
 
--- a/tests/integration/control_disk_test.cc
+++ b/tests/integration/control_disk_test.cc
@@ -82,7 +82,8 @@
              const std::vector<std::string>& others,
              const std::string& victim,
              const std::pair<std::string, std::string>& identities) {
-  const auto& [old_identity, new_identity] = identities;
+  const std::string& old_identity = identities.first;
+  const std::string& new_identity = identities.second;
   const std::string address =
       test_support::ToString(deployment.AddressesOf(victim).http_);
   const auto run_until_done = [&](const std::vector<std::string>& arguments) {
@@ -116,7 +117,7 @@
   const std::vector<std::string> voters = Voters(3);
   IndexMonitor monitor(*deployment);
   SubmitVersions(*deployment, voters, 2, 10);
-  const std::string victim = voters[2];
+  const std::string& victim = voters[2];
   const auto identities = LoseFolder(deployment.get(), victim);
   const std::vector<std::string> healthy = Others(voters, victim);
 
@@ -201,7 +202,7 @@
   const std::vector<std::string> voters = Voters(3);
   IndexMonitor monitor(*deployment);
   SubmitVersions(*deployment, voters, 2, 30);
-  const std::string victim = voters[1];
+  const std::string& victim = voters[1];
   const std::string old_identity =
       ReadControlPage(*deployment, victim).identity_;
   const std::vector<std::string> healthy = Others(voters, victim);
--- a/tests/integration/control_pages.cc
+++ b/tests/integration/control_pages.cc
@@ -75,7 +75,7 @@
   const state::SteadyClock clock;
   const state::Millis end = clock.Now() + test_support::kPatience;
   while (true) {
-    const SubmitAnswer answer = SubmitOnce(daemon, id, document);
+    SubmitAnswer answer = SubmitOnce(daemon, id, document);
     const bool is_final = answer.status_ == "accepted" ||
                           answer.status_ == "conflict" ||
                           answer.status_ == "wrong_version";
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -215,8 +215,7 @@
     if (!instance.control_) {
       continue;
     }
-    arguments.push_back(
-        ToString(deployment.AddressesOf(instance.name_).http_));
+    arguments.push_back(ToString(deployment.AddressesOf(instance.name_).http_));
   }
   const state::Result<std::unique_ptr<Process>> tool =
       Process::Start({.program_ = BuiltPrograms().ctl_,
