--- /dev/null
+++ b/src/coordination/internal/guard_delivery.cc
@@ -0,0 +1,181 @@
+#include "coordination/internal/guard_impl.h"
+
+#include <algorithm>
+
+namespace gooseberrygap::coordination {
+
+namespace {
+
+using state::RefusalReason;
+using state::RegisterOperation;
+using state::TargetState;
+
+}  // namespace
+
+Commands Guard::Impl::OnDeliveryEnded(const DeliveryEnded& ended,
+                                      state::Millis now) {
+  if (ended.delivery_id_ == check_id_) {
+    return OnChecked(ended.end_, now);
+  }
+  const auto entry = running_.find(ended.delivery_id_);
+  if (entry == running_.end()) {
+    return {};
+  }
+  const Running running = entry->second;
+  const int in_flight = static_cast<int>(running_.size());
+  running_.erase(entry);
+  Commands commands;
+  switch (ended.end_) {
+    case DeliveryEnd::kAnswered:
+      commands = OnAnswered(running, ended.answer_, now);
+      break;
+    case DeliveryEnd::kConnectFailed:
+      commands = OnConnectFailed(running, now);
+      break;
+    case DeliveryEnd::kNotSent:
+      commands =
+          OnNotDelivered(running, RefusalReason::kInternalQueueFull, now);
+      break;
+    case DeliveryEnd::kCut:
+      crash_detector_.OnCut(running.work_.attempt_.digest_, in_flight,
+                            running.started_, now);
+      commands = OnUnanswered(running, RefusalReason::kTargetCrashed, now);
+      break;
+    case DeliveryEnd::kTimeout:
+      commands = OnUnanswered(running, RefusalReason::kTargetTimeout, now);
+      break;
+    case DeliveryEnd::kCancelled:
+      break;
+  }
+  Append(&commands, StartQueued(now));
+  return commands;
+}
+
+Commands Guard::Impl::OnAnswered(const Running& running,
+                                 const state::HttpAnswer& answer,
+                                 state::Millis now) {
+  EndAlone(running);
+  const GuardWork& work = running.work_;
+  const bool is_action =
+      work.attempt_.request_class_ == state::RequestClass::kAction;
+  latency_.Add(now - running.started_);
+  if (IsShed(answer)) {
+    return is_action ? Release(running, RefusalReason::kTargetShed, now)
+                     : Commands{Reply(
+                           work.connection_,
+                           Refusal(work.attempt_, RefusalReason::kTargetShed))};
+  }
+  Commands commands = {Reply(
+      work.connection_, AttemptAnswer{.request_id_ = work.attempt_.request_id_,
+                                      .attempt_ = work.attempt_.attempt_,
+                                      .answer_ = answer,
+                                      .guard_time_ = now - work.arrival_})};
+  if (is_action) {
+    Append(&commands, CallRegister(0, running, RegisterOperation::kFinish,
+                                   answer, now + kReportTime, now));
+  }
+  return commands;
+}
+
+bool Guard::Impl::IsShed(const state::HttpAnswer& answer) {
+  return std::any_of(answer.headers_.begin(), answer.headers_.end(),
+                     [](const state::HttpHeader& header) {
+                       return header.name_ == "Gooseberrygap-Shed";
+                     });
+}
+
+Commands Guard::Impl::OnConnectFailed(const Running& running,
+                                      state::Millis now) {
+  // A refused connection confirms that the process has gone, and keeps work
+  // away until the next announcement.
+  ReportCrash(now);
+  target_.SetState(TargetState::kStarting);
+  return OnNotDelivered(running, RefusalReason::kConnectFailed, now);
+}
+
+Commands Guard::Impl::OnNotDelivered(const Running& running,
+                                     RefusalReason reason,
+                                     state::Millis now) {
+  EndAlone(running);
+  const GuardWork& work = running.work_;
+  if (work.attempt_.request_class_ == state::RequestClass::kAction) {
+    return Release(running, reason, now);
+  }
+  return {Reply(work.connection_, Refusal(work.attempt_, reason))};
+}
+
+Commands Guard::Impl::OnUnanswered(const Running& running,
+                                   RefusalReason reason,
+                                   state::Millis now) {
+  EndAlone(running);
+  if (running.cancelled_) {
+    return {};
+  }
+  const GuardWork& work = running.work_;
+  const bool is_action =
+      work.attempt_.request_class_ == state::RequestClass::kAction;
+  ReplyToPeer reply =
+      Reply(work.connection_,
+            AttemptAnswer{.request_id_ = work.attempt_.request_id_,
+                          .attempt_ = work.attempt_.attempt_,
+                          .result_ = is_action ? AttemptResult::kUnknown
+                                               : AttemptResult::kCut,
+                          .refusal_ = reason,
+                          .guard_time_ = now - work.arrival_});
+  if (reason != RefusalReason::kTargetCrashed) {
+    return {std::move(reply)};
+  }
+  check_id_ = next_delivery_++;
+  Commands commands = {DeliverToTarget{.delivery_id_ = check_id_,
+                                       .address_ = target_.announced().address_,
+                                       .connect_only_ = true,
+                                       .timeout_ = kCrashReportWait}};
+  if (is_action || work.run_alone_) {
+    held_.push_back(
+        Held{.reply_ = std::move(reply), .until_ = now + kCrashReportWait});
+  } else {
+    commands.push_back(std::move(reply));
+  }
+  return commands;
+}
+
+Commands Guard::Impl::OnChecked(DeliveryEnd end, state::Millis now) {
+  if (end == DeliveryEnd::kConnectFailed) {
+    ReportCrash(now);
+    target_.SetState(TargetState::kStarting);
+  }
+  return {};
+}
+
+void Guard::Impl::EndAlone(const Running& running) {
+  if (running.work_.run_alone_) {
+    runs_alone_ = false;
+  }
+}
+
+void Guard::Impl::ReportCrash(state::Millis now) {
+  const std::vector<CrashReport> reports = crash_detector_.Confirm(now);
+  if (reports.empty()) {
+    return;
+  }
+  counters_->Add(state::Counter::kCrashesSeen);
+  for (const CrashReport& report : reports) {
+    crashes_.push_back(report);
+  }
+}
+
+Commands Guard::Impl::FlushHeld(state::Millis now, bool all) {
+  Commands commands;
+  std::vector<Held> kept;
+  for (const Held& held : held_) {
+    if (all || now >= held.until_) {
+      commands.push_back(held.reply_);
+    } else {
+      kept.push_back(held);
+    }
+  }
+  held_.swap(kept);
+  return commands;
+}
+
+}  // namespace gooseberrygap::coordination
--- /dev/null
+++ b/src/coordination/internal/guard_impl.h
@@ -0,0 +1,177 @@
+#ifndef COORDINATION_INTERNAL_GUARD_IMPL_H_
+#define COORDINATION_INTERNAL_GUARD_IMPL_H_
+
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "coordination/internal/guard_target.h"
+#include "coordination/internal/guard_work.h"
+
+namespace gooseberrygap::coordination {
+
+// How long the answer about a crash waits for the control group to take the
+// report, so that the caller's resend meets daemons that know of it.
+inline constexpr state::Millis kCrashReportWait(300);
+
+// How long the result of an action is reported to the register. Beyond it the
+// entry stays `started`, which is never run again.
+inline constexpr state::Millis kReportTime(30 * 1000);
+
+// Returns the refusal of an attempt, without load.
+AttemptAnswer Refusal(const Attempt& attempt, state::RefusalReason reason);
+
+// The state of a guard. guard.cc admits and starts work, guard_register.cc
+// talks to the action register, guard_delivery.cc handles the ends of
+// deliveries and crashes.
+class Guard::Impl {
+ public:
+  Impl(std::string instance,
+       uint64_t incarnation,
+       RegisterClient* register_client,
+       state::Counters* counters)
+      : instance_(std::move(instance)),
+        incarnation_(incarnation),
+        register_client_(register_client),
+        counters_(counters),
+        crash_detector_(absl::StrCat(instance_, "-", incarnation, "-")) {}
+
+  void SetIncarnation(uint64_t incarnation) { incarnation_ = incarnation; }
+
+  GuardTarget* target() { return &target_; }
+  const GuardTarget& target() const { return target_; }
+
+  Commands OnAnnounced(const TargetAnnounced& announced, state::Millis now);
+
+  Commands OnWithdrawn();
+
+  Commands OnAttempt(const std::string& connection,
+                     const Attempt& attempt,
+                     state::Millis now);
+
+  Commands OnCancel(const Cancel& cancel, state::Millis now);
+
+  Commands OnDeliveryEnded(const DeliveryEnded& ended, state::Millis now);
+
+  Commands OnRegisterEnd(const RegisterEnd& end, state::Millis now);
+
+  Commands OnCrashesReported(state::Millis now) { return FlushHeld(now, true); }
+
+  Commands Tick(state::Millis now);
+
+  state::GuardLoad Load() const;
+
+  std::vector<CrashReport> TakeCrashes();
+
+  size_t work_in_progress() const;
+
+ private:
+  struct Running {
+    GuardWork work_;
+    state::Millis started_;
+    std::string nonce_;
+    bool cancelled_ = false;
+  };
+  struct PendingRelease {
+    const GuardWork work_ = {};
+    const state::RefusalReason reason_ = state::RefusalReason::kNone;
+  };
+  struct Held {
+    const ReplyToPeer reply_;
+    const state::Millis until_;
+  };
+
+  ReplyToPeer Reply(const std::string& connection, const AttemptAnswer& answer);
+
+  int running_count() const { return static_cast<int>(running_.size()); }
+  int queued_count() const { return static_cast<int>(queue_.size()); }
+
+  // Returns the expected time to answer one more attempt.
+  state::Millis Expected() const;
+
+  Commands StartQueued(state::Millis now);
+
+  bool MayStart(const GuardWork& work) const;
+
+  Commands Start(const GuardWork& work, state::Millis now);
+
+  DeliverToTarget Deliver(uint64_t delivery_id,
+                          const GuardWork& work,
+                          state::Millis now);
+
+  Commands OnGranted(uint64_t delivery_id, Running* running, state::Millis now);
+
+  // Gives a granted start back when no byte has reached the target. The ingress
+  // is told once the register has taken it, since its next attempt would
+  // otherwise find the action started.
+  Commands Release(const Running& running,
+                   state::RefusalReason reason,
+                   state::Millis now);
+
+  Commands OnReleased(const RegisterEnd& end);
+
+  Commands CallRegister(uint64_t delivery_id,
+                        const Running& running,
+                        state::RegisterOperation operation,
+                        const state::HttpAnswer& answer,
+                        state::Millis deadline,
+                        state::Millis now);
+
+  Commands OnAnswered(const Running& running,
+                      const state::HttpAnswer& answer,
+                      state::Millis now);
+
+  // The target states that it did not run the request.
+  static bool IsShed(const state::HttpAnswer& answer);
+
+  Commands OnConnectFailed(const Running& running, state::Millis now);
+
+  // No byte of the request has reached the target.
+  Commands OnNotDelivered(const Running& running,
+                          state::RefusalReason reason,
+                          state::Millis now);
+
+  // The request was delivered and no whole answer came.
+  Commands OnUnanswered(const Running& running,
+                        state::RefusalReason reason,
+                        state::Millis now);
+
+  // The connection after a cut answer tells whether the process has gone.
+  Commands OnChecked(DeliveryEnd end, state::Millis now);
+
+  void EndAlone(const Running& running);
+
+  void ReportCrash(state::Millis now);
+
+  Commands FlushHeld(state::Millis now, bool all);
+
+  Commands RefuseQueued(state::RefusalReason reason);
+
+  Commands RefuseExpired(state::Millis now);
+
+  const std::string instance_;
+  uint64_t incarnation_;
+  RegisterClient* const register_client_;
+  state::Counters* const counters_;
+  GuardTarget target_;
+  AttemptMemory memory_;
+  LatencyEstimate latency_;
+  CrashDetector crash_detector_;
+  std::vector<CrashReport> crashes_;
+  std::deque<GuardWork> queue_;
+  std::map<uint64_t, Running> running_;
+  bool runs_alone_ = false;
+  std::map<uint64_t, uint64_t> register_calls_;     // Delivery by tag.
+  std::map<std::string, PendingRelease> releases_;  // By nonce.
+  std::vector<Held> held_;
+  uint64_t next_delivery_ = 1;
+  uint64_t check_id_ = 0;
+  uint64_t next_tag_ = 0;
+};
+
+}  // namespace gooseberrygap::coordination
+
+#endif  // COORDINATION_INTERNAL_GUARD_IMPL_H_
--- /dev/null
+++ b/src/coordination/internal/load_meter.h
@@ -0,0 +1,32 @@
+#ifndef COORDINATION_INTERNAL_LOAD_METER_H_
+#define COORDINATION_INTERNAL_LOAD_METER_H_
+
+#include "coordination/internal/token_bucket.h"
+
+namespace gooseberrygap::coordination {
+
+// How far a message travels.
+enum class LinkClass { kDomain, kRegion, kCrossRegion };
+
+// Accounts what this daemon sends to measure load, and allows no more than the
+// budget. Not thread-safe.
+class LoadMeter {
+ public:
+  explicit LoadMeter(state::Counters* counters) : counters_(counters) {}
+
+  void SetBudget(const state::LoadBudget& budget);
+
+  // Accounts a probe and its reply from a target whose name has that many
+  // bytes. Returns false, and accounts nothing, when the budget is spent.
+  bool TakeProbe(LinkClass link, size_t name_bytes, state::Millis now);
+
+ private:
+  state::Counters* const counters_;
+  TokenBucket bytes_;
+  TokenBucket messages_;
+  TokenBucket cross_region_bytes_;
+};
+
+}  // namespace gooseberrygap::coordination
+
+#endif  // COORDINATION_INTERNAL_LOAD_METER_H_
--- a/src/coordination/internal/router.cc
+++ b/src/coordination/internal/router.cc
@@ -4,6 +4,8 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/random/distributions.h"
 #include "coordination/coordination.h"
+#include "coordination/internal/latency_window.h"
+#include "coordination/internal/load_meter.h"
 #include "coordination/internal/token_bucket.h"
 
 namespace gooseberrygap::coordination {
@@ -16,11 +18,6 @@
 // Round trips beyond the own failure domain, from the platform's latencies.
 constexpr state::Millis kRegionRoundTrip(2);
 constexpr state::Millis kCrossRegionRoundTrip(24);
-// Upper bounds of the encoded sizes with ZMTP framing, so that the budget is
-// never exceeded: a frame header, the magic number, and each field with its
-// largest varint. The reply's bound is without the target's name.
-constexpr double kProbeBytes = 20;
-constexpr double kProbeReplyBytes = 62;
 // Length of the name of a target that is not known.
 constexpr size_t kUnknownNameBytes = 255;
 // A target that fails this many times in a row is ejected.
@@ -30,63 +27,6 @@
 constexpr state::Millis kProbeWhenOlder(20);
 // Services that this daemon has not called for this long are not probed.
 constexpr state::Millis kProbeIdleLimit(1000);
-constexpr size_t kLatencySamples = 512;
-
-enum class LinkClass { kDomain, kRegion, kCrossRegion };
-
-struct LinkCounters {
-  const state::Counter bytes_;
-  const state::Counter messages_;
-};
-constexpr LinkCounters kLoadCounters[] = {
-    {state::Counter::kLoadBytesDomain, state::Counter::kLoadMessagesDomain},
-    {state::Counter::kLoadBytesRegion, state::Counter::kLoadMessagesRegion},
-    {state::Counter::kLoadBytesCrossRegion,
-     state::Counter::kLoadMessagesCrossRegion},
-};
-
-// Recent latencies of a service, for the quantile after which to hedge.
-class LatencyWindow {
- public:
-  void Add(state::Millis latency) {
-    if (samples_.size() < kLatencySamples) {
-      samples_.push_back(latency);
-    } else {
-      samples_[next_] = latency;
-    }
-    next_ = (next_ + 1) % kLatencySamples;
-    ++added_;
-  }
-
-  // Returns nothing until a few samples have come.
-  std::optional<state::Millis> Quantile(double quantile) const {
-    constexpr size_t kMinSamples = 20;
-    if (samples_.size() < kMinSamples) {
-      return std::nullopt;
-    }
-    // Sorting for each call would cost more than the call.
-    constexpr size_t kRefresh = 32;
-    if (!cached_.has_value() || added_ - cached_at_ >= kRefresh) {
-      std::vector<state::Millis> sorted = samples_;
-      const auto place = std::min(
-          sorted.size() - 1,
-          static_cast<size_t>(quantile * static_cast<double>(sorted.size())));
-      std::nth_element(sorted.begin(),
-                       sorted.begin() + static_cast<int64_t>(place),
-                       sorted.end());
-      cached_ = sorted[place];
-      cached_at_ = added_;
-    }
-    return cached_;
-  }
-
- private:
-  std::vector<state::Millis> samples_;
-  size_t next_ = 0;
-  size_t added_ = 0;
-  mutable std::optional<state::Millis> cached_;
-  mutable size_t cached_at_ = 0;
-};
 
 }  // namespace
 
@@ -95,7 +35,10 @@
   Impl(const TargetRecord& self,
        absl::BitGenRef random,
        state::Counters* counters)
-      : self_(self), random_(random), counters_(counters) {}
+      : self_(self),
+        random_(random),
+        counters_(counters),
+        load_meter_(counters) {}
 
   void UpdateConfiguration(const state::Configuration& configuration) {
     for (const state::Service& service : configuration.services_) {
@@ -108,10 +51,7 @@
       known.retry_budget_.SetRatio(service.retry_.budget_ratio_);
       known.hedge_budget_.SetRatio(service.hedge_.budget_ratio_);
     }
-    const state::LoadBudget& budget = configuration.load_budget_;
-    load_bytes_.SetRate(budget.bytes_per_second_);
-    load_messages_.SetRate(budget.messages_per_second_);
-    load_cross_region_bytes_.SetRate(budget.cross_region_bytes_per_second_);
+    load_meter_.SetBudget(configuration.load_budget_);
     cross_region_bytes_.SetRate(configuration.cross_region_bytes_per_second_);
   }
 
@@ -211,10 +151,12 @@
   bool TakeProbe(const std::string& address, state::Millis now) {
     for (const auto& [name, target] : targets_) {
       if (target->record_->guard_address_ == address) {
-        return TakeProbe(LinkTo(*target->record_), name.size(), now);
+        return load_meter_.TakeProbe(LinkTo(*target->record_), name.size(),
+                                     now);
       }
     }
-    return TakeProbe(LinkClass::kCrossRegion, kUnknownNameBytes, now);
+    return load_meter_.TakeProbe(LinkClass::kCrossRegion, kUnknownNameBytes,
+                                 now);
   }
 
   void OnProbeReply(const ProbeReply& reply, state::Millis now) {
@@ -406,48 +348,21 @@
     if (is_fresh || is_own) {
       return {};
     }
-    if (!TakeProbe(LinkTo(*target->record_), target->record_->target_.size(),
-                   now)) {
+    if (!load_meter_.TakeProbe(LinkTo(*target->record_),
+                               target->record_->target_.size(), now)) {
       return {};
     }
     return {SendToPeer{.address_ = target->record_->guard_address_,
                        .message_ = Probe{.probe_id_ = next_probe_id_++}}};
   }
 
-  bool TakeProbe(LinkClass link, size_t name_bytes, state::Millis now) {
-    const double bytes =
-        kProbeBytes + kProbeReplyBytes + static_cast<double>(name_bytes);
-    constexpr double kMessages = 2;
-    const bool is_paid = link == LinkClass::kCrossRegion;
-    const bool has_budget =
-        load_bytes_.Has(bytes, now) && load_messages_.Has(kMessages, now) &&
-        (!is_paid || load_cross_region_bytes_.Has(bytes, now));
-    if (!has_budget) {
-      counters_->Add(state::Counter::kLoadBudgetExhausted);
-      return false;
-    }
-    load_bytes_.Take(bytes, now);
-    load_messages_.Take(kMessages, now);
-    if (is_paid) {
-      load_cross_region_bytes_.Take(bytes, now);
-    }
-    const LinkCounters& link_counters =
-        kLoadCounters[static_cast<size_t>(link)];
-    counters_->Add(link_counters.bytes_, static_cast<uint64_t>(bytes));
-    counters_->Add(link_counters.messages_, static_cast<uint64_t>(kMessages));
-    counters_->Add(state::Counter::kProbesSent);
-    return true;
-  }
-
   const TargetRecord self_;
   absl::BitGenRef random_;
   state::Counters* const counters_;
   std::map<std::string, ServiceState, std::less<>> services_;
   absl::flat_hash_map<std::string, std::unique_ptr<Target>> targets_;
   bool has_targets_ = false;
-  TokenBucket load_bytes_;
-  TokenBucket load_messages_;
-  TokenBucket load_cross_region_bytes_;
+  LoadMeter load_meter_;
   TokenBucket cross_region_bytes_;
   uint64_t next_probe_id_ = 1;
 };
