Let reported latency keep its weight for longer than requests in flight

Cause: probes refresh a target's load after 20 ms, but a report lost half of its weight in 5 ms, so that a target known to be slow counted as typical again.

Ruled out: a longer half-life for requests in flight too, since they shift within milliseconds.

Change: 5 ms for requests in flight, 200 ms for the latency estimate.

--- a/src/coordination/internal/strategy.cc
+++ b/src/coordination/internal/strategy.cc
@@ -84,15 +84,17 @@
   }
 
  private:
-  // A report loses half of its weight in this time: load shifts within
-  // milliseconds.
-  static constexpr double kHalfLifeMs = 5;
+  // A report loses half of its weight in this time. Requests in flight shift
+  // within milliseconds; how slow a target is holds longer, and a report of it
+  // is rarely younger than the probe interval.
+  static constexpr double kInFlightHalfLifeMs = 5;
+  static constexpr double kLatencyHalfLifeMs = 200;
   // A target whose load is unknown counts as typical.
   static constexpr double kDefaultLatencyMs = 5;
 
-  static double Weight(const Candidate& candidate) {
+  static double Weight(const Candidate& candidate, double half_life_ms) {
     return candidate.has_load_
-               ? std::exp2(-candidate.load_age_.value() / kHalfLifeMs)
+               ? std::exp2(-candidate.load_age_.value() / half_life_ms)
                : 0;
   }
 
@@ -112,14 +114,17 @@
   }
 
   static double ExpectedMillis(const Candidate& candidate, double typical_ms) {
-    const double weight = Weight(candidate);
+    const double in_flight_weight = Weight(candidate, kInFlightHalfLifeMs);
+    const double latency_weight = Weight(candidate, kLatencyHalfLifeMs);
     const int reported = candidate.load_.in_flight_ + candidate.load_.queued_;
     const int others = std::max(0, reported - candidate.own_in_flight_);
-    const double in_flight = candidate.own_in_flight_ + weight * others;
+    const double in_flight =
+        candidate.own_in_flight_ + in_flight_weight * others;
     const double slots =
         std::max(1.0, candidate.slots_ * std::max(0.1, candidate.ramp_));
     const double service_ms =
-        weight * candidate.load_.latency_.value() + (1 - weight) * typical_ms;
+        latency_weight * candidate.load_.latency_.value() +
+        (1 - latency_weight) * typical_ms;
     return candidate.link_latency_.value() +
            service_ms * (1 + in_flight / slots);
   }
