--- a/src/coordination/internal/link_monitor.cc
+++ b/src/coordination/internal/link_monitor.cc
@@ -24,7 +24,8 @@
   if (entry == links_.end()) {
     return;
   }
-  // Other requests may still be outstanding; they wait from now on.
+  // Other requests may still be outstanding. They are watched again from the
+  // next message that is sent; until then their own deadlines bound the wait.
   entry->second = Link{.waiting_since_ = now, .waiting_ = false};
 }
 
