Start work again after a request that was to run alone has ended

Cause: the guard kept a flag while a request ran alone and cleared it in only some of the ways in which a delivery ends. After a cancelled lookup, or an action whose start was refused or released, it stayed set and the guard started nothing any more.

Ruled out: clearing the flag in the missing places too; the next way to end would be forgotten again.

Change: whether something runs alone is read off the running work, and the flag and its resets are gone.

Conclusion: the state was derivable; nothing keeps it beside the running work.

--- a/src/coordination/internal/guard.cc
+++ b/src/coordination/internal/guard.cc
@@ -149,14 +149,16 @@
 
 bool Guard::Impl::MayStart(const GuardWork& work) const {
   const bool has_slot = running_count() < target_.slots();
-  return has_slot && !runs_alone_ && (!work.run_alone_ || running_.empty());
+  // Work that runs alone is the only one that runs.
+  const bool is_taken_alone =
+      !running_.empty() && running_.begin()->second.work_.run_alone_;
+  return has_slot && !is_taken_alone && (!work.run_alone_ || running_.empty());
 }
 
 Commands Guard::Impl::Start(const GuardWork& work, state::Millis now) {
   counters_->histograms().Record(state::Histogram::kQueueTime,
                                  now - work.arrival_);
   const uint64_t delivery_id = next_delivery_++;
-  runs_alone_ = work.run_alone_;
   Running running{.work_ = work, .started_ = now};
   if (work.attempt_.request_class_ == state::RequestClass::kLookup) {
     running_.emplace(delivery_id, running);
--- a/src/coordination/internal/guard_delivery.cc
+++ b/src/coordination/internal/guard_delivery.cc
@@ -54,7 +54,6 @@
 Commands Guard::Impl::OnAnswered(const Running& running,
                                  const state::HttpAnswer& answer,
                                  state::Millis now) {
-  EndAlone(running);
   const GuardWork& work = running.work_;
   const bool is_action =
       work.attempt_.request_class_ == state::RequestClass::kAction;
@@ -96,7 +95,6 @@
 Commands Guard::Impl::OnNotDelivered(const Running& running,
                                      RefusalReason reason,
                                      state::Millis now) {
-  EndAlone(running);
   const GuardWork& work = running.work_;
   if (work.attempt_.request_class_ == state::RequestClass::kAction) {
     return Release(running, reason, now);
@@ -107,7 +105,6 @@
 Commands Guard::Impl::OnUnanswered(const Running& running,
                                    RefusalReason reason,
                                    state::Millis now) {
-  EndAlone(running);
   if (running.cancelled_) {
     return {};
   }
@@ -147,12 +144,6 @@
   return {};
 }
 
-void Guard::Impl::EndAlone(const Running& running) {
-  if (running.work_.run_alone_) {
-    runs_alone_ = false;
-  }
-}
-
 void Guard::Impl::ReportCrash(state::Millis now) {
   const std::vector<CrashReport> reports = crash_detector_.Confirm(now);
   if (reports.empty()) {
--- a/src/coordination/internal/guard_impl.h
+++ b/src/coordination/internal/guard_impl.h
@@ -142,8 +142,6 @@
   // The connection after a cut answer tells whether the process has gone.
   Commands OnChecked(DeliveryEnd end, state::Millis now);
 
-  void EndAlone(const Running& running);
-
   void ReportCrash(state::Millis now);
 
   Commands FlushHeld(state::Millis now, bool all);
@@ -163,7 +161,6 @@
   std::vector<CrashReport> crashes_;
   std::deque<GuardWork> queue_;
   std::map<uint64_t, Running> running_;
-  bool runs_alone_ = false;
   std::map<uint64_t, uint64_t> register_calls_;     // Delivery by tag.
   std::map<std::string, PendingRelease> releases_;  // By nonce.
   std::vector<Held> held_;
