Keep one table of the target states' names

Cause: the announcement's reader had a table of names of its own.

Change: it uses NameOf, and a list of the states that a target may announce.

--- a/src/protocol/internal/node_json.cc
+++ b/src/protocol/internal/node_json.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
 
@@ -11,8 +12,11 @@
 using nlohmann::json;
 using state::ErrorKind;
 
-constexpr std::array<const char*, 4> kTargetStateNames = {"starting", "serving",
-                                                          "draining", "left"};
+// The states that a target may announce of itself.
+constexpr std::array kAnnouncedStates = {state::TargetState::kStarting,
+                                         state::TargetState::kServing,
+                                         state::TargetState::kDraining};
+
 state::Error InvalidRequest(absl::string_view what) {
   return state::MakeError(ErrorKind::kInvalidRequest, what);
 }
@@ -34,14 +38,13 @@
 }
 
 json TargetToJson(const state::TargetRecord& record) {
-  return json{
-      {"target", record.target_},
-      {"service", record.service_},
-      {"instance", record.instance_},
-      {"region", record.region_},
-      {"failure_domain", record.failure_domain_},
-      {"slots", record.slots_},
-      {"state", kTargetStateNames.at(static_cast<size_t>(record.state_))}};
+  return json{{"target", record.target_},
+              {"service", record.service_},
+              {"instance", record.instance_},
+              {"region", record.region_},
+              {"failure_domain", record.failure_domain_},
+              {"slots", record.slots_},
+              {"state", std::string(NameOf(record.state_))}};
 }
 
 }  // namespace
@@ -70,10 +73,12 @@
         kMaxSlots));
   }
   const std::string state_name = StringAt(document, "state");
-  const auto* name =
-      std::find(kTargetStateNames.begin(), kTargetStateNames.end(), state_name);
-  const auto state_number = name - kTargetStateNames.begin();
-  if (state_number > static_cast<int>(state::TargetState::kDraining)) {
+  const auto* announced_state =
+      std::find_if(kAnnouncedStates.begin(), kAnnouncedStates.end(),
+                   [&state_name](state::TargetState known) {
+                     return NameOf(known) == state_name;
+                   });
+  if (announced_state == kAnnouncedStates.end()) {
     return InvalidRequest(
         absl::StrCat("The announcement's \"state\" is \"", state_name,
                      "\"; allowed are starting, serving and draining"));
@@ -86,7 +91,7 @@
       .service_ = StringAt(document, "service"),
       .address_ = StringAt(document, "address"),
       .slots_ = slots->get<int>(),
-      .state_ = static_cast<state::TargetState>(state_number),
+      .state_ = *announced_state,
       .incarnation_ = has_incarnation ? incarnation->get<uint64_t>() : 0};
 }
 
