--- a/src/coordination/api/commands.h
+++ b/src/coordination/api/commands.h
@@ -45,6 +45,8 @@
   // had the attempt; absent when no guard has answered.
   const std::optional<state::Millis> latency_ = {};
   const std::optional<state::Millis> guard_time_ = {};
+  // Of kNotRun: when the caller should come back.
+  const state::Millis retry_after_ = {};
 
   friend bool operator==(const CallAnswer&, const CallAnswer&) = default;
 };
@@ -62,6 +64,8 @@
   const std::string request_id_ = {};
   const uint32_t attempt_ = 0;
   const uint32_t depth_ = 0;
+  const std::string target_ = {};  // Name of the target that is meant.
+  const std::string origin_service_ = {};
   // Only connect and close, to find out whether the target's process lives.
   const bool connect_only_ = false;
   const state::Millis timeout_ = {};
--- a/src/coordination/api/control_client.h
+++ b/src/coordination/api/control_client.h
@@ -10,16 +10,6 @@
 
 namespace gooseberrygap::coordination {
 
-// A control instance as the settings name it.
-struct ControlAddress {
-  const std::string instance_ = {};
-  const std::string address_ = {};  // Peer address.
-  const std::string region_ = {};
-
-  friend bool operator==(const ControlAddress&,
-                         const ControlAddress&) = default;
-};
-
 struct ControlClientOptions {
   // Services whose targets the daemon needs; "*" stands for all.
   const std::vector<std::string> services_ = {"*"};
@@ -52,6 +42,9 @@
     bool refused_fingerprints_changed_ = false;
   };
 
+  // Control instances to ask when none of the known ones replies.
+  void SetSeeds(const std::vector<std::string>& addresses);
+
   // Announces the own target in a new state, at once. An empty service
   // withdraws it.
   Step Announce(const std::string& target,
--- a/src/coordination/api/control_service.h
+++ b/src/coordination/api/control_service.h
@@ -58,6 +58,8 @@
   const bool leads_ = false;
   const bool has_quorum_ = false;          // Of the leader itself.
   const std::string leader_address_ = {};  // Empty when unknown.
+  // Members of the group; empty while this instance knows none.
+  const std::vector<ControlAddress> members_ = {};
   // When a leader with a quorum was last heard from; nothing if never.
   const std::optional<state::Millis> leader_heard_ = {};
 };
--- a/src/coordination/api/events.h
+++ b/src/coordination/api/events.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "coordination/api/messages.h"
 
@@ -15,12 +16,22 @@
 // A call that a caller made on this daemon.
 struct CallArrived {
   const uint64_t call_id_ = 0;
+  // The service, or, when it is empty, the host by which the configuration's
+  // routes choose one.
   const std::string service_ = {};
+  const std::string host_ = {};
   const state::HttpRequest request_ = {};
   const std::string idempotency_key_ = {};
   // The caller's time limit; the service's default applies without one.
   const std::optional<state::Millis> deadline_left_ = {};
   const uint32_t depth_ = 0;
+  // Service of the target beside which the call was made; may be empty.
+  const std::string origin_service_ = {};
+};
+
+// The caller has gone: the call needs no answer.
+struct CallerLeft {
+  const uint64_t call_id_ = 0;
 };
 
 // A message that came from a peer. `connection_` is set when the peer opened
@@ -47,6 +58,11 @@
   const state::HttpAnswer answer_ = {};
   // Whether a byte of the request has been sent.
   const bool sent_ = false;
+  // The target answered that it has not run the request.
+  const bool declined_ = false;
+  // What the target said of the pace of its machine, in percent of the usual
+  // time; 0 when it said nothing.
+  const int pace_ = 0;
 };
 
 // The own target's announcement.
@@ -58,23 +74,40 @@
   const state::TargetState state_ = state::TargetState::kStarting;
   // Changes when the target's process restarts; 0 when it does not tell.
   const uint64_t incarnation_ = 0;
+  // Raised with each announcement of one incarnation, so that a late one is
+  // recognized; 0 when the target does not tell.
+  const uint64_t sequence_ = 0;
+  // How much longer the target is slow after its start.
+  const state::Millis cold_left_ = {};
 };
 
 // The own target leaves for good.
-struct TargetWithdrawn {};
+struct TargetWithdrawn {
+  // Empty for whichever target there is.
+  const std::string target_ = {};
+  // 0 for whichever incarnation there is.
+  const uint64_t incarnation_ = 0;
+};
 
 // The daemon drains: its target receives no new work.
 struct DrainRequested {};
 
+// The settings name other control instances to begin with.
+struct SeedsChanged {
+  const std::vector<std::string> addresses_ = {};  // Peer addresses.
+};
+
 // Time has passed.
 struct Ticked {};
 
 using NodeEvent = std::variant<CallArrived,
+                               CallerLeft,
                                PeerMessageArrived,
                                DeliveryEnded,
                                TargetAnnounced,
                                TargetWithdrawn,
                                DrainRequested,
+                               SeedsChanged,
                                Ticked>;
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/api/guard.h
+++ b/src/coordination/api/guard.h
@@ -11,6 +11,9 @@
 
 namespace gooseberrygap::coordination {
 
+// The target announces itself every second; after three misses it is gone.
+inline constexpr state::Millis kAnnouncementLifetime(3000);
+
 // Decides for the daemon's own target: admits attempts to its slots, queues
 // those that can still meet their deadline, starts actions only with the
 // register's grant, and tells crashes apart from slow answers. Not thread-safe.
@@ -21,7 +24,8 @@
   Guard(std::string instance,
         uint64_t incarnation,
         RegisterClient* register_client,
-        state::Counters* counters);
+        state::Counters* counters,
+        state::Millis announcement_lifetime = kAnnouncementLifetime);
   ~Guard();
 
   // Later starts of actions name this incarnation, which the lease has adopted.
@@ -31,9 +35,11 @@
       const std::vector<RefusedFingerprint>& fingerprints);
 
   Commands OnAnnounced(const TargetAnnounced& announced, state::Millis now);
-  Commands OnWithdrawn();
+  Commands OnWithdrawn(const TargetWithdrawn& withdrawn);
   // Refuses new work from now on and for good. Work that was admitted goes on.
   void Drain();
+  // Returns whether Drain was called.
+  bool is_draining() const;
 
   // Handles an attempt; the answer goes to `connection` by ReplyToPeer.
   Commands OnAttempt(const std::string& connection,
--- a/src/coordination/api/messages.h
+++ b/src/coordination/api/messages.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -11,6 +12,16 @@
 
 namespace gooseberrygap::coordination {
 
+// A control instance, as the settings or the group's members name it.
+struct ControlAddress {
+  const std::string instance_ = {};
+  const std::string address_ = {};  // Peer address.
+  const std::string region_ = {};
+
+  friend bool operator==(const ControlAddress&,
+                         const ControlAddress&) = default;
+};
+
 // One attempt of a call, from the ingress to the guard of the chosen target.
 struct Attempt {
   const std::string request_id_ = {};
@@ -30,7 +41,16 @@
   // An earlier attempt ended in a crash of its target, so that the guard runs
   // this one alone: a second crash can then be blamed on it.
   const bool run_alone_ = false;
-  // Of actions only.
+  // Time left in which an answer is as good as an immediate one.
+  const state::Millis objective_left_ = {};
+  const int priority_ = 0;  // 0 is the highest.
+  // Service of the target beside which the call was made.
+  const std::string origin_service_ = {};
+  // Of calls that a route has classified.
+  const std::string host_ = {};
+  // Of actions only. Without a key the register does not know the action, and
+  // the ingress sends it on only after a refusal.
+  const bool unkeyed_ = false;
   const std::string key_ = {};
   const std::string digest_ = {};
   const uint32_t register_group_ = 0;
@@ -137,6 +157,8 @@
   // Time since this control instance last heard from a quorum's leader.
   const state::Millis knowledge_age_ = {};
   const std::string leader_address_ = {};  // Empty when unknown.
+  // The members of the control group, and their regions where they are known.
+  const std::vector<ControlAddress> control_members_ = {};
 
   friend bool operator==(const LeaseReply&, const LeaseReply&) = default;
 };
@@ -199,6 +221,7 @@
 struct ConfigSubmit {
   const uint64_t call_id_ = 0;
   const std::string submission_ = {};
+  const std::optional<uint64_t> base_version_ = {};
   const std::shared_ptr<const state::Configuration> configuration_ = {};
 
   friend bool operator==(const ConfigSubmit&, const ConfigSubmit&) = default;
@@ -225,6 +248,16 @@
                          const ConfigSubmitReply&) = default;
 };
 
+// Asks to become a member of the control group. Any member passes it on to the
+// leader.
+struct JoinRequest {
+  const std::string identity_ = {};
+  const std::string instance_ = {};
+  const std::string address_ = {};
+
+  friend bool operator==(const JoinRequest&, const JoinRequest&) = default;
+};
+
 // Messages of the replicated log. `from_` and `to_` are member identities; a
 // message whose `to_` is not the receiver's identity is dropped.
 
@@ -334,7 +367,8 @@
                                  AppendReply,
                                  InstallSnapshot,
                                  ReadIndexRequest,
-                                 ReadIndexReply>;
+                                 ReadIndexReply,
+                                 JoinRequest>;
 
 }  // namespace gooseberrygap::coordination
 
--- a/src/coordination/api/node.h
+++ b/src/coordination/api/node.h
@@ -9,6 +9,7 @@
 #include "coordination/api/commands.h"
 #include "coordination/api/control_client.h"
 #include "coordination/api/events.h"
+#include "coordination/api/guard.h"
 
 namespace gooseberrygap::coordination {
 
@@ -32,6 +33,8 @@
     // This daemon without a target; its version carries the incarnation.
     const state::TargetRecord self_ = {};
     const std::vector<ControlAddress> control_instances_ = {};
+    // A target that has not announced itself for so long is gone.
+    const state::Millis announcement_lifetime_ = kAnnouncementLifetime;
   };
 
   // `random` and `counters` must outlive the node.
@@ -47,6 +50,10 @@
   // progress, long when idle, so that an idle daemon rarely wakes.
   state::Millis TickInterval() const;
 
+  // Returns whether callers should be sent to this daemon: it knows the
+  // configuration and the targets, and is not draining.
+  bool IsReady(state::Millis now) const;
+
   NodeStatus Status(state::Millis now) const;
   const state::IndexedConfiguration& configuration() const;
   std::vector<state::TargetRecord> Targets() const;
--- a/src/coordination/api/raft.h
+++ b/src/coordination/api/raft.h
@@ -40,6 +40,9 @@
   const uint64_t max_uncommitted_ = 8192;
   // A learner becomes a voter when it lacks at most this many entries.
   const uint64_t promotion_lag_ = 64;
+  // Learners stay learners while the group has this many voters; 0 for no
+  // limit.
+  const uint64_t max_voters_ = 0;
 
   friend bool operator==(const RaftOptions&, const RaftOptions&) = default;
 };
--- a/src/coordination/coordination.h
+++ b/src/coordination/coordination.h
@@ -10,6 +10,7 @@
 #include "coordination/api/control_service.h"
 #include "coordination/api/digest.h"
 #include "coordination/api/events.h"
+#include "coordination/api/group_membership.h"
 #include "coordination/api/guard.h"
 #include "coordination/api/ingress.h"
 #include "coordination/api/link_monitor.h"
--- a/src/coordination/internal/call.cc
+++ b/src/coordination/internal/call.cc
@@ -2,6 +2,13 @@
 
 namespace gooseberrygap::coordination {
 
+namespace {
+
+// Long enough for a queue to move on by one request.
+constexpr state::Millis kRetryAfter(50);
+
+}  // namespace
+
 AttemptSet::NextTarget AttemptSet::ChooseNext(state::Millis now) const {
   const std::string& service = call_.service_->name_;
   const state::Millis deadline_left = call_.deadline_ - now;
@@ -43,6 +50,11 @@
                           .may_queue_ = options.may_queue_,
                           .has_twin_ = options.has_twin_,
                           .run_alone_ = options.run_alone_,
+                          .objective_left_ = call_.objective_ - now,
+                          .priority_ = call_.priority_,
+                          .origin_service_ = call_.origin_service_,
+                          .host_ = call_.host_,
+                          .unkeyed_ = call_.is_unkeyed_,
                           .key_ = call_.key_,
                           .digest_ = call_.digest_,
                           .register_attempt_ = options.register_attempt_}};
@@ -101,7 +113,8 @@
   return AnswerCall{.call_id_ = call.call_id_,
                     .answer_ = CallAnswer{.outcome_ = Outcome::kNotRun,
                                           .reason_ = reason,
-                                          .request_id_ = call.request_id_}};
+                                          .request_id_ = call.request_id_,
+                                          .retry_after_ = kRetryAfter}};
 }
 
 AnswerCall UnknownOutcome(const ClassifiedCall& call,
--- a/src/coordination/internal/call.h
+++ b/src/coordination/internal/call.h
@@ -27,6 +27,15 @@
   const state::Millis arrival_ = {};
   const state::Millis deadline_ = {};
   const uint32_t depth_ = 0;
+  // Targets to which the call may be sent.
+  const uint32_t max_attempts_ = 1;
+  // When an answer stops being as good as an immediate one.
+  const state::Millis objective_ = {};
+  const int priority_ = 0;
+  const std::string origin_service_ = {};
+  const std::string host_ = {};  // Of calls that a route has classified.
+  // An action without a key: only a guard's refusal allows another attempt.
+  const bool is_unkeyed_ = false;
 };
 
 // An attempt that was sent and has not ended.
--- a/src/coordination/internal/control_choice.cc
+++ b/src/coordination/internal/control_choice.cc
@@ -19,16 +19,66 @@
 }  // namespace
 
 ControlChoice::ControlChoice(const state::TargetRecord& self,
-                             std::vector<ControlAddress> instances) {
+                             std::vector<ControlAddress> instances)
+    : self_(self.instance_), region_(self.region_) {
+  std::vector<Instance> listed;
   for (ControlAddress& address : instances) {
-    const bool in_own_region = address.region_ == self.region_;
-    instances_.push_back(Instance{.address_ = std::move(address),
-                                  .in_own_region_ = in_own_region});
+    listed.push_back(Instance{.address_ = std::move(address)});
   }
+  Order(std::move(listed));
+}
+
+void ControlChoice::SetInstances(const std::vector<ControlAddress>& instances) {
+  const bool is_same = std::equal(
+      instances.begin(), instances.end(), instances_.begin(), instances_.end(),
+      [](const ControlAddress& address, const Instance& instance) {
+        return address == instance.address_;
+      });
+  if (is_same || instances.empty()) {
+    return;
+  }
+  const std::string current = empty() ? std::string() : address();
+  std::vector<Instance> listed;
+  for (const ControlAddress& instance : instances) {
+    Instance next{.address_ = instance};
+    for (const Instance& known : instances_) {
+      if (known.address_.address_ == instance.address_) {
+        next.has_replied_ = known.has_replied_;
+        next.replied_at_ = known.replied_at_;
+        next.age_ = known.age_;
+        next.tried_at_ = known.tried_at_;
+      }
+    }
+    listed.push_back(next);
+  }
+  Order(std::move(listed));
+  for (size_t index = 0; index < instances_.size(); ++index) {
+    if (instances_[index].address_.address_ == current) {
+      current_ = index;
+    }
+  }
+}
+
+void ControlChoice::AddSeeds(const std::vector<std::string>& addresses) {
+  for (const std::string& address : addresses) {
+    const bool is_known = std::any_of(
+        instances_.begin(), instances_.end(), [&address](const auto& known) {
+          return known.address_.address_ == address;
+        });
+    if (!is_known) {
+      instances_.push_back(
+          Instance{.address_ = ControlAddress{.instance_ = address,
+                                              .address_ = address}});
+    }
+  }
+}
+
+void ControlChoice::Order(std::vector<Instance> instances) {
   // A list of values with const members cannot be sorted in place.
   std::vector<Instance> ordered;
   for (const bool own : {true, false}) {
-    for (const Instance& instance : instances_) {
+    for (Instance& instance : instances) {
+      instance.in_own_region_ = instance.address_.region_ == region_;
       if (instance.in_own_region_ == own) {
         ordered.push_back(instance);
       }
@@ -39,9 +89,7 @@
       instances_.begin(), instances_.end(),
       [](const Instance& instance) { return instance.in_own_region_; }));
   const size_t choices = own_count > 0 ? own_count : instances_.size();
-  if (choices > 0) {
-    current_ = std::hash<std::string>()(self.instance_) % choices;
-  }
+  current_ = choices > 0 ? std::hash<std::string>()(self_) % choices : 0;
 }
 
 const std::string& ControlChoice::address() const {
--- a/src/coordination/internal/control_choice.h
+++ b/src/coordination/internal/control_choice.h
@@ -19,6 +19,14 @@
   ControlChoice(const state::TargetRecord& self,
                 std::vector<ControlAddress> instances);
 
+  // Chooses among these instances from now on. What is known of an instance is
+  // kept by its address; so is the current one, if it is among them.
+  void SetInstances(const std::vector<ControlAddress>& instances);
+
+  // Adds instances of which only the address is known, last in the order. They
+  // stay until SetInstances is called with other instances.
+  void AddSeeds(const std::vector<std::string>& addresses);
+
   bool empty() const { return instances_.empty(); }
   // Precondition for all others: there are instances.
   const std::string& address() const;
@@ -59,6 +67,11 @@
   bool HasValidAge(const Instance& instance, state::Millis now) const;
   Instance* Find(const std::string& instance);
 
+  // Puts the own region's instances first and chooses one by the own name.
+  void Order(std::vector<Instance> instances);
+
+  const std::string self_;
+  const std::string region_;
   std::vector<Instance> instances_;  // The own region's first.
   size_t current_ = 0;
   state::Millis ask_at_;
--- a/src/coordination/internal/control_client.cc
+++ b/src/coordination/internal/control_client.cc
@@ -39,6 +39,10 @@
         .sequence_ = 1});
   }
 
+  void SetSeeds(const std::vector<std::string>& addresses) {
+    choice_.AddSeeds(addresses);
+  }
+
   Step Announce(const std::string& target,
                 const std::string& service,
                 int slots,
@@ -146,6 +150,7 @@
     if (!reply.leader_address_.empty()) {
       leader_address_ = reply.leader_address_;
     }
+    choice_.SetInstances(reply.control_members_);
     ForgetReportedCrashes(now);
     const FollowedState::Changes changes = followed_.Take(reply, now);
     step->configuration_changed_ = changes.configuration_;
@@ -257,6 +262,10 @@
 
 ControlClient::~ControlClient() = default;
 
+void ControlClient::SetSeeds(const std::vector<std::string>& addresses) {
+  impl_->SetSeeds(addresses);
+}
+
 ControlClient::Step ControlClient::Announce(const std::string& target,
                                             const std::string& service,
                                             int slots,
--- a/src/coordination/internal/control_service.cc
+++ b/src/coordination/internal/control_service.cc
@@ -110,7 +110,13 @@
 void ControlService::Impl::On(const LogStatus& event, state::Millis now) {
   const bool new_leader =
       !status_.has_value() || status_->leader_address_ != event.leader_address_;
+  const bool new_members =
+      !event.members_.empty() &&
+      (!status_.has_value() || status_->members_ != event.members_);
   status_.emplace(event);
+  if (new_members) {
+    exchange_.SetInstances(event.members_, now);
+  }
   if (new_leader && !event.leader_address_.empty()) {
     push_all_ = true;
     PushSoon(now);
--- a/src/coordination/internal/control_service_impl.h
+++ b/src/coordination/internal/control_service_impl.h
@@ -131,6 +131,8 @@
   void RequestRead(state::Millis now);
   void ReplyVouched(state::Millis now);
   state::Millis KnowledgeAge(state::Millis now) const;
+  // Returns the members of the group with the regions of their daemons.
+  std::vector<ControlAddress> ControlMembers() const;
   state::PoisonPolicy poison_policy() const;
 
   // The replicated log.
--- a/src/coordination/internal/control_service_leases.cc
+++ b/src/coordination/internal/control_service_leases.cc
@@ -174,7 +174,8 @@
               : std::vector<state::TargetRecord>(),
       .refused_fingerprints_ = crash_history_.Refused(poison_policy(), now),
       .knowledge_age_ = basis.knowledge_age_,
-      .leader_address_ = basis.leader_address_};
+      .leader_address_ = basis.leader_address_,
+      .control_members_ = ControlMembers()};
 }
 
 std::vector<state::TargetRecord> ControlService::Impl::MembershipFor(
@@ -266,6 +267,21 @@
   }
 }
 
+std::vector<ControlAddress> ControlService::Impl::ControlMembers() const {
+  std::vector<ControlAddress> members;
+  if (!status_.has_value()) {
+    return members;
+  }
+  for (const ControlAddress& member : status_->members_) {
+    const state::MembershipRecord* known = table_.Find(member.instance_);
+    members.push_back(ControlAddress{
+        .instance_ = member.instance_,
+        .address_ = member.address_,
+        .region_ = known == nullptr ? "" : known->record_.region_});
+  }
+  return members;
+}
+
 state::Millis ControlService::Impl::KnowledgeAge(state::Millis now) const {
   if (LeadsWithQuorum()) {
     return state::Millis();
--- a/src/coordination/internal/control_service_log.cc
+++ b/src/coordination/internal/control_service_log.cc
@@ -86,6 +86,7 @@
   }
   Propose(
       state::SubmittedConfiguration{.submission_ = submit.submission_,
+                                    .base_version_ = submit.base_version_,
                                     .configuration_ = submit.configuration_},
       Pending{.kind_ = PendingKind::kConfigSubmit, .caller_ = caller}, now);
 }
@@ -246,7 +247,7 @@
                               state::Millis now) {
   applied_index_ = event.index_;
   register_.Restore(event.state_.register_);
-  configurations_.Restore(event.state_.configurations_);
+  configurations_.Restore(event.state_.configurations_, event.state_.accepted_);
   ApplyConfigurationPolicy();
   push_all_ = true;
   PushSoon(now);
@@ -255,7 +256,8 @@
 
 state::ReplicatedState ControlService::Impl::Snapshot() const {
   return state::ReplicatedState{.register_ = register_.Snapshot(),
-                                .configurations_ = configurations_.Snapshot()};
+                                .configurations_ = configurations_.Snapshot(),
+                                .accepted_ = configurations_.Accepted()};
 }
 
 void ControlService::Impl::ProposeAbandon(const std::string& guard,
--- a/src/coordination/internal/early_calls.h
+++ b/src/coordination/internal/early_calls.h
@@ -50,6 +50,17 @@
     return calls;
   }
 
+  // Drops the call of a caller that has gone.
+  void Drop(uint64_t call_id) {
+    std::deque<Kept> left;
+    for (const Kept& kept : kept_) {
+      if (kept.call_.call_id_ != call_id) {
+        left.push_back(kept);
+      }
+    }
+    kept_.swap(left);
+  }
+
   size_t size() const { return kept_.size(); }
 
  private:
--- a/src/coordination/internal/guard.cc
+++ b/src/coordination/internal/guard.cc
@@ -19,16 +19,30 @@
 
 Commands Guard::Impl::OnAnnounced(const TargetAnnounced& announced,
                                   state::Millis now) {
+  const TargetState before = target_.state();
   const bool is_new_process = target_.Announce(announced, now);
+  Commands commands;
   if (is_new_process) {
     ReportCrash(now);
+    pace_ = 0;
+    commands = RefuseReplaced();
   }
-  return StartQueued(now);
+  // Only the target's own departure: a daemon that drains finishes its queue.
+  const bool starts_to_leave = !target_.is_draining() &&
+                               before == TargetState::kServing &&
+                               target_.state() == TargetState::kDraining;
+  if (starts_to_leave) {
+    Append(&commands, RefuseQueued(RefusalReason::kDraining));
+  }
+  Append(&commands, StartQueued(now));
+  return commands;
 }
 
-Commands Guard::Impl::OnWithdrawn() {
-  target_.SetState(TargetState::kLeft);
-  return RefuseQueued(RefusalReason::kDraining);
+Commands Guard::Impl::OnWithdrawn(const TargetWithdrawn& withdrawn) {
+  target_.Withdraw(withdrawn);
+  return target_.state() == TargetState::kLeft
+             ? RefuseQueued(RefusalReason::kDraining)
+             : Commands();
 }
 
 Commands Guard::Impl::OnAttempt(const std::string& connection,
@@ -97,7 +111,8 @@
                           .queued_ = queued_count(),
                           .slots_ = target_.slots(),
                           .latency_ = Expected(),
-                          .state_ = target_.state()};
+                          .state_ = target_.state(),
+                          .pace_ = pace_};
 }
 
 std::vector<CrashReport> Guard::Impl::TakeCrashes() {
@@ -160,7 +175,7 @@
                                  now - work.arrival_);
   const uint64_t delivery_id = next_delivery_++;
   Running running{.work_ = work, .started_ = now};
-  if (work.attempt_.request_class_ == state::RequestClass::kLookup) {
+  if (!IsKeyed(work.attempt_)) {
     running_.emplace(delivery_id, running);
     return {Deliver(delivery_id, work, now)};
   }
@@ -180,6 +195,8 @@
                          .request_id_ = work.attempt_.request_id_,
                          .attempt_ = work.attempt_.attempt_,
                          .depth_ = work.attempt_.depth_,
+                         .target_ = work.attempt_.target_,
+                         .origin_service_ = work.attempt_.origin_service_,
                          .timeout_ = work.deadline_ - now,
                          .fresh_connection_ = work.attempt_.request_class_ ==
                                               state::RequestClass::kAction};
@@ -194,6 +211,22 @@
   return commands;
 }
 
+Commands Guard::Impl::RefuseReplaced() {
+  Commands commands;
+  std::deque<GuardWork> kept;
+  for (const GuardWork& work : queue_) {
+    if (work.attempt_.target_ == target_.announced().target_) {
+      kept.push_back(work);
+      continue;
+    }
+    commands.push_back(
+        Reply(work.connection_,
+              Refusal(work.attempt_, RefusalReason::kTargetReplaced)));
+  }
+  queue_.swap(kept);
+  return commands;
+}
+
 Commands Guard::Impl::RefuseExpired(state::Millis now) {
   Commands commands;
   std::deque<GuardWork> kept;
@@ -212,11 +245,13 @@
 Guard::Guard(std::string instance,
              uint64_t incarnation,
              RegisterClient* register_client,
-             state::Counters* counters)
+             state::Counters* counters,
+             state::Millis announcement_lifetime)
     : impl_(std::make_unique<Impl>(std::move(instance),
                                    incarnation,
                                    register_client,
-                                   counters)) {}
+                                   counters,
+                                   announcement_lifetime)) {}
 
 Guard::~Guard() = default;
 
@@ -239,14 +274,18 @@
   return impl_->OnAnnounced(announced, now);
 }
 
-Commands Guard::OnWithdrawn() {
-  return impl_->OnWithdrawn();
+Commands Guard::OnWithdrawn(const TargetWithdrawn& withdrawn) {
+  return impl_->OnWithdrawn(withdrawn);
 }
 
 void Guard::Drain() {
   impl_->target()->Drain();
 }
 
+bool Guard::is_draining() const {
+  return impl_->target()->is_draining();
+}
+
 Commands Guard::OnAttempt(const std::string& connection,
                           const Attempt& attempt,
                           state::Millis now) {
--- a/src/coordination/internal/guard_delivery.cc
+++ b/src/coordination/internal/guard_delivery.cc
@@ -24,10 +24,15 @@
   const Running running = entry->second;
   const int in_flight = static_cast<int>(running_.size());
   running_.erase(entry);
+  if (ended.pace_ > 0) {
+    pace_ = ended.pace_;
+  }
   Commands commands;
   switch (ended.end_) {
     case DeliveryEnd::kAnswered:
-      commands = OnAnswered(running, ended.answer_, now);
+      commands = ended.declined_ || IsShed(ended.answer_)
+                     ? OnDeclined(running, ended.answer_, now)
+                     : OnAnswered(running, ended.answer_, now);
       break;
     case DeliveryEnd::kConnectFailed:
       commands = OnConnectFailed(running, now);
@@ -55,27 +60,39 @@
                                  const state::HttpAnswer& answer,
                                  state::Millis now) {
   const GuardWork& work = running.work_;
-  const bool is_action =
-      work.attempt_.request_class_ == state::RequestClass::kAction;
   latency_.Add(now - running.started_);
-  if (IsShed(answer)) {
-    return is_action ? Release(running, RefusalReason::kTargetShed, now)
-                     : Commands{Reply(
-                           work.connection_,
-                           Refusal(work.attempt_, RefusalReason::kTargetShed))};
-  }
   Commands commands = {Reply(
       work.connection_, AttemptAnswer{.request_id_ = work.attempt_.request_id_,
                                       .attempt_ = work.attempt_.attempt_,
                                       .answer_ = answer,
                                       .guard_time_ = now - work.arrival_})};
-  if (is_action) {
+  if (IsKeyed(work.attempt_)) {
     Append(&commands, CallRegister(0, running, RegisterOperation::kFinish,
                                    answer, now + kReportTime, now));
   }
   return commands;
 }
 
+Commands Guard::Impl::OnDeclined(const Running& running,
+                                 const state::HttpAnswer& answer,
+                                 state::Millis now) {
+  constexpr int kMisdirectedRequest = 421;
+  const bool is_misdirected = answer.status_ == kMisdirectedRequest;
+  if (is_misdirected) {
+    // Another target has the address; it has not announced itself yet.
+    target_.SetState(TargetState::kStarting);
+  }
+  return OnNotDelivered(
+      running,
+      is_misdirected ? RefusalReason::kMisdirected : RefusalReason::kTargetShed,
+      now);
+}
+
+bool Guard::Impl::IsKeyed(const Attempt& attempt) {
+  return attempt.request_class_ == state::RequestClass::kAction &&
+         !attempt.unkeyed_;
+}
+
 bool Guard::Impl::IsShed(const state::HttpAnswer& answer) {
   return std::any_of(answer.headers_.begin(), answer.headers_.end(),
                      [](const state::HttpHeader& header) {
@@ -89,14 +106,17 @@
   // away until the next announcement.
   ReportCrash(now);
   target_.SetState(TargetState::kStarting);
-  return OnNotDelivered(running, RefusalReason::kConnectFailed, now);
+  Commands commands =
+      OnNotDelivered(running, RefusalReason::kConnectFailed, now);
+  Append(&commands, RefuseQueued(RefusalReason::kNotServing));
+  return commands;
 }
 
 Commands Guard::Impl::OnNotDelivered(const Running& running,
                                      RefusalReason reason,
                                      state::Millis now) {
   const GuardWork& work = running.work_;
-  if (work.attempt_.request_class_ == state::RequestClass::kAction) {
+  if (IsKeyed(work.attempt_)) {
     return Release(running, reason, now);
   }
   return {Reply(work.connection_, Refusal(work.attempt_, reason))};
--- a/src/coordination/internal/guard_impl.h
+++ b/src/coordination/internal/guard_impl.h
@@ -32,11 +32,13 @@
   Impl(std::string instance,
        uint64_t incarnation,
        RegisterClient* register_client,
-       state::Counters* counters)
+       state::Counters* counters,
+       state::Millis announcement_lifetime)
       : instance_(std::move(instance)),
         incarnation_(incarnation),
         register_client_(register_client),
         counters_(counters),
+        target_(announcement_lifetime),
         crash_detector_(absl::StrCat(instance_, "-", incarnation, "-")) {}
 
   void SetIncarnation(uint64_t incarnation) { incarnation_ = incarnation; }
@@ -46,7 +48,7 @@
 
   Commands OnAnnounced(const TargetAnnounced& announced, state::Millis now);
 
-  Commands OnWithdrawn();
+  Commands OnWithdrawn(const TargetWithdrawn& withdrawn);
 
   Commands OnAttempt(const std::string& connection,
                      const Attempt& attempt,
@@ -125,7 +127,12 @@
                       state::Millis now);
 
   // The target states that it did not run the request.
+  Commands OnDeclined(const Running& running,
+                      const state::HttpAnswer& answer,
+                      state::Millis now);
   static bool IsShed(const state::HttpAnswer& answer);
+  // Whether the register knows the attempt.
+  static bool IsKeyed(const Attempt& attempt);
 
   Commands OnConnectFailed(const Running& running, state::Millis now);
 
@@ -147,6 +154,8 @@
   Commands FlushHeld(state::Millis now, bool all);
 
   Commands RefuseQueued(state::RefusalReason reason);
+  // Refuses the queued attempts that are meant for another target.
+  Commands RefuseReplaced();
 
   Commands RefuseExpired(state::Millis now);
 
@@ -167,6 +176,7 @@
   uint64_t next_delivery_ = 1;
   uint64_t check_id_ = 0;
   uint64_t next_tag_ = 0;
+  int pace_ = 0;  // What the target last said.
 };
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/internal/guard_target.cc
+++ b/src/coordination/internal/guard_target.cc
@@ -9,9 +9,6 @@
 using state::RefusalReason;
 using state::TargetState;
 
-// The target announces itself every second; after three misses it is gone.
-constexpr state::Millis kAnnouncementLifetime(3000);
-
 }  // namespace
 
 void GuardTarget::UpdateConfiguration(
@@ -30,10 +27,15 @@
 
 bool GuardTarget::Announce(const TargetAnnounced& announced,
                            state::Millis now) {
+  if (IsStale(announced)) {
+    return false;
+  }
   last_announced_ = now;
   const bool is_new_process =
-      announced.incarnation_ != 0 && known() &&
-      announced_->incarnation_ != announced.incarnation_;
+      known() && (announced_->target_ != announced.target_ ||
+                  (announced.incarnation_ != 0 &&
+                   announced_->incarnation_ != announced.incarnation_));
+  withdrawn_ = withdrawn_ && !is_new_process;
   announced_.emplace(announced);
   if (draining_ && announced.state_ != TargetState::kLeft) {
     SetState(TargetState::kDraining);
@@ -41,6 +43,30 @@
   return is_new_process;
 }
 
+bool GuardTarget::IsStale(const TargetAnnounced& announced) const {
+  if (!known() || announced.incarnation_ == 0 ||
+      announced_->incarnation_ == 0) {
+    return false;
+  }
+  if (announced.incarnation_ != announced_->incarnation_) {
+    return announced.incarnation_ < announced_->incarnation_;
+  }
+  return withdrawn_ || (announced.sequence_ != 0 &&
+                        announced.sequence_ <= announced_->sequence_);
+}
+
+void GuardTarget::Withdraw(const TargetWithdrawn& withdrawn) {
+  const bool is_meant =
+      known() &&
+      (withdrawn.target_.empty() || withdrawn.target_ == announced_->target_) &&
+      (withdrawn.incarnation_ == 0 || announced_->incarnation_ == 0 ||
+       withdrawn.incarnation_ == announced_->incarnation_);
+  if (is_meant) {
+    withdrawn_ = true;
+    SetState(TargetState::kLeft);
+  }
+}
+
 void GuardTarget::SetState(TargetState target_state) {
   if (!known()) {
     return;
@@ -51,7 +77,9 @@
                                      .address_ = old.address_,
                                      .slots_ = old.slots_,
                                      .state_ = target_state,
-                                     .incarnation_ = old.incarnation_});
+                                     .incarnation_ = old.incarnation_,
+                                     .sequence_ = old.sequence_,
+                                     .cold_left_ = old.cold_left_});
 }
 
 void GuardTarget::Drain() {
@@ -61,7 +89,7 @@
 
 bool GuardTarget::IsGone(state::Millis now) const {
   return known() && announced_->state_ != TargetState::kLeft &&
-         now - last_announced_ > kAnnouncementLifetime;
+         now - last_announced_ > lifetime_;
 }
 
 TargetState GuardTarget::state() const {
@@ -103,15 +131,33 @@
   if (!is_newer_here) {
     return RefusalReason::kNone;
   }
+  if (!attempt.host_.empty()) {
+    const state::Route* route = state::FindRoute(
+        *configuration_->configuration_, attempt.host_, attempt.request_.path_);
+    return route != nullptr && LeadsTo(*route, attempt)
+               ? RefusalReason::kNone
+               : RefusalReason::kStaleConfiguration;
+  }
+  return HasSameRule(attempt) ? RefusalReason::kNone
+                              : RefusalReason::kStaleConfiguration;
+}
+
+bool GuardTarget::LeadsTo(const state::Route& route, const Attempt& attempt) {
+  return route.request_class_ == attempt.request_class_ &&
+         std::any_of(route.destinations_.begin(), route.destinations_.end(),
+                     [&attempt](const state::Destination& destination) {
+                       return destination.service_ == attempt.service_;
+                     });
+}
+
+bool GuardTarget::HasSameRule(const Attempt& attempt) const {
   const state::Service* service =
       state::FindService(*configuration_->configuration_, attempt.service_);
   const state::Rule* rule =
       service == nullptr ? nullptr
                          : state::FindRule(*service, attempt.request_.method_,
                                            attempt.request_.path_);
-  const bool is_same =
-      rule != nullptr && rule->request_class_ == attempt.request_class_;
-  return is_same ? RefusalReason::kNone : RefusalReason::kStaleConfiguration;
+  return rule != nullptr && rule->request_class_ == attempt.request_class_;
 }
 
 RefusalReason GuardTarget::CheckLoad(const Attempt& attempt,
--- a/src/coordination/internal/guard_target.h
+++ b/src/coordination/internal/guard_target.h
@@ -14,12 +14,17 @@
 // it. Not thread-safe.
 class GuardTarget {
  public:
+  // A target without an announcement for `lifetime` is gone.
+  explicit GuardTarget(state::Millis lifetime) : lifetime_(lifetime) {}
+
   void UpdateConfiguration(const state::IndexedConfiguration& configuration);
   void UpdateRefusedFingerprints(
       const std::vector<RefusedFingerprint>& fingerprints);
 
   // Takes an announcement. Returns true when it comes from a new process.
   bool Announce(const TargetAnnounced& announced, state::Millis now);
+  // The target leaves for good, and its late announcements change nothing.
+  void Withdraw(const TargetWithdrawn& withdrawn);
   void SetState(state::TargetState target_state);
   // Keeps the target draining whatever it announces later.
   void Drain();
@@ -43,7 +48,14 @@
   // A target without a name when none has announced itself.
   const TargetAnnounced& announced() const;
 
+  bool is_draining() const { return draining_; }
+
  private:
+  // Whether the announcement is older than what is known.
+  bool IsStale(const TargetAnnounced& announced) const;
+  // Whether the route leads calls of this kind to the service.
+  static bool LeadsTo(const state::Route& route, const Attempt& attempt);
+  bool HasSameRule(const Attempt& attempt) const;
   state::RefusalReason CheckConfiguration(const Attempt& attempt) const;
   state::RefusalReason CheckLoad(const Attempt& attempt,
                                  int running,
@@ -53,7 +65,9 @@
   std::optional<state::IndexedConfiguration> configuration_;
   absl::flat_hash_set<std::string> convicted_;
   absl::flat_hash_set<std::string> suspects_;
+  const state::Millis lifetime_;
   std::optional<TargetAnnounced> announced_;
+  bool withdrawn_ = false;
   state::Millis last_announced_;
   bool draining_ = false;
 };
--- a/src/coordination/internal/ingress.cc
+++ b/src/coordination/internal/ingress.cc
@@ -4,6 +4,7 @@
 #include "absl/strings/str_cat.h"
 #include "coordination/internal/action_calls.h"
 #include "coordination/internal/lookup_calls.h"
+#include "coordination/internal/split_choice.h"
 
 namespace gooseberrygap::coordination {
 
@@ -30,6 +31,7 @@
 
   void UpdateConfiguration(const state::IndexedConfiguration& configuration) {
     configuration_.emplace(configuration);
+    splits_.Reset();
   }
 
   void UpdateRefusedFingerprints(
@@ -57,8 +59,13 @@
     if (arrived.depth_ > kMaxDepth) {
       return refuse(RefusalReason::kTooDeep);
     }
-    if (!configuration_.has_value() ||
-        configuration_->configuration_ == nullptr) {
+    const bool has_configuration =
+        configuration_.has_value() && configuration_->configuration_ != nullptr;
+    if (arrived.service_.empty()) {
+      return has_configuration ? OnRoutedCall(arrived, request_id, now)
+                               : refuse(RefusalReason::kNoConfiguration);
+    }
+    if (!has_configuration) {
       return refuse(RefusalReason::kNoService);
     }
     const auto configuration = configuration_->configuration_;
@@ -105,10 +112,17 @@
         .is_suspect_ = suspects_.contains(digest),
         .arrival_ = now,
         .deadline_ = now + time_limit,
-        .depth_ = arrived.depth_};
+        .depth_ = arrived.depth_,
+        .max_attempts_ = static_cast<uint32_t>(service->retry_.max_attempts_),
+        .objective_ = now + time_limit,
+        .origin_service_ = arrived.origin_service_};
     return is_action ? actions_.OnCall(call, now) : lookups_.OnCall(call, now);
   }
 
+  Commands OnCallerLeft(uint64_t call_id, state::Millis now) {
+    return lookups_.OnCallerLeft(call_id, now);
+  }
+
   Commands OnAnswer(const AttemptAnswer& answer, state::Millis now) {
     std::optional<Commands> commands = lookups_.OnAnswer(answer, now);
     if (!commands.has_value()) {
@@ -140,6 +154,61 @@
   size_t calls_in_progress() const { return lookups_.size() + actions_.size(); }
 
  private:
+  // Precondition: there is a configuration.
+  Commands OnRoutedCall(const CallArrived& arrived,
+                        const std::string& request_id,
+                        state::Millis now) {
+    const auto configuration = configuration_->configuration_;
+    const auto refuse = [&](RefusalReason reason) -> Commands {
+      return {AnswerCall{.call_id_ = arrived.call_id_,
+                         .answer_ = CallAnswer{.outcome_ = Outcome::kNotRun,
+                                               .reason_ = reason,
+                                               .request_id_ = request_id}}};
+    };
+    const state::Route* route =
+        state::FindRoute(*configuration, arrived.host_, arrived.request_.path_);
+    if (route == nullptr) {
+      return refuse(RefusalReason::kNoRoute);
+    }
+    const state::Service* service =
+        state::FindService(*configuration, splits_.Choose(*route));
+    if (service == nullptr) {
+      return refuse(RefusalReason::kNoService);
+    }
+    const std::string digest = DigestOf(service->name_, arrived.request_);
+    if (convicted_.contains(digest)) {
+      return refuse(RefusalReason::kPoisoned);
+    }
+    const state::Millis time_limit = std::min(
+        arrived.deadline_left_.value_or(route->timeout_), route->timeout_);
+    if (time_limit <= state::Millis(0)) {
+      return refuse(RefusalReason::kDeadline);
+    }
+    const bool is_action =
+        route->request_class_ == state::RequestClass::kAction;
+    return lookups_.OnCall(
+        ClassifiedCall{
+            .call_id_ = arrived.call_id_,
+            .request_id_ = request_id,
+            .configuration_ = configuration,
+            .configuration_index_ = configuration_->index_,
+            .service_ = service,
+            .request_class_ = route->request_class_,
+            .request_ = arrived.request_,
+            .digest_ = digest,
+            .is_suspect_ = suspects_.contains(digest),
+            .arrival_ = now,
+            .deadline_ = now + time_limit,
+            .depth_ = arrived.depth_,
+            .max_attempts_ = static_cast<uint32_t>(route->max_attempts_),
+            .objective_ = now + route->latency_objective_,
+            .priority_ = route->priority_,
+            .origin_service_ = arrived.origin_service_,
+            .host_ = arrived.host_,
+            .is_unkeyed_ = is_action},
+        now);
+  }
+
   const std::string request_id_prefix_;
   state::Counters* const counters_;
   LookupCalls lookups_;
@@ -147,6 +216,7 @@
   std::optional<state::IndexedConfiguration> configuration_;
   absl::flat_hash_set<std::string> convicted_;
   absl::flat_hash_set<std::string> suspects_;
+  SplitChoice splits_;
   bool actions_allowed_ = false;
   uint64_t next_request_ = 1;
 };
@@ -180,6 +250,10 @@
   return impl_->OnCall(call, now);
 }
 
+Commands Ingress::OnCallerLeft(uint64_t call_id, state::Millis now) {
+  return impl_->OnCallerLeft(call_id, now);
+}
+
 Commands Ingress::OnAnswer(const AttemptAnswer& answer, state::Millis now) {
   return impl_->OnAnswer(answer, now);
 }
--- a/src/coordination/internal/lookup_calls.cc
+++ b/src/coordination/internal/lookup_calls.cc
@@ -30,7 +30,9 @@
   const bool is_outermost = call.depth_ == 0;
   // A second copy of a request that crashes its targets takes down two at once,
   // neither of them for certain because of it.
-  if (is_outermost && !call.is_suspect_ && call.service_->hedge_.enabled_) {
+  request_by_call_[call.call_id_] = call.request_id_;
+  if (is_outermost && !call.is_suspect_ && !call.is_unkeyed_ &&
+      call.service_->hedge_.enabled_) {
     const auto delay = router_->HedgeDelay(call.service_->name_);
     if (delay.has_value()) {
       lookup->hedge_at_ = now + *delay;
@@ -102,12 +104,22 @@
                                 state::Millis now) {
   ++lookup->refusals_;
   lookup->last_reason_ = answer.refusal_;
+  // A guard with a newer route refuses on every target of the service.
+  const bool is_rerouted =
+      !lookup->call_.host_.empty() &&
+      answer.refusal_ == state::RefusalReason::kStaleConfiguration;
   const bool is_final = answer.refusal_ == state::RefusalReason::kPoisoned ||
-                        lookup->refusals_ >= kMaxRefusals ||
+                        is_rerouted || lookup->refusals_ >= kMaxRefusals ||
                         now >= lookup->call_.deadline_;
   if (is_final) {
     return lookup->attempts_.open().empty() ? GiveUp(lookup, now) : Commands();
   }
+  // A target that sheds has been reached, which costs it as a retry does.
+  if (answer.refusal_ == state::RefusalReason::kTargetShed &&
+      !router_->TakeRetry(lookup->call_.service_->name_)) {
+    counters_->Add(state::RetryReason::kBudgetExhausted);
+    return lookup->attempts_.open().empty() ? GiveUp(lookup, now) : Commands();
+  }
   counters_->Add(state::RetryReason::kRefused);
   return SendNext(lookup, now);
 }
@@ -118,11 +130,9 @@
     return {};
   }
   const ClassifiedCall& call = lookup->call_;
-  const auto max_attempts =
-      static_cast<uint32_t>(call.service_->retry_.max_attempts_);
   const auto crash_limit =
       static_cast<uint32_t>(call.configuration_->poison_.crashes_);
-  const bool is_final = lookup->failures_ >= max_attempts ||
+  const bool is_final = !MayReachAnother(*lookup) || call.is_unkeyed_ ||
                         lookup->crashes_ >= crash_limit ||
                         now >= call.deadline_;
   if (is_final) {
@@ -159,10 +169,23 @@
   Commands commands = lookup->attempts_.CancelAll(now);
   commands.push_back(std::move(answer));
   const std::string request_id = lookup->call_.request_id_;
+  request_by_call_.erase(lookup->call_.call_id_);
   lookups_.erase(request_id);
   return commands;
 }
 
+Commands LookupCalls::OnCallerLeft(uint64_t call_id, state::Millis now) {
+  const auto entry = request_by_call_.find(call_id);
+  if (entry == request_by_call_.end()) {
+    return {};
+  }
+  const auto lookup = lookups_.find(entry->second);
+  Commands commands = lookup->second->attempts_.CancelAll(now);
+  lookups_.erase(lookup);
+  request_by_call_.erase(entry);
+  return commands;
+}
+
 Commands LookupCalls::OnLinkLost(const std::string& address,
                                  state::Millis now) {
   Commands commands;
@@ -178,6 +201,10 @@
     if (!lookup->attempts_.open().empty()) {
       continue;
     }
+    if (lookup->call_.is_unkeyed_ || !MayReachAnother(*lookup)) {
+      Append(&commands, GiveUp(lookup, now));
+      continue;
+    }
     // Outside the retry budget: a lost link says nothing about load, and the
     // number of links bounds these retries.
     counters_->Add(state::RetryReason::kSilentLink);
@@ -206,6 +233,11 @@
   return commands;
 }
 
+bool LookupCalls::MayReachAnother(const Lookup& lookup) {
+  return lookup.attempts_.sent() - lookup.refusals_ <
+         lookup.call_.max_attempts_;
+}
+
 Commands LookupCalls::OnDeadline(Lookup* lookup, state::Millis now) {
   const bool may_have_run =
       !lookup->attempts_.open().empty() || lookup->failures_ > 0;
@@ -218,8 +250,9 @@
 
 Commands LookupCalls::Hedge(Lookup* lookup, state::Millis now) {
   lookup->hedge_at_.reset();
-  const bool has_one_open = lookup->attempts_.open().size() == 1;
-  if (!has_one_open || !router_->TakeHedge(lookup->call_.service_->name_)) {
+  const bool may_hedge =
+      lookup->attempts_.open().size() == 1 && MayReachAnother(*lookup);
+  if (!may_hedge || !router_->TakeHedge(lookup->call_.service_->name_)) {
     return {};
   }
   counters_->Add(state::RetryReason::kHedge);
--- a/src/coordination/internal/lookup_calls.h
+++ b/src/coordination/internal/lookup_calls.h
@@ -10,7 +10,8 @@
 
 namespace gooseberrygap::coordination {
 
-// The lookups in progress: sends attempts, retries and hedges. Not thread-safe.
+// The lookups and the actions without a key in progress: sends attempts, and
+// for lookups retries and hedges. Not thread-safe.
 class LookupCalls {
  public:
   LookupCalls(Router* router, state::Counters* counters)
@@ -20,6 +21,8 @@
   // Returns nothing when the answer belongs to no lookup in progress.
   std::optional<Commands> OnAnswer(const AttemptAnswer& answer,
                                    state::Millis now);
+  // Drops the lookup of this call, if there is one, and cancels its attempts.
+  Commands OnCallerLeft(uint64_t call_id, state::Millis now);
   Commands OnLinkLost(const std::string& address, state::Millis now);
   Commands Tick(state::Millis now);
   size_t size() const { return lookups_.size(); }
@@ -52,6 +55,8 @@
   Commands OnFailed(Lookup* lookup, state::Millis now);
   Commands OnDeadline(Lookup* lookup, state::Millis now);
   Commands Hedge(Lookup* lookup, state::Millis now);
+  // Whether one more target may be reached. Refused attempts have reached none.
+  static bool MayReachAnother(const Lookup& lookup);
   Commands Finish(Lookup* lookup, AnswerCall answer, state::Millis now);
   // Ends the lookup after its last attempt ended without an answer. After a
   // crash the answer is delayed, so that the caller's resend meets daemons that
@@ -61,6 +66,7 @@
   Router* const router_;
   state::Counters* const counters_;
   Lookups lookups_;
+  std::map<uint64_t, std::string> request_by_call_;
 };
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/internal/membership_exchange.cc
+++ b/src/coordination/internal/membership_exchange.cc
@@ -34,13 +34,30 @@
       table_(table),
       counters_(counters),
       started_(now) {
+  if (!instances.empty()) {
+    SetInstances(instances, now);
+  }
+}
+
+void MembershipExchange::SetInstances(
+    const std::vector<ControlAddress>& instances,
+    state::Millis now) {
+  knows_instances_ = true;
+  std::map<std::string, Peer> previous;
+  previous.swap(peers_);
   for (const ControlAddress& instance : instances) {
-    if (instance.instance_ != self_) {
-      peers_.emplace(instance.instance_, Peer{.address_ = instance.address_,
-                                              .heard_at_ = now,
-                                              .epoch_since_ = now,
-                                              .send_at_ = now});
+    if (instance.instance_ == self_) {
+      continue;
     }
+    const auto known = previous.find(instance.instance_);
+    const bool is_known =
+        known != previous.end() && known->second.address_ == instance.address_;
+    peers_.emplace(instance.instance_, is_known
+                                           ? known->second
+                                           : Peer{.address_ = instance.address_,
+                                                  .heard_at_ = now,
+                                                  .epoch_since_ = now,
+                                                  .send_at_ = now});
   }
 }
 
@@ -219,7 +236,8 @@
 }
 
 bool MembershipExchange::HasHeardAll() const {
-  return std::all_of(peers_.begin(), peers_.end(),
+  return knows_instances_ &&
+         std::all_of(peers_.begin(), peers_.end(),
                      [](const auto& entry) { return entry.second.has_table_; });
 }
 
--- a/src/coordination/internal/membership_exchange.h
+++ b/src/coordination/internal/membership_exchange.h
@@ -29,6 +29,10 @@
                      state::Counters* counters,
                      state::Millis now);
 
+  // Exchanges with these instances from now on, and no longer with others.
+  void SetInstances(const std::vector<ControlAddress>& instances,
+                    state::Millis now);
+
   // What every message carries besides the changes.
   struct Extras {
     std::vector<RefusedFingerprint> refused_fingerprints_;
@@ -79,6 +83,7 @@
   state::Counters* counters_;
   const state::Millis started_;
   std::map<std::string, Peer> peers_;
+  bool knows_instances_ = false;
 };
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -45,7 +45,8 @@
         guard_(self_.instance_,
                self_.version_.incarnation_,
                &register_client_,
-               counters) {}
+               counters,
+               options.announcement_lifetime_) {}
 
   Commands Handle(const NodeEvent& event, state::Millis now) {
     Commands commands = std::visit(
@@ -76,6 +77,10 @@
         .work_in_progress_ = guard_.work_in_progress()};
   }
 
+  bool IsReady(state::Millis now) const {
+    return KnowsEnough(now) && !guard_.is_draining();
+  }
+
   const state::IndexedConfiguration& configuration() const {
     return control_client_.configuration();
   }
@@ -86,8 +91,16 @@
 
  private:
   Commands On(const CallArrived& call, state::Millis now) {
-    return early_calls_.Keep(call, now) ? Commands()
-                                        : ingress_.OnCall(call, now);
+    // A routed call is refused at once: its caller comes back when told to.
+    const bool is_routed = call.service_.empty();
+    return !is_routed && early_calls_.Keep(call, now)
+               ? Commands()
+               : ingress_.OnCall(call, now);
+  }
+
+  Commands On(const CallerLeft& left, state::Millis now) {
+    early_calls_.Drop(left.call_id_);
+    return ingress_.OnCallerLeft(left.call_id_, now);
   }
 
   Commands On(const PeerMessageArrived& arrived, state::Millis now) {
@@ -107,8 +120,8 @@
     return guard_.OnAnnounced(announced, now);
   }
 
-  Commands On(const TargetWithdrawn&, state::Millis) {
-    return guard_.OnWithdrawn();
+  Commands On(const TargetWithdrawn& withdrawn, state::Millis) {
+    return guard_.OnWithdrawn(withdrawn);
   }
 
   Commands On(const DrainRequested&, state::Millis) {
@@ -116,6 +129,11 @@
     return {};
   }
 
+  Commands On(const SeedsChanged& changed, state::Millis) {
+    control_client_.SetSeeds(changed.addresses_);
+    return {};
+  }
+
   Commands On(const Ticked&, state::Millis now) {
     Commands commands = Apply(control_client_.Tick(now), now);
     ingress_.SetActionsAllowed(control_client_.KnowledgeAge(now) <=
@@ -354,6 +372,10 @@
   return impl_->TickInterval();
 }
 
+bool Node::IsReady(state::Millis now) const {
+  return impl_->IsReady(now);
+}
+
 NodeStatus Node::Status(state::Millis now) const {
   return impl_->Status(now);
 }
--- a/src/coordination/internal/raft_proposals.cc
+++ b/src/coordination/internal/raft_proposals.cc
@@ -140,7 +140,9 @@
 }
 
 void Raft::Impl::PromoteLearner() {
-  if (RefusalOfChange()) {
+  const bool is_complete = options_.max_voters_ > 0 &&
+                           CountVoters(log_.members()) >= options_.max_voters_;
+  if (is_complete || RefusalOfChange()) {
     return;
   }
   const auto is_caught_up = [&](const state::ControlMember& member) {
--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -18,6 +18,7 @@
 
 constexpr size_t kRingCapacity = 16384;
 constexpr state::Millis kTickInterval(10);
+constexpr state::Millis kMembershipInterval(50);
 // Items that are handled together, with one write to the disk.
 constexpr size_t kMaxBatch = 512;
 constexpr state::Millis kStatusTimeout(2000);
@@ -25,6 +26,8 @@
 constexpr state::Millis kFormTimeout(200);
 // Tags of membership changes differ from those of the control service.
 constexpr uint64_t kChangeTagBit = uint64_t{1} << 63;
+// Numbers of reads for operators differ from those of the control service.
+constexpr uint64_t kOwnReadBit = uint64_t{1} << 63;
 // A leader that heard from its quorum this lately may answer for the group.
 constexpr state::Millis kQuorumFresh(500);
 
@@ -91,6 +94,16 @@
 
 }  // namespace
 
+namespace {
+
+coordination::RaftOptions RaftOptionsFor(const ControlDuty::Options& options) {
+  const uint64_t max_voters =
+      options.membership_.has_value() ? options.membership_->voters_ : 0;
+  return coordination::RaftOptions{.max_voters_ = max_voters};
+}
+
+}  // namespace
+
 state::Result<std::unique_ptr<ControlDuty>> ControlDuty::Open(
     const Options& options,
     state::Counters* counters) {
@@ -108,13 +121,17 @@
     : options_(options),
       counters_(counters),
       store_(std::move(store)),
-      raft_(coordination::RaftOptions{}, store_->Load(), random_, clock_.Now()),
+      raft_(RaftOptionsFor(options), store_->Load(), random_, clock_.Now()),
       service_(options.self_,
                options.control_instances_,
                options.incarnation_,
                counters,
                clock_.Now()),
-      ring_(kRingCapacity) {}
+      ring_(kRingCapacity) {
+  if (options.membership_.has_value()) {
+    membership_.emplace(*options.membership_);
+  }
+}
 
 ControlDuty::~ControlDuty() {
   Stop();
@@ -195,6 +212,19 @@
   return ResultOf(*end);
 }
 
+std::optional<state::IndexedConfiguration> ControlDuty::ReadConfiguration(
+    state::Millis timeout) {
+  auto slot = std::make_shared<ReadSlot>();
+  if (!ring_.TryPush(Item(ReadRequest{.slot_ = slot}))) {
+    return std::nullopt;
+  }
+  return slot->Wait(timeout);
+}
+
+void ControlDuty::SetSeeds(const std::vector<std::string>& seeds) {
+  ring_.TryPush(Item(NewSeeds{.addresses_ = seeds}));
+}
+
 std::optional<protocol::ControlStatus> ControlDuty::Status() {
   auto slot = std::make_shared<StatusSlot>();
   if (!ring_.TryPush(Item(StatusRequest{.slot_ = slot}))) {
@@ -247,7 +277,28 @@
     raft_events->push_back(*event);
     return;
   }
+  if (const auto* request = std::get_if<ReadRequest>(&item)) {
+    const uint64_t read_id = next_read_++ | kOwnReadBit;
+    reads_.emplace(read_id, request->slot_);
+    raft_events->emplace_back(coordination::RaftReadIndex{.read_id_ = read_id});
+    return;
+  }
+  if (const auto* seeds = std::get_if<NewSeeds>(&item)) {
+    if (membership_.has_value()) {
+      membership_->SetSeeds(seeds->addresses_);
+    }
+    return;
+  }
   const auto& arrival = std::get<transport::PeerArrival>(item);
+  if (const auto* join =
+          std::get_if<coordination::JoinRequest>(&arrival.message_)) {
+    const state::Millis now = clock_.Now();
+    if (membership_.has_value()) {
+      Apply(membership_->OnJoin(*join, CurrentGroupView(now), now),
+            raft_events);
+    }
+    return;
+  }
   const std::string& connection =
       arrival.connection_.empty() ? arrival.address_ : arrival.connection_;
   if (IsLogMessage(arrival.message_)) {
@@ -261,7 +312,12 @@
 }
 
 void ControlDuty::Tick(RaftEvents* raft_events) {
+  const state::Millis now = clock_.Now();
   raft_events->emplace_back(coordination::RaftTick{});
+  if (membership_.has_value() && now >= membership_tick_) {
+    membership_tick_ = now + kMembershipInterval;
+    Apply(membership_->Tick(CurrentGroupView(now), now), raft_events);
+  }
   Serve(CurrentLogStatus(clock_.Now()), raft_events);
   Serve(coordination::ControlTick{.wall_millis_ = state::WallMillis()},
         raft_events);
@@ -325,10 +381,7 @@
     EndProposal(end, raft_events);
   }
   for (const coordination::ReadAnswer& read : step.reads_) {
-    Serve(coordination::ReadIndexAnswered{.read_id_ = read.read_id_,
-                                          .confirmed_ = read.confirmed_,
-                                          .index_ = read.index_},
-          raft_events);
+    EndRead(read, raft_events);
   }
   if (step.role_change_.has_value()) {
     LOG4CPLUS_INFO(Logger(),
@@ -354,6 +407,45 @@
   }
 }
 
+void ControlDuty::Apply(const coordination::GroupMembership::Step& step,
+                        RaftEvents* raft_events) {
+  CarryOut(step.commands_);
+  for (const RaftEvent& event : step.events_) {
+    raft_events->push_back(event);
+  }
+}
+
+coordination::GroupView ControlDuty::CurrentGroupView(state::Millis now) const {
+  return coordination::GroupView{
+      .self_ = state::ControlMember{.identity_ = raft_.identity(),
+                                    .instance_ = options_.self_.instance_,
+                                    .address_ = options_.self_.address_},
+      .formed_ = raft_.last_index() > 0,
+      .leads_ = raft_.role() == coordination::RaftRole::kLeader,
+      .leader_address_ = raft_.leader_address(),
+      .knowledge_age_ = raft_.KnowledgeAge(now),
+      .last_index_ = raft_.last_index(),
+      .members_ = raft_.Status(now)};
+}
+
+void ControlDuty::EndRead(const coordination::ReadAnswer& read,
+                          RaftEvents* raft_events) {
+  const auto own = reads_.find(read.read_id_);
+  if (own == reads_.end()) {
+    Serve(coordination::ReadIndexAnswered{.read_id_ = read.read_id_,
+                                          .confirmed_ = read.confirmed_,
+                                          .index_ = read.index_},
+          raft_events);
+    return;
+  }
+  // What the read waits for has been applied before it ends. A reader whose
+  // read was not confirmed waits in vain and asks elsewhere.
+  if (read.confirmed_) {
+    own->second->Put(service_.configuration());
+  }
+  reads_.erase(own);
+}
+
 void ControlDuty::EndProposal(const coordination::ProposalEnd& end,
                               RaftEvents* raft_events) {
   if ((end.tag_ & kChangeTagBit) != 0) {
@@ -388,10 +480,16 @@
   if (std::isfinite(age.value())) {
     heard.emplace(now - age);
   }
+  std::vector<coordination::ControlAddress> members;
+  for (const state::ControlMember& member : raft_.members()) {
+    members.push_back(coordination::ControlAddress{
+        .instance_ = member.instance_, .address_ = member.address_});
+  }
   return coordination::LogStatus{.formed_ = !raft_.members().empty(),
                                  .leads_ = leads,
                                  .has_quorum_ = leads && age <= kQuorumFresh,
                                  .leader_address_ = raft_.leader_address(),
+                                 .members_ = std::move(members),
                                  .leader_heard_ = heard};
 }
 
--- a/src/daemon/control_duty.h
+++ b/src/daemon/control_duty.h
@@ -2,6 +2,7 @@
 #define DAEMON_CONTROL_DUTY_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -24,6 +25,9 @@
     const std::vector<coordination::ControlAddress> control_instances_ = {};
     const uint64_t incarnation_ = 0;
     const protocol::ControlSettings settings_ = {};
+    // Of a group that keeps its members by itself.
+    const std::optional<coordination::GroupMembership::Options> membership_ =
+        {};
   };
 
   // Opens the data folder. `counters` must outlive the duty.
@@ -47,6 +51,13 @@
   state::Result<void> AddMember(const state::ControlMember& member);
   state::Result<void> RemoveMember(const std::string& identity);
 
+  // Returns the newest configuration that a quorum vouches for, or nothing when
+  // it is not certain in time. Blocks. Thread-safe.
+  std::optional<state::IndexedConfiguration> ReadConfiguration(
+      state::Millis timeout);
+  // Takes other peer addresses of seeds into use. Thread-safe.
+  void SetSeeds(const std::vector<std::string>& seeds);
+
   // Returns nothing when the duty does not answer in time. Thread-safe.
   std::optional<protocol::ControlStatus> Status();
 
@@ -55,12 +66,21 @@
   struct StatusRequest {
     std::shared_ptr<StatusSlot> slot_;
   };
+  using ReadSlot = transport::AnswerSlot<state::IndexedConfiguration>;
+  struct ReadRequest {
+    std::shared_ptr<ReadSlot> slot_;
+  };
+  struct NewSeeds {
+    std::vector<std::string> addresses_;
+  };
   struct DiskFailed {
     const state::Error error_ = {};
   };
   using Item = std::variant<transport::PeerArrival,
                             coordination::RaftEvent,
                             StatusRequest,
+                            ReadRequest,
+                            NewSeeds,
                             DiskFailed>;
   using RaftEvents = std::vector<coordination::RaftEvent>;
 
@@ -78,6 +98,10 @@
   void Apply(const coordination::ControlStep& step, RaftEvents* raft_events);
   void Serve(const coordination::ControlEvent& event, RaftEvents* raft_events);
   void CarryOut(const coordination::Commands& commands);
+  void Apply(const coordination::GroupMembership::Step& step,
+             RaftEvents* raft_events);
+  coordination::GroupView CurrentGroupView(state::Millis now) const;
+  void EndRead(const coordination::ReadAnswer& read, RaftEvents* raft_events);
   void EndProposal(const coordination::ProposalEnd& end,
                    RaftEvents* raft_events);
   coordination::LogStatus CurrentLogStatus(state::Millis now) const;
@@ -96,6 +120,11 @@
   std::unique_ptr<state::LogStore> store_;
   coordination::Raft raft_;
   coordination::ControlService service_;
+  std::optional<coordination::GroupMembership> membership_;
+  state::Millis membership_tick_;
+  // Reads that wait for a quorum, by number.
+  std::map<uint64_t, std::shared_ptr<ReadSlot>> reads_;
+  uint64_t next_read_ = 1;
   transport::Ring<Item> ring_;
   transport::AnswerSlots<coordination::ProposalEnd> change_slots_;
   transport::PeerEndpoint* peers_ = nullptr;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -6,6 +6,7 @@
 
 #include "absl/time/clock.h"
 #include "daemon/logging.h"
+#include "platform/platform.h"
 
 namespace gooseberrygap::daemon {
 
@@ -16,6 +17,10 @@
 // Long enough for the drain to reach the daemons that call this target, so that
 // few attempts are refused by the closing guard.
 constexpr absl::Duration kDrainNotice = absl::Milliseconds(300);
+// A new leader is elected within 2 s; an operator of a platform asks another
+// instance sooner.
+constexpr state::Millis kOrderTimeout(5000);
+constexpr state::Millis kPlatformOrderTimeout(900);
 constexpr absl::Duration kWorkPollInterval = absl::Milliseconds(20);
 
 bool IsForControl(const PeerMessage& message) {
@@ -30,7 +35,8 @@
          std::holds_alternative<coordination::AppendReply>(message) ||
          std::holds_alternative<coordination::InstallSnapshot>(message) ||
          std::holds_alternative<coordination::ReadIndexRequest>(message) ||
-         std::holds_alternative<coordination::ReadIndexReply>(message);
+         std::holds_alternative<coordination::ReadIndexReply>(message) ||
+         std::holds_alternative<coordination::JoinRequest>(message);
 }
 
 std::string AdvertisedAddress(const protocol::Settings& settings) {
@@ -48,8 +54,38 @@
       .version_ = state::LeaseVersion{.incarnation_ = incarnation}};
 }
 
+// The control instances that the settings list, or else the seeds, whose names
+// and regions the first reply tells.
+std::vector<coordination::ControlAddress> KnownControlInstances(
+    const protocol::Settings& settings) {
+  std::vector<coordination::ControlAddress> known = settings.control_instances_;
+  if (known.empty() && settings.seeds_.has_value()) {
+    for (const std::string& address :
+         protocol::SeedPeerAddresses(*settings.seeds_)) {
+      known.push_back(coordination::ControlAddress{.instance_ = address,
+                                                   .address_ = address});
+    }
+  }
+  return known;
+}
+
+std::optional<coordination::GroupMembership::Options> MembershipOptions(
+    const protocol::Settings& settings) {
+  if (!settings.seeds_.has_value()) {
+    return std::nullopt;
+  }
+  return coordination::GroupMembership::Options{
+      .seeds_ = protocol::SeedPeerAddresses(*settings.seeds_),
+      .first_start_ = settings.seeds_->first_start_,
+      .voters_ = 2 * settings.seeds_->tolerated_losses_ + 1};
+}
+
 std::vector<std::string> ControlAddresses(const protocol::Settings& settings) {
   std::vector<std::string> addresses;
+  if (settings.seeds_.has_value()) {
+    // A control instance knows the leader; another daemon takes no orders.
+    return {AdvertisedAddress(settings)};
+  }
   for (const coordination::ControlAddress& instance :
        settings.control_instances_) {
     addresses.push_back(instance.address_);
@@ -73,6 +109,7 @@
   // Threads end in the order in which they feed each other; the peer thread
   // hands arrivals to the others until it has ended.
   http_server_.reset();
+  operators_.reset();
   if (control_ != nullptr) {
     control_->Stop();
   }
@@ -80,15 +117,26 @@
     node_->Stop();
   }
   peers_.reset();
+  event_front_.reset();
 }
 
 state::Result<void> Daemon::StartDuties() {
   BOOST_OUTCOME_TRYV(OpenControl());
+  const bool has_platform = settings_.platform_.has_value();
+  target_dialect_ = has_platform ? platform::MakeTargetDialect()
+                                 : protocol::MakeTargetDialect();
   node_ = std::make_unique<NodeDuty>(
-      coordination::Node::Options{
-          .self_ = SelfRecord(settings_, incarnation_),
-          .control_instances_ = settings_.control_instances_},
-      settings_.target_workers_, &call_slots_, &counters_);
+      NodeDuty::Options{
+          .node_ =
+              coordination::Node::Options{
+                  .self_ = SelfRecord(settings_, incarnation_),
+                  .control_instances_ = KnownControlInstances(settings_),
+                  .announcement_lifetime_ =
+                      has_platform ? settings_.platform_->announcement_lifetime_
+                                   : coordination::kAnnouncementLifetime},
+          .target_workers_ = settings_.target_workers_,
+          .accepts_until_close_ = has_platform},
+      target_dialect_.get(), &call_slots_, &counters_);
   auto peers = transport::PeerEndpoint::Start(
       transport::PeerEndpoint::Options{.listen_address_ =
                                            settings_.peer_.listen_},
@@ -100,11 +148,15 @@
     return peers.error();
   }
   peers_ = std::move(peers).value();
-  gateway_ = std::make_unique<OperatorGateway>(ControlAddresses(settings_),
-                                               peers_.get());
+  gateway_ = std::make_unique<OperatorGateway>(
+      OperatorGateway::Options{
+          .control_addresses_ = ControlAddresses(settings_),
+          .timeout_ = has_platform ? kPlatformOrderTimeout : kOrderTimeout},
+      peers_.get());
   if (control_ != nullptr) {
     control_->Start(peers_.get());
   }
+  BOOST_OUTCOME_TRYV(StartPlatformFront());
   node_->Start(peers_.get());
   return StartHttp();
 }
@@ -121,7 +173,8 @@
                                    .region_ = settings_.region_},
                            .control_instances_ = settings_.control_instances_,
                            .incarnation_ = incarnation_,
-                           .settings_ = *settings_.control_},
+                           .settings_ = *settings_.control_,
+                           .membership_ = MembershipOptions(settings_)},
       &counters_);
   if (!control) {
     return control.error();
@@ -130,6 +183,33 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+state::Result<void> Daemon::StartPlatformFront() {
+  if (!settings_.platform_.has_value()) {
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+  front_dialect_ = platform::MakeFrontDialect();
+  if (control_ != nullptr) {
+    operators_ = std::make_unique<OperatorDuty>(front_dialect_.get(),
+                                                control_.get(), gateway_.get());
+  }
+  event_front_ = std::make_unique<EventFront>(front_dialect_.get(), node_.get(),
+                                              operators_.get(), &counters_);
+  node_->AddListener(event_front_.get());
+  return event_front_->Start(*settings_.platform_);
+}
+
+void Daemon::Reload(const protocol::Settings& settings) {
+  if (!settings.seeds_.has_value()) {
+    return;
+  }
+  const std::vector<std::string> seeds =
+      protocol::SeedPeerAddresses(*settings.seeds_);
+  if (control_ != nullptr) {
+    control_->SetSeeds(seeds);
+  }
+  node_->Post(coordination::SeedsChanged{.addresses_ = seeds});
+}
+
 state::Result<void> Daemon::StartHttp() {
   front_ = std::make_unique<HttpFront>(
       node_.get(), &call_slots_, gateway_.get(), control_.get(), &counters_);
@@ -194,6 +274,12 @@
 void Daemon::StopGracefully() {
   LOG4CPLUS_INFO(Logger(), "Draining.");
   node_->Post(coordination::DrainRequested{});
+  if (event_front_ != nullptr) {
+    event_front_->AnnounceStop();
+    absl::SleepFor(
+        absl::Milliseconds(settings_.platform_->stop_notice_.value()));
+    event_front_->StopGracefully();
+  }
   absl::SleepFor(kDrainNotice);
   http_server_->StopGracefully();
   while (true) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "daemon/control_duty.h"
+#include "daemon/event_front.h"
 #include "daemon/http_front.h"
 #include "daemon/node_duty.h"
 #include "daemon/operator_gateway.h"
@@ -18,6 +19,10 @@
       const protocol::Settings& settings);
   ~Daemon();
 
+  // Takes changed settings into use, as far as that needs no restart: the
+  // seeds. Thread-safe.
+  void Reload(const protocol::Settings& settings);
+
   // Drains: refuses new work for the own target, answers the calls and finishes
   // the work in progress, and returns when all is done. Call it once.
   void StopGracefully();
@@ -28,6 +33,7 @@
   state::Result<void> StartDuties();
   state::Result<void> OpenControl();
   state::Result<void> StartHttp();
+  state::Result<void> StartPlatformFront();
   void OnPeerArrival(transport::PeerArrival arrival);
   void RefuseArrival(const transport::PeerArrival& arrival);
 
@@ -35,10 +41,14 @@
   const uint64_t incarnation_;
   state::Counters counters_;
   CallSlots call_slots_;
+  std::unique_ptr<protocol::TargetDialect> target_dialect_;
+  std::unique_ptr<protocol::FrontDialect> front_dialect_;
   std::unique_ptr<ControlDuty> control_;
   std::unique_ptr<NodeDuty> node_;
   std::unique_ptr<transport::PeerEndpoint> peers_;
   std::unique_ptr<OperatorGateway> gateway_;
+  std::unique_ptr<OperatorDuty> operators_;
+  std::unique_ptr<EventFront> event_front_;
   std::unique_ptr<HttpFront> front_;
   std::unique_ptr<transport::HttpServer> http_server_;
 };
--- /dev/null
+++ b/src/daemon/event_front.cc
@@ -0,0 +1,148 @@
+#include "daemon/event_front.h"
+
+#include <utility>
+
+namespace gooseberrygap::daemon {
+
+namespace {
+
+// Numbers of this front's calls differ from those of the other front.
+constexpr uint64_t kCallBit = uint64_t{1} << 63;
+
+}  // namespace
+
+EventFront::EventFront(const protocol::FrontDialect* dialect,
+                       NodeDuty* node,
+                       OperatorDuty* operators,
+                       state::Counters* counters)
+    : dialect_(dialect),
+      node_(node),
+      operators_(operators),
+      counters_(counters) {}
+
+state::Result<void> EventFront::Start(
+    const protocol::PlatformSettings& settings) {
+  service_ = settings.service_;
+  const std::vector<Address> known = {
+      {settings.calls_, &protocol::FrontDialect::ReadCall},
+      {settings.readiness_, &protocol::FrontDialect::ReadReadiness},
+      {settings.administration_, &protocol::FrontDialect::ReadAdministration}};
+  std::vector<std::string> listen;
+  for (const Address& address : known) {
+    if (!address.address_.empty()) {
+      addresses_.push_back(address);
+      listen.push_back(address.address_);
+    }
+  }
+  auto server = transport::CallServer::Start(
+      transport::CallServer::Options{
+          .listen_addresses_ = listen,
+          .max_connections_ = settings.max_connections_},
+      this, counters_);
+  if (!server) {
+    return server.error();
+  }
+  server_ = std::move(server).value();
+  started_.Notify();
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void EventFront::AnnounceStop() {
+  stopping_.store(true);
+  server_->CloseAfterAnswers();
+}
+
+void EventFront::StopGracefully() {
+  server_->StopGracefully();
+}
+
+void EventFront::OnRequest(const transport::CallServer::Arrival& arrival) {
+  // A request may come before Start has stored the server.
+  started_.WaitForNotification();
+  const Reader read = addresses_[arrival.listener_].read_;
+  std::visit([this, &arrival](
+                 const auto& request) { Handle(arrival.request_id_, request); },
+             (dialect_->*read)(arrival.request_));
+}
+
+void EventFront::OnCallerLeft(uint64_t request_id) {
+  node_->Post(coordination::CallerLeft{.call_id_ = request_id | kCallBit});
+}
+
+void EventFront::OnAnswer(uint64_t call_id,
+                          const coordination::CallAnswer& answer) {
+  if ((call_id & kCallBit) != 0) {
+    server_->Answer(call_id & ~kCallBit, dialect_->PrintCallAnswer(answer));
+  }
+}
+
+void EventFront::OnConfiguration(
+    const state::IndexedConfiguration& configuration) {
+  started_.WaitForNotification();
+  server_->SetLimits(configuration.configuration_->caller_limits_);
+}
+
+void EventFront::Handle(uint64_t id, const protocol::CallRequest& request) {
+  const bool accepted = node_->Post(
+      coordination::CallArrived{.call_id_ = id | kCallBit,
+                                .host_ = request.host_,
+                                .request_ = request.request_,
+                                .deadline_left_ = request.deadline_left_,
+                                .origin_service_ = service_});
+  if (!accepted) {
+    counters_->Add(state::RefusalReason::kInternalQueueFull);
+    server_->Answer(id,
+                    dialect_->PrintCallAnswer(coordination::CallAnswer{
+                        .reason_ = state::RefusalReason::kInternalQueueFull}));
+  }
+}
+
+void EventFront::Handle(uint64_t id, const protocol::ReadinessRequest&) {
+  const bool is_ready = node_->is_ready() && !stopping_.load();
+  server_->Answer(id, dialect_->PrintReadiness(is_ready));
+}
+
+void EventFront::Handle(uint64_t id,
+                        const coordination::TargetAnnounced& request) {
+  server_->Answer(id, dialect_->PrintTaken(node_->Post(request)));
+}
+
+void EventFront::Handle(uint64_t id,
+                        const coordination::TargetWithdrawn& request) {
+  server_->Answer(id, dialect_->PrintTaken(node_->Post(request)));
+}
+
+void EventFront::Handle(uint64_t id,
+                        const protocol::ReadConfiguration& request) {
+  GiveOrder(id, request);
+}
+
+void EventFront::Handle(uint64_t id,
+                        const protocol::ReplaceConfiguration& request) {
+  GiveOrder(id, request);
+}
+
+void EventFront::Handle(uint64_t id,
+                        const protocol::ChangeConfiguration& request) {
+  GiveOrder(id, request);
+}
+
+void EventFront::Handle(uint64_t id, const protocol::RefusedRequest& request) {
+  server_->Answer(id, request.answer_);
+}
+
+void EventFront::GiveOrder(uint64_t id, OperatorOrder order) {
+  const bool accepted =
+      operators_ != nullptr &&
+      operators_->Post(std::move(order),
+                       [this, id](const state::HttpAnswer& answer) {
+                         server_->Answer(id, answer);
+                       });
+  if (!accepted) {
+    server_->Answer(id, dialect_->PrintOrderEnd(
+                            protocol::OrderEnd::kNotCertain,
+                            "This daemon takes no orders at the moment."));
+  }
+}
+
+}  // namespace gooseberrygap::daemon
--- /dev/null
+++ b/src/daemon/event_front.h
@@ -0,0 +1,77 @@
+#ifndef DAEMON_EVENT_FRONT_H_
+#define DAEMON_EVENT_FRONT_H_
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/synchronization/notification.h"
+#include "daemon/node_duty.h"
+#include "daemon/operator_duty.h"
+#include "protocol/protocol.h"
+#include "transport/transport.h"
+
+namespace gooseberrygap::daemon {
+
+// The front that speaks a platform's dialect: turns requests into events of the
+// node and orders for the operator duty, and gives their answers back. No
+// request holds a thread. Its methods run on the threads of the server, the
+// node and the operator duty.
+class EventFront : public transport::CallServer::Handler, public NodeListener {
+ public:
+  // Everything given must outlive the front. `operators` is null without the
+  // control role.
+  EventFront(const protocol::FrontDialect* dialect,
+             NodeDuty* node,
+             OperatorDuty* operators,
+             state::Counters* counters);
+
+  // Binds the addresses and serves them. Call it once.
+  state::Result<void> Start(const protocol::PlatformSettings& settings);
+  // Tells callers to go elsewhere and goes on serving. Thread-safe.
+  void AnnounceStop();
+  // Answers what was read and closes all connections. Call it once.
+  void StopGracefully();
+
+  void OnRequest(const transport::CallServer::Arrival& arrival) override;
+  void OnCallerLeft(uint64_t request_id) override;
+  void OnAnswer(uint64_t call_id,
+                const coordination::CallAnswer& answer) override;
+  void OnConfiguration(
+      const state::IndexedConfiguration& configuration) override;
+
+ private:
+  // Reads a request to one of the addresses.
+  using Reader = protocol::FrontRequest (protocol::FrontDialect::*)(
+      const state::HttpRequest&) const;
+  struct Address {
+    std::string address_;
+    Reader read_ = nullptr;
+  };
+
+  // One overload for each kind of request.
+  void Handle(uint64_t id, const protocol::CallRequest& request);
+  void Handle(uint64_t id, const protocol::ReadinessRequest& request);
+  void Handle(uint64_t id, const coordination::TargetAnnounced& request);
+  void Handle(uint64_t id, const coordination::TargetWithdrawn& request);
+  void Handle(uint64_t id, const protocol::ReadConfiguration& request);
+  void Handle(uint64_t id, const protocol::ReplaceConfiguration& request);
+  void Handle(uint64_t id, const protocol::ChangeConfiguration& request);
+  void Handle(uint64_t id, const protocol::RefusedRequest& request);
+  void GiveOrder(uint64_t id, OperatorOrder order);
+
+  const protocol::FrontDialect* const dialect_;
+  NodeDuty* const node_;
+  OperatorDuty* const operators_;
+  state::Counters* const counters_;
+  std::string service_;
+  std::vector<Address> addresses_;
+  std::atomic<bool> stopping_ = false;
+  absl::Notification started_;
+  std::unique_ptr<transport::CallServer> server_;
+};
+
+}  // namespace gooseberrygap::daemon
+
+#endif  // DAEMON_EVENT_FRONT_H_
--- a/src/daemon/http_front.cc
+++ b/src/daemon/http_front.cc
@@ -333,7 +333,10 @@
     return ErrorAnswer(400, submission.error());
   }
   const coordination::ConfigSubmitReply reply =
-      gateway_->Submit(submission.value());
+      gateway_->Submit(state::SubmittedConfiguration{
+          .submission_ = submission.value().submission_,
+          .configuration_ = std::make_shared<const state::Configuration>(
+              submission.value().configuration_)});
   return Json(StatusOf(reply.status_), protocol::PrintSubmitReply(reply));
 }
 
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <cstdio>
 #include <fstream>
+#include <memory>
 #include <sstream>
 #include <string>
 
@@ -21,6 +22,8 @@
 
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
+// How often the settings file is read for changes that come without a signal.
+constexpr int kSettingsCheckSeconds = 2;
 
 int ReportError(const state::Error& error, int exit_code) {
   std::fprintf(stderr, "gooseberrygapd: %s\n", error.message_.c_str());
@@ -45,6 +48,7 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   // A file-size limit then fails the write with an error that names it.
@@ -52,6 +56,32 @@
   return signals;
 }
 
+// Waits for a stop signal. Takes changed settings into use meanwhile, also
+// those that come without a signal.
+void WaitForStop(const sigset_t& signals,
+                 const protocol::Settings& initial,
+                 Daemon* daemon) {
+  auto current = std::make_unique<const protocol::Settings>(initial);
+  while (true) {
+    const timespec wait = {.tv_sec = kSettingsCheckSeconds, .tv_nsec = 0};
+    const int signal = sigtimedwait(&signals, nullptr, &wait);
+    if (signal == SIGTERM || signal == SIGINT) {
+      return;
+    }
+    const auto settings = ReadSettings(absl::GetFlag(FLAGS_settings));
+    if (!settings) {
+      LOG4CPLUS_WARN(Logger(), "The changed settings are not taken: "
+                                   << settings.error().message_);
+      continue;
+    }
+    if (!(settings.value() == *current)) {
+      LOG4CPLUS_INFO(Logger(), "The settings have changed.");
+      current = std::make_unique<const protocol::Settings>(settings.value());
+      daemon->Reload(*current);
+    }
+  }
+}
+
 int Run() {
   const auto settings = ReadSettings(absl::GetFlag(FLAGS_settings));
   if (!settings) {
@@ -72,8 +102,7 @@
                              << settings.value().http_.listen_
                              << " and peers on "
                              << settings.value().peer_.listen_ << ".");
-  int signal = 0;
-  sigwait(&signals, &signal);
+  WaitForStop(signals, settings.value(), daemon.value().get());
   // Further stop signals stay blocked, so that they cut no work short.
   daemon.value()->StopGracefully();
   return 0;
--- a/src/daemon/node_duty.cc
+++ b/src/daemon/node_duty.cc
@@ -13,39 +13,28 @@
 constexpr size_t kRingCapacity = 16384;
 constexpr state::Millis kViewTimeout(2000);
 
-// The headers that tell the target of a request's identity and time limit.
-state::HttpRequest WithRequestHeaders(
-    const coordination::DeliverToTarget& delivery) {
-  std::vector<state::HttpHeader> headers = delivery.request_.headers_;
-  const auto add = [&headers](absl::string_view name, std::string value) {
-    headers.push_back(state::HttpHeader{.name_ = std::string(name),
-                                        .value_ = std::move(value)});
-  };
-  add(protocol::kRequestIdHeader, delivery.request_id_);
-  add(protocol::kAttemptHeader, std::to_string(delivery.attempt_));
-  add(protocol::kDeadlineHeader,
-      std::to_string(static_cast<int64_t>(delivery.timeout_.value())));
-  add(protocol::kDepthHeader, std::to_string(delivery.depth_ + 1));
-  return state::HttpRequest{.method_ = delivery.request_.method_,
-                            .path_ = delivery.request_.path_,
-                            .headers_ = headers,
-                            .body_ = delivery.request_.body_};
-}
-
 }  // namespace
 
-NodeDuty::NodeDuty(const coordination::Node::Options& options,
-                   int target_workers,
+NodeDuty::NodeDuty(const Options& options,
+                   const protocol::TargetDialect* dialect,
                    CallSlots* slots,
                    state::Counters* counters)
-    : slots_(slots),
-      node_(options, random_, counters),
+    : dialect_(dialect),
+      slots_(slots),
+      node_(options.node_, random_, counters),
       ring_(kRingCapacity),
       target_client_(transport::TargetClient::Start(
-          transport::TargetClient::Options{.workers_ = target_workers},
-          [this](coordination::DeliveryEnded ended) {
+          transport::TargetClient::Options{
+              .workers_ = options.target_workers_,
+              .accepts_until_close_ = options.accepts_until_close_,
+              .is_answer_of_ =
+                  [dialect](const coordination::DeliverToTarget& delivery,
+                            const state::HttpAnswer& answer) {
+                    return dialect->IsAnswerOf(delivery, answer);
+                  }},
+          [this](const coordination::DeliveryEnded& ended) {
             // Deliveries in flight are far fewer than the ring's places.
-            Post(std::move(ended));
+            Post(dialect_->Interpret(ended));
           },
           counters)) {}
 
@@ -61,6 +50,10 @@
   target_client_.reset();
 }
 
+void NodeDuty::AddListener(NodeListener* listener) {
+  listeners_.push_back(listener);
+}
+
 void NodeDuty::Start(transport::PeerEndpoint* peers) {
   peers_ = peers;
   thread_ = std::make_unique<transport::DutyThread>("node", [this] { Run(); });
@@ -117,9 +110,13 @@
     }
     events.swap(follow_ups_);
   }
+  ready_.store(node_.IsReady(clock_.Now()));
   const uint64_t index = node_.configuration().index_;
   if (index != logged_index_) {
     logged_index_ = index;
+    for (NodeListener* listener : listeners_) {
+      listener->OnConfiguration(node_.configuration());
+    }
     LOG4CPLUS_INFO(Logger(), "Configuration " << index << " is in force.");
   }
 }
@@ -154,16 +151,22 @@
 
 void NodeDuty::CarryOut(const coordination::AnswerCall& command) {
   slots_->Put(command.call_id_, command.answer_);
+  for (NodeListener* listener : listeners_) {
+    listener->OnAnswer(command.call_id_, command.answer_);
+  }
 }
 
 void NodeDuty::CarryOut(const coordination::DeliverToTarget& command) {
   const bool accepted = target_client_->Deliver(coordination::DeliverToTarget{
       .delivery_id_ = command.delivery_id_,
       .address_ = command.address_,
-      .request_ = WithRequestHeaders(command),
+      .request_ =
+          command.connect_only_ ? command.request_ : dialect_->Request(command),
       .request_id_ = command.request_id_,
       .attempt_ = command.attempt_,
       .depth_ = command.depth_,
+      .target_ = command.target_,
+      .origin_service_ = command.origin_service_,
       .connect_only_ = command.connect_only_,
       .timeout_ = command.timeout_,
       .fresh_connection_ = command.fresh_connection_});
--- /dev/null
+++ b/src/daemon/operator_duty.cc
@@ -0,0 +1,123 @@
+#include "daemon/operator_duty.h"
+
+#include <utility>
+
+namespace gooseberrygap::daemon {
+
+namespace {
+
+using coordination::SubmitStatus;
+using protocol::OrderEnd;
+
+constexpr int kThreads = 4;
+constexpr size_t kRingCapacity = 64;
+constexpr state::Millis kIdleWait(3600000);
+// An operator asks another instance after a second without an answer.
+constexpr state::Millis kReadTimeout(700);
+
+}  // namespace
+
+OperatorDuty::OperatorDuty(const protocol::FrontDialect* dialect,
+                           ControlDuty* control,
+                           OperatorGateway* gateway)
+    : dialect_(dialect),
+      control_(control),
+      gateway_(gateway),
+      ring_(kRingCapacity) {
+  for (int i = 0; i < kThreads; ++i) {
+    threads_.push_back(
+        std::make_unique<transport::DutyThread>("operator", [this] { Run(); }));
+  }
+}
+
+OperatorDuty::~OperatorDuty() {
+  ring_.Close();
+  threads_.clear();
+}
+
+bool OperatorDuty::Post(OperatorOrder order, Answered answered) {
+  return ring_.TryPush(
+      Item{.order_ = std::move(order), .answered_ = std::move(answered)});
+}
+
+void OperatorDuty::Run() {
+  while (true) {
+    const std::optional<Item> item = ring_.Pop(kIdleWait);
+    if (item.has_value()) {
+      item->answered_(std::visit(
+          [this](const auto& order) { return Handle(order); }, item->order_));
+    } else if (ring_.closed()) {
+      return;
+    }
+  }
+}
+
+state::HttpAnswer OperatorDuty::Handle(const protocol::ReadConfiguration&) {
+  const auto newest = control_->ReadConfiguration(kReadTimeout);
+  return dialect_->PrintConfiguration(
+      newest.has_value() ? newest->configuration_.get() : nullptr);
+}
+
+state::HttpAnswer OperatorDuty::Handle(
+    const protocol::ReplaceConfiguration& order) {
+  const auto checked = state::CheckRoutes(order.configuration_);
+  if (!checked) {
+    return dialect_->PrintOrderEnd(OrderEnd::kInvalid,
+                                   checked.error().message_);
+  }
+  return Submit(state::SubmittedConfiguration{
+      .submission_ = order.submission_,
+      .base_version_ = order.base_version_,
+      .configuration_ =
+          std::make_shared<const state::Configuration>(order.configuration_)});
+}
+
+state::HttpAnswer OperatorDuty::Handle(
+    const protocol::ChangeConfiguration& order) {
+  const auto newest = control_->ReadConfiguration(kReadTimeout);
+  if (!newest.has_value()) {
+    return dialect_->PrintOrderEnd(OrderEnd::kNotCertain,
+                                   "No quorum has answered in time.");
+  }
+  const uint64_t current =
+      newest->configuration_ == nullptr ? 0 : newest->configuration_->version_;
+  if (current < order.base_version_) {
+    return dialect_->PrintOrderEnd(
+        OrderEnd::kConflict,
+        "Version " + std::to_string(current) + " is in force; build on it.");
+  }
+  if (current > order.base_version_ || current == 0) {
+    // It may have been accepted before, which only the log can tell. It cannot
+    // be accepted now, since no later version is the one it builds on.
+    return Submit(state::SubmittedConfiguration{
+        .submission_ = order.submission_,
+        .base_version_ = order.base_version_,
+        .configuration_ = std::make_shared<const state::Configuration>(
+            state::ApplyChange(state::Configuration(), order.change_))});
+  }
+  return Handle(protocol::ReplaceConfiguration{
+      .submission_ = order.submission_,
+      .base_version_ = order.base_version_,
+      .configuration_ =
+          state::ApplyChange(*newest->configuration_, order.change_)});
+}
+
+state::HttpAnswer OperatorDuty::Submit(
+    const state::SubmittedConfiguration& submitted) {
+  const coordination::ConfigSubmitReply reply = gateway_->Submit(submitted);
+  switch (reply.status_) {
+    case SubmitStatus::kAccepted:
+      return dialect_->PrintOrderEnd(OrderEnd::kAccepted, "");
+    case SubmitStatus::kConflict:
+    case SubmitStatus::kWrongVersion:
+      return dialect_->PrintOrderEnd(
+          OrderEnd::kConflict, "Version " +
+                                   std::to_string(reply.current_version_) +
+                                   " is in force; build on it.");
+    default:
+      return dialect_->PrintOrderEnd(OrderEnd::kNotCertain,
+                                     "No quorum has answered in time.");
+  }
+}
+
+}  // namespace gooseberrygap::daemon
--- a/src/daemon/operator_gateway.cc
+++ b/src/daemon/operator_gateway.cc
@@ -1,5 +1,7 @@
 #include "daemon/operator_gateway.h"
 
+#include <algorithm>
+
 #include <memory>
 
 #include "absl/time/clock.h"
@@ -11,24 +13,22 @@
 using coordination::ConfigSubmitReply;
 using coordination::SubmitStatus;
 
-// A new leader is elected within 2 s.
-constexpr state::Millis kSubmitTimeout(5000);
 // Longer than a commit across regions.
 constexpr state::Millis kInstanceTimeout(1000);
 constexpr absl::Duration kNoLeaderPause = absl::Milliseconds(100);
 
 }  // namespace
 
-OperatorGateway::OperatorGateway(std::vector<std::string> control_addresses,
+OperatorGateway::OperatorGateway(const Options& options,
                                  transport::PeerEndpoint* peers)
-    : control_addresses_(std::move(control_addresses)), peers_(peers) {}
+    : control_addresses_(options.control_addresses_),
+      timeout_(options.timeout_),
+      peers_(peers) {}
 
 ConfigSubmitReply OperatorGateway::Submit(
-    const protocol::ConfigSubmission& submission) {
+    const state::SubmittedConfiguration& submission) {
   const state::SteadyClock clock;
-  const state::Millis end = clock.Now() + kSubmitTimeout;
-  const auto configuration =
-      std::make_shared<const state::Configuration>(submission.configuration_);
+  const state::Millis end = clock.Now() + timeout_;
   SubmitStatus last_status = SubmitStatus::kNoQuorum;
   std::string leader;
   for (size_t i = 0; clock.Now() < end && !control_addresses_.empty(); ++i) {
@@ -40,11 +40,13 @@
     // The submission id makes the repeated request harmless.
     peers_->Send(coordination::SendToPeer{
         .address_ = address,
-        .message_ =
-            coordination::ConfigSubmit{.call_id_ = opened.id_,
-                                       .submission_ = submission.submission_,
-                                       .configuration_ = configuration}});
-    const auto reply = opened.slot_->Wait(kInstanceTimeout);
+        .message_ = coordination::ConfigSubmit{
+            .call_id_ = opened.id_,
+            .submission_ = submission.submission_,
+            .base_version_ = submission.base_version_,
+            .configuration_ = submission.configuration_}});
+    const auto reply =
+        opened.slot_->Wait(std::min(kInstanceTimeout, end - clock.Now()));
     slots_.Close(opened.id_);
     if (!reply.has_value()) {
       continue;
--- a/src/daemon/operator_gateway.h
+++ b/src/daemon/operator_gateway.h
@@ -13,20 +13,26 @@
 // whichever daemon the operator has asked.
 class OperatorGateway {
  public:
+  struct Options {
+    const std::vector<std::string> control_addresses_ = {};
+    // How long one submission may take: a new leader is elected within 2 s.
+    const state::Millis timeout_ = state::Millis(5000);
+  };
+
   // `peers` must outlive the gateway.
-  OperatorGateway(std::vector<std::string> control_addresses,
-                  transport::PeerEndpoint* peers);
+  OperatorGateway(const Options& options, transport::PeerEndpoint* peers);
 
   // Submits the configuration; asks one control instance after another until
   // one answers for the leader, for at most a few seconds. Blocks. Thread-safe.
   coordination::ConfigSubmitReply Submit(
-      const protocol::ConfigSubmission& submission);
+      const state::SubmittedConfiguration& submission);
 
   // Takes a reply from the peer thread. Thread-safe.
   void OnReply(const coordination::ConfigSubmitReply& reply);
 
  private:
   const std::vector<std::string> control_addresses_;
+  const state::Millis timeout_;
   transport::PeerEndpoint* const peers_;
   transport::AnswerSlots<coordination::ConfigSubmitReply> slots_;
 };
--- /dev/null
+++ b/src/protocol/api/front_dialect.h
@@ -0,0 +1,93 @@
+#ifndef PROTOCOL_API_FRONT_DIALECT_H_
+#define PROTOCOL_API_FRONT_DIALECT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "coordination/coordination.h"
+
+namespace gooseberrygap::protocol {
+
+// What callers, targets and operators ask of a front, apart from how they say
+// it.
+
+// A call. The front adds its number.
+struct CallRequest {
+  const std::string host_ = {};
+  const state::HttpRequest request_ = {};
+  const std::optional<state::Millis> deadline_left_ = {};
+};
+
+// Whether callers should be sent to this daemon.
+struct ReadinessRequest {};
+
+// Reads the newest configuration.
+struct ReadConfiguration {};
+
+// Submits a whole document.
+struct ReplaceConfiguration {
+  const std::string submission_ = {};
+  const uint64_t base_version_ = 0;
+  const state::Configuration configuration_ = {};
+};
+
+// Submits a change of named items.
+struct ChangeConfiguration {
+  const std::string submission_ = {};
+  const uint64_t base_version_ = 0;
+  const state::ConfigurationChange change_ = {};
+};
+
+// A request that means nothing here, with its answer.
+struct RefusedRequest {
+  const state::HttpAnswer answer_ = {};
+};
+
+using FrontRequest = std::variant<CallRequest,
+                                  ReadinessRequest,
+                                  coordination::TargetAnnounced,
+                                  coordination::TargetWithdrawn,
+                                  ReadConfiguration,
+                                  ReplaceConfiguration,
+                                  ChangeConfiguration,
+                                  RefusedRequest>;
+
+// The end of an operator's order.
+enum class OrderEnd {
+  kAccepted,
+  kInvalid,
+  kConflict,    // Another version is in force than the order builds on.
+  kNotCertain,  // The order may be sent again, here or elsewhere.
+};
+
+// How requests to a front are read and its answers written. Implementations are
+// thread-safe.
+class FrontDialect {
+ public:
+  virtual ~FrontDialect() = default;
+
+  // Reads a caller's request, and one to the administration address.
+  virtual FrontRequest ReadCall(const state::HttpRequest& request) const = 0;
+  virtual FrontRequest ReadReadiness(
+      const state::HttpRequest& request) const = 0;
+  virtual FrontRequest ReadAdministration(
+      const state::HttpRequest& request) const = 0;
+
+  virtual state::HttpAnswer PrintCallAnswer(
+      const coordination::CallAnswer& answer) const = 0;
+  virtual state::HttpAnswer PrintReadiness(bool is_ready) const = 0;
+  // Answers a target's announcement or withdrawal.
+  virtual state::HttpAnswer PrintTaken(bool is_taken) const = 0;
+  // Answers an operator's order; `what` says why it was not accepted.
+  virtual state::HttpAnswer PrintOrderEnd(OrderEnd end,
+                                          const std::string& what) const = 0;
+  // Answers a read; without a configuration the newest one is not certain.
+  virtual state::HttpAnswer PrintConfiguration(
+      const state::Configuration* configuration) const = 0;
+};
+
+}  // namespace gooseberrygap::protocol
+
+#endif  // PROTOCOL_API_FRONT_DIALECT_H_
--- a/src/protocol/api/settings.h
+++ b/src/protocol/api/settings.h
@@ -29,6 +29,39 @@
   friend bool operator==(const PeerSettings&, const PeerSettings&) = default;
 };
 
+// Addresses of the daemon's second front, which speaks the dialect of a
+// platform instead of the project's own. Each may be left out.
+struct PlatformSettings {
+  const std::string calls_ = {};           // For callers and the own target.
+  const std::string readiness_ = {};       // For the question of readiness.
+  const std::string administration_ = {};  // For targets and operators.
+  // Service of the own target: calls that come here were made beside it.
+  const std::string service_ = {};
+  const int max_connections_ = 2048;
+  // How long callers go on to be served after a stop signal, while they are
+  // told to go elsewhere.
+  const state::Millis stop_notice_ = state::Millis(2500);
+  // A target that has not announced itself for so long is gone.
+  const state::Millis announcement_lifetime_ = state::Millis(10000);
+
+  friend bool operator==(const PlatformSettings&,
+                         const PlatformSettings&) = default;
+};
+
+// How the control group is found where no control instances are listed, and how
+// it forms and keeps its members by itself.
+struct SeedSettings {
+  // Addresses of some control instances, at any of their ports.
+  const std::vector<std::string> addresses_ = {};
+  const int peer_port_ = 0;  // Of every instance.
+  // The system starts for the first time, with empty disks.
+  const bool first_start_ = false;
+  // Control instances that may be lost at the same time.
+  const int tolerated_losses_ = 2;
+
+  friend bool operator==(const SeedSettings&, const SeedSettings&) = default;
+};
+
 // Turns on the control role.
 struct ControlSettings {
   const std::string data_dir_ = {};
@@ -48,12 +81,17 @@
   const PeerSettings peer_ = {};
   const std::vector<coordination::ControlAddress> control_instances_ = {};
   const std::optional<ControlSettings> control_ = {};
+  const std::optional<SeedSettings> seeds_ = {};
+  const std::optional<PlatformSettings> platform_ = {};
   const std::string log_level_ = "info";
   const int target_workers_ = 16;
 
   friend bool operator==(const Settings&, const Settings&) = default;
 };
 
+// Returns the peer addresses of the seeds, in their order. Thread-safe.
+std::vector<std::string> SeedPeerAddresses(const SeedSettings& seeds);
+
 // Returns the settings, or kInvalidSettings whose message lists every fault
 // with its path in the document, what was found and what is allowed.
 // Thread-safe.
--- a/src/protocol/internal/configuration_fields.h
+++ b/src/protocol/internal/configuration_fields.h
@@ -71,7 +71,8 @@
     Required("rules", &state::Service::rules_, ListOf(kRuleRecord, kMaxRules)),
     Optional("retry", &state::Service::retry_, kRetryRecord),
     Optional("hedge", &state::Service::hedge_, kHedgeRecord),
-    Optional("admission", &state::Service::admission_, kAdmissionRecord));
+    Optional("admission", &state::Service::admission_, kAdmissionRecord),
+    Absent(&state::Service::properties_));
 
 inline constexpr auto kLoadBudgetRecord = RecordOf<state::LoadBudget>(
     Optional("bytes_per_second",
@@ -110,6 +111,8 @@
                          kMaxServices,
                          "name",
                          &state::Service::name_)),
+    Absent(&state::Configuration::routes_),
+    Absent(&state::Configuration::caller_limits_),
     Optional("load_budget",
              &state::Configuration::load_budget_,
              kLoadBudgetRecord),
--- a/src/protocol/internal/log_codec.cc
+++ b/src/protocol/internal/log_codec.cc
@@ -11,6 +11,9 @@
 void SubmittedToWire(const state::SubmittedConfiguration& value,
                      wire::ConfigurationCommand* out) {
   out->set_submission(value.submission_);
+  if (value.base_version_.has_value()) {
+    out->set_base_version(*value.base_version_);
+  }
   ToWire(*value.configuration_, out->mutable_configuration());
 }
 
@@ -19,6 +22,9 @@
     WireReader* reader) {
   return state::SubmittedConfiguration{
       .submission_ = in.submission(),
+      .base_version_ = in.has_base_version()
+                           ? std::optional<uint64_t>(in.base_version())
+                           : std::nullopt,
       .configuration_ = std::make_shared<const state::Configuration>(
           FromWire(in.configuration(), reader))};
 }
@@ -149,6 +155,11 @@
     wire_stored->set_index(stored.index_);
     SubmittedToWire(stored.submitted_, wire_stored->mutable_submitted());
   }
+  for (const state::AcceptedSubmission& accepted : state.accepted_) {
+    wire::AcceptedSubmission* wire_accepted = out.add_accepted();
+    wire_accepted->set_submission(accepted.submission_);
+    wire_accepted->set_index(accepted.index_);
+  }
   return out.SerializeAsString();
 }
 
@@ -171,6 +182,12 @@
         .index_ = stored.index(),
         .submitted_ = SubmittedFromWire(stored.submitted(), &reader)});
   }
+  std::vector<state::AcceptedSubmission> accepted;
+  accepted.reserve(in.accepted_size());
+  for (const wire::AcceptedSubmission& entry : in.accepted()) {
+    accepted.push_back(state::AcceptedSubmission{
+        .submission_ = entry.submission(), .index_ = entry.index()});
+  }
   if (!reader.valid()) {
     return Malformed("The replicated state has a field that is out of range");
   }
@@ -179,7 +196,8 @@
                                            .last_wall_millis_ =
                                                in.register_wall_millis(),
                                            .entries_ = std::move(entries)},
-      .configurations_ = std::move(configurations)};
+      .configurations_ = std::move(configurations),
+      .accepted_ = std::move(accepted)};
 }
 
 }  // namespace gooseberrygap::protocol
--- a/src/protocol/internal/peer_codec.cc
+++ b/src/protocol/internal/peer_codec.cc
@@ -93,6 +93,11 @@
     out->set_digest(message.digest_);
     out->set_register_group(message.register_group_);
     out->set_register_attempt(message.register_attempt_);
+    out->set_objective_left(message.objective_left_.value());
+    out->set_priority(message.priority_);
+    out->set_origin_service(message.origin_service_);
+    out->set_host(message.host_);
+    out->set_unkeyed(message.unkeyed_);
   }
   void operator()(const coordination::AttemptAnswer& message) const {
     wire::AttemptAnswer* out = envelope_->mutable_attempt_answer();
@@ -159,6 +164,13 @@
     }
     out->set_knowledge_age(message.knowledge_age_.value());
     out->set_leader_address(message.leader_address_);
+    for (const coordination::ControlAddress& member :
+         message.control_members_) {
+      wire::ControlAddress* wire_member = out->add_control_members();
+      wire_member->set_instance(member.instance_);
+      wire_member->set_address(member.address_);
+      wire_member->set_region(member.region_);
+    }
   }
   void operator()(const coordination::RegisterCall& message) const {
     wire::RegisterCall* out = envelope_->mutable_register_call();
@@ -201,6 +213,9 @@
     wire::ConfigSubmit* out = envelope_->mutable_config_submit();
     out->set_call_id(message.call_id_);
     out->set_submission(message.submission_);
+    if (message.base_version_.has_value()) {
+      out->set_base_version(*message.base_version_);
+    }
     if (message.configuration_ != nullptr) {
       ToWire(*message.configuration_, out->mutable_configuration());
     }
@@ -214,6 +229,12 @@
     out->set_winner_submission(message.winner_submission_);
     out->set_leader_address(message.leader_address_);
   }
+  void operator()(const coordination::JoinRequest& message) const {
+    wire::JoinRequest* out = envelope_->mutable_join_request();
+    out->set_identity(message.identity_);
+    out->set_instance(message.instance_);
+    out->set_address(message.address_);
+  }
   void operator()(const coordination::VoteRequest& message) const {
     wire::VoteRequest* out = envelope_->mutable_vote_request();
     RouteToWire(message, out->mutable_route());
@@ -290,6 +311,11 @@
       .has_twin_ = in.has_twin(),
       .cross_region_ = in.cross_region(),
       .run_alone_ = in.run_alone(),
+      .objective_left_ = reader->MillisOf(in.objective_left()),
+      .priority_ = in.priority(),
+      .origin_service_ = in.origin_service(),
+      .host_ = in.host(),
+      .unkeyed_ = in.unkeyed(),
       .key_ = in.key(),
       .digest_ = in.digest(),
       .register_group_ = in.register_group(),
@@ -305,7 +331,7 @@
       .result_ =
           reader->EnumOf(in.result(), coordination::AttemptResult::kUnknown),
       .refusal_ =
-          reader->EnumOf(in.refusal(), state::RefusalReason::kTargetTimeout),
+          reader->EnumOf(in.refusal(), state::RefusalReason::kTargetReplaced),
       .answer_ = FromWire(in.answer(), reader),
       .load_ = FromWire(in.load(), reader),
       .target_ = in.target(),
@@ -349,6 +375,14 @@
   for (const wire::TargetRecord& record : in.membership()) {
     membership.push_back(FromWire(record, reader));
   }
+  std::vector<coordination::ControlAddress> control_members;
+  control_members.reserve(in.control_members_size());
+  for (const wire::ControlAddress& member : in.control_members()) {
+    control_members.push_back(
+        coordination::ControlAddress{.instance_ = member.instance(),
+                                     .address_ = member.address(),
+                                     .region_ = member.region()});
+  }
   return coordination::LeaseReply{
       .control_instance_ = in.control_instance(),
       .granted_ = in.granted(),
@@ -368,7 +402,8 @@
       .refused_fingerprints_ =
           RefusedFromWire(in.refused_fingerprints(), reader),
       .knowledge_age_ = reader->MillisOf(in.knowledge_age()),
-      .leader_address_ = in.leader_address()};
+      .leader_address_ = in.leader_address(),
+      .control_members_ = std::move(control_members)};
 }
 
 PeerMessage ReadRegisterCall(const wire::Envelope& envelope,
@@ -424,6 +459,9 @@
   return coordination::ConfigSubmit{
       .call_id_ = in.call_id(),
       .submission_ = in.submission(),
+      .base_version_ = in.has_base_version()
+                           ? std::optional<uint64_t>(in.base_version())
+                           : std::nullopt,
       .configuration_ = SharedConfiguration(in.configuration(), reader)};
 }
 
@@ -521,6 +559,13 @@
                                       .index_ = in.index()};
 }
 
+PeerMessage ReadJoinRequest(const wire::Envelope& envelope, WireReader*) {
+  const wire::JoinRequest& in = envelope.join_request();
+  return coordination::JoinRequest{.identity_ = in.identity(),
+                                   .instance_ = in.instance(),
+                                   .address_ = in.address()};
+}
+
 struct DecoderRow {
   const wire::Envelope::MessageCase kind_;
   PeerMessage (*const read_)(const wire::Envelope&, WireReader*);
@@ -547,6 +592,7 @@
     {wire::Envelope::kInstallSnapshot, ReadInstallSnapshot},
     {wire::Envelope::kReadIndexRequest, ReadReadIndexRequest},
     {wire::Envelope::kReadIndexReply, ReadReadIndexReply},
+    {wire::Envelope::kJoinRequest, ReadJoinRequest},
 };
 
 state::Error Malformed(absl::string_view what) {
--- a/src/protocol/internal/settings.cc
+++ b/src/protocol/internal/settings.cc
@@ -1,5 +1,6 @@
 #include <array>
 #include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
 
 #include "protocol/internal/json_fields.h"
 #include "protocol/internal/json_texts.h"
@@ -65,6 +66,35 @@
              &ControlSettings::snapshot_entries_,
              Integer{1, 10000000}));
 
+constexpr auto kSeedsRecord = RecordOf<SeedSettings>(
+    Required("addresses",
+             &SeedSettings::addresses_,
+             ListOf(kAddressText, kMaxControlInstances)),
+    Required("peer_port", &SeedSettings::peer_port_, Integer{1, 65535}),
+    Optional("first_start", &SeedSettings::first_start_, Flag{}),
+    Optional("tolerated_losses",
+             &SeedSettings::tolerated_losses_,
+             Integer{0, 6}));
+
+constexpr double kMinuteMs = 60.0 * 1000;
+
+constexpr auto kPlatformRecord = RecordOf<PlatformSettings>(
+    Optional("calls", &PlatformSettings::calls_, kAddressOrEmptyText),
+    Optional("readiness", &PlatformSettings::readiness_, kAddressOrEmptyText),
+    Optional("administration",
+             &PlatformSettings::administration_,
+             kAddressOrEmptyText),
+    Optional("service", &PlatformSettings::service_, kAnyText),
+    Optional("max_connections",
+             &PlatformSettings::max_connections_,
+             Integer{1, 65536}),
+    Optional("stop_notice_ms",
+             &PlatformSettings::stop_notice_,
+             Number{0, kMinuteMs}),
+    Optional("announcement_lifetime_ms",
+             &PlatformSettings::announcement_lifetime_,
+             Number{1000, 10 * kMinuteMs}));
+
 constexpr auto kSettingsRecord = RecordOf<Settings>(
     Required("instance", &Settings::instance_, kNameText),
     Required("region", &Settings::region_, kNameText),
@@ -78,11 +108,22 @@
                          "instance",
                          &ControlAddress::instance_)),
     Optional("control", &Settings::control_, SectionOf(kControlRecord)),
+    Optional("seeds", &Settings::seeds_, SectionOf(kSeedsRecord)),
+    Optional("platform", &Settings::platform_, SectionOf(kPlatformRecord)),
     Optional("log_level", &Settings::log_level_, Word{kLogLevels}),
     Optional("target_workers", &Settings::target_workers_, Integer{1, 4096}));
 
 }  // namespace
 
+std::vector<std::string> SeedPeerAddresses(const SeedSettings& seeds) {
+  std::vector<std::string> addresses;
+  for (const std::string& address : seeds.addresses_) {
+    addresses.push_back(absl::StrCat(address.substr(0, address.rfind(':')), ":",
+                                     seeds.peer_port_));
+  }
+  return addresses;
+}
+
 state::Result<Settings> ParseSettings(absl::string_view json) {
   return ReadDocument(kSettingsRecord, json, UnknownKeys::kRefuse,
                       state::ErrorKind::kInvalidSettings, "The settings file");
--- a/src/protocol/internal/wire_values.cc
+++ b/src/protocol/internal/wire_values.cc
@@ -49,6 +49,10 @@
   for (const std::string& domain : value.admission_.failure_domains_) {
     out->add_admission_failure_domains(domain);
   }
+  out->set_health_path(value.properties_.health_path_);
+  out->set_max_connections(value.properties_.max_connections_);
+  out->set_protocol(value.properties_.protocol_);
+  out->set_tls(value.properties_.tls_);
 }
 
 state::Service ServiceFromWire(const wire::Service& in, WireReader* reader) {
@@ -75,11 +79,55 @@
       .hedge_ = state::HedgePolicy{.enabled_ = in.hedge_enabled(),
                                    .quantile_ = in.hedge_quantile(),
                                    .budget_ratio_ = in.hedge_budget_ratio()},
-      .admission_ = state::AdmissionPolicy{
-          .max_targets_ = in.admission_max_targets(),
-          .max_slots_ = in.admission_max_slots(),
-          .failure_domains_ = {in.admission_failure_domains().begin(),
-                               in.admission_failure_domains().end()}}};
+      .admission_ =
+          state::AdmissionPolicy{
+              .max_targets_ = in.admission_max_targets(),
+              .max_slots_ = in.admission_max_slots(),
+              .failure_domains_ = {in.admission_failure_domains().begin(),
+                                   in.admission_failure_domains().end()}},
+      .properties_ =
+          state::ServiceProperties{.health_path_ = in.health_path(),
+                                   .max_connections_ = in.max_connections(),
+                                   .protocol_ = in.protocol(),
+                                   .tls_ = in.tls()}};
+}
+
+void RouteToWire(const state::Route& value, wire::Route* out) {
+  out->set_name(value.name_);
+  out->set_host(value.host_);
+  out->set_path_prefix(value.path_prefix_);
+  out->set_request_class(static_cast<uint32_t>(value.request_class_));
+  out->set_timeout(value.timeout_.value());
+  out->set_latency_objective(value.latency_objective_.value());
+  out->set_priority(value.priority_);
+  out->set_max_attempts(value.max_attempts_);
+  for (const state::Destination& destination : value.destinations_) {
+    wire::Destination* wire_destination = out->add_destinations();
+    wire_destination->set_service(destination.service_);
+    wire_destination->set_weight(destination.weight_);
+  }
+  out->set_is_split(value.is_split_);
+}
+
+state::Route RouteFromWire(const wire::Route& in, WireReader* reader) {
+  std::vector<state::Destination> destinations;
+  destinations.reserve(in.destinations_size());
+  for (const wire::Destination& destination : in.destinations()) {
+    destinations.push_back(state::Destination{.service_ = destination.service(),
+                                              .weight_ = destination.weight()});
+  }
+  return state::Route{
+      .name_ = in.name(),
+      .host_ = in.host(),
+      .path_prefix_ = in.path_prefix(),
+      .request_class_ =
+          reader->EnumOf(in.request_class(), state::RequestClass::kAction),
+      .timeout_ = reader->MillisOf(in.timeout()),
+      .latency_objective_ = reader->MillisOf(in.latency_objective()),
+      .priority_ = in.priority(),
+      .max_attempts_ = in.max_attempts(),
+      .destinations_ = std::move(destinations),
+      .is_split_ = in.is_split()};
 }
 
 void MembersToWire(
@@ -136,6 +184,7 @@
   out->set_slots(value.slots_);
   out->set_latency(static_cast<float>(value.latency_.value()));
   out->set_state(static_cast<uint32_t>(value.state_));
+  out->set_pace(value.pace_);
 }
 
 void ToWire(const state::TargetRecord& value, wire::TargetRecord* out) {
@@ -187,6 +236,13 @@
   out->set_poison_crashes(value.poison_.crashes_);
   out->set_poison_window(value.poison_.window_.value());
   out->set_poison_hold(value.poison_.hold_.value());
+  for (const state::Route& route : value.routes_) {
+    RouteToWire(route, out->add_routes());
+  }
+  out->set_max_header_bytes(value.caller_limits_.max_header_bytes_);
+  out->set_max_body_bytes(value.caller_limits_.max_body_bytes_);
+  out->set_header_timeout(value.caller_limits_.header_timeout_.value());
+  out->set_idle_timeout(value.caller_limits_.idle_timeout_.value());
 }
 
 void ToWire(const state::LogEntry& value, wire::LogEntry* out) {
@@ -223,7 +279,8 @@
       .queued_ = in.queued(),
       .slots_ = in.slots(),
       .latency_ = reader->MillisOf(in.latency()),
-      .state_ = reader->EnumOf(in.state(), state::TargetState::kLeft)};
+      .state_ = reader->EnumOf(in.state(), state::TargetState::kLeft),
+      .pace_ = in.pace()};
 }
 
 state::TargetRecord FromWire(const wire::TargetRecord& in, WireReader* reader) {
@@ -260,7 +317,7 @@
   return state::RegisterResult{
       .granted_ = in.granted(),
       .refusal_ =
-          reader->EnumOf(in.refusal(), state::RefusalReason::kTargetTimeout),
+          reader->EnumOf(in.refusal(), state::RefusalReason::kTargetReplaced),
       .state_ = reader->EnumOf(in.state(), state::ActionState::kUnknown),
       .attempt_ = in.attempt(),
       .answer_ = FromWire(in.answer(), reader)};
@@ -273,9 +330,21 @@
   for (const wire::Service& service : in.services()) {
     services.push_back(ServiceFromWire(service, reader));
   }
+  std::vector<state::Route> routes;
+  routes.reserve(in.routes_size());
+  for (const wire::Route& route : in.routes()) {
+    routes.push_back(RouteFromWire(route, reader));
+  }
   return state::Configuration{
       .version_ = in.version(),
       .services_ = services,
+      .routes_ = std::move(routes),
+      .caller_limits_ =
+          state::CallerLimits{
+              .max_header_bytes_ = in.max_header_bytes(),
+              .max_body_bytes_ = in.max_body_bytes(),
+              .header_timeout_ = reader->MillisOf(in.header_timeout()),
+              .idle_timeout_ = reader->MillisOf(in.idle_timeout())},
       .load_budget_ =
           state::LoadBudget{
               .bytes_per_second_ = in.load_bytes_per_second(),
--- a/src/protocol/protocol.h
+++ b/src/protocol/protocol.h
@@ -5,6 +5,7 @@
 // settings, configuration and metrics.
 
 #include "protocol/api/configuration_json.h"
+#include "protocol/api/front_dialect.h"
 #include "protocol/api/header_names.h"
 #include "protocol/api/log_codec.h"
 #include "protocol/api/metrics_text.h"
@@ -13,5 +14,6 @@
 #include "protocol/api/operator_json.h"
 #include "protocol/api/peer_codec.h"
 #include "protocol/api/settings.h"
+#include "protocol/api/target_dialect.h"
 
 #endif  // PROTOCOL_PROTOCOL_H_
--- a/src/state/api/configuration.h
+++ b/src/state/api/configuration.h
@@ -13,8 +13,9 @@
 
 enum class RequestClass { kLookup, kAction };
 
-// Where the idempotency key of an action comes from.
-enum class KeySource { kHeader, kPath };
+// Where the idempotency key of an action comes from. Without a key an action is
+// delivered at most once for each call, and the register does not know it.
+enum class KeySource { kHeader, kPath, kNone };
 
 // Classifies the requests of a service whose method and path match.
 struct Rule {
@@ -55,6 +56,17 @@
                          const AdmissionPolicy&) = default;
 };
 
+// What a service's operators say of its targets, beside how to balance them.
+struct ServiceProperties {
+  const std::string health_path_ = {};
+  const int max_connections_ = 0;  // Of all callers to one target; 0 for none.
+  const std::string protocol_ = {};
+  const bool tls_ = false;
+
+  friend bool operator==(const ServiceProperties&,
+                         const ServiceProperties&) = default;
+};
+
 struct Service {
   const std::string name_ = {};
   const std::string strategy_ = "probed_latency";
@@ -67,10 +79,50 @@
   const RetryPolicy retry_ = {};
   const HedgePolicy hedge_ = {};
   const AdmissionPolicy admission_ = {};
+  const ServiceProperties properties_ = {};
 
   friend bool operator==(const Service&, const Service&) = default;
 };
 
+// A service that takes the part `weight_` of a route's calls.
+struct Destination {
+  const std::string service_ = {};
+  const double weight_ = 1;
+
+  friend bool operator==(const Destination&, const Destination&) = default;
+};
+
+// Sends the calls of a host whose path begins with a prefix to services. The
+// longest prefix decides.
+struct Route {
+  const std::string name_ = {};
+  const std::string host_ = {};
+  const std::string path_prefix_ = {};
+  const RequestClass request_class_ = RequestClass::kAction;
+  // Longest time that a call may be kept waiting.
+  const Millis timeout_ = Millis(2000);
+  // An answer within this time is as good as an immediate one.
+  const Millis latency_objective_ = Millis(1000);
+  const int priority_ = 0;  // 0 is the highest.
+  // Targets to which one call may be sent.
+  const int max_attempts_ = 1;
+  const std::vector<Destination> destinations_ = {};
+  // The operator wrote the destinations as a split, even if there is one.
+  const bool is_split_ = false;
+
+  friend bool operator==(const Route&, const Route&) = default;
+};
+
+// What a caller may send, and how long it may take or stay idle.
+struct CallerLimits {
+  const int max_header_bytes_ = 16384;
+  const int max_body_bytes_ = 1048576;
+  const Millis header_timeout_ = Millis(5000);
+  const Millis idle_timeout_ = Millis(60000);
+
+  friend bool operator==(const CallerLimits&, const CallerLimits&) = default;
+};
+
 // The agreed cost of measuring load, at each sending daemon.
 struct LoadBudget {
   const double bytes_per_second_ = 4096;
@@ -101,6 +153,8 @@
 struct Configuration {
   const uint64_t version_ = 0;
   const std::vector<Service> services_ = {};
+  const std::vector<Route> routes_ = {};
+  const CallerLimits caller_limits_ = {};
   const LoadBudget load_budget_ = {};
   // Bytes of calls that one daemon may send across the paid link.
   const double cross_region_bytes_per_second_ = 262144;
@@ -121,6 +175,12 @@
 const Service* FindService(const Configuration& configuration,
                            absl::string_view name);
 
+// Returns the route of a call, or null: the longest prefix of the path among
+// the routes of the host. Thread-safe.
+const Route* FindRoute(const Configuration& configuration,
+                       absl::string_view host,
+                       absl::string_view path);
+
 // Returns the first rule that matches, or null. Thread-safe.
 const Rule* FindRule(const Service& service,
                      absl::string_view method,
--- a/src/state/api/configuration_store.h
+++ b/src/state/api/configuration_store.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "state/api/configuration.h"
@@ -16,12 +17,24 @@
 // An operator's document with the id of its submission. Compares by content.
 struct SubmittedConfiguration {
   const std::string submission_ = {};
+  // The version that the document was made from. Without it the document
+  // follows the version that is one less than its own.
+  const std::optional<uint64_t> base_version_ = {};
   const std::shared_ptr<const Configuration> configuration_ = {};
 
   friend bool operator==(const SubmittedConfiguration& left,
                          const SubmittedConfiguration& right);
 };
 
+// A submission that was accepted, so that a resend is recognized.
+struct AcceptedSubmission {
+  const std::string submission_ = {};
+  const uint64_t index_ = 0;
+
+  friend bool operator==(const AcceptedSubmission&,
+                         const AcceptedSubmission&) = default;
+};
+
 // An accepted document with its index in the log.
 struct StoredConfiguration {
   const uint64_t index_ = 0;
@@ -77,12 +90,18 @@
   std::optional<ConfigurationDelta> DeltaFrom(uint64_t base_index) const;
 
   std::vector<StoredConfiguration> Snapshot() const;
-  void Restore(const std::vector<StoredConfiguration>& configurations);
+  // Returns the accepted submissions of the recent past, oldest first.
+  std::vector<AcceptedSubmission> Accepted() const;
+  void Restore(const std::vector<StoredConfiguration>& configurations,
+               const std::vector<AcceptedSubmission>& accepted);
 
  private:
   uint64_t CurrentVersion() const;
+  void Remember(const AcceptedSubmission& accepted);
 
-  std::deque<StoredConfiguration> kept_;  // Oldest first.
+  std::deque<StoredConfiguration> kept_;                // Oldest first.
+  std::deque<AcceptedSubmission> accepted_order_;       // Oldest first.
+  std::unordered_map<std::string, uint64_t> accepted_;  // Index by submission.
   // Deltas to the newest one by base index; many daemons ask for the same.
   mutable std::map<uint64_t, std::optional<ConfigurationDelta>> deltas_;
 };
--- a/src/state/api/log_command.h
+++ b/src/state/api/log_command.h
@@ -38,6 +38,7 @@
 struct ReplicatedState {
   const RegisterSnapshot register_ = {};
   const std::vector<StoredConfiguration> configurations_ = {};
+  const std::vector<AcceptedSubmission> accepted_ = {};
 
   friend bool operator==(const ReplicatedState&,
                          const ReplicatedState&) = default;
--- a/src/state/api/reasons.h
+++ b/src/state/api/reasons.h
@@ -35,6 +35,10 @@
   kCancelled,
   kTargetCrashed,
   kTargetTimeout,
+  kNoConfiguration,  // The daemon knows no configuration yet.
+  kNoRoute,          // No route of the host matches the path.
+  kMisdirected,      // Another target has the address.
+  kTargetReplaced,   // The target has restarted since the attempt was queued.
   kCount,
 };
 
--- a/src/state/api/target.h
+++ b/src/state/api/target.h
@@ -45,6 +45,9 @@
   // Estimated time to serve one more request at this load.
   const Millis latency_ = {};
   const TargetState state_ = TargetState::kStarting;
+  // How long work takes on the target's machine at this moment, in percent of
+  // the usual time; 0 when the target does not tell.
+  const int pace_ = 0;
 
   friend bool operator==(const GuardLoad&, const GuardLoad&) = default;
 };
--- a/src/state/internal/configuration.cc
+++ b/src/state/internal/configuration.cc
@@ -13,6 +13,22 @@
   return nullptr;
 }
 
+const Route* FindRoute(const Configuration& configuration,
+                       absl::string_view host,
+                       absl::string_view path) {
+  const Route* longest = nullptr;
+  for (const Route& route : configuration.routes_) {
+    const bool is_longer =
+        longest == nullptr ||
+        route.path_prefix_.size() > longest->path_prefix_.size();
+    if (is_longer && route.host_ == host &&
+        absl::StartsWith(path, route.path_prefix_)) {
+      longest = &route;
+    }
+  }
+  return longest;
+}
+
 const Rule* FindRule(const Service& service,
                      absl::string_view method,
                      absl::string_view path) {
--- a/src/state/internal/configuration_store.cc
+++ b/src/state/internal/configuration_store.cc
@@ -10,11 +10,16 @@
 // 17 minutes of changes at 4,100 a day; a daemon that is further behind gets
 // the whole document.
 constexpr size_t kKeptConfigurations = 48;
+// A day of changes: an operator may send an order again long after its answer
+// was lost.
+constexpr size_t kKeptSubmissions = 4096;
 
 Configuration WithServices(const Configuration& configuration,
                            const std::vector<Service>& services) {
   return Configuration{.version_ = configuration.version_,
                        .services_ = services,
+                       .routes_ = configuration.routes_,
+                       .caller_limits_ = configuration.caller_limits_,
                        .load_budget_ = configuration.load_budget_,
                        .cross_region_bytes_per_second_ =
                            configuration.cross_region_bytes_per_second_,
@@ -53,7 +58,8 @@
 
 bool operator==(const SubmittedConfiguration& left,
                 const SubmittedConfiguration& right) {
-  if (left.submission_ != right.submission_) {
+  if (left.submission_ != right.submission_ ||
+      left.base_version_ != right.base_version_) {
     return false;
   }
   if (left.configuration_ == right.configuration_) {
@@ -89,6 +95,12 @@
     const SubmittedConfiguration& submitted) {
   const uint64_t version = submitted.configuration_->version_;
   const uint64_t current_version = CurrentVersion();
+  const auto accepted = accepted_.find(submitted.submission_);
+  if (submitted.base_version_.has_value() && accepted != accepted_.end()) {
+    return SubmissionResult{.status_ = SubmissionStatus::kAccepted,
+                            .index_ = accepted->second,
+                            .current_version_ = current_version};
+  }
   for (const StoredConfiguration& stored : kept_) {
     const SubmittedConfiguration& winner = stored.submitted_;
     if (winner.configuration_->version_ != version) {
@@ -102,7 +114,11 @@
         .current_version_ = current_version,
         .winner_submission_ = is_same ? std::string() : winner.submission_};
   }
-  if (version != current_version + 1) {
+  const bool follows = submitted.base_version_.has_value()
+                           ? *submitted.base_version_ == current_version &&
+                                 version > current_version
+                           : version == current_version + 1;
+  if (!follows) {
     return SubmissionResult{.status_ = SubmissionStatus::kWrongVersion,
                             .current_version_ = current_version};
   }
@@ -112,6 +128,8 @@
     kept_.pop_front();
   }
   deltas_.clear();
+  Remember(AcceptedSubmission{.submission_ = submitted.submission_,
+                              .index_ = index});
   return SubmissionResult{.status_ = SubmissionStatus::kAccepted,
                           .index_ = index,
                           .current_version_ = version};
@@ -147,14 +165,35 @@
       .first->second;
 }
 
+void ConfigurationStore::Remember(const AcceptedSubmission& accepted) {
+  if (!accepted_.emplace(accepted.submission_, accepted.index_).second) {
+    return;
+  }
+  accepted_order_.push_back(accepted);
+  if (accepted_order_.size() > kKeptSubmissions) {
+    accepted_.erase(accepted_order_.front().submission_);
+    accepted_order_.pop_front();
+  }
+}
+
 std::vector<StoredConfiguration> ConfigurationStore::Snapshot() const {
   return {kept_.begin(), kept_.end()};
 }
 
+std::vector<AcceptedSubmission> ConfigurationStore::Accepted() const {
+  return {accepted_order_.begin(), accepted_order_.end()};
+}
+
 void ConfigurationStore::Restore(
-    const std::vector<StoredConfiguration>& configurations) {
+    const std::vector<StoredConfiguration>& configurations,
+    const std::vector<AcceptedSubmission>& accepted) {
   kept_.clear();
   deltas_.clear();
+  accepted_.clear();
+  accepted_order_.clear();
+  for (const AcceptedSubmission& submission : accepted) {
+    Remember(submission);
+  }
   for (const StoredConfiguration& configuration : configurations) {
     kept_.push_back(configuration);
   }
--- a/src/state/internal/reasons.cc
+++ b/src/state/internal/reasons.cc
@@ -37,6 +37,10 @@
         "cancelled",
         "target_crashed",
         "target_timeout",
+        "no_configuration",
+        "no_route",
+        "misdirected",
+        "target_replaced",
 };
 
 constexpr std::array<absl::string_view,
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -9,6 +9,7 @@
 #include "state/api/bytes.h"
 #include "state/api/clock.h"
 #include "state/api/configuration.h"
+#include "state/api/configuration_change.h"
 #include "state/api/configuration_store.h"
 #include "state/api/counters.h"
 #include "state/api/error.h"
--- a/src/state/tests/configuration_store_test.cc
+++ b/src/state/tests/configuration_store_test.cc
@@ -72,12 +72,50 @@
   }
   CHECK_FALSE(store.DeltaFrom(2).has_value());
   ConfigurationStore restored;
-  restored.Restore(store.Snapshot());
+  restored.Restore(store.Snapshot(), store.Accepted());
   CHECK(restored.DeltaFrom(198).has_value());
   CHECK(restored.Submit(300, Make(99, "s", {"a"})).index_ == 198);
   CHECK(restored.Submit(301, Make(1, "s", {"a"})).status_ ==
         SubmissionStatus::kWrongVersion);
 }
 
+SubmittedConfiguration MakeOn(uint64_t base,
+                              uint64_t version,
+                              const std::string& submission) {
+  return SubmittedConfiguration{
+      .submission_ = submission,
+      .base_version_ = base,
+      .configuration_ = std::make_shared<const Configuration>(
+          Configuration{.version_ = version})};
+}
+
+// Guards against a resend that is refused after later changes, and against two
+// changes on top of one version that are both accepted.
+TEST_CASE("documents that name their base follow it", "[configuration]") {
+  ConfigurationStore store;
+  CHECK(store.Submit(1, MakeOn(0, 5, "a")).status_ ==
+        SubmissionStatus::kAccepted);
+  CHECK(store.Submit(2, MakeOn(5, 9, "b")).status_ ==
+        SubmissionStatus::kAccepted);
+  CHECK(store.Submit(3, MakeOn(5, 7, "c")).status_ ==
+        SubmissionStatus::kWrongVersion);
+  CHECK(store.Submit(4, MakeOn(9, 9, "d")).status_ !=
+        SubmissionStatus::kAccepted);
+  CHECK(store.Submit(5, MakeOn(9, 8, "e")).status_ ==
+        SubmissionStatus::kWrongVersion);
+  const SubmissionResult resent = store.Submit(6, MakeOn(0, 5, "a"));
+  CHECK(resent.status_ == SubmissionStatus::kAccepted);
+  CHECK(resent.index_ == 1);
+  CHECK(store.current().configuration_->version_ == 9);
+  for (uint64_t version = 10; version <= 200; ++version) {
+    store.Submit(version,
+                 MakeOn(version - 1, version, std::to_string(version)));
+  }
+  ConfigurationStore restored;
+  restored.Restore(store.Snapshot(), store.Accepted());
+  CHECK(restored.Submit(300, MakeOn(0, 5, "a")).status_ ==
+        SubmissionStatus::kAccepted);
+}
+
 }  // namespace
 }  // namespace gooseberrygap::state
--- a/src/transport/api/ring.h
+++ b/src/transport/api/ring.h
@@ -1,9 +1,9 @@
 #ifndef TRANSPORT_API_RING_H_
 #define TRANSPORT_API_RING_H_
 
+#include <deque>
 #include <optional>
 #include <utility>
-#include <vector>
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
@@ -18,7 +18,7 @@
 class Ring {
  public:
   // Precondition: `capacity` is positive.
-  explicit Ring(size_t capacity) : slots_(capacity) {}
+  explicit Ring(size_t capacity) : capacity_(capacity) {}
 
   Ring(const Ring&) = delete;
   Ring& operator=(const Ring&) = delete;
@@ -27,11 +27,10 @@
   // or closed; the producer counts the refusal.
   bool TryPush(T item) {
     absl::MutexLock lock(&mutex_);
-    if (closed_ || size_ == slots_.size()) {
+    if (closed_ || items_.size() == capacity_) {
       return false;
     }
-    slots_[(head_ + size_) % slots_.size()].emplace(std::move(item));
-    ++size_;
+    items_.push_back(std::move(item));
     not_empty_.Signal();
     return true;
   }
@@ -41,7 +40,7 @@
   std::optional<T> Pop(state::Millis timeout) {
     const absl::Time until = absl::Now() + absl::Milliseconds(timeout.value());
     absl::MutexLock lock(&mutex_);
-    while (size_ == 0) {
+    while (items_.empty()) {
       if (closed_ || not_empty_.WaitWithDeadline(&mutex_, until)) {
         break;
       }
@@ -69,21 +68,19 @@
 
  private:
   std::optional<T> TakeFront() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
-    if (size_ == 0) {
+    if (items_.empty()) {
       return std::nullopt;
     }
-    std::optional<T> item(std::move(*slots_[head_]));
-    slots_[head_].reset();
-    head_ = (head_ + 1) % slots_.size();
-    --size_;
+    std::optional<T> item(std::move(items_.front()));
+    items_.pop_front();
     return item;
   }
 
   mutable absl::Mutex mutex_;
   absl::CondVar not_empty_;
-  std::vector<std::optional<T>> slots_ ABSL_GUARDED_BY(mutex_);
-  size_t head_ ABSL_GUARDED_BY(mutex_) = 0;
-  size_t size_ ABSL_GUARDED_BY(mutex_) = 0;
+  const size_t capacity_;
+  // Grows with what waits, so that a large bound costs no memory when idle.
+  std::deque<T> items_ ABSL_GUARDED_BY(mutex_);
   bool closed_ ABSL_GUARDED_BY(mutex_) = false;
 };
 
--- /dev/null
+++ b/src/transport/internal/call_connection.cc
@@ -0,0 +1,237 @@
+#include "transport/internal/call_connection.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "transport/internal/http_message.h"
+
+namespace gooseberrygap::transport {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr size_t kReadBytes = 16384;
+// Requests read ahead of answers on one connection.
+constexpr size_t kMaxPending = 64;
+// How long a closed connection is read further, so that bytes in flight do not
+// reset it before the caller has read the last answer.
+constexpr state::Millis kLingerTime(1000);
+
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kTooLarge = 413;
+constexpr int kHeadTooLarge = 431;
+
+int StatusOf(const boost::system::error_code& error) {
+  if (error == http::error::body_limit) {
+    return kTooLarge;
+  }
+  return error == http::error::header_limit ? kHeadTooLarge : kBadRequest;
+}
+
+}  // namespace
+
+CallConnection::CallConnection(Descriptor socket,
+                               size_t listener,
+                               state::Millis now)
+    : socket_(std::move(socket)), listener_(listener), last_used_(now) {}
+
+void CallConnection::Read(const state::CallerLimits& limits,
+                          const Take& take,
+                          state::Millis now) {
+  const bool is_open = Receive();
+  if (lingering_) {
+    done_ = done_ || !is_open;
+    input_.clear();
+    return;
+  }
+  if (!input_.empty()) {
+    last_used_ = now;
+  }
+  if (is_open) {
+    Parse(limits, take, now);
+    return;
+  }
+  // What was sent ahead of a close is not wanted any more.
+  caller_left_ = !pending_.empty();
+  done_ = true;
+}
+
+bool CallConnection::Receive() {
+  std::array<char, kReadBytes> buffer;
+  while (true) {
+    const ssize_t count = recv(socket_.get(), buffer.data(), buffer.size(), 0);
+    if (count > 0) {
+      input_.append(buffer.data(), count);
+      if (static_cast<size_t>(count) < buffer.size()) {
+        return true;
+      }
+      continue;
+    }
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    return count < 0 && errno == EAGAIN;
+  }
+}
+
+void CallConnection::Parse(const state::CallerLimits& limits,
+                           const Take& take,
+                           state::Millis now) {
+  while (!input_.empty() && !stopped_reading_ &&
+         pending_.size() < kMaxPending) {
+    if (parser_ == nullptr) {
+      StartParser(limits, now);
+    }
+    boost::system::error_code error;
+    const size_t taken = parser_->put(boost::asio::buffer(input_), error);
+    input_.erase(0, taken);
+    if (error && error != http::error::need_more) {
+      Refuse(StatusOf(error));
+      return;
+    }
+    if (parser_->is_done()) {
+      TakeRequest(take);
+      continue;
+    }
+    const bool wants_continue =
+        parser_->is_header_done() && !sent_continue_ && pending_.empty() &&
+        absl::EqualsIgnoreCase(std::string(parser_->get()[http::field::expect]),
+                               "100-continue");
+    if (wants_continue) {
+      sent_continue_ = true;
+      output_ += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    if (taken == 0 || error == http::error::need_more) {
+      return;
+    }
+  }
+  if (input_.empty()) {
+    input_ = std::string();
+  }
+}
+
+void CallConnection::StartParser(const state::CallerLimits& limits,
+                                 state::Millis now) {
+  parser_ = std::make_unique<Parser>();
+  parser_->eager(true);
+  parser_->header_limit(static_cast<uint32_t>(limits.max_header_bytes_));
+  parser_->body_limit(static_cast<uint64_t>(limits.max_body_bytes_));
+  sent_continue_ = false;
+  message_began_ = now;
+}
+
+void CallConnection::TakeRequest(const Take& take) {
+  const std::unique_ptr<Parser> parser = std::move(parser_);
+  auto& message = parser->get();
+  Pending pending{.has_body_ = message.method() != http::verb::head,
+                  .closes_ = !parser->keep_alive()};
+  stopped_reading_ = pending.closes_;
+  const state::HttpRequest request{
+      .method_ = std::string(message.method_string()),
+      .path_ = std::string(message.target()),
+      .headers_ = HeadersOf(message),
+      .body_ = state::Bytes(std::move(message.body()))};
+  pending.request_id_ = take(request);
+  pending_.push_back(std::move(pending));
+}
+
+void CallConnection::Refuse(int status) {
+  parser_.reset();
+  input_ = std::string();
+  stopped_reading_ = true;
+  pending_.push_back(
+      Pending{.closes_ = true,
+              .answer_ = PrintAnswer(state::HttpAnswer{.status_ = status}, true,
+                                     AfterAnswer::kClose)});
+}
+
+void CallConnection::Answer(uint64_t request_id,
+                            const state::HttpAnswer& answer,
+                            bool closes) {
+  for (Pending& pending : pending_) {
+    if (pending.request_id_ != request_id || pending.answer_.has_value()) {
+      continue;
+    }
+    // A request behind a closing answer would count as not read.
+    const bool is_last =
+        &pending == &pending_.back() && input_.empty() && parser_ == nullptr;
+    pending.closes_ = pending.closes_ || (closes && is_last);
+    pending.answer_ = PrintAnswer(
+        answer, pending.has_body_,
+        pending.closes_ ? AfterAnswer::kClose : AfterAnswer::kKeepOpen);
+    return;
+  }
+}
+
+void CallConnection::Flush(state::Millis now) {
+  while (!pending_.empty() && pending_.front().answer_.has_value() &&
+         !closing_) {
+    output_ += *pending_.front().answer_;
+    closing_ = pending_.front().closes_;
+    pending_.pop_front();
+    last_used_ = now;
+  }
+  while (waits_to_write()) {
+    const ssize_t count = send(socket_.get(), output_.data() + sent_,
+                               output_.size() - sent_, MSG_NOSIGNAL);
+    if (count < 0) {
+      const bool can_wait = errno == EAGAIN || errno == EINTR;
+      caller_left_ = caller_left_ || (!can_wait && !pending_.empty());
+      done_ = done_ || !can_wait;
+      return;
+    }
+    sent_ += count;
+  }
+  output_ = std::string();
+  sent_ = 0;
+  if (closing_ && !lingering_) {
+    shutdown(socket_.get(), SHUT_WR);
+    lingering_ = true;
+    stopped_reading_ = true;
+    last_used_ = now;
+  }
+}
+
+void CallConnection::CheckTime(const state::CallerLimits& limits,
+                               state::Millis now) {
+  if (lingering_) {
+    done_ = done_ || now - last_used_ >= kLingerTime;
+    return;
+  }
+  const bool reads_head = parser_ != nullptr && !parser_->is_header_done();
+  if (reads_head && now - message_began_ >= limits.header_timeout_) {
+    Refuse(kRequestTimeout);
+    return;
+  }
+  if (!is_busy() && now - last_used_ >= limits.idle_timeout_) {
+    done_ = true;
+  }
+}
+
+void CallConnection::CloseIfIdle() {
+  if (!is_busy() && parser_ == nullptr && input_.empty() && !lingering_) {
+    done_ = true;
+  }
+}
+
+bool CallConnection::waits_to_read() const {
+  return lingering_ || (!stopped_reading_ && pending_.size() < kMaxPending);
+}
+
+std::vector<uint64_t> CallConnection::Unanswered() const {
+  std::vector<uint64_t> requests;
+  for (const Pending& pending : pending_) {
+    if (!pending.answer_.has_value()) {
+      requests.push_back(pending.request_id_);
+    }
+  }
+  return requests;
+}
+
+}  // namespace gooseberrygap::transport
--- /dev/null
+++ b/src/transport/internal/call_server.cc
@@ -0,0 +1,293 @@
+#include "transport/api/call_server.h"
+
+#include <sys/epoll.h>
+
+#include <cerrno>
+#include <map>
+#include <optional>
+#include <utility>
+#include <variant>
+
+#include "absl/synchronization/notification.h"
+#include "transport/api/duty_thread.h"
+#include "transport/api/ring.h"
+#include "transport/internal/call_connection.h"
+#include "transport/internal/listen_socket.h"
+#include "transport/internal/poller.h"
+
+namespace gooseberrygap::transport {
+
+namespace {
+
+// Far above the requests that one daemon has in progress.
+constexpr size_t kRingCapacity = 16384;
+// How often connections are looked through for those that last too long.
+constexpr state::Millis kTimeCheck(500);
+constexpr uint32_t kAlways = EPOLLRDHUP;
+constexpr uint32_t kReadable = EPOLLIN;
+constexpr uint32_t kWritable = EPOLLOUT;
+constexpr uint32_t kNone = 0;
+
+struct GivenAnswer {
+  uint64_t request_id_ = 0;
+  state::HttpAnswer answer_;
+};
+struct NewLimits {
+  state::CallerLimits limits_;
+};
+struct CloseAfterAnswer {};
+struct StopAccepting {};
+using Order =
+    std::variant<GivenAnswer, NewLimits, CloseAfterAnswer, StopAccepting>;
+
+class CallServerImpl : public CallServer {
+ public:
+  CallServerImpl(const Options& options,
+                 std::vector<ListenSocket> listeners,
+                 std::unique_ptr<Poller> poller,
+                 Handler* handler,
+                 state::Counters* counters)
+      : options_(options),
+        handler_(handler),
+        counters_(counters),
+        poller_(std::move(poller)),
+        listeners_(std::move(listeners)),
+        ring_(kRingCapacity) {
+    limits_.emplace(options.limits_);
+    for (const ListenSocket& listener : listeners_) {
+      addresses_.push_back(listener.address_);
+      poller_->Add(listener.socket_.get(), EPOLLIN);
+    }
+    thread_ = std::make_unique<DutyThread>("http", [this] { Run(); });
+  }
+
+  ~CallServerImpl() override {
+    ring_.Close();
+    poller_->Wake();
+    thread_->Join();
+  }
+
+  void Answer(uint64_t request_id, state::HttpAnswer answer) override {
+    Give(GivenAnswer{.request_id_ = request_id, .answer_ = std::move(answer)});
+  }
+  void SetLimits(const state::CallerLimits& limits) override {
+    Give(NewLimits{.limits_ = limits});
+  }
+  void CloseAfterAnswers() override { Give(CloseAfterAnswer{}); }
+  void StopGracefully() override {
+    Give(StopAccepting{});
+    all_answered_.WaitForNotification();
+  }
+  const std::vector<std::string>& addresses() const override {
+    return addresses_;
+  }
+
+ private:
+  void Give(Order order) {
+    if (!ring_.TryPush(std::move(order))) {
+      counters_->Add(state::RefusalReason::kInternalQueueFull);
+    }
+    poller_->Wake();
+  }
+
+  void Run() {
+    while (!ring_.closed()) {
+      const bool watches_time = !connections_.empty();
+      for (const int descriptor : poller_->Wait(
+               watches_time ? std::optional(kTimeCheck) : std::nullopt)) {
+        OnReady(descriptor);
+      }
+      while (std::optional<Order> order = ring_.TryPop()) {
+        std::visit([this](const auto& concrete) { On(concrete); }, *order);
+      }
+      CheckTime();
+      if (stopping_ && connections_.empty() &&
+          !all_answered_.HasBeenNotified()) {
+        all_answered_.Notify();
+      }
+    }
+  }
+
+  void On(const GivenAnswer& given) {
+    const auto entry = requests_.find(given.request_id_);
+    if (entry == requests_.end()) {
+      return;  // The caller has left.
+    }
+    CallConnection* connection = entry->second;
+    requests_.erase(entry);
+    connection->Answer(given.request_id_, given.answer_, closes_);
+    connection->Flush(clock_.Now());
+    if (connection->has_unread()) {
+      Read(connection);
+    } else {
+      Continue(connection);
+    }
+  }
+
+  void On(const NewLimits& order) { limits_.emplace(order.limits_); }
+  void On(const CloseAfterAnswer&) { closes_ = true; }
+  void On(const StopAccepting&) {
+    closes_ = true;
+    stopping_ = true;
+    // Connections that wait to be accepted may hold requests.
+    for (size_t i = 0; i < listeners_.size(); ++i) {
+      Accept(i);
+      poller_->Remove(listeners_[i].socket_.get());
+    }
+    listeners_.clear();
+    CloseIdle();
+  }
+
+  void OnReady(int descriptor) {
+    for (size_t i = 0; i < listeners_.size(); ++i) {
+      if (listeners_[i].socket_.get() == descriptor) {
+        Accept(i);
+        return;
+      }
+    }
+    const auto entry = connections_.find(descriptor);
+    if (entry != connections_.end()) {
+      Read(entry->second.get());
+    }
+  }
+
+  void Accept(size_t listener) {
+    while (true) {
+      Descriptor accepted =
+          AcceptConnection(listeners_[listener].socket_.get());
+      if (!accepted.valid()) {
+        if (errno == ECONNABORTED || errno == EINTR) {
+          continue;
+        }
+        return;
+      }
+      if (connections_.size() >=
+          static_cast<size_t>(options_.max_connections_)) {
+        counters_->Add(state::Counter::kHttpConnectionsRefused);
+        continue;
+      }
+      counters_->Add(state::Counter::kHttpConnectionsAccepted);
+      const int descriptor = accepted.get();
+      poller_->Add(descriptor, EPOLLIN | kAlways);
+      auto connection = std::make_unique<CallConnection>(
+          std::move(accepted), listener, clock_.Now());
+      CallConnection* opened = connection.get();
+      connections_[descriptor] = std::move(connection);
+      // A request often comes together with the connection.
+      Read(opened);
+    }
+  }
+
+  void Read(CallConnection* connection) {
+    const size_t listener = connection->listener();
+    connection->Read(
+        *limits_,
+        [this, connection, listener](const state::HttpRequest& request) {
+          const uint64_t id = next_request_++;
+          requests_[id] = connection;
+          handler_->OnRequest(Arrival{
+              .request_id_ = id, .listener_ = listener, .request_ = request});
+          return id;
+        },
+        clock_.Now());
+    Continue(connection);
+  }
+
+  // Sends what is ready, reads what was left, and removes what has ended.
+  void Continue(CallConnection* connection) {
+    if (!connection->is_done()) {
+      connection->Flush(clock_.Now());
+    }
+    if (connection->is_done()) {
+      Remove(connection);
+      return;
+    }
+    poller_->Modify(connection->descriptor(),
+                    kAlways |
+                        (connection->waits_to_read() ? kReadable : kNone) |
+                        (connection->waits_to_write() ? kWritable : kNone));
+  }
+
+  void Remove(CallConnection* connection) {
+    for (const uint64_t request : connection->Unanswered()) {
+      requests_.erase(request);
+      handler_->OnCallerLeft(request);
+    }
+    poller_->Remove(connection->descriptor());
+    connections_.erase(connection->descriptor());
+  }
+
+  void CheckTime() {
+    const state::Millis now = clock_.Now();
+    if (now < check_at_) {
+      return;
+    }
+    check_at_ = now + kTimeCheck;
+    for (CallConnection* connection : All()) {
+      connection->CheckTime(*limits_, now);
+      Continue(connection);
+    }
+    if (stopping_) {
+      CloseIdle();
+    }
+  }
+
+  void CloseIdle() {
+    for (CallConnection* connection : All()) {
+      connection->CloseIfIdle();
+      Continue(connection);
+    }
+  }
+
+  std::vector<CallConnection*> All() const {
+    std::vector<CallConnection*> all;
+    all.reserve(connections_.size());
+    for (const auto& [descriptor, connection] : connections_) {
+      all.push_back(connection.get());
+    }
+    return all;
+  }
+
+  const Options options_;
+  Handler* const handler_;
+  state::Counters* const counters_;
+  const state::SteadyClock clock_;
+  const std::unique_ptr<Poller> poller_;
+  std::vector<ListenSocket> listeners_;
+  std::vector<std::string> addresses_;
+  Ring<Order> ring_;
+  std::optional<state::CallerLimits> limits_;
+  std::map<int, std::unique_ptr<CallConnection>> connections_;
+  std::map<uint64_t, CallConnection*> requests_;  // Without an answer.
+  uint64_t next_request_ = 1;
+  bool closes_ = false;
+  bool stopping_ = false;
+  state::Millis check_at_;
+  absl::Notification all_answered_;
+  std::unique_ptr<DutyThread> thread_;
+};
+
+}  // namespace
+
+state::Result<std::unique_ptr<CallServer>> CallServer::Start(
+    const Options& options,
+    Handler* handler,
+    state::Counters* counters) {
+  state::Result<std::unique_ptr<Poller>> poller = Poller::Create();
+  if (!poller) {
+    return poller.error();
+  }
+  std::vector<ListenSocket> listeners;
+  for (const std::string& address : options.listen_addresses_) {
+    state::Result<ListenSocket> listener = ListenAt(address);
+    if (!listener) {
+      return listener.error();
+    }
+    listeners.push_back(std::move(listener).value());
+  }
+  return std::unique_ptr<CallServer>(std::make_unique<CallServerImpl>(
+      options, std::move(listeners), std::move(poller).value(), handler,
+      counters));
+}
+
+}  // namespace gooseberrygap::transport
--- a/src/transport/internal/http_listener.cc
+++ b/src/transport/internal/http_listener.cc
@@ -1,90 +1,34 @@
 #include "transport/internal/http_listener.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/epoll.h>
-#include <sys/socket.h>
 
-#include <array>
 #include <cerrno>
-#include <cstring>
 #include <utility>
 
-#include "absl/strings/str_cat.h"
-#include "transport/internal/socket_address.h"
+#include "transport/internal/listen_socket.h"
 
 namespace gooseberrygap::transport {
 
 namespace {
 
-// The 5 of httplib loses connections when many callers connect at once.
-constexpr int kBacklog = 1024;
 // Pause when the system has no descriptor left; the connections wait.
 constexpr state::Millis kAcceptPause(50);
-constexpr int kOn = 1;
-// A caller whose machine has gone is noticed after 60 s + 3 * 10 s.
-constexpr int kKeepAliveIdleSeconds = 60;
-constexpr int kKeepAliveIntervalSeconds = 10;
-constexpr int kKeepAliveProbes = 3;
-
-struct SocketOption {
-  const int level_;
-  const int name_;
-  const int value_;
-};
-
-constexpr std::array<SocketOption, 5> kConnectionOptions = {{
-    {IPPROTO_TCP, TCP_NODELAY, kOn},
-    {SOL_SOCKET, SO_KEEPALIVE, kOn},
-    {IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds},
-    {IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds},
-    {IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes},
-}};
-
-state::Error ListenError(const std::string& address) {
-  const int code = errno;
-  const state::ErrorKind kind = code == EADDRINUSE
-                                    ? state::ErrorKind::kAddressInUse
-                                    : state::ErrorKind::kInvalidSettings;
-  return state::MakeError(
-      kind, absl::StrCat("Cannot listen for HTTP at ", address, ": ",
-                         strerror(code), "."));
-}
-
-std::string BoundAddress(int fd, const SocketAddress& requested) {
-  sockaddr_storage bound = {};
-  socklen_t size = sizeof bound;
-  getsockname(fd, reinterpret_cast<sockaddr*>(&bound), &size);
-  const bool is_v6 = bound.ss_family == AF_INET6;
-  const in_port_t port = is_v6
-                             ? reinterpret_cast<sockaddr_in6&>(bound).sin6_port
-                             : reinterpret_cast<sockaddr_in&>(bound).sin_port;
-  return is_v6 ? absl::StrCat("[", requested.host_, "]:", ntohs(port))
-               : absl::StrCat(requested.host_, ":", ntohs(port));
-}
 
 }  // namespace
 
 state::Result<std::unique_ptr<HttpListener>> HttpListener::Listen(
     const std::string& address) {
-  const state::Result<SocketAddress> parsed = ParseSocketAddress(address);
-  if (!parsed) {
-    return parsed.error();
+  state::Result<ListenSocket> opened = ListenAt(address);
+  if (!opened) {
+    return opened.error();
   }
   state::Result<std::unique_ptr<Poller>> poller = Poller::Create();
   if (!poller) {
     return poller.error();
   }
-  Descriptor opened(socket(parsed.value().storage_.ss_family,
-                           SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  setsockopt(opened.get(), SOL_SOCKET, SO_REUSEADDR, &kOn, sizeof kOn);
-  if (bind(opened.get(), parsed.value().get(), parsed.value().size_) != 0 ||
-      listen(opened.get(), kBacklog) != 0) {
-    return ListenError(address);
-  }
-  std::string bound = BoundAddress(opened.get(), parsed.value());
   return std::unique_ptr<HttpListener>(new HttpListener(
-      std::move(opened), std::move(bound), std::move(poller).value()));
+      std::move(opened.value().socket_), std::move(opened.value().address_),
+      std::move(poller).value()));
 }
 
 HttpListener::HttpListener(Descriptor socket,
@@ -125,18 +69,13 @@
 
 bool HttpListener::AcceptWaiting() {
   while (true) {
-    Descriptor connection(
-        accept4(socket_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    Descriptor connection = AcceptConnection(socket_.get());
     if (!connection.valid()) {
       if (errno == ECONNABORTED || errno == EINTR) {
         continue;
       }
       return errno == EAGAIN;
     }
-    for (const SocketOption& option : kConnectionOptions) {
-      setsockopt(connection.get(), option.level_, option.name_, &option.value_,
-                 sizeof option.value_);
-    }
     accepted_(std::move(connection));
   }
 }
--- /dev/null
+++ b/src/transport/internal/http_message.h
@@ -0,0 +1,39 @@
+#ifndef TRANSPORT_INTERNAL_HTTP_MESSAGE_H_
+#define TRANSPORT_INTERNAL_HTTP_MESSAGE_H_
+
+#include <boost/beast/http/fields.hpp>
+#include <string>
+#include <vector>
+#include "absl/strings/string_view.h"
+
+#include "state/state.h"
+
+namespace gooseberrygap::transport {
+
+// Conversions between the message heads of Boost.Beast, whose parser the
+// event-driven duties use, and those of the project. All functions are
+// thread-safe.
+
+// Returns all headers, also those of the connection and of the framing.
+std::vector<state::HttpHeader> HeadersOf(
+    const boost::beast::http::fields& fields);
+
+// Returns the text of a request. A body length is stated when there is a body
+// or the method usually has one. Headers of the connection and of the framing
+// are left out; a Host header is added when there is none.
+std::string PrintRequest(const state::HttpRequest& request,
+                         absl::string_view address);
+
+enum class AfterAnswer { kKeepOpen, kClose };
+
+// Returns the text of an answer. `has_body` is false for an answer to HEAD.
+std::string PrintAnswer(const state::HttpAnswer& answer,
+                        bool has_body,
+                        AfterAnswer after);
+
+// Without this check a line end in a value would start another header.
+bool IsSendable(const state::HttpRequest& request);
+
+}  // namespace gooseberrygap::transport
+
+#endif  // TRANSPORT_INTERNAL_HTTP_MESSAGE_H_
--- /dev/null
+++ b/src/transport/internal/listen_socket.cc
@@ -0,0 +1,94 @@
+#include "transport/internal/listen_socket.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "transport/internal/socket_address.h"
+
+namespace gooseberrygap::transport {
+
+namespace {
+
+// The 5 of httplib loses connections when many callers connect at once.
+constexpr int kBacklog = 1024;
+constexpr int kOn = 1;
+// A caller whose machine has gone is noticed after 60 s + 3 * 10 s.
+constexpr int kKeepAliveIdleSeconds = 60;
+constexpr int kKeepAliveIntervalSeconds = 10;
+constexpr int kKeepAliveProbes = 3;
+
+struct SocketOption {
+  const int level_;
+  const int name_;
+  const int value_;
+};
+
+constexpr std::array<SocketOption, 5> kConnectionOptions = {{
+    {IPPROTO_TCP, TCP_NODELAY, kOn},
+    {SOL_SOCKET, SO_KEEPALIVE, kOn},
+    {IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds},
+    {IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds},
+    {IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes},
+}};
+
+state::Error ListenError(const std::string& address) {
+  const int code = errno;
+  const state::ErrorKind kind = code == EADDRINUSE
+                                    ? state::ErrorKind::kAddressInUse
+                                    : state::ErrorKind::kInvalidSettings;
+  return state::MakeError(
+      kind, absl::StrCat("Cannot listen for HTTP at ", address, ": ",
+                         strerror(code), "."));
+}
+
+std::string BoundAddress(int fd, const SocketAddress& requested) {
+  sockaddr_storage bound = {};
+  socklen_t size = sizeof bound;
+  getsockname(fd, reinterpret_cast<sockaddr*>(&bound), &size);
+  const bool is_v6 = bound.ss_family == AF_INET6;
+  const in_port_t port = is_v6
+                             ? reinterpret_cast<sockaddr_in6&>(bound).sin6_port
+                             : reinterpret_cast<sockaddr_in&>(bound).sin_port;
+  return is_v6 ? absl::StrCat("[", requested.host_, "]:", ntohs(port))
+               : absl::StrCat(requested.host_, ":", ntohs(port));
+}
+
+}  // namespace
+
+state::Result<ListenSocket> ListenAt(const std::string& address) {
+  const state::Result<SocketAddress> parsed = ParseSocketAddress(address);
+  if (!parsed) {
+    return parsed.error();
+  }
+  Descriptor opened(socket(parsed.value().storage_.ss_family,
+                           SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  setsockopt(opened.get(), SOL_SOCKET, SO_REUSEADDR, &kOn, sizeof kOn);
+  if (bind(opened.get(), parsed.value().get(), parsed.value().size_) != 0 ||
+      listen(opened.get(), kBacklog) != 0) {
+    return ListenError(address);
+  }
+  std::string bound = BoundAddress(opened.get(), parsed.value());
+  return ListenSocket{.socket_ = std::move(opened),
+                      .address_ = std::move(bound)};
+}
+
+Descriptor AcceptConnection(int listener) {
+  Descriptor connection(
+      accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+  if (connection.valid()) {
+    for (const SocketOption& option : kConnectionOptions) {
+      setsockopt(connection.get(), option.level_, option.name_, &option.value_,
+                 sizeof option.value_);
+    }
+  }
+  return connection;
+}
+
+}  // namespace gooseberrygap::transport
--- a/src/transport/internal/target_client.cc
+++ b/src/transport/internal/target_client.cc
@@ -1,18 +1,25 @@
-#include <memory>
+#include "transport/api/target_client.h"
+
+#include <sys/epoll.h>
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
+#include "transport/api/duty_thread.h"
+#include "transport/api/ring.h"
 #include "transport/internal/deliveries_in_progress.h"
-#include "transport/internal/target_connection.h"
-#include "transport/transport.h"
+#include "transport/internal/http_message.h"
+#include "transport/internal/poller.h"
+#include "transport/internal/target_link.h"
 
 namespace gooseberrygap::transport {
 
 namespace {
 
-// A worker without work sleeps; the bound only limits one wait.
-constexpr state::Millis kIdleWait(3600000);
-
 struct QueuedDelivery {
   const coordination::DeliverToTarget delivery_ = {};
   const state::Millis deadline_ = {};
@@ -22,20 +29,19 @@
  public:
   TargetClientImpl(const Options& options,
                    Handler handler,
+                   std::unique_ptr<Poller> poller,
                    state::Counters* counters)
       : options_(options),
         handler_(std::move(handler)),
         counters_(counters),
-        ring_(options.ring_capacity_) {
-    for (int i = 0; i < options.workers_; ++i) {
-      workers_.push_back(
-          std::make_unique<DutyThread>("target-worker", [this] { Work(); }));
-    }
-  }
+        poller_(std::move(poller)),
+        ring_(options.ring_capacity_),
+        thread_("target", [this] { Run(); }) {}
 
   ~TargetClientImpl() override {
     ring_.Close();
-    workers_.clear();
+    poller_->Wake();
+    thread_.Join();
   }
 
   bool Deliver(coordination::DeliverToTarget delivery) override {
@@ -44,6 +50,7 @@
     in_progress_.Add(id);
     if (ring_.TryPush(
             {.delivery_ = std::move(delivery), .deadline_ = deadline})) {
+      poller_->Wake();
       return true;
     }
     in_progress_.Remove(id);
@@ -55,99 +62,176 @@
   }
 
  private:
-  using Connection = std::unique_ptr<TargetConnection>;
+  using Links = std::map<int, std::unique_ptr<TargetLink>>;  // By descriptor.
 
-  void Work() {
-    Connection kept;
+  void Run() {
     while (true) {
-      const std::optional<QueuedDelivery> next = ring_.Pop(kIdleWait);
-      if (next) {
-        handler_(Run(*next, &kept));
-      } else if (ring_.closed()) {
+      StartWaiting();
+      // Closed before it was seen empty, so that nothing can follow.
+      const bool is_closed = ring_.closed();
+      if (is_closed && active_ == 0 && StartWaiting() == 0 && active_ == 0) {
         return;
       }
+      for (const int descriptor : poller_->Wait(TimeToDeadline())) {
+        OnReady(descriptor);
+      }
+      ExpireDeadlines();
+    }
+  }
+
+  // Starts the deliveries that fit the limit; returns how many.
+  size_t StartWaiting() {
+    size_t started = 0;
+    while (active_ < options_.workers_) {
+      const std::optional<QueuedDelivery> next = ring_.TryPop();
+      if (!next.has_value()) {
+        break;
+      }
+      Start(*next);
+      ++started;
     }
+    return started;
   }
 
-  DeliveryEnded Run(const QueuedDelivery& queued, Connection* kept) {
+  void Start(const QueuedDelivery& queued) {
     const coordination::DeliverToTarget& delivery = queued.delivery_;
-    if (delivery.connect_only_ ||
-        (*kept != nullptr && !IsUsable(kept->get(), delivery))) {
-      kept->reset();
+    const bool can_start =
+        clock_.Now() < queued.deadline_ &&
+        (delivery.connect_only_ || IsSendable(delivery.request_));
+    TargetLink* link = can_start ? LinkFor(delivery) : nullptr;
+    if (link == nullptr ||
+        !in_progress_.Attach(delivery.delivery_id_, link->descriptor())) {
+      Report({.delivery_id_ = delivery.delivery_id_,
+              .end_ = DeliveryEnd::kConnectFailed});
+      return;
     }
-    DeliveryEnded result = Exchange(queued, kept);
-    // Before the connection may be closed, so that no Cancel meets a
-    // descriptor that the system has given to another socket.
-    const bool cancelled = in_progress_.Remove(delivery.delivery_id_);
-    if (*kept != nullptr && !(*kept)->CanReuse()) {
-      kept->reset();
+    ++active_;
+    link->Begin(delivery, queued.deadline_);
+    OnReady(link->descriptor());
+  }
+
+  // Returns an idle link that may carry the delivery, or a new one.
+  TargetLink* LinkFor(const coordination::DeliverToTarget& delivery) {
+    for (auto entry = links_.begin(); entry != links_.end();) {
+      TargetLink* link = entry->second.get();
+      ++entry;
+      if (link->has_delivery()) {
+        continue;
+      }
+      if (link->address() != delivery.address_ || !link->CanReuse()) {
+        Close(link->descriptor());
+        continue;
+      }
+      const bool is_fresh =
+          clock_.Now() - link->last_used() <= options_.fresh_for_;
+      if (!delivery.connect_only_ &&
+          (is_fresh || !delivery.fresh_connection_)) {
+        return link;
+      }
     }
-    if (!cancelled || result.end_ == DeliveryEnd::kAnswered) {
-      return result;
+    std::unique_ptr<TargetLink> opened =
+        TargetLink::Connect(delivery.address_, &options_);
+    if (opened == nullptr) {
+      return nullptr;
     }
-    return {.delivery_id_ = delivery.delivery_id_,
-            .end_ = DeliveryEnd::kCancelled,
-            .sent_ = result.sent_};
+    const int descriptor = opened->descriptor();
+    poller_->Add(descriptor, EPOLLIN | EPOLLOUT);
+    TargetLink* link = opened.get();
+    links_[descriptor] = std::move(opened);
+    return link;
   }
 
-  bool IsUsable(TargetConnection* kept,
-                const coordination::DeliverToTarget& delivery) const {
-    const bool is_fresh =
-        clock_.Now() - kept->last_used() <= options_.fresh_for_;
-    return kept->address() == delivery.address_ &&
-           (is_fresh || !delivery.fresh_connection_) && kept->CanReuse();
+  void OnReady(int descriptor) {
+    const auto entry = links_.find(descriptor);
+    if (entry == links_.end()) {
+      return;
+    }
+    TargetLink* link = entry->second.get();
+    if (!link->has_delivery()) {
+      // The target has closed an idle connection, or sent what nobody asked.
+      if (!link->CanReuse()) {
+        Close(descriptor);
+      }
+      return;
+    }
+    const std::optional<DeliveryEnded> end = link->Progress(clock_.Now());
+    if (end.has_value()) {
+      Finish(link, *end);
+      return;
+    }
+    poller_->Modify(descriptor,
+                    link->waits_to_write() ? EPOLLIN | EPOLLOUT : EPOLLIN);
   }
 
-  DeliveryEnded Exchange(const QueuedDelivery& queued, Connection* kept) {
-    const coordination::DeliverToTarget& delivery = queued.delivery_;
-    const uint64_t id = delivery.delivery_id_;
-    DeliveryEnded not_sent = {.delivery_id_ = id,
-                              .end_ = DeliveryEnd::kConnectFailed};
-    if (clock_.Now() >= queued.deadline_) {
-      return not_sent;
-    }
-    if (*kept == nullptr) {
-      *kept = Connect(queued);
+  void Finish(TargetLink* link, const DeliveryEnded& end) {
+    --active_;
+    if (end.end_ == DeliveryEnd::kCut && link->has_answer_head()) {
+      counters_->Add(state::Counter::kAnswersCut);
     }
-    if (*kept == nullptr || !in_progress_.Attach(id, (*kept)->descriptor())) {
-      return not_sent;
+    // Before the connection may be closed, so that no Cancel meets a
+    // descriptor that the system has given to another socket.
+    const bool cancelled = in_progress_.Remove(end.delivery_id_);
+    if (link->CanReuse()) {
+      poller_->Modify(link->descriptor(), EPOLLIN);
+    } else {
+      Close(link->descriptor());
     }
-    if (delivery.connect_only_) {
-      return {.delivery_id_ = id};
+    if (!cancelled || end.end_ == DeliveryEnd::kAnswered) {
+      handler_(end);
+      return;
     }
-    DeliveryEnded result = (*kept)->Exchange(delivery, queued.deadline_,
-                                             options_.max_answer_bytes_);
-    if (result.end_ == DeliveryEnd::kCut && (*kept)->has_answer_head()) {
-      counters_->Add(state::Counter::kAnswersCut);
+    handler_({.delivery_id_ = end.delivery_id_,
+              .end_ = DeliveryEnd::kCancelled,
+              .sent_ = end.sent_});
+  }
+
+  // Reports a delivery that was not started.
+  void Report(const DeliveryEnded& end) {
+    const bool cancelled = in_progress_.Remove(end.delivery_id_);
+    handler_({.delivery_id_ = end.delivery_id_,
+              .end_ = cancelled ? DeliveryEnd::kCancelled : end.end_});
+  }
+
+  void Close(int descriptor) {
+    poller_->Remove(descriptor);
+    links_.erase(descriptor);
+  }
+
+  std::optional<state::Millis> TimeToDeadline() const {
+    std::optional<state::Millis> next;
+    for (const auto& [descriptor, link] : links_) {
+      if (link->has_delivery()) {
+        const state::Millis left = link->deadline() - clock_.Now();
+        next.emplace(std::min(next.value_or(left), left));
+      }
     }
-    return result;
+    return next;
   }
 
-  // Returns nullptr when no connection came about.
-  Connection Connect(const QueuedDelivery& queued) {
-    const uint64_t id = queued.delivery_.delivery_id_;
-    const std::string& address = queued.delivery_.address_;
-    const state::Result<SocketAddress> parsed = ParseSocketAddress(address);
-    if (!parsed) {
-      return nullptr;
+  void ExpireDeadlines() {
+    std::vector<TargetLink*> expired;
+    for (const auto& [descriptor, link] : links_) {
+      if (link->has_delivery() && clock_.Now() >= link->deadline()) {
+        expired.push_back(link.get());
+      }
     }
-    Descriptor socket = OpenTargetSocket(parsed.value());
-    if (!socket.valid() || !in_progress_.Attach(id, socket.get()) ||
-        !ConnectTargetSocket(socket, parsed.value(), queued.deadline_)) {
-      in_progress_.Detach(id);
-      return nullptr;
+    for (TargetLink* link : expired) {
+      Finish(link,
+             link->Abandon(link->has_sent() ? DeliveryEnd::kTimeout
+                                            : DeliveryEnd::kConnectFailed));
     }
-    return std::make_unique<TargetConnection>(parsed.value(), address,
-                                              std::move(socket));
   }
 
   const Options options_;
   const Handler handler_;
   state::Counters* const counters_;
   const state::SteadyClock clock_;
+  const std::unique_ptr<Poller> poller_;
   DeliveriesInProgress in_progress_;
   Ring<QueuedDelivery> ring_;
-  std::vector<std::unique_ptr<DutyThread>> workers_;
+  Links links_;
+  int active_ = 0;
+  DutyThread thread_;
 };
 
 }  // namespace
@@ -155,8 +239,12 @@
 std::unique_ptr<TargetClient> TargetClient::Start(const Options& options,
                                                   Handler handler,
                                                   state::Counters* counters) {
-  return std::make_unique<TargetClientImpl>(options, std::move(handler),
-                                            counters);
+  state::Result<std::unique_ptr<Poller>> poller = Poller::Create();
+  if (!poller) {
+    return nullptr;
+  }
+  return std::make_unique<TargetClientImpl>(
+      options, std::move(handler), std::move(poller).value(), counters);
 }
 
 }  // namespace gooseberrygap::transport
--- /dev/null
+++ b/src/transport/internal/target_link.cc
@@ -0,0 +1,255 @@
+#include "transport/internal/target_link.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include "transport/internal/http_head.h"
+#include "transport/internal/http_message.h"
+#include "transport/internal/socket_address.h"
+
+namespace gooseberrygap::transport {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr uint32_t kMaxAnswerHeadBytes = 65536;
+constexpr size_t kReadBytes = 16384;
+constexpr int kSwitchingProtocols = 101;
+constexpr int kFirstFinalStatus = 200;
+
+}  // namespace
+
+std::unique_ptr<TargetLink> TargetLink::Connect(
+    const std::string& address,
+    const TargetClient::Options* options) {
+  const state::Result<SocketAddress> parsed = ParseSocketAddress(address);
+  if (!parsed) {
+    return nullptr;
+  }
+  Descriptor opened(socket(parsed.value().storage_.ss_family,
+                           SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  const int on = 1;
+  setsockopt(opened.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  if (!opened.valid() ||
+      (connect(opened.get(), parsed.value().get(), parsed.value().size_) != 0 &&
+       errno != EINPROGRESS)) {
+    return nullptr;
+  }
+  return std::unique_ptr<TargetLink>(
+      new TargetLink(std::move(opened), address, options));
+}
+
+TargetLink::TargetLink(Descriptor socket,
+                       std::string address,
+                       const TargetClient::Options* options)
+    : socket_(std::move(socket)),
+      address_(std::move(address)),
+      options_(options) {}
+
+void TargetLink::Begin(const coordination::DeliverToTarget& delivery,
+                       state::Millis deadline) {
+  delivery_ = std::make_unique<const coordination::DeliverToTarget>(delivery);
+  deadline_ = deadline;
+  output_ = delivery.connect_only_ ? std::string()
+                                   : PrintRequest(delivery.request_, address_);
+  sent_ = 0;
+  reusable_ = false;
+  has_answer_head_ = false;
+  StartParser();
+}
+
+void TargetLink::StartParser() {
+  parser_ = std::make_unique<Parser>();
+  parser_->eager(true);
+  parser_->header_limit(kMaxAnswerHeadBytes);
+  parser_->body_limit(options_->max_answer_bytes_);
+  parser_->skip(delivery_->request_.method_ == "HEAD");
+}
+
+std::optional<DeliveryEnded> TargetLink::Progress(state::Millis now) {
+  if (!connected_ && !FinishConnect()) {
+    // Still connecting, or the connection was refused.
+    return errno == EINPROGRESS
+               ? std::nullopt
+               : std::optional(End(DeliveryEnd::kConnectFailed));
+  }
+  if (!has_delivery()) {
+    return std::nullopt;
+  }
+  if (delivery_->connect_only_) {
+    return End(DeliveryEnd::kAnswered);
+  }
+  const bool can_send = SendRest();
+  const ReadEnd read_end = Receive();
+  std::optional<DeliveryEnded> end = Parse(read_end, now);
+  if (!end.has_value() && !can_send) {
+    end.emplace(End(DeliveryEnd::kCut));
+  }
+  return end;
+}
+
+bool TargetLink::FinishConnect() {
+  int error = 0;
+  socklen_t size = sizeof error;
+  sockaddr_storage peer = {};
+  socklen_t peer_size = sizeof peer;
+  getsockopt(socket_.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+  if (error != 0) {
+    errno = error;
+    return false;
+  }
+  if (getpeername(socket_.get(), reinterpret_cast<sockaddr*>(&peer),
+                  &peer_size) != 0) {
+    errno = EINPROGRESS;
+    return false;
+  }
+  connected_ = true;
+  return true;
+}
+
+// Returns false when the connection takes no more bytes for good.
+bool TargetLink::SendRest() {
+  while (sent_ < output_.size()) {
+    const ssize_t count = send(socket_.get(), output_.data() + sent_,
+                               output_.size() - sent_, MSG_NOSIGNAL);
+    if (count < 0) {
+      return errno == EAGAIN || errno == EINTR;
+    }
+    sent_ += count;
+  }
+  return true;
+}
+
+TargetLink::ReadEnd TargetLink::Receive() {
+  std::array<char, kReadBytes> buffer;
+  while (true) {
+    const ssize_t count = recv(socket_.get(), buffer.data(), buffer.size(), 0);
+    if (count > 0) {
+      input_.append(buffer.data(), count);
+      if (static_cast<size_t>(count) < buffer.size()) {
+        return ReadEnd::kOpen;
+      }
+      continue;
+    }
+    if (count == 0) {
+      return ReadEnd::kClosed;
+    }
+    if (errno != EINTR) {
+      return errno == EAGAIN ? ReadEnd::kOpen : ReadEnd::kReset;
+    }
+  }
+}
+
+std::optional<DeliveryEnded> TargetLink::Parse(ReadEnd read_end,
+                                               state::Millis now) {
+  has_answer_head_ =
+      has_answer_head_ || HeadSize(input_) > 0 || parser_->is_header_done();
+  while (!input_.empty() && !parser_->is_done()) {
+    boost::system::error_code error;
+    const size_t taken = parser_->put(boost::asio::buffer(input_), error);
+    input_.erase(0, taken);
+    if (error == http::error::need_more) {
+      break;
+    }
+    if (error) {
+      return End(DeliveryEnd::kCut);
+    }
+    if (parser_->is_done()) {
+      const std::optional<DeliveryEnded> end = TakeAnswer(now);
+      if (end.has_value()) {
+        return end;
+      }
+    }
+  }
+  if (read_end == ReadEnd::kOpen) {
+    return std::nullopt;
+  }
+  const bool ends_with_connection =
+      read_end == ReadEnd::kClosed && options_->accepts_until_close_ &&
+      parser_->is_header_done() && parser_->need_eof();
+  if (!ends_with_connection) {
+    return End(DeliveryEnd::kCut);
+  }
+  boost::system::error_code error;
+  parser_->put_eof(error);
+  const std::optional<DeliveryEnded> end =
+      error ? std::nullopt : TakeAnswer(now);
+  return end.has_value() ? end : std::optional(End(DeliveryEnd::kCut));
+}
+
+// Returns nothing when the message was not the answer, and prepares for the
+// next one.
+std::optional<DeliveryEnded> TargetLink::TakeAnswer(state::Millis now) {
+  const int status = static_cast<int>(parser_->get().result_int());
+  if (status < kFirstFinalStatus && status != kSwitchingProtocols) {
+    StartParser();
+    return std::nullopt;
+  }
+  const std::vector<state::HttpHeader> all = HeadersOf(parser_->get());
+  std::vector<state::HttpHeader> headers = EndToEndHeaders(all);
+  const auto length = parser_->get().find(http::field::content_length);
+  // Without a body the length is information of the target's own.
+  if (parser_->get().body().empty() && length != parser_->get().end() &&
+      length->value() != "0") {
+    headers.push_back({.name_ = std::string(length->name_string()),
+                       .value_ = std::string(length->value())});
+  }
+  const state::HttpAnswer answer{
+      .status_ = status,
+      .headers_ = std::move(headers),
+      .body_ = state::Bytes(std::move(parser_->get().body()))};
+  const bool keeps_open = parser_->keep_alive();
+  if (status == kSwitchingProtocols) {
+    return End(DeliveryEnd::kCut);
+  }
+  if (options_->is_answer_of_ && !options_->is_answer_of_(*delivery_, answer)) {
+    // The answer of an earlier request, which came late. The own one follows.
+    has_foreign_answer_ = true;
+    StartParser();
+    return std::nullopt;
+  }
+  reusable_ = keeps_open && input_.empty() && sent_ == output_.size() &&
+              !has_foreign_answer_;
+  last_used_ = now;
+  return End(DeliveryEnd::kAnswered, answer);
+}
+
+DeliveryEnded TargetLink::End(DeliveryEnd end,
+                              const state::HttpAnswer& answer) {
+  const uint64_t id = delivery_ == nullptr ? 0 : delivery_->delivery_id_;
+  const bool has_sent = sent_ > 0;
+  delivery_.reset();
+  parser_.reset();
+  output_ = std::string();
+  sent_ = 0;
+  const bool nothing_sent = end == DeliveryEnd::kCut && !has_sent;
+  return DeliveryEnded{.delivery_id_ = id,
+                       .end_ = nothing_sent ? DeliveryEnd::kConnectFailed : end,
+                       .answer_ = answer,
+                       .sent_ = has_sent};
+}
+
+DeliveryEnded TargetLink::Abandon(DeliveryEnd end) {
+  reusable_ = false;
+  return End(end);
+}
+
+bool TargetLink::waits_to_write() const {
+  return !connected_ || sent_ < output_.size();
+}
+
+bool TargetLink::CanReuse() {
+  if (!reusable_ || has_delivery() || !input_.empty()) {
+    return false;
+  }
+  reusable_ = Receive() == ReadEnd::kOpen && input_.empty();
+  return reusable_;
+}
+
+}  // namespace gooseberrygap::transport
--- /dev/null
+++ b/src/transport/internal/target_link.h
@@ -0,0 +1,89 @@
+#ifndef TRANSPORT_INTERNAL_TARGET_LINK_H_
+#define TRANSPORT_INTERNAL_TARGET_LINK_H_
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "transport/api/target_client.h"
+#include "transport/internal/descriptor.h"
+
+namespace gooseberrygap::transport {
+
+// One connection to the target, which carries one delivery at a time. It never
+// blocks: Progress does what can be done at the moment. Not thread-safe.
+class TargetLink {
+ public:
+  // Starts to connect; nothing when the address is not valid or the system
+  // refuses at once. `options` must outlive the link.
+  static std::unique_ptr<TargetLink> Connect(
+      const std::string& address,
+      const TargetClient::Options* options);
+
+  int descriptor() const { return socket_.get(); }
+  const std::string& address() const { return address_; }
+
+  // Takes the next delivery. Precondition: there is none.
+  void Begin(const coordination::DeliverToTarget& delivery,
+             state::Millis deadline);
+  // Connects, sends and receives as far as possible. Returns the delivery's
+  // end once it has come.
+  std::optional<DeliveryEnded> Progress(state::Millis now);
+  // Ends the delivery before its answer: at its deadline or by a cancel. The
+  // link cannot be used again.
+  DeliveryEnded Abandon(DeliveryEnd end);
+
+  // Whether Progress waits to write, to connect or to send.
+  bool waits_to_write() const;
+  bool has_delivery() const { return delivery_ != nullptr; }
+  bool has_sent() const { return sent_ > 0; }
+  uint64_t delivery_id() const { return delivery_->delivery_id_; }
+  state::Millis deadline() const { return deadline_; }
+  state::Millis last_used() const { return last_used_; }
+  // Whether another delivery may be sent: the connection is open and no byte
+  // has come that belongs to no request.
+  bool CanReuse();
+  // Whether an answer's head has come in part or whole.
+  bool has_answer_head() const { return has_answer_head_; }
+
+ private:
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+  enum class ReadEnd { kOpen, kClosed, kReset };
+
+  TargetLink(Descriptor socket,
+             std::string address,
+             const TargetClient::Options* options);
+
+  bool FinishConnect();
+  bool SendRest();
+  ReadEnd Receive();
+  void StartParser();
+  // Parses what has been received. Returns the end of the delivery once the
+  // answer is whole or known to be bad.
+  std::optional<DeliveryEnded> Parse(ReadEnd read_end, state::Millis now);
+  std::optional<DeliveryEnded> TakeAnswer(state::Millis now);
+  DeliveryEnded End(DeliveryEnd end, const state::HttpAnswer& answer = {});
+
+  const Descriptor socket_;
+  const std::string address_;
+  const TargetClient::Options* const options_;
+  bool connected_ = false;
+  bool reusable_ = false;
+  std::unique_ptr<const coordination::DeliverToTarget> delivery_;
+  state::Millis deadline_;
+  state::Millis last_used_;
+  std::string output_;
+  size_t sent_ = 0;
+  std::string input_;
+  std::unique_ptr<Parser> parser_;
+  bool has_answer_head_ = false;
+  // An answer of another request has come on this connection.
+  bool has_foreign_answer_ = false;
+};
+
+}  // namespace gooseberrygap::transport
+
+#endif  // TRANSPORT_INTERNAL_TARGET_LINK_H_
