--- a/operators/python/gooseberrygap/__init__.py
+++ b/operators/python/gooseberrygap/__init__.py
@@ -28,7 +28,8 @@
 IDEMPOTENT = "idempotent"
 NON_IDEMPOTENT = "non_idempotent"
 
-STRATEGIES = ("probed_latency", "random", "round_robin", "least_in_flight", "two_choices")
+STRATEGIES = ("probed_latency", "random", "round_robin", "least_in_flight", "two_choices",
+              "expected_time")
 
 NAME = Text("[A-Za-z0-9][A-Za-z0-9.:_-]{0,127}",
             "1 to 128 letters, digits, dots, colons, underscores and hyphens, "
--- a/src/coordination/api/commands.h
+++ b/src/coordination/api/commands.h
@@ -68,6 +68,8 @@
   const std::string origin_service_ = {};
   // Only connect and close, to find out whether the target's process lives.
   const bool connect_only_ = false;
+  // Ask for the target's load, with a request that is not a caller's.
+  const bool is_load_probe_ = false;
   const state::Millis timeout_ = {};
   // Use a connection that is new or was used a moment ago.
   const bool fresh_connection_ = false;
--- a/src/coordination/api/ingress.h
+++ b/src/coordination/api/ingress.h
@@ -42,6 +42,9 @@
   Commands OnAnswer(const AttemptAnswer& answer, state::Millis now);
   // Handles the end of a register call. Precondition: OwnsTag(end.tag_).
   Commands OnRegisterEnd(const RegisterEnd& end, state::Millis now);
+  // The machine of this target has turned slow: lookups that it has begun are
+  // sent to another one too, within the retry budget.
+  Commands OnTargetSlow(const std::string& target, state::Millis now);
   // The connection to this address was replaced: its answers will not come.
   Commands OnLinkLost(const std::string& address, state::Millis now);
   Commands Tick(state::Millis now);
--- a/src/coordination/api/messages.h
+++ b/src/coordination/api/messages.h
@@ -48,6 +48,7 @@
   const std::string origin_service_ = {};
   // Of calls that a route has classified.
   const std::string host_ = {};
+  const std::string route_ = {};
   // Of actions only. Without a key the register does not know the action, and
   // the ingress sends it on only after a refusal.
   const bool unkeyed_ = false;
@@ -101,6 +102,15 @@
   friend bool operator==(const ProbeReply&, const ProbeReply&) = default;
 };
 
+// A guard tells the daemons that sent it work lately that the pace of its
+// target's machine has changed.
+struct LoadNotice {
+  const std::string target_ = {};
+  const state::GuardLoad load_ = {};
+
+  friend bool operator==(const LoadNotice&, const LoadNotice&) = default;
+};
+
 // A request that was in flight when a target crashed.
 struct CrashReport {
   const std::string fingerprint_ = {};
@@ -368,7 +378,8 @@
                                  InstallSnapshot,
                                  ReadIndexRequest,
                                  ReadIndexReply,
-                                 JoinRequest>;
+                                 JoinRequest,
+                                 LoadNotice>;
 
 }  // namespace gooseberrygap::coordination
 
--- /dev/null
+++ b/src/coordination/api/pace.h
@@ -0,0 +1,38 @@
+#ifndef COORDINATION_API_PACE_H_
+#define COORDINATION_API_PACE_H_
+
+#include <algorithm>
+
+#include "state/state.h"
+
+namespace gooseberrygap::coordination {
+
+// How long work takes on a target's machine, in percent of the usual time.
+inline constexpr int kUsualPace = 100;
+// From here on a target counts as slow: work that another one could start is
+// not started on it, and lookups that it has just begun are sent elsewhere too.
+// It answers to neighbours that take a machine away for half a second, during
+// which work of 160 ms misses an objective of 500 ms.
+inline constexpr int kSlowPace = 200;
+
+// Returns whether a target that tells this pace counts as slow; 0 is unknown.
+constexpr bool IsSlowPace(int pace) {
+  return pace >= kSlowPace;
+}
+
+// How long a machine stays slow on average. Work that outlasts the time goes on
+// at the usual pace.
+inline constexpr state::Millis kSlowTime(400);
+
+// Returns how long work takes that needs `usual` at the usual pace.
+inline state::Millis ExpectedServiceTime(state::Millis usual, int pace) {
+  if (pace <= kUsualPace) {
+    return usual;
+  }
+  return std::min(usual * (static_cast<double>(pace) / kUsualPace),
+                  usual + kSlowTime);
+}
+
+}  // namespace gooseberrygap::coordination
+
+#endif  // COORDINATION_API_PACE_H_
--- a/src/coordination/api/router.h
+++ b/src/coordination/api/router.h
@@ -18,6 +18,8 @@
 struct ChoiceQuery {
   const std::string service_ = {};
   const state::Millis deadline_left_ = {};
+  // Time in which an answer is as good as an immediate one.
+  const state::Millis objective_left_ = {};
   // Targets that this call has already tried.
   const std::vector<std::string> tried_ = {};
 };
@@ -64,8 +66,12 @@
   // Takes a probe of `address` and its reply from the load budget and counts
   // them; false when the budget is spent.
   bool TakeProbe(const std::string& address, state::Millis now);
-  // Records the reply to a probe.
-  void OnProbeReply(const ProbeReply& reply, state::Millis now);
+  // Records a load that a guard told without an attempt.
+  void OnLoad(absl::string_view target,
+              const state::GuardLoad& load,
+              state::Millis now);
+  // Returns the median latency of the service's calls; 0 when none is known.
+  state::Millis UsualLatency(absl::string_view service) const;
 
   // Takes one retry from the service's budget; false when it is spent.
   bool TakeRetry(absl::string_view service);
--- a/src/coordination/api/strategy.h
+++ b/src/coordination/api/strategy.h
@@ -11,6 +11,9 @@
 
 namespace gooseberrygap::coordination {
 
+// How far a message travels.
+enum class LinkClass { kDomain, kRegion, kCrossRegion };
+
 // What an ingress knows of a target when it chooses.
 struct Candidate {
   const std::string target_ = {};
@@ -23,6 +26,9 @@
   const state::Millis load_age_ = {};
   // Round trip to the guard beyond that to a guard in the own failure domain.
   const state::Millis link_latency_ = {};
+  const LinkClass link_ = LinkClass::kDomain;
+  // Time in which an answer is as good as an immediate one; 0 when unknown.
+  const state::Millis objective_left_ = {};
   const int slots_ = 1;
   // Share of its slots that a cold target may take, from 0 to 1.
   const double ramp_ = 1;
@@ -38,6 +44,12 @@
   // Returns an index into `candidates`. Precondition: it is not empty.
   virtual size_t Choose(const std::vector<Candidate>& candidates,
                         absl::BitGenRef random) = 0;
+  // Whether it is given the targets of all regions and weighs their links
+  // itself. Otherwise other regions are left out while a target of the own one
+  // can meet the deadline.
+  virtual bool weighs_links() const { return false; }
+  // Whether targets are probed for it.
+  virtual bool uses_probes() const { return true; }
 };
 
 // Returns a new strategy of that name, or null when there is none. Thread-safe.
--- a/src/coordination/internal/call.cc
+++ b/src/coordination/internal/call.cc
@@ -12,9 +12,11 @@
 AttemptSet::NextTarget AttemptSet::ChooseNext(state::Millis now) const {
   const std::string& service = call_.service_->name_;
   const state::Millis deadline_left = call_.deadline_ - now;
+  const state::Millis objective_left = call_.objective_ - now;
   const std::optional<state::TargetRecord> untried =
       router_->Choose(ChoiceQuery{.service_ = service,
                                   .deadline_left_ = deadline_left,
+                                  .objective_left_ = objective_left,
                                   .tried_ = tried_},
                       now);
   // A second copy beside an open attempt goes to another target or nowhere.
@@ -22,9 +24,10 @@
     return NextTarget{.target_ = untried};
   }
   return NextTarget{
-      .target_ = router_->Choose(
-          ChoiceQuery{.service_ = service, .deadline_left_ = deadline_left},
-          now),
+      .target_ = router_->Choose(ChoiceQuery{.service_ = service,
+                                             .deadline_left_ = deadline_left,
+                                             .objective_left_ = objective_left},
+                                 now),
       .all_tried_ = true};
 }
 
@@ -54,6 +57,7 @@
                           .priority_ = call_.priority_,
                           .origin_service_ = call_.origin_service_,
                           .host_ = call_.host_,
+                          .route_ = call_.route_,
                           .unkeyed_ = call_.is_unkeyed_,
                           .key_ = call_.key_,
                           .digest_ = call_.digest_,
--- a/src/coordination/internal/call.h
+++ b/src/coordination/internal/call.h
@@ -33,7 +33,9 @@
   const state::Millis objective_ = {};
   const int priority_ = 0;
   const std::string origin_service_ = {};
-  const std::string host_ = {};  // Of calls that a route has classified.
+  // Of calls that a route has classified.
+  const std::string host_ = {};
+  const std::string route_ = {};
   // An action without a key: only a guard's refusal allows another attempt.
   const bool is_unkeyed_ = false;
 };
--- a/src/coordination/internal/guard.cc
+++ b/src/coordination/internal/guard.cc
@@ -1,3 +1,4 @@
+#include "coordination/api/pace.h"
 #include "coordination/internal/guard_impl.h"
 
 namespace gooseberrygap::coordination {
@@ -8,6 +9,9 @@
 using state::RegisterOperation;
 using state::TargetState;
 
+// Work that has outlasted its usual time still needs this share of it.
+constexpr double kLeastShareLeft = 0.25;
+
 }  // namespace
 
 AttemptAnswer Refusal(const Attempt& attempt, RefusalReason reason) {
@@ -53,16 +57,26 @@
     counters_->Add(state::Counter::kAttemptsDuplicate);
     return {};
   }
-  const RefusalReason refusal =
-      target_.Check(attempt, running_count(), queued_count(), Expected());
+  recent_peers_.OnWork(connection, now);
+  last_work_ = now;
+  RefusalReason refusal = target_.CheckState(attempt);
+  if (refusal == RefusalReason::kNone) {
+    refusal = attempt.host_.empty()
+                  ? target_.CheckLoad(attempt, running_count(), queued_count(),
+                                      Expected())
+                  : CheckRoutedLoad(attempt, now);
+  }
   if (refusal != RefusalReason::kNone) {
     return {Reply(connection, Refusal(attempt, refusal))};
   }
-  queue_.push_back(GuardWork{
+  const state::Millis deadline = now + attempt.deadline_left_;
+  queue_.Push(GuardWork{
       .connection_ = connection,
       .attempt_ = attempt,
       .arrival_ = now,
-      .deadline_ = now + attempt.deadline_left_,
+      .deadline_ = deadline,
+      .objective_ =
+          attempt.host_.empty() ? deadline : now + attempt.objective_left_,
       .run_alone_ = attempt.run_alone_ || target_.IsSuspect(attempt.digest_)});
   return StartQueued(now);
 }
@@ -72,13 +86,7 @@
     return work.attempt_.request_id_ == cancel.request_id_ &&
            work.attempt_.attempt_ == cancel.attempt_;
   };
-  std::deque<GuardWork> kept;
-  for (const GuardWork& work : queue_) {
-    if (!matches(work)) {
-      kept.push_back(work);
-    }
-  }
-  queue_.swap(kept);
+  queue_.TakeIf(matches);
   for (auto& [delivery_id, running] : running_) {
     // An action that was granted runs to its end: its answer is kept in the
     // register for a resend.
@@ -103,6 +111,8 @@
   crash_detector_.Tick(now);
   Append(&commands, FlushHeld(now, false));
   Append(&commands, RefuseExpired(now));
+  Append(&commands, RefuseHopeless(now));
+  Append(&commands, ProbePace(now));
   return commands;
 }
 
@@ -112,7 +122,8 @@
                           .slots_ = target_.slots(),
                           .latency_ = Expected(),
                           .state_ = target_.state(),
-                          .pace_ = pace_};
+                          .pace_ = pace_,
+                          .service_time_ = service_times_.mean()};
 }
 
 std::vector<CrashReport> Guard::Impl::TakeCrashes() {
@@ -149,9 +160,9 @@
 
 Commands Guard::Impl::StartQueued(state::Millis now) {
   Commands commands;
-  while (!queue_.empty() && MayStart(queue_.front())) {
-    const GuardWork work = queue_.front();
-    queue_.pop_front();
+  for (const GuardWork* next = queue_.Next(pace_, now);
+       next != nullptr && MayStart(*next); next = queue_.Next(pace_, now)) {
+    const GuardWork work = queue_.Take(next);
     if (now >= work.deadline_) {
       commands.push_back(Reply(
           work.connection_, Refusal(work.attempt_, RefusalReason::kDeadline)));
@@ -174,7 +185,7 @@
   counters_->histograms().Record(state::Histogram::kQueueTime,
                                  now - work.arrival_);
   const uint64_t delivery_id = next_delivery_++;
-  Running running{.work_ = work, .started_ = now};
+  Running running{.work_ = work, .started_ = now, .pace_ = pace_};
   if (!IsKeyed(work.attempt_)) {
     running_.emplace(delivery_id, running);
     return {Deliver(delivery_id, work, now)};
@@ -202,44 +213,71 @@
                                               state::RequestClass::kAction};
 }
 
-Commands Guard::Impl::RefuseQueued(RefusalReason reason) {
+Commands Guard::Impl::RefuseAll(const std::vector<GuardWork>& works,
+                                RefusalReason reason) {
   Commands commands;
-  for (const GuardWork& work : queue_) {
+  for (const GuardWork& work : works) {
     commands.push_back(Reply(work.connection_, Refusal(work.attempt_, reason)));
   }
-  queue_.clear();
   return commands;
 }
 
+Commands Guard::Impl::RefuseQueued(RefusalReason reason) {
+  return RefuseAll(queue_.TakeIf([](const GuardWork&) { return true; }),
+                   reason);
+}
+
 Commands Guard::Impl::RefuseReplaced() {
-  Commands commands;
-  std::deque<GuardWork> kept;
-  for (const GuardWork& work : queue_) {
-    if (work.attempt_.target_ == target_.announced().target_) {
-      kept.push_back(work);
-      continue;
-    }
-    commands.push_back(
-        Reply(work.connection_,
-              Refusal(work.attempt_, RefusalReason::kTargetReplaced)));
-  }
-  queue_.swap(kept);
-  return commands;
+  const std::string& target = target_.announced().target_;
+  return RefuseAll(queue_.TakeIf([&target](const GuardWork& work) {
+    return work.attempt_.target_ != target;
+  }),
+                   RefusalReason::kTargetReplaced);
 }
 
 Commands Guard::Impl::RefuseExpired(state::Millis now) {
-  Commands commands;
-  std::deque<GuardWork> kept;
-  for (const GuardWork& work : queue_) {
-    if (now < work.deadline_) {
-      kept.push_back(work);
-      continue;
-    }
-    commands.push_back(Reply(work.connection_,
-                             Refusal(work.attempt_, RefusalReason::kDeadline)));
+  return RefuseAll(queue_.TakeIf([now](const GuardWork& work) {
+    return now >= work.deadline_;
+  }),
+                   RefusalReason::kDeadline);
+}
+
+Commands Guard::Impl::RefuseHopeless(state::Millis now) {
+  return RefuseAll(queue_.TakeHopeless(pace_, now), RefusalReason::kOverloaded);
+}
+
+state::Millis Guard::Impl::ExpectedFor(const Attempt& attempt,
+                                       state::Millis now) const {
+  const state::Millis own =
+      ExpectedServiceTime(service_times_.For(attempt.route_), pace_);
+  if (running_count() < target_.slots() && queue_.empty()) {
+    return own;
   }
-  queue_.swap(kept);
-  return commands;
+  state::Millis before = queue_.TotalTime(pace_);
+  for (const auto& [delivery_id, running] : running_) {
+    const state::Millis whole = ExpectedServiceTime(
+        service_times_.For(running.work_.attempt_.route_), pace_);
+    const state::Millis left = whole - (now - running.started_);
+    before = before + std::max(left, whole * kLeastShareLeft);
+  }
+  return own + before / std::max(1, target_.slots());
+}
+
+RefusalReason Guard::Impl::CheckRoutedLoad(const Attempt& attempt,
+                                           state::Millis now) const {
+  // The ingress did not know yet; another target may be faster.
+  if (IsSlowPace(pace_) && !attempt.may_queue_) {
+    return RefusalReason::kSlow;
+  }
+  if (running_count() < target_.slots() && queue_.empty()) {
+    return RefusalReason::kNone;
+  }
+  const bool is_in_time = ExpectedFor(attempt, now) <= attempt.objective_left_;
+  // Elsewhere a slot may be free, so a first attempt is queued only briefly.
+  const bool is_short_queue = queued_count() < std::max(1, target_.slots() / 4);
+  return is_in_time && (attempt.may_queue_ || is_short_queue)
+             ? RefusalReason::kNone
+             : RefusalReason::kOverloaded;
 }
 
 Guard::Guard(std::string instance,
--- a/src/coordination/internal/guard_delivery.cc
+++ b/src/coordination/internal/guard_delivery.cc
@@ -1,3 +1,4 @@
+#include "coordination/api/pace.h"
 #include "coordination/internal/guard_impl.h"
 
 #include <algorithm>
@@ -17,6 +18,11 @@
   if (ended.delivery_id_ == check_id_) {
     return OnChecked(ended.end_, now);
   }
+  if (ended.delivery_id_ == pace_probe_) {
+    pace_probe_ = 0;
+    pace_at_ = now;
+    return ended.pace_ > 0 ? OnPace(ended.pace_, now) : Commands();
+  }
   const auto entry = running_.find(ended.delivery_id_);
   if (entry == running_.end()) {
     return {};
@@ -24,9 +30,6 @@
   const Running running = entry->second;
   const int in_flight = static_cast<int>(running_.size());
   running_.erase(entry);
-  if (ended.pace_ > 0) {
-    pace_ = ended.pace_;
-  }
   Commands commands;
   switch (ended.end_) {
     case DeliveryEnd::kAnswered:
@@ -52,6 +55,9 @@
     case DeliveryEnd::kCancelled:
       break;
   }
+  if (ended.pace_ > 0) {
+    Append(&commands, OnPace(ended.pace_, now));
+  }
   Append(&commands, StartQueued(now));
   return commands;
 }
@@ -61,6 +67,9 @@
                                  state::Millis now) {
   const GuardWork& work = running.work_;
   latency_.Add(now - running.started_);
+  if (!IsSlowPace(running.pace_) && !IsSlowPace(pace_)) {
+    service_times_.Add(work.attempt_.route_, now - running.started_);
+  }
   Commands commands = {Reply(
       work.connection_, AttemptAnswer{.request_id_ = work.attempt_.request_id_,
                                       .attempt_ = work.attempt_.attempt_,
--- a/src/coordination/internal/guard_impl.h
+++ b/src/coordination/internal/guard_impl.h
@@ -10,6 +10,8 @@
 #include "absl/strings/str_cat.h"
 #include "coordination/internal/guard_target.h"
 #include "coordination/internal/guard_work.h"
+#include "coordination/internal/recent_peers.h"
+#include "coordination/internal/work_queue.h"
 
 namespace gooseberrygap::coordination {
 
@@ -76,6 +78,7 @@
     state::Millis started_;
     std::string nonce_;
     bool cancelled_ = false;
+    int pace_ = 0;  // When it was started.
   };
   struct PendingRelease {
     const GuardWork work_ = {};
@@ -93,6 +96,12 @@
 
   // Returns the expected time to answer one more attempt.
   state::Millis Expected() const;
+  // Returns the expected time to answer this attempt behind what runs and
+  // waits.
+  state::Millis ExpectedFor(const Attempt& attempt, state::Millis now) const;
+  // Returns why a routed attempt is not taken at this load, or kNone.
+  state::RefusalReason CheckRoutedLoad(const Attempt& attempt,
+                                       state::Millis now) const;
 
   Commands StartQueued(state::Millis now);
 
@@ -126,6 +135,13 @@
                       const state::HttpAnswer& answer,
                       state::Millis now);
 
+  // Takes what the target said of its pace. When it has become slow or usual
+  // again, tells the daemons that sent work lately, and gives queued work back
+  // that another target may start sooner.
+  Commands OnPace(int pace, state::Millis now);
+  // Asks the target for its load when nothing has told it for a while.
+  Commands ProbePace(state::Millis now);
+
   // The target states that it did not run the request.
   Commands OnDeclined(const Running& running,
                       const state::HttpAnswer& answer,
@@ -158,6 +174,10 @@
   Commands RefuseReplaced();
 
   Commands RefuseExpired(state::Millis now);
+  // Refuses queued work that cannot be answered within its objective any more.
+  Commands RefuseHopeless(state::Millis now);
+  Commands RefuseAll(const std::vector<GuardWork>& works,
+                     state::RefusalReason reason);
 
   const std::string instance_;
   uint64_t incarnation_;
@@ -168,7 +188,8 @@
   LatencyEstimate latency_;
   CrashDetector crash_detector_;
   std::vector<CrashReport> crashes_;
-  std::deque<GuardWork> queue_;
+  ServiceTimes service_times_;
+  WorkQueue queue_{&service_times_};
   std::map<uint64_t, Running> running_;
   std::map<uint64_t, uint64_t> register_calls_;     // Delivery by tag.
   std::map<std::string, PendingRelease> releases_;  // By nonce.
@@ -177,6 +198,10 @@
   uint64_t check_id_ = 0;
   uint64_t next_tag_ = 0;
   int pace_ = 0;  // What the target last said.
+  state::Millis pace_at_;
+  uint64_t pace_probe_ = 0;  // Delivery of the probe in progress.
+  state::Millis last_work_;
+  RecentPeers recent_peers_;
 };
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/internal/guard_target.cc
+++ b/src/coordination/internal/guard_target.cc
@@ -101,10 +101,17 @@
   return known() ? *announced_ : kNone;
 }
 
-RefusalReason GuardTarget::Check(const Attempt& attempt,
-                                 int running,
-                                 int queued,
-                                 state::Millis expected) const {
+std::string GuardTarget::HealthPath() const {
+  if (!known() || !configuration_.has_value() ||
+      configuration_->configuration_ == nullptr) {
+    return {};
+  }
+  const state::Service* service =
+      state::FindService(*configuration_->configuration_, announced_->service_);
+  return service == nullptr ? std::string() : service->properties_.health_path_;
+}
+
+RefusalReason GuardTarget::CheckState(const Attempt& attempt) const {
   if (!known() || state() == TargetState::kStarting) {
     return RefusalReason::kNotServing;
   }
@@ -118,10 +125,7 @@
   if (convicted_.contains(attempt.digest_)) {
     return RefusalReason::kPoisoned;
   }
-  const RefusalReason stale = CheckConfiguration(attempt);
-  return stale != RefusalReason::kNone
-             ? stale
-             : CheckLoad(attempt, running, queued, expected);
+  return CheckConfiguration(attempt);
 }
 
 RefusalReason GuardTarget::CheckConfiguration(const Attempt& attempt) const {
--- a/src/coordination/internal/guard_target.h
+++ b/src/coordination/internal/guard_target.h
@@ -31,12 +31,14 @@
   // Returns true once no announcement has come for too long.
   bool IsGone(state::Millis now) const;
 
-  // Returns why the attempt must be refused, or kNone. `expected` is the
-  // time that the attempt would take to be answered.
-  state::RefusalReason Check(const Attempt& attempt,
-                             int running,
-                             int queued,
-                             state::Millis expected) const;
+  // Returns why the attempt must be refused at any load, or kNone.
+  state::RefusalReason CheckState(const Attempt& attempt) const;
+  // Returns why the attempt must be refused at this load, or kNone. `expected`
+  // is the time that the attempt would take to be answered.
+  state::RefusalReason CheckLoad(const Attempt& attempt,
+                                 int running,
+                                 int queued,
+                                 state::Millis expected) const;
   bool IsSuspect(const std::string& fingerprint) const {
     return suspects_.contains(fingerprint);
   }
@@ -49,6 +51,8 @@
   const TargetAnnounced& announced() const;
 
   bool is_draining() const { return draining_; }
+  // Where the target tells its load; empty when it does not.
+  std::string HealthPath() const;
 
  private:
   // Whether the announcement is older than what is known.
@@ -57,10 +61,6 @@
   static bool LeadsTo(const state::Route& route, const Attempt& attempt);
   bool HasSameRule(const Attempt& attempt) const;
   state::RefusalReason CheckConfiguration(const Attempt& attempt) const;
-  state::RefusalReason CheckLoad(const Attempt& attempt,
-                                 int running,
-                                 int queued,
-                                 state::Millis expected) const;
 
   std::optional<state::IndexedConfiguration> configuration_;
   absl::flat_hash_set<std::string> convicted_;
--- a/src/coordination/internal/guard_work.h
+++ b/src/coordination/internal/guard_work.h
@@ -21,6 +21,8 @@
   const Attempt attempt_ = {};
   const state::Millis arrival_ = {};
   const state::Millis deadline_ = {};
+  // When an answer stops being as good as an immediate one.
+  const state::Millis objective_ = {};
   const bool run_alone_ = false;
 };
 
@@ -44,6 +46,10 @@
   // Returns the estimated time for a request that joins `waiting` others at
   // `slots` slots.
   state::Millis At(int waiting, int slots) const;
+  // Returns the smoothed service time; 0 without a sample.
+  state::Millis mean() const {
+    return state::Millis(has_sample_ ? mean_ms_ : 0);
+  }
 
  private:
   double mean_ms_ = 1;
--- a/src/coordination/internal/ingress.cc
+++ b/src/coordination/internal/ingress.cc
@@ -139,6 +139,10 @@
     return actions_.OnRegisterEnd(end, now);
   }
 
+  Commands OnTargetSlow(const std::string& target, state::Millis now) {
+    return lookups_.OnTargetSlow(target, now);
+  }
+
   Commands OnLinkLost(const std::string& address, state::Millis now) {
     Commands commands = lookups_.OnLinkLost(address, now);
     Append(&commands, actions_.OnLinkLost(address, now));
@@ -205,6 +209,7 @@
             .priority_ = route->priority_,
             .origin_service_ = arrived.origin_service_,
             .host_ = arrived.host_,
+            .route_ = route->name_,
             .is_unkeyed_ = is_action},
         now);
   }
@@ -262,6 +267,10 @@
   return impl_->OnRegisterEnd(end, now);
 }
 
+Commands Ingress::OnTargetSlow(const std::string& target, state::Millis now) {
+  return impl_->OnTargetSlow(target, now);
+}
+
 Commands Ingress::OnLinkLost(const std::string& address, state::Millis now) {
   return impl_->OnLinkLost(address, now);
 }
--- a/src/coordination/internal/load_meter.h
+++ b/src/coordination/internal/load_meter.h
@@ -1,13 +1,11 @@
 #ifndef COORDINATION_INTERNAL_LOAD_METER_H_
 #define COORDINATION_INTERNAL_LOAD_METER_H_
 
+#include "coordination/api/strategy.h"
 #include "coordination/internal/token_bucket.h"
 
 namespace gooseberrygap::coordination {
 
-// How far a message travels.
-enum class LinkClass { kDomain, kRegion, kCrossRegion };
-
 // Accounts what this daemon sends to measure load, and allows no more than the
 // budget. Not thread-safe.
 class LoadMeter {
--- a/src/coordination/internal/lookup_calls.cc
+++ b/src/coordination/internal/lookup_calls.cc
@@ -6,7 +6,7 @@
 
 // Refusals cost the targets nothing, so they are limited only to bound the
 // messages of one call.
-constexpr uint32_t kMaxRefusals = 8;
+constexpr uint32_t kMaxRefusals = 5;
 // After this many refusals the guard is asked to queue the attempt. Giving up
 // instead failed 1 to 7% of the calls in a trial.
 constexpr uint32_t kRefusalsBeforeQueueing = 2;
@@ -186,6 +186,33 @@
   return commands;
 }
 
+Commands LookupCalls::OnTargetSlow(const std::string& target,
+                                   state::Millis now) {
+  std::vector<Lookup*> affected;
+  for (const auto& [request_id, lookup] : lookups_) {
+    const std::vector<OpenAttempt>& open = lookup->attempts_.open();
+    const ClassifiedCall& call = lookup->call_;
+    const bool is_there =
+        open.size() == 1 && open.front().target_.target_ == target;
+    // A second copy helps only if it can still answer within the objective.
+    const state::Millis usual = router_->UsualLatency(call.service_->name_);
+    if (is_there && !call.is_unkeyed_ && !call.is_suspect_ &&
+        now + usual < call.objective_) {
+      affected.push_back(lookup.get());
+    }
+  }
+  Commands commands;
+  for (Lookup* lookup : affected) {
+    if (!MayReachAnother(*lookup) ||
+        !router_->TakeRetry(lookup->call_.service_->name_)) {
+      continue;
+    }
+    counters_->Add(state::RetryReason::kSlowTarget);
+    Append(&commands, SendNext(lookup, now));
+  }
+  return commands;
+}
+
 Commands LookupCalls::OnLinkLost(const std::string& address,
                                  state::Millis now) {
   Commands commands;
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -1,4 +1,5 @@
 #include "absl/strings/str_cat.h"
+#include "coordination/api/pace.h"
 #include "coordination/coordination.h"
 #include "coordination/internal/early_calls.h"
 #include "coordination/internal/register_tags.h"
@@ -196,10 +197,19 @@
   Commands OnMessage(const ProbeReply& reply,
                      const PeerMessageArrived&,
                      state::Millis now) {
-    router_.OnProbeReply(reply, now);
+    router_.OnLoad(reply.target_, reply.load_, now);
     return {};
   }
 
+  Commands OnMessage(const LoadNotice& notice,
+                     const PeerMessageArrived&,
+                     state::Millis now) {
+    router_.OnLoad(notice.target_, notice.load_, now);
+    return IsSlowPace(notice.load_.pace_)
+               ? ingress_.OnTargetSlow(notice.target_, now)
+               : Commands();
+  }
+
   Commands OnMessage(const LeaseReply& reply,
                      const PeerMessageArrived& arrived,
                      state::Millis now) {
--- a/src/coordination/internal/router.cc
+++ b/src/coordination/internal/router.cc
@@ -25,6 +25,9 @@
 constexpr state::Millis kEjectionTime(1000);
 // Knowledge younger than this needs no probe.
 constexpr state::Millis kProbeWhenOlder(20);
+// The size of a call is not known when it is sent; one packet stands for it.
+constexpr double kCallBytes = 1500;
+constexpr double kMedian = 0.5;
 // Services that this daemon has not called for this long are not probed.
 constexpr state::Millis kProbeIdleLimit(1000);
 
@@ -96,6 +99,9 @@
     }
     ServiceState& service = entry->second;
     service.last_call_ = now;
+    if (service.strategy_->weighs_links()) {
+      return ChooseAnywhere(&service, query, now);
+    }
     const std::vector<Target*> local =
         Eligible(service, query, /*local=*/true, now);
     const bool local_in_time =
@@ -103,17 +109,16 @@
           return MeetsDeadline(*target, query.deadline_left_, now);
         });
     if (local_in_time) {
-      return ChooseAmong(&service, local, now);
+      return ChooseAmong(&service, local, query, now);
     }
     const std::vector<Target*> remote =
         Eligible(service, query, /*local=*/false, now);
-    // The size of a call is not known here; one packet stands for it.
-    constexpr double kCallBytes = 1500;
     if (!remote.empty() && cross_region_bytes_.Take(kCallBytes, now)) {
       counters_->Add(state::Counter::kCallsCrossRegion);
-      return ChooseAmong(&service, remote, now);
+      return ChooseAmong(&service, remote, query, now);
     }
-    return local.empty() ? std::nullopt : ChooseAmong(&service, local, now);
+    return local.empty() ? std::nullopt
+                         : ChooseAmong(&service, local, query, now);
   }
 
   void OnSent(absl::string_view target, state::Millis) {
@@ -159,15 +164,25 @@
                                  now);
   }
 
-  void OnProbeReply(const ProbeReply& reply, state::Millis now) {
-    const auto entry = targets_.find(reply.target_);
+  void OnLoad(absl::string_view target,
+              const state::GuardLoad& load,
+              state::Millis now) {
+    const auto entry = targets_.find(target);
     if (entry == targets_.end()) {
       return;
     }
-    entry->second->load_.emplace(reply.load_);
+    entry->second->load_.emplace(load);
     entry->second->load_at_ = now;
   }
 
+  state::Millis UsualLatency(absl::string_view service) const {
+    const auto entry = services_.find(service);
+    return entry == services_.end()
+               ? state::Millis()
+               : entry->second.latencies_.Quantile(kMedian).value_or(
+                     state::Millis());
+  }
+
   bool TakeRetry(absl::string_view service) {
     const auto entry = services_.find(service);
     return entry != services_.end() && entry->second.retry_budget_.Take();
@@ -192,7 +207,9 @@
     for (auto& [name, service] : services_) {
       const bool is_called = service.last_call_.has_value() &&
                              now - *service.last_call_ < kProbeIdleLimit;
-      if (is_called && !service.members_.empty()) {
+      const bool uses_probes =
+          service.strategy_ != nullptr && service.strategy_->uses_probes();
+      if (is_called && uses_probes && !service.members_.empty()) {
         Append(&commands, ProbeOne(service, now));
       }
     }
@@ -290,13 +307,42 @@
     return !knows_load || target.load_->latency_ < deadline_left;
   }
 
+  // For a strategy that knows what a link costs: among all targets, as long as
+  // the budget of the paid link lasts.
+  std::optional<TargetRecord> ChooseAnywhere(ServiceState* service,
+                                             const ChoiceQuery& query,
+                                             state::Millis now) {
+    std::vector<Target*> targets =
+        Eligible(*service, query, /*local=*/true, now);
+    const std::vector<Target*> remote =
+        Eligible(*service, query, /*local=*/false, now);
+    const size_t local_count = targets.size();
+    targets.insert(targets.end(), remote.begin(), remote.end());
+    if (targets.empty()) {
+      return std::nullopt;
+    }
+    const std::optional<TargetRecord> chosen =
+        ChooseAmong(service, targets, query, now);
+    if (LinkTo(*chosen) != LinkClass::kCrossRegion) {
+      return chosen;
+    }
+    if (cross_region_bytes_.Take(kCallBytes, now)) {
+      counters_->Add(state::Counter::kCallsCrossRegion);
+      return chosen;
+    }
+    targets.resize(local_count);
+    return targets.empty() ? std::nullopt
+                           : ChooseAmong(service, targets, query, now);
+  }
+
   std::optional<TargetRecord> ChooseAmong(ServiceState* service,
                                           const std::vector<Target*>& targets,
+                                          const ChoiceQuery& query,
                                           state::Millis now) {
     std::vector<Candidate> candidates;
     candidates.reserve(targets.size());
     for (const Target* target : targets) {
-      candidates.push_back(CandidateOf(*target, *service->policy_, now));
+      candidates.push_back(CandidateOf(*target, *service->policy_, query, now));
     }
     const size_t index = service->strategy_->Choose(candidates, random_);
     return *targets[index]->record_;
@@ -304,6 +350,7 @@
 
   Candidate CandidateOf(const Target& target,
                         const state::Service& policy,
+                        const ChoiceQuery& query,
                         state::Millis now) const {
     constexpr state::Millis kLinkLatency[] = {
         state::Millis(0), kRegionRoundTrip, kCrossRegionRoundTrip};
@@ -316,6 +363,8 @@
                      .load_ = target.load_.value_or(state::GuardLoad{}),
                      .load_age_ = now - target.load_at_,
                      .link_latency_ = kLinkLatency[static_cast<size_t>(link)],
+                     .link_ = link,
+                     .objective_left_ = query.objective_left_,
                      .slots_ = target.record_->slots_,
                      .ramp_ = std::clamp(ramp, 0.0, 1.0)};
   }
@@ -400,8 +449,14 @@
   return impl_->TakeProbe(address, now);
 }
 
-void Router::OnProbeReply(const ProbeReply& reply, state::Millis now) {
-  impl_->OnProbeReply(reply, now);
+void Router::OnLoad(absl::string_view target,
+                    const state::GuardLoad& load,
+                    state::Millis now) {
+  impl_->OnLoad(target, load, now);
+}
+
+state::Millis Router::UsualLatency(absl::string_view service) const {
+  return impl_->UsualLatency(service);
 }
 
 bool Router::TakeRetry(absl::string_view service) {
--- a/src/coordination/internal/strategy.cc
+++ b/src/coordination/internal/strategy.cc
@@ -3,6 +3,7 @@
 #include <cmath>
 
 #include "absl/random/distributions.h"
+#include "coordination/api/pace.h"
 #include "coordination/coordination.h"
 
 namespace gooseberrygap::coordination {
@@ -130,6 +131,100 @@
   }
 };
 
+// Takes the target where the least is lost: by an answer beyond the objective,
+// weighed with its likelihood, and by the bytes on links that are paid for.
+// Guards tell changes of pace at once, so that a report of it holds for long.
+// Answers to calls of 100 to 200 ms on machines whose neighbours slow them for
+// half a second at a time.
+class ExpectedTimeStrategy : public Strategy {
+ public:
+  size_t Choose(const Candidates& candidates, absl::BitGenRef random) override {
+    const double typical_ms = TypicalServiceTime(candidates);
+    return LowestCost(candidates.size(), random,
+                      [&candidates, typical_ms](size_t i) {
+                        return Loss(candidates[i], typical_ms);
+                      });
+  }
+  bool weighs_links() const override { return true; }
+  bool uses_probes() const override { return false; }
+
+ private:
+  // A report loses half of its weight in this time.
+  static constexpr double kInFlightHalfLifeMs = 100;
+  static constexpr double kPaceHalfLifeMs = 1000;
+  // What a link costs, and what an answer beyond its objective loses, in parts
+  // of the worth of a call.
+  static constexpr std::array<double, 3> kLinkLoss = {0, 0.06, 0.22};
+  static constexpr double kLateLoss = 0.9;
+  // Expected times in parts of the objective between which the likelihood to
+  // miss it grows from 0 to 1.
+  static constexpr double kSurelyInTime = 0.6;
+  static constexpr double kSurelyLate = 1.3;
+  // Tells apart what is in time or late for certain.
+  static constexpr double kTimeLoss = 0.1;
+  // Of calls without an objective.
+  static constexpr double kDefaultObjectiveMs = 1000;
+  // Of a target that has told nothing.
+  static constexpr double kDefaultServiceMs = 50;
+  // A pace that is not known may be slow.
+  static constexpr double kTypicalPace = 1.5;
+  // Part of the service time that a full target adds by sharing its machine.
+  static constexpr double kFullnessShare = 0.3;
+
+  static double Weight(const Candidate& candidate, double half_life_ms) {
+    return candidate.has_load_
+               ? std::exp2(-candidate.load_age_.value() / half_life_ms)
+               : 0;
+  }
+
+  static double TypicalServiceTime(const Candidates& candidates) {
+    double sum = 0;
+    int known = 0;
+    for (const Candidate& candidate : candidates) {
+      if (candidate.load_.service_time_ > state::Millis(0)) {
+        sum += candidate.load_.service_time_.value();
+        ++known;
+      }
+    }
+    return known > 0 ? sum / known : kDefaultServiceMs;
+  }
+
+  static double Loss(const Candidate& candidate, double typical_ms) {
+    const double expected = ExpectedMillis(candidate, typical_ms);
+    const double objective = candidate.objective_left_ > state::Millis(0)
+                                 ? candidate.objective_left_.value()
+                                 : kDefaultObjectiveMs;
+    const double share = expected / objective;
+    const double late = std::clamp(
+        (share - kSurelyInTime) / (kSurelyLate - kSurelyInTime), 0.0, 1.0);
+    return kLateLoss * late + kTimeLoss * share +
+           kLinkLoss.at(static_cast<size_t>(candidate.link_));
+  }
+
+  static double ExpectedMillis(const Candidate& candidate, double typical_ms) {
+    const state::GuardLoad& load = candidate.load_;
+    const int others =
+        std::max(0, load.in_flight_ + load.queued_ - candidate.own_in_flight_);
+    const double in_flight = candidate.own_in_flight_ +
+                             Weight(candidate, kInFlightHalfLifeMs) * others;
+    const double slots =
+        std::max(1.0, candidate.slots_ * std::max(0.1, candidate.ramp_));
+    const double usual_ms = load.service_time_ > state::Millis(0)
+                                ? load.service_time_.value()
+                                : typical_ms;
+    const double pace_weight =
+        load.pace_ > 0 ? Weight(candidate, kPaceHalfLifeMs) : 0;
+    const double service_ms =
+        pace_weight *
+            ExpectedServiceTime(state::Millis(usual_ms), load.pace_).value() +
+        (1 - pace_weight) * kTypicalPace * usual_ms;
+    const double fullness = in_flight / slots;
+    const double rounds = std::max(1.0, (in_flight + 1) / slots);
+    return candidate.link_latency_.value() +
+           service_ms * (rounds + kFullnessShare * fullness);
+  }
+};
+
 template <class Concrete>
 std::unique_ptr<Strategy> Make() {
   return std::make_unique<Concrete>();
@@ -140,12 +235,13 @@
   std::unique_ptr<Strategy> (*const make_)();
 };
 
-constexpr std::array<StrategyRow, 5> kStrategies = {{
+constexpr std::array<StrategyRow, 6> kStrategies = {{
     {"probed_latency", Make<ProbedLatencyStrategy>},
     {"random", Make<RandomStrategy>},
     {"round_robin", Make<RoundRobinStrategy>},
     {"least_in_flight", Make<LeastInFlightStrategy>},
     {"two_choices", Make<TwoChoicesStrategy>},
+    {"expected_time", Make<ExpectedTimeStrategy>},
 }};
 
 }  // namespace
--- a/src/coordination/internal/token_bucket.h
+++ b/src/coordination/internal/token_bucket.h
@@ -59,10 +59,11 @@
   }
 
  private:
-  // Enough for the failures of one lost target at once.
-  static constexpr double kMaxTokens = 100;
+  // Enough for the calls that one daemon loses with a target. All daemons may
+  // spend this at the same moment, so it bounds what a service is hit by.
+  static constexpr double kMaxTokens = 4;
   // Lets the first calls after a start be retried.
-  static constexpr double kInitialTokens = 10;
+  static constexpr double kInitialTokens = 2;
 
   double ratio_;
   double tokens_ = kInitialTokens;
--- /dev/null
+++ b/src/coordination/internal/work_queue.cc
@@ -0,0 +1,82 @@
+#include "coordination/internal/work_queue.h"
+
+#include <tuple>
+#include <utility>
+
+#include "coordination/api/pace.h"
+
+namespace gooseberrygap::coordination {
+
+void ServiceTimes::Add(const std::string& route, state::Millis time) {
+  routes_[route].Add(time);
+  all_.Add(time);
+}
+
+state::Millis ServiceTimes::For(const std::string& route) const {
+  const auto entry = routes_.find(route);
+  return entry == routes_.end() ? all_.mean() : entry->second.mean();
+}
+
+bool WorkQueue::IsInTime(const GuardWork& work,
+                         int pace,
+                         state::Millis now) const {
+  const state::Millis time =
+      ExpectedServiceTime(times_->For(work.attempt_.route_), pace);
+  return now + time <= work.objective_;
+}
+
+const GuardWork* WorkQueue::Next(int pace, state::Millis now) const {
+  const GuardWork* best = nullptr;
+  std::tuple<bool, int> best_rank;
+  for (const GuardWork& work : works_) {
+    const std::tuple<bool, int> rank(!IsInTime(work, pace, now),
+                                     work.attempt_.priority_);
+    if (best == nullptr || rank < best_rank) {
+      best = &work;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+GuardWork WorkQueue::Take(const GuardWork* work) {
+  for (auto entry = works_.begin(); entry != works_.end(); ++entry) {
+    if (&*entry == work) {
+      GuardWork taken = *entry;
+      works_.erase(entry);
+      return taken;
+    }
+  }
+  return GuardWork();
+}
+
+std::vector<GuardWork> WorkQueue::TakeIf(
+    const std::function<bool(const GuardWork&)>& matches) {
+  std::vector<GuardWork> taken;
+  for (auto entry = works_.begin(); entry != works_.end();) {
+    if (!matches(*entry)) {
+      ++entry;
+      continue;
+    }
+    taken.push_back(*entry);
+    entry = works_.erase(entry);
+  }
+  return taken;
+}
+
+std::vector<GuardWork> WorkQueue::TakeHopeless(int pace, state::Millis now) {
+  return TakeIf([&](const GuardWork& work) {
+    return !work.attempt_.host_.empty() && !IsInTime(work, pace, now);
+  });
+}
+
+state::Millis WorkQueue::TotalTime(int pace) const {
+  state::Millis total;
+  for (const GuardWork& work : works_) {
+    total =
+        total + ExpectedServiceTime(times_->For(work.attempt_.route_), pace);
+  }
+  return total;
+}
+
+}  // namespace gooseberrygap::coordination
--- a/src/coordination/tests/guard_test.cc
+++ b/src/coordination/tests/guard_test.cc
@@ -106,5 +106,126 @@
                                          Millis(2))) == 0);
 }
 
+TargetAnnounced Announcement(uint64_t incarnation,
+                             uint64_t sequence,
+                             state::TargetState target_state,
+                             const std::string& target = "t") {
+  return TargetAnnounced{.target_ = target,
+                         .service_ = "s",
+                         .address_ = "t-address",
+                         .slots_ = 1,
+                         .state_ = target_state,
+                         .incarnation_ = incarnation,
+                         .sequence_ = sequence};
+}
+
+state::RefusalReason RefusalOf(const Commands& commands) {
+  for (const Command& command : commands) {
+    const auto* reply = std::get_if<ReplyToPeer>(&command);
+    const auto* answer = reply == nullptr
+                             ? nullptr
+                             : std::get_if<AttemptAnswer>(&reply->message_);
+    if (answer != nullptr && answer->result_ == AttemptResult::kRefused) {
+      return answer->refusal_;
+    }
+  }
+  return state::RefusalReason::kNone;
+}
+
+// Guards against a heartbeat that was delayed and brings a target back that has
+// left, or that an earlier incarnation sent.
+TEST_CASE("late announcements change nothing", "[membership]") {
+  using state::TargetState;
+  TestGuard test;
+  test.guard_.OnAnnounced(Announcement(100, 5, TargetState::kDraining),
+                          Millis(1));
+  test.guard_.OnAnnounced(Announcement(100, 4, TargetState::kServing),
+                          Millis(2));
+  CHECK(test.guard_.target().state_ == TargetState::kDraining);
+  test.guard_.OnWithdrawn(TargetWithdrawn{.target_ = "t", .incarnation_ = 100});
+  test.guard_.OnAnnounced(Announcement(100, 6, TargetState::kServing),
+                          Millis(3));
+  CHECK(test.guard_.target().state_ == TargetState::kLeft);
+  test.guard_.OnAnnounced(Announcement(200, 1, TargetState::kServing),
+                          Millis(4));
+  CHECK(test.guard_.target().state_ == TargetState::kServing);
+  test.guard_.OnWithdrawn(TargetWithdrawn{.target_ = "t", .incarnation_ = 100});
+  test.guard_.OnAnnounced(Announcement(100, 7, TargetState::kDraining),
+                          Millis(5));
+  CHECK(test.guard_.target().state_ == TargetState::kServing);
+}
+
+// Guards against queued work that reaches a target long after it has said that
+// it leaves.
+TEST_CASE("queued work is given back when the target leaves", "[drain]") {
+  TestGuard test;
+  test.guard_.OnAnnounced(Announcement(1, 1, state::TargetState::kServing),
+                          Millis(0));
+  REQUIRE(DeliveryOf(test.guard_.OnAttempt("a", LookupAttempt("1", false),
+                                           Millis(1))) != 0);
+  CHECK(RefusalOf(
+            test.guard_.OnAttempt("a", LookupAttempt("2", false), Millis(1))) ==
+        state::RefusalReason::kOverloaded);
+  test.guard_.UpdateConfiguration(
+      {.index_ = 1,
+       .configuration_ = std::make_shared<const state::Configuration>(
+           state::Configuration{.services_ = {{.name_ = "s"}}})});
+  Attempt queued = LookupAttempt("3", false);
+  const Attempt current{.request_id_ = queued.request_id_,
+                        .attempt_ = 1,
+                        .service_ = "s",
+                        .target_ = "t",
+                        .deadline_left_ = Millis(1000),
+                        .configuration_index_ = 1};
+  CHECK(test.guard_.OnAttempt("a", current, Millis(1)).empty());
+  CHECK(RefusalOf(test.guard_.OnAnnounced(
+            Announcement(1, 2, state::TargetState::kDraining), Millis(2))) ==
+        state::RefusalReason::kDraining);
+}
+
+// Guards against work that starts on a machine that its neighbours slow down,
+// and against ingresses that learn of it only with the next answer.
+TEST_CASE("a slow target takes no first attempts and says so", "[load_cost]") {
+  TestGuard test;
+  const uint64_t delivery = DeliveryOf(
+      test.guard_.OnAttempt("ingress", LookupAttempt("1", false), Millis(1)));
+  const Commands commands = test.guard_.OnDeliveryEnded(
+      DeliveryEnded{
+          .delivery_id_ = delivery, .answer_ = {.status_ = 200}, .pace_ = 700},
+      Millis(100));
+  bool told = false;
+  for (const Command& command : commands) {
+    const auto* reply = std::get_if<ReplyToPeer>(&command);
+    const auto* notice =
+        reply == nullptr ? nullptr : std::get_if<LoadNotice>(&reply->message_);
+    told = told || (notice != nullptr && reply->connection_ == "ingress" &&
+                    notice->load_.pace_ == 700);
+  }
+  CHECK(told);
+  const Attempt first{.request_id_ = "2",
+                      .attempt_ = 1,
+                      .service_ = "s",
+                      .target_ = "t",
+                      .deadline_left_ = Millis(1000),
+                      .may_queue_ = false,
+                      .host_ = "h"};
+  CHECK(RefusalOf(test.guard_.OnAttempt("ingress", first, Millis(101))) ==
+        state::RefusalReason::kSlow);
+  CHECK(DeliveryOf(test.guard_.OnAttempt("ingress", LookupAttempt("3", false),
+                                         Millis(101))) != 0);
+}
+
+// Guards against a refusal of the target's own that counts as run.
+TEST_CASE("a request that the target declined is refused", "[not_run]") {
+  TestGuard test;
+  const uint64_t delivery = DeliveryOf(
+      test.guard_.OnAttempt("a", LookupAttempt("1", false), Millis(1)));
+  CHECK(RefusalOf(test.guard_.OnDeliveryEnded(
+            DeliveryEnded{.delivery_id_ = delivery,
+                          .answer_ = {.status_ = 503},
+                          .declined_ = true},
+            Millis(2))) == state::RefusalReason::kTargetShed);
+}
+
 }  // namespace
 }  // namespace gooseberrygap::coordination
--- /dev/null
+++ b/src/coordination/tests/routed_calls_test.cc
@@ -0,0 +1,227 @@
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+
+#include "coordination/coordination.h"
+
+namespace gooseberrygap::coordination {
+namespace {
+
+using state::Destination;
+using state::Millis;
+using state::RequestClass;
+
+// An ingress with two services of two targets each, and routes to them.
+class TestIngress {
+ public:
+  TestIngress()
+      : router_({.instance_ = "g", .region_ = "r", .failure_domain_ = "d"},
+                random_,
+                &counters_),
+        register_client_({"control"}, &counters_),
+        ingress_("g-1", &router_, &register_client_, &counters_) {
+    const state::Configuration configuration{
+        .version_ = 1,
+        .services_ = {{.name_ = "s", .strategy_ = "expected_time"},
+                      {.name_ = "u", .strategy_ = "expected_time"}},
+        .routes_ = {
+            MakeRoute("read", "/read/", RequestClass::kLookup, {{"s", 1}}),
+            MakeRoute("act", "/act/", RequestClass::kAction, {{"s", 1}}),
+            MakeRoute("act-new", "/act/new/", RequestClass::kAction,
+                      {{"u", 1}}),
+            MakeRoute("split", "/split/", RequestClass::kLookup,
+                      {{"s", 75}, {"u", 25}})}};
+    router_.UpdateConfiguration(configuration);
+    ingress_.UpdateConfiguration(
+        {.index_ = 1,
+         .configuration_ =
+             std::make_shared<const state::Configuration>(configuration)});
+    router_.UpdateTargets({Target("s1", "s"), Target("s2", "s"),
+                           Target("u1", "u"), Target("u2", "u")},
+                          Millis(0));
+  }
+
+  Commands Call(uint64_t id,
+                const std::string& path,
+                Millis deadline = Millis(2000)) {
+    return ingress_.OnCall(
+        CallArrived{.call_id_ = id,
+                    .host_ = "h",
+                    .request_ = {.method_ = "GET", .path_ = path},
+                    .deadline_left_ = deadline},
+        now_);
+  }
+
+  Commands Answer(const Attempt& attempt,
+                  AttemptResult result,
+                  state::RefusalReason refusal = state::RefusalReason::kNone) {
+    return ingress_.OnAnswer(
+        AttemptAnswer{
+            .request_id_ = attempt.request_id_,
+            .attempt_ = attempt.attempt_,
+            .result_ = result,
+            .refusal_ = refusal,
+            .answer_ = {.status_ = 200},
+            .load_ = {.slots_ = 4, .state_ = state::TargetState::kServing}},
+        now_);
+  }
+
+  static state::Route MakeRoute(const std::string& name,
+                                const std::string& prefix,
+                                RequestClass request_class,
+                                std::vector<Destination> destinations) {
+    return state::Route{.name_ = name,
+                        .host_ = "h",
+                        .path_prefix_ = prefix,
+                        .request_class_ = request_class,
+                        .timeout_ = Millis(1000),
+                        .latency_objective_ = Millis(500),
+                        .max_attempts_ = 2,
+                        .destinations_ = std::move(destinations)};
+  }
+
+  static state::TargetRecord Target(const std::string& name,
+                                    const std::string& service) {
+    return state::TargetRecord{.target_ = name,
+                               .service_ = service,
+                               .instance_ = name,
+                               .guard_address_ = name + "-guard",
+                               .region_ = "r",
+                               .failure_domain_ = "d",
+                               .slots_ = 4,
+                               .state_ = state::TargetState::kServing};
+  }
+
+  Millis now_ = Millis(10);
+  std::mt19937_64 random_;
+  state::Counters counters_;
+  Router router_;
+  RegisterClient register_client_;
+  Ingress ingress_;
+};
+
+// Returns the attempts among the commands.
+std::vector<Attempt> AttemptsOf(const Commands& commands) {
+  std::vector<Attempt> attempts;
+  for (const Command& command : commands) {
+    const auto* send = std::get_if<SendToPeer>(&command);
+    if (send != nullptr && std::holds_alternative<Attempt>(send->message_)) {
+      attempts.push_back(std::get<Attempt>(send->message_));
+    }
+  }
+  return attempts;
+}
+
+const CallAnswer* AnswerOf(const Commands& commands) {
+  for (const Command& command : commands) {
+    if (const auto* answer = std::get_if<AnswerCall>(&command)) {
+      return &answer->answer_;
+    }
+  }
+  return nullptr;
+}
+
+// Guards against a call that runs at a service of a shorter prefix, and against
+// one that runs although no route leads anywhere.
+TEST_CASE("the longest prefix of the host decides", "[path]") {
+  TestIngress test;
+  CHECK(AttemptsOf(test.Call(1, "/act/new/x")).at(0).service_ == "u");
+  CHECK(AttemptsOf(test.Call(2, "/act/newer")).at(0).service_ == "s");
+  const Commands refused = test.Call(3, "/other/");
+  REQUIRE(AnswerOf(refused) != nullptr);
+  CHECK(AnswerOf(refused)->outcome_ == Outcome::kNotRun);
+  CHECK(AnswerOf(refused)->reason_ == state::RefusalReason::kNoRoute);
+}
+
+// Guards against a split that is only right in the long run.
+TEST_CASE("each part of a split gets its share at once", "[path]") {
+  TestIngress test;
+  std::map<std::string, int> calls;
+  for (uint64_t id = 1; id <= 40; ++id) {
+    ++calls[AttemptsOf(test.Call(id, "/split/")).at(0).service_];
+  }
+  CHECK(calls["s"] == 30);
+  CHECK(calls["u"] == 10);
+}
+
+// Guards against an action that runs twice: its first attempt may have run.
+TEST_CASE("an action without a key is sent again only after a refusal",
+          "[at_most_once]") {
+  TestIngress test;
+  const Attempt first = AttemptsOf(test.Call(1, "/act/x")).at(0);
+  CHECK(first.unkeyed_);
+  const Commands after_refusal = test.Answer(first, AttemptResult::kRefused,
+                                             state::RefusalReason::kOverloaded);
+  const Attempt second = AttemptsOf(after_refusal).at(0);
+  CHECK(second.target_ != first.target_);
+  const Commands after_cut = test.Answer(second, AttemptResult::kUnknown,
+                                         state::RefusalReason::kTargetCrashed);
+  CHECK(AttemptsOf(after_cut).empty());
+  test.now_ = Millis(900);
+  const Commands given_up = test.ingress_.Tick(test.now_);
+  REQUIRE(AnswerOf(given_up) != nullptr);
+  CHECK(AnswerOf(given_up)->outcome_ == Outcome::kUnknown);
+}
+
+// Guards against a caller that is told "not run" while an attempt is open.
+TEST_CASE("an action without an answer is unknown at the route's timeout",
+          "[not_run]") {
+  TestIngress test;
+  test.Call(1, "/act/x");
+  test.now_ = Millis(1010);
+  const Commands commands = test.ingress_.Tick(test.now_);
+  REQUIRE(AnswerOf(commands) != nullptr);
+  CHECK(AnswerOf(commands)->outcome_ == Outcome::kUnknown);
+}
+
+// Guards against a lookup that runs on more targets than its route allows:
+// hedges count as attempts, refusals do not.
+TEST_CASE("a lookup reaches no more targets than its route allows", "[path]") {
+  TestIngress test;
+  const Attempt first = AttemptsOf(test.Call(1, "/read/x")).at(0);
+  const Attempt second =
+      AttemptsOf(test.Answer(first, AttemptResult::kRefused,
+                             state::RefusalReason::kOverloaded))
+          .at(0);
+  const Attempt third =
+      AttemptsOf(test.Answer(second, AttemptResult::kCut,
+                             state::RefusalReason::kTargetTimeout))
+          .at(0);
+  CHECK(AttemptsOf(test.Answer(third, AttemptResult::kCut,
+                               state::RefusalReason::kTargetTimeout))
+            .empty());
+}
+
+// Guards against a lookup that waits for a machine that its neighbours slow
+// down, while another target could still answer in time.
+TEST_CASE("a lookup on a target that turns slow is sent to another one too",
+          "[load_cost]") {
+  TestIngress test;
+  const Attempt first = AttemptsOf(test.Call(1, "/read/x")).at(0);
+  test.now_ = Millis(60);
+  const Commands commands =
+      test.ingress_.OnTargetSlow(first.target_, test.now_);
+  REQUIRE(AttemptsOf(commands).size() == 1);
+  CHECK(AttemptsOf(commands)[0].target_ != first.target_);
+  const Attempt action = AttemptsOf(test.Call(2, "/act/x")).at(0);
+  CHECK(test.ingress_.OnTargetSlow(action.target_, test.now_).empty());
+  const Attempt late = AttemptsOf(test.Call(3, "/read/x")).at(0);
+  test.now_ = Millis(700);
+  CHECK(test.ingress_.OnTargetSlow(late.target_, test.now_).empty());
+}
+
+// Guards against targets that work on for a caller that has gone.
+TEST_CASE("a caller that leaves cancels its attempts", "[path]") {
+  TestIngress test;
+  const Attempt attempt = AttemptsOf(test.Call(1, "/read/x")).at(0);
+  const Commands commands = test.ingress_.OnCallerLeft(1, test.now_);
+  REQUIRE(commands.size() == 1);
+  const auto& cancel =
+      std::get<Cancel>(std::get<SendToPeer>(commands[0]).message_);
+  CHECK(cancel.request_id_ == attempt.request_id_);
+  CHECK(test.ingress_.calls_in_progress() == 0);
+  CHECK(test.ingress_.OnCallerLeft(1, test.now_).empty());
+}
+
+}  // namespace
+}  // namespace gooseberrygap::coordination
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -21,6 +21,8 @@
 // instance sooner.
 constexpr state::Millis kOrderTimeout(5000);
 constexpr state::Millis kPlatformOrderTimeout(900);
+// The targets of a platform tell the pace of their machines.
+constexpr absl::string_view kPlatformStrategy = "expected_time";
 constexpr absl::Duration kWorkPollInterval = absl::Milliseconds(20);
 
 bool IsForControl(const PeerMessage& message) {
@@ -187,7 +189,8 @@
   if (!settings_.platform_.has_value()) {
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
-  front_dialect_ = platform::MakeFrontDialect();
+  front_dialect_ = platform::MakeFrontDialect(
+      state::Service{.strategy_ = std::string(kPlatformStrategy)});
   if (control_ != nullptr) {
     operators_ = std::make_unique<OperatorDuty>(front_dialect_.get(),
                                                 control_.get(), gateway_.get());
--- a/src/daemon/node_duty.cc
+++ b/src/daemon/node_duty.cc
@@ -160,14 +160,16 @@
   const bool accepted = target_client_->Deliver(coordination::DeliverToTarget{
       .delivery_id_ = command.delivery_id_,
       .address_ = command.address_,
-      .request_ =
-          command.connect_only_ ? command.request_ : dialect_->Request(command),
+      .request_ = command.connect_only_ || command.is_load_probe_
+                      ? command.request_
+                      : dialect_->Request(command),
       .request_id_ = command.request_id_,
       .attempt_ = command.attempt_,
       .depth_ = command.depth_,
       .target_ = command.target_,
       .origin_service_ = command.origin_service_,
       .connect_only_ = command.connect_only_,
+      .is_load_probe_ = command.is_load_probe_,
       .timeout_ = command.timeout_,
       .fresh_connection_ = command.fresh_connection_});
   if (!accepted) {
--- a/src/protocol/internal/peer_codec.cc
+++ b/src/protocol/internal/peer_codec.cc
@@ -97,6 +97,7 @@
     out->set_priority(message.priority_);
     out->set_origin_service(message.origin_service_);
     out->set_host(message.host_);
+    out->set_route(message.route_);
     out->set_unkeyed(message.unkeyed_);
   }
   void operator()(const coordination::AttemptAnswer& message) const {
@@ -229,6 +230,11 @@
     out->set_winner_submission(message.winner_submission_);
     out->set_leader_address(message.leader_address_);
   }
+  void operator()(const coordination::LoadNotice& message) const {
+    wire::LoadNotice* out = envelope_->mutable_load_notice();
+    out->set_target(message.target_);
+    ToWire(message.load_, out->mutable_load());
+  }
   void operator()(const coordination::JoinRequest& message) const {
     wire::JoinRequest* out = envelope_->mutable_join_request();
     out->set_identity(message.identity_);
@@ -315,6 +321,7 @@
       .priority_ = in.priority(),
       .origin_service_ = in.origin_service(),
       .host_ = in.host(),
+      .route_ = in.route(),
       .unkeyed_ = in.unkeyed(),
       .key_ = in.key(),
       .digest_ = in.digest(),
@@ -330,8 +337,7 @@
       .attempt_ = in.attempt(),
       .result_ =
           reader->EnumOf(in.result(), coordination::AttemptResult::kUnknown),
-      .refusal_ =
-          reader->EnumOf(in.refusal(), state::RefusalReason::kTargetReplaced),
+      .refusal_ = reader->EnumOf(in.refusal(), state::RefusalReason::kSlow),
       .answer_ = FromWire(in.answer(), reader),
       .load_ = FromWire(in.load(), reader),
       .target_ = in.target(),
@@ -559,6 +565,12 @@
                                       .index_ = in.index()};
 }
 
+PeerMessage ReadLoadNotice(const wire::Envelope& envelope, WireReader* reader) {
+  const wire::LoadNotice& in = envelope.load_notice();
+  return coordination::LoadNotice{.target_ = in.target(),
+                                  .load_ = FromWire(in.load(), reader)};
+}
+
 PeerMessage ReadJoinRequest(const wire::Envelope& envelope, WireReader*) {
   const wire::JoinRequest& in = envelope.join_request();
   return coordination::JoinRequest{.identity_ = in.identity(),
@@ -593,6 +605,7 @@
     {wire::Envelope::kReadIndexRequest, ReadReadIndexRequest},
     {wire::Envelope::kReadIndexReply, ReadReadIndexReply},
     {wire::Envelope::kJoinRequest, ReadJoinRequest},
+    {wire::Envelope::kLoadNotice, ReadLoadNotice},
 };
 
 state::Error Malformed(absl::string_view what) {
--- a/src/protocol/internal/strategy_names.h
+++ b/src/protocol/internal/strategy_names.h
@@ -8,9 +8,9 @@
 
 // The names that a configuration may use; those of
 // coordination::StrategyNames.
-inline constexpr std::array<absl::string_view, 5> kStrategyNames = {
-    "probed_latency", "random", "round_robin", "least_in_flight",
-    "two_choices"};
+inline constexpr std::array<absl::string_view, 6> kStrategyNames = {
+    "probed_latency",  "random",      "round_robin",
+    "least_in_flight", "two_choices", "expected_time"};
 
 }  // namespace gooseberrygap::protocol
 
--- a/src/protocol/internal/wire_values.cc
+++ b/src/protocol/internal/wire_values.cc
@@ -185,6 +185,7 @@
   out->set_latency(static_cast<float>(value.latency_.value()));
   out->set_state(static_cast<uint32_t>(value.state_));
   out->set_pace(value.pace_);
+  out->set_service_time(static_cast<float>(value.service_time_.value()));
 }
 
 void ToWire(const state::TargetRecord& value, wire::TargetRecord* out) {
@@ -280,7 +281,8 @@
       .slots_ = in.slots(),
       .latency_ = reader->MillisOf(in.latency()),
       .state_ = reader->EnumOf(in.state(), state::TargetState::kLeft),
-      .pace_ = in.pace()};
+      .pace_ = in.pace(),
+      .service_time_ = reader->MillisOf(in.service_time())};
 }
 
 state::TargetRecord FromWire(const wire::TargetRecord& in, WireReader* reader) {
@@ -316,8 +318,7 @@
                                WireReader* reader) {
   return state::RegisterResult{
       .granted_ = in.granted(),
-      .refusal_ =
-          reader->EnumOf(in.refusal(), state::RefusalReason::kTargetReplaced),
+      .refusal_ = reader->EnumOf(in.refusal(), state::RefusalReason::kSlow),
       .state_ = reader->EnumOf(in.state(), state::ActionState::kUnknown),
       .attempt_ = in.attempt(),
       .answer_ = FromWire(in.answer(), reader)};
--- a/src/state/api/counters.h
+++ b/src/state/api/counters.h
@@ -27,6 +27,7 @@
   kDeliveries,
   kDeliveriesCancelled,
   kProbesSent,
+  kPaceProbes,
   kLoadBytesDomain,
   kLoadBytesRegion,
   kLoadBytesCrossRegion,
--- a/src/state/api/reasons.h
+++ b/src/state/api/reasons.h
@@ -39,6 +39,7 @@
   kNoRoute,          // No route of the host matches the path.
   kMisdirected,      // Another target has the address.
   kTargetReplaced,   // The target has restarted since the attempt was queued.
+  kSlow,  // The target's machine is slow at the moment; another may be faster.
   kCount,
 };
 
@@ -52,6 +53,7 @@
   kStaleConfiguration,
   kRegisterUnanswered,
   kRegisterMoved,
+  kSlowTarget,       // The target has turned slow since it began.
   kBudgetExhausted,  // A retry was wanted and the budget did not allow it.
   kCount,
 };
--- a/src/state/api/target.h
+++ b/src/state/api/target.h
@@ -48,6 +48,9 @@
   // How long work takes on the target's machine at this moment, in percent of
   // the usual time; 0 when the target does not tell.
   const int pace_ = 0;
+  // Mean time that the target takes for a request at its usual pace; 0 when it
+  // is not known.
+  const Millis service_time_ = {};
 
   friend bool operator==(const GuardLoad&, const GuardLoad&) = default;
 };
--- a/src/state/internal/counters.cc
+++ b/src/state/internal/counters.cc
@@ -35,6 +35,8 @@
         {Counter::kDeliveriesCancelled, "delivery_cancelled",
          "Requests cancelled at the target."},
         {Counter::kProbesSent, "load_probe", "Load probes sent."},
+        {Counter::kPaceProbes, "pace_probe",
+         "Requests that asked the own target for its pace."},
         {Counter::kLoadBytesDomain, "load_bytes_domain",
          "Bytes spent on load within the failure domain."},
         {Counter::kLoadBytesRegion, "load_bytes_region",
--- a/src/state/internal/reasons.cc
+++ b/src/state/internal/reasons.cc
@@ -41,6 +41,7 @@
         "no_route",
         "misdirected",
         "target_replaced",
+        "slow",
 };
 
 constexpr std::array<absl::string_view,
@@ -54,6 +55,7 @@
         "stale_configuration",
         "register_unanswered",
         "register_moved",
+        "slow_target",
         "budget_exhausted",
 };
 
--- /dev/null
+++ b/src/transport/tests/call_server_test.cc
@@ -0,0 +1,149 @@
+#include <catch2/catch.hpp>
+
+#include <optional>
+#include <thread>
+
+#include "transport/tests/support.h"
+#include "transport/transport.h"
+
+namespace gooseberrygap::transport {
+namespace {
+
+const char* const kGet = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+// A server whose requests and departures wait in rings for the test.
+class TestServer : public CallServer::Handler {
+ public:
+  explicit TestServer(const state::CallerLimits& limits = {}) {
+    auto server = CallServer::Start(
+        CallServer::Options{.listen_addresses_ = {"127.0.0.1:0", "127.0.0.1:0"},
+                            .limits_ = limits},
+        this, &counters_);
+    REQUIRE(server);
+    server_ = std::move(server).value();
+  }
+
+  void OnRequest(const CallServer::Arrival& arrival) override {
+    requests_.TryPush(arrival);
+  }
+  void OnCallerLeft(uint64_t request_id) override { left_.TryPush(request_id); }
+
+  CallServer::Arrival Next() {
+    std::optional<CallServer::Arrival> arrival = requests_.Pop(kHang);
+    REQUIRE(arrival);
+    return std::move(*arrival);
+  }
+
+  void Answer(const CallServer::Arrival& arrival, const std::string& body) {
+    server_->Answer(
+        arrival.request_id_,
+        state::HttpAnswer{.status_ = 200, .body_ = state::Bytes(body)});
+  }
+
+  TestSocket Connect(size_t listener = 0) {
+    return TestSocket::Connect(server_->addresses()[listener]);
+  }
+
+  state::Counters counters_;
+  Ring<CallServer::Arrival> requests_{64};
+  Ring<uint64_t> left_{64};
+  std::unique_ptr<CallServer> server_;
+};
+
+// Guards against requests that wait for earlier answers before they are read,
+// and against answers that come in the order in which they were made.
+TEST_CASE("requests sent ahead are read at once and answered in order") {
+  TestServer server;
+  TestSocket caller = server.Connect();
+  caller.Send(std::string(kGet) +
+              "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+              "\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n" +
+              kGet);
+  const CallServer::Arrival first = server.Next();
+  const CallServer::Arrival second = server.Next();
+  const CallServer::Arrival third = server.Next();
+  CHECK(second.request_.method_ == "POST");
+  CHECK(second.request_.body_.view() == "abcde");
+  server.Answer(third, "three");
+  server.Answer(second, "two");
+  server.Answer(first, "one");
+  const std::string answers = caller.ReadUntil("three");
+  CHECK(answers.find("one") < answers.find("two"));
+  CHECK(answers.find("two") < answers.find("three"));
+}
+
+// Guards against a request that is taken for one to another address.
+TEST_CASE("a request names the address that it came to") {
+  TestServer server;
+  TestSocket caller = server.Connect(1);
+  caller.Send(kGet);
+  CHECK(server.Next().listener_ == 1);
+}
+
+// Guards against work for callers that have gone.
+TEST_CASE("a caller that closes its connection is noticed at once") {
+  TestServer server;
+  TestSocket caller = server.Connect();
+  caller.Send(kGet);
+  const CallServer::Arrival arrival = server.Next();
+  caller.Close();
+  CHECK(server.left_.Pop(kHang) == arrival.request_id_);
+  server.Answer(arrival, "too late");
+  TestSocket next = server.Connect();
+  next.Send(kGet);
+  server.Answer(server.Next(), "next");
+  CHECK(next.ReadUntil("next").find("too late") == std::string::npos);
+}
+
+// Guards against a body or a head that fills the memory, and against bytes that
+// are read as another request than the one that was meant.
+TEST_CASE("requests beyond the limits or the grammar are refused") {
+  TestServer server({.max_header_bytes_ = 1024, .max_body_bytes_ = 10});
+  const auto status_of = [&server](const std::string& request) {
+    TestSocket caller = server.Connect();
+    caller.Send(request);
+    const std::string answer = caller.ReadUntil("\r\n\r\n");
+    return answer.substr(0, answer.find(' ', 9));
+  };
+  const std::string head = "POST / HTTP/1.1\r\nHost: h\r\n";
+  CHECK(status_of(head + "Content-Length: 11\r\n\r\n") == "HTTP/1.1 413");
+  CHECK(status_of(head + "X: " + std::string(2000, 'x') + "\r\n\r\n") ==
+        "HTTP/1.1 431");
+  CHECK(status_of(head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n") ==
+        "HTTP/1.1 400");
+  CHECK(status_of(head +
+                  "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n") ==
+        "HTTP/1.1 400");
+  CHECK(status_of("no request\r\n\r\n") == "HTTP/1.1 400");
+  CHECK_FALSE(server.requests_.TryPop());
+}
+
+// Guards against a planned stop that cuts a request, or that waits for idle
+// callers.
+TEST_CASE("a graceful stop answers what was read") {
+  TestServer server;
+  TestSocket idle = server.Connect();
+  TestSocket caller = server.Connect();
+  caller.Send(kGet);
+  const CallServer::Arrival arrival = server.Next();
+  std::thread stop([&server] { server.server_->StopGracefully(); });
+  CHECK(idle.ReadAll().empty());
+  server.Answer(arrival, "answer");
+  const std::string answer = caller.ReadAll();
+  CHECK(answer.find("answer") != std::string::npos);
+  CHECK(answer.find("Connection: close") != std::string::npos);
+  caller.Close();
+  stop.join();
+}
+
+// Guards against a kept connection that the caller believes to be open.
+TEST_CASE("a caller that wants no further answer is told and closed") {
+  TestServer server;
+  TestSocket caller = server.Connect();
+  caller.Send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  server.Answer(server.Next(), "last");
+  CHECK(caller.ReadAll().find("Connection: close") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace gooseberrygap::transport
--- a/src/transport/tests/target_client_test.cc
+++ b/src/transport/tests/target_client_test.cc
@@ -338,5 +338,48 @@
   CHECK(client.Next().delivery_id_ == 2);
 }
 
+// Guards against a late answer of one request that is passed on as the answer
+// of the next one.
+TEST_CASE("the answer of another request is dropped") {
+  const TestListener target;
+  Client client({.workers_ = 1,
+                 .is_answer_of_ = [](const DeliverToTarget& delivery,
+                                     const state::HttpAnswer& answer) {
+                   return HeaderOf(answer, "Id") == delivery.request_id_;
+                 }});
+  client.client_->Deliver({.delivery_id_ = 1,
+                           .address_ = target.address(),
+                           .request_ = {.method_ = "GET", .path_ = "/"},
+                           .request_id_ = "mine",
+                           .timeout_ = kTimeout});
+  TestSocket connection = target.Accept();
+  connection.ReadUntil("\r\n\r\n");
+  connection.Send(
+      "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nother");
+  connection.Send(
+      "HTTP/1.1 201 Created\r\nId: mine\r\nContent-Length: 4\r\n\r\nmine");
+  const DeliveryEnded ended = client.Next();
+  CHECK(ended.answer_.status_ == 201);
+  CHECK(ended.answer_.body_.view() == "mine");
+  // The connection is not used again.
+  client.client_->Deliver(Delivery(target.address(), 2));
+  target.Accept().ReadUntil("\r\n\r\n");
+}
+
+// Guards against a cut answer that counts as whole where targets end answers by
+// closing the connection.
+TEST_CASE("an answer without a length ends with an orderly close only") {
+  const TestListener target;
+  Client client({.workers_ = 1, .accepts_until_close_ = true});
+  const bool is_reset = GENERATE(false, true);
+  client.client_->Deliver(Delivery(target.address(), 1));
+  TestSocket connection = target.Accept();
+  connection.ReadUntil("\r\n\r\n");
+  connection.Send("HTTP/1.1 200 OK\r\n\r\nabc");
+  is_reset ? connection.Abort() : connection.Close();
+  const DeliveryEnded ended = client.Next();
+  CHECK(ended.end_ == (is_reset ? DeliveryEnd::kCut : DeliveryEnd::kAnswered));
+}
+
 }  // namespace
 }  // namespace gooseberrygap::transport
