Log decisions as structured lines and learn what links and full targets cost

Ruled out: overload by the work itself (17% of the slots at the usual pace).

The router learns the size of each route's calls; guards learn whether a target serves more with free slots; the repeat budget comes from the settings.

--- a/src/coordination/api/commands.h
+++ b/src/coordination/api/commands.h
@@ -39,6 +39,8 @@
   // With kComplete, kAnswerTooLarge tells that the answer was not kept.
   const state::RefusalReason reason_ = state::RefusalReason::kNone;
   const std::string request_id_ = {};
+  // The caller's own name of the request; may be empty.
+  const std::string caller_id_ = {};
   const std::string target_ = {};
   const state::HttpAnswer answer_ = {};  // Of kComplete without a reason.
   // Time since the call's arrival, and the part of it that the answering guard
@@ -80,12 +82,18 @@
   const uint64_t delivery_id_ = 0;
 };
 
+// Write a line to the log.
+struct WriteLog {
+  const state::LogEvent event_ = {};
+};
+
 using Command = std::variant<SendToPeer,
                              ReplyToPeer,
                              ResetLink,
                              AnswerCall,
                              DeliverToTarget,
-                             CancelDelivery>;
+                             CancelDelivery,
+                             WriteLog>;
 using Commands = std::vector<Command>;
 
 // Appends `more` to `commands`. Not thread-safe.
--- a/src/coordination/api/events.h
+++ b/src/coordination/api/events.h
@@ -27,6 +27,8 @@
   const uint32_t depth_ = 0;
   // Service of the target beside which the call was made; may be empty.
   const std::string origin_service_ = {};
+  // The caller's own name of the request, for the log; may be empty.
+  const std::string caller_id_ = {};
 };
 
 // The caller has gone: the call needs no answer.
--- a/src/coordination/api/router.h
+++ b/src/coordination/api/router.h
@@ -20,10 +20,18 @@
   const state::Millis deadline_left_ = {};
   // Time in which an answer is as good as an immediate one.
   const state::Millis objective_left_ = {};
+  const std::string route_ = {};
+  const bool is_action_ = false;
   // Targets that this call has already tried.
   const std::vector<std::string> tried_ = {};
 };
 
+// A target's load as it was last heard of.
+struct KnownLoad {
+  const state::GuardLoad load_ = {};
+  const state::Millis age_ = {};
+};
+
 // How an attempt ended, as far as routing is concerned.
 enum class AttemptEnd { kServed, kRefused, kFailed, kLost, kCancelled };
 
@@ -66,17 +74,23 @@
   // Takes a probe of `address` and its reply from the load budget and counts
   // them; false when the budget is spent.
   bool TakeProbe(const std::string& address, state::Millis now);
+  // Records the size of a call's request and answer together.
+  void OnSize(absl::string_view route, size_t bytes);
   // Records a load that a guard told without an attempt.
   void OnLoad(absl::string_view target,
               const state::GuardLoad& load,
               state::Millis now);
-  // Returns the median latency of the service's calls; 0 when none is known.
+  // Returns what is known of the target's load and how old it is, if anything.
+  std::optional<KnownLoad> LoadOf(absl::string_view target,
+                                  state::Millis now) const;
+  // Returns how long the service's calls take on targets that are neither slow
+  // nor full; 0 when it is not known.
   state::Millis UsualLatency(absl::string_view service) const;
 
   // Takes one retry from the service's budget; false when it is spent.
-  bool TakeRetry(absl::string_view service);
+  bool TakeRetry(absl::string_view service, state::Millis now);
   // Takes one hedge from the service's budget; false when it is spent.
-  bool TakeHedge(absl::string_view service);
+  bool TakeHedge(absl::string_view service, state::Millis now);
   // Returns the time after which a lookup may be hedged, or nothing.
   std::optional<state::Millis> HedgeDelay(absl::string_view service) const;
 
--- a/src/coordination/api/strategy.h
+++ b/src/coordination/api/strategy.h
@@ -26,7 +26,8 @@
   const state::Millis load_age_ = {};
   // Round trip to the guard beyond that to a guard in the own failure domain.
   const state::Millis link_latency_ = {};
-  const LinkClass link_ = LinkClass::kDomain;
+  // What the bytes of the call cost on the link, in parts of its worth.
+  const double link_loss_ = 0;
   // Time in which an answer is as good as an immediate one; 0 when unknown.
   const state::Millis objective_left_ = {};
   const int slots_ = 1;
--- a/src/coordination/internal/call.cc
+++ b/src/coordination/internal/call.cc
@@ -17,6 +17,8 @@
       router_->Choose(ChoiceQuery{.service_ = service,
                                   .deadline_left_ = deadline_left,
                                   .objective_left_ = objective_left,
+                                  .route_ = call_.route_,
+                                  .is_action_ = call_.is_unkeyed_,
                                   .tried_ = tried_},
                       now);
   // A second copy beside an open attempt goes to another target or nowhere.
@@ -26,7 +28,9 @@
   return NextTarget{
       .target_ = router_->Choose(ChoiceQuery{.service_ = service,
                                              .deadline_left_ = deadline_left,
-                                             .objective_left_ = objective_left},
+                                             .objective_left_ = objective_left,
+                                             .route_ = call_.route_,
+                                             .is_action_ = call_.is_unkeyed_},
                                  now),
       .all_tried_ = true};
 }
@@ -118,6 +122,7 @@
                     .answer_ = CallAnswer{.outcome_ = Outcome::kNotRun,
                                           .reason_ = reason,
                                           .request_id_ = call.request_id_,
+                                          .caller_id_ = call.caller_id_,
                                           .retry_after_ = kRetryAfter}};
 }
 
@@ -126,7 +131,8 @@
   return AnswerCall{.call_id_ = call.call_id_,
                     .answer_ = CallAnswer{.outcome_ = Outcome::kUnknown,
                                           .reason_ = reason,
-                                          .request_id_ = call.request_id_}};
+                                          .request_id_ = call.request_id_,
+                                          .caller_id_ = call.caller_id_}};
 }
 
 AnswerCall CompleteWithoutAnswer(const ClassifiedCall& call) {
@@ -134,7 +140,8 @@
       .call_id_ = call.call_id_,
       .answer_ = CallAnswer{.outcome_ = Outcome::kComplete,
                             .reason_ = state::RefusalReason::kAnswerTooLarge,
-                            .request_id_ = call.request_id_}};
+                            .request_id_ = call.request_id_,
+                            .caller_id_ = call.caller_id_}};
 }
 
 AnswerCall Complete(const ClassifiedCall& call,
@@ -143,6 +150,7 @@
   return AnswerCall{.call_id_ = call.call_id_,
                     .answer_ = CallAnswer{.outcome_ = Outcome::kComplete,
                                           .request_id_ = call.request_id_,
+                                          .caller_id_ = call.caller_id_,
                                           .target_ = answer.target_,
                                           .answer_ = answer.answer_,
                                           .latency_ = now - call.arrival_,
@@ -153,6 +161,7 @@
   return AnswerCall{.call_id_ = call.call_id_,
                     .answer_ = CallAnswer{.outcome_ = Outcome::kComplete,
                                           .request_id_ = call.request_id_,
+                                          .caller_id_ = call.caller_id_,
                                           .answer_ = answer}};
 }
 
--- a/src/coordination/internal/call.h
+++ b/src/coordination/internal/call.h
@@ -33,6 +33,7 @@
   const state::Millis objective_ = {};
   const int priority_ = 0;
   const std::string origin_service_ = {};
+  const std::string caller_id_ = {};
   // Of calls that a route has classified.
   const std::string host_ = {};
   const std::string route_ = {};
--- /dev/null
+++ b/src/coordination/internal/decision_log.cc
@@ -0,0 +1,96 @@
+#include "coordination/internal/decision_log.h"
+
+#include <array>
+#include <string>
+#include <utility>
+#include <vector>
+#include "absl/strings/string_view.h"
+
+namespace gooseberrygap::coordination {
+
+namespace {
+
+using state::LogEvent;
+using state::LogField;
+using state::LogLevel;
+
+constexpr std::array<absl::string_view, 3> kOutcomes = {"complete", "not_run",
+                                                        "unknown"};
+constexpr std::array<absl::string_view, 4> kResults = {"complete", "refused",
+                                                       "cut", "unknown"};
+constexpr std::array<absl::string_view, 4> kStates = {"starting", "serving",
+                                                      "draining", "left"};
+constexpr int kFirstServerError = 500;
+
+template <class Names, class Enum>
+std::string NameIn(const Names& names, Enum value) {
+  return std::string(names.at(static_cast<size_t>(value)));
+}
+
+void AddLoad(const state::GuardLoad& load, std::vector<LogField>* fields) {
+  fields->push_back({"in_flight", int64_t{load.in_flight_}});
+  fields->push_back({"queued", int64_t{load.queued_}});
+  fields->push_back({"slots", int64_t{load.slots_}});
+  fields->push_back({"pace", int64_t{load.pace_}});
+  fields->push_back({"state", NameIn(kStates, load.state_)});
+}
+
+}  // namespace
+
+LogEvent AttemptSentLine(const Attempt& attempt,
+                         const std::optional<KnownLoad>& known) {
+  std::vector<LogField> fields = {
+      {"attempt", int64_t{attempt.attempt_}},
+      {"service", attempt.service_},
+      {"route", attempt.route_},
+      {"target", attempt.target_},
+      {"deadline_left_ms", attempt.deadline_left_.value()},
+      {"configuration", static_cast<int64_t>(attempt.configuration_index_)},
+      {"may_queue", attempt.may_queue_}};
+  if (known.has_value()) {
+    fields.push_back({"load_age_ms", known->age_.value()});
+    AddLoad(known->load_, &fields);
+  }
+  return LogEvent{.event_ = "attempt_sent",
+                  .request_ = attempt.request_id_,
+                  .fields_ = std::move(fields)};
+}
+
+LogEvent AttemptAnsweredLine(const AttemptAnswer& answer) {
+  const bool is_served = answer.result_ == AttemptResult::kComplete &&
+                         answer.answer_.status_ < kFirstServerError;
+  std::vector<LogField> fields = {
+      {"attempt", int64_t{answer.attempt_}},
+      {"target", answer.target_},
+      {"result", NameIn(kResults, answer.result_)},
+      {"reason", std::string(state::NameOf(answer.refusal_))},
+      {"status", int64_t{answer.answer_.status_}},
+      {"guard_ms", answer.guard_time_.value()}};
+  AddLoad(answer.load_, &fields);
+  return LogEvent{.level_ = is_served ? LogLevel::kInfo : LogLevel::kWarning,
+                  .event_ = "attempt_answered",
+                  .request_ = answer.request_id_,
+                  .fields_ = std::move(fields)};
+}
+
+LogEvent CallAnsweredLine(const CallAnswer& answer, const KnownState& known) {
+  const bool is_served = answer.outcome_ == Outcome::kComplete &&
+                         answer.answer_.status_ < kFirstServerError;
+  std::vector<LogField> fields = {
+      {"caller_id", answer.caller_id_},
+      {"outcome", NameIn(kOutcomes, answer.outcome_)},
+      {"reason", std::string(state::NameOf(answer.reason_))},
+      {"status", int64_t{answer.answer_.status_}},
+      {"target", answer.target_},
+      {"configuration", static_cast<int64_t>(known.configuration_index_)},
+      {"knowledge_age_ms", known.knowledge_age_.value()}};
+  if (answer.latency_.has_value()) {
+    fields.push_back({"latency_ms", answer.latency_->value()});
+  }
+  return LogEvent{.level_ = is_served ? LogLevel::kInfo : LogLevel::kWarning,
+                  .event_ = "call_answered",
+                  .request_ = answer.request_id_,
+                  .fields_ = std::move(fields)};
+}
+
+}  // namespace gooseberrygap::coordination
--- a/src/coordination/internal/guard.cc
+++ b/src/coordination/internal/guard.cc
@@ -29,6 +29,7 @@
   if (is_new_process) {
     ReportCrash(now);
     pace_ = 0;
+    slot_limit_ = SlotLimit();
     commands = RefuseReplaced();
   }
   // Only the target's own departure: a daemon that drains finishes its queue.
@@ -119,7 +120,7 @@
 state::GuardLoad Guard::Impl::Load() const {
   return state::GuardLoad{.in_flight_ = running_count(),
                           .queued_ = queued_count(),
-                          .slots_ = target_.slots(),
+                          .slots_ = slots(),
                           .latency_ = Expected(),
                           .state_ = target_.state(),
                           .pace_ = pace_,
@@ -174,7 +175,7 @@
 }
 
 bool Guard::Impl::MayStart(const GuardWork& work) const {
-  const bool has_slot = running_count() < target_.slots();
+  const bool has_slot = running_count() < slots();
   // Work that runs alone is the only one that runs.
   const bool is_taken_alone =
       !running_.empty() && running_.begin()->second.work_.run_alone_;
@@ -185,7 +186,10 @@
   counters_->histograms().Record(state::Histogram::kQueueTime,
                                  now - work.arrival_);
   const uint64_t delivery_id = next_delivery_++;
-  Running running{.work_ = work, .started_ = now, .pace_ = pace_};
+  Running running{.work_ = work,
+                  .started_ = now,
+                  .pace_ = pace_,
+                  .running_ = running_count() + 1};
   if (!IsKeyed(work.attempt_)) {
     running_.emplace(delivery_id, running);
     return {Deliver(delivery_id, work, now)};
@@ -250,7 +254,7 @@
                                        state::Millis now) const {
   const state::Millis own =
       ExpectedServiceTime(service_times_.For(attempt.route_), pace_);
-  if (running_count() < target_.slots() && queue_.empty()) {
+  if (running_count() < slots() && queue_.empty()) {
     return own;
   }
   state::Millis before = queue_.TotalTime(pace_);
@@ -260,7 +264,7 @@
     const state::Millis left = whole - (now - running.started_);
     before = before + std::max(left, whole * kLeastShareLeft);
   }
-  return own + before / std::max(1, target_.slots());
+  return own + before / std::max(1, slots());
 }
 
 RefusalReason Guard::Impl::CheckRoutedLoad(const Attempt& attempt,
@@ -269,12 +273,12 @@
   if (IsSlowPace(pace_) && !attempt.may_queue_) {
     return RefusalReason::kSlow;
   }
-  if (running_count() < target_.slots() && queue_.empty()) {
+  if (running_count() < slots() && queue_.empty()) {
     return RefusalReason::kNone;
   }
   const bool is_in_time = ExpectedFor(attempt, now) <= attempt.objective_left_;
   // Elsewhere a slot may be free, so a first attempt is queued only briefly.
-  const bool is_short_queue = queued_count() < std::max(1, target_.slots() / 4);
+  const bool is_short_queue = queued_count() < std::max(1, slots() / 4);
   return is_in_time && (attempt.may_queue_ || is_short_queue)
              ? RefusalReason::kNone
              : RefusalReason::kOverloaded;
--- a/src/coordination/internal/guard_delivery.cc
+++ b/src/coordination/internal/guard_delivery.cc
@@ -68,7 +68,7 @@
   const GuardWork& work = running.work_;
   latency_.Add(now - running.started_);
   if (!IsSlowPace(running.pace_) && !IsSlowPace(pace_)) {
-    service_times_.Add(work.attempt_.route_, now - running.started_);
+    NoteUsualTime(running, now - running.started_);
   }
   Commands commands = {Reply(
       work.connection_, AttemptAnswer{.request_id_ = work.attempt_.request_id_,
@@ -82,6 +82,16 @@
   return commands;
 }
 
+void Guard::Impl::NoteUsualTime(const Running& running, state::Millis time) {
+  const std::string& route = running.work_.attempt_.route_;
+  const state::Millis usual = service_times_.For(route);
+  if (usual > state::Millis(0)) {
+    slot_limit_.Add(running.running_, target_.slots(),
+                    time.value() / usual.value());
+  }
+  service_times_.Add(route, time);
+}
+
 Commands Guard::Impl::OnDeclined(const Running& running,
                                  const state::HttpAnswer& answer,
                                  state::Millis now) {
--- a/src/coordination/internal/guard_impl.h
+++ b/src/coordination/internal/guard_impl.h
@@ -11,6 +11,7 @@
 #include "coordination/internal/guard_target.h"
 #include "coordination/internal/guard_work.h"
 #include "coordination/internal/recent_peers.h"
+#include "coordination/internal/slot_limit.h"
 #include "coordination/internal/work_queue.h"
 
 namespace gooseberrygap::coordination {
@@ -78,7 +79,8 @@
     state::Millis started_;
     std::string nonce_;
     bool cancelled_ = false;
-    int pace_ = 0;  // When it was started.
+    int pace_ = 0;     // When it was started.
+    int running_ = 0;  // Requests that ran then, this one included.
   };
   struct PendingRelease {
     const GuardWork work_ = {};
@@ -93,6 +95,8 @@
 
   int running_count() const { return static_cast<int>(running_.size()); }
   int queued_count() const { return static_cast<int>(queue_.size()); }
+  // Returns how many requests the target may run at a time.
+  int slots() const { return slot_limit_.Limit(target_.slots()); }
 
   // Returns the expected time to answer one more attempt.
   state::Millis Expected() const;
@@ -142,6 +146,9 @@
   // Asks the target for its load when nothing has told it for a while.
   Commands ProbePace(state::Millis now);
 
+  // Learns from a request that began and ended at the usual pace.
+  void NoteUsualTime(const Running& running, state::Millis time);
+
   // The target states that it did not run the request.
   Commands OnDeclined(const Running& running,
                       const state::HttpAnswer& answer,
@@ -189,6 +196,7 @@
   CrashDetector crash_detector_;
   std::vector<CrashReport> crashes_;
   ServiceTimes service_times_;
+  SlotLimit slot_limit_;
   WorkQueue queue_{&service_times_};
   std::map<uint64_t, Running> running_;
   std::map<uint64_t, uint64_t> register_calls_;     // Delivery by tag.
--- a/src/coordination/internal/ingress.cc
+++ b/src/coordination/internal/ingress.cc
@@ -51,10 +51,12 @@
     const std::string request_id =
         absl::StrCat(request_id_prefix_, "-", next_request_++);
     const auto refuse = [&](RefusalReason reason) -> Commands {
-      return {AnswerCall{.call_id_ = arrived.call_id_,
-                         .answer_ = CallAnswer{.outcome_ = Outcome::kNotRun,
-                                               .reason_ = reason,
-                                               .request_id_ = request_id}}};
+      return {
+          AnswerCall{.call_id_ = arrived.call_id_,
+                     .answer_ = CallAnswer{.outcome_ = Outcome::kNotRun,
+                                           .reason_ = reason,
+                                           .request_id_ = request_id,
+                                           .caller_id_ = arrived.caller_id_}}};
     };
     if (arrived.depth_ > kMaxDepth) {
       return refuse(RefusalReason::kTooDeep);
@@ -164,10 +166,12 @@
                         state::Millis now) {
     const auto configuration = configuration_->configuration_;
     const auto refuse = [&](RefusalReason reason) -> Commands {
-      return {AnswerCall{.call_id_ = arrived.call_id_,
-                         .answer_ = CallAnswer{.outcome_ = Outcome::kNotRun,
-                                               .reason_ = reason,
-                                               .request_id_ = request_id}}};
+      return {
+          AnswerCall{.call_id_ = arrived.call_id_,
+                     .answer_ = CallAnswer{.outcome_ = Outcome::kNotRun,
+                                           .reason_ = reason,
+                                           .request_id_ = request_id,
+                                           .caller_id_ = arrived.caller_id_}}};
     };
     const state::Route* route =
         state::FindRoute(*configuration, arrived.host_, arrived.request_.path_);
@@ -208,6 +212,7 @@
             .objective_ = now + route->latency_objective_,
             .priority_ = route->priority_,
             .origin_service_ = arrived.origin_service_,
+            .caller_id_ = arrived.caller_id_,
             .host_ = arrived.host_,
             .route_ = route->name_,
             .is_unkeyed_ = is_action},
--- a/src/coordination/internal/lookup_calls.cc
+++ b/src/coordination/internal/lookup_calls.cc
@@ -6,7 +6,7 @@
 
 // Refusals cost the targets nothing, so they are limited only to bound the
 // messages of one call.
-constexpr uint32_t kMaxRefusals = 5;
+constexpr uint32_t kMaxRefusals = 4;
 // After this many refusals the guard is asked to queue the attempt. Giving up
 // instead failed 1 to 7% of the calls in a trial.
 constexpr uint32_t kRefusalsBeforeQueueing = 2;
@@ -79,6 +79,8 @@
     return Commands();
   }
   if (is_served) {
+    router_->OnSize(lookup->call_.route_, lookup->call_.request_.body_.size() +
+                                              answer.answer_.body_.size());
     return Finish(lookup, Complete(lookup->call_, answer, now), now);
   }
   if (is_refused) {
@@ -116,7 +118,7 @@
   }
   // A target that sheds has been reached, which costs it as a retry does.
   if (answer.refusal_ == state::RefusalReason::kTargetShed &&
-      !router_->TakeRetry(lookup->call_.service_->name_)) {
+      !router_->TakeRetry(lookup->call_.service_->name_, now)) {
     counters_->Add(state::RetryReason::kBudgetExhausted);
     return lookup->attempts_.open().empty() ? GiveUp(lookup, now) : Commands();
   }
@@ -138,7 +140,7 @@
   if (is_final) {
     return GiveUp(lookup, now);
   }
-  if (!router_->TakeRetry(call.service_->name_)) {
+  if (!router_->TakeRetry(call.service_->name_, now)) {
     counters_->Add(state::RetryReason::kBudgetExhausted);
     return GiveUp(lookup, now);
   }
@@ -204,7 +206,7 @@
   Commands commands;
   for (Lookup* lookup : affected) {
     if (!MayReachAnother(*lookup) ||
-        !router_->TakeRetry(lookup->call_.service_->name_)) {
+        !router_->TakeRetry(lookup->call_.service_->name_, now)) {
       continue;
     }
     counters_->Add(state::RetryReason::kSlowTarget);
@@ -279,7 +281,7 @@
   lookup->hedge_at_.reset();
   const bool may_hedge =
       lookup->attempts_.open().size() == 1 && MayReachAnother(*lookup);
-  if (!may_hedge || !router_->TakeHedge(lookup->call_.service_->name_)) {
+  if (!may_hedge || !router_->TakeHedge(lookup->call_.service_->name_, now)) {
     return {};
   }
   counters_->Add(state::RetryReason::kHedge);
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -1,6 +1,7 @@
 #include "absl/strings/str_cat.h"
 #include "coordination/api/pace.h"
 #include "coordination/coordination.h"
+#include "coordination/internal/decision_log.h"
 #include "coordination/internal/early_calls.h"
 #include "coordination/internal/register_tags.h"
 
@@ -292,7 +293,10 @@
       const Command command = commands[i];
       if (const auto* answer = std::get_if<AnswerCall>(&command)) {
         Count(answer->answer_);
+        remaining.emplace_back(WriteLog{
+            .event_ = CallAnsweredLine(answer->answer_, CurrentState(now))});
       }
+      LogAttempt(command, now, &remaining);
       const PeerMessageArrived* local = nullptr;
       std::optional<PeerMessageArrived> arrived;
       if (const auto* reply = std::get_if<ReplyToPeer>(&command)) {
@@ -319,6 +323,29 @@
     return remaining;
   }
 
+  KnownState CurrentState(state::Millis now) const {
+    return KnownState{
+        .configuration_index_ = control_client_.configuration().index_,
+        .knowledge_age_ = control_client_.KnowledgeAge(now)};
+  }
+
+  void LogAttempt(const Command& command,
+                  state::Millis now,
+                  Commands* commands) const {
+    if (const auto* send = std::get_if<SendToPeer>(&command)) {
+      if (const auto* attempt = std::get_if<Attempt>(&send->message_)) {
+        commands->emplace_back(
+            WriteLog{.event_ = AttemptSentLine(
+                         *attempt, router_.LoadOf(attempt->target_, now))});
+      }
+    } else if (const auto* reply = std::get_if<ReplyToPeer>(&command)) {
+      if (const auto* answer = std::get_if<AttemptAnswer>(&reply->message_)) {
+        commands->emplace_back(
+            WriteLog{.event_ = AttemptAnsweredLine(*answer)});
+      }
+    }
+  }
+
   static bool IsForNode(const SendToPeer& send) {
     return std::holds_alternative<Attempt>(send.message_) ||
            std::holds_alternative<Cancel>(send.message_) ||
--- a/src/coordination/internal/router.cc
+++ b/src/coordination/internal/router.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 #include "absl/container/flat_hash_map.h"
@@ -27,7 +28,18 @@
 constexpr state::Millis kProbeWhenOlder(20);
 // The size of a call is not known when it is sent; one packet stands for it.
 constexpr double kCallBytes = 1500;
-constexpr double kMedian = 0.5;
+// Answers of targets that were neither slow nor full.
+constexpr double kUndisturbedQuantile = 0.3;
+// What a kilobyte costs in the own failure domain, in the region and on the
+// paid link between regions, in parts of the worth of a lookup.
+constexpr std::array<double, 3> kLossPerKilobyte = {0, 0.02, 0.12};
+// An action is worth more, so that its bytes cost a smaller part of it.
+constexpr double kActionShare = 0.4;
+constexpr double kBytesPerKilobyte = 1000;
+// Heads of request and answer.
+constexpr double kHeadBytes = 400;
+// Of a route without an answer so far.
+constexpr double kTypicalKilobytes = 2;
 // Services that this daemon has not called for this long are not probed.
 constexpr state::Millis kProbeIdleLimit(1000);
 
@@ -89,6 +101,13 @@
       targets_.emplace(record.target_, std::move(target));
     }
     has_targets_ = has_targets_ || !targets.empty();
+    // Each daemon has a target; all of them share what a service may be
+    // repeated in a second.
+    for (auto& [name, service] : services_) {
+      service.retry_budget_.SetRate(
+          service.policy_->retry_.budget_per_second_ /
+          static_cast<double>(std::max<size_t>(1, targets_.size())));
+    }
   }
 
   std::optional<TargetRecord> Choose(const ChoiceQuery& query,
@@ -164,6 +183,16 @@
                                  now);
   }
 
+  void OnSize(absl::string_view route, size_t bytes) {
+    constexpr double kSampleWeight = 0.1;
+    const double kilobytes =
+        (static_cast<double>(bytes) + kHeadBytes) / kBytesPerKilobyte;
+    const auto [entry, inserted] = kilobytes_.emplace(route, kilobytes);
+    if (!inserted) {
+      entry->second += kSampleWeight * (kilobytes - entry->second);
+    }
+  }
+
   void OnLoad(absl::string_view target,
               const state::GuardLoad& load,
               state::Millis now) {
@@ -175,22 +204,32 @@
     entry->second->load_at_ = now;
   }
 
+  std::optional<KnownLoad> LoadOf(absl::string_view target,
+                                  state::Millis now) const {
+    const auto entry = targets_.find(target);
+    if (entry == targets_.end() || !entry->second->load_.has_value()) {
+      return std::nullopt;
+    }
+    return KnownLoad{.load_ = *entry->second->load_,
+                     .age_ = now - entry->second->load_at_};
+  }
+
   state::Millis UsualLatency(absl::string_view service) const {
     const auto entry = services_.find(service);
     return entry == services_.end()
                ? state::Millis()
-               : entry->second.latencies_.Quantile(kMedian).value_or(
-                     state::Millis());
+               : entry->second.latencies_.Quantile(kUndisturbedQuantile)
+                     .value_or(state::Millis());
   }
 
-  bool TakeRetry(absl::string_view service) {
+  bool TakeRetry(absl::string_view service, state::Millis now) {
     const auto entry = services_.find(service);
-    return entry != services_.end() && entry->second.retry_budget_.Take();
+    return entry != services_.end() && entry->second.retry_budget_.Take(now);
   }
 
-  bool TakeHedge(absl::string_view service) {
+  bool TakeHedge(absl::string_view service, state::Millis now) {
     const auto entry = services_.find(service);
-    return entry != services_.end() && entry->second.hedge_budget_.Take();
+    return entry != services_.end() && entry->second.hedge_budget_.Take(now);
   }
 
   std::optional<state::Millis> HedgeDelay(absl::string_view service) const {
@@ -348,6 +387,15 @@
     return *targets[index]->record_;
   }
 
+  // Returns what the bytes of a call cost on a link, in parts of its worth.
+  double LinkLoss(LinkClass link, const ChoiceQuery& query) const {
+    const auto entry = kilobytes_.find(query.route_);
+    const double kilobytes =
+        entry == kilobytes_.end() ? kTypicalKilobytes : entry->second;
+    return kLossPerKilobyte.at(static_cast<size_t>(link)) * kilobytes *
+           (query.is_action_ ? kActionShare : 1);
+  }
+
   Candidate CandidateOf(const Target& target,
                         const state::Service& policy,
                         const ChoiceQuery& query,
@@ -363,7 +411,7 @@
                      .load_ = target.load_.value_or(state::GuardLoad{}),
                      .load_age_ = now - target.load_at_,
                      .link_latency_ = kLinkLatency[static_cast<size_t>(link)],
-                     .link_ = link,
+                     .link_loss_ = LinkLoss(link, query),
                      .objective_left_ = query.objective_left_,
                      .slots_ = target.record_->slots_,
                      .ramp_ = std::clamp(ramp, 0.0, 1.0)};
@@ -410,6 +458,7 @@
   state::Counters* const counters_;
   std::map<std::string, ServiceState, std::less<>> services_;
   absl::flat_hash_map<std::string, std::unique_ptr<Target>> targets_;
+  absl::flat_hash_map<std::string, double> kilobytes_;  // By route.
   bool has_targets_ = false;
   LoadMeter load_meter_;
   TokenBucket cross_region_bytes_;
@@ -449,22 +498,31 @@
   return impl_->TakeProbe(address, now);
 }
 
+void Router::OnSize(absl::string_view route, size_t bytes) {
+  impl_->OnSize(route, bytes);
+}
+
 void Router::OnLoad(absl::string_view target,
                     const state::GuardLoad& load,
                     state::Millis now) {
   impl_->OnLoad(target, load, now);
 }
 
+std::optional<KnownLoad> Router::LoadOf(absl::string_view target,
+                                        state::Millis now) const {
+  return impl_->LoadOf(target, now);
+}
+
 state::Millis Router::UsualLatency(absl::string_view service) const {
   return impl_->UsualLatency(service);
 }
 
-bool Router::TakeRetry(absl::string_view service) {
-  return impl_->TakeRetry(service);
+bool Router::TakeRetry(absl::string_view service, state::Millis now) {
+  return impl_->TakeRetry(service, now);
 }
 
-bool Router::TakeHedge(absl::string_view service) {
-  return impl_->TakeHedge(service);
+bool Router::TakeHedge(absl::string_view service, state::Millis now) {
+  return impl_->TakeHedge(service, now);
 }
 
 std::optional<state::Millis> Router::HedgeDelay(
--- a/src/coordination/internal/strategy.cc
+++ b/src/coordination/internal/strategy.cc
@@ -152,9 +152,7 @@
   // A report loses half of its weight in this time.
   static constexpr double kInFlightHalfLifeMs = 100;
   static constexpr double kPaceHalfLifeMs = 1000;
-  // What a link costs, and what an answer beyond its objective loses, in parts
-  // of the worth of a call.
-  static constexpr std::array<double, 3> kLinkLoss = {0, 0.06, 0.22};
+  // What an answer beyond its objective loses, in parts of the worth of a call.
   static constexpr double kLateLoss = 0.9;
   // Expected times in parts of the objective between which the likelihood to
   // miss it grows from 0 to 1.
@@ -197,8 +195,7 @@
     const double share = expected / objective;
     const double late = std::clamp(
         (share - kSurelyInTime) / (kSurelyLate - kSurelyInTime), 0.0, 1.0);
-    return kLateLoss * late + kTimeLoss * share +
-           kLinkLoss.at(static_cast<size_t>(candidate.link_));
+    return kLateLoss * late + kTimeLoss * share + candidate.link_loss_;
   }
 
   static double ExpectedMillis(const Candidate& candidate, double typical_ms) {
--- a/src/coordination/internal/token_bucket.h
+++ b/src/coordination/internal/token_bucket.h
@@ -49,8 +49,13 @@
   explicit RatioBudget(double ratio = 0) : ratio_(ratio) {}
 
   void SetRatio(double ratio) { ratio_ = ratio; }
-  void OnSuccess() { tokens_ = std::min(kMaxTokens, tokens_ + ratio_); }
-  bool Take() {
+  // Adds this many a second, whatever succeeds.
+  void SetRate(double per_second) { per_second_ = per_second; }
+  void OnSuccess() { Earn(ratio_); }
+  bool Take(state::Millis now) {
+    constexpr double kMsPerSecond = 1000;
+    Earn((now - earned_at_).value() / kMsPerSecond * per_second_);
+    earned_at_ = now;
     if (tokens_ < 1) {
       return false;
     }
@@ -59,14 +64,16 @@
   }
 
  private:
-  // Enough for the calls that one daemon loses with a target. All daemons may
-  // spend this at the same moment, so it bounds what a service is hit by.
-  static constexpr double kMaxTokens = 4;
-  // Lets the first calls after a start be retried.
-  static constexpr double kInitialTokens = 2;
+  // All daemons may spend this at the same moment, so that it bounds what a
+  // service is hit by when one of its targets is lost.
+  static constexpr double kMaxTokens = 2;
+
+  void Earn(double tokens) { tokens_ = std::min(kMaxTokens, tokens_ + tokens); }
 
   double ratio_;
-  double tokens_ = kInitialTokens;
+  double per_second_ = 0;
+  double tokens_ = kMaxTokens;
+  state::Millis earned_at_;
 };
 
 }  // namespace gooseberrygap::coordination
--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -1,7 +1,5 @@
 #include "daemon/control_duty.h"
 
-#include <log4cplus/loggingmacros.h>
-
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -384,11 +382,10 @@
     EndRead(read, raft_events);
   }
   if (step.role_change_.has_value()) {
-    LOG4CPLUS_INFO(Logger(),
-                   "Control role: "
-                       << NameOf(step.role_change_->role_).data() << " in term "
-                       << step.role_change_->term_ << ", leader at \""
-                       << step.role_change_->leader_address_ << "\".");
+    Log({.event_ = "control_role",
+         .fields_ = {{"role", std::string(NameOf(step.role_change_->role_))},
+                     {"term", static_cast<int64_t>(step.role_change_->term_)},
+                     {"leader", step.role_change_->leader_address_}}});
     Serve(CurrentLogStatus(clock_.Now()), raft_events);
   }
 }
@@ -511,7 +508,9 @@
     return;
   }
   failed_ = true;
-  LOG4CPLUS_ERROR(Logger(), "The control role has stopped: " << error.message_);
+  Log({.level_ = state::LogLevel::kError,
+       .event_ = "control_role_stopped",
+       .fields_ = {{"error", error.message_}}});
 }
 
 }  // namespace gooseberrygap::daemon
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -1,7 +1,5 @@
 #include "daemon/daemon.h"
 
-#include <log4cplus/loggingmacros.h>
-
 #include <atomic>
 
 #include "absl/time/clock.h"
@@ -21,6 +19,10 @@
 // instance sooner.
 constexpr state::Millis kOrderTimeout(5000);
 constexpr state::Millis kPlatformOrderTimeout(900);
+// Parts of the allowed repeats that retries and hedges may use.
+constexpr double kRetryShare = 0.55;
+constexpr double kHedgeShare = 0.2;
+constexpr double kSlackShare = 0.4;
 // The targets of a platform tell the pace of their machines.
 constexpr absl::string_view kPlatformStrategy = "expected_time";
 constexpr absl::Duration kWorkPollInterval = absl::Milliseconds(20);
@@ -82,6 +84,21 @@
       .voters_ = 2 * settings.seeds_->tolerated_losses_ + 1};
 }
 
+// What the operators of a platform do not say of a service. Repeats stay below
+// the allowed part, since a repeat may call other services again.
+state::Service PlatformService(const protocol::PlatformSettings& settings) {
+  const double slack_per_second =
+      settings.repeat_slack_ / settings.repeat_window_seconds_;
+  return state::Service{
+      .strategy_ = std::string(kPlatformStrategy),
+      .retry_ =
+          state::RetryPolicy{
+              .budget_ratio_ = kRetryShare * settings.repeat_ratio_,
+              .budget_per_second_ = kSlackShare * slack_per_second},
+      .hedge_ = state::HedgePolicy{.budget_ratio_ =
+                                       kHedgeShare * settings.repeat_ratio_}};
+}
+
 std::vector<std::string> ControlAddresses(const protocol::Settings& settings) {
   std::vector<std::string> addresses;
   if (settings.seeds_.has_value()) {
@@ -189,8 +206,8 @@
   if (!settings_.platform_.has_value()) {
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
-  front_dialect_ = platform::MakeFrontDialect(
-      state::Service{.strategy_ = std::string(kPlatformStrategy)});
+  front_dialect_ =
+      platform::MakeFrontDialect(PlatformService(*settings_.platform_));
   if (control_ != nullptr) {
     operators_ = std::make_unique<OperatorDuty>(front_dialect_.get(),
                                                 control_.get(), gateway_.get());
@@ -275,7 +292,7 @@
 }
 
 void Daemon::StopGracefully() {
-  LOG4CPLUS_INFO(Logger(), "Draining.");
+  Log({.event_ = "stop_begun"});
   node_->Post(coordination::DrainRequested{});
   if (event_front_ != nullptr) {
     event_front_->AnnounceStop();
@@ -297,7 +314,7 @@
   }
   node_->Post(coordination::TargetWithdrawn{});
   absl::SleepFor(kWorkPollInterval);
-  LOG4CPLUS_INFO(Logger(), "All work is done; stopping.");
+  Log({.event_ = "stop_work_done"});
 }
 
 }  // namespace gooseberrygap::daemon
--- a/src/daemon/event_front.cc
+++ b/src/daemon/event_front.cc
@@ -88,7 +88,8 @@
                                 .host_ = request.host_,
                                 .request_ = request.request_,
                                 .deadline_left_ = request.deadline_left_,
-                                .origin_service_ = service_});
+                                .origin_service_ = service_,
+                                .caller_id_ = request.caller_id_});
   if (!accepted) {
     counters_->Add(state::RefusalReason::kInternalQueueFull);
     server_->Answer(id,
--- a/src/daemon/logging.h
+++ b/src/daemon/logging.h
@@ -1,18 +1,24 @@
 #ifndef DAEMON_LOGGING_H_
 #define DAEMON_LOGGING_H_
 
-#include <log4cplus/logger.h>
-
 #include <string>
 
+#include "state/state.h"
+
 namespace gooseberrygap::daemon {
 
-// Sets up logging to standard error at "debug", "info", "warn" or "error".
-// Call it once, before Logger.
-void StartLogging(const std::string& level);
+// Starts the `log` duty, which writes events of at least this level ("info",
+// "warn" or "error") to standard output. Call it once, before Log.
+void StartLogging(const std::string& level, const std::string& instance);
+
+// Writes what waits and ends the duty. Events that are logged later are lost.
+void StopLogging();
 
-// Returns the daemon's logger. Thread-safe.
-log4cplus::Logger& Logger();
+// Hands an event to the log duty. Never blocks: when too many events wait, or
+// more come than may be written, it is dropped, and the number of dropped
+// events is logged. Events of calls that were served are dropped first.
+// Thread-safe.
+void Log(const state::LogEvent& event);
 
 }  // namespace gooseberrygap::daemon
 
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,4 +1,3 @@
-#include <log4cplus/loggingmacros.h>
 #include <pthread.h>
 
 #include <csignal>
@@ -70,12 +69,13 @@
     }
     const auto settings = ReadSettings(absl::GetFlag(FLAGS_settings));
     if (!settings) {
-      LOG4CPLUS_WARN(Logger(), "The changed settings are not taken: "
-                                   << settings.error().message_);
+      Log({.level_ = state::LogLevel::kWarning,
+           .event_ = "settings_refused",
+           .fields_ = {{"error", settings.error().message_}}});
       continue;
     }
     if (!(settings.value() == *current)) {
-      LOG4CPLUS_INFO(Logger(), "The settings have changed.");
+      Log({.event_ = "settings_changed"});
       current = std::make_unique<const protocol::Settings>(settings.value());
       daemon->Reload(*current);
     }
@@ -92,19 +92,20 @@
     return 0;
   }
   const sigset_t signals = BlockStopSignals();
-  StartLogging(settings.value().log_level_);
+  StartLogging(settings.value().log_level_, settings.value().instance_);
   const auto daemon = Daemon::Start(settings.value());
   if (!daemon) {
     return ReportError(daemon.error(), kExitFailed);
   }
-  LOG4CPLUS_INFO(Logger(),
-                 "Instance " << settings.value().instance_ << " serves HTTP on "
-                             << settings.value().http_.listen_
-                             << " and peers on "
-                             << settings.value().peer_.listen_ << ".");
+  Log({.event_ = "started",
+       .fields_ = {{"http", settings.value().http_.listen_},
+                   {"peer", settings.value().peer_.listen_},
+                   {"control", settings.value().control_.has_value()}}});
   WaitForStop(signals, settings.value(), daemon.value().get());
   // Further stop signals stay blocked, so that they cut no work short.
   daemon.value()->StopGracefully();
+  Log({.event_ = "stopped"});
+  StopLogging();
   return 0;
 }
 
--- a/src/daemon/node_duty.cc
+++ b/src/daemon/node_duty.cc
@@ -1,7 +1,5 @@
 #include "daemon/node_duty.h"
 
-#include <log4cplus/loggingmacros.h>
-
 #include "daemon/logging.h"
 
 namespace gooseberrygap::daemon {
@@ -12,6 +10,27 @@
 
 constexpr size_t kRingCapacity = 16384;
 constexpr state::Millis kViewTimeout(2000);
+constexpr state::Millis kStatusInterval(10000);
+
+struct StatusField {
+  const absl::string_view name_;
+  const state::Counter counter_;
+};
+
+constexpr StatusField kStatusFields[] = {
+    {"calls", state::Counter::kCallsReceived},
+    {"complete", state::Counter::kCallsComplete},
+    {"not_run", state::Counter::kCallsNotRun},
+    {"unknown", state::Counter::kCallsUnknown},
+    {"cross_region", state::Counter::kCallsCrossRegion},
+    {"attempts_received", state::Counter::kAttemptsReceived},
+    {"deliveries", state::Counter::kDeliveries},
+    {"pace_probes", state::Counter::kPaceProbes},
+    {"peer_messages_sent", state::Counter::kPeerMessagesSent},
+    {"peer_bytes_sent", state::Counter::kPeerBytesSent},
+    {"links_reset", state::Counter::kLinksReset},
+    {"lease_moves", state::Counter::kLeaseControlMoves},
+};
 
 }  // namespace
 
@@ -36,7 +55,8 @@
             // Deliveries in flight are far fewer than the ring's places.
             Post(dialect_->Interpret(ended));
           },
-          counters)) {}
+          counters)),
+      counters_(counters) {}
 
 NodeDuty::~NodeDuty() {
   Stop();
@@ -78,6 +98,7 @@
     if (now >= next_tick) {
       Handle(coordination::Ticked{});
       next_tick = now + node_.TickInterval();
+      LogStatus();
     }
     // Work that arrives at an idle node shortens the wait for the next tick.
     next_tick = std::min(next_tick, now + node_.TickInterval());
@@ -97,6 +118,20 @@
   }
 }
 
+void NodeDuty::LogStatus() {
+  const state::Millis now = clock_.Now();
+  if (now < status_at_) {
+    return;
+  }
+  status_at_ = now + kStatusInterval;
+  std::vector<state::LogField> fields;
+  for (const StatusField& field : kStatusFields) {
+    fields.push_back({std::string(field.name_),
+                      static_cast<int64_t>(counters_->Get(field.counter_))});
+  }
+  Log({.event_ = "status", .fields_ = std::move(fields)});
+}
+
 void NodeDuty::Handle(const NodeEvent& event) {
   std::vector<NodeEvent> events = {event};
   while (!events.empty()) {
@@ -117,7 +152,11 @@
     for (NodeListener* listener : listeners_) {
       listener->OnConfiguration(node_.configuration());
     }
-    LOG4CPLUS_INFO(Logger(), "Configuration " << index << " is in force.");
+    Log({.event_ = "configuration_in_force",
+         .fields_ = {{"index", static_cast<int64_t>(index)},
+                     {"version",
+                      static_cast<int64_t>(
+                          node_.configuration().configuration_->version_)}}});
   }
 }
 
@@ -144,8 +183,10 @@
 }
 
 void NodeDuty::CarryOut(const coordination::ResetLink& command) {
-  LOG4CPLUS_WARN(Logger(), "The connection to " << command.address_
-                                                << " was silent; replaced.");
+  Log({.level_ = state::LogLevel::kWarning,
+       .event_ = "link_replaced",
+       .fields_ = {{"address", command.address_},
+                   {"reason", std::string("silent")}}});
   peers_->Reset(command);
 }
 
@@ -179,6 +220,10 @@
   }
 }
 
+void NodeDuty::CarryOut(const coordination::WriteLog& command) {
+  Log(command.event_);
+}
+
 void NodeDuty::CarryOut(const coordination::CancelDelivery& command) {
   target_client_->Cancel(command.delivery_id_);
 }
--- a/src/daemon/node_duty.h
+++ b/src/daemon/node_duty.h
@@ -78,12 +78,15 @@
 
   void Run();
   void Handle(const coordination::NodeEvent& event);
+  // Logs the counters that tell most, from time to time.
+  void LogStatus();
   void CarryOut(const coordination::SendToPeer& command);
   void CarryOut(const coordination::ReplyToPeer& command);
   void CarryOut(const coordination::ResetLink& command);
   void CarryOut(const coordination::AnswerCall& command);
   void CarryOut(const coordination::DeliverToTarget& command);
   void CarryOut(const coordination::CancelDelivery& command);
+  void CarryOut(const coordination::WriteLog& command);
 
   const state::SteadyClock clock_;
   absl::BitGen random_;
@@ -98,6 +101,8 @@
   // Events that carrying out commands gave rise to.
   std::vector<coordination::NodeEvent> follow_ups_;
   uint64_t logged_index_ = 0;
+  state::Counters* const counters_;
+  state::Millis status_at_;
   std::unique_ptr<transport::DutyThread> thread_;
 };
 
--- a/src/protocol/api/front_dialect.h
+++ b/src/protocol/api/front_dialect.h
@@ -18,6 +18,8 @@
   const std::string host_ = {};
   const state::HttpRequest request_ = {};
   const std::optional<state::Millis> deadline_left_ = {};
+  // The caller's own name of the request, for the log.
+  const std::string caller_id_ = {};
 };
 
 // Whether callers should be sent to this daemon.
--- a/src/protocol/api/settings.h
+++ b/src/protocol/api/settings.h
@@ -43,6 +43,11 @@
   const state::Millis stop_notice_ = state::Millis(2500);
   // A target that has not announced itself for so long is gone.
   const state::Millis announcement_lifetime_ = state::Millis(10000);
+  // Repeats that a service may get in a window of time: a part of its requests,
+  // and a number beyond it.
+  const double repeat_ratio_ = 0.2;
+  const int repeat_slack_ = 0;
+  const double repeat_window_seconds_ = 10;
 
   friend bool operator==(const PlatformSettings&,
                          const PlatformSettings&) = default;
--- a/src/protocol/internal/configuration_fields.h
+++ b/src/protocol/internal/configuration_fields.h
@@ -42,7 +42,8 @@
     Optional("max_attempts",
              &state::RetryPolicy::max_attempts_,
              Integer{1, 16}),
-    Optional("budget_ratio", &state::RetryPolicy::budget_ratio_, Number{0, 1}));
+    Optional("budget_ratio", &state::RetryPolicy::budget_ratio_, Number{0, 1}),
+    Absent(&state::RetryPolicy::budget_per_second_));
 
 inline constexpr auto kHedgeRecord = RecordOf<state::HedgePolicy>(
     Optional("enabled", &state::HedgePolicy::enabled_, Flag{}),
--- a/src/protocol/internal/settings.cc
+++ b/src/protocol/internal/settings.cc
@@ -93,7 +93,14 @@
              Number{0, kMinuteMs}),
     Optional("announcement_lifetime_ms",
              &PlatformSettings::announcement_lifetime_,
-             Number{1000, 10 * kMinuteMs}));
+             Number{1000, 10 * kMinuteMs}),
+    Optional("repeat_ratio", &PlatformSettings::repeat_ratio_, Number{0, 1}),
+    Optional("repeat_slack",
+             &PlatformSettings::repeat_slack_,
+             Integer{0, 1000000}),
+    Optional("repeat_window_s",
+             &PlatformSettings::repeat_window_seconds_,
+             Number{0.1, 600}));
 
 constexpr auto kSettingsRecord = RecordOf<Settings>(
     Required("instance", &Settings::instance_, kNameText),
--- a/src/protocol/internal/wire_values.cc
+++ b/src/protocol/internal/wire_values.cc
@@ -41,6 +41,7 @@
   }
   out->set_retry_max_attempts(value.retry_.max_attempts_);
   out->set_retry_budget_ratio(value.retry_.budget_ratio_);
+  out->set_retry_budget_per_second(value.retry_.budget_per_second_);
   out->set_hedge_enabled(value.hedge_.enabled_);
   out->set_hedge_quantile(value.hedge_.quantile_);
   out->set_hedge_budget_ratio(value.hedge_.budget_ratio_);
@@ -75,7 +76,9 @@
       .max_queue_ = in.max_queue(),
       .rules_ = rules,
       .retry_ = state::RetryPolicy{.max_attempts_ = in.retry_max_attempts(),
-                                   .budget_ratio_ = in.retry_budget_ratio()},
+                                   .budget_ratio_ = in.retry_budget_ratio(),
+                                   .budget_per_second_ =
+                                       in.retry_budget_per_second()},
       .hedge_ = state::HedgePolicy{.enabled_ = in.hedge_enabled(),
                                    .quantile_ = in.hedge_quantile(),
                                    .budget_ratio_ = in.hedge_budget_ratio()},
--- a/src/protocol/protocol.h
+++ b/src/protocol/protocol.h
@@ -8,6 +8,7 @@
 #include "protocol/api/front_dialect.h"
 #include "protocol/api/header_names.h"
 #include "protocol/api/log_codec.h"
+#include "protocol/api/log_line.h"
 #include "protocol/api/metrics_text.h"
 #include "protocol/api/node_json.h"
 #include "protocol/api/numeric_address.h"
--- a/src/state/api/configuration.h
+++ b/src/state/api/configuration.h
@@ -31,6 +31,8 @@
   const int max_attempts_ = 4;
   // Retries allowed for each successful call.
   const double budget_ratio_ = 0.1;
+  // Further retries a second, which all daemons share.
+  const double budget_per_second_ = 0;
 
   friend bool operator==(const RetryPolicy&, const RetryPolicy&) = default;
 };
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -17,6 +17,7 @@
 #include "state/api/http.h"
 #include "state/api/log.h"
 #include "state/api/log_command.h"
+#include "state/api/log_event.h"
 #include "state/api/log_store.h"
 #include "state/api/membership_table.h"
 #include "state/api/reasons.h"
