Refuse at the ingress what every target would refuse, and recover sooner

Change: a target whose report is old counts as typical and not as idle; a call that no target can answer in useful time is refused at once. An answer is of use within half of the deadline. A daemon that knows no target is told a part of the membership at once; the first election after a start is due soon.

--- a/src/coordination/api/pace.h
+++ b/src/coordination/api/pace.h
@@ -20,6 +20,17 @@
   return pace >= kSlowPace;
 }
 
+// An answer is still of use within this share of the deadline, also beyond the
+// objective: a call that another request waits for has a short objective, and
+// its refusal fails that request.
+inline constexpr double kUsefulShare = 0.5;
+
+// Returns how long an answer is of use to its caller.
+inline state::Millis UsefulTime(state::Millis objective_left,
+                                state::Millis deadline_left) {
+  return std::max(objective_left, deadline_left * kUsefulShare);
+}
+
 // How long a machine stays slow on average. Work that outlasts the time goes on
 // at the usual pace.
 inline constexpr state::Millis kSlowTime(400);
--- a/src/coordination/api/raft.h
+++ b/src/coordination/api/raft.h
@@ -22,6 +22,9 @@
   // leader refuse to elect another one.
   const state::Millis election_min_ = state::Millis(500);
   const state::Millis election_max_ = state::Millis(1000);
+  // The first election after a start is due after a time from this range.
+  const state::Millis start_min_ = state::Millis(150);
+  const state::Millis start_max_ = state::Millis(450);
   // A candidate without a majority gives up after a time from this range. It
   // must cover a round trip between regions and a sync of the log; it is short
   // so that a split vote still leaves a new leader within 2 s.
--- a/src/coordination/api/router.h
+++ b/src/coordination/api/router.h
@@ -64,9 +64,11 @@
                      state::Millis now);
 
   // Returns the target for the next attempt, or nothing if no target may take
-  // it.
+  // it or none could answer it in time.
   std::optional<state::TargetRecord> Choose(const ChoiceQuery& query,
                                             state::Millis now);
+  // Returns whether the service has any target.
+  bool HasTarget(absl::string_view service) const;
   // Records an attempt that was sent to the target.
   void OnSent(absl::string_view target, state::Millis now);
   // Records the end of an attempt. Each OnSent has exactly one OnEnd.
--- a/src/coordination/api/strategy.h
+++ b/src/coordination/api/strategy.h
@@ -30,6 +30,7 @@
   const double link_loss_ = 0;
   // Time in which an answer is as good as an immediate one; 0 when unknown.
   const state::Millis objective_left_ = {};
+  const state::Millis deadline_left_ = {};
   const int slots_ = 1;
   // Share of its slots that a cold target may take, from 0 to 1.
   const double ramp_ = 1;
@@ -49,6 +50,9 @@
   // itself. Otherwise other regions are left out while a target of the own one
   // can meet the deadline.
   virtual bool weighs_links() const { return false; }
+  // Whether the last choice can be answered within its objective. Otherwise it
+  // is better refused at once than sent to a target that would refuse it.
+  virtual bool is_worth_trying() const { return true; }
   // Whether targets are probed for it.
   virtual bool uses_probes() const { return true; }
 };
--- a/src/coordination/internal/control_service_leases.cc
+++ b/src/coordination/internal/control_service_leases.cc
@@ -145,9 +145,12 @@
           : std::nullopt;
   const bool has_delta = delta.has_value();
   const bool tells_membership = CanTellMembership(now);
+  // A daemon that knows no target at all is told those that are known here,
+  // before they are the whole membership.
+  const bool knows_nothing = session->membership_epoch_ == 0;
   const bool full = session->membership_epoch_ != epoch_ ||
                     !table_.HasChangesSince(session->membership_version_);
-  if (tells_membership) {
+  if (tells_membership || knows_nothing) {
     session->pushed_version_ = table_.version();
   }
   const LeaseReply basis = MakeRefusal(instance, now);
@@ -168,7 +171,7 @@
       .membership_version_ = tells_membership ? table_.version() : 0,
       .membership_full_ = tells_membership && full,
       .membership_ =
-          tells_membership
+          tells_membership || knows_nothing
               ? MembershipFor(*session, full ? 0 : session->membership_version_,
                               full)
               : std::vector<state::TargetRecord>(),
@@ -220,7 +223,8 @@
   push_at_.reset();
   const bool tells_membership = CanTellMembership(now);
   for (auto& [instance, session] : sessions_) {
-    if (all || (tells_membership && HasUnpushedChanges(session))) {
+    const bool may_tell = tells_membership || session.membership_epoch_ == 0;
+    if (all || (may_tell && HasUnpushedChanges(session))) {
       Reply(instance, &session, Vouching::kNotVouched, now);
     }
   }
--- a/src/coordination/internal/followed_state.cc
+++ b/src/coordination/internal/followed_state.cc
@@ -82,9 +82,10 @@
 }
 
 bool FollowedState::TakeMembership(const LeaseReply& reply) {
-  // An instance that has just started does not know the membership yet.
+  // An instance that has just started does not know the whole membership yet.
+  // What it knows helps only a daemon that knows nothing.
   if (reply.membership_epoch_ == 0) {
-    return false;
+    return membership_epoch_ == 0 && TakeRecords(reply.membership_);
   }
   if (reply.membership_full_) {
     return TakeWholeMembership(reply);
@@ -94,8 +95,13 @@
     return false;
   }
   membership_version_ = reply.membership_version_;
+  return TakeRecords(reply.membership_);
+}
+
+bool FollowedState::TakeRecords(
+    const std::vector<state::TargetRecord>& records) {
   bool changed = false;
-  for (const state::TargetRecord& record : reply.membership_) {
+  for (const state::TargetRecord& record : records) {
     changed = TakeRecord(record) || changed;
   }
   return changed;
--- a/src/coordination/internal/followed_state.h
+++ b/src/coordination/internal/followed_state.h
@@ -50,6 +50,7 @@
   bool TakeMembership(const LeaseReply& reply);
   bool TakeWholeMembership(const LeaseReply& reply);
   bool TakeRecord(const state::TargetRecord& record);
+  bool TakeRecords(const std::vector<state::TargetRecord>& records);
   bool TakeRefused(const LeaseReply& reply, state::Millis now);
 
   state::Counters* counters_;
--- a/src/coordination/internal/guard.cc
+++ b/src/coordination/internal/guard.cc
@@ -76,8 +76,10 @@
       .attempt_ = attempt,
       .arrival_ = now,
       .deadline_ = deadline,
-      .objective_ =
-          attempt.host_.empty() ? deadline : now + attempt.objective_left_,
+      .objective_ = attempt.host_.empty()
+                        ? deadline
+                        : now + UsefulTime(attempt.objective_left_,
+                                           attempt.deadline_left_),
       .run_alone_ = attempt.run_alone_ || target_.IsSuspect(attempt.digest_)});
   return StartQueued(now);
 }
@@ -276,7 +278,9 @@
   if (running_count() < slots() && queue_.empty()) {
     return RefusalReason::kNone;
   }
-  const bool is_in_time = ExpectedFor(attempt, now) <= attempt.objective_left_;
+  const bool is_in_time =
+      ExpectedFor(attempt, now) <=
+      UsefulTime(attempt.objective_left_, attempt.deadline_left_);
   // Elsewhere a slot may be free, so a first attempt is queued only briefly.
   const bool is_short_queue = queued_count() < std::max(1, slots() / 4);
   return is_in_time && (attempt.may_queue_ || is_short_queue)
--- a/src/coordination/internal/lookup_calls.cc
+++ b/src/coordination/internal/lookup_calls.cc
@@ -46,7 +46,9 @@
   const AttemptSet::NextTarget next = attempts.ChooseNext(now);
   if (!next.target_.has_value()) {
     if (lookup->last_reason_ == state::RefusalReason::kNone) {
-      lookup->last_reason_ = state::RefusalReason::kNoTarget;
+      lookup->last_reason_ = router_->HasTarget(lookup->call_.service_->name_)
+                                 ? state::RefusalReason::kOverloaded
+                                 : state::RefusalReason::kNoTarget;
     }
     return attempts.open().empty() ? GiveUp(lookup, now) : Commands();
   }
--- a/src/coordination/internal/raft.cc
+++ b/src/coordination/internal/raft.cc
@@ -40,7 +40,10 @@
       handed_out_(commit_),
       verified_(commit_),
       restore_pending_(log_.snapshot() != nullptr) {
-  ResetElectionTimer();
+  // Soon after a start: when all members have restarted there is no leader to
+  // wait for, and a leader that lives makes them refuse the vote.
+  election_due_ =
+      now_ + Draw(random_, options_.start_min_, options_.start_max_);
 }
 
 template <size_t kIndex>
--- a/src/coordination/internal/raft_election.cc
+++ b/src/coordination/internal/raft_election.cc
@@ -5,17 +5,6 @@
 
 namespace gooseberrygap::coordination {
 
-namespace {
-
-state::Millis Draw(absl::BitGenRef random,
-                   state::Millis from,
-                   state::Millis to) {
-  return state::Millis(absl::uniform_real_distribution<double>(
-      from.value(), to.value())(random));
-}
-
-}  // namespace
-
 bool Raft::Impl::IsVoter() const {
   const state::ControlMember* self = FindMember(log_.members(), identity_);
   return self != nullptr && self->voter_;
--- a/src/coordination/internal/raft_impl.h
+++ b/src/coordination/internal/raft_impl.h
@@ -12,6 +12,7 @@
 #include <variant>
 #include <vector>
 
+#include "absl/random/distributions.h"
 #include "coordination/api/raft.h"
 #include "coordination/internal/raft_durability.h"
 #include "coordination/internal/raft_log.h"
@@ -20,6 +21,14 @@
 
 namespace gooseberrygap::coordination {
 
+// Returns a time from the range, at random.
+inline state::Millis Draw(absl::BitGenRef random,
+                          state::Millis from,
+                          state::Millis to) {
+  return state::Millis(absl::uniform_real_distribution<double>(
+      from.value(), to.value())(random));
+}
+
 // State and rules of a member. raft.cc holds events and results,
 // raft_election.cc terms and votes, raft_follower.cc and raft_leader.cc
 // replication, raft_proposals.cc proposals, members and reads.
--- a/src/coordination/internal/router.cc
+++ b/src/coordination/internal/router.cc
@@ -140,6 +140,11 @@
                          : ChooseAmong(&service, local, query, now);
   }
 
+  bool HasTarget(absl::string_view service) const {
+    const auto entry = services_.find(service);
+    return entry != services_.end() && !entry->second.members_.empty();
+  }
+
   void OnSent(absl::string_view target, state::Millis) {
     const auto entry = targets_.find(target);
     if (entry != targets_.end()) {
@@ -362,6 +367,9 @@
     }
     const std::optional<TargetRecord> chosen =
         ChooseAmong(service, targets, query, now);
+    if (!service->strategy_->is_worth_trying()) {
+      return std::nullopt;
+    }
     if (LinkTo(*chosen) != LinkClass::kCrossRegion) {
       return chosen;
     }
@@ -413,6 +421,7 @@
                      .link_latency_ = kLinkLatency[static_cast<size_t>(link)],
                      .link_loss_ = LinkLoss(link, query),
                      .objective_left_ = query.objective_left_,
+                     .deadline_left_ = query.deadline_left_,
                      .slots_ = target.record_->slots_,
                      .ramp_ = std::clamp(ramp, 0.0, 1.0)};
   }
@@ -486,6 +495,10 @@
   return impl_->Choose(query, now);
 }
 
+bool Router::HasTarget(absl::string_view service) const {
+  return impl_->HasTarget(service);
+}
+
 void Router::OnSent(absl::string_view target, state::Millis now) {
   impl_->OnSent(target, now);
 }
--- a/src/coordination/internal/strategy.cc
+++ b/src/coordination/internal/strategy.cc
@@ -139,12 +139,18 @@
 class ExpectedTimeStrategy : public Strategy {
  public:
   size_t Choose(const Candidates& candidates, absl::BitGenRef random) override {
-    const double typical_ms = TypicalServiceTime(candidates);
-    return LowestCost(candidates.size(), random,
-                      [&candidates, typical_ms](size_t i) {
-                        return Loss(candidates[i], typical_ms);
-                      });
+    const Typical typical = TypicalOf(candidates);
+    const size_t best = LowestCost(candidates.size(), random,
+                                   [&candidates, &typical](size_t i) {
+                                     return Loss(candidates[i], typical);
+                                   });
+    const state::Millis useful = UsefulTime(candidates[best].objective_left_,
+                                            candidates[best].deadline_left_);
+    best_is_late_ = ExpectedMillis(candidates[best], typical) >=
+                    useful.value() * kSurelyLate;
+    return best;
   }
+  bool is_worth_trying() const override { return !best_is_late_; }
   bool weighs_links() const override { return true; }
   bool uses_probes() const override { return false; }
 
@@ -152,6 +158,7 @@
   // A report loses half of its weight in this time.
   static constexpr double kInFlightHalfLifeMs = 100;
   static constexpr double kPaceHalfLifeMs = 1000;
+  static constexpr double kTypicalHalfLifeMs = 500;
   // What an answer beyond its objective loses, in parts of the worth of a call.
   static constexpr double kLateLoss = 0.9;
   // Expected times in parts of the objective between which the likelihood to
@@ -175,40 +182,72 @@
                : 0;
   }
 
-  static double TypicalServiceTime(const Candidates& candidates) {
-    double sum = 0;
-    int known = 0;
+  // What is assumed of a target whose own report is missing or old.
+  struct Typical {
+    double service_ms_ = kDefaultServiceMs;
+    double others_ = 0;  // Requests of other daemons.
+  };
+
+  static Typical TypicalOf(const Candidates& candidates) {
+    Typical typical;
+    double service_ms = 0;
+    int known_services = 0;
+    double others = 0;
+    double weights = 0;
     for (const Candidate& candidate : candidates) {
       if (candidate.load_.service_time_ > state::Millis(0)) {
-        sum += candidate.load_.service_time_.value();
-        ++known;
+        service_ms += candidate.load_.service_time_.value();
+        ++known_services;
       }
+      others += Weight(candidate, kTypicalHalfLifeMs) * OthersOf(candidate);
+      weights += candidate.has_load_ ? 1 : 0;
     }
-    return known > 0 ? sum / known : kDefaultServiceMs;
+    if (known_services > 0) {
+      typical.service_ms_ = service_ms / known_services;
+    }
+    typical.others_ = weights > 0 ? others / weights : 0;
+    return typical;
+  }
+
+  static double OthersOf(const Candidate& candidate) {
+    return std::max(0, candidate.load_.in_flight_ + candidate.load_.queued_ -
+                           candidate.own_in_flight_);
   }
 
-  static double Loss(const Candidate& candidate, double typical_ms) {
-    const double expected = ExpectedMillis(candidate, typical_ms);
+  static double Loss(const Candidate& candidate, const Typical& typical) {
+    return kLateLoss * LateShare(candidate, typical) +
+           kTimeLoss * ObjectiveShare(candidate, typical) +
+           candidate.link_loss_;
+  }
+
+  // Returns the likelihood of an answer beyond the objective.
+  static double LateShare(const Candidate& candidate, const Typical& typical) {
+    return std::clamp((ObjectiveShare(candidate, typical) - kSurelyInTime) /
+                          (kSurelyLate - kSurelyInTime),
+                      0.0, 1.0);
+  }
+
+  // Returns the expected time in parts of the objective.
+  static double ObjectiveShare(const Candidate& candidate,
+                               const Typical& typical) {
     const double objective = candidate.objective_left_ > state::Millis(0)
                                  ? candidate.objective_left_.value()
                                  : kDefaultObjectiveMs;
-    const double share = expected / objective;
-    const double late = std::clamp(
-        (share - kSurelyInTime) / (kSurelyLate - kSurelyInTime), 0.0, 1.0);
-    return kLateLoss * late + kTimeLoss * share + candidate.link_loss_;
+    return ExpectedMillis(candidate, typical) / objective;
   }
 
-  static double ExpectedMillis(const Candidate& candidate, double typical_ms) {
+  static double ExpectedMillis(const Candidate& candidate,
+                               const Typical& typical) {
     const state::GuardLoad& load = candidate.load_;
-    const int others =
-        std::max(0, load.in_flight_ + load.queued_ - candidate.own_in_flight_);
+    const double weight = Weight(candidate, kInFlightHalfLifeMs);
     const double in_flight = candidate.own_in_flight_ +
-                             Weight(candidate, kInFlightHalfLifeMs) * others;
+                             weight * OthersOf(candidate) +
+                             (1 - weight) * typical.others_;
     const double slots =
         std::max(1.0, candidate.slots_ * std::max(0.1, candidate.ramp_));
     const double usual_ms = load.service_time_ > state::Millis(0)
                                 ? load.service_time_.value()
-                                : typical_ms;
+                                : typical.service_ms_;
     const double pace_weight =
         load.pace_ > 0 ? Weight(candidate, kPaceHalfLifeMs) : 0;
     const double service_ms =
@@ -220,6 +259,8 @@
     return candidate.link_latency_.value() +
            service_ms * (rounds + kFullnessShare * fullness);
   }
+
+  bool best_is_late_ = false;
 };
 
 template <class Concrete>
