Weigh the bytes of calls between regions by their prices

Cause: calls between regions were chosen for a cost below what they are charged. Change: a kilobyte counts 0.03 in the region and 0.2 between regions, at most half of a call, with 0.8 kB for heads.

--- a/src/coordination/internal/router.cc
+++ b/src/coordination/internal/router.cc
@@ -32,12 +32,14 @@
 constexpr double kUndisturbedQuantile = 0.3;
 // What a kilobyte costs in the own failure domain, in the region and on the
 // paid link between regions, in parts of the worth of a lookup.
-constexpr std::array<double, 3> kLossPerKilobyte = {0, 0.02, 0.12};
+constexpr std::array<double, 3> kLossPerKilobyte = {0, 0.03, 0.2};
+// No call is worth less than half of itself on any link.
+constexpr double kMaxLinkLoss = 0.5;
 // An action is worth more, so that its bytes cost a smaller part of it.
 constexpr double kActionShare = 0.4;
 constexpr double kBytesPerKilobyte = 1000;
-// Heads of request and answer.
-constexpr double kHeadBytes = 400;
+// Heads of request and answer, at the caller's and between the daemons.
+constexpr double kHeadBytes = 800;
 // Of a route without an answer so far.
 constexpr double kTypicalKilobytes = 2;
 // Services that this daemon has not called for this long are not probed.
@@ -400,8 +402,9 @@
     const auto entry = kilobytes_.find(query.route_);
     const double kilobytes =
         entry == kilobytes_.end() ? kTypicalKilobytes : entry->second;
-    return kLossPerKilobyte.at(static_cast<size_t>(link)) * kilobytes *
-           (query.is_action_ ? kActionShare : 1);
+    const double loss =
+        kLossPerKilobyte.at(static_cast<size_t>(link)) * kilobytes;
+    return std::min(kMaxLinkLoss, loss) * (query.is_action_ ? kActionShare : 1);
   }
 
   Candidate CandidateOf(const Target& target,
