Keep a target's slots in use while its daemon stops, and queue first attempts

Ruled out: an overload by the callers alone; the logs show 8 targets answering where 13 did.

Change: on a planned stop the guard drains 0.8 s before the front closes. A first attempt queues wherever it can be in useful time.

The order of the stop is not measured yet.

--- a/src/coordination/internal/guard.cc
+++ b/src/coordination/internal/guard.cc
@@ -278,14 +278,11 @@
   if (running_count() < slots() && queue_.empty()) {
     return RefusalReason::kNone;
   }
-  const bool is_in_time =
-      ExpectedFor(attempt, now) <=
+  // The ingress has weighed the queue here against those elsewhere.
+  const state::Millis useful =
       UsefulTime(attempt.objective_left_, attempt.deadline_left_);
-  // Elsewhere a slot may be free, so a first attempt is queued only briefly.
-  const bool is_short_queue = queued_count() < std::max(1, slots() / 4);
-  return is_in_time && (attempt.may_queue_ || is_short_queue)
-             ? RefusalReason::kNone
-             : RefusalReason::kOverloaded;
+  return ExpectedFor(attempt, now) <= useful ? RefusalReason::kNone
+                                             : RefusalReason::kOverloaded;
 }
 
 Guard::Guard(std::string instance,
--- a/src/coordination/internal/router.cc
+++ b/src/coordination/internal/router.cc
@@ -367,7 +367,7 @@
     if (targets.empty()) {
       return std::nullopt;
     }
-    const std::optional<TargetRecord> chosen =
+    std::optional<TargetRecord> chosen =
         ChooseAmong(service, targets, query, now);
     if (!service->strategy_->is_worth_trying()) {
       return std::nullopt;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -25,6 +25,9 @@
 constexpr double kSlackShare = 0.4;
 // The targets of a platform tell the pace of their machines.
 constexpr absl::string_view kPlatformStrategy = "expected_time";
+// Work that was admitted ends within this time, and the other daemons learn of
+// the drain.
+constexpr absl::Duration kDrainLead = absl::Milliseconds(800);
 constexpr absl::Duration kWorkPollInterval = absl::Milliseconds(20);
 
 bool IsForControl(const PeerMessage& message) {
@@ -293,12 +296,18 @@
 
 void Daemon::StopGracefully() {
   Log({.event_ = "stop_begun"});
-  node_->Post(coordination::DrainRequested{});
   if (event_front_ != nullptr) {
     event_front_->AnnounceStop();
+    // The target goes on beside a daemon that stops, so that its slots are
+    // used for as long as callers come.
     absl::SleepFor(
-        absl::Milliseconds(settings_.platform_->stop_notice_.value()));
+        absl::Milliseconds(settings_.platform_->stop_notice_.value()) -
+        kDrainLead);
+    node_->Post(coordination::DrainRequested{});
+    absl::SleepFor(kDrainLead);
     event_front_->StopGracefully();
+  } else {
+    node_->Post(coordination::DrainRequested{});
   }
   absl::SleepFor(kDrainNotice);
   http_server_->StopGracefully();
