Leave a control instance that has lost its leader sooner

Ruled out: a lost push; the daemon took three versions at once when it moved.

Change: knowledge older than 0.8 s makes a daemon look for an instance that knows at least 0.5 s more.

The new unit test fails on the code before.

--- a/src/coordination/internal/control_choice.cc
+++ b/src/coordination/internal/control_choice.cc
@@ -11,9 +11,16 @@
 
 // What an instance said of its knowledge holds for this long.
 constexpr state::Millis kAgeValid(2000);
+// Older knowledge makes a daemon look for a better instance. A member hears
+// from its leader every 100 ms, and a configuration must be in force within 2
+// s, also where the instance that the daemon asks has just been cut off.
+constexpr state::Millis kStaleKnowledge(800);
+// A better instance knows this much more, so that daemons do not wander among
+// instances that all wait for a new leader.
+constexpr state::Millis kBetterBy(500);
 // Pause between questions to other instances: while the current one is stale,
 // and while it is only in another region.
-constexpr state::Millis kAskWhenStale(500);
+constexpr state::Millis kAskWhenStale(250);
 constexpr state::Millis kAskWhenFar(10000);
 
 }  // namespace
@@ -116,7 +123,8 @@
   if (replied == &current || !IsFresh(*replied, now)) {
     return false;
   }
-  return IsStale(current, now) ||
+  const bool is_better = replied->age_ + kBetterBy < current.age_;
+  return (IsStale(current, now) && is_better) ||
          (replied->in_own_region_ && !current.in_own_region_);
 }
 
@@ -175,7 +183,7 @@
 }
 
 bool ControlChoice::IsStale(const Instance& instance, state::Millis now) const {
-  return HasValidAge(instance, now) && instance.age_ > kFreshKnowledge;
+  return HasValidAge(instance, now) && instance.age_ > kStaleKnowledge;
 }
 
 bool ControlChoice::HasValidAge(const Instance& instance,
--- a/src/coordination/tests/control_client_test.cc
+++ b/src/coordination/tests/control_client_test.cc
@@ -262,5 +262,31 @@
   CHECK(daemon.client_.refused_fingerprints().empty());
 }
 
+// Guards against a configuration that is not in force in time at the daemons of
+// a control instance that was cut off with the change.
+TEST_CASE("a daemon leaves an instance that has lost its leader",
+          "[configuration]") {
+  Daemon daemon;
+  const auto reply = [&daemon](const std::string& address, double age) {
+    return daemon.client_.OnReply(
+        address,
+        LeaseReply{.control_instance_ = daemon.Name(address),
+                   .granted_ = true,
+                   .knowledge_age_ = Millis(age)},
+        daemon.now_);
+  };
+  const std::string cut_off = daemon.current_;
+  reply(cut_off, 900);
+  const std::vector<Sent> asked = daemon.Run(300);
+  REQUIRE_FALSE(asked.empty());
+  const std::string other = asked[0].address_;
+  REQUIRE(other != cut_off);
+  // One that waits for a leader too is no better.
+  CHECK(reply(other, 700).commands_.empty());
+  const std::vector<Sent> moved = RenewalsOf(reply(other, 50).commands_);
+  REQUIRE(moved.size() == 1);
+  CHECK(moved[0].address_ == other);
+}
+
 }  // namespace
 }  // namespace gooseberrygap::coordination
--- a/src/transport/internal/target_link.cc
+++ b/src/transport/internal/target_link.cc
@@ -161,7 +161,7 @@
       return End(DeliveryEnd::kCut);
     }
     if (parser_->is_done()) {
-      const std::optional<DeliveryEnded> end = TakeAnswer(now);
+      std::optional<DeliveryEnded> end = TakeAnswer(now);
       if (end.has_value()) {
         return end;
       }
