End the process as soon as its duties have ended

Cause: each planned stop of a daemon lasted until the kill at the end of the grace time, 6 s, although all its work was done after 2.8 s: the destructors of static objects did not return on the platform.

Change: the daemon is destroyed, the log is written, and the process ends without the destructors of static objects.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <memory>
 #include <sstream>
@@ -93,7 +94,7 @@
   }
   const sigset_t signals = BlockStopSignals();
   StartLogging(settings.value().log_level_, settings.value().instance_);
-  const auto daemon = Daemon::Start(settings.value());
+  auto daemon = Daemon::Start(settings.value());
   if (!daemon) {
     return ReportError(daemon.error(), kExitFailed);
   }
@@ -104,9 +105,13 @@
   WaitForStop(signals, settings.value(), daemon.value().get());
   // Further stop signals stay blocked, so that they cut no work short.
   daemon.value()->StopGracefully();
+  daemon.value().reset();
   Log({.event_ = "stopped"});
   StopLogging();
-  return 0;
+  // All duties have ended. The destructors of static objects of the libraries
+  // did not return on the users' platform, which held each restart up until the
+  // process was killed.
+  std::_Exit(0);
 }
 
 }  // namespace
