Tell callers of a daemon that has just started when to come back

Ruled out: holding the request until the configuration is known; a caller that is told to come back reaches a daemon that knows it.

Change: such refusals carry 300 ms. One function builds them, which stood twice before.

--- a/src/coordination/internal/ingress.cc
+++ b/src/coordination/internal/ingress.cc
@@ -15,6 +15,9 @@
 // Chains of calls are up to 11 deep; a deeper one is most likely a cycle.
 constexpr uint32_t kMaxDepth = 16;
 constexpr state::Millis kMaxDeadline(60 * 1000);
+// A daemon that has just started knows the configuration within some hundred
+// milliseconds; a caller that comes back at once is refused again.
+constexpr state::Millis kRetryWhenKnown(300);
 
 }  // namespace
 
@@ -50,13 +53,8 @@
     counters_->Add(state::Counter::kCallsReceived);
     const std::string request_id =
         absl::StrCat(request_id_prefix_, "-", next_request_++);
-    const auto refuse = [&](RefusalReason reason) -> Commands {
-      return {
-          AnswerCall{.call_id_ = arrived.call_id_,
-                     .answer_ = CallAnswer{.outcome_ = Outcome::kNotRun,
-                                           .reason_ = reason,
-                                           .request_id_ = request_id,
-                                           .caller_id_ = arrived.caller_id_}}};
+    const auto refuse = [&](RefusalReason reason) {
+      return Refuse(arrived, request_id, reason);
     };
     if (arrived.depth_ > kMaxDepth) {
       return refuse(RefusalReason::kTooDeep);
@@ -160,18 +158,24 @@
   size_t calls_in_progress() const { return lookups_.size() + actions_.size(); }
 
  private:
+  static Commands Refuse(const CallArrived& arrived,
+                         const std::string& request_id,
+                         RefusalReason reason) {
+    return {AnswerCall{.call_id_ = arrived.call_id_,
+                       .answer_ = CallAnswer{.outcome_ = Outcome::kNotRun,
+                                             .reason_ = reason,
+                                             .request_id_ = request_id,
+                                             .caller_id_ = arrived.caller_id_,
+                                             .retry_after_ = kRetryWhenKnown}}};
+  }
+
   // Precondition: there is a configuration.
   Commands OnRoutedCall(const CallArrived& arrived,
                         const std::string& request_id,
                         state::Millis now) {
     const auto configuration = configuration_->configuration_;
-    const auto refuse = [&](RefusalReason reason) -> Commands {
-      return {
-          AnswerCall{.call_id_ = arrived.call_id_,
-                     .answer_ = CallAnswer{.outcome_ = Outcome::kNotRun,
-                                           .reason_ = reason,
-                                           .request_id_ = request_id,
-                                           .caller_id_ = arrived.caller_id_}}};
+    const auto refuse = [&](RefusalReason reason) {
+      return Refuse(arrived, request_id, reason);
     };
     const state::Route* route =
         state::FindRoute(*configuration, arrived.host_, arrived.request_.path_);
--- a/src/coordination/tests/routed_calls_test.cc
+++ b/src/coordination/tests/routed_calls_test.cc
@@ -223,5 +223,21 @@
   CHECK(test.ingress_.OnCallerLeft(1, test.now_).empty());
 }
 
+// Guards against callers that come back at once to a daemon that has just
+// started, and are refused again.
+TEST_CASE("a caller is told when to come back", "[not_run]") {
+  std::mt19937_64 random;
+  state::Counters counters;
+  Router router({.instance_ = "g"}, random, &counters);
+  RegisterClient register_client({"control"}, &counters);
+  Ingress ingress("g-1", &router, &register_client, &counters);
+  const Commands commands = ingress.OnCall(
+      CallArrived{.call_id_ = 1, .host_ = "h", .request_ = {.path_ = "/"}},
+      Millis(0));
+  REQUIRE(AnswerOf(commands) != nullptr);
+  CHECK(AnswerOf(commands)->reason_ == state::RefusalReason::kNoConfiguration);
+  CHECK(AnswerOf(commands)->retry_after_ >= Millis(100));
+}
+
 }  // namespace
 }  // namespace gooseberrygap::coordination
