Convict the only request that two crashes share

Cause: both copies of a hedged lookup crash their targets within a few milliseconds.

Ruled out: retried requests in flight at the second crash; after a crash the ingress already sends them to run alone.

Change: when the crashes of the window are as many as the policy asks for and exactly one request was in flight at all of them, it is convicted. More crashes have another cause, such as a lost rack, and convict nobody this way.

--- a/src/coordination/internal/control_service_leases.cc
+++ b/src/coordination/internal/control_service_leases.cc
@@ -92,6 +92,7 @@
       changed = true;
     }
   }
+  changed = crash_history_.ConvictShared(poison_policy(), now) || changed;
   counters_->Add(state::Counter::kFingerprintsConvicted,
                  crash_history_.convictions() - convictions);
   if (is_new_crash) {
--- a/src/coordination/internal/crash_history.cc
+++ b/src/coordination/internal/crash_history.cc
@@ -41,6 +41,26 @@
   return true;
 }
 
+bool CrashHistory::ConvictShared(const state::PoisonPolicy& policy,
+                                 state::Millis now) {
+  const size_t unexplained = crashes_.size() - explained_.size();
+  // More crashes than it takes have another cause, such as a lost rack.
+  if (unexplained != static_cast<size_t>(policy.crashes_)) {
+    return false;
+  }
+  std::vector<std::string> shared;
+  for (const auto& [fingerprint, crashes] : suspects_) {
+    if (crashes.size() == unexplained) {
+      shared.push_back(fingerprint);
+    }
+  }
+  if (shared.size() != 1) {
+    return false;
+  }
+  Convict(shared.front(), now + policy.hold_);
+  return true;
+}
+
 bool CrashHistory::Adopt(const RefusedFingerprint& refused, state::Millis now) {
   if (!refused.convicted_ || refused.left_ < kMinAdoptedHold ||
       convicted_until_.contains(refused.fingerprint_)) {
--- a/src/coordination/internal/crash_history.h
+++ b/src/coordination/internal/crash_history.h
@@ -17,6 +17,11 @@
   bool Add(const CrashReport& report,
            const state::PoisonPolicy& policy,
            state::Millis now);
+  // Convicts the request that all crashes of the window share, if it is the
+  // only one. Both copies of a hedged call can crash their targets at the same
+  // time, so that it never runs alone. Call it after all reports of a crash.
+  // Returns whether Refused() has changed.
+  bool ConvictShared(const state::PoisonPolicy& policy, state::Millis now);
   // Takes over a conviction of another control instance. Returns whether
   // Refused() has changed.
   bool Adopt(const RefusedFingerprint& refused, state::Millis now);
