Keep one copy of FindHeader, TokenBucket and the message kinds

The guard compared a header name of the project's own dialect, and SocketStream kept a response side that nothing uses since the target client was replaced.

The response side of SocketStream is gone.

Conclusion: no behaviour changes; the unit tests of all layers pass.

--- a/src/coordination/api/messages.h
+++ b/src/coordination/api/messages.h
@@ -381,6 +381,17 @@
                                  JoinRequest,
                                  LoadNotice>;
 
+// Which role of a daemon a message is for.
+enum class Addressee {
+  kNode,       // The call path.
+  kControl,    // The control service.
+  kLog,        // The replicated log of the control group.
+  kOperators,  // Whoever waits for the fate of a configuration.
+};
+
+// Thread-safe.
+Addressee AddresseeOf(const PeerMessage& message);
+
 }  // namespace gooseberrygap::coordination
 
 #endif  // COORDINATION_API_MESSAGES_H_
--- a/src/coordination/internal/guard_delivery.cc
+++ b/src/coordination/internal/guard_delivery.cc
@@ -33,9 +33,8 @@
   Commands commands;
   switch (ended.end_) {
     case DeliveryEnd::kAnswered:
-      commands = ended.declined_ || IsShed(ended.answer_)
-                     ? OnDeclined(running, ended.answer_, now)
-                     : OnAnswered(running, ended.answer_, now);
+      commands = ended.declined_ ? OnDeclined(running, ended.answer_, now)
+                                 : OnAnswered(running, ended.answer_, now);
       break;
     case DeliveryEnd::kConnectFailed:
       commands = OnConnectFailed(running, now);
@@ -112,13 +111,6 @@
          !attempt.unkeyed_;
 }
 
-bool Guard::Impl::IsShed(const state::HttpAnswer& answer) {
-  return std::any_of(answer.headers_.begin(), answer.headers_.end(),
-                     [](const state::HttpHeader& header) {
-                       return header.name_ == "Gooseberrygap-Shed";
-                     });
-}
-
 Commands Guard::Impl::OnConnectFailed(const Running& running,
                                       state::Millis now) {
   // A refused connection confirms that the process has gone, and keeps work
--- a/src/coordination/internal/guard_impl.h
+++ b/src/coordination/internal/guard_impl.h
@@ -153,7 +153,6 @@
   Commands OnDeclined(const Running& running,
                       const state::HttpAnswer& answer,
                       state::Millis now);
-  static bool IsShed(const state::HttpAnswer& answer);
   // Whether the register knows the attempt.
   static bool IsKeyed(const Attempt& attempt);
 
--- a/src/coordination/internal/load_meter.h
+++ b/src/coordination/internal/load_meter.h
@@ -2,7 +2,6 @@
 #define COORDINATION_INTERNAL_LOAD_METER_H_
 
 #include "coordination/api/strategy.h"
-#include "coordination/internal/token_bucket.h"
 
 namespace gooseberrygap::coordination {
 
@@ -20,9 +19,9 @@
 
  private:
   state::Counters* const counters_;
-  TokenBucket bytes_;
-  TokenBucket messages_;
-  TokenBucket cross_region_bytes_;
+  state::TokenBucket bytes_;
+  state::TokenBucket messages_;
+  state::TokenBucket cross_region_bytes_;
 };
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/internal/token_bucket.h
+++ b/src/coordination/internal/ratio_budget.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_INTERNAL_TOKEN_BUCKET_H_
-#define COORDINATION_INTERNAL_TOKEN_BUCKET_H_
+#ifndef COORDINATION_INTERNAL_RATIO_BUDGET_H_
+#define COORDINATION_INTERNAL_RATIO_BUDGET_H_
 
 #include <algorithm>
 
@@ -7,41 +7,6 @@
 
 namespace gooseberrygap::coordination {
 
-// Allows `per_second` tokens a second on average and a burst of one second's
-// worth; never goes below zero. Not thread-safe.
-class TokenBucket {
- public:
-  explicit TokenBucket(double per_second = 0) { SetRate(per_second); }
-
-  void SetRate(double per_second) {
-    per_second_ = per_second;
-    tokens_ = std::min(tokens_, per_second);
-  }
-
-  // Returns whether `amount` tokens are there.
-  bool Has(double amount, state::Millis now) {
-    constexpr double kMillisPerSecond = 1000;
-    const double elapsed = (now - refilled_at_).value() / kMillisPerSecond;
-    refilled_at_ = now;
-    tokens_ = std::min(per_second_, tokens_ + elapsed * per_second_);
-    return tokens_ >= amount;
-  }
-
-  // Takes `amount` tokens if they are there.
-  bool Take(double amount, state::Millis now) {
-    if (!Has(amount, now)) {
-      return false;
-    }
-    tokens_ -= amount;
-    return true;
-  }
-
- private:
-  double per_second_ = 0;
-  double tokens_ = 0;
-  state::Millis refilled_at_;
-};
-
 // Allows a fraction of the successful calls, so that retries and second copies
 // never multiply load. Not thread-safe.
 class RatioBudget {
@@ -78,4 +43,4 @@
 
 }  // namespace gooseberrygap::coordination
 
-#endif  // COORDINATION_INTERNAL_TOKEN_BUCKET_H_
+#endif  // COORDINATION_INTERNAL_RATIO_BUDGET_H_
--- a/src/coordination/internal/router.cc
+++ b/src/coordination/internal/router.cc
@@ -7,7 +7,7 @@
 #include "coordination/coordination.h"
 #include "coordination/internal/latency_window.h"
 #include "coordination/internal/load_meter.h"
-#include "coordination/internal/token_bucket.h"
+#include "coordination/internal/ratio_budget.h"
 
 namespace gooseberrygap::coordination {
 
@@ -473,7 +473,7 @@
   absl::flat_hash_map<std::string, double> kilobytes_;  // By route.
   bool has_targets_ = false;
   LoadMeter load_meter_;
-  TokenBucket cross_region_bytes_;
+  state::TokenBucket cross_region_bytes_;
   uint64_t next_probe_id_ = 1;
 };
 
--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -1,17 +1,15 @@
 #include "daemon/control_duty.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 
-#include "absl/strings/str_cat.h"
+#include "daemon/control_results.h"
 #include "daemon/logging.h"
 
 namespace gooseberrygap::daemon {
 
 namespace {
 
-using coordination::ProposalStatus;
 using coordination::RaftEvent;
 
 constexpr size_t kRingCapacity = 16384;
@@ -29,71 +27,6 @@
 // A leader that heard from its quorum this lately may answer for the group.
 constexpr state::Millis kQuorumFresh(500);
 
-constexpr std::array<absl::string_view, 4> kRoleNames = {
-    "follower", "pre_candidate", "candidate", "leader"};
-
-absl::string_view NameOf(coordination::RaftRole role) {
-  return kRoleNames.at(static_cast<size_t>(role));
-}
-
-struct ChangeErrorRow {
-  const ProposalStatus status_;
-  const state::ErrorKind kind_;
-  const absl::string_view what_;
-};
-
-constexpr std::array<ChangeErrorRow, 7> kChangeErrors = {{
-    {ProposalStatus::kNotLeader, state::ErrorKind::kNoQuorum,
-     "This control instance does not lead the group; ask the leader that "
-     "'gooseberrygapctl control status' names"},
-    {ProposalStatus::kLost, state::ErrorKind::kNoQuorum,
-     "Another leader took over before the change was accepted"},
-    {ProposalStatus::kUnknown, state::ErrorKind::kNoQuorum,
-     "It is not known whether the change was accepted"},
-    {ProposalStatus::kOverloaded, state::ErrorKind::kNoQuorum,
-     "Too many changes wait for a majority"},
-    {ProposalStatus::kChangePending, state::ErrorKind::kNoQuorum,
-     "Another change of the members is under way"},
-    {ProposalStatus::kInvalidChange, state::ErrorKind::kInvalidRequest,
-     "The change does not fit the members of the group"},
-    {ProposalStatus::kAlreadyFormed, state::ErrorKind::kAlreadyFormed,
-     "The data folder belongs to a control group"},
-}};
-
-state::Result<void> ResultOf(const coordination::ProposalEnd& end) {
-  for (const ChangeErrorRow& row : kChangeErrors) {
-    if (row.status_ == end.status_) {
-      return state::MakeError(row.kind_, row.what_);
-    }
-  }
-  return BOOST_OUTCOME_V2_NAMESPACE::success();
-}
-
-coordination::ProposalOutcome OutcomeOf(ProposalStatus status) {
-  switch (status) {
-    case ProposalStatus::kCommitted:
-      return coordination::ProposalOutcome::kCommitted;
-    case ProposalStatus::kUnknown:
-      return coordination::ProposalOutcome::kLost;
-    default:
-      return coordination::ProposalOutcome::kRefused;
-  }
-}
-
-bool IsLogMessage(const coordination::PeerMessage& message) {
-  return std::holds_alternative<coordination::VoteRequest>(message) ||
-         std::holds_alternative<coordination::VoteReply>(message) ||
-         std::holds_alternative<coordination::AppendRequest>(message) ||
-         std::holds_alternative<coordination::AppendReply>(message) ||
-         std::holds_alternative<coordination::InstallSnapshot>(message) ||
-         std::holds_alternative<coordination::ReadIndexRequest>(message) ||
-         std::holds_alternative<coordination::ReadIndexReply>(message);
-}
-
-}  // namespace
-
-namespace {
-
 coordination::RaftOptions RaftOptionsFor(const ControlDuty::Options& options) {
   const uint64_t max_voters =
       options.membership_.has_value() ? options.membership_->voters_ : 0;
@@ -299,7 +232,8 @@
   }
   const std::string& connection =
       arrival.connection_.empty() ? arrival.address_ : arrival.connection_;
-  if (IsLogMessage(arrival.message_)) {
+  if (coordination::AddresseeOf(arrival.message_) ==
+      coordination::Addressee::kLog) {
     raft_events->emplace_back(coordination::RaftMessageReceived{
         .connection_ = connection, .message_ = arrival.message_});
     return;
--- /dev/null
+++ b/src/daemon/control_results.cc
@@ -0,0 +1,64 @@
+#include "daemon/control_results.h"
+
+#include <array>
+
+namespace gooseberrygap::daemon {
+
+namespace {
+
+using coordination::ProposalStatus;
+
+constexpr std::array<absl::string_view, 4> kRoleNames = {
+    "follower", "pre_candidate", "candidate", "leader"};
+
+struct ChangeErrorRow {
+  const ProposalStatus status_;
+  const state::ErrorKind kind_;
+  const absl::string_view what_;
+};
+
+constexpr std::array<ChangeErrorRow, 7> kChangeErrors = {{
+    {ProposalStatus::kNotLeader, state::ErrorKind::kNoQuorum,
+     "This control instance does not lead the group; ask the leader that "
+     "'gooseberrygapctl control status' names"},
+    {ProposalStatus::kLost, state::ErrorKind::kNoQuorum,
+     "Another leader took over before the change was accepted"},
+    {ProposalStatus::kUnknown, state::ErrorKind::kNoQuorum,
+     "It is not known whether the change was accepted"},
+    {ProposalStatus::kOverloaded, state::ErrorKind::kNoQuorum,
+     "Too many changes wait for a majority"},
+    {ProposalStatus::kChangePending, state::ErrorKind::kNoQuorum,
+     "Another change of the members is under way"},
+    {ProposalStatus::kInvalidChange, state::ErrorKind::kInvalidRequest,
+     "The change does not fit the members of the group"},
+    {ProposalStatus::kAlreadyFormed, state::ErrorKind::kAlreadyFormed,
+     "The data folder belongs to a control group"},
+}};
+
+}  // namespace
+
+absl::string_view NameOf(coordination::RaftRole role) {
+  return kRoleNames.at(static_cast<size_t>(role));
+}
+
+state::Result<void> ResultOf(const coordination::ProposalEnd& end) {
+  for (const ChangeErrorRow& row : kChangeErrors) {
+    if (row.status_ == end.status_) {
+      return state::MakeError(row.kind_, row.what_);
+    }
+  }
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+coordination::ProposalOutcome OutcomeOf(ProposalStatus status) {
+  switch (status) {
+    case ProposalStatus::kCommitted:
+      return coordination::ProposalOutcome::kCommitted;
+    case ProposalStatus::kUnknown:
+      return coordination::ProposalOutcome::kLost;
+    default:
+      return coordination::ProposalOutcome::kRefused;
+  }
+}
+
+}  // namespace gooseberrygap::daemon
--- a/src/daemon/http_front.cc
+++ b/src/daemon/http_front.cc
@@ -71,16 +71,6 @@
   return kNames.at(static_cast<size_t>(outcome));
 }
 
-std::optional<std::string> FindHeader(const HttpRequest& request,
-                                      absl::string_view name) {
-  for (const HttpHeader& header : request.headers_) {
-    if (absl::EqualsIgnoreCase(header.name_, name)) {
-      return header.value_;
-    }
-  }
-  return std::nullopt;
-}
-
 // Headers that concern the connection to this daemon, or that the daemon sets.
 bool IsForwarded(absl::string_view name) {
   constexpr std::array<absl::string_view, 10> kNotForwarded = {
@@ -199,13 +189,15 @@
   const auto opened = slots_->Open();
   std::optional<state::Millis> deadline_left;
   bool is_valid = true;
-  if (const auto text = FindHeader(request, protocol::kDeadlineHeader)) {
+  if (const auto text =
+          state::FindHeader(request.headers_, protocol::kDeadlineHeader)) {
     double value = 0;
     is_valid = absl::SimpleAtod(*text, &value) && value >= 0;
     deadline_left.emplace(value);
   }
   uint32_t depth = 0;
-  if (const auto text = FindHeader(request, protocol::kDepthHeader)) {
+  if (const auto text =
+          state::FindHeader(request.headers_, protocol::kDepthHeader)) {
     is_valid = is_valid && absl::SimpleAtoi(*text, &depth);
   }
   if (!is_valid) {
@@ -223,7 +215,8 @@
                               .headers_ = ForwardedHeaders(request.headers_),
                               .body_ = request.body_},
       .idempotency_key_ =
-          FindHeader(request, protocol::kIdempotencyKeyHeader).value_or(""),
+          state::FindHeader(request.headers_, protocol::kIdempotencyKeyHeader)
+              .value_or(""),
       .deadline_left_ = deadline_left,
       .depth_ = depth});
   if (!accepted) {
--- a/src/protocol/api/header_names.h
+++ b/src/protocol/api/header_names.h
@@ -16,6 +16,9 @@
 inline constexpr absl::string_view kAttemptHeader = "Gooseberrygap-Attempt";
 inline constexpr absl::string_view kTargetHeader = "Gooseberrygap-Target";
 
+// A target that has not run a request answers with this header.
+inline constexpr absl::string_view kShedHeader = "Gooseberrygap-Shed";
+
 }  // namespace gooseberrygap::protocol
 
 #endif  // PROTOCOL_API_HEADER_NAMES_H_
--- a/src/protocol/internal/target_dialect.cc
+++ b/src/protocol/internal/target_dialect.cc
@@ -38,7 +38,13 @@
 
   coordination::DeliveryEnded Interpret(
       const coordination::DeliveryEnded& ended) const override {
-    return ended;
+    const bool declined =
+        state::FindHeader(ended.answer_.headers_, kShedHeader).has_value();
+    return coordination::DeliveryEnded{.delivery_id_ = ended.delivery_id_,
+                                       .end_ = ended.end_,
+                                       .answer_ = ended.answer_,
+                                       .sent_ = ended.sent_,
+                                       .declined_ = declined};
   }
 };
 
--- a/src/state/api/http.h
+++ b/src/state/api/http.h
@@ -1,8 +1,10 @@
 #ifndef STATE_API_HTTP_H_
 #define STATE_API_HTTP_H_
 
+#include <optional>
 #include <string>
 #include <vector>
+#include "absl/strings/string_view.h"
 
 #include "state/api/bytes.h"
 
@@ -32,6 +34,11 @@
   friend bool operator==(const HttpAnswer&, const HttpAnswer&) = default;
 };
 
+// Returns the value of the first header of that name, which is compared without
+// regard to case. Thread-safe.
+std::optional<std::string> FindHeader(const std::vector<HttpHeader>& headers,
+                                      absl::string_view name);
+
 }  // namespace gooseberrygap::state
 
 #endif  // STATE_API_HTTP_H_
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -23,5 +23,6 @@
 #include "state/api/reasons.h"
 #include "state/api/replace.h"
 #include "state/api/target.h"
+#include "state/api/token_bucket.h"
 
 #endif  // STATE_STATE_H_
--- a/src/transport/internal/http_connection.h
+++ b/src/transport/internal/http_connection.h
@@ -47,8 +47,7 @@
   HttpConnection(Descriptor socket,
                  size_t max_head_bytes,
                  ConnectionCount* count)
-      : stream_(std::move(socket), MessageKind::kRequest, max_head_bytes),
-        count_(count) {}
+      : stream_(std::move(socket), max_head_bytes), count_(count) {}
   ~HttpConnection() { count_->Remove(); }
 
   HttpConnection(const HttpConnection&) = delete;
--- a/src/transport/internal/http_head.cc
+++ b/src/transport/internal/http_head.cc
@@ -139,13 +139,6 @@
   return escaped;
 }
 
-bool IsInterimResponse(absl::string_view head) {
-  const std::vector<absl::string_view> words =
-      absl::StrSplit(head.substr(0, head.find(kLineEnd)), ' ');
-  return words.size() > 1 && words[1].size() == 3 && words[1][0] == '1' &&
-         words[1] != "101";
-}
-
 Framing FramingOf(const httplib::Headers& headers, size_t* length) {
   const auto encodings = headers.equal_range(std::string(kTransferEncoding));
   const auto lengths = headers.equal_range(std::string(kContentLength));
--- a/src/transport/internal/http_head.h
+++ b/src/transport/internal/http_head.h
@@ -30,10 +30,6 @@
 // percent-encoding there and would change the values.
 std::string EscapeHead(absl::string_view head);
 
-// Returns whether the head is that of an informational response that another
-// response follows.
-bool IsInterimResponse(absl::string_view head);
-
 enum class Framing {
   kNone,    // Neither a length nor an encoding is stated.
   kLength,  // Content-Length.
--- a/src/transport/internal/socket_stream.cc
+++ b/src/transport/internal/socket_stream.cc
@@ -28,12 +28,8 @@
 
 }  // namespace
 
-SocketStream::SocketStream(Descriptor socket,
-                           MessageKind kind,
-                           size_t max_head_bytes)
-    : socket_(std::move(socket)),
-      kind_(kind),
-      max_head_bytes_(max_head_bytes) {}
+SocketStream::SocketStream(Descriptor socket, size_t max_head_bytes)
+    : socket_(std::move(socket)), max_head_bytes_(max_head_bytes) {}
 
 void SocketStream::BeginMessage(state::Millis deadline) {
   deadline_ = deadline;
@@ -72,7 +68,7 @@
     end_ = StreamEnd::kHeadTooLarge;
     return false;
   }
-  head_loaded_ = kind_ == MessageKind::kRequest || !IsInterimResponse(head);
+  head_loaded_ = true;
   Discard(size);
   return true;
 }
--- a/src/transport/internal/socket_stream.h
+++ b/src/transport/internal/socket_stream.h
@@ -13,8 +13,6 @@
 
 namespace gooseberrygap::transport {
 
-enum class MessageKind { kRequest, kResponse };
-
 // Why a stream yields no more bytes.
 enum class StreamEnd {
   kOpen,
@@ -32,9 +30,8 @@
 // and body leave in one segment. Not thread-safe.
 class SocketStream : public httplib::Stream {
  public:
-  // `socket` is connected and non-blocking. `kind` is that of the messages
-  // read.
-  SocketStream(Descriptor socket, MessageKind kind, size_t max_head_bytes);
+  // `socket` is connected and non-blocking.
+  SocketStream(Descriptor socket, size_t max_head_bytes);
 
   // Begins the next message to be read: its head is checked and escaped.
   void BeginMessage(state::Millis deadline);
@@ -89,7 +86,6 @@
   bool TakeHead(size_t size);
 
   const Descriptor socket_;
-  const MessageKind kind_;
   const size_t max_head_bytes_;
   const state::SteadyClock clock_;
   state::Millis deadline_;
