Stop without the register when only reports are left

Cause: a stopping daemon waited for its register calls, also for the report of an action that had been answered, and that call expires after 30 s.

Ruled out: calls or attempts in progress; all were answered in the failed run.

Change: the guard counts unconfirmed ends of actions apart from its work, and a stop waits for them for 4 s at most, twice the time of an election. The entry then stays `started`, which is never run again, and the log says so.

Before: "a daemon stops when the register is out of reach", new, fails: no exit code within 10 s. After: it passes, and the whole [graceful] label passed.

--- a/src/coordination/api/guard.h
+++ b/src/coordination/api/guard.h
@@ -59,9 +59,10 @@
   const TargetAnnounced& target() const;
   // Returns and forgets the crash reports that were not reported yet.
   std::vector<CrashReport> TakeCrashes();
-  // Returns the attempts that were admitted and not answered, and the register
-  // operations that are still to be confirmed.
+  // Returns the attempts that were admitted and not answered.
   size_t work_in_progress() const;
+  // Returns the ends of actions that the register has not confirmed.
+  size_t reports_in_progress() const;
 
  private:
   class Impl;
--- a/src/coordination/api/node.h
+++ b/src/coordination/api/node.h
@@ -21,7 +21,10 @@
   const state::TargetRecord record_ = {};
   const state::GuardLoad load_ = {};
   const size_t calls_in_progress_ = 0;
+  // Attempts that the guard holds or runs.
   const size_t work_in_progress_ = 0;
+  // Ends of actions that the register has not confirmed.
+  const size_t reports_in_progress_ = 0;
 };
 
 // All decisions of a daemon's call path: joins the ingress, the guard, the
--- a/src/coordination/internal/guard.cc
+++ b/src/coordination/internal/guard.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "coordination/api/pace.h"
 #include "coordination/internal/guard_impl.h"
 
@@ -136,8 +138,13 @@
 }
 
 size_t Guard::Impl::work_in_progress() const {
-  return queue_.size() + running_.size() + held_.size() +
-         register_calls_.size();
+  return queue_.size() + running_.size() + held_.size();
+}
+
+size_t Guard::Impl::reports_in_progress() const {
+  return std::count_if(
+      register_calls_.begin(), register_calls_.end(),
+      [](const auto& entry) { return entry.second == kNoDelivery; });
 }
 
 ReplyToPeer Guard::Impl::Reply(const std::string& connection,
@@ -371,4 +378,8 @@
   return impl_->work_in_progress();
 }
 
+size_t Guard::reports_in_progress() const {
+  return impl_->reports_in_progress();
+}
+
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/internal/guard_delivery.cc
+++ b/src/coordination/internal/guard_delivery.cc
@@ -75,8 +75,9 @@
                                       .answer_ = answer,
                                       .guard_time_ = now - work.arrival_})};
   if (IsKeyed(work.attempt_)) {
-    Append(&commands, CallRegister(0, running, RegisterOperation::kFinish,
-                                   answer, now + kReportTime, now));
+    Append(&commands,
+           CallRegister(kNoDelivery, running, RegisterOperation::kFinish,
+                        answer, now + kReportTime, now));
   }
   return commands;
 }
--- a/src/coordination/internal/guard_impl.h
+++ b/src/coordination/internal/guard_impl.h
@@ -24,6 +24,9 @@
 // entry stays `started`, which is never run again.
 inline constexpr state::Millis kReportTime(30 * 1000);
 
+// The delivery of a register call that only reports: no work waits for it.
+inline constexpr uint64_t kNoDelivery = 0;
+
 // Returns the refusal of an attempt, without load.
 AttemptAnswer Refusal(const Attempt& attempt, state::RefusalReason reason);
 
@@ -72,6 +75,7 @@
   std::vector<CrashReport> TakeCrashes();
 
   size_t work_in_progress() const;
+  size_t reports_in_progress() const;
 
  private:
   struct Running {
@@ -198,7 +202,8 @@
   SlotLimit slot_limit_;
   WorkQueue queue_{&service_times_};
   std::map<uint64_t, Running> running_;
-  std::map<uint64_t, uint64_t> register_calls_;     // Delivery by tag.
+  std::map<uint64_t, uint64_t>
+      register_calls_;  // Delivery by tag, or kNoDelivery.
   std::map<std::string, PendingRelease> releases_;  // By nonce.
   std::vector<Held> held_;
   uint64_t next_delivery_ = 1;
--- a/src/coordination/internal/guard_register.cc
+++ b/src/coordination/internal/guard_register.cc
@@ -69,7 +69,7 @@
                               state::Millis now) {
   releases_.emplace(running.nonce_,
                     PendingRelease{.work_ = running.work_, .reason_ = reason});
-  return CallRegister(0, running, RegisterOperation::kRelease, {},
+  return CallRegister(kNoDelivery, running, RegisterOperation::kRelease, {},
                       now + kReportTime, now);
 }
 
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -58,8 +58,10 @@
   }
 
   state::Millis TickInterval() const {
-    const bool is_busy =
-        ingress_.calls_in_progress() + guard_.work_in_progress() > 0;
+    const bool is_busy = ingress_.calls_in_progress() +
+                             guard_.work_in_progress() +
+                             guard_.reports_in_progress() >
+                         0;
     return is_busy ? kBusyTick : kIdleTick;
   }
 
@@ -76,7 +78,8 @@
         .load_ = guard_.Load(),
         .calls_in_progress_ =
             ingress_.calls_in_progress() + early_calls_.size(),
-        .work_in_progress_ = guard_.work_in_progress()};
+        .work_in_progress_ = guard_.work_in_progress(),
+        .reports_in_progress_ = guard_.reports_in_progress()};
   }
 
   bool IsReady(state::Millis now) const {
--- a/src/coordination/tests/guard_test.cc
+++ b/src/coordination/tests/guard_test.cc
@@ -96,6 +96,35 @@
                                          Millis(3))) != 0);
 }
 
+// Guards against a stop that waits for the register as if the target still
+// worked: the report of a finished action is no work.
+TEST_CASE("an action's unconfirmed end is a report and no work", "[not_run]") {
+  TestGuard test;
+  const Commands started =
+      test.guard_.OnAttempt("c", ActionAttempt("1", false), Millis(1));
+  REQUIRE(started.size() == 1);
+  const auto call =
+      std::get<RegisterCall>(std::get<SendToPeer>(started[0]).message_);
+  CHECK(test.guard_.work_in_progress() == 1);
+  CHECK(test.guard_.reports_in_progress() == 0);
+  const RegisterClient::Step granted = test.register_client_.OnReply(
+      RegisterReply{.call_id_ = call.call_id_,
+                    .result_ = {.granted_ = true,
+                                .state_ = state::ActionState::kStarted,
+                                .attempt_ = 1}},
+      Millis(2));
+  REQUIRE(granted.ends_.size() == 1);
+  const uint64_t delivery =
+      DeliveryOf(test.guard_.OnRegisterEnd(granted.ends_[0], Millis(2)));
+  REQUIRE(delivery != 0);
+  CHECK(test.guard_.work_in_progress() == 1);
+  test.guard_.OnDeliveryEnded(
+      DeliveryEnded{.delivery_id_ = delivery, .answer_ = {.status_ = 200}},
+      Millis(3));
+  CHECK(test.guard_.work_in_progress() == 0);
+  CHECK(test.guard_.reports_in_progress() == 1);
+}
+
 // Guards against other work beside a request that runs alone.
 TEST_CASE("nothing starts beside a request that runs alone", "[poison]") {
   TestGuard test;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -10,8 +10,6 @@
 
 namespace {
 
-using coordination::PeerMessage;
-
 // Long enough for the drain to reach the daemons that call this target, so that
 // few attempts are refused by the closing guard.
 constexpr absl::Duration kDrainNotice = absl::Milliseconds(300);
@@ -29,22 +27,10 @@
 // the drain.
 constexpr absl::Duration kDrainLead = absl::Milliseconds(800);
 constexpr absl::Duration kWorkPollInterval = absl::Milliseconds(20);
-
-bool IsForControl(const PeerMessage& message) {
-  return std::holds_alternative<coordination::LeaseRenew>(message) ||
-         std::holds_alternative<coordination::RegisterCall>(message) ||
-         std::holds_alternative<coordination::MembershipSync>(message) ||
-         std::holds_alternative<coordination::MembershipSyncAck>(message) ||
-         std::holds_alternative<coordination::ConfigSubmit>(message) ||
-         std::holds_alternative<coordination::VoteRequest>(message) ||
-         std::holds_alternative<coordination::VoteReply>(message) ||
-         std::holds_alternative<coordination::AppendRequest>(message) ||
-         std::holds_alternative<coordination::AppendReply>(message) ||
-         std::holds_alternative<coordination::InstallSnapshot>(message) ||
-         std::holds_alternative<coordination::ReadIndexRequest>(message) ||
-         std::holds_alternative<coordination::ReadIndexReply>(message) ||
-         std::holds_alternative<coordination::JoinRequest>(message);
-}
+// A stopping daemon waits so long for the register to confirm the ends of
+// actions: twice the time of an election. Without a confirmation the entry
+// stays `started`, which is never run again.
+constexpr absl::Duration kReportPatience = absl::Seconds(4);
 
 std::string AdvertisedAddress(const protocol::Settings& settings) {
   return settings.peer_.advertise_.empty() ? settings.peer_.listen_
@@ -256,19 +242,26 @@
 }
 
 void Daemon::OnPeerArrival(transport::PeerArrival arrival) {
-  if (const auto* reply =
-          std::get_if<coordination::ConfigSubmitReply>(&arrival.message_)) {
-    // The control service relays submissions, so a control instance may wait
-    // for this reply instead of an operator here.
-    gateway_->OnReply(*reply);
-    return;
-  }
-  if (IsForControl(arrival.message_)) {
-    if (control_ != nullptr && !control_->Post(std::move(arrival))) {
-      counters_.Add(state::RefusalReason::kInternalQueueFull);
-    }
-    return;
+  switch (coordination::AddresseeOf(arrival.message_)) {
+    case coordination::Addressee::kOperators:
+      // The control service relays submissions, so a control instance may wait
+      // for this reply instead of an operator here.
+      gateway_->OnReply(
+          std::get<coordination::ConfigSubmitReply>(arrival.message_));
+      return;
+    case coordination::Addressee::kControl:
+    case coordination::Addressee::kLog:
+      if (control_ != nullptr && !control_->Post(std::move(arrival))) {
+        counters_.Add(state::RefusalReason::kInternalQueueFull);
+      }
+      return;
+    case coordination::Addressee::kNode:
+      PostToNode(arrival);
+      return;
   }
+}
+
+void Daemon::PostToNode(const transport::PeerArrival& arrival) {
   const bool accepted = node_->Post(
       coordination::PeerMessageArrived{.connection_ = arrival.connection_,
                                        .address_ = arrival.address_,
@@ -311,19 +304,34 @@
   }
   absl::SleepFor(kDrainNotice);
   http_server_->StopGracefully();
+  WaitUntilIdle();
+  node_->Post(coordination::TargetWithdrawn{});
+  absl::SleepFor(kWorkPollInterval);
+  Log({.event_ = "stop_work_done"});
+}
+
+void Daemon::WaitUntilIdle() {
+  std::optional<absl::Time> only_reports_since;
   while (true) {
     const std::optional<NodeView> view = node_->View();
-    const bool is_done = view.has_value() &&
-                         view->status_.calls_in_progress_ == 0 &&
-                         view->status_.work_in_progress_ == 0;
-    if (is_done) {
-      break;
+    const bool has_work = !view.has_value() ||
+                          view->status_.calls_in_progress_ > 0 ||
+                          view->status_.work_in_progress_ > 0;
+    if (has_work) {
+      only_reports_since.reset();
+    } else if (view->status_.reports_in_progress_ == 0) {
+      return;
+    } else if (!only_reports_since.has_value()) {
+      only_reports_since = absl::Now();
+    } else if (absl::Now() - *only_reports_since >= kReportPatience) {
+      Log({.level_ = state::LogLevel::kWarning,
+           .event_ = "stop_without_register",
+           .fields_ = {{"reports", static_cast<int64_t>(
+                                       view->status_.reports_in_progress_)}}});
+      return;
     }
     absl::SleepFor(kWorkPollInterval);
   }
-  node_->Post(coordination::TargetWithdrawn{});
-  absl::SleepFor(kWorkPollInterval);
-  Log({.event_ = "stop_work_done"});
 }
 
 }  // namespace gooseberrygap::daemon
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -28,6 +28,9 @@
   void StopGracefully();
 
  private:
+  // Returns once no call and no attempt is in progress here, and the register
+  // has confirmed the ends of actions or is out of reach.
+  void WaitUntilIdle();
   explicit Daemon(const protocol::Settings& settings);
 
   state::Result<void> StartDuties();
@@ -35,6 +38,7 @@
   state::Result<void> StartHttp();
   state::Result<void> StartPlatformFront();
   void OnPeerArrival(transport::PeerArrival arrival);
+  void PostToNode(const transport::PeerArrival& arrival);
   void RefuseArrival(const transport::PeerArrival& arrival);
 
   const protocol::Settings settings_;
--- a/src/protocol/internal/node_json.cc
+++ b/src/protocol/internal/node_json.cc
@@ -104,7 +104,8 @@
               {"queued", status.load_.queued_},
               {"latency_ms", status.load_.latency_.value()},
               {"calls_in_progress", status.calls_in_progress_},
-              {"work_in_progress", status.work_in_progress_}}
+              {"work_in_progress", status.work_in_progress_},
+              {"reports_in_progress", status.reports_in_progress_}}
       .dump();
 }
 
--- a/tests/integration/graceful_test.cc
+++ b/tests/integration/graceful_test.cc
@@ -128,5 +128,40 @@
   CHECK(test_support::MostBegunOfOneKey(ReadAllExecutions(*deployment)) <= 1);
 }
 
+// Guards against a stop that lasts until its register call expires, 30 s later:
+// the control group has stopped before the daemon has reported an action's end.
+TEST_CASE("a daemon stops when the register is out of reach", "[graceful]") {
+  constexpr state::Millis kServiceTime(1500);
+  constexpr state::Millis kLongestStop(10 * 1000);
+  const auto deployment =
+      StartDeployment({.control_instances_ = 1, .service_time_ = kServiceTime});
+  const auto& instances = deployment->spec().instances_;
+  const std::string control = instances.front().name_;
+  const std::string daemon = "action-0";
+  REQUIRE(control != daemon);
+  std::string outcome;
+  std::thread caller([&] {
+    outcome =
+        CallOnce(CallerAddress(*deployment, daemon), Action("last")).Outcome();
+  });
+  const auto begun = test_support::WaitUntil("the action at its target", [&] {
+    return CountAllBegun(*deployment) > 0;
+  });
+  deployment->Kill(control);
+  std::string guard;
+  for (const auto& instance : instances) {
+    const auto& log = test_support::ReadExecutionLog(
+        test_support::ExecutionLogPath(deployment->folder(), instance.name_));
+    guard = log.empty() ? guard : instance.name_;
+  }
+  const state::Result<int> exit_code = deployment->Stop(guard, kLongestStop);
+  caller.join();
+  CHECK(begun);
+  INFO(guard);
+  REQUIRE(exit_code);
+  CHECK(exit_code.value() == 0);
+  CHECK(outcome == "complete");
+}
+
 }  // namespace
 }  // namespace gooseberrygap::integration
