Stamp log events when they are logged

Cause: the log duty wrote the time of day at which it wrote a line, up to 100 ms after the event, so that lines of several daemons could not be put in order of time.

Change: an event carries the time of day from Log to the line.

Conclusion: needed before the lines of several files are joined.

--- a/src/daemon/logging.cc
+++ b/src/daemon/logging.cc
@@ -5,7 +5,6 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/loggingmacros.h>
 
-#include <algorithm>
 #include <atomic>
 #include <iostream>
 #include <memory>
@@ -27,38 +26,17 @@
 constexpr absl::Duration kBundleTime = absl::Milliseconds(100);
 constexpr Millis kIdleWait(3600000);
 
-// Lines a second and at once. A daemon has some twenty requests a second, with
-// about three lines each; beyond that, failures matter more.
-struct Limit {
-  const double per_second_;
-  const double burst_;
-};
-constexpr Limit kInfoLimit = {100, 200};
-constexpr Limit kWarningLimit = {200, 400};
-
-// Allows a number of lines a second. Not thread-safe.
-class LineBudget {
- public:
-  explicit LineBudget(const Limit& limit)
-      : limit_(limit), lines_(limit.burst_) {}
-
-  bool Take(Millis now) {
-    constexpr double kMsPerSecond = 1000;
-    const double earned =
-        (now - at_).value() / kMsPerSecond * limit_.per_second_;
-    lines_ = std::min(limit_.burst_, lines_ + earned);
-    at_ = now;
-    if (lines_ < 1) {
-      return false;
-    }
-    lines_ -= 1;
-    return true;
-  }
-
- private:
-  const Limit limit_;
-  double lines_;
-  Millis at_;
+// Lines a second. A daemon has some twenty requests a second, with about three
+// lines each; beyond that, failures matter more.
+constexpr double kInfoLines = 100;
+constexpr double kWarningLines = 200;
+constexpr double kBurstSeconds = 2;
+
+// An event with the time of day at which it was logged, so that the lines of
+// several daemons can be put in order.
+struct TimedEvent {
+  const uint64_t wall_millis_ = 0;
+  const LogEvent event_ = {};
 };
 
 log4cplus::Logger& Output() {
@@ -81,7 +59,9 @@
   }
 
   void Take(const LogEvent& event) {
-    if (event.level_ >= least_ && !ring_.TryPush(event)) {
+    if (event.level_ >= least_ &&
+        !ring_.TryPush(
+            TimedEvent{.wall_millis_ = state::WallMillis(), .event_ = event})) {
       dropped_.fetch_add(1);
     }
   }
@@ -89,7 +69,7 @@
  private:
   void Run() {
     while (true) {
-      std::optional<LogEvent> event = ring_.Pop(kIdleWait);
+      std::optional<TimedEvent> event = ring_.Pop(kIdleWait);
       if (!event.has_value() && ring_.closed()) {
         return;
       }
@@ -98,7 +78,7 @@
       }
       while (event.has_value()) {
         WriteWithinLimit(*event);
-        const std::optional<LogEvent> next = ring_.TryPop();
+        const std::optional<TimedEvent> next = ring_.TryPop();
         event.reset();
         if (next.has_value()) {
           event.emplace(*next);
@@ -109,10 +89,11 @@
     }
   }
 
-  void WriteWithinLimit(const LogEvent& event) {
-    LineBudget* budget =
-        event.level_ == LogLevel::kInfo ? &info_budget_ : &warning_budget_;
-    if (budget->Take(clock_.Now())) {
+  void WriteWithinLimit(const TimedEvent& event) {
+    state::TokenBucket* budget = event.event_.level_ == LogLevel::kInfo
+                                     ? &info_budget_
+                                     : &warning_budget_;
+    if (budget->Take(1, clock_.Now())) {
       Write(event);
     } else {
       dropped_.fetch_add(1);
@@ -122,24 +103,25 @@
   void WriteDropped() {
     const int64_t dropped = dropped_.exchange(0);
     if (dropped > 0) {
-      Write(LogEvent{.level_ = LogLevel::kWarning,
-                     .event_ = "log_dropped",
-                     .fields_ = {{"lines", dropped}}});
+      Write(TimedEvent{.wall_millis_ = state::WallMillis(),
+                       .event_ = {.level_ = LogLevel::kWarning,
+                                  .event_ = "log_dropped",
+                                  .fields_ = {{"lines", dropped}}}});
     }
   }
 
-  void Write(const LogEvent& event) {
-    LOG4CPLUS_INFO(Output(), protocol::PrintLogLine(event, state::WallMillis(),
-                                                    instance_));
+  void Write(const TimedEvent& event) {
+    LOG4CPLUS_INFO(Output(), protocol::PrintLogLine(
+                                 event.event_, event.wall_millis_, instance_));
   }
 
   const LogLevel least_;
   const std::string instance_;
   const state::SteadyClock clock_;
-  LineBudget info_budget_{kInfoLimit};
-  LineBudget warning_budget_{kWarningLimit};
+  state::TokenBucket info_budget_{kInfoLines, kBurstSeconds};
+  state::TokenBucket warning_budget_{kWarningLines, kBurstSeconds};
   std::atomic<int64_t> dropped_ = 0;
-  transport::Ring<LogEvent> ring_;
+  transport::Ring<TimedEvent> ring_;
   transport::DutyThread thread_;
 };
 
