Explain a request from the log files of several daemons

Cause: getting from a request to its cause took grep and sort by hand.

Tests: explain_command_test (order over files, caller's and daemon's names, missing lines), log_line_test (a line is read as it was written).

--- a/src/ctl/command_table.cc
+++ b/src/ctl/command_table.cc
@@ -20,7 +20,7 @@
     "3  an instance could not be reached, or did not answer in time;\n"
     "   the change may have been made, which 'control status' shows";
 
-constexpr std::array<Command, 10> kCommands = {{
+constexpr std::array<Command, 11> kCommands = {{
     {.name_ = "config check",
      .arguments_ = "FILE",
      .summary_ = "Checks a configuration without submitting it.",
@@ -129,6 +129,25 @@
      .max_arguments_ = 0,
      .takes_submission_ = false,
      .run_ = &RunCounters},
+    {.name_ = "explain",
+     .arguments_ = "REQUEST_ID FILE [FILE ...]",
+     .summary_ = "Shows from log files what happened to a request.",
+     .description_ =
+         "Joins the lines of the daemons' log files that belong to the\n"
+         "request, in order of time, and prints its path, its outcome, the\n"
+         "inputs that decided it with their age, and what the same daemons\n"
+         "logged of themselves meanwhile. REQUEST_ID is the caller's or a\n"
+         "daemon's name of the request; '-' reads standard input. No daemon\n"
+         "is needed. Lines that cannot be read, and events that were\n"
+         "dropped when they were logged, are counted.",
+     .exit_codes_ = "0  the request was found\n"
+                    "1  no line names it, or a file cannot be read\n"
+                    "2  wrong use of the tool",
+     .examples_ = "gooseberrygapctl explain 9c41d07be2a35f68 logs/*.log",
+     .min_arguments_ = 2,
+     .max_arguments_ = 4096,
+     .takes_submission_ = false,
+     .run_ = &RunExplain},
     {.name_ = "control form",
      .arguments_ = "ADDRESS [ADDRESS ADDRESS [ADDRESS ADDRESS]]",
      .summary_ = "Forms the control group for the first time.",
