--- /dev/null
+++ b/tests/soak/faults.cc
@@ -0,0 +1,357 @@
+#include "soak/faults.h"
+
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "absl/strings/str_cat.h"
+#include "integration/fixture.h"
+#include "support/execution_log.h"
+
+namespace gooseberrygap::soak {
+
+namespace {
+
+using test_support::InstanceSpec;
+using test_support::Process;
+using test_support::TargetNameOf;
+
+constexpr int kShortestFaultMillis = 300;
+constexpr int kLongestFaultMillis = 3500;
+constexpr int kShortestPauseMillis = 50;
+constexpr int kLongestPauseMillis = 600;
+// Of the instances, this part can have a fault at the same time.
+constexpr size_t kInstancesForOneFault = 2;
+constexpr std::chrono::milliseconds kStep(100);
+constexpr state::Millis kStatusTimeout(500);
+// A planned stop ends within a call's deadline of 4 s, and 4 s for the
+// register.
+constexpr state::Millis kLongestStop(15 * 1000);
+// No request reaches a target so long after its daemon knows of the drain.
+constexpr std::chrono::milliseconds kDrainTime(1500);
+
+constexpr const char* kBlocked = R"({"blocked": true})";
+constexpr const char* kClean =
+    R"({"blocked": false, "delay_ms": 0, "jitter_ms": 0, "drop_share": 0,)"
+    R"( "duplicate_share": 0, "reorder_share": 0})";
+constexpr const char* kDelayed = R"({"delay_ms": 40, "jitter_ms": 60})";
+constexpr const char* kDisturbed =
+    R"({"drop_share": 0.05, "duplicate_share": 0.1, "reorder_share": 0.1})";
+
+std::string Directions(const std::string& forward,
+                       const std::string& backward) {
+  return absl::StrCat(R"({"forward": )", forward, R"(, "backward": )", backward,
+                      "}");
+}
+
+}  // namespace
+
+struct Faults::Row {
+  const char* const name_;
+  void (Faults::*const begin_)(const std::string&);
+  void (Faults::*const end_)(const std::string&);
+};
+
+const Faults::Row Faults::kFaults[] = {
+    {"kill a daemon", &Faults::KillDaemon, &Faults::StartDaemon},
+    {"stop a daemon", &Faults::StopDaemon, &Faults::AwaitDaemonStopped},
+    {"pause a daemon", &Faults::PauseDaemon, &Faults::ResumeDaemon},
+    {"reload a daemon", &Faults::ReloadDaemon, &Faults::ReloadDaemon},
+    {"kill a target", &Faults::KillTarget, &Faults::AwaitTargetStopped},
+    {"stop a target", &Faults::StopTarget, &Faults::AwaitTargetStopped},
+    {"pause a target", &Faults::PauseTarget, &Faults::ResumeTarget},
+    {"drain a target", &Faults::DrainTarget, &Faults::CheckDrained},
+    {"slow a target", &Faults::SlowTarget, &Faults::ResetTarget},
+    {"let a target shed", &Faults::ShedAtTarget, &Faults::ResetTarget},
+    {"let a target fail", &Faults::FailAtTarget, &Faults::ResetTarget},
+    {"cut a target's answers", &Faults::CutAnswers, &Faults::ResetTarget},
+    {"let a target report idle", &Faults::ReportIdle, &Faults::ResetTarget},
+    {"block links", &Faults::BlockLinks, &Faults::OpenLinks},
+    {"block one way", &Faults::BlockOutgoing, &Faults::OpenLinks},
+    {"delay links", &Faults::DelayLinks, &Faults::OpenLinks},
+    {"disturb messages", &Faults::DisturbMessages, &Faults::OpenLinks},
+    {"silence links", &Faults::SilenceLinks, &Faults::Nothing},
+    {"cut links", &Faults::CutLinks, &Faults::Nothing},
+    {"cut callers", &Faults::CutCallers, &Faults::Nothing},
+};
+
+Faults::Faults(test_support::Deployment* deployment,
+               uint64_t seed,
+               Findings* findings)
+    : deployment_(deployment), findings_(findings), random_(seed) {}
+
+void Faults::Run(std::chrono::milliseconds duration) {
+  const auto end = Clock::now() + duration;
+  const size_t most = std::max<size_t>(
+      1, deployment_->spec().instances_.size() / kInstancesForOneFault);
+  auto next = Clock::now();
+  while (Clock::now() < end) {
+    EndDue(/*all=*/false);
+    if (Clock::now() >= next && active_.size() < most) {
+      Begin();
+      next = Clock::now() + std::chrono::milliseconds(Draw(
+                                kShortestPauseMillis, kLongestPauseMillis));
+    }
+    CheckConfigurations();
+    std::this_thread::sleep_for(kStep);
+  }
+  EndDue(/*all=*/true);
+}
+
+void Faults::Begin() {
+  const std::string instance = ChooseIdleInstance();
+  const Row& row = kFaults[random_() % std::size(kFaults)];
+  ++begun_[row.name_];
+  (this->*row.begin_)(instance);
+  active_[instance] = {
+      .row_ = &row,
+      .until_ = Clock::now() + std::chrono::milliseconds(Draw(
+                                   kShortestFaultMillis, kLongestFaultMillis))};
+}
+
+void Faults::EndDue(bool all) {
+  for (auto entry = active_.begin(); entry != active_.end();) {
+    if (!all && Clock::now() < entry->second.until_) {
+      ++entry;
+      continue;
+    }
+    (this->*entry->second.row_->end_)(entry->first);
+    entry = active_.erase(entry);
+  }
+}
+
+// A process reports the index of the configuration that it applies, which
+// never falls while it runs.
+void Faults::CheckConfigurations() {
+  for (const InstanceSpec& instance : deployment_->spec().instances_) {
+    if (active_.contains(instance.name_)) {
+      continue;
+    }
+    const test_support::CallAnswer answer = test_support::CallOnce(
+        deployment_->AddressesOf(instance.name_).http_,
+        {.path_ = "/-/status", .timeout_ = kStatusTimeout});
+    const auto status = nlohmann::json::parse(answer.body_, nullptr,
+                                              /*allow_exceptions=*/false);
+    if (!status.is_object()) {
+      continue;
+    }
+    const uint64_t index = status.value("configuration_index", uint64_t{0});
+    uint64_t& highest = indexes_[instance.name_];
+    if (index < highest) {
+      findings_->Add(absl::StrCat(instance.name_, " went back from index ",
+                                  highest, " to ", index));
+    }
+    highest = index;
+  }
+}
+
+std::string Faults::ChooseIdleInstance() {
+  const auto& instances = deployment_->spec().instances_;
+  while (true) {
+    const std::string& name = instances[random_() % instances.size()].name_;
+    if (!active_.contains(name)) {
+      return name;
+    }
+  }
+}
+
+void Faults::KillDaemon(const std::string& instance) {
+  cut_.insert(instance);
+  deployment_->Kill(instance);
+}
+
+void Faults::StopDaemon(const std::string& instance) {
+  stopped_.insert(instance);
+  Process* daemon = deployment_->Find(instance);
+  daemon->Signal(SIGTERM);
+  daemon->Signal(SIGHUP);
+  daemon->Signal(SIGTERM);
+}
+
+void Faults::AwaitDaemonStopped(const std::string& instance) {
+  const std::optional<int> exit_code =
+      deployment_->Find(instance)->Wait(kLongestStop);
+  if (exit_code != 0) {
+    cut_.insert(instance);
+    findings_->Add(absl::StrCat(instance, " did not stop as planned: ",
+                                exit_code.has_value()
+                                    ? absl::StrCat("code ", *exit_code)
+                                    : std::string("it still runs")));
+  }
+  StartDaemon(instance);
+}
+
+void Faults::PauseDaemon(const std::string& instance) {
+  deployment_->Pause(instance);
+}
+
+void Faults::ResumeDaemon(const std::string& instance) {
+  deployment_->Resume(instance);
+}
+
+void Faults::ReloadDaemon(const std::string& instance) {
+  deployment_->Find(instance)->Signal(SIGHUP);
+}
+
+void Faults::StartDaemon(const std::string& instance) {
+  indexes_.erase(instance);
+  Check("the start of " + instance, deployment_->Restart(instance));
+}
+
+void Faults::KillTarget(const std::string& instance) {
+  deployment_->Kill(TargetNameOf(instance));
+}
+
+void Faults::StopTarget(const std::string& instance) {
+  deployment_->Find(TargetNameOf(instance))->Signal(SIGTERM);
+}
+
+void Faults::AwaitTargetStopped(const std::string& instance) {
+  const std::string target = TargetNameOf(instance);
+  Process* process = deployment_->Find(target);
+  if (process != nullptr && process->Wait(kLongestStop) != 0) {
+    findings_->Add(target + " was not served out as planned");
+  }
+  Check("the start of " + target, deployment_->Restart(target));
+}
+
+void Faults::PauseTarget(const std::string& instance) {
+  deployment_->Pause(TargetNameOf(instance));
+}
+
+void Faults::ResumeTarget(const std::string& instance) {
+  deployment_->Resume(TargetNameOf(instance));
+}
+
+void Faults::DrainTarget(const std::string& instance) {
+  SetBehaviour(instance, R"({"state": "draining"})");
+  drained_at_[instance] = Clock::now();
+}
+
+void Faults::CheckDrained(const std::string& instance) {
+  std::this_thread::sleep_until(drained_at_[instance] + kDrainTime);
+  const int before = CountBegun(instance);
+  std::this_thread::sleep_for(kStep);
+  const int begun = CountBegun(instance) - before;
+  if (begun > 0) {
+    findings_->Add(absl::StrCat(begun, " requests reached ",
+                                TargetNameOf(instance),
+                                " after it was drained"));
+  }
+  ResetTarget(instance);
+}
+
+void Faults::SlowTarget(const std::string& instance) {
+  SetBehaviour(instance, R"({"slow_factor": 20})");
+}
+
+void Faults::ShedAtTarget(const std::string& instance) {
+  SetBehaviour(instance, R"({"shed_share": 0.5})");
+}
+
+void Faults::FailAtTarget(const std::string& instance) {
+  SetBehaviour(instance, R"({"fail_share": 0.5})");
+}
+
+void Faults::CutAnswers(const std::string& instance) {
+  SetBehaviour(instance, R"({"cut_answers": true})");
+}
+
+void Faults::ReportIdle(const std::string& instance) {
+  SetBehaviour(instance, R"({"load_report": "idle"})");
+}
+
+void Faults::ResetTarget(const std::string& instance) {
+  SetBehaviour(instance,
+               R"({"state": "serving", "slow_factor": 1, "shed_share": 0,)"
+               R"( "fail_share": 0, "cut_answers": false,)"
+               R"( "load_report": "honest"})");
+}
+
+void Faults::BlockLinks(const std::string& instance) {
+  const std::string patch = Directions(kBlocked, kBlocked);
+  SetLinks(instance, patch, patch);
+}
+
+void Faults::BlockOutgoing(const std::string& instance) {
+  SetLinks(instance, Directions(kBlocked, kClean),
+           Directions(kClean, kBlocked));
+}
+
+void Faults::DelayLinks(const std::string& instance) {
+  const std::string patch = Directions(kDelayed, kDelayed);
+  SetLinks(instance, patch, patch);
+}
+
+void Faults::DisturbMessages(const std::string& instance) {
+  const std::string patch = Directions(kDisturbed, kDisturbed);
+  SetLinks(instance, patch, patch);
+}
+
+void Faults::OpenLinks(const std::string& instance) {
+  const std::string patch = Directions(kClean, kClean);
+  SetLinks(instance, patch, patch);
+}
+
+void Faults::SilenceLinks(const std::string& instance) {
+  const std::string patch = R"({"freeze_established": "both"})";
+  SetLinks(instance, patch, patch);
+}
+
+void Faults::CutLinks(const std::string& instance) {
+  const std::string patch = R"({"cut": true})";
+  SetLinks(instance, patch, patch);
+}
+
+void Faults::CutCallers(const std::string& instance) {
+  cut_.insert(instance);
+  Check("the cut of callers",
+        deployment_->SetLink("caller:" + instance, R"({"cut": true})"));
+}
+
+void Faults::Nothing(const std::string&) {}
+
+void Faults::SetLinks(const std::string& instance,
+                      const std::string& outgoing,
+                      const std::string& incoming) {
+  const auto links = nlohmann::json::parse(deployment_->ReadLinks(), nullptr,
+                                           /*allow_exceptions=*/false);
+  const auto set = [&](const std::string& name, const std::string& patch) {
+    if (links.contains(name)) {
+      Check(name, deployment_->SetLink(name, patch));
+    }
+  };
+  for (const InstanceSpec& other : deployment_->spec().instances_) {
+    for (const char* kind : {"peer:", "control:"}) {
+      set(absl::StrCat(kind, instance, ">", other.name_), outgoing);
+      set(absl::StrCat(kind, other.name_, ">", instance), incoming);
+    }
+  }
+}
+
+void Faults::SetBehaviour(const std::string& instance,
+                          const std::string& patch) {
+  Check("the behaviour of " + instance,
+        deployment_->SetBehaviour(instance, patch));
+}
+
+void Faults::Check(const std::string& what, const state::Result<void>& result) {
+  if (!result) {
+    findings_->Add(absl::StrCat(what, ": ", result.error().message_));
+  }
+}
+
+int Faults::CountBegun(const std::string& instance) const {
+  int begun = 0;
+  for (const auto& execution : test_support::ReadExecutionLog(
+           test_support::ExecutionLogPath(deployment_->folder(), instance))) {
+    begun += execution.event_ == "begin" ? 1 : 0;
+  }
+  return begun;
+}
+
+int Faults::Draw(int least, int most) {
+  return std::uniform_int_distribution<int>(least, most)(random_);
+}
+
+}  // namespace gooseberrygap::soak
--- /dev/null
+++ b/tests/soak/faults.h
@@ -0,0 +1,103 @@
+#ifndef SOAK_FAULTS_H_
+#define SOAK_FAULTS_H_
+
+#include <chrono>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "soak/findings.h"
+#include "support/deployment.h"
+
+namespace gooseberrygap::soak {
+
+// Injects faults into a deployment from outside: signals to its processes, and
+// changes of its proxied links. Several last at the same time, at most one at
+// each instance. Requires proxied peer, control and caller links. Use it on the
+// thread that started the deployment.
+class Faults {
+ public:
+  // Both pointers must outlive this object.
+  Faults(test_support::Deployment* deployment,
+         uint64_t seed,
+         Findings* findings);
+
+  // Begins and ends faults until the time has passed, checks meanwhile that no
+  // daemon's configuration goes back, and heals everything.
+  void Run(std::chrono::milliseconds duration);
+
+  // Daemons that were killed, or whose connections to callers were cut.
+  const std::set<std::string>& cut() const { return cut_; }
+  // Daemons that were stopped as planned.
+  const std::set<std::string>& stopped() const { return stopped_; }
+  // How often each fault has begun, by name.
+  const std::map<std::string, int>& begun() const { return begun_; }
+
+ private:
+  using Clock = std::chrono::steady_clock;
+  struct Row;
+  static const Row kFaults[];
+  struct Active {
+    const Row* row_ = nullptr;
+    Clock::time_point until_;
+  };
+
+  void Begin();
+  void EndDue(bool all);
+  void CheckConfigurations();
+  std::string ChooseIdleInstance();
+
+  void KillDaemon(const std::string& instance);
+  void StopDaemon(const std::string& instance);
+  void AwaitDaemonStopped(const std::string& instance);
+  void PauseDaemon(const std::string& instance);
+  void ResumeDaemon(const std::string& instance);
+  void ReloadDaemon(const std::string& instance);
+  void StartDaemon(const std::string& instance);
+  void KillTarget(const std::string& instance);
+  void StopTarget(const std::string& instance);
+  void AwaitTargetStopped(const std::string& instance);
+  void PauseTarget(const std::string& instance);
+  void ResumeTarget(const std::string& instance);
+  void DrainTarget(const std::string& instance);
+  void CheckDrained(const std::string& instance);
+  void SlowTarget(const std::string& instance);
+  void ShedAtTarget(const std::string& instance);
+  void FailAtTarget(const std::string& instance);
+  void CutAnswers(const std::string& instance);
+  void ReportIdle(const std::string& instance);
+  void ResetTarget(const std::string& instance);
+  void BlockLinks(const std::string& instance);
+  void BlockOutgoing(const std::string& instance);
+  void DelayLinks(const std::string& instance);
+  void DisturbMessages(const std::string& instance);
+  void OpenLinks(const std::string& instance);
+  void SilenceLinks(const std::string& instance);
+  void CutLinks(const std::string& instance);
+  void CutCallers(const std::string& instance);
+  void Nothing(const std::string& instance);
+
+  void SetLinks(const std::string& instance,
+                const std::string& outgoing,
+                const std::string& incoming);
+  void SetBehaviour(const std::string& instance, const std::string& patch);
+  void Check(const std::string& what, const state::Result<void>& result);
+  int CountBegun(const std::string& instance) const;
+  int Draw(int least, int most);
+
+  test_support::Deployment* const deployment_;
+  Findings* const findings_;
+  std::mt19937_64 random_;
+  std::map<std::string, Active> active_;  // By instance.
+  std::map<std::string, uint64_t> indexes_;
+  std::map<std::string, Clock::time_point> drained_at_;
+  std::set<std::string> cut_;
+  std::set<std::string> stopped_;
+  std::map<std::string, int> begun_;
+};
+
+}  // namespace gooseberrygap::soak
+
+#endif  // SOAK_FAULTS_H_
