Serve with targets that have just started

Cause: a target tells a pace of 200 for 3 s after its start, and the guard counted 200 as slow, for which it refuses work that another target could start.

Ruled out: late announcements (no refusal as not_serving); the election, which was over 0.5 s after the first start.

Change: a target counts as slow from 250 on. Work of 160 ms then takes 320 ms and meets its objective of 500 ms. Times at such a pace are no usual times, so that the estimate of the service time does not learn from them.

Before: guard_test "a target that has just started takes work" fails (delivery 0). After: it passes.

--- a/src/coordination/api/pace.h
+++ b/src/coordination/api/pace.h
@@ -12,14 +12,24 @@
 // From here on a target counts as slow: work that another one could start is
 // not started on it, and lookups that it has just begun are sent elsewhere too.
 // It answers to neighbours that take a machine away for half a second, during
-// which work of 160 ms misses an objective of 500 ms.
-inline constexpr int kSlowPace = 200;
+// which work of 160 ms misses an objective of 500 ms. A target that has just
+// started takes twice the usual time and still meets it; after a loss of power
+// all targets of a service are so, and nothing would be served.
+inline constexpr int kSlowPace = 250;
 
 // Returns whether a target that tells this pace counts as slow; 0 is unknown.
 constexpr bool IsSlowPace(int pace) {
   return pace >= kSlowPace;
 }
 
+// Up to here work takes its usual time.
+inline constexpr int kMostUsualPace = 125;
+
+// Returns whether work takes its usual time at this pace; 0 is unknown.
+constexpr bool IsUsualPace(int pace) {
+  return pace <= kMostUsualPace;
+}
+
 // An answer is still of use within this share of the deadline, also beyond the
 // objective: a call that another request waits for has a short objective, and
 // its refusal fails that request.
--- a/src/coordination/internal/guard_delivery.cc
+++ b/src/coordination/internal/guard_delivery.cc
@@ -66,7 +66,7 @@
                                  state::Millis now) {
   const GuardWork& work = running.work_;
   latency_.Add(now - running.started_);
-  if (!IsSlowPace(running.pace_) && !IsSlowPace(pace_)) {
+  if (IsUsualPace(running.pace_) && IsUsualPace(pace_)) {
     NoteUsualTime(running, now - running.started_);
   }
   Commands commands = {Reply(
--- a/src/coordination/tests/guard_test.cc
+++ b/src/coordination/tests/guard_test.cc
@@ -244,6 +244,28 @@
                                          Millis(101))) != 0);
 }
 
+// Guards against a service that serves nothing after a loss of power: all of
+// its targets have just started, and take twice their usual time.
+TEST_CASE("a target that has just started takes work", "[path]") {
+  constexpr int kColdPace = 200;
+  TestGuard test;
+  const uint64_t first = DeliveryOf(
+      test.guard_.OnAttempt("a", LookupAttempt("1", false), Millis(1)));
+  test.guard_.OnDeliveryEnded(DeliveryEnded{.delivery_id_ = first,
+                                            .answer_ = {.status_ = 200},
+                                            .pace_ = kColdPace},
+                              Millis(200));
+  const Attempt routed{.request_id_ = "2",
+                       .attempt_ = 1,
+                       .service_ = "s",
+                       .target_ = "t",
+                       .deadline_left_ = Millis(2000),
+                       .may_queue_ = false,
+                       .objective_left_ = Millis(500),
+                       .host_ = "h"};
+  CHECK(DeliveryOf(test.guard_.OnAttempt("a", routed, Millis(201))) != 0);
+}
+
 // Guards against a refusal of the target's own that counts as run.
 TEST_CASE("a request that the target declined is refused", "[not_run]") {
   TestGuard test;
