Ask the next control instance soon while there is no configuration

Cause: a daemon that starts asks one control instance and waits 1 s for its reply before it asks another.

Change: until a first configuration is known, a silent instance is left after 200 ms, which is longer than a round trip between regions.

Before: control_client_test "without a configuration a silent instance is left soon" fails (no other instance is asked within 500 ms). After: it passes.

--- a/src/coordination/internal/control_client.cc
+++ b/src/coordination/internal/control_client.cc
@@ -13,6 +13,10 @@
 // An instance that has not replied for this long is left. Shorter than the
 // lease, so that the daemon is known elsewhere before its lease expires.
 constexpr state::Millis kReplyTimeout(1000);
+// Until a first reply has told the configuration, the daemon refuses all calls.
+// Longer than a round trip between regions. After a loss of power the control
+// instances start one after the other.
+constexpr state::Millis kFirstReplyTimeout(200);
 // A renewal that follows a refusal waits this long, so that two daemons with
 // one name do not answer each other without pause.
 constexpr state::Millis kAfterRefusal(50);
@@ -109,7 +113,7 @@
       return step;
     }
     step.refused_fingerprints_changed_ = followed_.DropExpired(now);
-    if (waiting_since_.has_value() && now - *waiting_since_ >= kReplyTimeout) {
+    if (waiting_since_.has_value() && now - *waiting_since_ >= ReplyTimeout()) {
       choice_.MoveOn(now);
       OnMoved(now);
     }
@@ -139,6 +143,11 @@
     state::Millis at_;
   };
 
+  state::Millis ReplyTimeout() const {
+    return followed_.configuration().index_ == 0 ? kFirstReplyTimeout
+                                                 : kReplyTimeout;
+  }
+
   void TakeReply(const LeaseReply& reply, state::Millis now, Step* step) {
     if (!reply.granted_) {
       // The lease has expired or is held elsewhere under this version.
--- a/src/coordination/tests/control_client_test.cc
+++ b/src/coordination/tests/control_client_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <set>
 
 #include "coordination/coordination.h"
 
@@ -148,6 +149,22 @@
   CHECK(daemon.client_.Targets().size() == 1);
 }
 
+// Guards against calls that are refused for a second and more after a loss of
+// power, because the first control instance that is asked has not started yet.
+TEST_CASE("without a configuration a silent instance is left soon",
+          "[membership]") {
+  Daemon daemon;
+  std::set<std::string> addresses;
+  for (const Sent& sent : daemon.Run(500)) {
+    addresses.insert(sent.address_);
+  }
+  CHECK(addresses.size() == 2);
+  daemon.current_ = std::string(1, 'f');
+  daemon.Reply(WithConfiguration(12, true, {"c"}));
+  daemon.Run(1000);
+  CHECK(daemon.Run(500).size() <= 1);
+}
+
 // Guards against a daemon that stays with an instance that is cut off, and
 // against daemons that wander when no instance hears a leader.
 TEST_CASE("a stale control instance is left only for a fresh one",
