--- a/src/ctl/request_path.cc
+++ b/src/ctl/request_path.cc
@@ -87,6 +87,15 @@
   return last == events.rend() ? nullptr : &*last;
 }
 
+// What the ingress knew when it sent the attempt.
+std::string KnowledgeOf(const LoggedEvent& sent) {
+  if (FieldAt(sent, "load_age_ms") == nullptr) {
+    return "knew nothing of the target's load";
+  }
+  return absl::StrCat("believed ", LoadOf(sent), ", ",
+                      ValueAt(sent, "load_age_ms"), " ms old");
+}
+
 // Returns what the guard's answer to the last attempt and the ingress's
 // knowledge at its sending say.
 std::string DecidedBy(const std::vector<LoggedEvent>& events) {
@@ -107,8 +116,7 @@
                          LoadOf(*answered), ")");
   return absl::StrCat(
       "decided by: attempt ", attempt, " at ", ValueAt(*sent, "target"), ": ",
-      answer, "\n  the ingress believed ", LoadOf(*sent), ", ",
-      ValueAt(*sent, "load_age_ms"), " ms old, with ",
+      answer, "\n  the ingress ", KnowledgeOf(*sent), ", with ",
       ValueAt(*sent, "deadline_left_ms"), " ms left and configuration ",
       ValueAt(*sent, "configuration"), "\n");
 }
@@ -119,10 +127,15 @@
     return "outcome: not logged; the daemon may have ended, or the caller "
            "left\n";
   }
+  // Only answers of a target tell it.
+  const bool has_latency = FieldAt(*answered, "latency_ms") != nullptr;
+  const std::string after =
+      has_latency
+          ? absl::StrCat(" after ", ValueAt(*answered, "latency_ms"), " ms")
+          : std::string();
   return absl::StrCat("outcome: ", ValueAt(*answered, "outcome"), ", reason ",
                       ValueAt(*answered, "reason"), ", status ",
-                      ValueAt(*answered, "status"), " after ",
-                      ValueAt(*answered, "latency_ms"), " ms at ",
+                      ValueAt(*answered, "status"), after, " at ",
                       answered->instance_, " (configuration ",
                       ValueAt(*answered, "configuration"), ", knowledge ",
                       ValueAt(*answered, "knowledge_age_ms"), " ms old)\n");
