--- a/src/coordination/internal/guard_impl.h
+++ b/src/coordination/internal/guard_impl.h
@@ -202,8 +202,8 @@
   SlotLimit slot_limit_;
   WorkQueue queue_{&service_times_};
   std::map<uint64_t, Running> running_;
-  std::map<uint64_t, uint64_t>
-      register_calls_;  // Delivery by tag, or kNoDelivery.
+  // Delivery, or kNoDelivery, by tag.
+  std::map<uint64_t, uint64_t> register_calls_;
   std::map<std::string, PendingRelease> releases_;  // By nonce.
   std::vector<Held> held_;
   uint64_t next_delivery_ = 1;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -30,7 +30,7 @@
 // A stopping daemon waits so long for the register to confirm the ends of
 // actions: twice the time of an election. Without a confirmation the entry
 // stays `started`, which is never run again.
-constexpr absl::Duration kReportPatience = absl::Seconds(4);
+constexpr absl::Duration kReportTimeout = absl::Seconds(4);
 
 std::string AdvertisedAddress(const protocol::Settings& settings) {
   return settings.peer_.advertise_.empty() ? settings.peer_.listen_
@@ -323,7 +323,7 @@
       return;
     } else if (!only_reports_since.has_value()) {
       only_reports_since = absl::Now();
-    } else if (absl::Now() - *only_reports_since >= kReportPatience) {
+    } else if (absl::Now() - *only_reports_since >= kReportTimeout) {
       Log({.level_ = state::LogLevel::kWarning,
            .event_ = "stop_without_register",
            .fields_ = {{"reports", static_cast<int64_t>(
