--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -15,11 +15,11 @@
 // their rules may have changed. Lookups go on.
 constexpr state::Millis kMaxKnowledgeAge(10 * 1000);
 
-// The shortest time between two ticks, and that of probes: a target's load is
-// news for some milliseconds only.
+// The shortest time between two ticks, and that between probes: what a target
+// tells of its load holds for some milliseconds only.
 constexpr state::Millis kShortestTick(2);
-// While calls are in progress that wait for nothing sooner. Each tick of a busy
-// daemon takes some 50 us of processor time.
+// While calls are in progress that wait for nothing sooner. Ticks every 2 ms
+// took half of the processor time of a busy daemon.
 constexpr state::Millis kBusyTick(20);
 constexpr state::Millis kIdleTick(50);
 
