Name two counters and a store method after what they hold

kCrashesSeen and kAnswersCut did not say what they count, and Accepted() did not say that it returns submissions. They are now kTargetCrashes, kAnswersIncomplete and AcceptedSubmissions(). Metric names are unchanged.

--- a/src/coordination/internal/control_service_log.cc
+++ b/src/coordination/internal/control_service_log.cc
@@ -255,9 +255,10 @@
 }
 
 state::ReplicatedState ControlService::Impl::Snapshot() const {
-  return state::ReplicatedState{.register_ = register_.Snapshot(),
-                                .configurations_ = configurations_.Snapshot(),
-                                .accepted_ = configurations_.Accepted()};
+  return state::ReplicatedState{
+      .register_ = register_.Snapshot(),
+      .configurations_ = configurations_.Snapshot(),
+      .accepted_ = configurations_.AcceptedSubmissions()};
 }
 
 void ControlService::Impl::ProposeAbandon(const std::string& guard,
--- a/src/coordination/internal/guard_delivery.cc
+++ b/src/coordination/internal/guard_delivery.cc
@@ -181,7 +181,7 @@
   if (reports.empty()) {
     return;
   }
-  counters_->Add(state::Counter::kCrashesSeen);
+  counters_->Add(state::Counter::kTargetCrashes);
   for (const CrashReport& report : reports) {
     crashes_.push_back(report);
   }
--- a/src/state/api/configuration_store.h
+++ b/src/state/api/configuration_store.h
@@ -91,7 +91,7 @@
 
   std::vector<StoredConfiguration> Snapshot() const;
   // Returns the accepted submissions of the recent past, oldest first.
-  std::vector<AcceptedSubmission> Accepted() const;
+  std::vector<AcceptedSubmission> AcceptedSubmissions() const;
   void Restore(const std::vector<StoredConfiguration>& configurations,
                const std::vector<AcceptedSubmission>& accepted);
 
--- a/src/state/internal/configuration_store.cc
+++ b/src/state/internal/configuration_store.cc
@@ -180,7 +180,8 @@
   return {kept_.begin(), kept_.end()};
 }
 
-std::vector<AcceptedSubmission> ConfigurationStore::Accepted() const {
+std::vector<AcceptedSubmission> ConfigurationStore::AcceptedSubmissions()
+    const {
   return {accepted_order_.begin(), accepted_order_.end()};
 }
 
--- a/src/state/tests/configuration_store_test.cc
+++ b/src/state/tests/configuration_store_test.cc
@@ -72,7 +72,7 @@
   }
   CHECK_FALSE(store.DeltaFrom(2).has_value());
   ConfigurationStore restored;
-  restored.Restore(store.Snapshot(), store.Accepted());
+  restored.Restore(store.Snapshot(), store.AcceptedSubmissions());
   CHECK(restored.DeltaFrom(198).has_value());
   CHECK(restored.Submit(300, Make(99, "s", {"a"})).index_ == 198);
   CHECK(restored.Submit(301, Make(1, "s", {"a"})).status_ ==
@@ -114,7 +114,7 @@
                  MakeOn(version - 1, version, std::to_string(version)));
   }
   ConfigurationStore restored;
-  restored.Restore(store.Snapshot(), store.Accepted());
+  restored.Restore(store.Snapshot(), store.AcceptedSubmissions());
   CHECK(restored.Submit(300, MakeOn(0, 5, "a")).status_ ==
         SubmissionStatus::kAccepted);
 }
--- a/src/transport/internal/target_client.cc
+++ b/src/transport/internal/target_client.cc
@@ -166,7 +166,7 @@
   void Finish(TargetLink* link, const DeliveryEnded& end) {
     --active_;
     if (end.end_ == DeliveryEnd::kCut && link->has_answer_head()) {
-      counters_->Add(state::Counter::kAnswersCut);
+      counters_->Add(state::Counter::kAnswersIncomplete);
     }
     // Before the connection may be closed, so that no Cancel meets a
     // descriptor that the system has given to another socket.
--- a/src/transport/tests/target_client_test.cc
+++ b/src/transport/tests/target_client_test.cc
@@ -141,7 +141,7 @@
         DeliveryEnd::kAnswered);
   CHECK(AnswerWith(&client, "HTTP/1.1 304 Not Modified\r\nETag: 1\r\n\r\n")
             .answer_.status_ == 304);
-  CHECK(client.counters_.Get(Counter::kAnswersCut) == 0);
+  CHECK(client.counters_.Get(Counter::kAnswersIncomplete) == 0);
 }
 
 // Guards against an answer that was cut and is passed on as whole.
@@ -169,7 +169,7 @@
     INFO(answer);
     CHECK(AnswerWith(&client, answer).end_ == DeliveryEnd::kCut);
   }
-  CHECK(client.counters_.Get(Counter::kAnswersCut) == answers.size());
+  CHECK(client.counters_.Get(Counter::kAnswersIncomplete) == answers.size());
   for (const std::string answer : {"", "HTTP/1.1 200", "SSH-2.0\r\n\r\n"}) {
     INFO(answer);
     CHECK(AnswerWith(&client, answer).end_ == DeliveryEnd::kCut);
