--- a/src/state/api/action_register.h
+++ b/src/state/api/action_register.h
@@ -13,21 +13,22 @@
 
 namespace gooseberrygap::state {
 
-// What the register holds for one action key.
+// The register's entry for one action key.
 struct RegisterEntry {
   const ActionState state_ = ActionState::kAbsent;
   const uint64_t attempt_ = 0;
   const std::string digest_ = {};
-  // Of the last granted start.
+  // Guard, its incarnation and the nonce of the last granted start.
   const std::string guard_ = {};
   const uint64_t incarnation_ = 0;
   const std::string nonce_ = {};
-  // Request whose fence or release led to `open(attempt_)`; empty after begin.
+  // Id of the request whose fence or release opened `attempt_`; empty when
+  // kBegin opened it.
   const std::string opened_by_ = {};
   const HttpAnswer answer_ = {};
   // The answer was too large and was stored without headers and body.
   const bool answer_dropped_ = false;
-  // Register time of the last change; retention counts from here.
+  // Register time of the last change, in milliseconds; retention starts here.
   const uint64_t changed_at_ = 0;
 
   friend bool operator==(const RegisterEntry&, const RegisterEntry&) = default;
@@ -41,9 +42,10 @@
                          const KeyedRegisterEntry&) = default;
 };
 
-// The whole register; equal for registers that applied the same commands.
+// The complete content of a register. Registers that applied the same commands
+// have equal snapshots.
 struct RegisterSnapshot {
-  const uint64_t time_ = 0;
+  const uint64_t time_ = 0;  // Register time in milliseconds.
   const uint64_t last_wall_millis_ = 0;
   const std::vector<KeyedRegisterEntry> entries_ = {};  // Ordered by key.
 
@@ -51,10 +53,10 @@
                          const RegisterSnapshot&) = default;
 };
 
-// A guard that holds `started` keys.
+// A guard with keys in kStarted.
 struct GuardIncarnation {
   const std::string guard_ = {};
-  const uint64_t incarnation_ = 0;  // The lowest among those keys.
+  const uint64_t incarnation_ = 0;  // Lowest incarnation of those keys.
 
   friend bool operator==(const GuardIncarnation&,
                          const GuardIncarnation&) = default;
@@ -64,33 +66,34 @@
 // that apply the same commands in the same order agree. Not thread-safe.
 class ActionRegister {
  public:
-  // Takes capacity and limits into force; existing keys are kept.
+  // Sets capacity, answer size limit and retention. Existing keys are kept even
+  // if they exceed the capacity.
   void SetPolicy(const ActionPolicy& policy);
 
   // Applies one operation. `wall_millis` is the proposer's wall time from the
-  // log entry. Repeating an operation gives the same result and no further
-  // change. How to read the result of each operation:
-  // - begin is granted unless the key was used for another request
+  // log entry. Operations are idempotent: a repeat returns the same result and
+  // changes nothing. Results by operation:
+  // - kBegin is granted unless the key was used for another request
   //   (kKeyReused), is new and the register is full (kRegisterFull), or its
   //   stored answer was too large (kAnswerTooLarge). When granted, the state
-  //   says what to do: open: attempt `attempt_` may be sent; started: wait;
-  //   done: `answer_` is the answer; unknown: the end is not known.
-  // - start, fence and release that are not granted say kStaleAttempt (the key
-  //   is open for another attempt, which `attempt_` names, or absent) or
-  //   kAlreadyStarted (it was started, or has ended). A fence refused in
-  //   `done` carries the stored answer.
+  //   determines the next step: kOpen: send attempt `attempt_`; kStarted: wait;
+  //   kDone: `answer_` is the answer; kUnknown: the outcome is unknown.
+  // - kStart, kFence and kRelease are refused with kStaleAttempt (the key is
+  //   absent, or open for another attempt, given in `attempt_`) or with
+  //   kAlreadyStarted (the action was started or has ended). A fence refused in
+  //   kDone carries the stored answer.
   RegisterResult Apply(const RegisterCommand& command, uint64_t wall_millis);
 
-  // Removes the keys whose retention has passed at the leader's wall time.
+  // Advances the register time to the leader's wall time and removes the keys
+  // whose retention has passed.
   void Expire(uint64_t wall_millis);
 
-  // Returns the number of keys.
   size_t size() const { return entries_.size(); }
-  // Returns each guard with keys in `started`.
+  // Returns each guard with keys in kStarted.
   std::vector<GuardIncarnation> StartedGuards() const;
 
   RegisterSnapshot Snapshot() const;
-  // Replaces the content. The policy is kept.
+  // Replaces the content; the policy stays as set.
   void Restore(const RegisterSnapshot& snapshot);
 
  private:
@@ -124,15 +127,15 @@
   int max_answer_bytes_ = ActionPolicy().max_answer_bytes_;
   uint64_t retention_ =
       static_cast<uint64_t>(ActionPolicy().retention_.value());
-  // Milliseconds that advance with the proposers' wall times, but not with
-  // their jumps.
+  // Register time in milliseconds. Follows the proposers' wall times, but a
+  // jump of a wall clock advances it by a limited step only.
   uint64_t time_ = 0;
   uint64_t last_wall_millis_ = 0;
   std::unordered_map<std::string, RegisterEntry> entries_;
-  // Time of the last change and key, oldest first.
-  std::set<std::pair<uint64_t, std::string>> by_age_;
-  // Guard and key of the entries in `started`.
-  std::set<std::pair<std::string, std::string>> started_;
+  // Register time of the last change and key of every entry, oldest first.
+  std::set<std::pair<uint64_t, std::string>> keys_by_change_time_;
+  // Guard and key of the entries in kStarted.
+  std::set<std::pair<std::string, std::string>> started_keys_;
 };
 
 }  // namespace gooseberrygap::state
--- a/src/state/api/bytes.h
+++ b/src/state/api/bytes.h
@@ -10,15 +10,15 @@
 namespace gooseberrygap::state {
 
 // An immutable byte string that is cheap to copy: copies share the content.
-// Thread-safe, since the content never changes.
+// Thread-safe, since the content is immutable.
 class Bytes {
  public:
   Bytes() = default;
-  // Takes over `content`.
+  // Takes ownership of `content`.
   explicit Bytes(std::string content)
       : content_(std::make_shared<const std::string>(std::move(content))) {}
 
-  // Returns the content; valid as long as any copy of this value lives.
+  // Returns the content; valid while any copy of this value exists.
   absl::string_view view() const {
     return content_ == nullptr ? absl::string_view()
                                : absl::string_view(*content_);
--- a/src/state/api/clock.h
+++ b/src/state/api/clock.h
@@ -7,8 +7,8 @@
 
 namespace gooseberrygap::state {
 
-// A number of milliseconds: a point of steady time, or a duration. A double,
-// because service times and added latency are fractions of a millisecond.
+// A duration or a point on the steady clock, in milliseconds. Stored as a
+// double because service times and added latency can be below a millisecond.
 class Millis {
  public:
   constexpr Millis() = default;
@@ -34,11 +34,11 @@
   double value_ = 0;
 };
 
-// Source of steady time. Implementations are thread-safe.
+// Source of monotonic time. Implementations are thread-safe.
 class Clock {
  public:
   virtual ~Clock() = default;
-  // Returns the time since an arbitrary fixed point; never goes back.
+  // Returns the time since an arbitrary fixed point; never decreases.
   virtual Millis Now() const = 0;
 };
 
@@ -48,7 +48,8 @@
   Millis Now() const override;
 };
 
-// A clock for tests that moves only when told. Thread-safe.
+// A clock for tests that changes only through Advance(). Reading it is
+// thread-safe; only one thread may advance it at a time.
 class ManualClock : public Clock {
  public:
   Millis Now() const override;
@@ -59,8 +60,8 @@
   std::atomic<double> now_ = 0;
 };
 
-// Returns milliseconds since the Unix epoch. Only for incarnations, since wall
-// time may jump. Thread-safe.
+// Returns milliseconds since the Unix epoch. Wall time may jump, so do not
+// measure durations with it. Thread-safe.
 uint64_t WallMillis();
 
 }  // namespace gooseberrygap::state
--- a/src/state/api/configuration.h
+++ b/src/state/api/configuration.h
@@ -13,11 +13,11 @@
 
 enum class RequestClass { kLookup, kAction };
 
-// Where the idempotency key of an action comes from. Without a key an action is
-// delivered at most once for each call, and the register does not know it.
+// Source of an action's idempotency key. Without a key an action is delivered
+// at most once for each call and is not recorded in the register.
 enum class KeySource { kHeader, kPath, kNone };
 
-// Classifies the requests of a service whose method and path match.
+// Classifies the requests of a service that match a method and path prefix.
 struct Rule {
   const std::string method_ = {};  // Empty matches every method.
   const std::string path_prefix_ = {};
@@ -31,7 +31,7 @@
   const int max_attempts_ = 4;
   // Retries allowed for each successful call.
   const double budget_ratio_ = 0.1;
-  // Further retries a second, which all daemons share.
+  // Additional retries per second, divided among all daemons.
   const double budget_per_second_ = 0;
 
   friend bool operator==(const RetryPolicy&, const RetryPolicy&) = default;
@@ -39,7 +39,8 @@
 
 struct HedgePolicy {
   const bool enabled_ = true;
-  // A second copy is sent after this quantile of recent latencies.
+  // A second copy is sent once the call has taken longer than this quantile of
+  // recent latencies.
   const double quantile_ = 0.95;
   // Hedges allowed for each successful call.
   const double budget_ratio_ = 0.05;
@@ -47,10 +48,10 @@
   friend bool operator==(const HedgePolicy&, const HedgePolicy&) = default;
 };
 
-// Which announced targets become members of a service.
+// Limits on the announced targets that become members of a service.
 struct AdmissionPolicy {
   const int max_targets_ = 256;
-  const int max_slots_ = 1024;
+  const int max_slots_ = 1024;  // A target with more slots is not admitted.
   // Empty admits every failure domain.
   const std::vector<std::string> failure_domains_ = {};
 
@@ -58,10 +59,11 @@
                          const AdmissionPolicy&) = default;
 };
 
-// What a service's operators say of its targets, beside how to balance them.
+// Properties of a service's targets, apart from the balancing settings.
 struct ServiceProperties {
   const std::string health_path_ = {};
-  const int max_connections_ = 0;  // Of all callers to one target; 0 for none.
+  // Limit on the connections of all callers to one target; 0 if none is set.
+  const int max_connections_ = 0;
   const std::string protocol_ = {};
   const bool tls_ = false;
 
@@ -73,10 +75,11 @@
   const std::string name_ = {};
   const std::string strategy_ = "probed_latency";
   const Millis default_deadline_ = Millis(2000);
-  // Time over which a cold target's share of its slots grows to the whole.
+  // Time over which the usable share of a newly serving target's slots grows to
+  // 100%.
   const Millis ramp_up_ = Millis(2000);
   const int max_queue_ = 64;
-  // The first rule that matches decides.
+  // The first matching rule applies.
   const std::vector<Rule> rules_ = {};
   const RetryPolicy retry_ = {};
   const HedgePolicy hedge_ = {};
@@ -86,7 +89,8 @@
   friend bool operator==(const Service&, const Service&) = default;
 };
 
-// A service that takes the part `weight_` of a route's calls.
+// A service that receives a share of a route's calls in proportion to
+// `weight_`.
 struct Destination {
   const std::string service_ = {};
   const double weight_ = 1;
@@ -94,28 +98,30 @@
   friend bool operator==(const Destination&, const Destination&) = default;
 };
 
-// Sends the calls of a host whose path begins with a prefix to services. The
-// longest prefix decides.
+// Routes calls with a given host and path prefix to services. The route with
+// the longest matching prefix applies.
 struct Route {
   const std::string name_ = {};
   const std::string host_ = {};
   const std::string path_prefix_ = {};
   const RequestClass request_class_ = RequestClass::kAction;
-  // Longest time that a call may be kept waiting.
+  // Longest time from a call's receipt to its answer.
   const Millis timeout_ = Millis(2000);
-  // An answer within this time is as good as an immediate one.
+  // An answer within this time counts as good as an immediate one.
   const Millis latency_objective_ = Millis(1000);
   const int priority_ = 0;  // 0 is the highest.
-  // Targets to which one call may be sent.
+  // Number of targets to which one call may be sent.
   const int max_attempts_ = 1;
   const std::vector<Destination> destinations_ = {};
-  // The operator wrote the destinations as a split, even if there is one.
+  // Whether the operator wrote the destinations as a traffic split, possibly
+  // with a single destination.
   const bool is_split_ = false;
 
   friend bool operator==(const Route&, const Route&) = default;
 };
 
-// What a caller may send, and how long it may take or stay idle.
+// Limits on the size of a caller's requests, on the time until the header is
+// complete and on idle time.
 struct CallerLimits {
   const int max_header_bytes_ = 16384;
   const int max_body_bytes_ = 1048576;
@@ -125,7 +131,7 @@
   friend bool operator==(const CallerLimits&, const CallerLimits&) = default;
 };
 
-// The agreed cost of measuring load, at each sending daemon.
+// Limits on the traffic that each daemon may send to measure load.
 struct LoadBudget {
   const double bytes_per_second_ = 4096;
   const double messages_per_second_ = 50;
@@ -142,7 +148,8 @@
   friend bool operator==(const ActionPolicy&, const ActionPolicy&) = default;
 };
 
-// When a request that crashes its targets is refused everywhere.
+// When and for how long a request that crashes targets is refused by all
+// daemons: after `crashes_` crashes within `window_`, for `hold_`.
 struct PoisonPolicy {
   const int crashes_ = 2;
   const Millis window_ = Millis(60 * 1000);
@@ -151,14 +158,15 @@
   friend bool operator==(const PoisonPolicy&, const PoisonPolicy&) = default;
 };
 
-// The operators' document.
+// The configuration document submitted by operators.
 struct Configuration {
   const uint64_t version_ = 0;
   const std::vector<Service> services_ = {};
   const std::vector<Route> routes_ = {};
   const CallerLimits caller_limits_ = {};
   const LoadBudget load_budget_ = {};
-  // Bytes of calls that one daemon may send across the paid link.
+  // Bytes of calls per second that one daemon may send over the paid
+  // cross-region link.
   const double cross_region_bytes_per_second_ = 262144;
   const ActionPolicy actions_ = {};
   const PoisonPolicy poison_ = {};
@@ -167,7 +175,7 @@
 };
 
 // A committed configuration. `index_` is its position in the control group's
-// log and orders configurations; 0 means that none is known.
+// log and orders configurations; 0 means that there is none yet.
 struct IndexedConfiguration {
   const uint64_t index_ = 0;
   const std::shared_ptr<const Configuration> configuration_ = {};
@@ -177,8 +185,8 @@
 const Service* FindService(const Configuration& configuration,
                            absl::string_view name);
 
-// Returns the route of a call, or null: the longest prefix of the path among
-// the routes of the host. Thread-safe.
+// Returns the route of `host` with the longest prefix of `path`, or null.
+// Thread-safe.
 const Route* FindRoute(const Configuration& configuration,
                        absl::string_view host,
                        absl::string_view path);
--- a/src/state/api/configuration_change.h
+++ b/src/state/api/configuration_change.h
@@ -11,10 +11,10 @@
 
 namespace gooseberrygap::state {
 
-// Named items to add, to replace and to remove, which make a newer
-// configuration from an older one.
+// Named items to add, replace and remove, which turn a base configuration into
+// a newer one.
 struct ConfigurationChange {
-  const uint64_t version_ = 0;  // Of the newer configuration.
+  const uint64_t version_ = 0;  // Version of the newer configuration.
   const std::vector<Route> routes_ = {};
   const std::vector<Service> services_ = {};
   const std::optional<CallerLimits> caller_limits_ = {};
@@ -25,15 +25,15 @@
                          const ConfigurationChange&) = default;
 };
 
-// Returns the newer configuration. Replaced items keep their place, new ones
-// come last. Thread-safe.
+// Returns the newer configuration. Replaced items keep their position; new
+// items are appended. Thread-safe.
 Configuration ApplyChange(const Configuration& base,
                           const ConfigurationChange& change);
 
-// Returns kInvalidConfiguration with a message that names the first fault of
-// the routes: an unknown service, two routes at one place, a weight that is
-// negative or not a number, no attempts, a prefix without a slash at an end.
-// Thread-safe.
+// Returns kInvalidConfiguration with a message that describes the first error
+// in the routes: no or an unknown service, a weight that is negative or not
+// finite, a limit below one attempt, a prefix that does not begin and end with
+// '/', a duplicate host and prefix, a duplicate name. Thread-safe.
 Result<void> CheckRoutes(const Configuration& configuration);
 
 }  // namespace gooseberrygap::state
--- a/src/state/api/configuration_store.h
+++ b/src/state/api/configuration_store.h
@@ -14,11 +14,11 @@
 
 namespace gooseberrygap::state {
 
-// An operator's document with the id of its submission. Compares by content.
+// A configuration document with its submission id. Compares by content.
 struct SubmittedConfiguration {
   const std::string submission_ = {};
-  // The version that the document was made from. Without it the document
-  // follows the version that is one less than its own.
+  // Version that the document is based on; when absent, the document's own
+  // version minus one.
   const std::optional<uint64_t> base_version_ = {};
   const std::shared_ptr<const Configuration> configuration_ = {};
 
@@ -26,7 +26,7 @@
                          const SubmittedConfiguration& right);
 };
 
-// A submission that was accepted, so that a resend is recognized.
+// The id and log index of an accepted submission, to recognize resends.
 struct AcceptedSubmission {
   const std::string submission_ = {};
   const uint64_t index_ = 0;
@@ -35,7 +35,7 @@
                          const AcceptedSubmission&) = default;
 };
 
-// An accepted document with its index in the log.
+// An accepted document with its log index.
 struct StoredConfiguration {
   const uint64_t index_ = 0;
   const SubmittedConfiguration submitted_ = {};
@@ -46,64 +46,66 @@
 
 enum class SubmissionStatus {
   kAccepted,
-  kConflict,      // The version has other content.
-  kWrongVersion,  // The document does not follow the current version.
+  kConflict,      // The version exists with different content.
+  kWrongVersion,  // The document is not based on the current version.
 };
 
 struct SubmissionResult {
   const SubmissionStatus status_ = SubmissionStatus::kAccepted;
-  const uint64_t index_ = 0;  // Of the document that has the version.
+  const uint64_t index_ = 0;  // Log index of the document with that version.
   const uint64_t current_version_ = 0;
-  const std::string winner_submission_ = {};  // Of kConflict.
+  const std::string winner_submission_ = {};  // Set for kConflict.
 
   friend bool operator==(const SubmissionResult&,
                          const SubmissionResult&) = default;
 };
 
-// What changed between two configurations. `changes_` is the newer document
-// with only the services that are new or different.
+// The difference between two configurations. `changes_` is the newer document
+// with only its new and changed services.
 struct ConfigurationDelta {
   const uint64_t base_index_ = 0;
   const std::vector<std::string> removed_services_ = {};
   const std::shared_ptr<const Configuration> changes_ = {};
 };
 
-// Returns the newer document. `changes` and `removed_services` are of a delta
-// whose base is `base`. Thread-safe.
+// Returns the newer document. Precondition: `changes` and `removed_services`
+// come from a delta computed against `base`. Thread-safe.
 Configuration ApplyDelta(const Configuration& base,
                          const Configuration& changes,
                          const std::vector<std::string>& removed_services);
 
-// The accepted configurations: a deterministic state machine. Not thread-safe.
+// The accepted configurations: a deterministic state machine, so that replicas
+// that apply the same submissions agree. Not thread-safe.
 class ConfigurationStore {
  public:
-  // Decides on a document whose log entry has the given index. A repeated
-  // submission gives the result of the first.
+  // Accepts or rejects the document of the log entry `index`. A resend
+  // of an accepted submission is accepted with the index of the first.
   // Precondition: the document is not null.
   SubmissionResult Submit(uint64_t index,
                           const SubmittedConfiguration& submitted);
 
   // Returns the newest configuration; index 0 when there is none.
   IndexedConfiguration current() const;
-  // Returns the changes since the configuration with that index, or nothing if
-  // it is no longer kept or the whole document is needed.
+  // Returns the changes since the configuration with that index, or nullopt if
+  // that one is no longer stored or a delta cannot express the changes.
   std::optional<ConfigurationDelta> DeltaFrom(uint64_t base_index) const;
 
   std::vector<StoredConfiguration> Snapshot() const;
-  // Returns the accepted submissions of the recent past, oldest first.
+  // Returns the most recently accepted submissions, oldest first.
   std::vector<AcceptedSubmission> AcceptedSubmissions() const;
   void Restore(const std::vector<StoredConfiguration>& configurations,
                const std::vector<AcceptedSubmission>& accepted);
 
  private:
   uint64_t CurrentVersion() const;
-  void Remember(const AcceptedSubmission& accepted);
-
-  std::deque<StoredConfiguration> kept_;                // Oldest first.
-  std::deque<AcceptedSubmission> accepted_order_;       // Oldest first.
-  std::unordered_map<std::string, uint64_t> accepted_;  // Index by submission.
-  // Deltas to the newest one by base index; many daemons ask for the same.
-  mutable std::map<uint64_t, std::optional<ConfigurationDelta>> deltas_;
+  void RecordSubmission(const AcceptedSubmission& accepted);
+
+  std::deque<StoredConfiguration> recent_configurations_;  // Oldest first.
+  std::deque<AcceptedSubmission> recent_submissions_;      // Oldest first.
+  std::unordered_map<std::string, uint64_t> index_by_submission_;  // Log index.
+  // Cached deltas to the newest configuration by base index, since many daemons
+  // request the same one.
+  mutable std::map<uint64_t, std::optional<ConfigurationDelta>> delta_cache_;
 };
 
 }  // namespace gooseberrygap::state
--- a/src/state/api/counters.h
+++ b/src/state/api/counters.h
@@ -68,9 +68,9 @@
   kCount,
 };
 
-// One line of the counters page.
+// The value of one counter.
 struct CounterSample {
-  const std::string name_ = {};    // Family name.
+  const std::string name_ = {};    // Name of the metric family.
   const std::string labels_ = {};  // `reason="..."` or empty.
   const std::string help_ = {};
   const uint64_t value_ = 0;
@@ -78,7 +78,8 @@
   friend bool operator==(const CounterSample&, const CounterSample&) = default;
 };
 
-// All counters and histograms of a process. Thread-safe; never decreases.
+// All counters and histograms of a process. Counters never decrease.
+// Thread-safe.
 class Counters {
  public:
   void Add(Counter counter, uint64_t amount = 1);
@@ -87,7 +88,7 @@
   uint64_t Get(Counter counter) const;
   uint64_t Get(RefusalReason reason) const;
   uint64_t Get(RetryReason reason) const;
-  // Returns every counter, also those that are zero, ordered by family.
+  // Returns all counters, including those at zero, grouped by family.
   std::vector<CounterSample> Samples() const;
 
   Histograms& histograms() { return histograms_; }
--- a/src/state/api/error.h
+++ b/src/state/api/error.h
@@ -35,8 +35,8 @@
   kCount,
 };
 
-// A failure of a known kind. Make it with MakeError, so that the message ends
-// with the remedy of its kind.
+// An error with its kind. Create it with MakeError, so that the message ends
+// with the remedy for the kind.
 struct Error {
   const ErrorKind kind_ = ErrorKind::kNone;
   const std::string message_ = {};
@@ -44,7 +44,8 @@
   friend bool operator==(const Error&, const Error&) = default;
 };
 
-// A value or an Error. Reading the wrong one of the two ends the process.
+// A value or an Error. Accessing the alternative that is not present terminates
+// the process.
 template <class T>
 using Result = BOOST_OUTCOME_V2_NAMESPACE::
     basic_result<T, Error, BOOST_OUTCOME_V2_NAMESPACE::policy::terminate>;
--- a/src/state/api/histograms.h
+++ b/src/state/api/histograms.h
@@ -11,13 +11,13 @@
 namespace gooseberrygap::state {
 
 enum class Histogram {
-  kCallLatency,   // From a call's arrival to its answer, at the ingress.
-  kAddedLatency,  // The part of it that was not spent at the guard.
-  kQueueTime,     // From an attempt's arrival to its start, at the guard.
+  kCallLatency,   // From receipt of a call to its answer, at the ingress.
+  kAddedLatency,  // The part of kCallLatency not spent at the guard.
+  kQueueTime,     // From receipt of an attempt to its start, at the guard.
   kCount,
 };
 
-// The values of one histogram up to and with `upper_bound_`.
+// The number of recorded values up to `upper_bound_`, inclusive.
 struct HistogramBucket {
   const Millis upper_bound_ = {};
   const uint64_t cumulative_count_ = 0;
@@ -37,7 +37,7 @@
                          const HistogramSample&) = default;
 };
 
-// All histograms of a process, from 0.05 ms to 60 s. Thread-safe.
+// All histograms of a process, with buckets from 0.05 ms to 60 s. Thread-safe.
 class Histograms {
  public:
   Histograms();
@@ -47,7 +47,7 @@
   Histograms& operator=(const Histograms&) = delete;
 
   void Record(Histogram histogram, Millis value);
-  // Returns every histogram, also those without values.
+  // Returns all histograms, including empty ones.
   std::vector<HistogramSample> Samples() const;
 
  private:
--- a/src/state/api/http.h
+++ b/src/state/api/http.h
@@ -19,7 +19,8 @@
 
 struct HttpRequest {
   const std::string method_ = {};
-  const std::string path_ = {};  // With the query, without the service.
+  // Path with the query, without the service name.
+  const std::string path_ = {};
   const std::vector<HttpHeader> headers_ = {};
   const Bytes body_ = {};
 
@@ -34,8 +35,8 @@
   friend bool operator==(const HttpAnswer&, const HttpAnswer&) = default;
 };
 
-// Returns the value of the first header of that name, which is compared without
-// regard to case. Thread-safe.
+// Returns the value of the first header with that name, compared without regard
+// to case, or nullopt. Thread-safe.
 std::optional<std::string> FindHeader(const std::vector<HttpHeader>& headers,
                                       absl::string_view name);
 
--- a/src/state/api/log.h
+++ b/src/state/api/log.h
@@ -9,8 +9,8 @@
 
 namespace gooseberrygap::state {
 
-// A member of a control group. The identity is stored in the data folder, so a
-// folder that was lost comes back as another member.
+// A member of a control group. The identity is stored in the data folder, so an
+// instance that lost its folder rejoins as a different member.
 struct ControlMember {
   const std::string identity_ = {};
   const std::string instance_ = {};
@@ -27,21 +27,21 @@
   const uint64_t index_ = 0;
   const uint64_t term_ = 0;
   const LogEntryKind kind_ = LogEntryKind::kNoop;
-  const Bytes payload_ = {};                       // Of kCommand.
-  const std::vector<ControlMember> members_ = {};  // Of kMembers.
+  const Bytes payload_ = {};                       // Set for kCommand.
+  const std::vector<ControlMember> members_ = {};  // Set for kMembers.
 
   friend bool operator==(const LogEntry&, const LogEntry&) = default;
 };
 
-// The term and the vote of a voter; durable before it answers.
+// A voter's current term and vote. It must be durable before the voter replies.
 struct VoteRecord {
   const uint64_t term_ = 0;
-  const std::string voted_for_ = {};  // Identity, or empty.
+  const std::string voted_for_ = {};  // Identity of the candidate, or empty.
 
   friend bool operator==(const VoteRecord&, const VoteRecord&) = default;
 };
 
-// The state machine's content after the entry at `index_`.
+// The state machine's content after applying the entry at `index_`.
 struct LogSnapshot {
   const uint64_t index_ = 0;
   const uint64_t term_ = 0;
--- a/src/state/api/log_command.h
+++ b/src/state/api/log_command.h
@@ -21,20 +21,21 @@
 using LogChange =
     std::variant<SubmittedConfiguration, RegisterCommand, ExpireKeys>;
 
-// What the payload of a log entry says.
+// The decoded payload of a kCommand log entry.
 struct LogCommand {
-  // Incarnation of the control instance that proposed it, and its tag there:
-  // the proposer recognizes its own command when it is applied.
+  // Incarnation of the proposing control instance and a tag chosen by it, by
+  // which it recognizes its own command when the command is applied.
   const uint64_t proposer_ = 0;
   const uint64_t tag_ = 0;
-  // Wall time of the proposer, so that all replicas use the same time.
+  // Wall time of the proposer in milliseconds, so that all replicas use the
+  // same time.
   const uint64_t wall_millis_ = 0;
   const LogChange change_ = {};
 
   friend bool operator==(const LogCommand&, const LogCommand&) = default;
 };
 
-// Everything that the log's commands have built up; the content of a snapshot.
+// The state that results from the log's commands; the content of a snapshot.
 struct ReplicatedState {
   const RegisterSnapshot register_ = {};
   const std::vector<StoredConfiguration> configurations_ = {};
--- a/src/state/api/log_event.h
+++ b/src/state/api/log_event.h
@@ -10,7 +10,7 @@
 
 enum class LogLevel { kInfo, kWarning, kError };
 
-// An input or a result of a decision.
+// A named input or result of a decision.
 struct LogField {
   const std::string name_ = {};
   const std::variant<std::string, int64_t, double, bool> value_ = {};
@@ -22,7 +22,8 @@
 struct LogEvent {
   const LogLevel level_ = LogLevel::kInfo;
   const std::string event_ = {};
-  // The request that a decision touches; empty for the process's own state.
+  // Id of the request that the event concerns; empty for events of the process
+  // itself.
   const std::string request_ = {};
   const std::vector<LogField> fields_ = {};
 
--- a/src/state/api/log_store.h
+++ b/src/state/api/log_store.h
@@ -13,7 +13,7 @@
 
 namespace gooseberrygap::state {
 
-// What a data folder holds. Entries follow the snapshot without a gap.
+// The content of a data folder. Entries follow the snapshot without a gap.
 struct LoadedLog {
   const std::string identity_ = {};
   const VoteRecord vote_ = {};
@@ -24,22 +24,22 @@
 };
 
 struct LogStoreOptions {
-  // A new file is begun when the last one is longer. Whole files are removed
-  // once a snapshot covers them.
+  // Size in bytes above which a new segment file is started. A segment is
+  // removed once a snapshot covers all its entries.
   const uint64_t segment_bytes_ = uint64_t{4} * 1024 * 1024;
 
   friend bool operator==(const LogStoreOptions&,
                          const LogStoreOptions&) = default;
 };
 
-// The log, the vote and the snapshot of a control group's member in one data
-// folder. The first error of a write ends all writing: every further write
-// returns the same error, since after a failed sync it is not known what the
-// disk holds. Not thread-safe.
+// The log, vote and snapshot of a control group's member in one data folder.
+// After the first failed write, every further write returns the same error,
+// since the content of the disk is unknown after a failed sync. Not
+// thread-safe.
 class LogStore {
  public:
   // Locks the folder and reads it; creates the folder and a random identity on
-  // first use. Cuts an incomplete record at the end of the log. Errors:
+  // first use. Truncates an incomplete record at the end of the log. Errors:
   // kFolderInUse, kCorruptLog, kDiskFailed, kDiskFull.
   static Result<std::unique_ptr<LogStore>> Open(const std::string& folder,
                                                 LogStoreOptions options = {});
@@ -49,19 +49,19 @@
 
   // Identity of the folder: 32 hexadecimal digits.
   const std::string& identity() const;
-  // Returns what the folder held when it was opened. Call it once; it gives the
-  // content away.
+  // Returns the content of the folder when it was opened. Call it only once:
+  // the content is moved out.
   LoadedLog Load();
 
-  // Writes entries behind the last one; durable after Sync. Precondition: the
+  // Appends entries; durable after Sync. Precondition: the
   // indexes follow the last entry, or the snapshot, without a gap.
   Result<void> Append(absl::Span<const LogEntry> entries);
-  // Removes the entries from `index` on; durable on return. Precondition: no
-  // snapshot covers `index`.
+  // Removes the entries with `index` and above; durable on return.
+  // Precondition: no snapshot covers `index`.
   Result<void> TruncateFrom(uint64_t index);
   // Durable on return.
   Result<void> SaveVote(const VoteRecord& vote);
-  // Durable on return. Entries that the snapshot covers are no longer loaded.
+  // Durable on return. Entries covered by the snapshot are no longer loaded.
   Result<void> SaveSnapshot(const LogSnapshot& snapshot);
   // Makes the appended entries durable.
   Result<void> Sync();
--- a/src/state/api/membership_table.h
+++ b/src/state/api/membership_table.h
@@ -12,16 +12,18 @@
 
 namespace gooseberrygap::state {
 
-// A daemon's record as one control instance knows it.
+// A control instance's copy of a daemon's record.
 struct MembershipRecord {
   const TargetRecord record_ = {};
-  // Control instance that holds the lease, and its incarnation.
+  // Control instance that holds the daemon's lease, and the incarnation of that
+  // control instance.
   const std::string holder_ = {};
   const uint64_t holder_epoch_ = 0;
-  // The holder is not heard from, so the target counts as left until it is.
-  // Only a local judgement: it is not passed on to other control instances.
+  // The lease holder is unresponsive, so the target counts as left until
+  // contact resumes. Local only: not replicated to other control instances.
   const bool suspended_ = false;
-  // The service before the last change of service, for its subscribers.
+  // Service before the last change of service, whose subscribers need the
+  // change too.
   const std::string former_service_ = {};
   const uint64_t change_version_ = 0;
   const Millis changed_at_ = {};
@@ -31,45 +33,47 @@
 };
 
 enum class MergeResult {
-  kNewer,  // Taken; the table has changed.
-  kSame,   // Known already.
-  kOlder,  // A newer record is known; nothing has changed.
+  kNewer,  // The record was stored; the table has changed.
+  kSame,   // The record was already stored.
+  kOlder,  // A newer record is stored; nothing has changed.
 };
 
-// The records of all daemons, one for each instance, with a version that every
-// change raises. Not thread-safe.
+// The records of all daemons, one per instance, with a version that every
+// change increments. Not thread-safe.
 class MembershipTable {
  public:
-  // Takes the record when it is newer: a higher LeaseVersion, or the same one
-  // and the record has left while the known one has not, which is how an
-  // expiry is told.
+  // Stores the record if it is newer: it has a higher LeaseVersion, or the same
+  // one and is kLeft while the stored one is not, which is how an expiry is
+  // replicated.
   MergeResult Merge(const TargetRecord& record,
                     absl::string_view holder,
                     uint64_t holder_epoch,
                     Millis now);
-  // Marks the record as left, with the version of the lease that expired, so
-  // that any newer renewal wins. Returns whether the table has changed.
+  // Marks the record as left and keeps the version of the expired lease, so
+  // that any newer renewal takes precedence. Returns whether the table has
+  // changed.
   bool Expire(absl::string_view instance, Millis now);
   // Returns whether the table has changed.
   bool SetSuspended(absl::string_view instance, bool suspended, Millis now);
-  // Removes records that left or were suspended several minutes ago.
+  // Removes records that have been left or suspended for several minutes.
   void Purge(Millis now);
 
   // Returns the record, or null. Valid until the next change.
   const MembershipRecord* Find(absl::string_view instance) const;
   uint64_t version() const { return version_; }
-  // Whether ChangesSince(version) tells everything: no record that changed
-  // after that version has been purged.
+  // Returns whether ChangesSince(version) is complete: `version` is not above
+  // the current one and no record that changed after it has been purged.
   bool HasChangesSince(uint64_t version) const;
-  // Returns the records that changed after that version, in that order.
+  // Returns the records that changed after `version`, in order of their
+  // changes.
   std::vector<MembershipRecord> ChangesSince(uint64_t version) const;
 
  private:
-  // Notes that a holder which has restarted still holds the lease. Subscribers
-  // would see no difference, so the version stays.
-  void Confirm(const MembershipRecord& known,
-               absl::string_view holder,
-               uint64_t holder_epoch);
+  // Records that a restarted holder still holds the lease. This is not
+  // visible to subscribers, so the version does not change.
+  void UpdateHolderEpoch(const MembershipRecord& known,
+                         absl::string_view holder,
+                         uint64_t holder_epoch);
   void Put(const MembershipRecord& record);
 
   uint64_t version_ = 0;
@@ -78,7 +82,7 @@
   std::map<uint64_t, std::string> by_version_;
 };
 
-// Returns the record as routing sees it: left while it is suspended.
+// Returns the record for use in routing: kLeft while it is suspended.
 // Thread-safe.
 TargetRecord EffectiveRecord(const MembershipRecord& record);
 
--- a/src/state/api/reasons.h
+++ b/src/state/api/reasons.h
@@ -12,8 +12,8 @@
   kNoService,
   kNoRule,
   kNoTarget,
-  kNotServing,          // The target is starting.
-  kDraining,            // The target or its daemon is leaving.
+  kNotServing,          // The target is still starting.
+  kDraining,            // The target or its daemon drains before it leaves.
   kOverloaded,          // The queue cannot meet the deadline.
   kDeadline,            // The deadline passed before delivery.
   kTooDeep,             // The call chain exceeds the allowed depth.
@@ -24,26 +24,26 @@
   kAlreadyStarted,
   kRegisterFull,
   kNoQuorum,
-  kControlTooOld,  // No control instance was heard from for too long.
+  kControlTooOld,  // The state from the control group is too stale.
   kPoisoned,       // The request has crashed its targets.
-  kSuspect,        // The request is suspected and another suspect runs.
-  kConnectFailed,  // The target could not be connected to.
-  kTargetShed,     // The target itself refused before running the request.
+  kSuspect,        // Suspected of crashing targets; another suspect runs.
+  kConnectFailed,  // The connection to the target failed.
+  kTargetShed,     // The target refused without running the request.
   kInternalQueueFull,
   kAnswerTooLarge,
   kLinkLost,
   kCancelled,
   kTargetCrashed,
   kTargetTimeout,
-  kNoConfiguration,  // The daemon knows no configuration yet.
+  kNoConfiguration,  // The daemon has received no configuration yet.
   kNoRoute,          // No route of the host matches the path.
-  kMisdirected,      // Another target has the address.
+  kMisdirected,      // The address belongs to another target.
   kTargetReplaced,   // The target has restarted since the attempt was queued.
-  kSlow,  // The target's machine is slow at the moment; another may be faster.
+  kSlow,  // The target's machine is currently slow; another may be faster.
   kCount,
 };
 
-// Why an attempt was repeated or a second copy was sent.
+// Why an attempt was retried or a second copy was sent.
 enum class RetryReason {
   kRefused,
   kConnectionLost,
@@ -53,8 +53,8 @@
   kStaleConfiguration,
   kRegisterUnanswered,
   kRegisterMoved,
-  kSlowTarget,       // The target has turned slow since it began.
-  kBudgetExhausted,  // A retry was wanted and the budget did not allow it.
+  kSlowTarget,       // The target became slow after the attempt was sent.
+  kBudgetExhausted,  // The retry budget did not allow a retry.
   kCount,
 };
 
--- a/src/state/api/replace.h
+++ b/src/state/api/replace.h
@@ -5,8 +5,9 @@
 
 namespace gooseberrygap::state {
 
-// Puts `value` under `key` in place of any earlier value. Value types have
-// const members, so a map cannot assign over them. Not thread-safe.
+// Stores `value` under `key`, replacing any earlier value. Erases and inserts,
+// because value types have const members and cannot be assigned. Not
+// thread-safe.
 template <class Map, class Key, class Value>
 void Replace(Map* map, const Key& key, Value&& value) {
   map->erase(key);
--- a/src/state/api/target.h
+++ b/src/state/api/target.h
@@ -11,9 +11,9 @@
 
 enum class TargetState { kStarting, kServing, kDraining, kLeft };
 
-// Orders the records that one daemon has announced. A daemon's restart raises
-// the incarnation; each change, and each move to another control instance,
-// raises the sequence.
+// Orders the records announced by one daemon. A restart of the daemon increases
+// the incarnation; each change, and each move of the lease to another control
+// instance, increases the sequence.
 struct LeaseVersion {
   const uint64_t incarnation_ = 0;
   const uint64_t sequence_ = 0;
@@ -22,7 +22,7 @@
   friend auto operator<=>(const LeaseVersion&, const LeaseVersion&) = default;
 };
 
-// A target as its daemon announces it to the control group.
+// A target's record, announced by its daemon to the control group.
 struct TargetRecord {
   const std::string target_ = {};   // Unique name of the target.
   const std::string service_ = {};  // Empty for a daemon without a target.
@@ -37,19 +37,19 @@
   friend bool operator==(const TargetRecord&, const TargetRecord&) = default;
 };
 
-// What a guard reports of its load in each answer, refusal and probe reply.
+// The load that a guard reports in each answer, refusal and probe reply.
 struct GuardLoad {
   const int in_flight_ = 0;
   const int queued_ = 0;
   const int slots_ = 0;
-  // Estimated time to serve one more request at this load.
+  // Estimated latency of one more request at this load.
   const Millis latency_ = {};
   const TargetState state_ = TargetState::kStarting;
-  // How long work takes on the target's machine at this moment, in percent of
-  // the usual time; 0 when the target does not tell.
+  // Current time that work takes on the target's machine, in percent of the
+  // usual time; 0 when the target does not report it.
   const int pace_ = 0;
-  // Mean time that the target takes for a request at its usual pace; 0 when it
-  // is not known.
+  // Mean service time of a request while the machine has its usual speed; 0
+  // when unknown.
   const Millis service_time_ = {};
 
   friend bool operator==(const GuardLoad&, const GuardLoad&) = default;
--- a/src/state/api/token_bucket.h
+++ b/src/state/api/token_bucket.h
@@ -7,8 +7,8 @@
 
 namespace gooseberrygap::state {
 
-// Allows `per_second` tokens a second on average, and what comes in
-// `burst_seconds` at once; never goes below zero. Not thread-safe.
+// A token bucket that gains `per_second` tokens per second, up to the tokens of
+// `burst_seconds`; never goes below zero. Not thread-safe.
 class TokenBucket {
  public:
   explicit TokenBucket(double per_second = 0, double burst_seconds = 1)
@@ -18,19 +18,20 @@
 
   void SetRate(double per_second) {
     per_second_ = per_second;
-    tokens_ = std::min(tokens_, most());
+    tokens_ = std::min(tokens_, capacity());
   }
 
-  // Returns whether `amount` tokens are there.
+  // Refills the bucket up to `now` and returns whether it holds at least
+  // `amount` tokens.
   bool Has(double amount, Millis now) {
     constexpr double kMillisPerSecond = 1000;
     const double elapsed = (now - refilled_at_).value() / kMillisPerSecond;
     refilled_at_ = now;
-    tokens_ = std::min(most(), tokens_ + elapsed * per_second_);
+    tokens_ = std::min(capacity(), tokens_ + elapsed * per_second_);
     return tokens_ >= amount;
   }
 
-  // Takes `amount` tokens if they are there.
+  // Removes `amount` tokens if available and returns whether it did.
   bool Take(double amount, Millis now) {
     if (!Has(amount, now)) {
       return false;
@@ -40,7 +41,7 @@
   }
 
  private:
-  double most() const { return per_second_ * burst_seconds_; }
+  double capacity() const { return per_second_ * burst_seconds_; }
 
   const double burst_seconds_;
   double per_second_ = 0;
--- a/src/state/internal/action_register.cc
+++ b/src/state/internal/action_register.cc
@@ -7,9 +7,10 @@
 
 namespace {
 
-// The register's time advances by at most this much between two commands. The
-// leader proposes an expiry every minute, so a longer step means that the wall
-// clock has jumped or that the group was down; keys then live longer.
+// Limit in milliseconds on the advance of the register time between two
+// commands. The leader proposes an expiry every minute, so a longer step means
+// that the wall clock jumped or that the group was down; keys then expire
+// later.
 constexpr uint64_t kMaxTimeStepMillis = 120000;
 
 RegisterResult Granted(const RegisterEntry& entry) {
@@ -25,7 +26,8 @@
       .refusal_ = reason, .state_ = entry->state_, .attempt_ = entry->attempt_};
 }
 
-// For the operations that need the stored answer of an entry in `done`.
+// Returns `result` with the stored answer of an entry in kDone, or a refusal if
+// the answer was too large to store.
 RegisterResult WithAnswer(const RegisterResult& result,
                           const RegisterEntry& entry) {
   if (entry.answer_dropped_) {
@@ -52,10 +54,10 @@
          command.digest_ != entry.digest_;
 }
 
-// Whether a fence or release of the command's attempt by the same request has
-// already led to this open entry.
-bool IsRepeatedOpening(const RegisterCommand& command,
-                       const RegisterEntry& entry) {
+// Returns whether an earlier fence or release of the same attempt by the same
+// request has already opened this entry.
+bool IsRepeatedBySameRequest(const RegisterCommand& command,
+                             const RegisterEntry& entry) {
   return entry.attempt_ == command.attempt_ + 1 &&
          !command.request_id_.empty() &&
          entry.opened_by_ == command.request_id_;
@@ -156,9 +158,9 @@
   if (entry->attempt_ <= command.attempt_) {
     return Open(command, entry, command.attempt_ + 1);
   }
-  // A repeat by the same request is granted again. Another request's fence must
-  // not count as this one's, since that request may still send its attempt.
-  return IsRepeatedOpening(command, *entry)
+  // A repeat by the same request is granted again. A fence by another request
+  // does not count, since that request may still send the attempt it opened.
+  return IsRepeatedBySameRequest(command, *entry)
              ? Granted(*entry)
              : Refused(RefusalReason::kStaleAttempt, entry);
 }
@@ -179,14 +181,15 @@
   if (entry->state_ != ActionState::kOpen) {
     return Refused(RefusalReason::kAlreadyStarted, entry);
   }
-  return IsRepeatedOpening(command, *entry)
+  return IsRepeatedBySameRequest(command, *entry)
              ? Granted(*entry)
              : Refused(RefusalReason::kStaleAttempt, entry);
 }
 
 RegisterResult ActionRegister::Finish(const RegisterCommand& command,
                                       const RegisterEntry* entry) {
-  // One start at most is granted for each n, so n names it.
+  // At most one start is granted for each attempt number, so the number
+  // identifies the start.
   if (entry == nullptr || entry->attempt_ != command.attempt_ ||
       entry->state_ == ActionState::kOpen) {
     return Refused(RefusalReason::kStaleAttempt, entry);
@@ -214,8 +217,8 @@
 RegisterResult ActionRegister::Abandon(const RegisterCommand& command,
                                        const RegisterEntry*) {
   std::vector<std::string> keys;
-  for (auto started = started_.lower_bound({command.guard_, ""});
-       started != started_.end() && started->first == command.guard_;
+  for (auto started = started_keys_.lower_bound({command.guard_, ""});
+       started != started_keys_.end() && started->first == command.guard_;
        ++started) {
     if (entries_.at(started->second).incarnation_ < command.incarnation_) {
       keys.push_back(started->second);
@@ -236,18 +239,20 @@
 
 void ActionRegister::Expire(uint64_t wall_millis) {
   AdvanceTime(wall_millis);
-  while (!by_age_.empty() && by_age_.begin()->first + retention_ <= time_) {
-    Remove(std::string(by_age_.begin()->second));
+  while (!keys_by_change_time_.empty() &&
+         keys_by_change_time_.begin()->first + retention_ <= time_) {
+    Remove(std::string(keys_by_change_time_.begin()->second));
   }
 }
 
 std::vector<GuardIncarnation> ActionRegister::StartedGuards() const {
   std::vector<GuardIncarnation> guards;
-  auto started = started_.begin();
-  while (started != started_.end()) {
+  auto started = started_keys_.begin();
+  while (started != started_keys_.end()) {
     const std::string& guard = started->first;
     uint64_t lowest = std::numeric_limits<uint64_t>::max();
-    for (; started != started_.end() && started->first == guard; ++started) {
+    for (; started != started_keys_.end() && started->first == guard;
+         ++started) {
       lowest = std::min(lowest, entries_.at(started->second).incarnation_);
     }
     guards.push_back(GuardIncarnation{.guard_ = guard, .incarnation_ = lowest});
@@ -278,8 +283,8 @@
 
 void ActionRegister::Restore(const RegisterSnapshot& snapshot) {
   entries_.clear();
-  by_age_.clear();
-  started_.clear();
+  keys_by_change_time_.clear();
+  started_keys_.clear();
   time_ = snapshot.time_;
   last_wall_millis_ = snapshot.last_wall_millis_;
   for (const KeyedRegisterEntry& keyed : snapshot.entries_) {
@@ -318,12 +323,12 @@
 }
 
 void ActionRegister::Put(const std::string& key, const RegisterEntry& entry) {
-  // A copy, since `key` and `entry` may belong to the entry that is removed.
+  // Copy first: `key` and `entry` may refer to the entry that is removed.
   const KeyedRegisterEntry keyed{.key_ = key, .entry_ = entry};
   Remove(keyed.key_);
-  by_age_.emplace(keyed.entry_.changed_at_, keyed.key_);
+  keys_by_change_time_.emplace(keyed.entry_.changed_at_, keyed.key_);
   if (keyed.entry_.state_ == ActionState::kStarted) {
-    started_.emplace(keyed.entry_.guard_, keyed.key_);
+    started_keys_.emplace(keyed.entry_.guard_, keyed.key_);
   }
   entries_.emplace(keyed.key_, keyed.entry_);
 }
@@ -333,8 +338,8 @@
   if (found == entries_.end()) {
     return;
   }
-  by_age_.erase({found->second.changed_at_, key});
-  started_.erase({found->second.guard_, key});
+  keys_by_change_time_.erase({found->second.changed_at_, key});
+  started_keys_.erase({found->second.guard_, key});
   entries_.erase(found);
 }
 
--- a/src/state/internal/binary.h
+++ b/src/state/internal/binary.h
@@ -34,30 +34,32 @@
   std::string bytes_;
 };
 
-// Reads what BinaryWriter wrote. After the first read beyond the end, every
-// read returns an empty value and Complete() is false. Not thread-safe.
+// Reads the output of BinaryWriter. After the first read beyond the end, every
+// read returns zero or an empty string and Complete() is false. Not
+// thread-safe.
 class BinaryReader {
  public:
-  explicit BinaryReader(absl::string_view bytes) : left_(bytes) {}
+  explicit BinaryReader(absl::string_view bytes) : remaining_(bytes) {}
 
   uint8_t U8() { return Get<uint8_t>(); }
   uint32_t U32() { return Get<uint32_t>(); }
   uint64_t U64() { return Get<uint64_t>(); }
   std::string String() { return std::string(Take(U32())); }
-  // Returns whether more bytes wait and no read has failed.
-  bool HasMore() const { return valid_ && !left_.empty(); }
-  // Returns whether exactly the given bytes were read.
-  bool Complete() const { return valid_ && left_.empty(); }
+  // Returns whether unread bytes remain and no read has failed.
+  bool HasMore() const { return valid_ && !remaining_.empty(); }
+  // Returns whether all bytes were read and no read has failed.
+  bool Complete() const { return valid_ && remaining_.empty(); }
   bool valid() const { return valid_; }
 
  private:
   absl::string_view Take(size_t size) {
-    if (size > left_.size()) {
+    if (size > remaining_.size()) {
       valid_ = false;
-      left_ = {};
+      remaining_ = {};
     }
-    const absl::string_view taken = valid_ ? left_.substr(0, size) : left_;
-    left_.remove_prefix(taken.size());
+    const absl::string_view taken =
+        valid_ ? remaining_.substr(0, size) : remaining_;
+    remaining_.remove_prefix(taken.size());
     return taken;
   }
   template <class T>
@@ -71,7 +73,7 @@
         reinterpret_cast<const unsigned char*>(taken.data()));
   }
 
-  absl::string_view left_;
+  absl::string_view remaining_;
   bool valid_ = true;
 };
 
--- a/src/state/internal/configuration_change.cc
+++ b/src/state/internal/configuration_change.cc
@@ -12,11 +12,12 @@
 
 namespace {
 
-// Returns the items after removing, replacing and adding by name.
+// Returns `base` with items removed, replaced and appended by name.
 template <class Item>
-std::vector<Item> Changed(const std::vector<Item>& base,
-                          const std::vector<Item>& changes,
-                          const std::vector<std::string>& removed_names) {
+std::vector<Item> ApplyItemChanges(
+    const std::vector<Item>& base,
+    const std::vector<Item>& changes,
+    const std::vector<std::string>& removed_names) {
   const std::set<std::string> removed(removed_names.begin(),
                                       removed_names.end());
   const auto find = [](const std::vector<Item>& items,
@@ -42,7 +43,7 @@
   return items;
 }
 
-Error Fault(const Route& route, absl::string_view what) {
+Error RouteError(const Route& route, absl::string_view what) {
   return MakeError(ErrorKind::kInvalidConfiguration,
                    absl::StrCat("The route \"", route.name_, "\" ", what));
 }
@@ -50,15 +51,15 @@
 Result<void> CheckDestinations(const Configuration& configuration,
                                const Route& route) {
   if (route.destinations_.empty()) {
-    return Fault(route, "leads to no service");
+    return RouteError(route, "leads to no service");
   }
   for (const Destination& destination : route.destinations_) {
     if (FindService(configuration, destination.service_) == nullptr) {
-      return Fault(route, absl::StrCat("leads to the unknown service \"",
-                                       destination.service_, "\""));
+      return RouteError(route, absl::StrCat("leads to the unknown service \"",
+                                            destination.service_, "\""));
     }
     if (!std::isfinite(destination.weight_) || destination.weight_ < 0) {
-      return Fault(route, "has a weight that is not 0 or more");
+      return RouteError(route, "has a weight that is not 0 or more");
     }
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
@@ -70,9 +71,10 @@
                           const ConfigurationChange& change) {
   return Configuration{
       .version_ = change.version_,
-      .services_ =
-          Changed(base.services_, change.services_, change.removed_services_),
-      .routes_ = Changed(base.routes_, change.routes_, change.removed_routes_),
+      .services_ = ApplyItemChanges(base.services_, change.services_,
+                                    change.removed_services_),
+      .routes_ = ApplyItemChanges(base.routes_, change.routes_,
+                                  change.removed_routes_),
       .caller_limits_ = change.caller_limits_.value_or(base.caller_limits_),
       .load_budget_ = base.load_budget_,
       .cross_region_bytes_per_second_ = base.cross_region_bytes_per_second_,
@@ -81,22 +83,23 @@
 }
 
 Result<void> CheckRoutes(const Configuration& configuration) {
-  std::set<std::pair<std::string, std::string>> places;
+  std::set<std::pair<std::string, std::string>> hosts_and_prefixes;
   std::set<std::string> names;
   for (const Route& route : configuration.routes_) {
     BOOST_OUTCOME_TRYV(CheckDestinations(configuration, route));
     if (route.max_attempts_ < 1) {
-      return Fault(route, "allows no attempt");
+      return RouteError(route, "allows no attempt");
     }
     if (!absl::StartsWith(route.path_prefix_, "/") ||
         !absl::EndsWith(route.path_prefix_, "/")) {
-      return Fault(route, "has a prefix that does not begin and end with '/'");
+      return RouteError(route,
+                        "has a prefix that does not begin and end with '/'");
     }
-    if (!places.emplace(route.host_, route.path_prefix_).second) {
-      return Fault(route, "has the host and the prefix of another route");
+    if (!hosts_and_prefixes.emplace(route.host_, route.path_prefix_).second) {
+      return RouteError(route, "has the host and the prefix of another route");
     }
     if (!names.insert(route.name_).second) {
-      return Fault(route, "has the name of another route");
+      return RouteError(route, "has the name of another route");
     }
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
--- a/src/state/internal/configuration_store.cc
+++ b/src/state/internal/configuration_store.cc
@@ -7,12 +7,13 @@
 
 namespace {
 
-// 17 minutes of changes at 4,100 a day; a daemon that is further behind gets
-// the whole document.
-constexpr size_t kKeptConfigurations = 48;
-// A day of changes: an operator may send an order again long after its answer
-// was lost.
-constexpr size_t kKeptSubmissions = 4096;
+// Number of stored configurations, each a possible base of a delta: 17 minutes
+// of changes at 4,100 a day. A daemon that is further behind receives the whole
+// document.
+constexpr size_t kMaxStoredConfigurations = 48;
+// Number of accepted submissions that are stored: a day of changes, since an
+// operator may resend a submission long after its answer was lost.
+constexpr size_t kMaxStoredSubmissions = 4096;
 
 Configuration WithServices(const Configuration& configuration,
                            const std::vector<Service>& services) {
@@ -44,7 +45,7 @@
     }
   }
   const Configuration changes = WithServices(newer, changed);
-  // A delta cannot express every change, for example another order.
+  // A delta cannot express every change, for example a reordering.
   if (!(ApplyDelta(base, changes, removed) == newer)) {
     return std::nullopt;
   }
@@ -95,13 +96,14 @@
     const SubmittedConfiguration& submitted) {
   const uint64_t version = submitted.configuration_->version_;
   const uint64_t current_version = CurrentVersion();
-  const auto accepted = accepted_.find(submitted.submission_);
-  if (submitted.base_version_.has_value() && accepted != accepted_.end()) {
+  const auto accepted = index_by_submission_.find(submitted.submission_);
+  if (submitted.base_version_.has_value() &&
+      accepted != index_by_submission_.end()) {
     return SubmissionResult{.status_ = SubmissionStatus::kAccepted,
                             .index_ = accepted->second,
                             .current_version_ = current_version};
   }
-  for (const StoredConfiguration& stored : kept_) {
+  for (const StoredConfiguration& stored : recent_configurations_) {
     const SubmittedConfiguration& winner = stored.submitted_;
     if (winner.configuration_->version_ != version) {
       continue;
@@ -122,86 +124,94 @@
     return SubmissionResult{.status_ = SubmissionStatus::kWrongVersion,
                             .current_version_ = current_version};
   }
-  kept_.push_back(
+  recent_configurations_.push_back(
       StoredConfiguration{.index_ = index, .submitted_ = submitted});
-  if (kept_.size() > kKeptConfigurations) {
-    kept_.pop_front();
+  if (recent_configurations_.size() > kMaxStoredConfigurations) {
+    recent_configurations_.pop_front();
   }
-  deltas_.clear();
-  Remember(AcceptedSubmission{.submission_ = submitted.submission_,
-                              .index_ = index});
+  delta_cache_.clear();
+  RecordSubmission(AcceptedSubmission{.submission_ = submitted.submission_,
+                                      .index_ = index});
   return SubmissionResult{.status_ = SubmissionStatus::kAccepted,
                           .index_ = index,
                           .current_version_ = version};
 }
 
 IndexedConfiguration ConfigurationStore::current() const {
-  if (kept_.empty()) {
+  if (recent_configurations_.empty()) {
     return IndexedConfiguration();
   }
   return IndexedConfiguration{
-      .index_ = kept_.back().index_,
-      .configuration_ = kept_.back().submitted_.configuration_};
+      .index_ = recent_configurations_.back().index_,
+      .configuration_ =
+          recent_configurations_.back().submitted_.configuration_};
 }
 
 std::optional<ConfigurationDelta> ConfigurationStore::DeltaFrom(
     uint64_t base_index) const {
-  const auto cached = deltas_.find(base_index);
-  if (cached != deltas_.end()) {
+  const auto cached = delta_cache_.find(base_index);
+  if (cached != delta_cache_.end()) {
     return cached->second;
   }
-  const auto base = std::find_if(kept_.begin(), kept_.end(),
-                                 [base_index](const StoredConfiguration& kept) {
-                                   return kept.index_ == base_index;
-                                 });
-  // Not cached: a daemon may name any index.
-  if (base == kept_.end()) {
+  const auto base =
+      std::find_if(recent_configurations_.begin(), recent_configurations_.end(),
+                   [base_index](const StoredConfiguration& kept) {
+                     return kept.index_ == base_index;
+                   });
+  // Not cached: the requested index is arbitrary, so the cache would be
+  // unbounded.
+  if (base == recent_configurations_.end()) {
     return std::nullopt;
   }
-  return deltas_
-      .emplace(base_index,
-               MakeDelta(base_index, *base->submitted_.configuration_,
-                         *kept_.back().submitted_.configuration_))
+  return delta_cache_
+      .emplace(
+          base_index,
+          MakeDelta(base_index, *base->submitted_.configuration_,
+                    *recent_configurations_.back().submitted_.configuration_))
       .first->second;
 }
 
-void ConfigurationStore::Remember(const AcceptedSubmission& accepted) {
-  if (!accepted_.emplace(accepted.submission_, accepted.index_).second) {
+void ConfigurationStore::RecordSubmission(const AcceptedSubmission& accepted) {
+  if (!index_by_submission_.emplace(accepted.submission_, accepted.index_)
+           .second) {
     return;
   }
-  accepted_order_.push_back(accepted);
-  if (accepted_order_.size() > kKeptSubmissions) {
-    accepted_.erase(accepted_order_.front().submission_);
-    accepted_order_.pop_front();
+  recent_submissions_.push_back(accepted);
+  if (recent_submissions_.size() > kMaxStoredSubmissions) {
+    index_by_submission_.erase(recent_submissions_.front().submission_);
+    recent_submissions_.pop_front();
   }
 }
 
 std::vector<StoredConfiguration> ConfigurationStore::Snapshot() const {
-  return {kept_.begin(), kept_.end()};
+  return {recent_configurations_.begin(), recent_configurations_.end()};
 }
 
 std::vector<AcceptedSubmission> ConfigurationStore::AcceptedSubmissions()
     const {
-  return {accepted_order_.begin(), accepted_order_.end()};
+  return {recent_submissions_.begin(), recent_submissions_.end()};
 }
 
 void ConfigurationStore::Restore(
     const std::vector<StoredConfiguration>& configurations,
     const std::vector<AcceptedSubmission>& accepted) {
-  kept_.clear();
-  deltas_.clear();
-  accepted_.clear();
-  accepted_order_.clear();
+  recent_configurations_.clear();
+  delta_cache_.clear();
+  index_by_submission_.clear();
+  recent_submissions_.clear();
   for (const AcceptedSubmission& submission : accepted) {
-    Remember(submission);
+    RecordSubmission(submission);
   }
   for (const StoredConfiguration& configuration : configurations) {
-    kept_.push_back(configuration);
+    recent_configurations_.push_back(configuration);
   }
 }
 
 uint64_t ConfigurationStore::CurrentVersion() const {
-  return kept_.empty() ? 0 : kept_.back().submitted_.configuration_->version_;
+  return recent_configurations_.empty()
+             ? 0
+             : recent_configurations_.back()
+                   .submitted_.configuration_->version_;
 }
 
 }  // namespace gooseberrygap::state
--- a/src/state/internal/durable_file.cc
+++ b/src/state/internal/durable_file.cc
@@ -18,6 +18,7 @@
 
 constexpr mode_t kFileMode = 0600;
 constexpr mode_t kFolderMode = 0700;
+// Bytes that ReadWholeFile() requests per read.
 constexpr size_t kReadBytes = size_t{256} * 1024;
 
 Error FailedError(ErrorKind kind,
@@ -144,7 +145,7 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-Result<void> MakeFolder(const std::string& folder) {
+Result<void> CreateFolder(const std::string& folder) {
   if (::mkdir(folder.c_str(), kFolderMode) == 0) {
     const std::filesystem::path path =
         std::filesystem::absolute(folder + "/").lexically_normal();
--- a/src/state/internal/histograms.cc
+++ b/src/state/internal/histograms.cc
@@ -11,7 +11,7 @@
 
 namespace bh = boost::histogram;
 
-// Two buckets for each doubling: a quantile is read to within a fifth.
+// Number of buckets: two per doubling, so a quantile is accurate to within 20%.
 constexpr unsigned kBuckets = 40;
 constexpr double kLowestMs = 0.05;
 constexpr double kHighestMs = 60000;
@@ -32,19 +32,19 @@
         {"queue_time", "Time that an attempt waited for a slot."},
     }};
 
-struct Recorded {
+struct HistogramData {
   Table table_ = bh::make_histogram(LogAxis(kBuckets, kLowestMs, kHighestMs));
   uint64_t count_ = 0;
   Millis sum_;
 };
 
-HistogramSample SampleOf(const HistogramRow& row, const Recorded& recorded) {
+HistogramSample SampleOf(const HistogramRow& row, const HistogramData& data) {
   std::vector<HistogramBucket> buckets;
-  const auto& axis = recorded.table_.axis();
+  const auto& axis = data.table_.axis();
   // Index -1 counts the values below the lowest bound.
-  auto cumulative = static_cast<uint64_t>(recorded.table_.at(-1));
+  auto cumulative = static_cast<uint64_t>(data.table_.at(-1));
   for (int i = 0; i < axis.size(); ++i) {
-    cumulative += static_cast<uint64_t>(recorded.table_.at(i));
+    cumulative += static_cast<uint64_t>(data.table_.at(i));
     buckets.push_back(
         HistogramBucket{.upper_bound_ = Millis(axis.bin(i).upper()),
                         .cumulative_count_ = cumulative});
@@ -53,8 +53,8 @@
       .name_ = absl::StrCat("gooseberrygap_", row.name_, "_ms"),
       .help_ = std::string(row.help_),
       .buckets_ = buckets,
-      .count_ = recorded.count_,
-      .sum_ = recorded.sum_};
+      .count_ = data.count_,
+      .sum_ = data.sum_};
 }
 
 }  // namespace
@@ -63,24 +63,24 @@
  public:
   void Record(Histogram histogram, Millis value) {
     absl::MutexLock lock(&mutex_);
-    Recorded& recorded = recorded_.at(static_cast<size_t>(histogram));
-    recorded.table_(value.value());
-    ++recorded.count_;
-    recorded.sum_ = recorded.sum_ + value;
+    HistogramData& data = histograms_.at(static_cast<size_t>(histogram));
+    data.table_(value.value());
+    ++data.count_;
+    data.sum_ = data.sum_ + value;
   }
 
   std::vector<HistogramSample> Samples() const {
     absl::MutexLock lock(&mutex_);
     std::vector<HistogramSample> samples;
     for (size_t i = 0; i < kRows.size(); ++i) {
-      samples.push_back(SampleOf(kRows.at(i), recorded_.at(i)));
+      samples.push_back(SampleOf(kRows.at(i), histograms_.at(i)));
     }
     return samples;
   }
 
  private:
   mutable absl::Mutex mutex_;
-  std::array<Recorded, kRows.size()> recorded_ ABSL_GUARDED_BY(mutex_);
+  std::array<HistogramData, kRows.size()> histograms_ ABSL_GUARDED_BY(mutex_);
 };
 
 Histograms::Histograms() : impl_(std::make_unique<Impl>()) {}
--- a/src/state/internal/log_frame.cc
+++ b/src/state/internal/log_frame.cc
@@ -14,22 +14,22 @@
 using Crc =
     boost::crc_optimal<32, 0x1EDC6F41, 0xFFFFFFFF, 0xFFFFFFFF, true, true>;
 
-// Bytes of a frame header that its own checksum covers.
+// Number of frame header bytes covered by the header checksum.
 constexpr size_t kCheckedHeaderBytes = kFrameHeaderBytes - 4;
 
 uint32_t HeaderCrc(uint64_t salt, uint64_t offset, absl::string_view header) {
-  BinaryWriter place;
-  place.U64(salt);
-  place.U64(offset);
+  BinaryWriter position;
+  position.U64(salt);
+  position.U64(offset);
   Crc crc;
-  crc.process_bytes(place.bytes().data(), place.bytes().size());
+  crc.process_bytes(position.bytes().data(), position.bytes().size());
   crc.process_bytes(header.data(), kCheckedHeaderBytes);
   return crc.checksum();
 }
 
 struct FrameHeader {
   const uint32_t length_ = 0;
-  const uint64_t synced_ = 0;
+  const uint64_t synced_offset_ = 0;
   const uint32_t payload_crc_ = 0;
 };
 
@@ -44,13 +44,13 @@
   const uint32_t length = reader.U32();
   const uint64_t synced = reader.U64();
   const uint32_t payload_crc = reader.U32();
-  // The cheap test goes first: the search for a later frame comes here for
-  // every byte of the rest of the file.
+  // Compare first, since it is cheap: WasSyncedBeyond calls this for every
+  // remaining byte of the file.
   if (synced > offset || reader.U32() != HeaderCrc(salt, offset, bytes)) {
     return std::nullopt;
   }
   return FrameHeader{
-      .length_ = length, .synced_ = synced, .payload_crc_ = payload_crc};
+      .length_ = length, .synced_offset_ = synced, .payload_crc_ = payload_crc};
 }
 
 void PutMembers(BinaryWriter* writer,
@@ -106,21 +106,21 @@
   if (!header) {
     return std::nullopt;
   }
-  const absl::string_view rest = file.substr(offset + kFrameHeaderBytes);
-  if (rest.size() < header->length_) {
+  const absl::string_view remaining = file.substr(offset + kFrameHeaderBytes);
+  if (remaining.size() < header->length_) {
     return std::nullopt;
   }
-  const absl::string_view payload = rest.substr(0, header->length_);
+  const absl::string_view payload = remaining.substr(0, header->length_);
   if (Crc32c(payload) != header->payload_crc_) {
     return std::nullopt;
   }
-  return Frame{.synced_ = header->synced_, .payload_ = payload};
+  return Frame{.synced_offset_ = header->synced_offset_, .payload_ = payload};
 }
 
 bool WasSyncedBeyond(absl::string_view file, uint64_t salt, uint64_t offset) {
   for (uint64_t at = offset + 1; at + kFrameHeaderBytes <= file.size(); ++at) {
     const std::optional<FrameHeader> header = DecodeHeader(file, salt, at);
-    if (header && header->synced_ > offset) {
+    if (header && header->synced_offset_ > offset) {
       return true;
     }
   }
--- a/src/state/internal/log_segment.cc
+++ b/src/state/internal/log_segment.cc
@@ -15,9 +15,11 @@
 
 namespace {
 
-// Begins every file; the digit is the version of the format.
+// First bytes of every file; the digit is the format version.
 constexpr absl::string_view kMagic = "GGAPLOG1";
 constexpr absl::string_view kSegmentPrefix = "log-";
+// Salt of a file's first frame, which is read before the file's own salt is
+// known.
 constexpr uint64_t kNoSalt = 0;
 
 Error CorruptError(const std::string& path, absl::string_view what) {
@@ -43,16 +45,17 @@
 
 }  // namespace
 
-std::string EncodeDocument(absl::string_view payload) {
+std::string EncodeRecordFile(absl::string_view payload) {
   return absl::StrCat(kMagic, EncodeFrame(kNoSalt, kMagic.size(), 0, payload));
 }
 
-Result<std::string> ReadDocument(const std::string& path) {
+Result<std::string> ReadRecordFile(const std::string& path) {
   BOOST_OUTCOME_TRY(content, ReadWholeFile(path));
   const std::optional<Frame> frame = DecodeFirstFrame(content);
   if (!frame || content.size() != kMagic.size() + kFrameHeaderBytes +
                                       frame->payload_.size()) {
-    return CorruptError(path, "the file is damaged");
+    return CorruptError(path,
+                        "the file does not hold exactly one valid record");
   }
   return std::string(frame->payload_);
 }
@@ -79,10 +82,10 @@
   BinaryWriter header;
   header.U64(segment.salt_);
   header.U64(first_index);
-  const std::string content = EncodeDocument(header.bytes());
+  const std::string content = EncodeRecordFile(header.bytes());
   BOOST_OUTCOME_TRYV(ReplaceFile(folder, name, content));
   segment.size_ = content.size();
-  segment.synced_ = content.size();
+  segment.synced_offset_ = content.size();
   BOOST_OUTCOME_TRY(file, OpenForAppend(segment.path_));
   segment.file_ = std::move(file);
   return segment;
@@ -95,17 +98,20 @@
   LogSegment segment;
   segment.path_ = absl::StrCat(folder, "/", name);
   BOOST_OUTCOME_TRY(content, ReadWholeFile(segment.path_));
-  // The header was made durable before the file got its name, so it is never
-  // incomplete.
+  // The file is renamed to its name only after the header is durable, so the
+  // header is never incomplete.
   const std::optional<Frame> frame = DecodeFirstFrame(content);
   if (!frame) {
-    return CorruptError(segment.path_, "the header is damaged");
+    return CorruptError(segment.path_,
+                        "the file header has a wrong format or checksum");
   }
   BinaryReader header(frame->payload_);
   segment.salt_ = header.U64();
   segment.first_index_ = header.U64();
   if (!header.Complete() || segment.first_index_ != FirstIndexOf(name)) {
-    return CorruptError(segment.path_, "the header does not fit the name");
+    return CorruptError(
+        segment.path_,
+        "the first index in the header differs from the file name");
   }
   segment.size_ = kMagic.size() + kFrameHeaderBytes + frame->payload_.size();
   BOOST_OUTCOME_TRYV(segment.ReadFrames(content, is_last, entries));
@@ -115,10 +121,11 @@
     BOOST_OUTCOME_TRYV(
         TruncateFile(segment.file_.get(), segment.size_, segment.path_));
   } else if (is_last) {
-    // What was read may come from memory that was never synced.
+    // The content may have been read from the page cache without ever having
+    // been synced.
     BOOST_OUTCOME_TRYV(SyncFile(segment.file_.get(), segment.path_));
   }
-  segment.synced_ = segment.size_;
+  segment.synced_offset_ = segment.size_;
   return segment;
 }
 
@@ -130,8 +137,9 @@
     if (!frame) {
       if (!is_last || WasSyncedBeyond(content, salt_, size_)) {
         return CorruptError(
-            path_, absl::StrCat("bad checksum at byte ", size_,
-                                ", before the end of what was durable"));
+            path_,
+            absl::StrCat("bad checksum at byte ", size_,
+                         ", within the part of the log that was durable"));
       }
       break;
     }
@@ -143,7 +151,7 @@
                                 next_index()));
       }
       entries->push_back(*std::move(entry));
-      offsets_.push_back(size_);
+      frame_offsets_.push_back(size_);
     }
     size_ += kFrameHeaderBytes + frame->payload_.size();
   }
@@ -154,33 +162,33 @@
   std::string bytes;
   for (const LogEntry& entry : entries) {
     const uint64_t offset = size_ + bytes.size();
-    offsets_.push_back(offset);
-    bytes += EncodeFrame(salt_, offset, synced_, EncodeEntry(entry));
+    frame_offsets_.push_back(offset);
+    bytes += EncodeFrame(salt_, offset, synced_offset_, EncodeEntry(entry));
   }
   size_ += bytes.size();
   return WriteAll(file_.get(), bytes, path_);
 }
 
 Result<void> LogSegment::Sync() {
-  if (synced_ == size_) {
+  if (synced_offset_ == size_) {
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
   BOOST_OUTCOME_TRYV(SyncFile(file_.get(), path_));
-  // The mark itself need not be durable: without it, damage of the last
-  // entries passes for a write that a crash cut short.
-  const std::string mark = EncodeFrame(salt_, size_, size_, "");
-  size_ += mark.size();
-  synced_ = size_;
-  return WriteAll(file_.get(), mark, path_);
+  // The marker itself need not be durable: without it, corruption of the last
+  // entries is treated as a write that a crash interrupted.
+  const std::string sync_marker = EncodeFrame(salt_, size_, size_, "");
+  size_ += sync_marker.size();
+  synced_offset_ = size_;
+  return WriteAll(file_.get(), sync_marker, path_);
 }
 
 Result<void> LogSegment::TruncateFrom(uint64_t index) {
   if (index >= next_index()) {
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
-  size_ = offsets_[index - first_index_];
-  offsets_.resize(index - first_index_);
-  synced_ = size_;
+  size_ = frame_offsets_[index - first_index_];
+  frame_offsets_.resize(index - first_index_);
+  synced_offset_ = size_;
   return TruncateFile(file_.get(), size_, path_);
 }
 
--- a/src/state/internal/log_segment.h
+++ b/src/state/internal/log_segment.h
@@ -13,43 +13,44 @@
 
 namespace gooseberrygap::state {
 
-// Returns the content of a file that holds one record and is only ever replaced
+// Returns the content of a file with a single record, which is always replaced
 // as a whole. Thread-safe.
-std::string EncodeDocument(absl::string_view payload);
-// Returns the payload of such a file; kCorruptLog if it is damaged.
-Result<std::string> ReadDocument(const std::string& path);
+std::string EncodeRecordFile(absl::string_view payload);
+// Returns the payload of such a file, or kCorruptLog if the file is corrupt.
+Result<std::string> ReadRecordFile(const std::string& path);
 
 // One file of the log: a header with the first index and a random number,
-// then a frame for each entry. After each sync an empty frame is written that
-// states how far the file is durable; it tells damage from a write that a
-// crash cut short. Not thread-safe.
+// followed by a frame for each entry. After each sync an empty frame is
+// appended that records how far the file is durable, to distinguish corruption
+// from a write that a crash interrupted. Not thread-safe.
 class LogSegment {
  public:
   // Returns whether `name` is the name of a segment.
   static bool IsSegmentName(absl::string_view name);
-  // Returns the first index that the name of a segment states.
+  // Returns the first index encoded in a segment name; 0 for other names.
   static uint64_t FirstIndexOf(absl::string_view name);
 
   // Creates an empty segment, durably.
   static Result<LogSegment> Create(const std::string& folder,
                                    uint64_t first_index);
-  // Reads a segment and appends its entries to `entries`. An incomplete end is
-  // cut off if `is_last`, otherwise it is kCorruptLog. Everything that remains
-  // is durable on return.
+  // Reads a segment and appends its entries to `entries`. An incomplete record
+  // at the end is truncated if `is_last`, otherwise it is kCorruptLog. The
+  // remaining content is durable on return.
   static Result<LogSegment> Open(const std::string& folder,
                                  const std::string& name,
                                  bool is_last,
                                  std::vector<LogEntry>* entries);
 
+  // Appends entries; durable after Sync.
   Result<void> Append(absl::Span<const LogEntry> entries);
   Result<void> Sync();
-  // Removes the entries from `index` on, durably. Precondition: `index` is at
-  // least first_index().
+  // Removes the entries with `index` and above, durably. Precondition: `index`
+  // is at least first_index().
   Result<void> TruncateFrom(uint64_t index);
 
   const std::string& path() const { return path_; }
   uint64_t first_index() const { return first_index_; }
-  uint64_t next_index() const { return first_index_ + offsets_.size(); }
+  uint64_t next_index() const { return first_index_ + frame_offsets_.size(); }
   uint64_t size() const { return size_; }
 
  private:
@@ -63,8 +64,8 @@
   uint64_t salt_ = 0;
   uint64_t first_index_ = 0;
   uint64_t size_ = 0;
-  uint64_t synced_ = 0;            // Durable up to here.
-  std::vector<uint64_t> offsets_;  // Of the frame of each entry.
+  uint64_t synced_offset_ = 0;  // Offset up to which the file is durable.
+  std::vector<uint64_t> frame_offsets_;  // Offset of each entry's frame.
 };
 
 }  // namespace gooseberrygap::state
--- a/src/state/internal/log_store.cc
+++ b/src/state/internal/log_store.cc
@@ -29,21 +29,22 @@
   return identity;
 }
 
-// The names of the files in a data folder.
+// The files present in a data folder.
 struct FolderContent {
-  bool identity_ = false;
-  bool vote_ = false;
-  bool snapshot_ = false;
+  bool has_identity_ = false;
+  bool has_vote_ = false;
+  bool has_snapshot_ = false;
   std::vector<std::string> segments_;
+  // Files that a crash left before they were renamed to their final name.
   std::vector<std::string> unfinished_;
 };
 
 FolderContent Classify(const std::vector<std::string>& names) {
   FolderContent content;
   for (const std::string& name : names) {
-    content.identity_ = content.identity_ || name == kIdentityName;
-    content.vote_ = content.vote_ || name == kVoteName;
-    content.snapshot_ = content.snapshot_ || name == kSnapshotName;
+    content.has_identity_ = content.has_identity_ || name == kIdentityName;
+    content.has_vote_ = content.has_vote_ || name == kVoteName;
+    content.has_snapshot_ = content.has_snapshot_ || name == kSnapshotName;
     if (LogSegment::IsSegmentName(name)) {
       content.segments_.push_back(name);
     }
@@ -65,8 +66,8 @@
   const std::string& identity() const { return identity_; }
   LoadedLog Load();
 
-  // Runs a write unless an earlier one failed, and keeps its error.
-  Result<void> Guarded(const std::function<Result<void>()>& write);
+  // Runs a write unless an earlier one failed, and stores the first error.
+  Result<void> RunUnlessFailed(const std::function<Result<void>()>& write);
   Result<void> Append(absl::Span<const LogEntry> entries);
   Result<void> TruncateFrom(uint64_t index);
   Result<void> SaveVote(const VoteRecord& vote);
@@ -74,7 +75,7 @@
   Result<void> Sync() { return segments_.back().Sync(); }
 
  private:
-  Error Corrupt(absl::string_view what) const {
+  Error CorruptError(absl::string_view what) const {
     return MakeError(ErrorKind::kCorruptLog, absl::StrCat(folder_, ": ", what));
   }
   std::string PathOf(absl::string_view name) const {
@@ -83,12 +84,13 @@
   Result<void> CreateFiles(const FolderContent& content);
   Result<void> ReadFiles(const FolderContent& content);
   Result<void> ReadSegments(std::vector<std::string> names);
-  // Removes the segments that the snapshot covers from `names`, unread, and
-  // from the folder.
-  Result<void> DropCovered(std::vector<std::string>* names);
-  // Checks that entries and snapshot fit together and drops covered entries.
-  Result<void> JoinWithSnapshot();
-  Result<void> BeginSegment(uint64_t first_index);
+  // Removes the segments that the snapshot covers from `names` and from the
+  // folder, without reading them.
+  Result<void> RemoveCoveredSegments(std::vector<std::string>* names);
+  // Discards the entries that the snapshot covers. Starts a new segment if the
+  // snapshot is beyond the end of the log.
+  Result<void> ReconcileWithSnapshot();
+  Result<void> CreateSegment(uint64_t first_index);
   uint64_t next_index() const { return segments_.back().next_index(); }
 
   const std::string folder_;
@@ -99,11 +101,11 @@
   std::unique_ptr<LogSnapshot> snapshot_;
   std::vector<LogEntry> entries_;
   std::vector<LogSegment> segments_;  // At least one, without gaps.
-  std::unique_ptr<Error> failure_;
+  std::unique_ptr<Error> first_error_;
 };
 
 Result<void> LogStore::Impl::Open() {
-  BOOST_OUTCOME_TRYV(MakeFolder(folder_));
+  BOOST_OUTCOME_TRYV(CreateFolder(folder_));
   BOOST_OUTCOME_TRY(lock, LockFolder(folder_));
   lock_ = std::move(lock);
   BOOST_OUTCOME_TRY(names, ListFolder(folder_));
@@ -111,48 +113,48 @@
   for (const std::string& name : content.unfinished_) {
     BOOST_OUTCOME_TRYV(RemoveFile(PathOf(name)));
   }
-  return content.identity_ ? ReadFiles(content) : CreateFiles(content);
+  return content.has_identity_ ? ReadFiles(content) : CreateFiles(content);
 }
 
-// The identity is written last: a folder with an identity is complete.
+// Writes the identity last, so that a folder with an identity is complete.
 Result<void> LogStore::Impl::CreateFiles(const FolderContent& content) {
-  if (content.snapshot_ || content.segments_.size() > 1) {
-    return Corrupt("the file 'identity' is missing");
+  if (content.has_snapshot_ || content.segments_.size() > 1) {
+    return CorruptError("the file 'identity' is missing");
   }
   if (!content.segments_.empty()) {
     BOOST_OUTCOME_TRY(
         segment,
         LogSegment::Open(folder_, content.segments_.front(), true, &entries_));
     if (!entries_.empty() || segment.first_index() != kFirstIndex) {
-      return Corrupt("the file 'identity' is missing");
+      return CorruptError("the file 'identity' is missing");
     }
     segments_.push_back(std::move(segment));
   } else {
-    BOOST_OUTCOME_TRYV(BeginSegment(kFirstIndex));
+    BOOST_OUTCOME_TRYV(CreateSegment(kFirstIndex));
   }
   vote_ = std::make_unique<VoteRecord>();
   BOOST_OUTCOME_TRYV(SaveVote(*vote_));
   identity_ = RandomIdentity();
-  return ReplaceFile(folder_, kIdentityName, EncodeDocument(identity_));
+  return ReplaceFile(folder_, kIdentityName, EncodeRecordFile(identity_));
 }
 
 Result<void> LogStore::Impl::ReadFiles(const FolderContent& content) {
-  if (!content.vote_ || content.segments_.empty()) {
-    return Corrupt("the vote or the log is missing");
+  if (!content.has_vote_ || content.segments_.empty()) {
+    return CorruptError("the file 'vote' or all log segments are missing");
   }
-  BOOST_OUTCOME_TRY(identity, ReadDocument(PathOf(kIdentityName)));
+  BOOST_OUTCOME_TRY(identity, ReadRecordFile(PathOf(kIdentityName)));
   identity_ = std::move(identity);
-  BOOST_OUTCOME_TRY(vote_bytes, ReadDocument(PathOf(kVoteName)));
+  BOOST_OUTCOME_TRY(vote_bytes, ReadRecordFile(PathOf(kVoteName)));
   std::optional<VoteRecord> vote = DecodeVote(vote_bytes);
   if (!vote) {
-    return Corrupt("the vote is damaged");
+    return CorruptError("the file 'vote' cannot be decoded");
   }
   vote_ = std::make_unique<VoteRecord>(*std::move(vote));
-  if (content.snapshot_) {
-    BOOST_OUTCOME_TRY(snapshot_bytes, ReadDocument(PathOf(kSnapshotName)));
+  if (content.has_snapshot_) {
+    BOOST_OUTCOME_TRY(snapshot_bytes, ReadRecordFile(PathOf(kSnapshotName)));
     std::optional<LogSnapshot> snapshot = DecodeSnapshot(snapshot_bytes);
     if (!snapshot) {
-      return Corrupt("the snapshot is damaged");
+      return CorruptError("the file 'snapshot' cannot be decoded");
     }
     snapshot_ = std::make_unique<LogSnapshot>(*std::move(snapshot));
   }
@@ -160,23 +162,24 @@
 }
 
 Result<void> LogStore::Impl::ReadSegments(std::vector<std::string> names) {
-  BOOST_OUTCOME_TRYV(DropCovered(&names));
+  BOOST_OUTCOME_TRYV(RemoveCoveredSegments(&names));
   if (names.empty()) {
-    return Corrupt("the log does not reach back to the snapshot");
+    return CorruptError("entries are missing before the first log segment");
   }
   for (const std::string& name : names) {
     const bool is_last = name == names.back();
     if (!segments_.empty() && LogSegment::FirstIndexOf(name) != next_index()) {
-      return Corrupt(absl::StrCat("entries are missing before ", name));
+      return CorruptError(absl::StrCat("entries are missing before ", name));
     }
     BOOST_OUTCOME_TRY(segment,
                       LogSegment::Open(folder_, name, is_last, &entries_));
     segments_.push_back(std::move(segment));
   }
-  return JoinWithSnapshot();
+  return ReconcileWithSnapshot();
 }
 
-Result<void> LogStore::Impl::DropCovered(std::vector<std::string>* names) {
+Result<void> LogStore::Impl::RemoveCoveredSegments(
+    std::vector<std::string>* names) {
   const uint64_t start =
       snapshot_ == nullptr ? kFirstIndex : snapshot_->index_ + 1;
   size_t covered = names->size();
@@ -196,7 +199,7 @@
   return SyncFolder(folder_);
 }
 
-Result<void> LogStore::Impl::JoinWithSnapshot() {
+Result<void> LogStore::Impl::ReconcileWithSnapshot() {
   if (snapshot_ == nullptr) {
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
@@ -210,17 +213,18 @@
   if (next_index() > snapshot_->index_) {
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
-  // A crash came between the snapshot and the new segment behind it.
-  BOOST_OUTCOME_TRYV(BeginSegment(snapshot_->index_ + 1));
+  // A crash occurred after the snapshot was saved and before the segment that
+  // follows it was created.
+  BOOST_OUTCOME_TRYV(CreateSegment(snapshot_->index_ + 1));
   std::vector<std::string> names;
   for (const LogSegment& segment : segments_) {
     names.push_back(segment.path().substr(folder_.size() + 1));
   }
   segments_.erase(segments_.begin(), segments_.end() - 1);
-  return DropCovered(&names);
+  return RemoveCoveredSegments(&names);
 }
 
-Result<void> LogStore::Impl::BeginSegment(uint64_t first_index) {
+Result<void> LogStore::Impl::CreateSegment(uint64_t first_index) {
   BOOST_OUTCOME_TRY(segment, LogSegment::Create(folder_, first_index));
   segments_.push_back(std::move(segment));
   return BOOST_OUTCOME_V2_NAMESPACE::success();
@@ -239,14 +243,14 @@
   return log;
 }
 
-Result<void> LogStore::Impl::Guarded(
+Result<void> LogStore::Impl::RunUnlessFailed(
     const std::function<Result<void>()>& write) {
-  if (failure_ != nullptr) {
-    return *failure_;
+  if (first_error_ != nullptr) {
+    return *first_error_;
   }
   Result<void> result = write();
   if (!result) {
-    failure_ = std::make_unique<Error>(result.error());
+    first_error_ = std::make_unique<Error>(result.error());
   }
   return result;
 }
@@ -263,15 +267,15 @@
                      next_index()));
   }
   if (segments_.back().size() > options_.segment_bytes_) {
-    // Only the last segment may end with an incomplete write.
+    // Only the last segment may end with an incomplete record.
     BOOST_OUTCOME_TRYV(Sync());
-    BOOST_OUTCOME_TRYV(BeginSegment(next_index()));
+    BOOST_OUTCOME_TRYV(CreateSegment(next_index()));
   }
   return segments_.back().Append(entries);
 }
 
 Result<void> LogStore::Impl::TruncateFrom(uint64_t index) {
-  // From the end, so that a crash leaves no gap.
+  // Remove from the end, so that a crash leaves no gap.
   while (segments_.size() > 1 && segments_.back().first_index() > index) {
     BOOST_OUTCOME_TRYV(RemoveFile(segments_.back().path()));
     BOOST_OUTCOME_TRYV(SyncFolder(folder_));
@@ -285,14 +289,14 @@
 }
 
 Result<void> LogStore::Impl::SaveVote(const VoteRecord& vote) {
-  return ReplaceFile(folder_, kVoteName, EncodeDocument(EncodeVote(vote)));
+  return ReplaceFile(folder_, kVoteName, EncodeRecordFile(EncodeVote(vote)));
 }
 
 Result<void> LogStore::Impl::SaveSnapshot(const LogSnapshot& snapshot) {
   BOOST_OUTCOME_TRYV(ReplaceFile(folder_, kSnapshotName,
-                                 EncodeDocument(EncodeSnapshot(snapshot))));
+                                 EncodeRecordFile(EncodeSnapshot(snapshot))));
   if (next_index() <= snapshot.index_) {
-    BOOST_OUTCOME_TRYV(BeginSegment(snapshot.index_ + 1));
+    BOOST_OUTCOME_TRYV(CreateSegment(snapshot.index_ + 1));
   }
   size_t covered = 0;
   while (covered + 1 < segments_.size() &&
@@ -326,23 +330,23 @@
 }
 
 Result<void> LogStore::Append(absl::Span<const LogEntry> entries) {
-  return impl_->Guarded([&] { return impl_->Append(entries); });
+  return impl_->RunUnlessFailed([&] { return impl_->Append(entries); });
 }
 
 Result<void> LogStore::TruncateFrom(uint64_t index) {
-  return impl_->Guarded([&] { return impl_->TruncateFrom(index); });
+  return impl_->RunUnlessFailed([&] { return impl_->TruncateFrom(index); });
 }
 
 Result<void> LogStore::SaveVote(const VoteRecord& vote) {
-  return impl_->Guarded([&] { return impl_->SaveVote(vote); });
+  return impl_->RunUnlessFailed([&] { return impl_->SaveVote(vote); });
 }
 
 Result<void> LogStore::SaveSnapshot(const LogSnapshot& snapshot) {
-  return impl_->Guarded([&] { return impl_->SaveSnapshot(snapshot); });
+  return impl_->RunUnlessFailed([&] { return impl_->SaveSnapshot(snapshot); });
 }
 
 Result<void> LogStore::Sync() {
-  return impl_->Guarded([&] { return impl_->Sync(); });
+  return impl_->RunUnlessFailed([&] { return impl_->Sync(); });
 }
 
 }  // namespace gooseberrygap::state
--- a/src/state/internal/membership_table.cc
+++ b/src/state/internal/membership_table.cc
@@ -4,8 +4,8 @@
 
 namespace {
 
-// Longer than any daemon or control instance lags behind without asking for
-// the whole table.
+// How long left and suspended records stay in the table: longer than any daemon
+// or control instance can lag behind before it requests the whole table.
 constexpr Millis kTombstoneRetention(5.0 * 60 * 1000);
 
 bool IsTombstone(const MembershipRecord& record) {
@@ -40,7 +40,7 @@
     const bool known_has_left = known->record_.state_ == TargetState::kLeft;
     if (record.version_ == known->record_.version_) {
       if (has_left == known_has_left) {
-        Confirm(*known, holder, holder_epoch);
+        UpdateHolderEpoch(*known, holder, holder_epoch);
         return MergeResult::kSame;
       }
       if (known_has_left) {
@@ -60,9 +60,9 @@
   return MergeResult::kNewer;
 }
 
-void MembershipTable::Confirm(const MembershipRecord& known,
-                              absl::string_view holder,
-                              uint64_t holder_epoch) {
+void MembershipTable::UpdateHolderEpoch(const MembershipRecord& known,
+                                        absl::string_view holder,
+                                        uint64_t holder_epoch) {
   if (known.holder_ != holder || known.holder_epoch_ == holder_epoch) {
     return;
   }
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -1,8 +1,8 @@
 #ifndef STATE_STATE_H_
 #define STATE_STATE_H_
 
-// Public header of the state library: value types, time, errors, counters and
-// the durable and replicated state of gooseberrygap.
+// Public header of the state library: value types, clocks, errors, counters,
+// the durable log store and the replicated state machines.
 
 #include "state/api/action.h"
 #include "state/api/action_register.h"
--- a/src/state/tests/action_register_test.cc
+++ b/src/state/tests/action_register_test.cc
@@ -30,7 +30,8 @@
 constexpr auto kFinish = RegisterOperation::kFinish;
 constexpr auto kAbandon = RegisterOperation::kAbandon;
 
-// Guards against an action that runs after its caller was told `not-run`.
+// Guards against an action that runs after its caller received `not-run`,
+// because a delayed start arrives after the fence.
 TEST_CASE("a start that arrives after the fence is refused", "[at_most_once]") {
   ActionRegister actions;
   CHECK(actions.Apply(Make(kBegin, 0), kNow).attempt_ == 1);
@@ -45,7 +46,7 @@
   CHECK(actions.Apply(Make(kStart, 2), kNow).granted_);
 }
 
-// Guards against a fence that arrives before its begin and is forgotten.
+// Guards against losing a fence that arrives before the begin of its key.
 TEST_CASE("a fence of an absent key holds against a late begin and start",
           "[at_most_once]") {
   ActionRegister actions;
@@ -62,13 +63,13 @@
   const RegisterResult second = actions.Apply(Make(kStart, 1, "r2"), kNow);
   CHECK_FALSE(second.granted_);
   CHECK(second.refusal_ == RefusalReason::kAlreadyStarted);
-  // The refused guard must not release what the other one runs.
+  // The refused guard must not release the attempt that the other one runs.
   CHECK_FALSE(actions.Apply(Make(kRelease, 1, "r2"), kNow).granted_);
   CHECK(actions.Apply(Make(kBegin, 0), kNow).state_ == ActionState::kStarted);
 }
 
-// Guards against a second run when the caller resends after a lost answer, and
-// against a start repeated after the end of the action.
+// Guards against a second run when the caller resends after a lost answer or a
+// start is repeated after the action ended.
 TEST_CASE("a resend after the end gets the stored answer", "[at_most_once]") {
   ActionRegister actions;
   actions.Apply(Make(kBegin, 0), kNow);
@@ -84,7 +85,8 @@
   CHECK(fence.answer_.body_ == Bytes("paid"));
 }
 
-// Guards against the answer to one request given to another with its key.
+// Guards against returning one request's answer to a different request with the
+// same key.
 TEST_CASE("a key that was used for another request is refused",
           "[at_most_once]") {
   ActionRegister actions;
@@ -97,8 +99,8 @@
   CHECK(actions.Apply(Make(kStart, 1), kNow).granted_);
 }
 
-// Guards against calls that are refused or move the key further because an
-// earlier reply was lost.
+// Guards against an operation that is refused or advances the attempt when it
+// is repeated after its reply was lost.
 TEST_CASE("repeating an operation gives the same result", "[at_most_once]") {
   ActionRegister actions;
   const auto twice = [&actions](const RegisterCommand& command) {
@@ -118,8 +120,8 @@
   twice(Make(kFinish, 3));
 }
 
-// Guards against an ingress that takes another's fence for its own and says
-// `not-run` while the other's next attempt runs.
+// Guards against an ingress that treats another ingress's fence as its own and
+// answers `not-run` while the other's next attempt runs.
 TEST_CASE("another request's fence does not count as a repeat",
           "[at_most_once]") {
   ActionRegister actions;
@@ -132,7 +134,7 @@
   CHECK_FALSE(actions.Apply(Make(kStart, 2, "r1"), kNow).granted_);
 }
 
-// Guards against a second run of an action whose guard was restarted in it.
+// Guards against a second run of an action whose guard restarted while it ran.
 TEST_CASE("abandoned keys are never run again", "[at_most_once]") {
   ActionRegister actions;
   actions.Apply(Make(kBegin, 0), kNow);
@@ -156,7 +158,7 @@
   CHECK(actions.Apply(Make(kFinish, 1), kNow).state_ == ActionState::kDone);
 }
 
-// Guards against a full register that forgets keys to make room.
+// Guards against a full register that evicts keys to accept new ones.
 TEST_CASE("a full register refuses new keys and keeps the old",
           "[at_most_once]") {
   ActionRegister actions;
@@ -170,7 +172,8 @@
   CHECK(actions.Apply(Make(kStart, 1), kNow).granted_);
 }
 
-// Guards against a large answer that is cut short or run again.
+// Guards against truncating an answer that is too large to store, and against
+// running its action again.
 TEST_CASE("a resend is refused when the answer was too large",
           "[at_most_once]") {
   ActionRegister actions;
@@ -184,8 +187,8 @@
   CHECK(resend.state_ == ActionState::kDone);
 }
 
-// Guards against keys that are forgotten early, also when the wall clock of a
-// new leader jumps ahead, and against keys that are kept for ever.
+// Guards against keys that expire early, in particular when a new leader's wall
+// clock is ahead, and against keys that never expire.
 TEST_CASE("keys expire after their retention only", "[at_most_once]") {
   constexpr uint64_t kMinuteMillis = 60000;
   ActionRegister actions;
@@ -194,7 +197,7 @@
   actions.Apply(Make(kStart, 1), kNow);
   actions.Expire(kNow + 1000 * kMinuteMillis);
   CHECK(actions.size() == 1);
-  // The jump counted as two minutes.
+  // The jump advanced the register time by two minutes.
   for (uint64_t minute = 1; minute <= 7; ++minute) {
     actions.Expire(kNow + (1000 + minute) * kMinuteMillis);
     CHECK(actions.size() == 1);
@@ -203,7 +206,7 @@
   CHECK(actions.size() == 0);
 }
 
-// Guards against replicas that disagree after a snapshot.
+// Guards against replicas that diverge after restoring a snapshot.
 TEST_CASE("a restored register continues as the first", "[at_most_once]") {
   ActionRegister first;
   first.Apply(Make(kBegin, 0), kNow);
--- a/src/state/tests/configuration_store_test.cc
+++ b/src/state/tests/configuration_store_test.cc
@@ -10,7 +10,7 @@
                             const std::vector<std::string>& services) {
   std::vector<Service> list;
   for (const std::string& name : services) {
-    // "a+" is service a with another limit.
+    // "a+" is service a with a different queue limit.
     const bool is_changed = name.back() == '+';
     list.push_back(
         Service{.name_ = is_changed ? name.substr(0, name.size() - 1) : name,
@@ -22,8 +22,8 @@
           Configuration{.version_ = version, .services_ = list})};
 }
 
-// Guards against two operators who both believe that their document is in
-// force, and against a resend that is refused or counted twice.
+// Guards against accepting two different documents with one version, and
+// against a resend that is refused or accepted as a new document.
 TEST_CASE("equal versions conflict unless the content is equal",
           "[configuration]") {
   ConfigurationStore store;
@@ -38,13 +38,13 @@
         SubmissionStatus::kWrongVersion);
   CHECK(store.current().index_ == 7);
 
-  // A resend that comes after the next version is still a resend.
+  // A resend is recognized even after the next version was accepted.
   CHECK(store.Submit(12, Make(2, "next", {"a", "b"})).index_ == 12);
   CHECK(store.Submit(13, Make(1, "first", {"a"})).index_ == 7);
   CHECK(store.current().index_ == 12);
 }
 
-// Guards against a daemon whose document differs after a delta.
+// Guards against a daemon whose document is wrong after it applied a delta.
 TEST_CASE("a delta gives the newest document", "[configuration]") {
   ConfigurationStore store;
   const SubmittedConfiguration base = Make(1, "s1", {"a", "b", "c"});
@@ -64,7 +64,7 @@
   CHECK_FALSE(store.DeltaFrom(8).has_value());
 }
 
-// Guards against a restored replica that judges a resend differently.
+// Guards against a restored replica that decides differently on a resend.
 TEST_CASE("a restored store keeps versions and deltas", "[configuration]") {
   ConfigurationStore store;
   for (uint64_t version = 1; version <= 100; ++version) {
@@ -91,8 +91,8 @@
               Route{.name_ = submission, .host_ = "h", .path_prefix_ = "/"}}})};
 }
 
-// Guards against a resend that is refused after later changes, and against two
-// changes on top of one version that are both accepted.
+// Guards against a resend that is refused after later changes, and against
+// accepting two changes based on the same version.
 TEST_CASE("documents that name their base follow it", "[configuration]") {
   ConfigurationStore store;
   CHECK(store.Submit(1, MakeOn(0, 5, "a")).status_ ==
--- a/src/state/tests/error_test.cc
+++ b/src/state/tests/error_test.cc
@@ -5,7 +5,7 @@
 namespace gooseberrygap::state {
 namespace {
 
-// Guards against an error kind without a row, whose message would name no
+// Guards against an error kind without a table row, whose message would have no
 // remedy.
 TEST_CASE("every error kind has a name and a remedy") {
   for (int i = 1; i < static_cast<int>(ErrorKind::kCount); ++i) {
@@ -15,7 +15,7 @@
   }
 }
 
-// Guards against reason names that are missing or stand twice.
+// Guards against reason names that are missing or duplicated.
 TEST_CASE("reasons have distinct names") {
   std::vector<std::string> labels;
   const Counters counters;
--- a/src/state/tests/histograms_test.cc
+++ b/src/state/tests/histograms_test.cc
@@ -5,8 +5,8 @@
 namespace gooseberrygap::state {
 namespace {
 
-// Guards against values that are lost below or above the range, and against
-// bucket counts that do not add up.
+// Guards against losing values below or above the bucket range, and against
+// bucket counts that are not cumulative.
 TEST_CASE("histogram buckets are cumulative") {
   Histograms histograms;
   for (const double value : {0.01, 0.06, 1.0, 1.0, 500.0, 100000.0}) {
--- a/src/state/tests/log_store_test.cc
+++ b/src/state/tests/log_store_test.cc
@@ -86,9 +86,9 @@
 }
 
 constexpr char kFirstSegment[] = "log-00000000000000000001";
-// Length of a segment without entries.
+// Length of a segment without entries, in bytes.
 constexpr size_t kSegmentHeader = 44;
-// Entries that are synced where the rest is not.
+// Number of entries that are synced; the remaining ones are not.
 constexpr size_t kSynced = 3;
 
 // Writes kEntries with a sync after every entry up to `synced`, and returns the
@@ -129,8 +129,9 @@
   CHECK(OpenStore(temporary / "other")->identity() != identity);
 }
 
-// Guards against gaps and leftovers when the log has several files: truncation
-// across files, a snapshot that covers some, and one beyond the end.
+// Guards against gaps and leftover files when the log has several segments:
+// truncation across segments, a snapshot that covers some of them, and a
+// snapshot beyond the end of the log.
 TEST_CASE("files are begun and removed without a gap", "[disk]") {
   const TemporaryFolder temporary;
   const std::string folder = temporary / "data";
@@ -165,8 +166,8 @@
   CHECK(files() == 2);  // The snapshot and one segment.
 }
 
-// Guards against a crash between the snapshot and the removal of what it
-// covers: the folder must open as if the removal had been done.
+// Guards against a crash between saving a snapshot and removing the entries it
+// covers: the folder must open as if they had been removed.
 TEST_CASE("a snapshot wins over the entries it covers", "[disk]") {
   const TemporaryFolder temporary;
   const std::string folder = temporary / "data";
@@ -186,8 +187,8 @@
   CHECK(store->Append({&next, 1}));
 }
 
-// Guards against a write that a crash cut short stopping the voter, and against
-// accepting a part of it.
+// Guards against a voter that cannot start after a crash interrupted a write,
+// and against accepting part of that write.
 TEST_CASE("a torn tail of every length is cut", "[disk]") {
   const TemporaryFolder temporary;
   const std::string folder = temporary / "data";
@@ -206,7 +207,7 @@
     REQUIRE(IsPrefix(entries));
     REQUIRE(entries.size() >= most);
     most = entries.size();
-    // The place that was cut is written again.
+    // The truncated position can be written again.
     if (most < kEntries.size()) {
       REQUIRE(store.value()->Append({&kEntries[most], 1}));
     }
@@ -214,8 +215,8 @@
   CHECK(most == kEntries.size());
 }
 
-// Guards against accepting a damaged entry, and against losing one that was
-// durable: damage before the last synced byte stops the voter.
+// Guards against accepting a corrupt entry, and against losing a durable one:
+// corruption before the last synced byte stops the voter.
 TEST_CASE("a flipped byte is never accepted", "[disk]") {
   const TemporaryFolder temporary;
   const std::string folder = temporary / "data";
@@ -239,7 +240,8 @@
   CHECK(refused >= kSegmentHeader + kSynced);
 }
 
-// Guards against damage or loss of the small files passing unnoticed.
+// Guards against undetected corruption or loss of the identity, vote and
+// snapshot files.
 TEST_CASE("a damaged or missing file stops the voter", "[disk]") {
   const TemporaryFolder temporary;
   const std::string folder = temporary / "data";
@@ -261,7 +263,7 @@
   CHECK(LogStore::Open(folder).has_value() == absl::EndsWith(path, "snapshot"));
 }
 
-// Guards against two processes that write one folder.
+// Guards against two processes that write to the same folder.
 TEST_CASE("a folder is opened once at a time", "[disk]") {
   const TemporaryFolder temporary;
   const auto store = OpenStore(temporary / "data");
@@ -270,8 +272,8 @@
   CHECK(second.error().kind_ == ErrorKind::kFolderInUse);
 }
 
-// Guards against writing on after the disk was full, which would leave a hole,
-// and against losing what was durable before.
+// Guards against further writes after the disk was full, which would leave a
+// gap, and against losing entries that were durable before.
 TEST_CASE("a full disk ends all writing", "[disk]") {
   const TemporaryFolder temporary;
   const std::string folder = temporary / "data";
@@ -304,8 +306,8 @@
   CHECK(log.entries_.size() == durable);
 }
 
-// Guards against a second sync that seems to succeed although the first one
-// lost what it should have written.
+// Guards against a second sync that reports success although the first one
+// failed and lost the unwritten pages.
 TEST_CASE("a failed sync ends all writing", "[disk]") {
   const TemporaryFolder temporary;
   const auto store = OpenStore(temporary / "data");
--- a/src/state/tests/membership_table_test.cc
+++ b/src/state/tests/membership_table_test.cc
@@ -15,8 +15,8 @@
                       .version_ = version};
 }
 
-// Guards against a control instance that was cut off and on its return takes
-// back a newer state or a newer renewal.
+// Guards against a partitioned control instance that, once reconnected,
+// overwrites a newer state or renewal with its stale records.
 TEST_CASE("a stale record or expiry overrules nothing newer", "[membership]") {
   MembershipTable table;
   table.Merge(Make({1, 5}), "c1", 1, Millis(0));
@@ -29,7 +29,7 @@
   CHECK(table.version() == 2);
 }
 
-// Guards against an expired target that stays listed, or that cannot return.
+// Guards against an expired target that stays listed, or that cannot rejoin.
 TEST_CASE("an expiry keeps its lease version", "[membership]") {
   MembershipTable table;
   table.Merge(Make({1, 5}), "c1", 1, Millis(0));
@@ -39,8 +39,8 @@
   CHECK(table.Merge(Make({1, 6}), "c1", 1, Millis(0)) == MergeResult::kNewer);
 }
 
-// Guards against subscribers that miss a change, also when a record has left
-// their service.
+// Guards against subscribers that miss a change, in particular when a record
+// moves to another service.
 TEST_CASE("changes since a version are complete", "[membership]") {
   MembershipTable table;
   table.Merge(Make({1, 1}), "c1", 1, Millis(0));
@@ -56,7 +56,7 @@
   CHECK(table.ChangesSince(table.version()).empty());
 }
 
-// Guards against a delta that leaves out a record that was purged.
+// Guards against a delta that omits a purged record.
 TEST_CASE("a purged tombstone ends deltas from before it", "[membership]") {
   MembershipTable table;
   table.Merge(Make({1, 1}), "c1", 1, Millis(0));
