Name the target's service time instead of its pace

Cause: "pace", KnownLoad, is_worth_trying and TakeCrashes are names of this project that do not say what they hold. Change: pace_ becomes service_time_percent_, the functions and constants of pace.h follow and the header becomes service_time.h. KnownLoad becomes ReportedLoad, is_worth_trying becomes can_meet_objective, and TakeCrashes of the guard becomes TakeCrashReports. Names on the wire, in log fields and in metrics stay.

--- a/src/coordination/api/events.h
+++ b/src/coordination/api/events.h
@@ -64,7 +64,7 @@
   const bool declined_ = false;
   // What the target said of the pace of its machine, in percent of the usual
   // time; 0 when it said nothing.
-  const int pace_ = 0;
+  const int service_time_percent_ = 0;
 };
 
 // The own target's announcement.
--- a/src/coordination/api/guard.h
+++ b/src/coordination/api/guard.h
@@ -58,7 +58,7 @@
   // Returns the announced target's name, service, slots and effective state.
   const TargetAnnounced& target() const;
   // Returns and forgets the crash reports that were not reported yet.
-  std::vector<CrashReport> TakeCrashes();
+  std::vector<CrashReport> TakeCrashReports();
   // Returns the attempts that were admitted and not answered.
   size_t work_in_progress() const;
   // Returns the ends of actions that the register has not confirmed.
--- a/src/coordination/api/router.h
+++ b/src/coordination/api/router.h
@@ -27,7 +27,7 @@
 };
 
 // A target's load as it was last heard of.
-struct KnownLoad {
+struct ReportedLoad {
   const state::GuardLoad load_ = {};
   const state::Millis age_ = {};
 };
@@ -83,8 +83,8 @@
               const state::GuardLoad& load,
               state::Millis now);
   // Returns what is known of the target's load and how old it is, if anything.
-  std::optional<KnownLoad> LoadOf(absl::string_view target,
-                                  state::Millis now) const;
+  std::optional<ReportedLoad> LoadOf(absl::string_view target,
+                                     state::Millis now) const;
   // Returns how long the service's calls take on targets that are neither slow
   // nor full; 0 when it is not known.
   state::Millis UsualLatency(absl::string_view service) const;
--- a/src/coordination/api/strategy.h
+++ b/src/coordination/api/strategy.h
@@ -52,7 +52,7 @@
   virtual bool weighs_links() const { return false; }
   // Whether the last choice can be answered within its objective. Otherwise it
   // is better refused at once than sent to a target that would refuse it.
-  virtual bool is_worth_trying() const { return true; }
+  virtual bool can_meet_objective() const { return true; }
   // Whether targets are probed for it.
   virtual bool uses_probes() const { return true; }
 };
--- a/src/coordination/internal/decision_log.cc
+++ b/src/coordination/internal/decision_log.cc
@@ -31,14 +31,14 @@
   fields->push_back({"in_flight", int64_t{load.in_flight_}});
   fields->push_back({"queued", int64_t{load.queued_}});
   fields->push_back({"slots", int64_t{load.slots_}});
-  fields->push_back({"pace", int64_t{load.pace_}});
+  fields->push_back({"pace", int64_t{load.service_time_percent_}});
   fields->push_back({"state", NameIn(kStates, load.state_)});
 }
 
 }  // namespace
 
 LogEvent AttemptSentLine(const Attempt& attempt,
-                         const std::optional<KnownLoad>& known) {
+                         const std::optional<ReportedLoad>& known) {
   std::vector<LogField> fields = {
       {"attempt", int64_t{attempt.attempt_}},
       {"service", attempt.service_},
--- a/src/coordination/internal/decision_log.h
+++ b/src/coordination/internal/decision_log.h
@@ -12,7 +12,7 @@
 
 // An attempt was sent; `known` is absent when the target had told nothing.
 state::LogEvent AttemptSentLine(const Attempt& attempt,
-                                const std::optional<KnownLoad>& known);
+                                const std::optional<ReportedLoad>& known);
 
 // A guard answered an attempt.
 state::LogEvent AttemptAnsweredLine(const AttemptAnswer& answer);
--- a/src/coordination/internal/guard.cc
+++ b/src/coordination/internal/guard.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "coordination/api/pace.h"
+#include "coordination/api/service_time.h"
 #include "coordination/internal/guard_impl.h"
 
 namespace gooseberrygap::coordination {
@@ -30,7 +30,7 @@
   Commands commands;
   if (is_new_process) {
     ReportCrash(now);
-    pace_ = 0;
+    service_time_percent_ = 0;
     slot_limit_ = SlotLimit();
     commands = RefuseReplaced();
   }
@@ -127,11 +127,11 @@
                           .slots_ = slots(),
                           .latency_ = Expected(),
                           .state_ = target_.state(),
-                          .pace_ = pace_,
+                          .service_time_percent_ = service_time_percent_,
                           .service_time_ = service_times_.mean()};
 }
 
-std::vector<CrashReport> Guard::Impl::TakeCrashes() {
+std::vector<CrashReport> Guard::Impl::TakeCrashReports() {
   std::vector<CrashReport> crashes;
   crashes.swap(crashes_);
   return crashes;
@@ -170,8 +170,9 @@
 
 Commands Guard::Impl::StartQueued(state::Millis now) {
   Commands commands;
-  for (const GuardWork* next = queue_.Next(pace_, now);
-       next != nullptr && MayStart(*next); next = queue_.Next(pace_, now)) {
+  for (const GuardWork* next = queue_.Next(service_time_percent_, now);
+       next != nullptr && MayStart(*next);
+       next = queue_.Next(service_time_percent_, now)) {
     const GuardWork work = queue_.Take(next);
     if (now >= work.deadline_) {
       commands.push_back(Reply(
@@ -197,7 +198,7 @@
   const uint64_t delivery_id = next_delivery_++;
   Running running{.work_ = work,
                   .started_ = now,
-                  .pace_ = pace_,
+                  .service_time_percent_ = service_time_percent_,
                   .running_ = running_count() + 1};
   if (!IsKeyed(work.attempt_)) {
     running_.emplace(delivery_id, running);
@@ -256,20 +257,22 @@
 }
 
 Commands Guard::Impl::RefuseHopeless(state::Millis now) {
-  return RefuseAll(queue_.TakeHopeless(pace_, now), RefusalReason::kOverloaded);
+  return RefuseAll(queue_.TakeHopeless(service_time_percent_, now),
+                   RefusalReason::kOverloaded);
 }
 
 state::Millis Guard::Impl::ExpectedFor(const Attempt& attempt,
                                        state::Millis now) const {
-  const state::Millis own =
-      ExpectedServiceTime(service_times_.For(attempt.route_), pace_);
+  const state::Millis own = ExpectedServiceTime(
+      service_times_.For(attempt.route_), service_time_percent_);
   if (running_count() < slots() && queue_.empty()) {
     return own;
   }
-  state::Millis before = queue_.TotalTime(pace_);
+  state::Millis before = queue_.TotalTime(service_time_percent_);
   for (const auto& [delivery_id, running] : running_) {
-    const state::Millis whole = ExpectedServiceTime(
-        service_times_.For(running.work_.attempt_.route_), pace_);
+    const state::Millis whole =
+        ExpectedServiceTime(service_times_.For(running.work_.attempt_.route_),
+                            service_time_percent_);
     const state::Millis left = whole - (now - running.started_);
     before = before + std::max(left, whole * kLeastShareLeft);
   }
@@ -279,7 +282,7 @@
 RefusalReason Guard::Impl::CheckRoutedLoad(const Attempt& attempt,
                                            state::Millis now) const {
   // The ingress did not know yet; another target may be faster.
-  if (IsSlowPace(pace_) && !attempt.may_queue_) {
+  if (IsSlowServiceTime(service_time_percent_) && !attempt.may_queue_) {
     return RefusalReason::kSlow;
   }
   if (running_count() < slots() && queue_.empty()) {
@@ -370,8 +373,8 @@
   return impl_->target()->announced();
 }
 
-std::vector<CrashReport> Guard::TakeCrashes() {
-  return impl_->TakeCrashes();
+std::vector<CrashReport> Guard::TakeCrashReports() {
+  return impl_->TakeCrashReports();
 }
 
 size_t Guard::work_in_progress() const {
--- a/src/coordination/internal/guard_delivery.cc
+++ b/src/coordination/internal/guard_delivery.cc
@@ -1,4 +1,4 @@
-#include "coordination/api/pace.h"
+#include "coordination/api/service_time.h"
 #include "coordination/internal/guard_impl.h"
 
 #include <algorithm>
@@ -21,7 +21,9 @@
   if (ended.delivery_id_ == pace_probe_) {
     pace_probe_ = 0;
     pace_at_ = now;
-    return ended.pace_ > 0 ? OnPace(ended.pace_, now) : Commands();
+    return ended.service_time_percent_ > 0
+               ? OnPace(ended.service_time_percent_, now)
+               : Commands();
   }
   const auto entry = running_.find(ended.delivery_id_);
   if (entry == running_.end()) {
@@ -54,8 +56,8 @@
     case DeliveryEnd::kCancelled:
       break;
   }
-  if (ended.pace_ > 0) {
-    Append(&commands, OnPace(ended.pace_, now));
+  if (ended.service_time_percent_ > 0) {
+    Append(&commands, OnPace(ended.service_time_percent_, now));
   }
   Append(&commands, StartQueued(now));
   return commands;
@@ -66,7 +68,8 @@
                                  state::Millis now) {
   const GuardWork& work = running.work_;
   latency_.Add(now - running.started_);
-  if (IsUsualPace(running.pace_) && IsUsualPace(pace_)) {
+  if (IsUsualServiceTime(running.service_time_percent_) &&
+      IsUsualServiceTime(service_time_percent_)) {
     NoteUsualTime(running, now - running.started_);
   }
   Commands commands = {Reply(
--- a/src/coordination/internal/guard_impl.h
+++ b/src/coordination/internal/guard_impl.h
@@ -72,7 +72,7 @@
 
   state::GuardLoad Load() const;
 
-  std::vector<CrashReport> TakeCrashes();
+  std::vector<CrashReport> TakeCrashReports();
 
   size_t work_in_progress() const;
   size_t reports_in_progress() const;
@@ -83,7 +83,7 @@
     state::Millis started_;
     std::string nonce_;
     bool cancelled_ = false;
-    int pace_ = 0;     // When it was started.
+    int service_time_percent_ = 0;  // When it was started.
     int running_ = 0;  // Requests that ran then, this one included.
   };
   struct PendingRelease {
@@ -209,7 +209,7 @@
   uint64_t next_delivery_ = 1;
   uint64_t check_id_ = 0;
   uint64_t next_tag_ = 0;
-  int pace_ = 0;  // What the target last said.
+  int service_time_percent_ = 0;  // What the target last said.
   state::Millis pace_at_;
   uint64_t pace_probe_ = 0;  // Delivery of the probe in progress.
   state::Millis last_work_;
--- a/src/coordination/internal/guard_pace.cc
+++ b/src/coordination/internal/guard_pace.cc
@@ -1,4 +1,4 @@
-#include "coordination/api/pace.h"
+#include "coordination/api/service_time.h"
 #include "coordination/internal/guard_impl.h"
 
 namespace gooseberrygap::coordination {
@@ -17,8 +17,9 @@
 }  // namespace
 
 Commands Guard::Impl::OnPace(int pace, state::Millis now) {
-  const bool has_changed = IsSlowPace(pace) != IsSlowPace(pace_);
-  pace_ = pace;
+  const bool has_changed =
+      IsSlowServiceTime(pace) != IsSlowServiceTime(service_time_percent_);
+  service_time_percent_ = pace;
   pace_at_ = now;
   if (!has_changed) {
     return {};
@@ -30,7 +31,7 @@
         .message_ = LoadNotice{.target_ = target_.announced().target_,
                                .load_ = Load()}});
   }
-  if (!IsSlowPace(pace)) {
+  if (!IsSlowServiceTime(pace)) {
     return commands;
   }
   Append(&commands, RefuseAll(queue_.TakeIf([](const GuardWork& work) {
@@ -42,7 +43,7 @@
 
 Commands Guard::Impl::ProbePace(state::Millis now) {
   const std::string path = target_.HealthPath();
-  const bool is_due = pace_ > 0 && pace_probe_ == 0 &&
+  const bool is_due = service_time_percent_ > 0 && pace_probe_ == 0 &&
                       now - pace_at_ >= kProbeWhenOlder &&
                       now - last_work_ < kProbeIdleLimit &&
                       target_.state() == TargetState::kServing;
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
-#include "coordination/api/pace.h"
+#include "coordination/api/service_time.h"
 #include "coordination/coordination.h"
 #include "coordination/internal/decision_log.h"
 #include "coordination/internal/early_calls.h"
@@ -223,7 +223,7 @@
                      const PeerMessageArrived&,
                      state::Millis now) {
     router_.OnLoad(notice.target_, notice.load_, now);
-    return IsSlowPace(notice.load_.pace_)
+    return IsSlowServiceTime(notice.load_.service_time_percent_)
                ? ingress_.OnTargetSlow(notice.target_, now)
                : Commands();
   }
@@ -295,7 +295,7 @@
                                          target.slots_, target.state_, now),
                 now);
     }
-    const std::vector<CrashReport> crashes = guard_.TakeCrashes();
+    const std::vector<CrashReport> crashes = guard_.TakeCrashReports();
     if (!crashes.empty()) {
       Append(&commands, Apply(control_client_.ReportCrash(crashes, now), now));
     }
--- a/src/coordination/internal/router.cc
+++ b/src/coordination/internal/router.cc
@@ -211,14 +211,14 @@
     entry->second->load_at_ = now;
   }
 
-  std::optional<KnownLoad> LoadOf(absl::string_view target,
-                                  state::Millis now) const {
+  std::optional<ReportedLoad> LoadOf(absl::string_view target,
+                                     state::Millis now) const {
     const auto entry = targets_.find(target);
     if (entry == targets_.end() || !entry->second->load_.has_value()) {
       return std::nullopt;
     }
-    return KnownLoad{.load_ = *entry->second->load_,
-                     .age_ = now - entry->second->load_at_};
+    return ReportedLoad{.load_ = *entry->second->load_,
+                        .age_ = now - entry->second->load_at_};
   }
 
   state::Millis UsualLatency(absl::string_view service) const {
@@ -378,7 +378,7 @@
     }
     std::optional<TargetRecord> chosen =
         ChooseAmong(service, targets, query, now);
-    if (!service->strategy_->is_worth_trying()) {
+    if (!service->strategy_->can_meet_objective()) {
       return std::nullopt;
     }
     if (LinkTo(*chosen) != LinkClass::kCrossRegion) {
@@ -533,8 +533,8 @@
   impl_->OnLoad(target, load, now);
 }
 
-std::optional<KnownLoad> Router::LoadOf(absl::string_view target,
-                                        state::Millis now) const {
+std::optional<ReportedLoad> Router::LoadOf(absl::string_view target,
+                                           state::Millis now) const {
   return impl_->LoadOf(target, now);
 }
 
--- a/src/coordination/internal/strategy.cc
+++ b/src/coordination/internal/strategy.cc
@@ -3,7 +3,7 @@
 #include <cmath>
 
 #include "absl/random/distributions.h"
-#include "coordination/api/pace.h"
+#include "coordination/api/service_time.h"
 #include "coordination/coordination.h"
 
 namespace gooseberrygap::coordination {
@@ -150,7 +150,7 @@
                     useful.value() * kSurelyLate;
     return best;
   }
-  bool is_worth_trying() const override { return !best_is_late_; }
+  bool can_meet_objective() const override { return !best_is_late_; }
   bool weighs_links() const override { return true; }
   bool uses_probes() const override { return false; }
 
@@ -249,10 +249,11 @@
                                 ? load.service_time_.value()
                                 : typical.service_ms_;
     const double pace_weight =
-        load.pace_ > 0 ? Weight(candidate, kPaceHalfLifeMs) : 0;
+        load.service_time_percent_ > 0 ? Weight(candidate, kPaceHalfLifeMs) : 0;
     const double service_ms =
-        pace_weight *
-            ExpectedServiceTime(state::Millis(usual_ms), load.pace_).value() +
+        pace_weight * ExpectedServiceTime(state::Millis(usual_ms),
+                                          load.service_time_percent_)
+                          .value() +
         (1 - pace_weight) * kTypicalPace * usual_ms;
     const double fullness = in_flight / slots;
     const double rounds = std::max(1.0, (in_flight + 1) / slots);
--- a/src/coordination/internal/work_queue.cc
+++ b/src/coordination/internal/work_queue.cc
@@ -3,7 +3,7 @@
 #include <tuple>
 #include <utility>
 
-#include "coordination/api/pace.h"
+#include "coordination/api/service_time.h"
 
 namespace gooseberrygap::coordination {
 
--- a/src/coordination/tests/guard_test.cc
+++ b/src/coordination/tests/guard_test.cc
@@ -218,17 +218,18 @@
   TestGuard test;
   const uint64_t delivery = DeliveryOf(
       test.guard_.OnAttempt("ingress", LookupAttempt("1", false), Millis(1)));
-  const Commands commands = test.guard_.OnDeliveryEnded(
-      DeliveryEnded{
-          .delivery_id_ = delivery, .answer_ = {.status_ = 200}, .pace_ = 700},
-      Millis(100));
+  const Commands commands =
+      test.guard_.OnDeliveryEnded(DeliveryEnded{.delivery_id_ = delivery,
+                                                .answer_ = {.status_ = 200},
+                                                .service_time_percent_ = 700},
+                                  Millis(100));
   bool told = false;
   for (const Command& command : commands) {
     const auto* reply = std::get_if<ReplyToPeer>(&command);
     const auto* notice =
         reply == nullptr ? nullptr : std::get_if<LoadNotice>(&reply->message_);
     told = told || (notice != nullptr && reply->connection_ == "ingress" &&
-                    notice->load_.pace_ == 700);
+                    notice->load_.service_time_percent_ == 700);
   }
   CHECK(told);
   const Attempt first{.request_id_ = "2",
@@ -253,7 +254,7 @@
       test.guard_.OnAttempt("a", LookupAttempt("1", false), Millis(1)));
   test.guard_.OnDeliveryEnded(DeliveryEnded{.delivery_id_ = first,
                                             .answer_ = {.status_ = 200},
-                                            .pace_ = kColdPace},
+                                            .service_time_percent_ = kColdPace},
                               Millis(200));
   const Attempt routed{.request_id_ = "2",
                        .attempt_ = 1,
--- a/src/coordination/tests/work_queue_test.cc
+++ b/src/coordination/tests/work_queue_test.cc
@@ -2,7 +2,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "coordination/api/pace.h"
+#include "coordination/api/service_time.h"
 
 namespace gooseberrygap::coordination {
 namespace {
@@ -22,7 +22,7 @@
 }
 
 std::string NextOf(const WorkQueue& queue, Millis now) {
-  const GuardWork* next = queue.Next(kUsualPace, now);
+  const GuardWork* next = queue.Next(kUsualServiceTimePercent, now);
   return next == nullptr ? "" : next->attempt_.request_id_;
 }
 
@@ -38,11 +38,11 @@
   queue.Push(Work("urgent", 1, Millis(500)));
   queue.Push(Work("urgent too", 1, Millis(500)));
   CHECK(NextOf(queue, Millis(0)) == "urgent");
-  queue.Take(queue.Next(kUsualPace, Millis(0)));
+  queue.Take(queue.Next(kUsualServiceTimePercent, Millis(0)));
   CHECK(NextOf(queue, Millis(0)) == "urgent too");
-  queue.Take(queue.Next(kUsualPace, Millis(0)));
+  queue.Take(queue.Next(kUsualServiceTimePercent, Millis(0)));
   CHECK(NextOf(queue, Millis(0)) == "later");
-  queue.Take(queue.Next(kUsualPace, Millis(0)));
+  queue.Take(queue.Next(kUsualServiceTimePercent, Millis(0)));
   CHECK(NextOf(queue, Millis(0)) == "late");
 }
 
@@ -56,17 +56,18 @@
   queue.Push(Work("a", 0, Millis(150), "short"));
   queue.Push(Work("b", 0, Millis(150), "long"));
   const std::vector<GuardWork> hopeless =
-      queue.TakeHopeless(kUsualPace, Millis(0));
+      queue.TakeHopeless(kUsualServiceTimePercent, Millis(0));
   REQUIRE(hopeless.size() == 1);
   CHECK(hopeless[0].attempt_.request_id_ == "b");
-  CHECK(queue.TakeHopeless(kUsualPace, Millis(120)).size() == 1);
+  CHECK(queue.TakeHopeless(kUsualServiceTimePercent, Millis(120)).size() == 1);
   CHECK(queue.empty());
 }
 
 // Guards against a slow spell that counts as if it lasted for ever.
 TEST_CASE("work that outlasts a slow spell goes on at the usual pace",
           "[load_cost]") {
-  CHECK(ExpectedServiceTime(Millis(160), kUsualPace) == Millis(160));
+  CHECK(ExpectedServiceTime(Millis(160), kUsualServiceTimePercent) ==
+        Millis(160));
   CHECK(ExpectedServiceTime(Millis(10), 700) == Millis(70));
   CHECK(ExpectedServiceTime(Millis(160), 700) == Millis(160) + kSlowTime);
 }
--- a/src/protocol/internal/wire_values.cc
+++ b/src/protocol/internal/wire_values.cc
@@ -187,7 +187,7 @@
   out->set_slots(value.slots_);
   out->set_latency(static_cast<float>(value.latency_.value()));
   out->set_state(static_cast<uint32_t>(value.state_));
-  out->set_pace(value.pace_);
+  out->set_pace(value.service_time_percent_);
   out->set_service_time(static_cast<float>(value.service_time_.value()));
 }
 
@@ -284,7 +284,7 @@
       .slots_ = in.slots(),
       .latency_ = reader->MillisOf(in.latency()),
       .state_ = reader->EnumOf(in.state(), state::TargetState::kLeft),
-      .pace_ = in.pace(),
+      .service_time_percent_ = in.pace(),
       .service_time_ = reader->MillisOf(in.service_time())};
 }
 
--- a/src/state/api/target.h
+++ b/src/state/api/target.h
@@ -47,7 +47,7 @@
   const TargetState state_ = TargetState::kStarting;
   // How long work takes on the target's machine at this moment, in percent of
   // the usual time; 0 when the target does not tell.
-  const int pace_ = 0;
+  const int service_time_percent_ = 0;
   // Mean time that the target takes for a request at its usual pace; 0 when it
   // is not known.
   const Millis service_time_ = {};
