--- a/src/coordination/api/guard.h
+++ b/src/coordination/api/guard.h
@@ -11,16 +11,18 @@
 
 namespace gooseberrygap::coordination {
 
-// The target announces itself every second; after three misses it is gone.
+// A target announces itself every second. After three missed announcements it
+// counts as having left.
 inline constexpr state::Millis kAnnouncementLifetime(3000);
 
-// Decides for the daemon's own target: admits attempts to its slots, queues
-// those that can still meet their deadline, starts actions only with the
-// register's grant, and tells crashes apart from slow answers. Not thread-safe.
+// Controls access to the daemon's own target: admits attempts to its slots,
+// queues those that can still meet their deadline, starts actions only after
+// the register has granted the start, and distinguishes crashes of the target
+// from slow answers. Not thread-safe.
 class Guard {
  public:
-  // `instance` and `incarnation` name this daemon in the register. The register
-  // client and the counters must outlive the guard.
+  // `instance` and `incarnation` identify this daemon in the register. The
+  // register client and the counters must outlive the guard.
   Guard(std::string instance,
         uint64_t incarnation,
         RegisterClient* register_client,
@@ -28,7 +30,8 @@
         state::Millis announcement_lifetime = kAnnouncementLifetime);
   ~Guard();
 
-  // Later starts of actions name this incarnation, which the lease has adopted.
+  // Sets the incarnation, adopted from the lease, that later register
+  // calls carry.
   void SetIncarnation(uint64_t incarnation);
   void UpdateConfiguration(const state::IndexedConfiguration& configuration);
   void UpdateRefusedFingerprints(
@@ -36,12 +39,13 @@
 
   Commands OnAnnounced(const TargetAnnounced& announced, state::Millis now);
   Commands OnWithdrawn(const TargetWithdrawn& withdrawn);
-  // Refuses new work from now on and for good. Work that was admitted goes on.
+  // Refuses new work permanently. Work that is already admitted continues.
   void Drain();
   // Returns whether Drain was called.
   bool is_draining() const;
 
-  // Handles an attempt; the answer goes to `connection` by ReplyToPeer.
+  // Handles an attempt. This or a later call returns its answer, as a
+  // ReplyToPeer command for `connection`.
   Commands OnAttempt(const std::string& connection,
                      const Attempt& attempt,
                      state::Millis now);
@@ -49,19 +53,21 @@
   Commands OnDeliveryEnded(const DeliveryEnded& ended, state::Millis now);
   // Handles the end of a register call that the guard started.
   Commands OnRegisterEnd(const RegisterEnd& end, state::Millis now);
-  // The control group has taken the crash reports.
+  // Returns the answers that were delayed until the control group accepted the
+  // crash reports.
   Commands OnCrashesReported(state::Millis now);
   Commands Tick(state::Millis now);
 
-  // Returns the load that goes into answers and probe replies.
+  // Returns the load that answers, probe replies and load notices carry.
   state::GuardLoad Load() const;
   // Returns the announced target's name, service, slots and effective state.
   const TargetAnnounced& target() const;
-  // Returns and forgets the crash reports that were not reported yet.
+  // Returns the crash reports that no earlier call has returned.
   std::vector<CrashReport> TakeCrashReports();
-  // Returns the attempts that were admitted and not answered.
+  // Returns the number of admitted attempts that are not answered yet.
   size_t work_in_progress() const;
-  // Returns the ends of actions that the register has not confirmed.
+  // Returns the number of finished or released actions whose end the register
+  // has not confirmed.
   size_t reports_in_progress() const;
 
  private:
--- a/src/coordination/api/router.h
+++ b/src/coordination/api/router.h
@@ -14,11 +14,11 @@
 
 namespace gooseberrygap::coordination {
 
-// What a call needs of its target.
+// What a call requires of the target to choose.
 struct ChoiceQuery {
   const std::string service_ = {};
   const state::Millis deadline_left_ = {};
-  // Time in which an answer is as good as an immediate one.
+  // Time left to the latency objective; an answer within it has its full value.
   const state::Millis objective_left_ = {};
   const std::string route_ = {};
   const bool is_action_ = false;
@@ -26,13 +26,13 @@
   const std::vector<std::string> tried_ = {};
 };
 
-// A target's load as it was last heard of.
+// The last load that a target's guard reported, and the age of that report.
 struct ReportedLoad {
   const state::GuardLoad load_ = {};
   const state::Millis age_ = {};
 };
 
-// How an attempt ended, as far as routing is concerned.
+// How an attempt ended, in the terms that routing distinguishes.
 enum class AttemptEnd { kServed, kRefused, kFailed, kLost, kCancelled };
 
 struct AttemptOutcome {
@@ -40,14 +40,14 @@
   const std::string target_ = {};
   const AttemptEnd end_ = AttemptEnd::kServed;
   const state::Millis latency_ = {};
-  // Absent when no answer came.
+  // Load that the answer reported; nothing without an answer.
   const std::optional<state::GuardLoad> load_ = {};
 };
 
-// Chooses targets for the calls that this daemon accepts, from what it knows of
-// membership, from the load that answers and probes carry, and from its own
-// attempts in flight. Decides also when to probe, within the load budget, and
-// when retries and hedges are allowed. Not thread-safe.
+// Chooses targets for the calls that this daemon accepts, based on membership,
+// on the load that answers and probe replies report, and on its own attempts in
+// flight. Also decides when to probe, within the load budget, and when retries
+// and hedges are allowed. Not thread-safe.
 class Router {
  public:
   // `self` gives this daemon's region and failure domain. `random` and
@@ -57,14 +57,14 @@
          state::Counters* counters);
   ~Router();
 
-  // Takes the configuration into force.
+  // Applies the configuration to the calls from now on.
   void UpdateConfiguration(const state::Configuration& configuration);
   // Replaces the known targets of all services.
   void UpdateTargets(const std::vector<state::TargetRecord>& targets,
                      state::Millis now);
 
-  // Returns the target for the next attempt, or nothing if no target may take
-  // it or none could answer it in time.
+  // Returns the target for the next attempt, or nothing if no target is
+  // eligible or none is expected to answer in time.
   std::optional<state::TargetRecord> Choose(const ChoiceQuery& query,
                                             state::Millis now);
   // Returns whether the service has any target.
@@ -73,33 +73,34 @@
   void OnSent(absl::string_view target, state::Millis now);
   // Records the end of an attempt. Each OnSent has exactly one OnEnd.
   void OnEnd(const AttemptOutcome& outcome, state::Millis now);
-  // Takes a probe of `address` and its reply from the load budget and counts
-  // them; false when the budget is spent.
+  // Charges a probe of `address` and its reply to the load budget and counts
+  // them. Returns false when the budget is spent.
   bool TakeProbe(const std::string& address, state::Millis now);
-  // Records the size of a call's request and answer together.
+  // Records the size of a call's request and answer together, in bytes.
   void OnSize(absl::string_view route, size_t bytes);
-  // Records a load that a guard told without an attempt.
+  // Records a load that the target's guard reported outside an answer.
   void OnLoad(absl::string_view target,
               const state::GuardLoad& load,
               state::Millis now);
-  // Returns what is known of the target's load and how old it is, if anything.
+  // Returns the last reported load of the target, or nothing without a report.
   std::optional<ReportedLoad> LoadOf(absl::string_view target,
                                      state::Millis now) const;
-  // Returns how long the service's calls take on targets that are neither slow
-  // nor full; 0 when it is not known.
+  // Returns the latency of the service's calls on targets that are neither slow
+  // nor full; 0 while it is unknown.
   state::Millis UsualLatency(absl::string_view service) const;
 
-  // Takes one retry from the service's budget; false when it is spent.
+  // Takes one retry from the service's budget. Returns false when it is spent.
   bool TakeRetry(absl::string_view service, state::Millis now);
-  // Takes one hedge from the service's budget; false when it is spent.
+  // Takes one hedge from the service's budget. Returns false when it is spent.
   bool TakeHedge(absl::string_view service, state::Millis now);
-  // Returns the time after which a lookup may be hedged, or nothing.
+  // Returns the time after which a lookup may be hedged, or nothing while too
+  // few latencies are recorded.
   std::optional<state::Millis> HedgeDelay(absl::string_view service) const;
 
   // Returns the probes that are due and allowed by the load budget. Call it
   // about every 10 ms.
   Commands Tick(state::Millis now);
-  // Returns whether Tick sends probes to the targets of a service.
+  // Returns whether Tick sends probes to the targets of any service.
   bool SendsProbes(state::Millis now) const;
 
  private:
--- a/src/coordination/internal/guard.cc
+++ b/src/coordination/internal/guard.cc
@@ -11,8 +11,9 @@
 using state::RegisterOperation;
 using state::TargetState;
 
-// Work that has outlasted its usual time still needs this share of it.
-constexpr double kLeastShareLeft = 0.25;
+// Running work is expected to need at least this fraction of its expected
+// service time more, also when it has exceeded that time.
+constexpr double kMinRemainingFraction = 0.25;
 
 }  // namespace
 
@@ -34,11 +35,11 @@
     slot_limit_ = SlotLimit();
     commands = RefuseReplaced();
   }
-  // Only the target's own departure: a daemon that drains finishes its queue.
-  const bool starts_to_leave = !target_.is_draining() &&
-                               before == TargetState::kServing &&
-                               target_.state() == TargetState::kDraining;
-  if (starts_to_leave) {
+  // Only when the target itself drains: a draining daemon finishes its queue.
+  const bool target_starts_draining = !target_.is_draining() &&
+                                      before == TargetState::kServing &&
+                                      target_.state() == TargetState::kDraining;
+  if (target_starts_draining) {
     Append(&commands, RefuseQueued(RefusalReason::kDraining));
   }
   Append(&commands, StartQueued(now));
@@ -56,7 +57,7 @@
                                 const Attempt& attempt,
                                 state::Millis now) {
   counters_->Add(state::Counter::kAttemptsReceived);
-  if (!memory_.Insert(attempt.request_id_, attempt.attempt_)) {
+  if (!deduplicator_.Insert(attempt.request_id_, attempt.attempt_)) {
     counters_->Add(state::Counter::kAttemptsDuplicate);
     return {};
   }
@@ -66,7 +67,7 @@
   if (refusal == RefusalReason::kNone) {
     refusal = attempt.host_.empty()
                   ? target_.CheckLoad(attempt, running_count(), queued_count(),
-                                      Expected())
+                                      ExpectedLatency())
                   : CheckRoutedLoad(attempt, now);
   }
   if (refusal != RefusalReason::kNone) {
@@ -93,8 +94,8 @@
   };
   queue_.TakeIf(matches);
   for (auto& [delivery_id, running] : running_) {
-    // An action that was granted runs to its end: its answer is kept in the
-    // register for a resend.
+    // An action whose start was granted runs to its end: the register keeps its
+    // answer for a resend.
     const bool is_lookup =
         running.work_.attempt_.request_class_ == state::RequestClass::kLookup;
     if (is_lookup && matches(running.work_) && !running.cancelled_) {
@@ -108,16 +109,16 @@
 
 Commands Guard::Impl::Tick(state::Millis now) {
   Commands commands;
-  if (target_.IsGone(now)) {
+  if (target_.HasExpired(now)) {
     ReportCrash(now);
     target_.SetState(TargetState::kLeft);
     commands = RefuseQueued(RefusalReason::kNotServing);
   }
   crash_detector_.Tick(now);
-  Append(&commands, FlushHeld(now, false));
+  Append(&commands, SendDelayedReplies(now, false));
   Append(&commands, RefuseExpired(now));
-  Append(&commands, RefuseHopeless(now));
-  Append(&commands, ProbePace(now));
+  Append(&commands, RefuseMissedObjectives(now));
+  Append(&commands, ProbeTargetLoad(now));
   return commands;
 }
 
@@ -125,7 +126,7 @@
   return state::GuardLoad{.in_flight_ = running_count(),
                           .queued_ = queued_count(),
                           .slots_ = slots(),
-                          .latency_ = Expected(),
+                          .latency_ = ExpectedLatency(),
                           .state_ = target_.state(),
                           .service_time_percent_ = service_time_percent_,
                           .service_time_ = service_times_.mean()};
@@ -138,7 +139,7 @@
 }
 
 size_t Guard::Impl::work_in_progress() const {
-  return queue_.size() + running_.size() + held_.size();
+  return queue_.size() + running_.size() + delayed_replies_.size();
 }
 
 size_t Guard::Impl::reports_in_progress() const {
@@ -160,11 +161,11 @@
                                 .refusal_ = answer.refusal_,
                                 .answer_ = answer.answer_,
                                 .load_ = Load(),
-                                .target_ = target_.announced().target_,
+                                .target_ = target_.announcement().target_,
                                 .guard_time_ = answer.guard_time_}};
 }
 
-state::Millis Guard::Impl::Expected() const {
+state::Millis Guard::Impl::ExpectedLatency() const {
   return latency_.At(running_count() + queued_count() + 1, target_.slots());
 }
 
@@ -186,20 +187,21 @@
 
 bool Guard::Impl::MayStart(const GuardWork& work) const {
   const bool has_slot = running_count() < slots();
-  // Work that runs alone is the only one that runs.
-  const bool is_taken_alone =
+  // Work that must run alone is the only entry while it runs.
+  const bool is_exclusive_running =
       !running_.empty() && running_.begin()->second.work_.run_alone_;
-  return has_slot && !is_taken_alone && (!work.run_alone_ || running_.empty());
+  return has_slot && !is_exclusive_running &&
+         (!work.run_alone_ || running_.empty());
 }
 
 Commands Guard::Impl::Start(const GuardWork& work, state::Millis now) {
   counters_->histograms().Record(state::Histogram::kQueueTime,
                                  now - work.arrival_);
   const uint64_t delivery_id = next_delivery_++;
-  Running running{.work_ = work,
-                  .started_ = now,
-                  .service_time_percent_ = service_time_percent_,
-                  .running_ = running_count() + 1};
+  RunningWork running{.work_ = work,
+                      .started_ = now,
+                      .service_time_percent_ = service_time_percent_,
+                      .running_at_start_ = running_count() + 1};
   if (!IsKeyed(work.attempt_)) {
     running_.emplace(delivery_id, running);
     return {Deliver(delivery_id, work, now)};
@@ -215,7 +217,7 @@
                                      state::Millis now) {
   counters_->Add(state::Counter::kDeliveries);
   return DeliverToTarget{.delivery_id_ = delivery_id,
-                         .address_ = target_.announced().address_,
+                         .address_ = target_.announcement().address_,
                          .request_ = work.attempt_.request_,
                          .request_id_ = work.attempt_.request_id_,
                          .attempt_ = work.attempt_.attempt_,
@@ -242,7 +244,7 @@
 }
 
 Commands Guard::Impl::RefuseReplaced() {
-  const std::string& target = target_.announced().target_;
+  const std::string& target = target_.announcement().target_;
   return RefuseAll(queue_.TakeIf([&target](const GuardWork& work) {
     return work.attempt_.target_ != target;
   }),
@@ -256,43 +258,46 @@
                    RefusalReason::kDeadline);
 }
 
-Commands Guard::Impl::RefuseHopeless(state::Millis now) {
-  return RefuseAll(queue_.TakeHopeless(service_time_percent_, now),
+Commands Guard::Impl::RefuseMissedObjectives(state::Millis now) {
+  return RefuseAll(queue_.TakeMissedObjectives(service_time_percent_, now),
                    RefusalReason::kOverloaded);
 }
 
-state::Millis Guard::Impl::ExpectedFor(const Attempt& attempt,
-                                       state::Millis now) const {
-  const state::Millis own = ExpectedServiceTime(
+state::Millis Guard::Impl::ExpectedRoutedLatency(const Attempt& attempt,
+                                                 state::Millis now) const {
+  const state::Millis service_time = ExpectedServiceTime(
       service_times_.For(attempt.route_), service_time_percent_);
   if (running_count() < slots() && queue_.empty()) {
-    return own;
+    return service_time;
   }
-  state::Millis before = queue_.TotalTime(service_time_percent_);
+  state::Millis work_ahead = queue_.TotalTime(service_time_percent_);
   for (const auto& [delivery_id, running] : running_) {
-    const state::Millis whole =
+    const state::Millis expected =
         ExpectedServiceTime(service_times_.For(running.work_.attempt_.route_),
                             service_time_percent_);
-    const state::Millis left = whole - (now - running.started_);
-    before = before + std::max(left, whole * kLeastShareLeft);
+    const state::Millis remaining = expected - (now - running.started_);
+    work_ahead =
+        work_ahead + std::max(remaining, expected * kMinRemainingFraction);
   }
-  return own + before / std::max(1, slots());
+  return service_time + work_ahead / std::max(1, slots());
 }
 
 RefusalReason Guard::Impl::CheckRoutedLoad(const Attempt& attempt,
                                            state::Millis now) const {
-  // The ingress did not know yet; another target may be faster.
+  // The ingress chose before it received the report; another target may be
+  // faster.
   if (IsSlowServiceTime(service_time_percent_) && !attempt.may_queue_) {
     return RefusalReason::kSlow;
   }
   if (running_count() < slots() && queue_.empty()) {
     return RefusalReason::kNone;
   }
-  // The ingress has weighed the queue here against those elsewhere.
+  // The ingress has already compared this queue with those of other targets.
   const state::Millis useful =
       UsefulTime(attempt.objective_left_, attempt.deadline_left_);
-  return ExpectedFor(attempt, now) <= useful ? RefusalReason::kNone
-                                             : RefusalReason::kOverloaded;
+  return ExpectedRoutedLatency(attempt, now) <= useful
+             ? RefusalReason::kNone
+             : RefusalReason::kOverloaded;
 }
 
 Guard::Guard(std::string instance,
@@ -370,7 +375,7 @@
 }
 
 const TargetAnnounced& Guard::target() const {
-  return impl_->target()->announced();
+  return impl_->target()->announcement();
 }
 
 std::vector<CrashReport> Guard::TakeCrashReports() {
--- a/src/coordination/internal/guard_delivery.cc
+++ b/src/coordination/internal/guard_delivery.cc
@@ -15,21 +15,21 @@
 
 Commands Guard::Impl::OnDeliveryEnded(const DeliveryEnded& ended,
                                       state::Millis now) {
-  if (ended.delivery_id_ == check_id_) {
-    return OnChecked(ended.end_, now);
+  if (ended.delivery_id_ == crash_check_delivery_) {
+    return OnCrashCheckEnded(ended.end_, now);
   }
-  if (ended.delivery_id_ == pace_probe_) {
-    pace_probe_ = 0;
-    pace_at_ = now;
+  if (ended.delivery_id_ == load_probe_delivery_) {
+    load_probe_delivery_ = 0;
+    service_time_checked_at_ = now;
     return ended.service_time_percent_ > 0
-               ? OnPace(ended.service_time_percent_, now)
+               ? OnServiceTimePercent(ended.service_time_percent_, now)
                : Commands();
   }
   const auto entry = running_.find(ended.delivery_id_);
   if (entry == running_.end()) {
     return {};
   }
-  const Running running = entry->second;
+  const RunningWork running = entry->second;
   const int in_flight = static_cast<int>(running_.size());
   running_.erase(entry);
   Commands commands;
@@ -46,8 +46,8 @@
           OnNotDelivered(running, RefusalReason::kInternalQueueFull, now);
       break;
     case DeliveryEnd::kCut:
-      crash_detector_.OnCut(running.work_.attempt_.digest_, in_flight,
-                            running.started_, now);
+      crash_detector_.OnIncompleteAnswer(running.work_.attempt_.digest_,
+                                         in_flight, running.started_, now);
       commands = OnUnanswered(running, RefusalReason::kTargetCrashed, now);
       break;
     case DeliveryEnd::kTimeout:
@@ -57,20 +57,20 @@
       break;
   }
   if (ended.service_time_percent_ > 0) {
-    Append(&commands, OnPace(ended.service_time_percent_, now));
+    Append(&commands, OnServiceTimePercent(ended.service_time_percent_, now));
   }
   Append(&commands, StartQueued(now));
   return commands;
 }
 
-Commands Guard::Impl::OnAnswered(const Running& running,
+Commands Guard::Impl::OnAnswered(const RunningWork& running,
                                  const state::HttpAnswer& answer,
                                  state::Millis now) {
   const GuardWork& work = running.work_;
   latency_.Add(now - running.started_);
   if (IsUsualServiceTime(running.service_time_percent_) &&
       IsUsualServiceTime(service_time_percent_)) {
-    NoteUsualTime(running, now - running.started_);
+    RecordUsualServiceTime(running, now - running.started_);
   }
   Commands commands = {Reply(
       work.connection_, AttemptAnswer{.request_id_ = work.attempt_.request_id_,
@@ -80,28 +80,29 @@
   if (IsKeyed(work.attempt_)) {
     Append(&commands,
            CallRegister(kNoDelivery, running, RegisterOperation::kFinish,
-                        answer, now + kReportTime, now));
+                        answer, now + kRegisterReportTimeout, now));
   }
   return commands;
 }
 
-void Guard::Impl::NoteUsualTime(const Running& running, state::Millis time) {
+void Guard::Impl::RecordUsualServiceTime(const RunningWork& running,
+                                         state::Millis time) {
   const std::string& route = running.work_.attempt_.route_;
   const state::Millis usual = service_times_.For(route);
   if (usual > state::Millis(0)) {
-    slot_limit_.Add(running.running_, target_.slots(),
+    slot_limit_.Add(running.running_at_start_, target_.slots(),
                     time.value() / usual.value());
   }
   service_times_.Add(route, time);
 }
 
-Commands Guard::Impl::OnDeclined(const Running& running,
+Commands Guard::Impl::OnDeclined(const RunningWork& running,
                                  const state::HttpAnswer& answer,
                                  state::Millis now) {
   constexpr int kMisdirectedRequest = 421;
   const bool is_misdirected = answer.status_ == kMisdirectedRequest;
   if (is_misdirected) {
-    // Another target has the address; it has not announced itself yet.
+    // Another target now has the address and has not announced itself yet.
     target_.SetState(TargetState::kStarting);
   }
   return OnNotDelivered(
@@ -115,10 +116,10 @@
          !attempt.unkeyed_;
 }
 
-Commands Guard::Impl::OnConnectFailed(const Running& running,
+Commands Guard::Impl::OnConnectFailed(const RunningWork& running,
                                       state::Millis now) {
-  // A refused connection confirms that the process has gone, and keeps work
-  // away until the next announcement.
+  // A refused connection confirms that the process has exited. No work is
+  // admitted until the next announcement.
   ReportCrash(now);
   target_.SetState(TargetState::kStarting);
   Commands commands =
@@ -127,7 +128,7 @@
   return commands;
 }
 
-Commands Guard::Impl::OnNotDelivered(const Running& running,
+Commands Guard::Impl::OnNotDelivered(const RunningWork& running,
                                      RefusalReason reason,
                                      state::Millis now) {
   const GuardWork& work = running.work_;
@@ -137,7 +138,7 @@
   return {Reply(work.connection_, Refusal(work.attempt_, reason))};
 }
 
-Commands Guard::Impl::OnUnanswered(const Running& running,
+Commands Guard::Impl::OnUnanswered(const RunningWork& running,
                                    RefusalReason reason,
                                    state::Millis now) {
   if (running.cancelled_) {
@@ -157,21 +158,22 @@
   if (reason != RefusalReason::kTargetCrashed) {
     return {std::move(reply)};
   }
-  check_id_ = next_delivery_++;
-  Commands commands = {DeliverToTarget{.delivery_id_ = check_id_,
-                                       .address_ = target_.announced().address_,
-                                       .connect_only_ = true,
-                                       .timeout_ = kCrashReportWait}};
+  crash_check_delivery_ = next_delivery_++;
+  Commands commands = {
+      DeliverToTarget{.delivery_id_ = crash_check_delivery_,
+                      .address_ = target_.announcement().address_,
+                      .connect_only_ = true,
+                      .timeout_ = kCrashReportWait}};
   if (is_action || work.run_alone_) {
-    held_.push_back(
-        Held{.reply_ = std::move(reply), .until_ = now + kCrashReportWait});
+    delayed_replies_.push_back(DelayedReply{.reply_ = std::move(reply),
+                                            .until_ = now + kCrashReportWait});
   } else {
     commands.push_back(std::move(reply));
   }
   return commands;
 }
 
-Commands Guard::Impl::OnChecked(DeliveryEnd end, state::Millis now) {
+Commands Guard::Impl::OnCrashCheckEnded(DeliveryEnd end, state::Millis now) {
   if (end == DeliveryEnd::kConnectFailed) {
     ReportCrash(now);
     target_.SetState(TargetState::kStarting);
@@ -190,17 +192,17 @@
   }
 }
 
-Commands Guard::Impl::FlushHeld(state::Millis now, bool all) {
+Commands Guard::Impl::SendDelayedReplies(state::Millis now, bool all) {
   Commands commands;
-  std::vector<Held> kept;
-  for (const Held& held : held_) {
-    if (all || now >= held.until_) {
-      commands.push_back(held.reply_);
+  std::vector<DelayedReply> remaining;
+  for (const DelayedReply& delayed : delayed_replies_) {
+    if (all || now >= delayed.until_) {
+      commands.push_back(delayed.reply_);
     } else {
-      kept.push_back(held);
+      remaining.push_back(delayed);
     }
   }
-  held_.swap(kept);
+  delayed_replies_.swap(remaining);
   return commands;
 }
 
--- a/src/coordination/internal/guard_impl.h
+++ b/src/coordination/internal/guard_impl.h
@@ -16,23 +16,25 @@
 
 namespace gooseberrygap::coordination {
 
-// How long the answer about a crash waits for the control group to take the
-// report, so that the caller's resend meets daemons that know of it.
+// How long the answer to a request that may have crashed the target is delayed
+// until the control group accepts the crash report, so that the caller's resend
+// reaches daemons that have received the report.
 inline constexpr state::Millis kCrashReportWait(300);
 
-// How long the result of an action is reported to the register. Beyond it the
-// entry stays `started`, which is never run again.
-inline constexpr state::Millis kReportTime(30 * 1000);
+// How long the guard tries to report the end of an action to the register.
+// Without a report the entry stays `started`, and the action never runs again.
+inline constexpr state::Millis kRegisterReportTimeout(30 * 1000);
 
-// The delivery of a register call that only reports: no work waits for it.
+// Delivery id of a register call that only reports: no work waits for it.
 inline constexpr uint64_t kNoDelivery = 0;
 
 // Returns the refusal of an attempt, without load.
 AttemptAnswer Refusal(const Attempt& attempt, state::RefusalReason reason);
 
 // The state of a guard. guard.cc admits and starts work, guard_register.cc
-// talks to the action register, guard_delivery.cc handles the ends of
-// deliveries and crashes.
+// calls the action register, guard_delivery.cc handles the ends of deliveries
+// and crashes, guard_service_time.cc handles changes of the target's service
+// time.
 class Guard::Impl {
  public:
   Impl(std::string instance,
@@ -66,7 +68,9 @@
 
   Commands OnRegisterEnd(const RegisterEnd& end, state::Millis now);
 
-  Commands OnCrashesReported(state::Millis now) { return FlushHeld(now, true); }
+  Commands OnCrashesReported(state::Millis now) {
+    return SendDelayedReplies(now, true);
+  }
 
   Commands Tick(state::Millis now);
 
@@ -78,19 +82,21 @@
   size_t reports_in_progress() const;
 
  private:
-  struct Running {
+  struct RunningWork {
     GuardWork work_;
     state::Millis started_;
     std::string nonce_;
     bool cancelled_ = false;
-    int service_time_percent_ = 0;  // When it was started.
-    int running_ = 0;  // Requests that ran then, this one included.
+    // The target's service time, and the number of running requests, this one
+    // included, when the work was started.
+    int service_time_percent_ = 0;
+    int running_at_start_ = 0;
   };
   struct PendingRelease {
     const GuardWork work_ = {};
     const state::RefusalReason reason_ = state::RefusalReason::kNone;
   };
-  struct Held {
+  struct DelayedReply {
     const ReplyToPeer reply_;
     const state::Millis until_;
   };
@@ -99,15 +105,16 @@
 
   int running_count() const { return static_cast<int>(running_.size()); }
   int queued_count() const { return static_cast<int>(queue_.size()); }
-  // Returns how many requests the target may run at a time.
+  // Returns how many requests may run at the target at a time.
   int slots() const { return slot_limit_.Limit(target_.slots()); }
 
-  // Returns the expected time to answer one more attempt.
-  state::Millis Expected() const;
-  // Returns the expected time to answer this attempt behind what runs and
-  // waits.
-  state::Millis ExpectedFor(const Attempt& attempt, state::Millis now) const;
-  // Returns why a routed attempt is not taken at this load, or kNone.
+  // Returns the expected time until one more attempt is answered.
+  state::Millis ExpectedLatency() const;
+  // Returns the expected time until this routed attempt is answered, after the
+  // work that runs or is queued.
+  state::Millis ExpectedRoutedLatency(const Attempt& attempt,
+                                      state::Millis now) const;
+  // Returns why a routed attempt is refused at this load, or kNone.
   state::RefusalReason CheckRoutedLoad(const Attempt& attempt,
                                        state::Millis now) const;
 
@@ -121,71 +128,77 @@
                           const GuardWork& work,
                           state::Millis now);
 
-  Commands OnGranted(uint64_t delivery_id, Running* running, state::Millis now);
+  Commands OnGranted(uint64_t delivery_id,
+                     RunningWork* running,
+                     state::Millis now);
 
-  // Gives a granted start back when no byte has reached the target. The ingress
-  // is told once the register has taken it, since its next attempt would
-  // otherwise find the action started.
-  Commands Release(const Running& running,
+  // Releases a granted start when no byte has reached the target. The ingress
+  // gets the refusal once the register has processed the release, since its
+  // next attempt would otherwise find the action started.
+  Commands Release(const RunningWork& running,
                    state::RefusalReason reason,
                    state::Millis now);
 
   Commands OnReleased(const RegisterEnd& end);
 
   Commands CallRegister(uint64_t delivery_id,
-                        const Running& running,
+                        const RunningWork& running,
                         state::RegisterOperation operation,
                         const state::HttpAnswer& answer,
                         state::Millis deadline,
                         state::Millis now);
 
-  Commands OnAnswered(const Running& running,
+  Commands OnAnswered(const RunningWork& running,
                       const state::HttpAnswer& answer,
                       state::Millis now);
 
-  // Takes what the target said of its pace. When it has become slow or usual
-  // again, tells the daemons that sent work lately, and gives queued work back
-  // that another target may start sooner.
-  Commands OnPace(int pace, state::Millis now);
-  // Asks the target for its load when nothing has told it for a while.
-  Commands ProbePace(state::Millis now);
+  // Records the service time that the target reported. When the target has
+  // become slow, or is no longer slow, sends its load to the daemons that
+  // recently sent work. A slow target also refuses queued work that another
+  // target may start sooner.
+  Commands OnServiceTimePercent(int percent, state::Millis now);
+  // Requests the target's load when the last report is too old.
+  Commands ProbeTargetLoad(state::Millis now);
 
-  // Learns from a request that began and ended at the usual pace.
-  void NoteUsualTime(const Running& running, state::Millis time);
+  // Records the duration of a request that began and ended while the service
+  // time of the target was usual.
+  void RecordUsualServiceTime(const RunningWork& running, state::Millis time);
 
-  // The target states that it did not run the request.
-  Commands OnDeclined(const Running& running,
+  // Handles an answer that states that the target did not run the request.
+  Commands OnDeclined(const RunningWork& running,
                       const state::HttpAnswer& answer,
                       state::Millis now);
-  // Whether the register knows the attempt.
+  // Returns whether the attempt has an entry in the register.
   static bool IsKeyed(const Attempt& attempt);
 
-  Commands OnConnectFailed(const Running& running, state::Millis now);
+  Commands OnConnectFailed(const RunningWork& running, state::Millis now);
 
-  // No byte of the request has reached the target.
-  Commands OnNotDelivered(const Running& running,
+  // Handles a delivery of which no byte has reached the target.
+  Commands OnNotDelivered(const RunningWork& running,
                           state::RefusalReason reason,
                           state::Millis now);
 
-  // The request was delivered and no whole answer came.
-  Commands OnUnanswered(const Running& running,
+  // Handles a delivered request without a complete answer.
+  Commands OnUnanswered(const RunningWork& running,
                         state::RefusalReason reason,
                         state::Millis now);
 
-  // The connection after a cut answer tells whether the process has gone.
-  Commands OnChecked(DeliveryEnd end, state::Millis now);
+  // Handles the end of the test connection that follows an incomplete answer:
+  // if it failed, the target's process has exited.
+  Commands OnCrashCheckEnded(DeliveryEnd end, state::Millis now);
 
   void ReportCrash(state::Millis now);
 
-  Commands FlushHeld(state::Millis now, bool all);
+  Commands SendDelayedReplies(state::Millis now, bool all);
 
   Commands RefuseQueued(state::RefusalReason reason);
   // Refuses the queued attempts that are meant for another target.
   Commands RefuseReplaced();
 
   Commands RefuseExpired(state::Millis now);
-  // Refuses queued work that cannot be answered within its objective any more.
-  Commands RefuseHopeless(state::Millis now);
+  // Refuses queued routed work that can no longer be answered within its
+  // objective.
+  Commands RefuseMissedObjectives(state::Millis now);
   Commands RefuseAll(const std::vector<GuardWork>& works,
                      state::RefusalReason reason);
 
@@ -194,24 +207,24 @@
   RegisterClient* const register_client_;
   state::Counters* const counters_;
   GuardTarget target_;
-  AttemptMemory memory_;
+  AttemptDeduplicator deduplicator_;
   LatencyEstimate latency_;
   CrashDetector crash_detector_;
   std::vector<CrashReport> crashes_;
   ServiceTimes service_times_;
   SlotLimit slot_limit_;
   WorkQueue queue_{&service_times_};
-  std::map<uint64_t, Running> running_;
-  // Delivery, or kNoDelivery, by tag.
+  std::map<uint64_t, RunningWork> running_;
+  // Delivery id, or kNoDelivery, by tag of the register call.
   std::map<uint64_t, uint64_t> register_calls_;
   std::map<std::string, PendingRelease> releases_;  // By nonce.
-  std::vector<Held> held_;
+  std::vector<DelayedReply> delayed_replies_;
   uint64_t next_delivery_ = 1;
-  uint64_t check_id_ = 0;
+  uint64_t crash_check_delivery_ = 0;
   uint64_t next_tag_ = 0;
-  int service_time_percent_ = 0;  // What the target last said.
-  state::Millis pace_at_;
-  uint64_t pace_probe_ = 0;  // Delivery of the probe in progress.
+  int service_time_percent_ = 0;  // Last report of the target; 0 is unknown.
+  state::Millis service_time_checked_at_;
+  uint64_t load_probe_delivery_ = 0;  // Id of the probe in progress, or 0.
   state::Millis last_work_;
   RecentPeers recent_peers_;
 };
--- a/src/coordination/internal/guard_register.cc
+++ b/src/coordination/internal/guard_register.cc
@@ -33,8 +33,8 @@
   }
   const GuardWork work = running->second.work_;
   running_.erase(running);
-  // Without an answer the start may have been applied, so that this is no
-  // refusal: the ingress resolves it with a fence.
+  // Without an answer the register may have applied the start, so the attempt
+  // does not count as refused: the ingress resolves it with a fence.
   const RefusalReason reason = !end.answered_ ? RefusalReason::kAlreadyStarted
                                : end.result_.refusal_ == RefusalReason::kNone
                                    ? RefusalReason::kStaleAttempt
@@ -45,7 +45,7 @@
 }
 
 Commands Guard::Impl::OnGranted(uint64_t delivery_id,
-                                Running* running,
+                                RunningWork* running,
                                 state::Millis now) {
   const GuardWork work = running->work_;
   const bool may_deliver =
@@ -55,7 +55,7 @@
     running->started_ = now;
     return {Deliver(delivery_id, work, now)};
   }
-  const Running ended = *running;
+  const RunningWork ended = *running;
   running_.erase(delivery_id);
   // A target that has left can no longer be reached.
   return Release(ended,
@@ -64,13 +64,13 @@
                  now);
 }
 
-Commands Guard::Impl::Release(const Running& running,
+Commands Guard::Impl::Release(const RunningWork& running,
                               RefusalReason reason,
                               state::Millis now) {
   releases_.emplace(running.nonce_,
                     PendingRelease{.work_ = running.work_, .reason_ = reason});
   return CallRegister(kNoDelivery, running, RegisterOperation::kRelease, {},
-                      now + kReportTime, now);
+                      now + kRegisterReportTimeout, now);
 }
 
 Commands Guard::Impl::OnReleased(const RegisterEnd& end) {
@@ -87,7 +87,7 @@
 }
 
 Commands Guard::Impl::CallRegister(uint64_t delivery_id,
-                                   const Running& running,
+                                   const RunningWork& running,
                                    RegisterOperation operation,
                                    const state::HttpAnswer& answer,
                                    state::Millis deadline,
--- a/src/coordination/internal/guard_pace.cc
+++ b/src/coordination/internal/guard_service_time.cc
@@ -8,19 +8,20 @@
 using state::RefusalReason;
 using state::TargetState;
 
-// Each answer tells the pace. Without one for this long the target is asked.
-constexpr state::Millis kProbeWhenOlder(50);
+// Each answer reports the service time. When the last report is this old, the
+// target is probed.
+constexpr state::Millis kMaxServiceTimeAge(50);
 constexpr state::Millis kProbeTimeout(500);
-// A target without work for this long is not asked.
+// A target that has received no work for this long is not probed.
 constexpr state::Millis kProbeIdleLimit(2000);
 
 }  // namespace
 
-Commands Guard::Impl::OnPace(int pace, state::Millis now) {
+Commands Guard::Impl::OnServiceTimePercent(int percent, state::Millis now) {
   const bool has_changed =
-      IsSlowServiceTime(pace) != IsSlowServiceTime(service_time_percent_);
-  service_time_percent_ = pace;
-  pace_at_ = now;
+      IsSlowServiceTime(percent) != IsSlowServiceTime(service_time_percent_);
+  service_time_percent_ = percent;
+  service_time_checked_at_ = now;
   if (!has_changed) {
     return {};
   }
@@ -28,10 +29,10 @@
   for (const std::string& connection : recent_peers_.Take(now)) {
     commands.push_back(ReplyToPeer{
         .connection_ = connection,
-        .message_ = LoadNotice{.target_ = target_.announced().target_,
+        .message_ = LoadNotice{.target_ = target_.announcement().target_,
                                .load_ = Load()}});
   }
-  if (!IsSlowServiceTime(pace)) {
+  if (!IsSlowServiceTime(percent)) {
     return commands;
   }
   Append(&commands, RefuseAll(queue_.TakeIf([](const GuardWork& work) {
@@ -41,20 +42,20 @@
   return commands;
 }
 
-Commands Guard::Impl::ProbePace(state::Millis now) {
+Commands Guard::Impl::ProbeTargetLoad(state::Millis now) {
   const std::string path = target_.HealthPath();
-  const bool is_due = service_time_percent_ > 0 && pace_probe_ == 0 &&
-                      now - pace_at_ >= kProbeWhenOlder &&
+  const bool is_due = service_time_percent_ > 0 && load_probe_delivery_ == 0 &&
+                      now - service_time_checked_at_ >= kMaxServiceTimeAge &&
                       now - last_work_ < kProbeIdleLimit &&
                       target_.state() == TargetState::kServing;
   if (path.empty() || !is_due) {
     return {};
   }
-  pace_probe_ = next_delivery_++;
+  load_probe_delivery_ = next_delivery_++;
   counters_->Add(state::Counter::kPaceProbes);
   return {DeliverToTarget{
-      .delivery_id_ = pace_probe_,
-      .address_ = target_.announced().address_,
+      .delivery_id_ = load_probe_delivery_,
+      .address_ = target_.announcement().address_,
       .request_ = state::HttpRequest{.method_ = "GET", .path_ = path},
       .is_load_probe_ = true,
       .timeout_ = kProbeTimeout}};
--- a/src/coordination/internal/guard_target.cc
+++ b/src/coordination/internal/guard_target.cc
@@ -32,11 +32,12 @@
   }
   last_announced_ = now;
   const bool is_new_process =
-      known() && (announced_->target_ != announced.target_ ||
-                  (announced.incarnation_ != 0 &&
-                   announced_->incarnation_ != announced.incarnation_));
+      has_announcement() &&
+      (announcement_->target_ != announced.target_ ||
+       (announced.incarnation_ != 0 &&
+        announcement_->incarnation_ != announced.incarnation_));
   withdrawn_ = withdrawn_ && !is_new_process;
-  announced_.emplace(announced);
+  announcement_.emplace(announced);
   if (draining_ && announced.state_ != TargetState::kLeft) {
     SetState(TargetState::kDraining);
   }
@@ -44,42 +45,43 @@
 }
 
 bool GuardTarget::IsStale(const TargetAnnounced& announced) const {
-  if (!known() || announced.incarnation_ == 0 ||
-      announced_->incarnation_ == 0) {
+  if (!has_announcement() || announced.incarnation_ == 0 ||
+      announcement_->incarnation_ == 0) {
     return false;
   }
-  if (announced.incarnation_ != announced_->incarnation_) {
-    return announced.incarnation_ < announced_->incarnation_;
+  if (announced.incarnation_ != announcement_->incarnation_) {
+    return announced.incarnation_ < announcement_->incarnation_;
   }
   return withdrawn_ || (announced.sequence_ != 0 &&
-                        announced.sequence_ <= announced_->sequence_);
+                        announced.sequence_ <= announcement_->sequence_);
 }
 
 void GuardTarget::Withdraw(const TargetWithdrawn& withdrawn) {
-  const bool is_meant =
-      known() &&
-      (withdrawn.target_.empty() || withdrawn.target_ == announced_->target_) &&
-      (withdrawn.incarnation_ == 0 || announced_->incarnation_ == 0 ||
-       withdrawn.incarnation_ == announced_->incarnation_);
-  if (is_meant) {
+  const bool is_for_target =
+      has_announcement() &&
+      (withdrawn.target_.empty() ||
+       withdrawn.target_ == announcement_->target_) &&
+      (withdrawn.incarnation_ == 0 || announcement_->incarnation_ == 0 ||
+       withdrawn.incarnation_ == announcement_->incarnation_);
+  if (is_for_target) {
     withdrawn_ = true;
     SetState(TargetState::kLeft);
   }
 }
 
 void GuardTarget::SetState(TargetState target_state) {
-  if (!known()) {
+  if (!has_announcement()) {
     return;
   }
-  const TargetAnnounced old = *announced_;
-  announced_.emplace(TargetAnnounced{.target_ = old.target_,
-                                     .service_ = old.service_,
-                                     .address_ = old.address_,
-                                     .slots_ = old.slots_,
-                                     .state_ = target_state,
-                                     .incarnation_ = old.incarnation_,
-                                     .sequence_ = old.sequence_,
-                                     .cold_left_ = old.cold_left_});
+  const TargetAnnounced old = *announcement_;
+  announcement_.emplace(TargetAnnounced{.target_ = old.target_,
+                                        .service_ = old.service_,
+                                        .address_ = old.address_,
+                                        .slots_ = old.slots_,
+                                        .state_ = target_state,
+                                        .incarnation_ = old.incarnation_,
+                                        .sequence_ = old.sequence_,
+                                        .cold_left_ = old.cold_left_});
 }
 
 void GuardTarget::Drain() {
@@ -87,39 +89,39 @@
   SetState(TargetState::kDraining);
 }
 
-bool GuardTarget::IsGone(state::Millis now) const {
-  return known() && announced_->state_ != TargetState::kLeft &&
-         now - last_announced_ > lifetime_;
+bool GuardTarget::HasExpired(state::Millis now) const {
+  return has_announcement() && announcement_->state_ != TargetState::kLeft &&
+         now - last_announced_ > announcement_lifetime_;
 }
 
 TargetState GuardTarget::state() const {
-  return known() ? announced_->state_ : TargetState::kLeft;
+  return has_announcement() ? announcement_->state_ : TargetState::kLeft;
 }
 
-const TargetAnnounced& GuardTarget::announced() const {
+const TargetAnnounced& GuardTarget::announcement() const {
   static const TargetAnnounced kNone;
-  return known() ? *announced_ : kNone;
+  return has_announcement() ? *announcement_ : kNone;
 }
 
 std::string GuardTarget::HealthPath() const {
-  if (!known() || !configuration_.has_value() ||
+  if (!has_announcement() || !configuration_.has_value() ||
       configuration_->configuration_ == nullptr) {
     return {};
   }
-  const state::Service* service =
-      state::FindService(*configuration_->configuration_, announced_->service_);
+  const state::Service* service = state::FindService(
+      *configuration_->configuration_, announcement_->service_);
   return service == nullptr ? std::string() : service->properties_.health_path_;
 }
 
 RefusalReason GuardTarget::CheckState(const Attempt& attempt) const {
-  if (!known() || state() == TargetState::kStarting) {
+  if (!has_announcement() || state() == TargetState::kStarting) {
     return RefusalReason::kNotServing;
   }
   if (state() != TargetState::kServing) {
     return RefusalReason::kDraining;
   }
-  if (announced_->target_ != attempt.target_ ||
-      announced_->service_ != attempt.service_) {
+  if (announcement_->target_ != attempt.target_ ||
+      announcement_->service_ != attempt.service_) {
     return RefusalReason::kNoTarget;
   }
   if (convicted_.contains(attempt.digest_)) {
@@ -138,7 +140,7 @@
   if (!attempt.host_.empty()) {
     const state::Route* route = state::FindRoute(
         *configuration_->configuration_, attempt.host_, attempt.request_.path_);
-    return route != nullptr && LeadsTo(*route, attempt)
+    return route != nullptr && RoutesTo(*route, attempt)
                ? RefusalReason::kNone
                : RefusalReason::kStaleConfiguration;
   }
@@ -146,7 +148,7 @@
                               : RefusalReason::kStaleConfiguration;
 }
 
-bool GuardTarget::LeadsTo(const state::Route& route, const Attempt& attempt) {
+bool GuardTarget::RoutesTo(const state::Route& route, const Attempt& attempt) {
   return route.request_class_ == attempt.request_class_ &&
          std::any_of(route.destinations_.begin(), route.destinations_.end(),
                      [&attempt](const state::Destination& destination) {
@@ -180,7 +182,8 @@
   if (service == nullptr || queued >= service->max_queue_) {
     return RefusalReason::kOverloaded;
   }
-  // Elsewhere a slot may be free, so a first attempt is queued only briefly.
+  // Another target may have a free slot, so a first attempt is admitted only to
+  // a short queue.
   const bool is_short_queue = queued < std::max(1, slots() / 4);
   const bool fits = expected <= attempt.deadline_left_;
   return attempt.may_queue_ || (fits && is_short_queue)
--- a/src/coordination/internal/guard_target.h
+++ b/src/coordination/internal/guard_target.h
@@ -10,31 +10,33 @@
 
 namespace gooseberrygap::coordination {
 
-// What a guard knows of its target, and whether an attempt may be admitted to
-// it. Not thread-safe.
+// The announced state of a guard's target, and the checks whether an attempt
+// may be admitted to it. Not thread-safe.
 class GuardTarget {
  public:
-  // A target without an announcement for `lifetime` is gone.
-  explicit GuardTarget(state::Millis lifetime) : lifetime_(lifetime) {}
+  // A target without an announcement for `lifetime` has expired.
+  explicit GuardTarget(state::Millis lifetime)
+      : announcement_lifetime_(lifetime) {}
 
   void UpdateConfiguration(const state::IndexedConfiguration& configuration);
   void UpdateRefusedFingerprints(
       const std::vector<RefusedFingerprint>& fingerprints);
 
-  // Takes an announcement. Returns true when it comes from a new process.
+  // Records an announcement. Returns true when it comes from a new process.
   bool Announce(const TargetAnnounced& announced, state::Millis now);
-  // The target leaves for good, and its late announcements change nothing.
+  // Marks the target as left. Later announcements of the same process have no
+  // effect.
   void Withdraw(const TargetWithdrawn& withdrawn);
   void SetState(state::TargetState target_state);
-  // Keeps the target draining whatever it announces later.
+  // Keeps the target draining, whatever state it announces later.
   void Drain();
-  // Returns true once no announcement has come for too long.
-  bool IsGone(state::Millis now) const;
+  // Returns whether the last announcement is older than the lifetime.
+  bool HasExpired(state::Millis now) const;
 
   // Returns why the attempt must be refused at any load, or kNone.
   state::RefusalReason CheckState(const Attempt& attempt) const;
   // Returns why the attempt must be refused at this load, or kNone. `expected`
-  // is the time that the attempt would take to be answered.
+  // is the expected time until the attempt is answered.
   state::RefusalReason CheckLoad(const Attempt& attempt,
                                  int running,
                                  int queued,
@@ -43,30 +45,30 @@
     return suspects_.contains(fingerprint);
   }
 
-  bool known() const { return announced_.has_value(); }
-  int slots() const { return known() ? announced_->slots_ : 0; }
-  // The state that other daemons are told.
+  bool has_announcement() const { return announcement_.has_value(); }
+  int slots() const { return has_announcement() ? announcement_->slots_ : 0; }
+  // Returns the state that is reported to other daemons.
   state::TargetState state() const;
-  // A target without a name when none has announced itself.
-  const TargetAnnounced& announced() const;
+  // Returns the last announcement; one without a name when there was none.
+  const TargetAnnounced& announcement() const;
 
   bool is_draining() const { return draining_; }
-  // Where the target tells its load; empty when it does not.
+  // Returns the path at which the target reports its load; empty without one.
   std::string HealthPath() const;
 
  private:
-  // Whether the announcement is older than what is known.
+  // Returns whether the announcement is older than the last one.
   bool IsStale(const TargetAnnounced& announced) const;
-  // Whether the route leads calls of this kind to the service.
-  static bool LeadsTo(const state::Route& route, const Attempt& attempt);
+  // Returns whether the route sends calls of this class to the service.
+  static bool RoutesTo(const state::Route& route, const Attempt& attempt);
   bool HasSameRule(const Attempt& attempt) const;
   state::RefusalReason CheckConfiguration(const Attempt& attempt) const;
 
   std::optional<state::IndexedConfiguration> configuration_;
   absl::flat_hash_set<std::string> convicted_;
   absl::flat_hash_set<std::string> suspects_;
-  const state::Millis lifetime_;
-  std::optional<TargetAnnounced> announced_;
+  const state::Millis announcement_lifetime_;
+  std::optional<TargetAnnounced> announcement_;
   bool withdrawn_ = false;
   state::Millis last_announced_;
   bool draining_ = false;
--- a/src/coordination/internal/guard_work.h
+++ b/src/coordination/internal/guard_work.h
@@ -21,16 +21,16 @@
   const Attempt attempt_ = {};
   const state::Millis arrival_ = {};
   const state::Millis deadline_ = {};
-  // When an answer stops being as good as an immediate one.
+  // Time until which an answer is useful to the caller.
   const state::Millis objective_ = {};
   const bool run_alone_ = false;
 };
 
-// Remembers the attempts of the recent past, so that a message that the network
-// repeats is not admitted again. Not thread-safe.
-class AttemptMemory {
+// Records recent attempts, so that a message that the network duplicates is not
+// admitted twice. Not thread-safe.
+class AttemptDeduplicator {
  public:
-  // Returns false when the attempt was seen before.
+  // Records the attempt. Returns false when it is a duplicate.
   bool Insert(const std::string& request_id, uint32_t attempt);
 
  private:
@@ -38,13 +38,13 @@
   absl::flat_hash_set<std::string> seen_;
 };
 
-// Smooths the service times of the target into an estimate for one more
-// request. Not thread-safe.
+// Estimates the latency of one more request from the smoothed service time of
+// the target. Not thread-safe.
 class LatencyEstimate {
  public:
   void Add(state::Millis service_time);
-  // Returns the estimated time for a request that joins `waiting` others at
-  // `slots` slots.
+  // Returns the estimated latency of a request when `waiting` requests, itself
+  // included, run or wait at `slots` slots.
   state::Millis At(int waiting, int slots) const;
   // Returns the smoothed service time; 0 without a sample.
   state::Millis mean() const {
@@ -56,31 +56,32 @@
   bool has_sample_ = false;
 };
 
-// Tells a crash of the target from a single broken connection. Requests that
-// were cut become reports once a failed connection, a missing announcement or a
-// new incarnation confirms that the process has gone. A request that was
-// started before a confirmed crash and is cut after it belongs to that crash:
-// counted as a crash of its own it would convict an innocent request. Not
-// thread-safe.
+// Distinguishes a crash of the target from a single broken connection. Requests
+// with an incomplete answer become crash reports once a failed connection, a
+// missing announcement or a new incarnation confirms that the process has
+// exited. A request that was started before a confirmed crash and whose answer
+// breaks off after it belongs to that crash: counted as a crash of its own it
+// would convict an innocent request. Not thread-safe.
 class CrashDetector {
  public:
   explicit CrashDetector(std::string crash_id_prefix)
       : crash_id_prefix_(std::move(crash_id_prefix)) {}
 
-  // A delivery that began at `started` was cut while `in_flight` requests,
-  // itself included, ran.
-  void OnCut(const std::string& fingerprint,
-             int in_flight,
-             state::Millis started,
-             state::Millis now);
-  // Returns the reports of the crash, if cuts were waiting for confirmation.
+  // Records a delivery that began at `started` and whose answer broke off while
+  // `in_flight` requests, itself included, ran.
+  void OnIncompleteAnswer(const std::string& fingerprint,
+                          int in_flight,
+                          state::Millis started,
+                          state::Millis now);
+  // Returns one report for each unconfirmed incomplete answer: the target has
+  // crashed.
   std::vector<CrashReport> Confirm(state::Millis now);
-  // Forgets cuts that nothing confirmed for a while.
+  // Removes incomplete answers that no crash has confirmed within 4 s.
   void Tick(state::Millis now);
-  bool has_cuts() const { return !cuts_.empty(); }
+  bool has_incomplete_answers() const { return !incomplete_answers_.empty(); }
 
  private:
-  struct Cut {
+  struct IncompleteAnswer {
     const std::string fingerprint_ = {};
     const int in_flight_ = 0;
     const state::Millis started_ = {};
@@ -88,7 +89,7 @@
   };
 
   const std::string crash_id_prefix_;
-  std::vector<Cut> cuts_;
+  std::vector<IncompleteAnswer> incomplete_answers_;
   uint64_t crash_ = 0;  // Number of the last confirmed crash.
   state::Millis confirmed_at_;
 };
--- a/src/coordination/internal/latency_window.h
+++ b/src/coordination/internal/latency_window.h
@@ -9,8 +9,7 @@
 
 namespace gooseberrygap::coordination {
 
-// Recent latencies of a service, for the quantile after which to hedge. Not
-// thread-safe.
+// Recent latencies of a service's calls and their quantiles. Not thread-safe.
 class LatencyWindow {
  public:
   void Add(state::Millis latency) {
@@ -23,23 +22,24 @@
     ++added_;
   }
 
-  // Returns nothing until a few samples have come.
+  // Returns the quantile, or nothing before kMinSamples samples were added.
   std::optional<state::Millis> Quantile(double quantile) const {
     constexpr size_t kMinSamples = 20;
     if (samples_.size() < kMinSamples) {
       return std::nullopt;
     }
-    // Sorting for each call would cost more than the call.
-    constexpr size_t kRefresh = 32;
-    if (!cached_.has_value() || added_ - cached_at_ >= kRefresh) {
-      std::vector<state::Millis> sorted = samples_;
-      const auto place = std::min(
-          sorted.size() - 1,
-          static_cast<size_t>(quantile * static_cast<double>(sorted.size())));
-      std::nth_element(sorted.begin(),
-                       sorted.begin() + static_cast<int64_t>(place),
-                       sorted.end());
-      cached_ = sorted[place];
+    // Number of samples between two computations: computing the quantile for
+    // each call would cost more than the call.
+    constexpr size_t kRecomputeInterval = 32;
+    if (!cached_.has_value() || added_ - cached_at_ >= kRecomputeInterval) {
+      std::vector<state::Millis> ordered = samples_;
+      const auto rank = std::min(
+          ordered.size() - 1,
+          static_cast<size_t>(quantile * static_cast<double>(ordered.size())));
+      std::nth_element(ordered.begin(),
+                       ordered.begin() + static_cast<int64_t>(rank),
+                       ordered.end());
+      cached_ = ordered[rank];
       cached_at_ = added_;
     }
     return cached_;
--- a/src/coordination/internal/load_meter.cc
+++ b/src/coordination/internal/load_meter.cc
@@ -6,7 +6,7 @@
 
 // Upper bounds of the encoded sizes with ZMTP framing, so that the budget is
 // never exceeded: a frame header, the magic number, and each field with its
-// largest varint. The reply's bound is without the target's name.
+// largest varint. The reply's bound excludes the target's name.
 constexpr double kProbeBytes = 20;
 constexpr double kProbeReplyBytes = 62;
 
@@ -36,17 +36,17 @@
   const double bytes =
       kProbeBytes + kProbeReplyBytes + static_cast<double>(name_bytes);
   constexpr double kMessages = 2;
-  const bool is_paid = link == LinkClass::kCrossRegion;
-  const bool has_budget = bytes_.Has(bytes, now) &&
-                          messages_.Has(kMessages, now) &&
-                          (!is_paid || cross_region_bytes_.Has(bytes, now));
+  const bool is_cross_region = link == LinkClass::kCrossRegion;
+  const bool has_budget =
+      bytes_.Has(bytes, now) && messages_.Has(kMessages, now) &&
+      (!is_cross_region || cross_region_bytes_.Has(bytes, now));
   if (!has_budget) {
     counters_->Add(state::Counter::kLoadBudgetExhausted);
     return false;
   }
   bytes_.Take(bytes, now);
   messages_.Take(kMessages, now);
-  if (is_paid) {
+  if (is_cross_region) {
     cross_region_bytes_.Take(bytes, now);
   }
   const LinkCounters& link_counters = kLoadCounters[static_cast<size_t>(link)];
--- a/src/coordination/internal/load_meter.h
+++ b/src/coordination/internal/load_meter.h
@@ -5,16 +5,16 @@
 
 namespace gooseberrygap::coordination {
 
-// Accounts what this daemon sends to measure load, and allows no more than the
-// budget. Not thread-safe.
+// Counts the messages that this daemon exchanges to measure load, and limits
+// them to the load budget. Not thread-safe.
 class LoadMeter {
  public:
   explicit LoadMeter(state::Counters* counters) : counters_(counters) {}
 
   void SetBudget(const state::LoadBudget& budget);
 
-  // Accounts a probe and its reply from a target whose name has that many
-  // bytes. Returns false, and accounts nothing, when the budget is spent.
+  // Charges a probe, and its reply from a target whose name has `name_bytes`
+  // bytes, to the budget. Returns false, and charges nothing, when it is spent.
   bool TakeProbe(LinkClass link, size_t name_bytes, state::Millis now);
 
  private:
--- a/src/coordination/internal/ratio_budget.h
+++ b/src/coordination/internal/ratio_budget.h
@@ -7,20 +7,21 @@
 
 namespace gooseberrygap::coordination {
 
-// Allows a fraction of the successful calls, so that retries and second copies
-// never multiply load. Not thread-safe.
+// Token bucket that limits retries or hedges to a fraction of the successful
+// calls, so that they never multiply the load. Not thread-safe.
 class RatioBudget {
  public:
   explicit RatioBudget(double ratio = 0) : ratio_(ratio) {}
 
   void SetRatio(double ratio) { ratio_ = ratio; }
-  // Adds this many a second, whatever succeeds.
+  // Sets the number of tokens added a second, independently of successful
+  // calls.
   void SetRate(double per_second) { per_second_ = per_second; }
-  void OnSuccess() { Earn(ratio_); }
+  void OnSuccess() { AddTokens(ratio_); }
   bool Take(state::Millis now) {
     constexpr double kMsPerSecond = 1000;
-    Earn((now - earned_at_).value() / kMsPerSecond * per_second_);
-    earned_at_ = now;
+    AddTokens((now - last_refill_).value() / kMsPerSecond * per_second_);
+    last_refill_ = now;
     if (tokens_ < 1) {
       return false;
     }
@@ -29,16 +30,18 @@
   }
 
  private:
-  // All daemons may spend this at the same moment, so that it bounds what a
-  // service is hit by when one of its targets is lost.
+  // Capacity of the bucket. All daemons may spend it at the same moment, so it
+  // bounds the burst of repeated calls when a service loses one of its targets.
   static constexpr double kMaxTokens = 2;
 
-  void Earn(double tokens) { tokens_ = std::min(kMaxTokens, tokens_ + tokens); }
+  void AddTokens(double tokens) {
+    tokens_ = std::min(kMaxTokens, tokens_ + tokens);
+  }
 
   double ratio_;
   double per_second_ = 0;
   double tokens_ = kMaxTokens;
-  state::Millis earned_at_;
+  state::Millis last_refill_;
 };
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/internal/router.cc
+++ b/src/coordination/internal/router.cc
@@ -19,30 +19,38 @@
 // Round trips beyond the own failure domain, from the platform's latencies.
 constexpr state::Millis kRegionRoundTrip(2);
 constexpr state::Millis kCrossRegionRoundTrip(24);
-// Length of the name of a target that is not known.
+// Assumed length of the name of an unknown target, in bytes.
 constexpr size_t kUnknownNameBytes = 255;
-// A target that fails this many times in a row is ejected.
+// A target is ejected after this many consecutive failures.
 constexpr int kFailuresToEject = 5;
+// Duration of an ejection, and the age from which a load report no longer keeps
+// calls away from a target, unless the report is that the target drains or
+// has left.
 constexpr state::Millis kEjectionTime(1000);
-// Knowledge younger than this needs no probe.
-constexpr state::Millis kProbeWhenOlder(20);
-// The size of a call is not known when it is sent; one packet stands for it.
-constexpr double kCallBytes = 1500;
-// Answers of targets that were neither slow nor full.
-constexpr double kUndisturbedQuantile = 0.3;
-// What a kilobyte costs in the own failure domain, in the region and on the
-// paid link between regions, in parts of the worth of a lookup.
-constexpr std::array<double, 3> kLossPerKilobyte = {0, 0.03, 0.2};
-// No call is worth less than half of itself on any link.
-constexpr double kMaxLinkLoss = 0.5;
-// An action is worth more, so that its bytes cost a smaller part of it.
-constexpr double kActionShare = 0.4;
+// A target whose load report is younger than this is not probed.
+constexpr state::Millis kMinProbedLoadAge(20);
+// Bytes charged to the cross-region budget for a call. Its size is unknown when
+// it is sent, so one packet is charged.
+constexpr double kChargedCallBytes = 1500;
+// Quantile of a service's latencies that stands for answers of targets that
+// were neither slow nor full.
+constexpr double kUsualLatencyQuantile = 0.3;
+// Cost of a kilobyte in the own failure domain, in the region and on the paid
+// link between regions, as a fraction of the value of a lookup.
+constexpr std::array<double, 3> kCostPerKilobyte = {0, 0.03, 0.2};
+// Upper bound of a call's link cost, as a fraction of the value of the call.
+constexpr double kMaxLinkCost = 0.5;
+// Factor on the link cost of an action: an action has a higher value, so its
+// bytes cost a smaller fraction of it.
+constexpr double kActionCostFactor = 0.4;
 constexpr double kBytesPerKilobyte = 1000;
-// Heads of request and answer, at the caller's and between the daemons.
-constexpr double kHeadBytes = 800;
-// Of a route without an answer so far.
-constexpr double kTypicalKilobytes = 2;
-// Services that this daemon has not called for this long are not probed.
+// Assumed size of the headers of request and answer, between caller and daemon
+// and between the daemons, in bytes.
+constexpr double kHeaderBytes = 800;
+// Assumed size of a call, in kilobytes, on a route that has had no answer yet.
+constexpr double kDefaultCallKilobytes = 2;
+// The targets of a service that this daemon has not called for this long are
+// not probed.
 constexpr state::Millis kProbeIdleLimit(1000);
 
 }  // namespace
@@ -59,14 +67,14 @@
 
   void UpdateConfiguration(const state::Configuration& configuration) {
     for (const state::Service& service : configuration.services_) {
-      ServiceState& known = services_[service.name_];
-      if (known.policy_ == nullptr ||
-          known.policy_->strategy_ != service.strategy_) {
-        known.strategy_ = MakeStrategy(service.strategy_);
+      ServiceState& service_state = services_[service.name_];
+      if (service_state.policy_ == nullptr ||
+          service_state.policy_->strategy_ != service.strategy_) {
+        service_state.strategy_ = MakeStrategy(service.strategy_);
       }
-      known.policy_ = std::make_unique<state::Service>(service);
-      known.retry_budget_.SetRatio(service.retry_.budget_ratio_);
-      known.hedge_budget_.SetRatio(service.hedge_.budget_ratio_);
+      service_state.policy_ = std::make_unique<state::Service>(service);
+      service_state.retry_budget_.SetRatio(service.retry_.budget_ratio_);
+      service_state.hedge_budget_.SetRatio(service.hedge_.budget_ratio_);
     }
     load_meter_.SetBudget(configuration.load_budget_);
     cross_region_bytes_.SetRate(configuration.cross_region_bytes_per_second_);
@@ -83,9 +91,9 @@
       if (record.target_.empty()) {
         continue;
       }
-      const auto known = previous.find(record.target_);
-      auto target = known == previous.end() ? std::make_unique<Target>()
-                                            : std::move(known->second);
+      const auto existing = previous.find(record.target_);
+      auto target = existing == previous.end() ? std::make_unique<Target>()
+                                               : std::move(existing->second);
       const bool starts_serving =
           record.state_ == TargetState::kServing &&
           (target->record_ == nullptr ||
@@ -94,7 +102,8 @@
                record.version_.incarnation_);
       if (starts_serving) {
         target->load_.reset();
-        // At the daemon's own start all targets are new to it, but not cold.
+        // When the daemon starts, all targets are new to it, but they have
+        // already ramped up.
         target->serving_since_ =
             has_targets_ ? now : state::Millis(-kEjectionTime.value() * 1e6);
       }
@@ -103,8 +112,8 @@
       targets_.emplace(record.target_, std::move(target));
     }
     has_targets_ = has_targets_ || !targets.empty();
-    // Each daemon has a target; all of them share what a service may be
-    // repeated in a second.
+    // Each daemon has one target, and all daemons share the retries that a
+    // service may have in a second.
     for (auto& [name, service] : services_) {
       service.retry_budget_.SetRate(
           service.policy_->retry_.budget_per_second_ /
@@ -121,7 +130,7 @@
     ServiceState& service = entry->second;
     service.last_call_ = now;
     if (service.strategy_->weighs_links()) {
-      return ChooseAnywhere(&service, query, now);
+      return ChooseInAllRegions(&service, query, now);
     }
     const std::vector<Target*> local =
         Eligible(service, query, /*local=*/true, now);
@@ -134,7 +143,7 @@
     }
     const std::vector<Target*> remote =
         Eligible(service, query, /*local=*/false, now);
-    if (!remote.empty() && cross_region_bytes_.Take(kCallBytes, now)) {
+    if (!remote.empty() && cross_region_bytes_.Take(kChargedCallBytes, now)) {
       counters_->Add(state::Counter::kCallsCrossRegion);
       return ChooseAmong(&service, remote, query, now);
     }
@@ -193,8 +202,8 @@
   void OnSize(absl::string_view route, size_t bytes) {
     constexpr double kSampleWeight = 0.1;
     const double kilobytes =
-        (static_cast<double>(bytes) + kHeadBytes) / kBytesPerKilobyte;
-    const auto [entry, inserted] = kilobytes_.emplace(route, kilobytes);
+        (static_cast<double>(bytes) + kHeaderBytes) / kBytesPerKilobyte;
+    const auto [entry, inserted] = call_kilobytes_.emplace(route, kilobytes);
     if (!inserted) {
       entry->second += kSampleWeight * (kilobytes - entry->second);
     }
@@ -225,7 +234,7 @@
     const auto entry = services_.find(service);
     return entry == services_.end()
                ? state::Millis()
-               : entry->second.latencies_.Quantile(kUndisturbedQuantile)
+               : entry->second.latencies_.Quantile(kUsualLatencyQuantile)
                      .value_or(state::Millis());
   }
 
@@ -244,8 +253,9 @@
     if (entry == services_.end()) {
       return std::nullopt;
     }
-    const ServiceState& known = entry->second;
-    return known.latencies_.Quantile(known.policy_->hedge_.quantile_);
+    const ServiceState& service_state = entry->second;
+    return service_state.latencies_.Quantile(
+        service_state.policy_->hedge_.quantile_);
   }
 
   Commands Tick(state::Millis now) {
@@ -300,7 +310,7 @@
                                                            : LinkClass::kRegion;
   }
 
-  // Makes the target a member of its service if the admission policy lets it.
+  // Makes the target a member of its service if the admission policy allows it.
   void AdmitMember(Target* target) {
     const TargetRecord& record = *target->record_;
     const auto entry = services_.find(record.service_);
@@ -312,13 +322,15 @@
         policy.failure_domains_.empty() ||
         std::count(policy.failure_domains_.begin(),
                    policy.failure_domains_.end(), record.failure_domain_) > 0;
-    const bool has_room =
+    const bool has_capacity =
         static_cast<int>(entry->second.members_.size()) < policy.max_targets_;
-    if (domain_allowed && has_room && record.slots_ <= policy.max_slots_) {
+    if (domain_allowed && has_capacity && record.slots_ <= policy.max_slots_) {
       entry->second.members_.push_back(target);
     }
   }
 
+  // Returns the targets on this or the other side of the region's border that
+  // may take the call. Ejected ones are returned only when there is no other.
   std::vector<Target*> Eligible(const ServiceState& service,
                                 const ChoiceQuery& query,
                                 bool local,
@@ -340,33 +352,35 @@
     return eligible.empty() ? ejected : eligible;
   }
 
-  // What the guard last said. A guard that drains is not tried again until a
-  // probe or the membership tells that it serves: without control instances the
-  // membership goes on to list its target as serving.
+  // Returns whether the last report of the target's guard allows new work.
+  // After a report of draining the target is not tried until a probe reply or
+  // the membership reports that it serves again: without control instances the
+  // membership continues to list the target as serving.
   static bool GuardTakesWork(const Target& target, state::Millis now) {
     if (!target.load_.has_value()) {
       return true;
     }
-    const TargetState said = target.load_->state_;
+    const TargetState reported = target.load_->state_;
     const bool is_leaving =
-        said == TargetState::kDraining || said == TargetState::kLeft;
-    return said == TargetState::kServing ||
+        reported == TargetState::kDraining || reported == TargetState::kLeft;
+    return reported == TargetState::kServing ||
            (!is_leaving && now - target.load_at_ > kEjectionTime);
   }
 
   static bool MeetsDeadline(const Target& target,
                             state::Millis deadline_left,
                             state::Millis now) {
-    const bool knows_load =
+    const bool has_recent_load =
         target.load_.has_value() && now - target.load_at_ < kEjectionTime;
-    return !knows_load || target.load_->latency_ < deadline_left;
+    return !has_recent_load || target.load_->latency_ < deadline_left;
   }
 
-  // For a strategy that knows what a link costs: among all targets, as long as
-  // the budget of the paid link lasts.
-  std::optional<TargetRecord> ChooseAnywhere(ServiceState* service,
-                                             const ChoiceQuery& query,
-                                             state::Millis now) {
+  // Chooses among the targets of all regions, for a strategy that weighs links.
+  // Only targets of the own region remain once the budget of the paid link is
+  // spent.
+  std::optional<TargetRecord> ChooseInAllRegions(ServiceState* service,
+                                                 const ChoiceQuery& query,
+                                                 state::Millis now) {
     std::vector<Target*> targets =
         Eligible(*service, query, /*local=*/true, now);
     const std::vector<Target*> remote =
@@ -384,7 +398,7 @@
     if (LinkTo(*chosen) != LinkClass::kCrossRegion) {
       return chosen;
     }
-    if (cross_region_bytes_.Take(kCallBytes, now)) {
+    if (cross_region_bytes_.Take(kChargedCallBytes, now)) {
       counters_->Add(state::Counter::kCallsCrossRegion);
       return chosen;
     }
@@ -406,14 +420,16 @@
     return *targets[index]->record_;
   }
 
-  // Returns what the bytes of a call cost on a link, in parts of its worth.
-  double LinkLoss(LinkClass link, const ChoiceQuery& query) const {
-    const auto entry = kilobytes_.find(query.route_);
+  // Returns the cost of a call's bytes on a link, as a fraction of the call's
+  // value.
+  double LinkCost(LinkClass link, const ChoiceQuery& query) const {
+    const auto entry = call_kilobytes_.find(query.route_);
     const double kilobytes =
-        entry == kilobytes_.end() ? kTypicalKilobytes : entry->second;
-    const double loss =
-        kLossPerKilobyte.at(static_cast<size_t>(link)) * kilobytes;
-    return std::min(kMaxLinkLoss, loss) * (query.is_action_ ? kActionShare : 1);
+        entry == call_kilobytes_.end() ? kDefaultCallKilobytes : entry->second;
+    const double cost =
+        kCostPerKilobyte.at(static_cast<size_t>(link)) * kilobytes;
+    return std::min(kMaxLinkCost, cost) *
+           (query.is_action_ ? kActionCostFactor : 1);
   }
 
   Candidate CandidateOf(const Target& target,
@@ -431,15 +447,15 @@
                      .load_ = target.load_.value_or(state::GuardLoad{}),
                      .load_age_ = now - target.load_at_,
                      .link_latency_ = kLinkLatency[static_cast<size_t>(link)],
-                     .link_loss_ = LinkLoss(link, query),
+                     .link_cost_ = LinkCost(link, query),
                      .objective_left_ = query.objective_left_,
                      .deadline_left_ = query.deadline_left_,
                      .slots_ = target.record_->slots_,
-                     .ramp_ = std::clamp(ramp, 0.0, 1.0)};
+                     .ramp_up_fraction_ = std::clamp(ramp, 0.0, 1.0)};
   }
 
-  // Ejects a target that fails again and again, unless half of its service is
-  // ejected already: then the fault is likely not the target's.
+  // Ejects a target after repeated failures, unless more than half of its
+  // service's targets would be ejected: then the fault is likely elsewhere.
   void EjectIfFailing(Target* target, state::Millis now) {
     const auto entry = services_.find(target->record_->service_);
     if (target->failures_ < kFailuresToEject || entry == services_.end()) {
@@ -461,9 +477,10 @@
     const Target* target = service.members_[absl::Uniform<size_t>(
         random_, 0, service.members_.size())];
     const bool is_fresh =
-        target->load_.has_value() && now - target->load_at_ < kProbeWhenOlder;
-    const bool is_own = target->record_->guard_address_ == self_.guard_address_;
-    if (is_fresh || is_own) {
+        target->load_.has_value() && now - target->load_at_ < kMinProbedLoadAge;
+    const bool is_own_target =
+        target->record_->guard_address_ == self_.guard_address_;
+    if (is_fresh || is_own_target) {
       return {};
     }
     if (!load_meter_.TakeProbe(LinkTo(*target->record_),
@@ -479,7 +496,8 @@
   state::Counters* const counters_;
   std::map<std::string, ServiceState, std::less<>> services_;
   absl::flat_hash_map<std::string, std::unique_ptr<Target>> targets_;
-  absl::flat_hash_map<std::string, double> kilobytes_;  // By route.
+  // Smoothed size of the calls of each route, in kilobytes.
+  absl::flat_hash_map<std::string, double> call_kilobytes_;
   bool has_targets_ = false;
   LoadMeter load_meter_;
   state::TokenBucket cross_region_bytes_;
--- a/src/coordination/internal/split_choice.h
+++ b/src/coordination/internal/split_choice.h
@@ -10,9 +10,9 @@
 
 namespace gooseberrygap::coordination {
 
-// Chooses among a route's destinations so that each gets its part of the calls
-// as evenly as possible: the one that is furthest behind its weight is next.
-// Not thread-safe.
+// Chooses among a route's destinations so that calls are distributed by weight
+// as evenly as possible: the destination furthest below its weight gets the
+// next call. Not thread-safe.
 class SplitChoice {
  public:
   // Returns the service for the next call. Precondition: the route has a
@@ -38,11 +38,13 @@
     return chosen->service_;
   }
 
-  // Forgets the routes that a new configuration changes or removes.
+  // Restarts the distribution of all routes, since a new configuration may have
+  // changed or removed them.
   void Reset() { credits_.clear(); }
 
  private:
-  // By route and service: calls owed, at most one.
+  // Calls by which each service is below its weight, at most one, by route and
+  // service.
   std::map<std::string, std::map<std::string, double>> credits_;
 };
 
--- a/src/coordination/internal/strategy.cc
+++ b/src/coordination/internal/strategy.cc
@@ -72,8 +72,9 @@
   }
 };
 
-// Weighs own attempts in flight with what guards have reported, the less the
-// older it is, and prefers the lowest expected time.
+// Chooses the target with the lowest expected latency. It is estimated from the
+// own attempts in flight and from the load that guards have reported, which
+// counts less the older it is.
 class ProbedLatencyStrategy : public Strategy {
  public:
   size_t Choose(const Candidates& candidates, absl::BitGenRef random) override {
@@ -85,12 +86,13 @@
   }
 
  private:
-  // A report loses half of its weight in this time. Requests in flight shift
-  // within milliseconds; how slow a target is holds longer, and a report of it
-  // is rarely younger than the probe interval.
+  // A report loses half of its weight in this time. The number of requests in
+  // flight changes within milliseconds; the latency of a target changes more
+  // slowly, and a report of it is rarely younger than the probe interval.
   static constexpr double kInFlightHalfLifeMs = 5;
   static constexpr double kLatencyHalfLifeMs = 200;
-  // A target whose load is unknown counts as typical.
+  // Latency that is assumed when no candidate has a load report. Otherwise a
+  // candidate without a report is assumed to have the median latency.
   static constexpr double kDefaultLatencyMs = 5;
 
   static double Weight(const Candidate& candidate, double half_life_ms) {
@@ -121,8 +123,8 @@
     const int others = std::max(0, reported - candidate.own_in_flight_);
     const double in_flight =
         candidate.own_in_flight_ + in_flight_weight * others;
-    const double slots =
-        std::max(1.0, candidate.slots_ * std::max(0.1, candidate.ramp_));
+    const double slots = std::max(
+        1.0, candidate.slots_ * std::max(0.1, candidate.ramp_up_fraction_));
     const double service_ms =
         latency_weight * candidate.load_.latency_.value() +
         (1 - latency_weight) * typical_ms;
@@ -131,23 +133,23 @@
   }
 };
 
-// Takes the target where the least is lost: by an answer beyond the objective,
-// weighed with its likelihood, and by the bytes on links that are paid for.
-// Guards tell changes of pace at once, so that a report of it holds for long.
-// Answers to calls of 100 to 200 ms on machines whose neighbours slow them for
-// half a second at a time.
+// Chooses the target with the lowest expected cost: that of an answer after the
+// objective, times its probability, plus that of the bytes on paid links.
+// Guards report changes of the service time at once, so a report of it stays
+// valid for long. Designed for calls of 100 to 200 ms on machines that their
+// neighbours slow down for half a second at a time.
 class ExpectedTimeStrategy : public Strategy {
  public:
   size_t Choose(const Candidates& candidates, absl::BitGenRef random) override {
-    const Typical typical = TypicalOf(candidates);
-    const size_t best = LowestCost(candidates.size(), random,
-                                   [&candidates, &typical](size_t i) {
-                                     return Loss(candidates[i], typical);
-                                   });
+    const AverageLoad average = AverageLoadOf(candidates);
+    const size_t best = LowestCost(
+        candidates.size(), random, [&candidates, &average](size_t i) {
+          return ExpectedCost(candidates[i], average);
+        });
     const state::Millis useful = UsefulTime(candidates[best].objective_left_,
                                             candidates[best].deadline_left_);
-    best_is_late_ = ExpectedMillis(candidates[best], typical) >=
-                    useful.value() * kSurelyLate;
+    best_is_late_ = ExpectedMillis(candidates[best], average) >=
+                    useful.value() * kCertainlyLateRatio;
     return best;
   }
   bool can_meet_objective() const override { return !best_is_late_; }
@@ -157,24 +159,27 @@
  private:
   // A report loses half of its weight in this time.
   static constexpr double kInFlightHalfLifeMs = 100;
-  static constexpr double kPaceHalfLifeMs = 1000;
-  static constexpr double kTypicalHalfLifeMs = 500;
-  // What an answer beyond its objective loses, in parts of the worth of a call.
-  static constexpr double kLateLoss = 0.9;
-  // Expected times in parts of the objective between which the likelihood to
-  // miss it grows from 0 to 1.
-  static constexpr double kSurelyInTime = 0.6;
-  static constexpr double kSurelyLate = 1.3;
-  // Tells apart what is in time or late for certain.
-  static constexpr double kTimeLoss = 0.1;
-  // Of calls without an objective.
+  static constexpr double kServiceTimeHalfLifeMs = 1000;
+  static constexpr double kAverageLoadHalfLifeMs = 500;
+  // Cost of an answer after its objective, as a fraction of the call's value.
+  static constexpr double kLateCost = 0.9;
+  // Ratios of the expected latency to the objective between which the
+  // probability of a late answer rises from 0 to 1.
+  static constexpr double kCertainlyInTimeRatio = 0.6;
+  static constexpr double kCertainlyLateRatio = 1.3;
+  // Cost of one unit of that ratio. It orders targets that are all certain to
+  // answer in time, or all certain to answer late.
+  static constexpr double kLatencyCost = 0.1;
+  // Objective that is assumed for calls without one.
   static constexpr double kDefaultObjectiveMs = 1000;
-  // Of a target that has told nothing.
+  // Service time that is assumed when no candidate has reported one.
   static constexpr double kDefaultServiceMs = 50;
-  // A pace that is not known may be slow.
-  static constexpr double kTypicalPace = 1.5;
-  // Part of the service time that a full target adds by sharing its machine.
-  static constexpr double kFullnessShare = 0.3;
+  // Factor on the usual service time of a target whose current service time is
+  // unknown: it may be slow.
+  static constexpr double kUnknownServiceTimeFactor = 1.5;
+  // Fraction of the service time that requests on a full target take longer,
+  // because they share its machine.
+  static constexpr double kFullTargetSlowdown = 0.3;
 
   static double Weight(const Candidate& candidate, double half_life_ms) {
     return candidate.has_load_
@@ -182,83 +187,91 @@
                : 0;
   }
 
-  // What is assumed of a target whose own report is missing or old.
-  struct Typical {
+  // Average of the reported loads, assumed of a target whose own report is
+  // missing or old.
+  struct AverageLoad {
     double service_ms_ = kDefaultServiceMs;
-    double others_ = 0;  // Requests of other daemons.
+    double other_requests_ = 0;  // Requests of other daemons at a target.
   };
 
-  static Typical TypicalOf(const Candidates& candidates) {
-    Typical typical;
+  static AverageLoad AverageLoadOf(const Candidates& candidates) {
+    AverageLoad average;
     double service_ms = 0;
-    int known_services = 0;
-    double others = 0;
-    double weights = 0;
+    int service_time_reports = 0;
+    double other_requests = 0;
+    double load_reports = 0;
     for (const Candidate& candidate : candidates) {
       if (candidate.load_.service_time_ > state::Millis(0)) {
         service_ms += candidate.load_.service_time_.value();
-        ++known_services;
+        ++service_time_reports;
       }
-      others += Weight(candidate, kTypicalHalfLifeMs) * OthersOf(candidate);
-      weights += candidate.has_load_ ? 1 : 0;
+      other_requests +=
+          Weight(candidate, kAverageLoadHalfLifeMs) * OtherRequests(candidate);
+      load_reports += candidate.has_load_ ? 1 : 0;
     }
-    if (known_services > 0) {
-      typical.service_ms_ = service_ms / known_services;
+    if (service_time_reports > 0) {
+      average.service_ms_ = service_ms / service_time_reports;
     }
-    typical.others_ = weights > 0 ? others / weights : 0;
-    return typical;
+    average.other_requests_ =
+        load_reports > 0 ? other_requests / load_reports : 0;
+    return average;
   }
 
-  static double OthersOf(const Candidate& candidate) {
+  static double OtherRequests(const Candidate& candidate) {
     return std::max(0, candidate.load_.in_flight_ + candidate.load_.queued_ -
                            candidate.own_in_flight_);
   }
 
-  static double Loss(const Candidate& candidate, const Typical& typical) {
-    return kLateLoss * LateShare(candidate, typical) +
-           kTimeLoss * ObjectiveShare(candidate, typical) +
-           candidate.link_loss_;
+  static double ExpectedCost(const Candidate& candidate,
+                             const AverageLoad& average) {
+    return kLateCost * LateProbability(candidate, average) +
+           kLatencyCost * LatencyRatio(candidate, average) +
+           candidate.link_cost_;
   }
 
-  // Returns the likelihood of an answer beyond the objective.
-  static double LateShare(const Candidate& candidate, const Typical& typical) {
-    return std::clamp((ObjectiveShare(candidate, typical) - kSurelyInTime) /
-                          (kSurelyLate - kSurelyInTime),
-                      0.0, 1.0);
+  // Returns the probability of an answer after the objective.
+  static double LateProbability(const Candidate& candidate,
+                                const AverageLoad& average) {
+    return std::clamp(
+        (LatencyRatio(candidate, average) - kCertainlyInTimeRatio) /
+            (kCertainlyLateRatio - kCertainlyInTimeRatio),
+        0.0, 1.0);
   }
 
-  // Returns the expected time in parts of the objective.
-  static double ObjectiveShare(const Candidate& candidate,
-                               const Typical& typical) {
+  // Returns the ratio of the expected latency to the objective.
+  static double LatencyRatio(const Candidate& candidate,
+                             const AverageLoad& average) {
     const double objective = candidate.objective_left_ > state::Millis(0)
                                  ? candidate.objective_left_.value()
                                  : kDefaultObjectiveMs;
-    return ExpectedMillis(candidate, typical) / objective;
+    return ExpectedMillis(candidate, average) / objective;
   }
 
   static double ExpectedMillis(const Candidate& candidate,
-                               const Typical& typical) {
+                               const AverageLoad& average) {
     const state::GuardLoad& load = candidate.load_;
     const double weight = Weight(candidate, kInFlightHalfLifeMs);
     const double in_flight = candidate.own_in_flight_ +
-                             weight * OthersOf(candidate) +
-                             (1 - weight) * typical.others_;
-    const double slots =
-        std::max(1.0, candidate.slots_ * std::max(0.1, candidate.ramp_));
+                             weight * OtherRequests(candidate) +
+                             (1 - weight) * average.other_requests_;
+    const double slots = std::max(
+        1.0, candidate.slots_ * std::max(0.1, candidate.ramp_up_fraction_));
     const double usual_ms = load.service_time_ > state::Millis(0)
                                 ? load.service_time_.value()
-                                : typical.service_ms_;
-    const double pace_weight =
-        load.service_time_percent_ > 0 ? Weight(candidate, kPaceHalfLifeMs) : 0;
+                                : average.service_ms_;
+    const double service_time_weight =
+        load.service_time_percent_ > 0
+            ? Weight(candidate, kServiceTimeHalfLifeMs)
+            : 0;
     const double service_ms =
-        pace_weight * ExpectedServiceTime(state::Millis(usual_ms),
-                                          load.service_time_percent_)
-                          .value() +
-        (1 - pace_weight) * kTypicalPace * usual_ms;
-    const double fullness = in_flight / slots;
+        service_time_weight * ExpectedServiceTime(state::Millis(usual_ms),
+                                                  load.service_time_percent_)
+                                  .value() +
+        (1 - service_time_weight) * kUnknownServiceTimeFactor * usual_ms;
+    const double utilization = in_flight / slots;
     const double rounds = std::max(1.0, (in_flight + 1) / slots);
     return candidate.link_latency_.value() +
-           service_ms * (rounds + kFullnessShare * fullness);
+           service_ms * (rounds + kFullTargetSlowdown * utilization);
   }
 
   bool best_is_late_ = false;
--- a/src/coordination/internal/work_queue.cc
+++ b/src/coordination/internal/work_queue.cc
@@ -17,19 +17,19 @@
   return entry == routes_.end() ? all_.mean() : entry->second.mean();
 }
 
-bool WorkQueue::IsInTime(const GuardWork& work,
-                         int pace,
-                         state::Millis now) const {
+bool WorkQueue::MeetsObjective(const GuardWork& work,
+                               int percent,
+                               state::Millis now) const {
   const state::Millis time =
-      ExpectedServiceTime(times_->For(work.attempt_.route_), pace);
+      ExpectedServiceTime(times_->For(work.attempt_.route_), percent);
   return now + time <= work.objective_;
 }
 
-const GuardWork* WorkQueue::Next(int pace, state::Millis now) const {
+const GuardWork* WorkQueue::Next(int percent, state::Millis now) const {
   const GuardWork* best = nullptr;
   std::tuple<bool, int> best_rank;
   for (const GuardWork& work : works_) {
-    const std::tuple<bool, int> rank(!IsInTime(work, pace, now),
+    const std::tuple<bool, int> rank(!MeetsObjective(work, percent, now),
                                      work.attempt_.priority_);
     if (best == nullptr || rank < best_rank) {
       best = &work;
@@ -64,17 +64,18 @@
   return taken;
 }
 
-std::vector<GuardWork> WorkQueue::TakeHopeless(int pace, state::Millis now) {
+std::vector<GuardWork> WorkQueue::TakeMissedObjectives(int percent,
+                                                       state::Millis now) {
   return TakeIf([&](const GuardWork& work) {
-    return !work.attempt_.host_.empty() && !IsInTime(work, pace, now);
+    return !work.attempt_.host_.empty() && !MeetsObjective(work, percent, now);
   });
 }
 
-state::Millis WorkQueue::TotalTime(int pace) const {
+state::Millis WorkQueue::TotalTime(int percent) const {
   state::Millis total;
   for (const GuardWork& work : works_) {
     total =
-        total + ExpectedServiceTime(times_->For(work.attempt_.route_), pace);
+        total + ExpectedServiceTime(times_->For(work.attempt_.route_), percent);
   }
   return total;
 }
--- a/src/coordination/internal/work_queue.h
+++ b/src/coordination/internal/work_queue.h
@@ -11,12 +11,12 @@
 
 namespace gooseberrygap::coordination {
 
-// Smoothed times that a target takes for the requests of each route, at the
-// usual pace of its machine. Not thread-safe.
+// Smoothed service times of a target for each route, recorded while work takes
+// its usual time there. Not thread-safe.
 class ServiceTimes {
  public:
   void Add(const std::string& route, state::Millis time);
-  // Returns the time of the route, or of all routes when the route is new.
+  // Returns the mean of the route, or of all routes while the route has none.
   state::Millis For(const std::string& route) const;
   state::Millis mean() const { return all_.mean(); }
 
@@ -25,10 +25,11 @@
   LatencyEstimate all_;
 };
 
-// The work that waits for a slot of the target. It answers to a load above the
-// target's capacity: work that can still be answered within its objective goes
-// first, by priority and then by arrival, and work that no longer can is given
-// back, since it would only make other work late. Not thread-safe.
+// Work that waits for a slot of the target. Under a load above the target's
+// capacity, work that can still be answered within its objective starts first,
+// by priority and then by arrival, and work that no longer can is to be
+// refused, since it would only delay other work. `percent` is the current
+// service time of the target. Not thread-safe.
 class WorkQueue {
  public:
   // `times` must outlive the queue.
@@ -39,20 +40,22 @@
   bool empty() const { return works_.empty(); }
 
   // Returns the work that should start next, or null.
-  const GuardWork* Next(int pace, state::Millis now) const;
+  const GuardWork* Next(int percent, state::Millis now) const;
   // Removes and returns work that Next returned.
   GuardWork Take(const GuardWork* work);
   // Removes and returns the work that `matches` selects.
   std::vector<GuardWork> TakeIf(
       const std::function<bool(const GuardWork&)>& matches);
-  // Removes and returns routed work that cannot be answered within its
-  // objective any more.
-  std::vector<GuardWork> TakeHopeless(int pace, state::Millis now);
-  // Returns the time that one slot would need for all that waits.
-  state::Millis TotalTime(int pace) const;
+  // Removes and returns routed work that can no longer be answered within its
+  // objective.
+  std::vector<GuardWork> TakeMissedObjectives(int percent, state::Millis now);
+  // Returns the time that all waiting work would take on one slot.
+  state::Millis TotalTime(int percent) const;
 
  private:
-  bool IsInTime(const GuardWork& work, int pace, state::Millis now) const;
+  bool MeetsObjective(const GuardWork& work,
+                      int percent,
+                      state::Millis now) const;
 
   const ServiceTimes* const times_;
   std::list<GuardWork> works_;  // By arrival.
--- a/src/coordination/tests/guard_test.cc
+++ b/src/coordination/tests/guard_test.cc
@@ -48,7 +48,7 @@
   Guard guard_;
 };
 
-// Returns the id of the only delivery among the commands, or 0.
+// Returns the id of the first delivery among the commands, or 0.
 uint64_t DeliveryOf(const Commands& commands) {
   for (const Command& command : commands) {
     if (const auto* delivery = std::get_if<DeliverToTarget>(&command)) {
@@ -58,7 +58,7 @@
   return 0;
 }
 
-// Guards against a guard that starts nothing any more after a request that ran
+// Guards against a guard that starts no further work after a request that ran
 // alone was cancelled.
 TEST_CASE("work goes on after a cancelled request that ran alone", "[poison]") {
   TestGuard test;
@@ -74,8 +74,8 @@
                                          Millis(4))) != 0);
 }
 
-// Guards against the same after an action that was to run alone and whose start
-// the register refused.
+// Guards against a guard that starts no further work after the register refused
+// the start of an action that was to run alone.
 TEST_CASE("work goes on after a refused start that was to run alone",
           "[poison]") {
   TestGuard test;
@@ -96,8 +96,8 @@
                                          Millis(3))) != 0);
 }
 
-// Guards against a stop that waits for the register as if the target still
-// worked: the report of a finished action is no work.
+// Guards against a stop that waits for the register as if the target were still
+// working: reporting a finished action does not count as work.
 TEST_CASE("an action's unconfirmed end is a report and no work", "[not_run]") {
   TestGuard test;
   const Commands started =
@@ -125,7 +125,7 @@
   CHECK(test.guard_.reports_in_progress() == 1);
 }
 
-// Guards against other work beside a request that runs alone.
+// Guards against other work that starts while a request must run alone.
 TEST_CASE("nothing starts beside a request that runs alone", "[poison]") {
   TestGuard test;
   const uint64_t alone = DeliveryOf(
@@ -161,8 +161,8 @@
   return state::RefusalReason::kNone;
 }
 
-// Guards against a heartbeat that was delayed and brings a target back that has
-// left, or that an earlier incarnation sent.
+// Guards against a delayed heartbeat that makes a target serve again after it
+// has left, or that an earlier incarnation sent.
 TEST_CASE("late announcements change nothing", "[membership]") {
   using state::TargetState;
   TestGuard test;
@@ -184,9 +184,9 @@
   CHECK(test.guard_.target().state_ == TargetState::kServing);
 }
 
-// Guards against queued work that reaches a target long after it has said that
-// it leaves.
-TEST_CASE("queued work is given back when the target leaves", "[drain]") {
+// Guards against queued work that reaches a target long after it has announced
+// that it drains.
+TEST_CASE("queued work is refused when the target leaves", "[drain]") {
   TestGuard test;
   test.guard_.OnAnnounced(Announcement(1, 1, state::TargetState::kServing),
                           Millis(0));
@@ -213,8 +213,9 @@
 }
 
 // Guards against work that starts on a machine that its neighbours slow down,
-// and against ingresses that learn of it only with the next answer.
-TEST_CASE("a slow target takes no first attempts and says so", "[load_cost]") {
+// and against ingresses that receive the report only with the next answer.
+TEST_CASE("a slow target takes no first attempts and reports it",
+          "[load_cost]") {
   TestGuard test;
   const uint64_t delivery = DeliveryOf(
       test.guard_.OnAttempt("ingress", LookupAttempt("1", false), Millis(1)));
@@ -223,15 +224,16 @@
                                                 .answer_ = {.status_ = 200},
                                                 .service_time_percent_ = 700},
                                   Millis(100));
-  bool told = false;
+  bool is_reported = false;
   for (const Command& command : commands) {
     const auto* reply = std::get_if<ReplyToPeer>(&command);
     const auto* notice =
         reply == nullptr ? nullptr : std::get_if<LoadNotice>(&reply->message_);
-    told = told || (notice != nullptr && reply->connection_ == "ingress" &&
-                    notice->load_.service_time_percent_ == 700);
+    is_reported =
+        is_reported || (notice != nullptr && reply->connection_ == "ingress" &&
+                        notice->load_.service_time_percent_ == 700);
   }
-  CHECK(told);
+  CHECK(is_reported);
   const Attempt first{.request_id_ = "2",
                       .attempt_ = 1,
                       .service_ = "s",
@@ -245,17 +247,18 @@
                                          Millis(101))) != 0);
 }
 
-// Guards against a service that serves nothing after a loss of power: all of
+// Guards against a service that refuses all calls after a power loss: all of
 // its targets have just started, and take twice their usual time.
 TEST_CASE("a target that has just started takes work", "[path]") {
-  constexpr int kColdPace = 200;
+  constexpr int kColdServiceTimePercent = 200;
   TestGuard test;
   const uint64_t first = DeliveryOf(
       test.guard_.OnAttempt("a", LookupAttempt("1", false), Millis(1)));
-  test.guard_.OnDeliveryEnded(DeliveryEnded{.delivery_id_ = first,
-                                            .answer_ = {.status_ = 200},
-                                            .service_time_percent_ = kColdPace},
-                              Millis(200));
+  test.guard_.OnDeliveryEnded(
+      DeliveryEnded{.delivery_id_ = first,
+                    .answer_ = {.status_ = 200},
+                    .service_time_percent_ = kColdServiceTimePercent},
+      Millis(200));
   const Attempt routed{.request_id_ = "2",
                        .attempt_ = 1,
                        .service_ = "s",
@@ -267,7 +270,7 @@
   CHECK(DeliveryOf(test.guard_.OnAttempt("a", routed, Millis(201))) != 0);
 }
 
-// Guards against a refusal of the target's own that counts as run.
+// Guards against a request that counts as run although the target declined it.
 TEST_CASE("a request that the target declined is refused", "[not_run]") {
   TestGuard test;
   const uint64_t delivery = DeliveryOf(
--- a/src/coordination/tests/routed_calls_test.cc
+++ b/src/coordination/tests/routed_calls_test.cc
@@ -121,8 +121,8 @@
   return nullptr;
 }
 
-// Guards against a call that runs at a service of a shorter prefix, and against
-// one that runs although no route leads anywhere.
+// Guards against a call that runs at the service of a shorter prefix, and
+// against a call that runs although no route matches it.
 TEST_CASE("the longest prefix of the host decides", "[path]") {
   TestIngress test;
   CHECK(AttemptsOf(test.Call(1, "/act/new/x")).at(0).service_ == "u");
@@ -133,8 +133,8 @@
   CHECK(AnswerOf(refused)->reason_ == state::RefusalReason::kNoRoute);
 }
 
-// Guards against a split that is only right in the long run.
-TEST_CASE("each part of a split gets its share at once", "[path]") {
+// Guards against a split that has the right proportions only after many calls.
+TEST_CASE("each destination of a split gets its share at once", "[path]") {
   TestIngress test;
   std::map<std::string, int> calls;
   for (uint64_t id = 1; id <= 40; ++id) {
@@ -154,16 +154,16 @@
                                              state::RefusalReason::kOverloaded);
   const Attempt second = AttemptsOf(after_refusal).at(0);
   CHECK(second.target_ != first.target_);
-  const Commands after_cut = test.Answer(second, AttemptResult::kUnknown,
-                                         state::RefusalReason::kTargetCrashed);
-  CHECK(AttemptsOf(after_cut).empty());
+  const Commands after_crash = test.Answer(
+      second, AttemptResult::kUnknown, state::RefusalReason::kTargetCrashed);
+  CHECK(AttemptsOf(after_crash).empty());
   test.now_ = Millis(900);
-  const Commands given_up = test.ingress_.Tick(test.now_);
-  REQUIRE(AnswerOf(given_up) != nullptr);
-  CHECK(AnswerOf(given_up)->outcome_ == Outcome::kUnknown);
+  const Commands after_timeout = test.ingress_.Tick(test.now_);
+  REQUIRE(AnswerOf(after_timeout) != nullptr);
+  CHECK(AnswerOf(after_timeout)->outcome_ == Outcome::kUnknown);
 }
 
-// Guards against a caller that is told "not run" while an attempt is open.
+// Guards against the outcome "not run" for a call that has an open attempt.
 TEST_CASE("an action without an answer is unknown at the route's timeout",
           "[not_run]") {
   TestIngress test;
@@ -210,8 +210,8 @@
   CHECK(test.ingress_.OnTargetSlow(late.target_, test.now_).empty());
 }
 
-// Guards against targets that work on for a caller that has gone.
-TEST_CASE("a caller that leaves cancels its attempts", "[path]") {
+// Guards against targets that continue to work for a disconnected caller.
+TEST_CASE("a caller's disconnection cancels its attempts", "[path]") {
   TestIngress test;
   const Attempt attempt = AttemptsOf(test.Call(1, "/read/x")).at(0);
   const Commands commands = test.ingress_.OnCallerLeft(1, test.now_);
@@ -223,9 +223,9 @@
   CHECK(test.ingress_.OnCallerLeft(1, test.now_).empty());
 }
 
-// Guards against callers that come back at once to a daemon that has just
-// started, and are refused again.
-TEST_CASE("a caller is told when to come back", "[not_run]") {
+// Guards against callers that retry at once at a daemon that has just started,
+// and are refused again.
+TEST_CASE("a refused caller gets a retry delay", "[not_run]") {
   std::mt19937_64 random;
   state::Counters counters;
   Router router({.instance_ = "g"}, random, &counters);
@@ -239,9 +239,9 @@
   CHECK(AnswerOf(commands)->retry_after_ >= Millis(100));
 }
 
-// Guards against a daemon that wakes all the time while calls wait for their
-// answers, and against a deadline that is noticed late.
-TEST_CASE("an ingress is due when its first call is", "[path]") {
+// Guards against a daemon that wakes constantly while calls wait for their
+// answers, and against a deadline that is detected late.
+TEST_CASE("an ingress is due when its earliest call is due", "[path]") {
   TestIngress test;
   CHECK_FALSE(test.ingress_.NextDue().has_value());
   test.Call(1, "/read/1", Millis(700));
--- a/src/coordination/tests/work_queue_test.cc
+++ b/src/coordination/tests/work_queue_test.cc
@@ -26,8 +26,8 @@
   return next == nullptr ? "" : next->attempt_.request_id_;
 }
 
-// Guards against urgent work that waits behind work that came earlier, and
-// against a slot that is spent on an answer that is late in any case.
+// Guards against urgent work that waits behind work that arrived earlier, and
+// against a slot that is used for an answer that is late in any case.
 TEST_CASE("work in time goes first, by priority and then by arrival",
           "[load_cost]") {
   ServiceTimes times;
@@ -47,29 +47,30 @@
 }
 
 // Guards against callers that wait for an answer that will be late, while an
-// immediate refusal would let them come back.
-TEST_CASE("work that cannot be in time is given back", "[load_cost]") {
+// immediate refusal would let them retry.
+TEST_CASE("work that cannot be in time is removed", "[load_cost]") {
   ServiceTimes times;
   times.Add("short", Millis(40));
   times.Add("long", Millis(200));
   WorkQueue queue(&times);
   queue.Push(Work("a", 0, Millis(150), "short"));
   queue.Push(Work("b", 0, Millis(150), "long"));
-  const std::vector<GuardWork> hopeless =
-      queue.TakeHopeless(kUsualServiceTimePercent, Millis(0));
-  REQUIRE(hopeless.size() == 1);
-  CHECK(hopeless[0].attempt_.request_id_ == "b");
-  CHECK(queue.TakeHopeless(kUsualServiceTimePercent, Millis(120)).size() == 1);
+  const std::vector<GuardWork> missed =
+      queue.TakeMissedObjectives(kUsualServiceTimePercent, Millis(0));
+  REQUIRE(missed.size() == 1);
+  CHECK(missed[0].attempt_.request_id_ == "b");
+  CHECK(queue.TakeMissedObjectives(kUsualServiceTimePercent, Millis(120))
+            .size() == 1);
   CHECK(queue.empty());
 }
 
-// Guards against a slow spell that counts as if it lasted for ever.
-TEST_CASE("work that outlasts a slow spell goes on at the usual pace",
+// Guards against a slow period that counts as if it never ended.
+TEST_CASE("work that outlasts a slow period continues at its usual speed",
           "[load_cost]") {
   CHECK(ExpectedServiceTime(Millis(160), kUsualServiceTimePercent) ==
         Millis(160));
   CHECK(ExpectedServiceTime(Millis(10), 700) == Millis(70));
-  CHECK(ExpectedServiceTime(Millis(160), 700) == Millis(160) + kSlowTime);
+  CHECK(ExpectedServiceTime(Millis(160), 700) == Millis(160) + kMeanSlowPeriod);
 }
 
 }  // namespace
