--- a/src/state/api/target.h
+++ b/src/state/api/target.h
@@ -47,7 +47,7 @@
   const TargetState state_ = TargetState::kStarting;
   // Current time that work takes on the target's machine, in percent of the
   // usual time; 0 when the target does not report it.
-  const int pace_ = 0;
+  const int service_time_percent_ = 0;
   // Mean service time of a request while the machine has its usual speed; 0
   // when unknown.
   const Millis service_time_ = {};
