Name the contact with the control group's leader

Cause: kNeverHeard, leader_heard_ and knows_membership described processes as people who hear and know.

--- a/src/coordination/api/control_client.h
+++ b/src/coordination/api/control_client.h
@@ -64,7 +64,7 @@
   // Returns the configuration in force; index 0 when none is known.
   const state::IndexedConfiguration& configuration() const;
   // Returns whether a control instance has told the membership.
-  bool knows_membership() const;
+  bool has_membership() const;
   // Returns all known targets, of every service, that have not left.
   std::vector<state::TargetRecord> Targets() const;
   const std::vector<RefusedFingerprint>& refused_fingerprints() const;
--- a/src/coordination/api/control_service.h
+++ b/src/coordination/api/control_service.h
@@ -49,7 +49,7 @@
 
 // Age of the knowledge of an instance that has never heard from a leader;
 // finite, so that it can be sent.
-inline constexpr state::Millis kNeverHeard(1e9);
+inline constexpr state::Millis kNeverContacted(1e9);
 
 // What the replicated log knows of its leader. Give it on every change and
 // before every tick.
@@ -61,7 +61,7 @@
   // Members of the group; empty while this instance knows none.
   const std::vector<ControlAddress> members_ = {};
   // When a leader with a quorum was last heard from; nothing if never.
-  const std::optional<state::Millis> leader_heard_ = {};
+  const std::optional<state::Millis> last_leader_contact_ = {};
 };
 
 // The replicated state was replaced by a snapshot.
--- a/src/coordination/internal/control_client.cc
+++ b/src/coordination/internal/control_client.cc
@@ -172,7 +172,7 @@
 
   void NoteKnowledge(const LeaseReply& reply, state::Millis now) {
     const state::Millis known_at = now - reply.knowledge_age_;
-    if (reply.knowledge_age_ < kNeverHeard &&
+    if (reply.knowledge_age_ < kNeverContacted &&
         (!knowledge_at_.has_value() || known_at > *knowledge_at_)) {
       knowledge_at_ = known_at;
     }
@@ -303,7 +303,7 @@
   return impl_->followed().configuration();
 }
 
-bool ControlClient::knows_membership() const {
+bool ControlClient::has_membership() const {
   return impl_->followed().membership_epoch() != 0;
 }
 
--- a/src/coordination/internal/control_service_leases.cc
+++ b/src/coordination/internal/control_service_leases.cc
@@ -291,10 +291,10 @@
   if (LeadsWithQuorum()) {
     return state::Millis();
   }
-  if (!status_.has_value() || !status_->leader_heard_.has_value()) {
-    return kNeverHeard;
+  if (!status_.has_value() || !status_->last_leader_contact_.has_value()) {
+    return kNeverContacted;
   }
-  return now - *status_->leader_heard_;
+  return now - *status_->last_leader_contact_;
 }
 
 state::PoisonPolicy ControlService::Impl::poison_policy() const {
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -180,7 +180,7 @@
 
   bool KnowsEnough(state::Millis now) const {
     return control_client_.configuration().index_ > 0 &&
-           control_client_.knows_membership() &&
+           control_client_.has_membership() &&
            control_client_.KnowledgeAge(now) <= kMaxKnowledgeAge;
   }
 
--- a/src/coordination/tests/control_service_test.cc
+++ b/src/coordination/tests/control_service_test.cc
@@ -31,7 +31,7 @@
                    .leads_ = true,
                    .has_quorum_ = true,
                    .leader_address_ = "addr1",
-                   .leader_heard_ = now_});
+                   .last_leader_contact_ = now_});
   }
   // Ticks every 10 ms and returns all that this leads to.
   ControlStep Run(double milliseconds) {
--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -421,7 +421,7 @@
                                  .has_quorum_ = leads && age <= kQuorumFresh,
                                  .leader_address_ = raft_.leader_address(),
                                  .members_ = std::move(members),
-                                 .leader_heard_ = heard};
+                                 .last_leader_contact_ = heard};
 }
 
 void ControlDuty::AnswerStatus(StatusSlot* slot) const {
