--- a/src/coordination/api/control_client.h
+++ b/src/coordination/api/control_client.h
@@ -18,23 +18,23 @@
                          const ControlClientOptions&) = default;
 };
 
-// Keeps a daemon's lease with one control instance, and follows configuration
-// and membership through it. Never takes a configuration with a lower index
-// than the one in force, and takes the first one only when it is vouched for.
-// Not thread-safe.
+// Keeps a daemon's lease with one control instance, and receives configuration
+// and membership with the replies. Never applies a configuration with a lower
+// index than the one in force. Applies the first one only when a quorum has
+// confirmed that it is current. Not thread-safe.
 class ControlClient {
  public:
-  // `self` is the daemon without a target; its incarnation is the wall time of
-  // the start. Instances of the own region are preferred. `counters` must
-  // outlive the client.
+  // `self` is the daemon's record without a target; its incarnation is the wall
+  // time at which the daemon started. Control instances in the same region are
+  // preferred. `counters` must outlive the client.
   ControlClient(state::TargetRecord self,
                 std::vector<ControlAddress> control_instances,
                 state::Counters* counters,
                 ControlClientOptions options = {});
   ~ControlClient();
 
-  // What an event leads to. `configuration_changed_` and `membership_changed_`
-  // tell that configuration() and Targets() return something new.
+  // Result of handling an event. A flag is set when configuration(), Targets()
+  // or refused_fingerprints() may return a different value than before.
   struct Step {
     Commands commands_;
     bool configuration_changed_ = false;
@@ -42,38 +42,41 @@
     bool refused_fingerprints_changed_ = false;
   };
 
-  // Control instances to ask when none of the known ones replies.
+  // Adds peer addresses of control instances to contact when no known instance
+  // replies.
   void SetSeeds(const std::vector<std::string>& addresses);
 
-  // Announces the own target in a new state, at once. An empty service
-  // withdraws it.
+  // Announces a change of this daemon's target with an immediate renewal. Sends
+  // nothing when nothing has changed. An empty service withdraws the target.
   Step Announce(const std::string& target,
                 const std::string& service,
                 int slots,
                 state::TargetState target_state,
                 state::Millis now);
-  // Reports a crash of the own target, at once.
+  // Reports a crash of this daemon's target with an immediate renewal.
   Step ReportCrash(const std::vector<CrashReport>& crashes, state::Millis now);
-  // Handles a reply that came on the connection to `address`.
+  // Handles a reply received on the connection to `address`.
   Step OnReply(const std::string& address,
                const LeaseReply& reply,
                state::Millis now);
-  // Renews and moves the lease as time passes. Call it about every 10 ms.
+  // Renews the lease when it is due, and moves it when the control instance is
+  // unresponsive or stale. Call it about every 10 ms.
   Step Tick(state::Millis now);
 
-  // Returns the configuration in force; index 0 when none is known.
+  // Returns the configuration in force; index 0 when none has been applied.
   const state::IndexedConfiguration& configuration() const;
-  // Returns whether a control instance has told the membership.
+  // Returns whether a control instance has sent its whole membership table.
   bool has_membership() const;
   // Returns all known targets, of every service, that have not left.
   std::vector<state::TargetRecord> Targets() const;
   const std::vector<RefusedFingerprint>& refused_fingerprints() const;
-  // Returns the leader's address as last heard, or an empty string.
+  // Returns the leader's address from the last granted reply that named one, or
+  // an empty string.
   const std::string& leader_address() const;
-  // Returns how long ago a control instance that knew a quorum's leader was
-  // heard from; infinity if never.
+  // Returns the time since a control instance that replied to this daemon was
+  // last in contact with a leader that had a quorum; infinity if never.
   state::Millis KnowledgeAge(state::Millis now) const;
-  // Returns the record that this daemon last announced.
+  // Returns this daemon's record as its renewals announce it.
   const state::TargetRecord& record() const;
 
  private:
--- a/src/coordination/api/control_service.h
+++ b/src/coordination/api/control_service.h
@@ -18,22 +18,23 @@
 // A message from a daemon or from another control instance. Kinds that the
 // service does not handle are ignored.
 struct ControlMessage {
-  // Connection that the peer opened, or the address of an own connection.
+  // Connection that the peer opened, or the address of one that this daemon
+  // opened.
   const std::string connection_ = {};
   const PeerMessage message_ = {};
 };
 
-// A committed log entry, in order of the index. Entries that are no commands
-// are given too, with no command, since a read index may be theirs.
+// A committed log entry. Pass the entries in the order of their index, also
+// those without a command, since a read index may refer to one.
 struct EntryCommitted {
   const uint64_t index_ = 0;
   const std::optional<state::LogCommand> command_ = {};
 };
 
 enum class ProposalOutcome {
-  kCommitted,  // The entry is given as EntryCommitted, before or after.
-  kRefused,    // Not committed, and never will be.
-  kLost,       // May be committed already, later or never.
+  kCommitted,  // EntryCommitted is passed for the entry, before or after.
+  kRefused,    // The entry was not committed and never will be.
+  kLost,       // Unknown: committed already, later or never.
 };
 
 struct ProposalEnded {
@@ -47,20 +48,21 @@
   const uint64_t index_ = 0;
 };
 
-// Age of the knowledge of an instance that has never heard from a leader;
-// finite, so that it can be sent.
+// Staleness, in ms, of an instance that has never been in contact with a
+// leader. Finite, so that it can be encoded in a message.
 inline constexpr state::Millis kNeverContacted(1e9);
 
-// What the replicated log knows of its leader. Give it on every change and
+// State of the replicated log at this instance. Pass it on every change and
 // before every tick.
 struct LogStatus {
   const bool formed_ = false;
   const bool leads_ = false;
-  const bool has_quorum_ = false;          // Of the leader itself.
+  const bool has_quorum_ = false;          // This instance leads a quorum.
   const std::string leader_address_ = {};  // Empty when unknown.
   // Members of the group; empty while this instance knows none.
   const std::vector<ControlAddress> members_ = {};
-  // When a leader with a quorum was last heard from; nothing if never.
+  // Time of the last contact with a leader or, as the leader, with a quorum;
+  // absent if never.
   const std::optional<state::Millis> last_leader_contact_ = {};
 };
 
@@ -70,9 +72,9 @@
   const state::ReplicatedState state_ = {};
 };
 
-// Time has passed. Give it about every 10 ms.
+// Reports the current wall time. Pass it about every 10 ms.
 struct ControlTick {
-  const uint64_t wall_millis_ = 0;
+  const uint64_t wall_millis_ = 0;  // Wall time since the Unix epoch, in ms.
 };
 
 using ControlEvent = std::variant<ControlMessage,
@@ -83,7 +85,7 @@
                                   SnapshotRestored,
                                   ControlTick>;
 
-// A command to append to the log; its end is given as ProposalEnded.
+// A command to append to the log. Its outcome is passed back as ProposalEnded.
 struct Proposal {
   const uint64_t tag_ = 0;
   const state::LogCommand command_ = {};
@@ -91,23 +93,25 @@
   friend bool operator==(const Proposal&, const Proposal&) = default;
 };
 
-// What an event leads to.
+// Result of handling an event.
 struct ControlStep {
   Commands commands_;
   std::vector<Proposal> proposals_;
-  // Ids of read indexes to request; each ends with ReadIndexAnswered.
+  // Ids of the read indexes to request. ReadIndexAnswered is passed for each.
   std::vector<uint64_t> read_ids_;
 };
 
-// The decisions of one control instance: grants leases, keeps membership and
-// exchanges its changes with the other control instances, distributes
-// configurations, applies the replicated log, convicts requests that crash
-// their targets, and on the leader proposes commands. Not thread-safe.
+// The decision logic of one control instance: grants leases, keeps the
+// membership table and synchronises it with the other control instances,
+// distributes configurations, applies the replicated log, convicts requests
+// that crash their targets, and on the leader proposes commands. Not
+// thread-safe.
 class ControlService {
  public:
-  // `self` is this instance as the settings name it; `control_instances` are
-  // all of them, with or without itself. `epoch` differs at every start, as
-  // wall time in milliseconds does. `counters` must outlive the service.
+  // `self` is this instance as named in the settings; `control_instances` lists
+  // all control instances, with or without this one. `epoch` must differ at
+  // every start, for example the wall time in ms. `counters` must outlive the
+  // service.
   ControlService(ControlAddress self,
                  std::vector<ControlAddress> control_instances,
                  uint64_t epoch,
@@ -124,7 +128,7 @@
   uint64_t applied_index() const;
   // Returns the newest committed configuration; index 0 when there is none.
   state::IndexedConfiguration configuration() const;
-  // Returns all known records, for the status page.
+  // Returns all records of the membership table, for the status page.
   std::vector<state::MembershipRecord> Members() const;
 
  private:
--- a/src/coordination/api/group_membership.h
+++ b/src/coordination/api/group_membership.h
@@ -10,10 +10,10 @@
 
 namespace gooseberrygap::coordination {
 
-// What the rules of membership see of the replicated log.
+// State of the replicated log from which GroupMembership makes its decisions.
 struct GroupView {
   const state::ControlMember self_ = {};
-  const bool formed_ = false;  // The log of this instance is not empty.
+  const bool formed_ = false;  // This instance's log is not empty.
   const bool leads_ = false;
   const std::string leader_address_ = {};  // Empty when unknown.
   // Time since the last contact with a leader or, as the leader, a quorum.
@@ -22,11 +22,11 @@
   const std::vector<MemberStatus> members_ = {};
 };
 
-// Forms the control group at the first start, and keeps its members without an
-// operator: an instance asks to join, takes the place of a voter that is
-// silent, and replaces at once the identity that was lost with the disk of its
-// own address. The number of voters never falls below the wanted one except
-// while a replacement is under way. Not thread-safe.
+// Forms the control group at the first start, and maintains its members without
+// an operator: an instance requests to join, and becomes a voter in place of an
+// unresponsive one. An instance that lost its disk immediately replaces the
+// identity that it had at the same address. The number of voters falls below
+// the configured number only during a replacement. Not thread-safe.
 class GroupMembership {
  public:
   struct Options {
@@ -34,11 +34,12 @@
     // the system the instance at the first address forms the group.
     const std::vector<std::string> seeds_ = {};
     const bool first_start_ = false;
-    const int voters_ = 5;
+    const int voters_ = 5;  // Number of voters to maintain.
   };
   struct Step {
     Commands commands_;
-    // Changes for the log; one that cannot be made now is tried again.
+    // Changes to propose to the log. A change that cannot be made now is
+    // proposed again by a later step.
     std::vector<RaftEvent> events_;
   };
 
@@ -46,24 +47,28 @@
 
   // Call it about every 10 ms.
   Step Tick(const GroupView& view, state::Millis now);
+  // Handles a request to join: forwards it to the leader, or on the leader adds
+  // the instance or removes the identity that it replaces.
   Step OnJoin(const JoinRequest& request,
               const GroupView& view,
               state::Millis now);
-  // Takes other seeds into use.
+  // Replaces the seeds.
   void SetSeeds(const std::vector<std::string>& seeds);
 
  private:
-  Step AskToJoin(const GroupView& view, state::Millis now);
-  // Returns the identity to remove so that the group has its wanted voters.
-  std::optional<std::string> Superfluous(const GroupView& view) const;
+  Step RequestToJoin(const GroupView& view, state::Millis now);
+  // Returns the identity of an unresponsive member to remove: a learner, or a
+  // voter that is surplus or that a ready learner replaces. Returns nothing
+  // when there is none.
+  std::optional<std::string> MemberToRemove(const GroupView& view) const;
 
   std::vector<std::string> seeds_;
   const bool first_start_;
   const size_t voters_;
-  bool asked_to_form_ = false;
+  bool has_proposed_group_ = false;
   size_t next_address_ = 0;
-  state::Millis ask_at_;
-  state::Millis tidy_at_;
+  state::Millis join_request_at_;
+  state::Millis removal_check_at_;
 };
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/internal/control_choice.cc
+++ b/src/coordination/internal/control_choice.cc
@@ -9,19 +9,21 @@
 
 namespace {
 
-// What an instance said of its knowledge holds for this long.
-constexpr state::Millis kAgeValid(2000);
-// Older knowledge makes a daemon look for a better instance. A member hears
-// from its leader every 100 ms, and a configuration must be in force within 2
-// s, also where the instance that the daemon asks has just been cut off.
-constexpr state::Millis kStaleKnowledge(800);
-// A better instance knows this much more, so that daemons do not wander among
-// instances that all wait for a new leader.
-constexpr state::Millis kBetterBy(500);
-// Pause between questions to other instances: while the current one is stale,
-// and while it is only in another region.
-constexpr state::Millis kAskWhenStale(250);
-constexpr state::Millis kAskWhenFar(10000);
+// A reported staleness is valid for this time after the reply.
+constexpr state::Millis kStalenessValidity(2000);
+// Above this staleness of its control instance, a daemon looks for a better
+// one. A member receives a heartbeat from its leader every 100 ms, and a
+// configuration must be in force within 2 s, also at daemons whose control
+// instance has just been partitioned from the leader.
+constexpr state::Millis kStaleThreshold(800);
+// An instance must be fresher than a stale one by more than this, so that
+// daemons do not move back and forth among instances that all wait for a new
+// leader.
+constexpr state::Millis kMinStalenessGain(500);
+// Interval between queries to other instances: while the current one is stale,
+// and while it is not stale but in another region.
+constexpr state::Millis kStaleQueryInterval(250);
+constexpr state::Millis kOtherRegionQueryInterval(10000);
 
 }  // namespace
 
@@ -32,7 +34,7 @@
   for (ControlAddress& address : instances) {
     listed.push_back(Instance{.address_ = std::move(address)});
   }
-  Order(std::move(listed));
+  OrderAndChoose(std::move(listed));
 }
 
 void ControlChoice::SetInstances(const std::vector<ControlAddress>& instances) {
@@ -52,13 +54,13 @@
       if (known.address_.address_ == instance.address_) {
         next.has_replied_ = known.has_replied_;
         next.replied_at_ = known.replied_at_;
-        next.age_ = known.age_;
+        next.staleness_ = known.staleness_;
         next.tried_at_ = known.tried_at_;
       }
     }
     listed.push_back(next);
   }
-  Order(std::move(listed));
+  OrderAndChoose(std::move(listed));
   for (size_t index = 0; index < instances_.size(); ++index) {
     if (instances_[index].address_.address_ == current) {
       current_ = index;
@@ -80,7 +82,7 @@
   }
 }
 
-void ControlChoice::Order(std::vector<Instance> instances) {
+void ControlChoice::OrderAndChoose(std::vector<Instance> instances) {
   // A list of values with const members cannot be sorted in place.
   std::vector<Instance> ordered;
   for (const bool own : {true, false}) {
@@ -109,21 +111,22 @@
   return instance == current.instance_ || address == current.address_;
 }
 
-bool ControlChoice::OnAge(const std::string& instance,
-                          state::Millis age,
-                          state::Millis now) {
+bool ControlChoice::OnStalenessReport(const std::string& instance,
+                                      state::Millis staleness,
+                                      state::Millis now) {
   Instance* replied = Find(instance);
   if (replied == nullptr) {
     return false;
   }
   replied->has_replied_ = true;
   replied->replied_at_ = now;
-  replied->age_ = age;
+  replied->staleness_ = staleness;
   const Instance& current = instances_[current_];
   if (replied == &current || !IsFresh(*replied, now)) {
     return false;
   }
-  const bool is_better = replied->age_ + kBetterBy < current.age_;
+  const bool is_better =
+      replied->staleness_ + kMinStalenessGain < current.staleness_;
   return (IsStale(current, now) && is_better) ||
          (replied->in_own_region_ && !current.in_own_region_);
 }
@@ -135,7 +138,7 @@
   }
 }
 
-void ControlChoice::MoveOn(state::Millis now) {
+void ControlChoice::MoveToNext(state::Millis now) {
   instances_[current_].tried_at_ = now;
   instances_[current_].has_replied_ = false;
   const auto rank = [this, now](size_t index) {
@@ -153,15 +156,16 @@
   current_ = best;
 }
 
-std::string ControlChoice::AddressToAsk(state::Millis now) {
+std::string ControlChoice::AddressToQuery(state::Millis now) {
   const Instance& current = instances_[current_];
   const bool is_stale = IsStale(current, now);
   const bool has_own_region = instances_.front().in_own_region_;
-  const bool is_far = has_own_region && !current.in_own_region_;
-  if (now < ask_at_ || (!is_stale && !is_far)) {
+  const bool is_in_other_region = has_own_region && !current.in_own_region_;
+  if (now < query_at_ || (!is_stale && !is_in_other_region)) {
     return {};
   }
-  ask_at_ = now + (is_stale ? kAskWhenStale : kAskWhenFar);
+  query_at_ =
+      now + (is_stale ? kStaleQueryInterval : kOtherRegionQueryInterval);
   Instance* chosen = nullptr;
   for (Instance& instance : instances_) {
     const bool is_candidate =
@@ -179,16 +183,19 @@
 }
 
 bool ControlChoice::IsFresh(const Instance& instance, state::Millis now) const {
-  return HasValidAge(instance, now) && instance.age_ <= kFreshKnowledge;
+  return HasValidStaleness(instance, now) &&
+         instance.staleness_ <= kMaxFreshStaleness;
 }
 
 bool ControlChoice::IsStale(const Instance& instance, state::Millis now) const {
-  return HasValidAge(instance, now) && instance.age_ > kStaleKnowledge;
+  return HasValidStaleness(instance, now) &&
+         instance.staleness_ > kStaleThreshold;
 }
 
-bool ControlChoice::HasValidAge(const Instance& instance,
-                                state::Millis now) const {
-  return instance.has_replied_ && now - instance.replied_at_ <= kAgeValid;
+bool ControlChoice::HasValidStaleness(const Instance& instance,
+                                      state::Millis now) const {
+  return instance.has_replied_ &&
+         now - instance.replied_at_ <= kStalenessValidity;
 }
 
 ControlChoice::Instance* ControlChoice::Find(const std::string& instance) {
--- a/src/coordination/internal/control_choice.h
+++ b/src/coordination/internal/control_choice.h
@@ -8,73 +8,80 @@
 
 namespace gooseberrygap::coordination {
 
-// Knowledge of an instance that is older counts as stale.
-inline constexpr state::Millis kFreshKnowledge(3000);
+// A daemon moves its lease only to an instance whose staleness is at most this.
+inline constexpr state::Millis kMaxFreshStaleness(3000);
 
 // Chooses the control instance that a daemon holds its lease with. Not
 // thread-safe.
 class ControlChoice {
  public:
-  // Daemons spread over the instances of their region by their name.
+  // The first choice is a hash of the daemon's name, which distributes the
+  // daemons of a region over its control instances.
   ControlChoice(const state::TargetRecord& self,
                 std::vector<ControlAddress> instances);
 
-  // Chooses among these instances from now on. What is known of an instance is
-  // kept by its address; so is the current one, if it is among them.
+  // Replaces the instances to choose from; an empty list changes nothing. The
+  // state of an instance whose address is listed again is kept, and the current
+  // instance stays current if its address is listed.
   void SetInstances(const std::vector<ControlAddress>& instances);
 
-  // Adds instances of which only the address is known, last in the order. They
-  // stay until SetInstances is called with other instances.
+  // Appends instances of which only the address is known. They are kept until
+  // SetInstances is called with a different list.
   void AddSeeds(const std::vector<std::string>& addresses);
 
   bool empty() const { return instances_.empty(); }
-  // Precondition for all others: there are instances.
+  // Returns the address of the current instance. Precondition of this and all
+  // following methods: empty() is false.
   const std::string& address() const;
-  // Returns whether that is the current instance, named by its reply or, when
-  // the name is not in the settings, by the address it came from.
+  // Returns whether a reply came from the current instance. Compares the name
+  // in the reply and, for a name that is not in the settings, the address from
+  // which it was received.
   bool IsCurrent(const std::string& instance, const std::string& address) const;
 
-  // Notes the age of an instance's knowledge. Returns whether it is worth
-  // moving to: its knowledge is fresh and that of the current one is not, or
-  // the current one is in another region.
-  bool OnAge(const std::string& instance, state::Millis age, state::Millis now);
-  // Moves to that instance.
+  // Records the staleness that an instance reported. Returns whether the lease
+  // should move to it: it is fresh, and either the current instance is stale
+  // and this one clearly fresher, or only this one is in the daemon's region.
+  bool OnStalenessReport(const std::string& instance,
+                         state::Millis staleness,
+                         state::Millis now);
+  // Makes that instance the current one. Ignores an unknown name.
   void MoveTo(const std::string& instance);
-  // The current instance does not reply: moves to the next one, first to those
-  // known to be fresh, then in the own region, then the longest untried.
-  void MoveOn(state::Millis now);
-  // Returns the address to ask for its knowledge, when the current instance is
-  // stale or in another region; otherwise an empty string. The daemon moves
-  // only when the answer is good, so that it does not wander among stale
-  // instances.
-  std::string AddressToAsk(state::Millis now);
+  // Call it when the current instance does not reply. Chooses another one:
+  // first one that is known to be fresh, then the one that was tried least
+  // recently, then one in the daemon's region.
+  void MoveToNext(state::Millis now);
+  // Returns the address of an instance to query for its staleness while the
+  // current instance is stale or in another region; otherwise an empty string.
+  // The lease moves only after a reply from a fresh instance, so that it does
+  // not move back and forth among stale ones.
+  std::string AddressToQuery(state::Millis now);
 
  private:
   struct Instance {
     ControlAddress address_;
     bool in_own_region_ = false;
-    // Last reply; the age of its knowledge then.
-    bool has_replied_ = false;
-    state::Millis replied_at_;
-    state::Millis age_;
-    // When it was last chosen or asked.
+    bool has_replied_ = false;  // The next two members are valid.
+    state::Millis replied_at_;  // Time of the last reply.
+    state::Millis staleness_;   // Staleness that the last reply reported.
+    // Time at which it was last queried or found unresponsive.
     state::Millis tried_at_;
   };
 
   bool IsFresh(const Instance& instance, state::Millis now) const;
-  // Neither fresh nor stale without a recent reply.
+  // Without a recent reply an instance is neither fresh nor stale.
   bool IsStale(const Instance& instance, state::Millis now) const;
-  bool HasValidAge(const Instance& instance, state::Millis now) const;
+  bool HasValidStaleness(const Instance& instance, state::Millis now) const;
   Instance* Find(const std::string& instance);
 
-  // Puts the own region's instances first and chooses one by the own name.
-  void Order(std::vector<Instance> instances);
+  // Stores the instances, those in the daemon's region first, and chooses one
+  // by a hash of the daemon's name.
+  void OrderAndChoose(std::vector<Instance> instances);
 
   const std::string self_;
   const std::string region_;
-  std::vector<Instance> instances_;  // The own region's first.
+  std::vector<Instance> instances_;  // Those in the daemon's region first.
   size_t current_ = 0;
-  state::Millis ask_at_;
+  state::Millis query_at_;
 };
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/internal/control_client.cc
+++ b/src/coordination/internal/control_client.cc
@@ -9,21 +9,24 @@
 
 namespace {
 
-constexpr state::Millis kRenewEvery(1000);
-// An instance that has not replied for this long is left. Shorter than the
-// lease, so that the daemon is known elsewhere before its lease expires.
+constexpr state::Millis kRenewInterval(1000);
+// The lease moves away from an instance that has not replied for this time.
+// Shorter than the lease, so that another instance holds it before it expires.
 constexpr state::Millis kReplyTimeout(1000);
-// Until a first reply has told the configuration, the daemon refuses all calls.
-// Longer than a round trip between regions. After a loss of power the control
-// instances start one after the other.
+// Reply timeout while the daemon has no configuration and refuses all calls.
+// Longer than a round trip between regions. Short because after a power loss
+// the control instances start one after another, so that the first one
+// contacted may not be running yet.
 constexpr state::Millis kFirstReplyTimeout(200);
-// A renewal that follows a refusal waits this long, so that two daemons with
-// one name do not answer each other without pause.
-constexpr state::Millis kAfterRefusal(50);
-// A crash is reported until a reply has come this long after it, and no longer
-// than the second time, when it no longer says anything about its request.
-constexpr state::Millis kCrashReportTime(1000);
-constexpr state::Millis kCrashReportLimit(60000);
+// Minimum time between a renewal and the next one after a refusal or an
+// unusable delta, so that two daemons with the same name do not displace each
+// other in a tight loop.
+constexpr state::Millis kRefusalRetryDelay(50);
+// Every renewal repeats a crash report until a reply arrives at least the first
+// time after the crash. The report is discarded after the second time at the
+// latest, when it is too old to say anything about its request.
+constexpr state::Millis kCrashReportMinTime(1000);
+constexpr state::Millis kCrashReportMaxTime(60000);
 
 }  // namespace
 
@@ -85,23 +88,23 @@
     if (choice_.empty()) {
       return step;
     }
-    NoteKnowledge(reply, now);
-    const bool moves =
-        choice_.OnAge(reply.control_instance_, reply.knowledge_age_, now);
+    UpdateLeaderContact(reply, now);
+    const bool moves = choice_.OnStalenessReport(reply.control_instance_,
+                                                 reply.knowledge_age_, now);
     const bool is_current = choice_.IsCurrent(reply.control_instance_, address);
     if (is_current) {
-      waiting_since_.reset();
-      TakeReply(reply, now, &step);
+      awaiting_reply_since_.reset();
+      ApplyReply(reply, now, &step);
     }
     if (reply.known_incarnation_ > record_->version_.incarnation_) {
-      // Another process had this name, or the wall clock went back.
+      // Another process used this name, or the wall clock was set back.
       SetVersion(state::LeaseVersion{
           .incarnation_ = reply.known_incarnation_ + 1, .sequence_ = 1});
       renew_at_ = now;
     }
     if (moves) {
       choice_.MoveTo(reply.control_instance_);
-      OnMoved(now);
+      OnLeaseMoved(now);
     }
     Append(&step.commands_, RenewIfDue(now));
     return step;
@@ -112,16 +115,17 @@
     if (choice_.empty()) {
       return step;
     }
-    step.refused_fingerprints_changed_ = followed_.DropExpired(now);
-    if (waiting_since_.has_value() && now - *waiting_since_ >= ReplyTimeout()) {
-      choice_.MoveOn(now);
-      OnMoved(now);
+    step.refused_fingerprints_changed_ = followed_.RemoveExpired(now);
+    if (awaiting_reply_since_.has_value() &&
+        now - *awaiting_reply_since_ >= ReplyTimeout()) {
+      choice_.MoveToNext(now);
+      OnLeaseMoved(now);
     }
     step.commands_ = RenewIfDue(now);
-    const std::string ask = choice_.AddressToAsk(now);
-    if (!ask.empty()) {
+    const std::string query_address = choice_.AddressToQuery(now);
+    if (!query_address.empty()) {
       step.commands_.push_back(
-          SendToPeer{.address_ = ask,
+          SendToPeer{.address_ = query_address,
                      .message_ = LeaseRenew{.instance_ = record_->instance_}});
     }
     return step;
@@ -132,8 +136,8 @@
   const std::string& leader_address() const { return leader_address_; }
 
   state::Millis KnowledgeAge(state::Millis now) const {
-    return knowledge_at_.has_value()
-               ? now - *knowledge_at_
+    return leader_contact_at_.has_value()
+               ? now - *leader_contact_at_
                : state::Millis(std::numeric_limits<double>::infinity());
   }
 
@@ -148,11 +152,11 @@
                                                  : kReplyTimeout;
   }
 
-  void TakeReply(const LeaseReply& reply, state::Millis now, Step* step) {
+  void ApplyReply(const LeaseReply& reply, state::Millis now, Step* step) {
     if (!reply.granted_) {
-      // The lease has expired or is held elsewhere under this version.
+      // The lease has expired, or another instance holds it with this version.
       RaiseSequence();
-      renew_at_ = std::max(now, renewed_at_ + kAfterRefusal);
+      renew_at_ = std::max(now, renewed_at_ + kRefusalRetryDelay);
       return;
     }
     counters_->Add(state::Counter::kLeasesRenewed);
@@ -160,34 +164,34 @@
       leader_address_ = reply.leader_address_;
     }
     choice_.SetInstances(reply.control_members_);
-    ForgetReportedCrashes(now);
-    const FollowedState::Changes changes = followed_.Take(reply, now);
+    RemoveReportedCrashes(now);
+    const FollowedState::Changes changes = followed_.Apply(reply, now);
     step->configuration_changed_ = changes.configuration_;
     step->membership_changed_ = changes.membership_;
     step->refused_fingerprints_changed_ = changes.refused_fingerprints_;
-    if (changes.needs_whole_) {
-      renew_at_ = std::max(now, renewed_at_ + kAfterRefusal);
+    if (changes.needs_full_configuration_) {
+      renew_at_ = std::max(now, renewed_at_ + kRefusalRetryDelay);
     }
   }
 
-  void NoteKnowledge(const LeaseReply& reply, state::Millis now) {
-    const state::Millis known_at = now - reply.knowledge_age_;
+  void UpdateLeaderContact(const LeaseReply& reply, state::Millis now) {
+    const state::Millis contact_at = now - reply.knowledge_age_;
     if (reply.knowledge_age_ < kNeverContacted &&
-        (!knowledge_at_.has_value() || known_at > *knowledge_at_)) {
-      knowledge_at_ = known_at;
+        (!leader_contact_at_.has_value() || contact_at > *leader_contact_at_)) {
+      leader_contact_at_ = contact_at;
     }
   }
 
-  void ForgetReportedCrashes(state::Millis now) {
+  void RemoveReportedCrashes(state::Millis now) {
     while (!crashes_.empty() &&
-           now - crashes_.front().at_ >= kCrashReportTime) {
+           now - crashes_.front().at_ >= kCrashReportMinTime) {
       crashes_.pop_front();
     }
   }
 
-  void OnMoved(state::Millis now) {
+  void OnLeaseMoved(state::Millis now) {
     counters_->Add(state::Counter::kLeaseControlMoves);
-    waiting_since_.reset();
+    awaiting_reply_since_.reset();
     RaiseSequence();
     renew_at_ = now;
   }
@@ -220,12 +224,12 @@
       return {};
     }
     renewed_at_ = now;
-    renew_at_ = now + kRenewEvery;
-    if (!waiting_since_.has_value()) {
-      waiting_since_ = now;
+    renew_at_ = now + kRenewInterval;
+    if (!awaiting_reply_since_.has_value()) {
+      awaiting_reply_since_ = now;
     }
     while (!crashes_.empty() &&
-           now - crashes_.front().at_ >= kCrashReportLimit) {
+           now - crashes_.front().at_ >= kCrashReportMaxTime) {
       crashes_.pop_front();
     }
     std::vector<CrashReport> crashes;
@@ -254,9 +258,11 @@
   std::deque<ReportedCrash> crashes_;
   state::Millis renew_at_;
   state::Millis renewed_at_;
-  // Oldest renewal since the last reply of the current instance.
-  std::optional<state::Millis> waiting_since_;
-  std::optional<state::Millis> knowledge_at_;
+  // Time of the oldest renewal that the current instance has not replied to.
+  std::optional<state::Millis> awaiting_reply_since_;
+  // Time of the most recent contact with a leader that had a quorum, at any
+  // control instance that replied.
+  std::optional<state::Millis> leader_contact_at_;
   std::string leader_address_;
 };
 
--- a/src/coordination/internal/control_service.cc
+++ b/src/coordination/internal/control_service.cc
@@ -6,15 +6,16 @@
 
 namespace {
 
-// Leases and outdated starts are looked through this often, and the records of
-// other holders, which are all records, this often.
-constexpr state::Millis kLeaseCheck(100);
-constexpr state::Millis kHolderCheck(1000);
-// Ticks that are further apart mean that the process was paused. It could not
-// hear renewals in that time, so leases must not expire because of it.
-constexpr state::Millis kPauseBound(1000);
-// Crash reports are passed on this long, with each message.
-constexpr state::Millis kCrashNewsTime(10000);
+// Interval of the check for expired leases and outdated incarnations, and of
+// the maintenance that goes through all records.
+constexpr state::Millis kLeaseCheckInterval(100);
+constexpr state::Millis kMaintenanceInterval(1000);
+// A gap between ticks of at least this time means that the process was paused.
+// It could not receive renewals during the pause, so leases are extended by it.
+constexpr state::Millis kPauseThreshold(1000);
+// A reported crash is included in every membership message to other control
+// instances for this time.
+constexpr state::Millis kCrashForwardTime(10000);
 
 }  // namespace
 
@@ -60,7 +61,7 @@
     : self_(std::move(self)),
       epoch_(epoch),
       counters_(counters),
-      started_(now),
+      started_at_(now),
       exchange_(self_.instance_,
                 epoch,
                 control_instances,
@@ -98,7 +99,7 @@
   }
   if (changed) {
     push_all_ = true;
-    PushSoon(now);
+    SchedulePush(now);
   }
 }
 
@@ -120,48 +121,48 @@
   }
   if (new_leader && !event.leader_address_.empty()) {
     push_all_ = true;
-    PushSoon(now);
+    SchedulePush(now);
   }
 }
 
 void ControlService::Impl::On(const ControlTick& event, state::Millis now) {
   wall_millis_ = event.wall_millis_;
   wall_at_ = now;
-  NotePause(now);
+  HandlePause(now);
   if (now >= lease_check_at_) {
-    lease_check_at_ = now + kLeaseCheck;
+    lease_check_at_ = now + kLeaseCheckInterval;
     ExpireLeases(now);
-    AbandonOutdated(now);
+    AbandonOutdatedIncarnations(now);
     SendCrashAbandons(now);
     ProposeExpiry(now);
   }
-  if (now >= holder_check_at_) {
-    holder_check_at_ = now + kHolderCheck;
-    CheckHolders(now);
+  if (now >= maintenance_at_) {
+    maintenance_at_ = now + kMaintenanceInterval;
+    RunMaintenance(now);
   }
   Append(&step_.commands_, ExchangeMembership(now));
   RequestRead(now);
-  const bool may_tell_now = !told_membership_ && CanTellMembership(now);
-  if (may_tell_now || table_.version() != noticed_version_) {
-    told_membership_ = told_membership_ || may_tell_now;
-    noticed_version_ = table_.version();
-    PushSoon(now);
+  const bool can_send_now = !could_send_membership_ && CanSendMembership(now);
+  if (can_send_now || table_.version() != push_scheduled_version_) {
+    could_send_membership_ = could_send_membership_ || can_send_now;
+    push_scheduled_version_ = table_.version();
+    SchedulePush(now);
   }
   if (push_at_.has_value() && now >= *push_at_) {
     Push(now);
   }
 }
 
-void ControlService::Impl::CheckHolders(state::Millis now) {
-  exchange_.JudgeHolders(now);
+void ControlService::Impl::RunMaintenance(state::Millis now) {
+  exchange_.UpdateSuspensions(now);
   table_.Purge(now);
   if (crash_history_.Tick(poison_policy(), now)) {
     push_all_ = true;
-    PushSoon(now);
+    SchedulePush(now);
   }
-  while (!crash_news_.empty() &&
-         now - crash_news_.front().first >= kCrashNewsTime) {
-    crash_news_.pop_front();
+  while (!recent_crashes_.empty() &&
+         now - recent_crashes_.front().first >= kCrashForwardTime) {
+    recent_crashes_.pop_front();
   }
 }
 
@@ -169,18 +170,18 @@
   if (!exchange_.IsDue(now)) {
     return {};
   }
-  MembershipExchange::Extras extras{.refused_fingerprints_ =
-                                        crash_history_.Convicted(now)};
-  for (const auto& [reported_at, crash] : crash_news_) {
-    extras.crashes_.push_back(crash);
+  MembershipExchange::PoisonUpdate poison{.refused_fingerprints_ =
+                                              crash_history_.Convicted(now)};
+  for (const auto& [reported_at, crash] : recent_crashes_) {
+    poison.crashes_.push_back(crash);
   }
-  return exchange_.SendDue(extras, now);
+  return exchange_.SendDue(poison, now);
 }
 
-void ControlService::Impl::NotePause(state::Millis now) {
+void ControlService::Impl::HandlePause(state::Millis now) {
   const state::Millis gap = now - last_tick_;
   last_tick_ = now;
-  if (gap < kPauseBound) {
+  if (gap < kPauseThreshold) {
     return;
   }
   exchange_.OnPause(gap);
--- a/src/coordination/internal/control_service_impl.h
+++ b/src/coordination/internal/control_service_impl.h
@@ -14,8 +14,8 @@
 
 namespace gooseberrygap::coordination {
 
-// One part for each duty of the service: control_service.cc dispatches events
-// and time, control_service_leases.cc talks to daemons, and
+// Implemented in three files: control_service.cc dispatches events and runs
+// periodic work, control_service_leases.cc serves the leases of daemons, and
 // control_service_log.cc proposes and applies commands.
 class ControlService::Impl {
  public:
@@ -37,40 +37,44 @@
  private:
   // A daemon whose lease this instance holds.
   struct Session {
-    std::string connection_;  // Of the last renewal.
+    std::string connection_;  // Connection of the last renewal.
     std::set<std::string> services_;
-    // What the daemon has, as of its last renewal. Pushes start from here and
-    // not from the last push, which may have been lost.
+    // State that the daemon reported with its last renewal. Pushes contain the
+    // changes since then and not since the last push, which may have been lost.
     uint64_t configuration_index_ = 0;
     uint64_t membership_epoch_ = 0;
     uint64_t membership_version_ = 0;
     bool wants_vouched_ = false;
-    // Version of the table up to which changes were pushed.
+    // Version of the membership table that was last sent.
     uint64_t pushed_version_ = 0;
     state::Millis lease_until_;
   };
 
-  // The sender of a request that waits for a command to be applied.
+  // Sender of a request whose reply waits until a command is applied.
   struct Caller {
     std::string connection_;
     uint64_t call_id_ = 0;
 
     friend auto operator<=>(const Caller&, const Caller&) = default;
   };
+  // Abandon operation for the actions that a guard had started when its target
+  // crashed.
   struct CrashAbandon {
-    uint64_t incarnation_ = 0;
+    uint64_t incarnation_ = 0;  // Starts of lower incarnations are abandoned.
     state::Millis crashed_at_;
-    std::optional<state::Millis> sent_at_;
+    std::optional<state::Millis> sent_at_;  // Absent until it is first sent.
   };
-  enum class PendingKind { kRegisterCall, kConfigSubmit, kAbandon, kExpire };
-  struct Pending {
-    PendingKind kind_ = PendingKind::kExpire;
+  enum class ProposalKind { kRegisterCall, kConfigSubmit, kAbandon, kExpire };
+  // A proposal of this instance whose outcome is unknown.
+  struct PendingProposal {
+    ProposalKind kind_ = ProposalKind::kExpire;
     Caller caller_;
-    std::string guard_;  // Of kAbandon.
+    std::string guard_;  // Set for kAbandon.
   };
 
-  // Of a configuration in a lease reply.
-  enum class Vouching { kNotVouched, kVouched };
+  // Whether a read index has confirmed that the configuration in a lease reply
+  // is current.
+  enum class Confirmation { kUnconfirmed, kConfirmed };
 
   // Events.
   void On(const ControlMessage& event, state::Millis now);
@@ -81,7 +85,7 @@
   void On(const SnapshotRestored& event, state::Millis now);
   void On(const ControlTick& event, state::Millis now);
 
-  // Messages. The last overload ignores kinds that are not for this service.
+  // Messages. The template ignores the kinds that this service does not handle.
   void OnMessage(const std::string& connection,
                  const LeaseRenew& renew,
                  state::Millis now);
@@ -100,56 +104,56 @@
   template <class Message>
   void OnMessage(const std::string&, const Message&, state::Millis) {}
 
-  // Time.
-  void NotePause(state::Millis now);
+  // Periodic work.
+  void HandlePause(state::Millis now);
   void ExpireLeases(state::Millis now);
-  void CheckHolders(state::Millis now);
+  void RunMaintenance(state::Millis now);
   Commands ExchangeMembership(state::Millis now);
 
   // Daemons.
-  bool TakeRecord(const LeaseRenew& renew, state::Millis now);
+  bool MergeRecord(const LeaseRenew& renew, state::Millis now);
   Session* UpdateSession(const std::string& connection,
                          const LeaseRenew& renew,
                          state::Millis now);
-  void TakeCrashes(const LeaseRenew& renew, state::Millis now);
+  void RecordCrashes(const LeaseRenew& renew, state::Millis now);
   LeaseReply MakeReply(const std::string& instance,
                        Session* session,
-                       Vouching vouching,
+                       Confirmation confirmation,
                        state::Millis now);
   LeaseReply MakeRefusal(const std::string& instance, state::Millis now) const;
   void Reply(const std::string& instance,
              Session* session,
-             Vouching vouching,
+             Confirmation confirmation,
              state::Millis now);
   std::vector<state::TargetRecord> MembershipFor(const Session& session,
                                                  uint64_t since,
                                                  bool full) const;
   bool HasUnpushedChanges(const Session& session) const;
-  bool CanTellMembership(state::Millis now) const;
-  void PushSoon(state::Millis now);
+  bool CanSendMembership(state::Millis now) const;
+  void SchedulePush(state::Millis now);
   void Push(state::Millis now);
   void RequestRead(state::Millis now);
-  void ReplyVouched(state::Millis now);
+  void ReplyWithConfirmed(state::Millis now);
   state::Millis KnowledgeAge(state::Millis now) const;
-  // Returns the members of the group with the regions of their daemons.
+  // Returns the members of the group, with the regions from their records.
   std::vector<ControlAddress> ControlMembers() const;
   state::PoisonPolicy poison_policy() const;
 
   // The replicated log.
   bool LeadsWithQuorum() const;
   uint64_t Propose(const state::LogChange& change,
-                   const Pending& pending,
+                   const PendingProposal& pending,
                    state::Millis now);
   void ProposeAbandon(const std::string& guard,
                       uint64_t incarnation,
                       state::Millis now);
-  void AbandonOutdated(state::Millis now);
+  void AbandonOutdatedIncarnations(state::Millis now);
   void SendCrashAbandons(state::Millis now);
-  void ForgetCrashAbandon(const state::RegisterCommand& applied);
+  void RemoveAppliedCrashAbandon(const state::RegisterCommand& applied);
   void ProposeExpiry(state::Millis now);
   void RefuseCall(const Caller& caller);
   void RefuseSubmit(const Caller& caller);
-  void ForgetPending(std::map<uint64_t, Pending>::iterator pending);
+  void RemovePending(std::map<uint64_t, PendingProposal>::iterator pending);
   void ApplyConfigurationPolicy();
   // Applies one change; one overload for each kind.
   void Apply(const state::SubmittedConfiguration& change,
@@ -161,35 +165,40 @@
   void Apply(const state::ExpireKeys& change,
              const EntryCommitted& entry,
              state::Millis now);
-  // Returns who waits for this entry if this instance proposed it.
-  std::optional<Pending> TakePending(const state::LogCommand& command);
+  // Removes and returns the pending proposal of this command, or nothing when
+  // this instance has none.
+  std::optional<PendingProposal> TakePending(const state::LogCommand& command);
 
   const ControlAddress self_;
   const uint64_t epoch_;
   state::Counters* counters_;
-  const state::Millis started_;
-  ControlStep step_;  // Of the event that is being handled.
+  const state::Millis started_at_;
+  ControlStep step_;  // Result of the event that is being handled.
 
   // Daemons and other control instances.
   state::MembershipTable table_;
   MembershipExchange exchange_;
   CrashHistory crash_history_;
   std::map<std::string, Session> sessions_;  // By instance.
-  // Crashes that daemons reported here, to be passed on for a while.
-  std::deque<std::pair<state::Millis, CrashReport>> crash_news_;
-  uint64_t noticed_version_ = 0;  // Of the table, when pushes were last due.
-  bool told_membership_ = false;  // CanTellMembership() was true.
-  bool push_all_ = false;
+  // Recent crashes that daemons reported to this instance, with the time of the
+  // report. Sent to the other control instances.
+  std::deque<std::pair<state::Millis, CrashReport>> recent_crashes_;
+  // Version of the membership table for which a push was last scheduled.
+  uint64_t push_scheduled_version_ = 0;
+  bool could_send_membership_ = false;  // CanSendMembership() has been true.
+  bool push_all_ = false;               // The next push goes to every session.
   std::optional<state::Millis> push_at_;
 
-  // Daemons that wait for a vouched configuration, by instance: until the next
-  // read index is requested, until it is confirmed, and until it is applied.
-  std::set<std::string> vouch_waiting_;
-  std::set<std::string> vouch_reading_;
-  std::multimap<uint64_t, std::string> vouch_applying_;
+  // Daemons, by instance, that wait for a confirmed configuration: until the
+  // next read index is requested, until the read index is answered, and, keyed
+  // by the read index, until the entry at that index is applied.
+  std::set<std::string> awaiting_read_request_;
+  std::set<std::string> awaiting_read_answer_;
+  std::multimap<uint64_t, std::string> awaiting_apply_;
   uint64_t next_read_id_ = 1;
   std::optional<uint64_t> read_in_flight_;
-  // When a read may be requested, although one has no answer yet.
+  // Time from which the next read index may be requested, even if the last one
+  // has not been answered.
   state::Millis read_at_;
 
   // The replicated log.
@@ -198,18 +207,18 @@
   uint64_t applied_index_ = 0;
   std::optional<LogStatus> status_;
   uint64_t next_tag_ = 1;
-  std::map<uint64_t, Pending> pending_;  // By tag.
+  std::map<uint64_t, PendingProposal> pending_;  // By tag.
   std::set<Caller> pending_callers_;
-  std::set<std::string> pending_abandons_;  // Guards.
-  // Abandons because of crashes, by guard, until they are applied.
+  std::set<std::string> pending_abandons_;  // By guard.
+  // Abandon operations after crashes that have not been applied, by guard.
   std::map<std::string, CrashAbandon> crash_abandons_;
 
-  // Time.
-  uint64_t wall_millis_ = 0;  // At `wall_at_`.
+  // Clock and periodic work.
+  uint64_t wall_millis_ = 0;  // Wall time in ms at `wall_at_`.
   state::Millis wall_at_;
   state::Millis last_tick_;
   state::Millis lease_check_at_;
-  state::Millis holder_check_at_;
+  state::Millis maintenance_at_;
   state::Millis expire_keys_at_;
 };
 
--- a/src/coordination/internal/control_service_leases.cc
+++ b/src/coordination/internal/control_service_leases.cc
@@ -7,16 +7,17 @@
 
 namespace {
 
-// Changes within this time are pushed to a daemon together.
+// Delay before a push, so that changes within this time are sent together.
 constexpr state::Millis kPushDelay(20);
-// Pause before a read index that was not confirmed is requested again.
-constexpr state::Millis kReadRetry(200);
-// A read index without an answer is given up after this time.
+// Delay before a read index that was not confirmed is requested again.
+constexpr state::Millis kReadRetryDelay(200);
+// A read index that is not answered within this time is requested again.
 constexpr state::Millis kReadTimeout(1000);
-// A started instance has heard its own daemons' renewals after this time, and
-// gives up waiting for silent control instances after kLeaseTime. Telling
-// membership earlier would make daemons forget targets that are alive.
-constexpr state::Millis kOwnDaemonsHeard(1200);
+// This long after its start, an instance has received a renewal from each of
+// its daemons. It waits at most kLeaseTime for the tables of the other control
+// instances. Sending membership earlier would make daemons remove targets that
+// are alive.
+constexpr state::Millis kRenewalCollectionTime(1200);
 
 constexpr char kAllServices[] = "*";
 
@@ -25,11 +26,11 @@
 void ControlService::Impl::OnMessage(const std::string& connection,
                                      const LeaseRenew& renew,
                                      state::Millis now) {
-  // Without an incarnation it only asks what this instance knows.
+  // A renewal without an incarnation only queries this instance's staleness.
   const bool is_query = renew.record_.version_.incarnation_ == 0;
-  const bool granted = !is_query && TakeRecord(renew, now);
+  const bool granted = !is_query && MergeRecord(renew, now);
   if (!is_query) {
-    TakeCrashes(renew, now);
+    RecordCrashes(renew, now);
   }
   if (!granted) {
     step_.commands_.push_back(
@@ -39,15 +40,15 @@
   }
   counters_->Add(state::Counter::kLeasesRenewed);
   Session* session = UpdateSession(connection, renew, now);
-  Reply(renew.instance_, session, Vouching::kNotVouched, now);
+  Reply(renew.instance_, session, Confirmation::kUnconfirmed, now);
   if (session->wants_vouched_) {
-    vouch_waiting_.insert(renew.instance_);
+    awaiting_read_request_.insert(renew.instance_);
     RequestRead(now);
   }
 }
 
-bool ControlService::Impl::TakeRecord(const LeaseRenew& renew,
-                                      state::Millis now) {
+bool ControlService::Impl::MergeRecord(const LeaseRenew& renew,
+                                       state::Millis now) {
   if (renew.record_.instance_ != renew.instance_) {
     return false;
   }
@@ -56,7 +57,8 @@
       counters_->Add(state::Counter::kMembershipChanges);
       return true;
     case state::MergeResult::kSame:
-      // Held elsewhere: the daemon raises its sequence to move it here.
+      // When another instance holds the lease, the daemon must raise its
+      // sequence to move it here.
       return table_.Find(renew.instance_)->holder_ == self_.instance_;
     case state::MergeResult::kOlder:
       counters_->Add(state::Counter::kMembershipStaleIgnored);
@@ -80,15 +82,15 @@
   return &session;
 }
 
-void ControlService::Impl::TakeCrashes(const LeaseRenew& renew,
-                                       state::Millis now) {
+void ControlService::Impl::RecordCrashes(const LeaseRenew& renew,
+                                         state::Millis now) {
   bool changed = false;
   bool is_new_crash = false;
   const size_t convictions = crash_history_.convictions();
   for (const CrashReport& crash : renew.crashes_) {
     is_new_crash = is_new_crash || !crash_history_.Knows(crash.crash_id_);
     if (crash_history_.Add(crash, poison_policy(), now)) {
-      crash_news_.emplace_back(now, crash);
+      recent_crashes_.emplace_back(now, crash);
       changed = true;
     }
   }
@@ -96,26 +98,27 @@
   counters_->Add(state::Counter::kFingerprintsConvicted,
                  crash_history_.convictions() - convictions);
   if (is_new_crash) {
-    // The guard's own incarnation counts too: its target has crashed.
+    // Plus one, since an abandon covers lower incarnations only, and the crash
+    // ended the actions of the guard's current incarnation too.
     crash_abandons_[renew.instance_] =
         CrashAbandon{.incarnation_ = renew.record_.version_.incarnation_ + 1,
                      .crashed_at_ = now};
     SendCrashAbandons(now);
   }
   if (changed) {
-    exchange_.SendSoon();
+    exchange_.ScheduleSend();
     push_all_ = true;
-    PushSoon(now);
+    SchedulePush(now);
   }
 }
 
 void ControlService::Impl::Reply(const std::string& instance,
                                  Session* session,
-                                 Vouching vouching,
+                                 Confirmation confirmation,
                                  state::Millis now) {
   step_.commands_.push_back(
       ReplyToPeer{.connection_ = session->connection_,
-                  .message_ = MakeReply(instance, session, vouching, now)});
+                  .message_ = MakeReply(instance, session, confirmation, now)});
 }
 
 LeaseReply ControlService::Impl::MakeRefusal(const std::string& instance,
@@ -133,52 +136,52 @@
 
 LeaseReply ControlService::Impl::MakeReply(const std::string& instance,
                                            Session* session,
-                                           Vouching vouching,
+                                           Confirmation confirmation,
                                            state::Millis now) {
   const state::IndexedConfiguration current = configurations_.current();
-  const bool vouched = vouching == Vouching::kVouched;
+  const bool is_confirmed = confirmation == Confirmation::kConfirmed;
   const bool sends_configuration =
       current.index_ > session->configuration_index_ &&
-      (vouched || !session->wants_vouched_);
+      (is_confirmed || !session->wants_vouched_);
   const std::optional<state::ConfigurationDelta> delta =
       sends_configuration
           ? configurations_.DeltaFrom(session->configuration_index_)
           : std::nullopt;
   const bool has_delta = delta.has_value();
-  const bool tells_membership = CanTellMembership(now);
-  // A daemon that knows no target at all is told those that are known here,
-  // before they are the whole membership.
-  const bool knows_nothing = session->membership_epoch_ == 0;
+  const bool sends_membership = CanSendMembership(now);
+  // A daemon without a membership table receives the records known here even
+  // while they may be incomplete.
+  const bool has_no_membership = session->membership_epoch_ == 0;
   const bool full = session->membership_epoch_ != epoch_ ||
                     !table_.HasChangesSince(session->membership_version_);
-  if (tells_membership || knows_nothing) {
+  if (sends_membership || has_no_membership) {
     session->pushed_version_ = table_.version();
   }
-  const LeaseReply basis = MakeRefusal(instance, now);
+  const LeaseReply common_fields = MakeRefusal(instance, now);
   return LeaseReply{
-      .control_instance_ = basis.control_instance_,
+      .control_instance_ = common_fields.control_instance_,
       .granted_ = true,
-      .known_incarnation_ = basis.known_incarnation_,
+      .known_incarnation_ = common_fields.known_incarnation_,
       .configuration_index_ =
-          sends_configuration || vouched ? current.index_ : 0,
-      .configuration_vouched_ = vouched,
+          sends_configuration || is_confirmed ? current.index_ : 0,
+      .configuration_vouched_ = is_confirmed,
       .delta_base_index_ = has_delta ? delta->base_index_ : 0,
       .removed_services_ =
           has_delta ? delta->removed_services_ : std::vector<std::string>(),
       .configuration_ = has_delta             ? delta->changes_
                         : sends_configuration ? current.configuration_
                                               : nullptr,
-      .membership_epoch_ = tells_membership ? epoch_ : 0,
-      .membership_version_ = tells_membership ? table_.version() : 0,
-      .membership_full_ = tells_membership && full,
+      .membership_epoch_ = sends_membership ? epoch_ : 0,
+      .membership_version_ = sends_membership ? table_.version() : 0,
+      .membership_full_ = sends_membership && full,
       .membership_ =
-          tells_membership || knows_nothing
+          sends_membership || has_no_membership
               ? MembershipFor(*session, full ? 0 : session->membership_version_,
                               full)
               : std::vector<state::TargetRecord>(),
       .refused_fingerprints_ = crash_history_.Refused(poison_policy(), now),
-      .knowledge_age_ = basis.knowledge_age_,
-      .leader_address_ = basis.leader_address_,
+      .knowledge_age_ = common_fields.knowledge_age_,
+      .leader_address_ = common_fields.leader_address_,
       .control_members_ = ControlMembers()};
 }
 
@@ -193,7 +196,7 @@
         all || session.services_.contains(known.record_.service_) ||
         (!full && session.services_.contains(known.former_service_));
     const state::TargetRecord record = state::EffectiveRecord(known);
-    // A whole table lists only what can be chosen.
+    // A whole table contains only targets that can be chosen.
     const bool listed = !full || (!record.service_.empty() &&
                                   record.state_ != state::TargetState::kLeft);
     if (concerned && listed) {
@@ -207,13 +210,13 @@
   return !MembershipFor(session, session.pushed_version_, false).empty();
 }
 
-bool ControlService::Impl::CanTellMembership(state::Millis now) const {
-  const state::Millis age = now - started_;
-  return age >= kLeaseTime ||
-         (age >= kOwnDaemonsHeard && exchange_.HasHeardAll());
+bool ControlService::Impl::CanSendMembership(state::Millis now) const {
+  const state::Millis uptime = now - started_at_;
+  return uptime >= kLeaseTime ||
+         (uptime >= kRenewalCollectionTime && exchange_.HasAllTables());
 }
 
-void ControlService::Impl::PushSoon(state::Millis now) {
+void ControlService::Impl::SchedulePush(state::Millis now) {
   if (!push_at_.has_value()) {
     push_at_ = now + kPushDelay;
   }
@@ -222,21 +225,21 @@
 void ControlService::Impl::Push(state::Millis now) {
   const bool all = std::exchange(push_all_, false);
   push_at_.reset();
-  const bool tells_membership = CanTellMembership(now);
+  const bool sends_membership = CanSendMembership(now);
   for (auto& [instance, session] : sessions_) {
-    const bool may_tell = tells_membership || session.membership_epoch_ == 0;
-    if (all || (may_tell && HasUnpushedChanges(session))) {
-      Reply(instance, &session, Vouching::kNotVouched, now);
+    const bool may_send = sends_membership || session.membership_epoch_ == 0;
+    if (all || (may_send && HasUnpushedChanges(session))) {
+      Reply(instance, &session, Confirmation::kUnconfirmed, now);
     }
   }
 }
 
 void ControlService::Impl::RequestRead(state::Millis now) {
-  if (vouch_waiting_.empty() || now < read_at_) {
+  if (awaiting_read_request_.empty() || now < read_at_) {
     return;
   }
-  vouch_waiting_.merge(vouch_reading_);
-  vouch_reading_ = std::exchange(vouch_waiting_, {});
+  awaiting_read_request_.merge(awaiting_read_answer_);
+  awaiting_read_answer_ = std::exchange(awaiting_read_request_, {});
   read_in_flight_ = next_read_id_++;
   read_at_ = now + kReadTimeout;
   step_.read_ids_.push_back(*read_in_flight_);
@@ -248,26 +251,26 @@
     return;
   }
   read_in_flight_.reset();
-  for (const std::string& instance : std::exchange(vouch_reading_, {})) {
+  for (const std::string& instance : std::exchange(awaiting_read_answer_, {})) {
     if (event.confirmed_) {
-      vouch_applying_.emplace(event.index_, instance);
+      awaiting_apply_.emplace(event.index_, instance);
     } else {
-      vouch_waiting_.insert(instance);
+      awaiting_read_request_.insert(instance);
     }
   }
-  read_at_ = event.confirmed_ ? now : now + kReadRetry;
-  ReplyVouched(now);
+  read_at_ = event.confirmed_ ? now : now + kReadRetryDelay;
+  ReplyWithConfirmed(now);
   RequestRead(now);
 }
 
-void ControlService::Impl::ReplyVouched(state::Millis now) {
-  while (!vouch_applying_.empty() &&
-         vouch_applying_.begin()->first <= applied_index_) {
-    const std::string instance = vouch_applying_.begin()->second;
-    vouch_applying_.erase(vouch_applying_.begin());
+void ControlService::Impl::ReplyWithConfirmed(state::Millis now) {
+  while (!awaiting_apply_.empty() &&
+         awaiting_apply_.begin()->first <= applied_index_) {
+    const std::string instance = awaiting_apply_.begin()->second;
+    awaiting_apply_.erase(awaiting_apply_.begin());
     const auto session = sessions_.find(instance);
     if (session != sessions_.end()) {
-      Reply(instance, &session->second, Vouching::kVouched, now);
+      Reply(instance, &session->second, Confirmation::kConfirmed, now);
     }
   }
 }
--- a/src/coordination/internal/control_service_log.cc
+++ b/src/coordination/internal/control_service_log.cc
@@ -6,13 +6,15 @@
 
 namespace {
 
-// Keys are kept for hours, so that a minute more does not matter.
-constexpr state::Millis kExpireKeysEvery(60000);
-// An abandon for a crash is dropped when it was not applied for so long: the
-// callers that it would inform have given up.
+// Interval between proposals to expire register keys. Keys are retained for
+// hours, so a minute more does not matter.
+constexpr state::Millis kExpireKeysInterval(60000);
+// An abandon that is not applied within this time after the crash is discarded:
+// the callers that wait for its result have given up.
 constexpr state::Millis kCrashAbandonTime(10000);
-// An abandon that was not applied is sent again after this time. Longer than a
-// commit takes, since a repeat also abandons what the guard has started since.
+// An abandon that has not been applied is sent again after this time. Longer
+// than a commit takes, since a repetition also abandons the actions that the
+// guard has started since the crash.
 constexpr state::Millis kCrashAbandonRepeat(500);
 
 struct OperationCounter {
@@ -36,7 +38,7 @@
 }
 
 uint64_t ControlService::Impl::Propose(const state::LogChange& change,
-                                       const Pending& pending,
+                                       const PendingProposal& pending,
                                        state::Millis now) {
   const uint64_t tag = next_tag_++;
   const double since_tick = (now - wall_at_).value();
@@ -59,8 +61,8 @@
     RefuseCall(caller);
     return;
   }
-  // A resend of a call that is under way gets the same reply. Calls with id 0
-  // come from control instances, which wait for no reply.
+  // The reply to a call that is already in progress also answers its resend.
+  // Calls with id 0 come from control instances, which expect no reply.
   if (call.call_id_ != 0 && !pending_callers_.insert(caller).second) {
     return;
   }
@@ -69,8 +71,10 @@
       counters_->Add(row.counter_);
     }
   }
-  Propose(call.command_,
-          Pending{.kind_ = PendingKind::kRegisterCall, .caller_ = caller}, now);
+  Propose(
+      call.command_,
+      PendingProposal{.kind_ = ProposalKind::kRegisterCall, .caller_ = caller},
+      now);
 }
 
 void ControlService::Impl::OnMessage(const std::string& connection,
@@ -88,7 +92,8 @@
       state::SubmittedConfiguration{.submission_ = submit.submission_,
                                     .base_version_ = submit.base_version_,
                                     .configuration_ = submit.configuration_},
-      Pending{.kind_ = PendingKind::kConfigSubmit, .caller_ = caller}, now);
+      PendingProposal{.kind_ = ProposalKind::kConfigSubmit, .caller_ = caller},
+      now);
 }
 
 void ControlService::Impl::RefuseCall(const Caller& caller) {
@@ -126,26 +131,27 @@
       event.outcome_ == ProposalOutcome::kCommitted) {
     return;
   }
-  // When the end is unknown no reply is true; the caller sends again.
+  // When the outcome is unknown, any reply could be wrong, so none is sent and
+  // the caller sends its request again.
   if (event.outcome_ == ProposalOutcome::kRefused) {
-    if (pending->second.kind_ == PendingKind::kRegisterCall) {
+    if (pending->second.kind_ == ProposalKind::kRegisterCall) {
       RefuseCall(pending->second.caller_);
-    } else if (pending->second.kind_ == PendingKind::kConfigSubmit) {
+    } else if (pending->second.kind_ == ProposalKind::kConfigSubmit) {
       RefuseSubmit(pending->second.caller_);
     }
   }
-  ForgetPending(pending);
+  RemovePending(pending);
 }
 
-void ControlService::Impl::ForgetPending(
-    std::map<uint64_t, Pending>::iterator pending) {
+void ControlService::Impl::RemovePending(
+    std::map<uint64_t, PendingProposal>::iterator pending) {
   pending_callers_.erase(pending->second.caller_);
   pending_abandons_.erase(pending->second.guard_);
   pending_.erase(pending);
 }
 
 void ControlService::Impl::On(const EntryCommitted& event, state::Millis now) {
-  // Entries that a snapshot contains already are handed out again after it.
+  // After a snapshot, entries that it already contains are passed again.
   if (event.index_ <= applied_index_) {
     return;
   }
@@ -155,11 +161,11 @@
         [this, &event, now](const auto& change) { Apply(change, event, now); },
         event.command_->change_);
   }
-  ReplyVouched(now);
+  ReplyWithConfirmed(now);
 }
 
-std::optional<ControlService::Impl::Pending> ControlService::Impl::TakePending(
-    const state::LogCommand& command) {
+std::optional<ControlService::Impl::PendingProposal>
+ControlService::Impl::TakePending(const state::LogCommand& command) {
   if (command.proposer_ != epoch_) {
     return std::nullopt;
   }
@@ -167,8 +173,8 @@
   if (entry == pending_.end()) {
     return std::nullopt;
   }
-  Pending pending = entry->second;
-  ForgetPending(entry);
+  PendingProposal pending = entry->second;
+  RemovePending(entry);
   return pending;
 }
 
@@ -181,17 +187,17 @@
     ApplyConfigurationPolicy();
     for (const auto& [instance, session] : sessions_) {
       if (session.wants_vouched_) {
-        vouch_waiting_.insert(instance);
+        awaiting_read_request_.insert(instance);
       }
     }
     push_all_ = true;
-    PushSoon(now);
+    SchedulePush(now);
   }
   constexpr std::pair<state::SubmissionStatus, SubmitStatus> kStatuses[] = {
       {state::SubmissionStatus::kAccepted, SubmitStatus::kAccepted},
       {state::SubmissionStatus::kConflict, SubmitStatus::kConflict},
       {state::SubmissionStatus::kWrongVersion, SubmitStatus::kWrongVersion}};
-  const std::optional<Pending> pending = TakePending(*entry.command_);
+  const std::optional<PendingProposal> pending = TakePending(*entry.command_);
   if (!pending.has_value()) {
     return;
   }
@@ -214,9 +220,9 @@
                                  state::Millis) {
   const state::RegisterResult result =
       register_.Apply(change, entry.command_->wall_millis_);
-  ForgetCrashAbandon(change);
-  const std::optional<Pending> pending = TakePending(*entry.command_);
-  if (!pending.has_value() || pending->kind_ != PendingKind::kRegisterCall) {
+  RemoveAppliedCrashAbandon(change);
+  const std::optional<PendingProposal> pending = TakePending(*entry.command_);
+  if (!pending.has_value() || pending->kind_ != ProposalKind::kRegisterCall) {
     return;
   }
   step_.commands_.push_back(ReplyToPeer{
@@ -250,8 +256,8 @@
   configurations_.Restore(event.state_.configurations_, event.state_.accepted_);
   ApplyConfigurationPolicy();
   push_all_ = true;
-  PushSoon(now);
-  ReplyVouched(now);
+  SchedulePush(now);
+  ReplyWithConfirmed(now);
 }
 
 state::ReplicatedState ControlService::Impl::Snapshot() const {
@@ -271,10 +277,10 @@
       state::RegisterCommand{.operation_ = state::RegisterOperation::kAbandon,
                              .guard_ = guard,
                              .incarnation_ = incarnation},
-      Pending{.kind_ = PendingKind::kAbandon, .guard_ = guard}, now);
+      PendingProposal{.kind_ = ProposalKind::kAbandon, .guard_ = guard}, now);
 }
 
-void ControlService::Impl::AbandonOutdated(state::Millis now) {
+void ControlService::Impl::AbandonOutdatedIncarnations(state::Millis now) {
   if (!LeadsWithQuorum()) {
     return;
   }
@@ -318,7 +324,7 @@
   }
 }
 
-void ControlService::Impl::ForgetCrashAbandon(
+void ControlService::Impl::RemoveAppliedCrashAbandon(
     const state::RegisterCommand& applied) {
   const auto entry = crash_abandons_.find(applied.guard_);
   if (applied.operation_ == state::RegisterOperation::kAbandon &&
@@ -332,8 +338,9 @@
   if (!LeadsWithQuorum() || now < expire_keys_at_) {
     return;
   }
-  expire_keys_at_ = now + kExpireKeysEvery;
-  Propose(state::ExpireKeys{}, Pending{.kind_ = PendingKind::kExpire}, now);
+  expire_keys_at_ = now + kExpireKeysInterval;
+  Propose(state::ExpireKeys{}, PendingProposal{.kind_ = ProposalKind::kExpire},
+          now);
 }
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/internal/followed_state.cc
+++ b/src/coordination/internal/followed_state.cc
@@ -7,13 +7,13 @@
 
 namespace {
 
-// Two ends of a hold that differ by less are the same: the difference is the
-// way of the message.
+// Ends of a hold that differ by at most this are considered equal: the
+// difference is due to message latency.
 constexpr state::Millis kHoldTolerance(1000);
 
-bool IsSameHold(const std::vector<RefusedFingerprint>& left,
-                const std::vector<RefusedFingerprint>& right,
-                state::Millis elapsed) {
+bool HaveSameHolds(const std::vector<RefusedFingerprint>& left,
+                   const std::vector<RefusedFingerprint>& right,
+                   state::Millis elapsed) {
   if (left.size() != right.size()) {
     return false;
   }
@@ -35,21 +35,21 @@
   configuration_.emplace();
 }
 
-FollowedState::Changes FollowedState::Take(const LeaseReply& reply,
-                                           state::Millis now) {
+FollowedState::Changes FollowedState::Apply(const LeaseReply& reply,
+                                            state::Millis now) {
   Changes changes;
-  const bool wanted_whole = wants_whole_;
-  changes.configuration_ = TakeConfiguration(reply);
-  changes.membership_ = TakeMembership(reply);
-  changes.refused_fingerprints_ = TakeRefused(reply, now);
-  changes.needs_whole_ = wants_whole_ && !wanted_whole;
+  const bool wanted_full = wants_full_configuration_;
+  changes.configuration_ = ApplyConfiguration(reply);
+  changes.membership_ = ApplyMembership(reply);
+  changes.refused_fingerprints_ = ApplyRefusedFingerprints(reply, now);
+  changes.needs_full_configuration_ = wants_full_configuration_ && !wanted_full;
   return changes;
 }
 
-bool FollowedState::TakeConfiguration(const LeaseReply& reply) {
+bool FollowedState::ApplyConfiguration(const LeaseReply& reply) {
   const state::IndexedConfiguration& current = *configuration_;
   if (reply.configuration_ != nullptr && reply.delta_base_index_ == 0) {
-    wants_whole_ = false;
+    wants_full_configuration_ = false;
   }
   if (reply.configuration_ == nullptr ||
       reply.configuration_index_ == current.index_) {
@@ -59,14 +59,14 @@
     counters_->Add(state::Counter::kConfigurationsOlderIgnored);
     return false;
   }
-  // The first one could be older than what this daemon applied before its
-  // restart, unless a quorum vouches for it.
+  // The first configuration could be older than the one that this daemon
+  // applied before its restart, unless a quorum has confirmed it.
   if (current.index_ == 0 && !reply.configuration_vouched_) {
     return false;
   }
   if (reply.delta_base_index_ != 0 &&
       reply.delta_base_index_ != current.index_) {
-    wants_whole_ = true;
+    wants_full_configuration_ = true;
     return false;
   }
   const std::shared_ptr<const state::Configuration> newer =
@@ -81,33 +81,33 @@
   return true;
 }
 
-bool FollowedState::TakeMembership(const LeaseReply& reply) {
-  // An instance that has just started does not know the whole membership yet.
-  // What it knows helps only a daemon that knows nothing.
+bool FollowedState::ApplyMembership(const LeaseReply& reply) {
+  // An instance that has just started does not have the whole membership yet.
+  // Its partial table is used only while this daemon has no table.
   if (reply.membership_epoch_ == 0) {
-    return membership_epoch_ == 0 && TakeRecords(reply.membership_);
+    return membership_epoch_ == 0 && ApplyRecords(reply.membership_);
   }
   if (reply.membership_full_) {
-    return TakeWholeMembership(reply);
+    return ReplaceMembership(reply);
   }
   if (reply.membership_epoch_ != membership_epoch_ ||
       reply.membership_version_ < membership_version_) {
     return false;
   }
   membership_version_ = reply.membership_version_;
-  return TakeRecords(reply.membership_);
+  return ApplyRecords(reply.membership_);
 }
 
-bool FollowedState::TakeRecords(
+bool FollowedState::ApplyRecords(
     const std::vector<state::TargetRecord>& records) {
   bool changed = false;
   for (const state::TargetRecord& record : records) {
-    changed = TakeRecord(record) || changed;
+    changed = ApplyRecord(record) || changed;
   }
   return changed;
 }
 
-bool FollowedState::TakeWholeMembership(const LeaseReply& reply) {
+bool FollowedState::ReplaceMembership(const LeaseReply& reply) {
   if (reply.membership_epoch_ == membership_epoch_ &&
       reply.membership_version_ < membership_version_) {
     return false;
@@ -125,7 +125,7 @@
   return old != records_;
 }
 
-bool FollowedState::TakeRecord(const state::TargetRecord& record) {
+bool FollowedState::ApplyRecord(const state::TargetRecord& record) {
   const auto known = records_.find(record.instance_);
   if (known != records_.end()) {
     if (known->second == record) {
@@ -141,9 +141,10 @@
   return true;
 }
 
-bool FollowedState::TakeRefused(const LeaseReply& reply, state::Millis now) {
+bool FollowedState::ApplyRefusedFingerprints(const LeaseReply& reply,
+                                             state::Millis now) {
   const bool is_same =
-      IsSameHold(refused_, reply.refused_fingerprints_, now - refused_at_);
+      HaveSameHolds(refused_, reply.refused_fingerprints_, now - refused_at_);
   if (is_same) {
     return false;
   }
@@ -153,7 +154,7 @@
   return true;
 }
 
-bool FollowedState::DropExpired(state::Millis now) {
+bool FollowedState::RemoveExpired(state::Millis now) {
   std::vector<RefusedFingerprint> left;
   for (const RefusedFingerprint& refused : refused_) {
     if (refused.left_ > now - refused_at_) {
@@ -163,7 +164,7 @@
   if (left.size() == refused_.size()) {
     return false;
   }
-  // The times that are left count from the same moment as before.
+  // `refused_at_` stays, since the remaining times still count from it.
   refused_.swap(left);
   return true;
 }
@@ -173,7 +174,7 @@
 }
 
 uint64_t FollowedState::index_to_report() const {
-  return wants_whole_ ? 0 : configuration_->index_;
+  return wants_full_configuration_ ? 0 : configuration_->index_;
 }
 
 std::vector<state::TargetRecord> FollowedState::Targets() const {
--- a/src/coordination/internal/followed_state.h
+++ b/src/coordination/internal/followed_state.h
@@ -12,30 +12,33 @@
 
 namespace gooseberrygap::coordination {
 
-// What a daemon follows through its lease: the configuration, the membership
-// table and the refused fingerprints. Takes nothing older than what it has.
-// Not thread-safe.
+// A daemon's copy of the state that it receives with its lease replies: the
+// configuration, the membership table and the refused fingerprints. Never
+// replaces a configuration or a record by an older one. Not thread-safe.
 class FollowedState {
  public:
   // `counters` must outlive this object.
   explicit FollowedState(state::Counters* counters);
 
+  // Parts of the state that a reply has changed.
   struct Changes {
     bool configuration_ = false;
     bool membership_ = false;
     bool refused_fingerprints_ = false;
-    // A delta did not fit: the next renewal asks for the whole document.
-    bool needs_whole_ = false;
+    // A delta had another base than the current configuration, so the next
+    // renewal requests the whole document.
+    bool needs_full_configuration_ = false;
   };
 
-  // Takes what a granted reply carries.
-  Changes Take(const LeaseReply& reply, state::Millis now);
-  // Drops refused fingerprints whose time has passed. Returns whether there
+  // Applies the content of a reply. Precondition: `reply.granted_`.
+  Changes Apply(const LeaseReply& reply, state::Millis now);
+  // Removes refused fingerprints whose hold has expired. Returns whether there
   // were any.
-  bool DropExpired(state::Millis now);
+  bool RemoveExpired(state::Millis now);
 
   const state::IndexedConfiguration& configuration() const;
-  // Index to report with a renewal; 0 asks for the whole document.
+  // Returns the configuration index to report with a renewal; 0 requests the
+  // whole document.
   uint64_t index_to_report() const;
   uint64_t membership_epoch() const { return membership_epoch_; }
   uint64_t membership_version() const { return membership_version_; }
@@ -46,21 +49,21 @@
   }
 
  private:
-  bool TakeConfiguration(const LeaseReply& reply);
-  bool TakeMembership(const LeaseReply& reply);
-  bool TakeWholeMembership(const LeaseReply& reply);
-  bool TakeRecord(const state::TargetRecord& record);
-  bool TakeRecords(const std::vector<state::TargetRecord>& records);
-  bool TakeRefused(const LeaseReply& reply, state::Millis now);
+  bool ApplyConfiguration(const LeaseReply& reply);
+  bool ApplyMembership(const LeaseReply& reply);
+  bool ReplaceMembership(const LeaseReply& reply);
+  bool ApplyRecord(const state::TargetRecord& record);
+  bool ApplyRecords(const std::vector<state::TargetRecord>& records);
+  bool ApplyRefusedFingerprints(const LeaseReply& reply, state::Millis now);
 
   state::Counters* counters_;
   std::optional<state::IndexedConfiguration> configuration_;
-  bool wants_whole_ = false;
+  bool wants_full_configuration_ = false;
   uint64_t membership_epoch_ = 0;
   uint64_t membership_version_ = 0;
   std::map<std::string, state::TargetRecord> records_;  // By instance.
   std::vector<RefusedFingerprint> refused_;
-  state::Millis refused_at_;  // When `refused_` was received.
+  state::Millis refused_at_;  // Time at which `refused_` was received.
 };
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/internal/group_membership.cc
+++ b/src/coordination/internal/group_membership.cc
@@ -6,26 +6,29 @@
 
 namespace {
 
-// Pause between requests to join, and between changes of the members.
-constexpr state::Millis kAskEvery(250);
-constexpr state::Millis kTidyEvery(100);
-// A member without contact for this long may have been removed meanwhile.
-constexpr state::Millis kLostContact(3000);
-// A voter that is silent for this long gives way to a learner that is ready.
-// Longer than a restart and an election take.
-constexpr state::Millis kSilentVoter(3000);
-// A learner that is silent for this long is removed; it may ask again.
-constexpr state::Millis kSilentLearner(10000);
-// An identity whose address asks under another one is gone, unless it was heard
-// from this lately: then the request is an old message.
-constexpr state::Millis kReplacedAfter(300);
-// A learner is ready when it lacks at most this many entries.
-constexpr uint64_t kReadyLag = 64;
+// Interval between requests to join, and between checks for members to remove.
+constexpr state::Millis kJoinRequestInterval(250);
+constexpr state::Millis kRemovalCheckInterval(100);
+// A member without contact to a leader for this time requests to join, since it
+// may have been removed.
+constexpr state::Millis kRejoinAfter(3000);
+// A voter without contact for this time is replaced by a ready learner. Longer
+// than a restart and an election take.
+constexpr state::Millis kVoterTimeout(3000);
+// A learner without contact for this time is removed. It may request to join
+// again.
+constexpr state::Millis kLearnerTimeout(10000);
+// When a request to join names another identity for a member's address, the
+// member's identity is considered lost, unless it was in contact within this
+// time. In that case the request is a delayed message.
+constexpr state::Millis kRecentContact(300);
+// A learner is ready when it is at most this many log entries behind.
+constexpr uint64_t kMaxReadyLag = 64;
 
 bool IsReadyLearner(const MemberStatus& status, uint64_t last_index) {
   return !status.member_.voter_ && status.match_index_ > 0 &&
-         status.match_index_ + kReadyLag >= last_index &&
-         status.last_heard_age_ < kSilentVoter / 3;
+         status.match_index_ + kMaxReadyLag >= last_index &&
+         status.last_heard_age_ < kVoterTimeout / 3;
 }
 
 }  // namespace
@@ -41,10 +44,10 @@
 
 GroupMembership::Step GroupMembership::Tick(const GroupView& view,
                                             state::Millis now) {
-  const bool forms = !view.formed_ && first_start_ && !asked_to_form_ &&
+  const bool forms = !view.formed_ && first_start_ && !has_proposed_group_ &&
                      !seeds_.empty() && seeds_.front() == view.self_.address_;
   if (forms) {
-    asked_to_form_ = true;
+    has_proposed_group_ = true;
     const state::ControlMember voter{.identity_ = view.self_.identity_,
                                      .instance_ = view.self_.instance_,
                                      .address_ = view.self_.address_,
@@ -52,30 +55,31 @@
     return Step{.events_ = {RaftForm{.members_ = {voter}}}};
   }
   if (!view.leads_) {
-    return AskToJoin(view, now);
+    return RequestToJoin(view, now);
   }
-  if (now < tidy_at_) {
+  if (now < removal_check_at_) {
     return {};
   }
-  tidy_at_ = now + kTidyEvery;
-  const std::optional<std::string> superfluous = Superfluous(view);
-  if (!superfluous.has_value()) {
+  removal_check_at_ = now + kRemovalCheckInterval;
+  const std::optional<std::string> member_to_remove = MemberToRemove(view);
+  if (!member_to_remove.has_value()) {
     return {};
   }
-  return Step{.events_ = {RaftRemoveMember{.identity_ = *superfluous}}};
+  return Step{.events_ = {RaftRemoveMember{.identity_ = *member_to_remove}}};
 }
 
-GroupMembership::Step GroupMembership::AskToJoin(const GroupView& view,
-                                                 state::Millis now) {
+GroupMembership::Step GroupMembership::RequestToJoin(const GroupView& view,
+                                                     state::Millis now) {
   const bool is_member =
       std::any_of(view.members_.begin(), view.members_.end(),
                   [&view](const MemberStatus& status) {
                     return status.member_.identity_ == view.self_.identity_;
                   });
-  if ((is_member && view.knowledge_age_ < kLostContact) || now < ask_at_) {
+  if ((is_member && view.knowledge_age_ < kRejoinAfter) ||
+      now < join_request_at_) {
     return {};
   }
-  ask_at_ = now + kAskEvery;
+  join_request_at_ = now + kJoinRequestInterval;
   std::vector<std::string> addresses;
   const auto add = [&](const std::string& address) {
     if (address != view.self_.address_ &&
@@ -104,9 +108,9 @@
                                               const GroupView& view,
                                               state::Millis) {
   if (!view.leads_) {
-    const bool can_pass_on = !view.leader_address_.empty() &&
+    const bool can_forward = !view.leader_address_.empty() &&
                              view.leader_address_ != view.self_.address_;
-    return can_pass_on
+    return can_forward
                ? Step{.commands_ = {SendToPeer{.address_ = view.leader_address_,
                                                .message_ = request}}}
                : Step();
@@ -118,7 +122,7 @@
     if (status.member_.address_ != request.address_) {
       continue;
     }
-    if (status.last_heard_age_ < kReplacedAfter) {
+    if (status.last_heard_age_ < kRecentContact) {
       return {};
     }
     return Step{
@@ -130,37 +134,38 @@
                                             .address_ = request.address_}}}};
 }
 
-std::optional<std::string> GroupMembership::Superfluous(
+std::optional<std::string> GroupMembership::MemberToRemove(
     const GroupView& view) const {
   size_t voters = 0;
-  bool has_successor = false;
-  const MemberStatus* silent_voter = nullptr;
+  bool has_ready_learner = false;
+  const MemberStatus* unresponsive_voter = nullptr;
   for (const MemberStatus& status : view.members_) {
     if (status.member_.identity_ == view.self_.identity_) {
       ++voters;
       continue;
     }
     if (!status.member_.voter_) {
-      if (status.last_heard_age_ >= kSilentLearner) {
+      if (status.last_heard_age_ >= kLearnerTimeout) {
         return status.member_.identity_;
       }
-      has_successor = has_successor || IsReadyLearner(status, view.last_index_);
+      has_ready_learner =
+          has_ready_learner || IsReadyLearner(status, view.last_index_);
       continue;
     }
     ++voters;
-    const bool is_more_silent =
-        silent_voter == nullptr ||
-        status.last_heard_age_ > silent_voter->last_heard_age_;
-    if (status.last_heard_age_ >= kSilentVoter && is_more_silent) {
-      silent_voter = &status;
+    const bool is_longer_unresponsive =
+        unresponsive_voter == nullptr ||
+        status.last_heard_age_ > unresponsive_voter->last_heard_age_;
+    if (status.last_heard_age_ >= kVoterTimeout && is_longer_unresponsive) {
+      unresponsive_voter = &status;
     }
   }
   const bool may_replace =
-      voters > voters_ || (voters == voters_ && has_successor);
-  if (silent_voter == nullptr || !may_replace) {
+      voters > voters_ || (voters == voters_ && has_ready_learner);
+  if (unresponsive_voter == nullptr || !may_replace) {
     return std::nullopt;
   }
-  return silent_voter->member_.identity_;
+  return unresponsive_voter->member_.identity_;
 }
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/internal/membership_exchange.cc
+++ b/src/coordination/internal/membership_exchange.cc
@@ -7,18 +7,18 @@
 
 namespace {
 
-constexpr state::Millis kHeartbeat(1000);
-// Changes that are not acknowledged are sent again after this time. Longer than
-// a round trip between regions.
-constexpr state::Millis kResendAfter(300);
-// Changes within this time travel together.
-constexpr state::Millis kBundleTime(20);
-// A holder is silent after the lease time and two missed heartbeats.
+constexpr state::Millis kHeartbeatInterval(1000);
+// Changes that are not acknowledged within this time are sent again. Longer
+// than a round trip between regions.
+constexpr state::Millis kResendDelay(300);
+// Delay before changes are sent, so that changes within it share a message.
+constexpr state::Millis kBatchDelay(20);
+// A holder is unresponsive after the lease time and two missed heartbeats.
 constexpr state::Millis kHolderTimeout = kLeaseTime + state::Millis(2000);
-// The records of a holder that is silent for longer may have been purged, so
-// its whole table is needed when it returns. Shorter than the retention of
-// tombstones in the table.
-constexpr state::Millis kForgetAfter(60000);
+// The records of a holder without contact for this time may have been purged,
+// so its whole table is requested when it is back. Shorter than the retention
+// of tombstones in the table.
+constexpr state::Millis kFullSyncAfter(60000);
 
 }  // namespace
 
@@ -33,7 +33,7 @@
       epoch_(epoch),
       table_(table),
       counters_(counters),
-      started_(now) {
+      started_at_(now) {
   if (!instances.empty()) {
     SetInstances(instances, now);
   }
@@ -42,7 +42,7 @@
 void MembershipExchange::SetInstances(
     const std::vector<ControlAddress>& instances,
     state::Millis now) {
-  knows_instances_ = true;
+  has_instances_ = true;
   std::map<std::string, Peer> previous;
   previous.swap(peers_);
   for (const ControlAddress& instance : instances) {
@@ -55,8 +55,8 @@
     peers_.emplace(instance.instance_, is_known
                                            ? known->second
                                            : Peer{.address_ = instance.address_,
-                                                  .heard_at_ = now,
-                                                  .epoch_since_ = now,
+                                                  .last_contact_at_ = now,
+                                                  .epoch_seen_at_ = now,
                                                   .send_at_ = now});
   }
 }
@@ -70,33 +70,34 @@
   }
   Peer& peer = found->second;
   if (peer.epoch_ != sync.epoch_) {
-    // It has restarted, and lost what it was told.
+    // The peer has restarted and lost its copy of this instance's records.
     peer.epoch_ = sync.epoch_;
-    peer.epoch_since_ = now;
-    peer.received_ = 0;
+    peer.epoch_seen_at_ = now;
+    peer.received_version_ = 0;
     peer.has_table_ = false;
-    peer.acked_ = 0;
-    peer.examined_ = 0;
+    peer.acked_version_ = 0;
+    peer.examined_version_ = 0;
     peer.send_at_ = now;
   }
-  peer.heard_at_ = now;
-  // With a gap before the changes, the acknowledgement tells where to start.
-  if (sync.from_version_ <= peer.received_) {
-    TakeChanges(&peer, sync, now);
-  }
-  return {
-      ReplyToPeer{.connection_ = connection,
-                  .message_ = MembershipSyncAck{.instance_ = self_,
-                                                .epoch_ = sync.epoch_,
-                                                .version_ = peer.received_}}};
+  peer.last_contact_at_ = now;
+  // Changes after a gap are not applied. The acknowledgement contains the
+  // version from which the peer must send.
+  if (sync.from_version_ <= peer.received_version_) {
+    ApplyChanges(&peer, sync, now);
+  }
+  return {ReplyToPeer{
+      .connection_ = connection,
+      .message_ = MembershipSyncAck{.instance_ = self_,
+                                    .epoch_ = sync.epoch_,
+                                    .version_ = peer.received_version_}}};
 }
 
-void MembershipExchange::TakeChanges(Peer* peer,
-                                     const MembershipSync& sync,
-                                     state::Millis now) {
-  std::set<std::string> told;
+void MembershipExchange::ApplyChanges(Peer* peer,
+                                      const MembershipSync& sync,
+                                      state::Millis now) {
+  std::set<std::string> listed;
   for (const LeasedRecord& change : sync.changes_) {
-    told.insert(change.record_.instance_);
+    listed.insert(change.record_.instance_);
     const state::MergeResult result =
         table_->Merge(change.record_, change.holder_, sync.epoch_, now);
     if (result == state::MergeResult::kNewer) {
@@ -105,19 +106,19 @@
       counters_->Add(state::Counter::kMembershipStaleIgnored);
     }
   }
-  if (sync.from_version_ == 0 && sync.to_version_ >= peer->received_) {
+  if (sync.from_version_ == 0 && sync.to_version_ >= peer->received_version_) {
     peer->has_table_ = true;
-    // A lease that the whole table does not name has ended, and its tombstone
-    // was purged before it was told here.
+    // A lease that is missing in the whole table has ended, and its tombstone
+    // was purged before it was sent to this instance.
     for (const state::MembershipRecord& record : table_->ChangesSince(0)) {
       if (record.holder_ == sync.instance_ &&
           record.holder_epoch_ == sync.epoch_ &&
-          !told.contains(record.record_.instance_)) {
+          !listed.contains(record.record_.instance_)) {
         table_->Expire(record.record_.instance_, now);
       }
     }
   }
-  peer->received_ = std::max(peer->received_, sync.to_version_);
+  peer->received_version_ = std::max(peer->received_version_, sync.to_version_);
 }
 
 void MembershipExchange::OnAck(const MembershipSyncAck& ack) {
@@ -126,20 +127,20 @@
     return;
   }
   Peer& peer = found->second;
-  if (ack.version_ < peer.acked_) {
-    peer.examined_ = ack.version_;
+  if (ack.version_ < peer.acked_version_) {
+    peer.examined_version_ = ack.version_;
   }
-  peer.acked_ = ack.version_;
+  peer.acked_version_ = ack.version_;
 }
 
 bool MembershipExchange::IsDue(state::Millis now) {
   bool due = false;
   for (auto& [instance, peer] : peers_) {
-    if (table_->version() > peer.examined_) {
-      const bool has_changes = !OwnChangesSince(peer.examined_).empty();
-      peer.examined_ = table_->version();
+    if (table_->version() > peer.examined_version_) {
+      const bool has_changes = !OwnChangesSince(peer.examined_version_).empty();
+      peer.examined_version_ = table_->version();
       if (has_changes) {
-        peer.send_at_ = std::min(peer.send_at_, now + kBundleTime);
+        peer.send_at_ = std::min(peer.send_at_, now + kBatchDelay);
       }
     }
     due = due || now >= peer.send_at_;
@@ -147,29 +148,30 @@
   return due;
 }
 
-Commands MembershipExchange::SendDue(const Extras& extras, state::Millis now) {
+Commands MembershipExchange::SendDue(const PoisonUpdate& poison,
+                                     state::Millis now) {
   Commands commands;
   for (auto& [instance, peer] : peers_) {
     if (now >= peer.send_at_) {
-      Append(&commands, Send(&peer, extras, now));
+      Append(&commands, Send(&peer, poison, now));
     }
   }
   return commands;
 }
 
-void MembershipExchange::SendSoon() {
+void MembershipExchange::ScheduleSend() {
   for (auto& [instance, peer] : peers_) {
     peer.send_at_ = state::Millis();
   }
 }
 
 Commands MembershipExchange::Send(Peer* peer,
-                                  const Extras& extras,
+                                  const PoisonUpdate& poison,
                                   state::Millis now) {
   const uint64_t from =
-      table_->HasChangesSince(peer->acked_) ? peer->acked_ : 0;
+      table_->HasChangesSince(peer->acked_version_) ? peer->acked_version_ : 0;
   const std::vector<LeasedRecord> changes = OwnChangesSince(from);
-  peer->send_at_ = now + (changes.empty() ? kHeartbeat : kResendAfter);
+  peer->send_at_ = now + (changes.empty() ? kHeartbeatInterval : kResendDelay);
   return {SendToPeer{.address_ = peer->address_,
                      .message_ = MembershipSync{
                          .instance_ = self_,
@@ -177,8 +179,8 @@
                          .from_version_ = from,
                          .to_version_ = table_->version(),
                          .changes_ = changes,
-                         .refused_fingerprints_ = extras.refused_fingerprints_,
-                         .crashes_ = extras.crashes_}}};
+                         .refused_fingerprints_ = poison.refused_fingerprints_,
+                         .crashes_ = poison.crashes_}}};
 }
 
 std::vector<LeasedRecord> MembershipExchange::OwnChangesSince(
@@ -193,50 +195,50 @@
   return changes;
 }
 
-void MembershipExchange::JudgeHolders(state::Millis now) {
+void MembershipExchange::UpdateSuspensions(state::Millis now) {
   for (auto& [instance, peer] : peers_) {
-    if (now - peer.heard_at_ >= kForgetAfter) {
-      peer.received_ = 0;
+    if (now - peer.last_contact_at_ >= kFullSyncAfter) {
+      peer.received_version_ = 0;
     }
   }
   for (const state::MembershipRecord& record : table_->ChangesSince(0)) {
     if (record.holder_ == self_) {
       continue;
     }
-    const bool silent = IsSilent(record, now);
-    if (silent && record.record_.state_ == state::TargetState::kLeft) {
+    const bool is_orphaned = IsOrphaned(record, now);
+    if (is_orphaned && record.record_.state_ == state::TargetState::kLeft) {
       continue;
     }
-    if (table_->SetSuspended(record.record_.instance_, silent, now)) {
+    if (table_->SetSuspended(record.record_.instance_, is_orphaned, now)) {
       counters_->Add(state::Counter::kMembershipChanges);
     }
   }
 }
 
-bool MembershipExchange::IsSilent(const state::MembershipRecord& record,
-                                  state::Millis now) const {
+bool MembershipExchange::IsOrphaned(const state::MembershipRecord& record,
+                                    state::Millis now) const {
   const auto holder = peers_.find(record.holder_);
   if (holder == peers_.end()) {
-    return now - started_ >= kHolderTimeout;
+    return now - started_at_ >= kHolderTimeout;
   }
   const Peer& peer = holder->second;
-  if (now - peer.heard_at_ >= kHolderTimeout) {
+  if (now - peer.last_contact_at_ >= kHolderTimeout) {
     return true;
   }
-  // The holder has restarted, and the daemon has not come back to it.
+  // The holder has restarted, and the daemon has not renewed its lease there.
   return record.holder_epoch_ != peer.epoch_ &&
-         now - peer.epoch_since_ >= kHolderTimeout;
+         now - peer.epoch_seen_at_ >= kHolderTimeout;
 }
 
 void MembershipExchange::OnPause(state::Millis pause) {
   for (auto& [instance, peer] : peers_) {
-    peer.heard_at_ = peer.heard_at_ + pause;
-    peer.epoch_since_ = peer.epoch_since_ + pause;
+    peer.last_contact_at_ = peer.last_contact_at_ + pause;
+    peer.epoch_seen_at_ = peer.epoch_seen_at_ + pause;
   }
 }
 
-bool MembershipExchange::HasHeardAll() const {
-  return knows_instances_ &&
+bool MembershipExchange::HasAllTables() const {
+  return has_instances_ &&
          std::all_of(peers_.begin(), peers_.end(),
                      [](const auto& entry) { return entry.second.has_table_; });
 }
--- a/src/coordination/tests/control_client_test.cc
+++ b/src/coordination/tests/control_client_test.cc
@@ -12,16 +12,17 @@
                                                 {"near2", "n2", "north"},
                                                 {"far", "f", "south"}};
 
-struct Sent {
+struct SentRenewal {
   std::string address_;
   LeaseRenew renew_;
 };
 
-std::vector<Sent> RenewalsOf(const Commands& commands) {
-  std::vector<Sent> sent;
+std::vector<SentRenewal> RenewalsOf(const Commands& commands) {
+  std::vector<SentRenewal> sent;
   for (const Command& command : commands) {
     const auto& send = std::get<SendToPeer>(command);
-    sent.push_back(Sent{send.address_, std::get<LeaseRenew>(send.message_)});
+    sent.push_back(
+        SentRenewal{send.address_, std::get<LeaseRenew>(send.message_)});
   }
   return sent;
 }
@@ -36,12 +37,12 @@
     current_ = RenewalsOf(client_.Tick(now_).commands_).at(0).address_;
   }
 
-  // Ticks every 10 ms; returns what was sent.
-  std::vector<Sent> Run(double milliseconds) {
-    std::vector<Sent> all;
+  // Ticks every 10 ms; returns the renewals that were sent.
+  std::vector<SentRenewal> Run(double milliseconds) {
+    std::vector<SentRenewal> all;
     for (double passed = 0; passed < milliseconds; passed += 10) {
       now_ = now_ + Millis(10);
-      for (const Sent& sent : RenewalsOf(client_.Tick(now_).commands_)) {
+      for (const SentRenewal& sent : RenewalsOf(client_.Tick(now_).commands_)) {
         all.push_back(sent);
       }
     }
@@ -50,7 +51,7 @@
   ControlClient::Step Reply(const LeaseReply& reply) {
     return client_.OnReply(current_, reply, now_);
   }
-  std::string Name(const std::string& address) const {
+  std::string InstanceAt(const std::string& address) const {
     for (const ControlAddress& instance : kInstances) {
       if (instance.address_ == address) {
         return instance.instance_;
@@ -66,7 +67,7 @@
 };
 
 LeaseReply WithConfiguration(uint64_t index,
-                             bool vouched,
+                             bool confirmed,
                              const std::vector<std::string>& services,
                              uint64_t delta_base = 0) {
   std::vector<state::Service> list;
@@ -76,7 +77,7 @@
   return LeaseReply{
       .granted_ = true,
       .configuration_index_ = index,
-      .configuration_vouched_ = vouched,
+      .configuration_vouched_ = confirmed,
       .delta_base_index_ = delta_base,
       .configuration_ = std::make_shared<const state::Configuration>(
           state::Configuration{.version_ = index, .services_ = list})};
@@ -93,9 +94,9 @@
                     .membership_ = records};
 }
 
-// Guards against a daemon that restarts behind a stale control instance and
-// goes back to an older configuration.
-TEST_CASE("a configuration is never older than one that was vouched for",
+// Guards against a daemon that restarts, receives the configuration of a stale
+// control instance and reverts to an older one.
+TEST_CASE("a configuration is never older than a confirmed one",
           "[configuration]") {
   Daemon daemon;
   CHECK_FALSE(daemon.Reply(WithConfiguration(4, false, {"old"}))
@@ -111,8 +112,8 @@
       daemon.Reply(WithConfiguration(8, false, {"a"})).configuration_changed_);
 }
 
-// Guards against a delta that is applied to another document than its base.
-TEST_CASE("a delta that does not fit asks for the whole document",
+// Guards against a delta that is applied to a document other than its base.
+TEST_CASE("a delta with another base requests the whole document",
           "[configuration]") {
   Daemon daemon;
   daemon.Reply(WithConfiguration(7, true, {"a"}));
@@ -127,20 +128,20 @@
   CHECK(daemon.Run(1000).at(0).renew_.configuration_index_ == 12);
 }
 
-// Guards against a lease that ends because its control instance is gone, and
-// against a record that is refused as old after the move.
-TEST_CASE("a silent control instance is left with a higher sequence",
+// Guards against a lease that expires because its control instance has failed,
+// and against a record that is refused as old after the lease has moved.
+TEST_CASE("a lease leaves an unresponsive instance with a higher sequence",
           "[membership]") {
   Daemon daemon;
   const state::LeaseVersion before = daemon.client_.record().version_;
   daemon.Reply(WithTargets(1, 1, true, {{.service_ = "s", .instance_ = "x"}}));
   std::vector<std::string> addresses;
-  for (const Sent& sent : daemon.Run(5000)) {
+  for (const SentRenewal& sent : daemon.Run(5000)) {
     if (addresses.empty() || addresses.back() != sent.address_) {
       addresses.push_back(sent.address_);
     }
   }
-  // The other instance of the region comes before the far one.
+  // The other instance of the region is tried before the one in the south.
   REQUIRE(addresses.size() >= 3);
   CHECK(addresses[0] == daemon.current_);
   CHECK(addresses[1] == (daemon.current_ == "n1" ? "n2" : "n1"));
@@ -149,13 +150,13 @@
   CHECK(daemon.client_.Targets().size() == 1);
 }
 
-// Guards against calls that are refused for a second and more after a loss of
-// power, because the first control instance that is asked has not started yet.
-TEST_CASE("without a configuration a silent instance is left soon",
+// Guards against calls that are refused for more than a second after a power
+// loss because the first control instance contacted has not started yet.
+TEST_CASE("the reply timeout is shorter without a configuration",
           "[membership]") {
   Daemon daemon;
   std::set<std::string> addresses;
-  for (const Sent& sent : daemon.Run(500)) {
+  for (const SentRenewal& sent : daemon.Run(500)) {
     addresses.insert(sent.address_);
   }
   CHECK(addresses.size() >= 2);
@@ -165,46 +166,47 @@
   CHECK(daemon.Run(500).size() <= 1);
 }
 
-// Guards against a daemon that stays with an instance that is cut off, and
-// against daemons that wander when no instance hears a leader.
-TEST_CASE("a stale control instance is left only for a fresh one",
+// Guards against a daemon that stays with a partitioned instance, and against
+// leases that move back and forth while no instance has contact to a leader.
+TEST_CASE("a lease leaves a stale control instance only for a fresh one",
           "[membership]") {
   Daemon daemon;
   daemon.Reply(WithConfiguration(12, true, {"c"}));
-  const auto stale = [&daemon](const std::string& address, double age) {
+  const auto reply_with_staleness = [&daemon](const std::string& address,
+                                              double staleness) {
     return daemon.client_.OnReply(
         address,
-        LeaseReply{.control_instance_ = daemon.Name(address),
+        LeaseReply{.control_instance_ = daemon.InstanceAt(address),
                    .granted_ = address == daemon.current_,
-                   .knowledge_age_ = Millis(age)},
+                   .knowledge_age_ = Millis(staleness)},
         daemon.now_);
   };
   const state::LeaseVersion before = daemon.client_.record().version_;
   std::string other;
   for (int second = 0; second < 20; ++second) {
-    stale(daemon.current_, 5000);
-    for (const Sent& sent : daemon.Run(900)) {
+    reply_with_staleness(daemon.current_, 5000);
+    for (const SentRenewal& sent : daemon.Run(900)) {
       if (sent.address_ != daemon.current_) {
-        // A question, which moves no lease.
+        // A query, which does not move the lease.
         CHECK(sent.renew_.record_.version_.incarnation_ == 0);
         other = sent.address_;
-        stale(other, 5000);
+        reply_with_staleness(other, 5000);
       }
     }
   }
   CHECK(daemon.client_.record().version_ == before);
   REQUIRE_FALSE(other.empty());
 
-  stale(daemon.current_, 5000);
-  const auto moved = RenewalsOf(stale(other, 100).commands_);
+  reply_with_staleness(daemon.current_, 5000);
+  const auto moved = RenewalsOf(reply_with_staleness(other, 100).commands_);
   REQUIRE(moved.size() == 1);
   CHECK(moved[0].address_ == other);
   CHECK(moved[0].renew_.record_.version_ > before);
   CHECK(daemon.client_.KnowledgeAge(daemon.now_) == Millis(100));
 }
 
-// Guards against a restarted daemon whose clock went back and which is never
-// heard again, and against one that keeps renewing an expired lease.
+// Guards against a restarted daemon whose records are ignored because its clock
+// was set back, and against one that keeps renewing an expired lease.
 TEST_CASE("a refused daemon raises its version", "[membership]") {
   Daemon daemon(10);
   daemon.Reply(LeaseReply{.granted_ = false, .known_incarnation_ = 50});
@@ -216,8 +218,10 @@
   CHECK(daemon.client_.record().version_.incarnation_ == 51);
 }
 
-// Guards against a drain that daemons learn of only a second later.
-TEST_CASE("a change of the own target is sent at once", "[membership]") {
+// Guards against a drain that is announced only with the next regular renewal,
+// up to a second later.
+TEST_CASE("a change of the daemon's target is sent immediately",
+          "[membership]") {
   Daemon daemon;
   daemon.Reply(LeaseReply{.granted_ = true});
   const auto announce = [&daemon](state::TargetState target_state) {
@@ -234,9 +238,9 @@
         serving[0].renew_.record_.version_);
 }
 
-// Guards against a membership table that takes an older record or the changes
-// of another control instance's table.
-TEST_CASE("membership takes only newer records and fitting changes",
+// Guards against a membership table that applies an older record, or changes
+// that are based on another control instance's table.
+TEST_CASE("membership applies only newer records and changes to its table",
           "[membership]") {
   Daemon daemon;
   const state::TargetRecord newer{
@@ -260,8 +264,8 @@
   CHECK(daemon.client_.Targets().empty());
 }
 
-// Guards against a crash whose report was lost with its control instance, and
-// against a refusal that outlives its hold.
+// Guards against a crash report that is lost with its control instance, and
+// against a fingerprint that is refused after its hold has expired.
 TEST_CASE("crashes are reported until a later reply", "[poison]") {
   Daemon daemon;
   const auto reported = RenewalsOf(
@@ -269,10 +273,10 @@
   REQUIRE(reported.size() == 1);
   CHECK(reported[0].renew_.crashes_.size() == 1);
   CHECK(daemon.Run(1500).back().renew_.crashes_.size() == 1);
-  const LeaseReply reply{
-      .control_instance_ = daemon.Name(daemon.current_ == "n1" ? "n2" : "n1"),
-      .granted_ = true,
-      .refused_fingerprints_ = {{"f", Millis(1500), true}}};
+  const LeaseReply reply{.control_instance_ = daemon.InstanceAt(
+                             daemon.current_ == "n1" ? "n2" : "n1"),
+                         .granted_ = true,
+                         .refused_fingerprints_ = {{"f", Millis(1500), true}}};
   CHECK(daemon.Reply(reply).refused_fingerprints_changed_);
   CHECK_FALSE(daemon.Reply(reply).refused_fingerprints_changed_);
   CHECK(daemon.Run(1000).back().renew_.crashes_.empty());
@@ -280,28 +284,28 @@
   CHECK(daemon.client_.refused_fingerprints().empty());
 }
 
-// Guards against a configuration that is not in force in time at the daemons of
-// a control instance that was cut off with the change.
-TEST_CASE("a daemon leaves an instance that has lost its leader",
+// Guards against a configuration that is not in force in time at daemons whose
+// control instance was partitioned at the same time as the change.
+TEST_CASE("a lease leaves an instance that has lost its leader",
           "[configuration]") {
   Daemon daemon;
-  const auto reply = [&daemon](const std::string& address, double age) {
+  const auto reply = [&daemon](const std::string& address, double staleness) {
     return daemon.client_.OnReply(
         address,
-        LeaseReply{.control_instance_ = daemon.Name(address),
+        LeaseReply{.control_instance_ = daemon.InstanceAt(address),
                    .granted_ = true,
-                   .knowledge_age_ = Millis(age)},
+                   .knowledge_age_ = Millis(staleness)},
         daemon.now_);
   };
-  const std::string cut_off = daemon.current_;
-  reply(cut_off, 900);
-  const std::vector<Sent> asked = daemon.Run(300);
+  const std::string partitioned = daemon.current_;
+  reply(partitioned, 900);
+  const std::vector<SentRenewal> asked = daemon.Run(300);
   REQUIRE_FALSE(asked.empty());
   const std::string other = asked[0].address_;
-  REQUIRE(other != cut_off);
-  // One that waits for a leader too is no better.
+  REQUIRE(other != partitioned);
+  // An instance that also waits for a leader is not better.
   CHECK(reply(other, 700).commands_.empty());
-  const std::vector<Sent> moved = RenewalsOf(reply(other, 50).commands_);
+  const std::vector<SentRenewal> moved = RenewalsOf(reply(other, 50).commands_);
   REQUIRE(moved.size() == 1);
   CHECK(moved[0].address_ == other);
 }
--- a/src/coordination/tests/control_service_test.cc
+++ b/src/coordination/tests/control_service_test.cc
@@ -10,7 +10,7 @@
 const std::vector<ControlAddress> kInstances = {{"c1", "addr1", "north"},
                                                 {"c2", "addr2", "north"}};
 
-// A control service with the time that it is at.
+// A control service with its own clock.
 struct Control {
   explicit Control(const ControlAddress& self,
                    const std::vector<ControlAddress>& instances = kInstances,
@@ -19,26 +19,27 @@
       : service_(self, instances, epoch, &counters_, Millis(start)),
         now_(start) {}
 
-  ControlStep Give(const ControlEvent& event) {
+  ControlStep Handle(const ControlEvent& event) {
     return service_.Handle(event, now_);
   }
   ControlStep Message(const PeerMessage& message,
                       const std::string& connection = "conn") {
-    return Give(ControlMessage{.connection_ = connection, .message_ = message});
+    return Handle(
+        ControlMessage{.connection_ = connection, .message_ = message});
   }
-  void Lead() {
-    Give(LogStatus{.formed_ = true,
-                   .leads_ = true,
-                   .has_quorum_ = true,
-                   .leader_address_ = "addr1",
-                   .last_leader_contact_ = now_});
+  void BecomeLeader() {
+    Handle(LogStatus{.formed_ = true,
+                     .leads_ = true,
+                     .has_quorum_ = true,
+                     .leader_address_ = "addr1",
+                     .last_leader_contact_ = now_});
   }
-  // Ticks every 10 ms and returns all that this leads to.
+  // Ticks every 10 ms and returns the results of all ticks.
   ControlStep Run(double milliseconds) {
     ControlStep all;
     for (double passed = 0; passed < milliseconds; passed += 10) {
       now_ = now_ + Millis(10);
-      ControlStep step = Give(ControlTick{.wall_millis_ = 1000});
+      ControlStep step = Handle(ControlTick{.wall_millis_ = 1000});
       Append(&all.commands_, step.commands_);
       for (const Proposal& proposal : step.proposals_) {
         all.proposals_.push_back(proposal);
@@ -53,7 +54,7 @@
   ControlStep Commit(const ControlStep& step) {
     ControlStep last;
     for (const Proposal& proposal : step.proposals_) {
-      last = Give(
+      last = Handle(
           EntryCommitted{.index_ = ++index_, .command_ = proposal.command_});
     }
     return last;
@@ -93,7 +94,7 @@
                     .crashes_ = crashes};
 }
 
-LeaseRenew RenewVouched(const std::string& instance) {
+LeaseRenew RenewRequiringConfirmed(const std::string& instance) {
   return LeaseRenew{
       .instance_ = instance,
       .record_ = state::TargetRecord{.instance_ = instance, .version_ = {1, 1}},
@@ -122,7 +123,8 @@
   return state::TargetState::kStarting;
 }
 
-// Passes one instance's membership to another, with the acknowledgement.
+// Delivers membership changes from one instance to another, and the
+// acknowledgements back.
 void Exchange(Control* from, Control* to) {
   for (const auto& sync : MessagesOf<MembershipSync>(from->Run(400))) {
     for (const auto& ack :
@@ -132,8 +134,8 @@
   }
 }
 
-// Guards against operations that run outside the leader, and replies before
-// the operation is in the log.
+// Guards against operations that are executed on a follower, and against
+// replies that are sent before the operation is committed.
 TEST_CASE("register calls are answered by the leader after the commit",
           "[at_most_once]") {
   Control control(kInstances[0]);
@@ -141,12 +143,12 @@
                           .command_ = state::RegisterCommand{.key_ = "k"}};
   CHECK(MessagesOf<RegisterReply>(control.Message(call))[0].status_ ==
         RegisterStatus::kNoQuorum);
-  control.Give(LogStatus{.formed_ = true, .leader_address_ = "addr2"});
+  control.Handle(LogStatus{.formed_ = true, .leader_address_ = "addr2"});
   const auto refused = MessagesOf<RegisterReply>(control.Message(call));
   CHECK(refused[0].status_ == RegisterStatus::kNotLeader);
   CHECK(refused[0].leader_address_ == "addr2");
 
-  control.Lead();
+  control.BecomeLeader();
   const ControlStep proposed = control.Message(call);
   REQUIRE(proposed.proposals_.size() == 1);
   CHECK(proposed.commands_.empty());
@@ -157,26 +159,28 @@
   CHECK(replies[0].result_.attempt_ == 1);
 }
 
-// Guards against a call that is told to be not tried while it may be applied.
-TEST_CASE("a call whose end is unknown gets no reply", "[at_most_once]") {
+// Guards against a reply that reports a call as not tried although its
+// operation may still be applied.
+TEST_CASE("a call whose outcome is unknown gets no reply", "[at_most_once]") {
   Control control(kInstances[0]);
-  control.Lead();
+  control.BecomeLeader();
   const RegisterCall call{.call_id_ = 5};
   const ControlStep proposed = control.Message(call);
   CHECK(control
-            .Give(ProposalEnded{.tag_ = proposed.proposals_[0].tag_,
-                                .outcome_ = ProposalOutcome::kLost})
+            .Handle(ProposalEnded{.tag_ = proposed.proposals_[0].tag_,
+                                  .outcome_ = ProposalOutcome::kLost})
             .commands_.empty());
   CHECK(control.Message(call).proposals_.size() == 1);
 }
 
-// Guards against actions of a guard that has gone which stay `started`, so that
-// resends wait in vain; and against blaming a guard for its present work.
+// Guards against actions that stay `started` after their guard has restarted or
+// its target has crashed, so that resends wait without result, and against
+// abandoning the current work of a guard.
 TEST_CASE("a new incarnation or a crash abandons started actions",
           "[at_most_once]") {
   const bool crashes = GENERATE(false, true);
   Control control(kInstances[0]);
-  control.Lead();
+  control.BecomeLeader();
   control.Message(Renew("g", {5, 1}));
   for (const auto operation :
        {state::RegisterOperation::kBegin, state::RegisterOperation::kStart}) {
@@ -188,7 +192,7 @@
                                                         .guard_ = "g",
                                                         .incarnation_ = 5}}));
   }
-  control.Commit(control.Run(200));  // Contains the expiry of keys.
+  control.Commit(control.Run(200));  // Includes the proposal to expire keys.
   CHECK(control.Run(200).proposals_.empty());
   std::vector<CrashReport> reports;
   if (crashes) {
@@ -206,12 +210,12 @@
   CHECK(control.Run(500).proposals_.empty());
 }
 
-// Guards against started actions whose end callers await in vain, because the
-// message with their abandon to the leader was lost.
+// Guards against callers that wait without result for a started action, because
+// the abandon that was sent to the leader was lost.
 TEST_CASE("a follower repeats an abandon until it is applied",
           "[at_most_once]") {
   Control control(kInstances[1]);
-  control.Give(LogStatus{.formed_ = true, .leader_address_ = "addr1"});
+  control.Handle(LogStatus{.formed_ = true, .leader_address_ = "addr1"});
   const std::vector<CrashReport> reports = {{"f", "crash1", true}};
   const auto first = MessagesOf<RegisterCall>(control.Message(
       Renew("g", {5, 1}, state::TargetState::kServing, reports)));
@@ -220,48 +224,50 @@
   const auto repeated = MessagesOf<RegisterCall>(control.Run(2000));
   REQUIRE(!repeated.empty());
   CHECK(repeated[0].command_ == first[0].command_);
-  control.Give(EntryCommitted{
+  control.Handle(EntryCommitted{
       .index_ = 1,
       .command_ = state::LogCommand{.change_ = repeated[0].command_}});
   CHECK(MessagesOf<RegisterCall>(control.Run(2000)).empty());
 }
 
-// Guards against a daemon that starts with a configuration that was replaced:
-// a read index from before its request proves nothing.
-TEST_CASE("the first configuration is vouched by a later read index",
+// Guards against a daemon that starts with a configuration that was already
+// replaced: a read index requested before its renewal confirms nothing.
+TEST_CASE("the first configuration is confirmed by a later read index",
           "[configuration]") {
   Control control(kInstances[0]);
-  control.Lead();
+  control.BecomeLeader();
   control.Commit(control.Message(Submit(1, "s1", "a")));
-  const ControlStep first = control.Message(RenewVouched("d1"), "conn1");
+  const ControlStep first =
+      control.Message(RenewRequiringConfirmed("d1"), "conn1");
   REQUIRE(first.read_ids_.size() == 1);
   CHECK(MessagesOf<LeaseReply>(first)[0].configuration_ == nullptr);
-  CHECK(control.Message(RenewVouched("d2"), "conn2").read_ids_.empty());
+  CHECK(control.Message(RenewRequiringConfirmed("d2"), "conn2")
+            .read_ids_.empty());
 
   // The read index names an entry that is not applied yet.
-  const ControlStep read = control.Give(ReadIndexAnswered{
+  const ControlStep read = control.Handle(ReadIndexAnswered{
       .read_id_ = first.read_ids_[0], .confirmed_ = true, .index_ = 2});
   CHECK(MessagesOf<LeaseReply>(read).empty());
   CHECK(read.read_ids_.size() == 1);
-  const auto vouched = MessagesOf<LeaseReply>(
+  const auto confirmed = MessagesOf<LeaseReply>(
       control.Commit(control.Message(Submit(2, "s2", "b"))));
-  REQUIRE(vouched.size() == 1);
-  CHECK(vouched[0].configuration_vouched_);
-  CHECK(vouched[0].configuration_index_ == 2);
+  REQUIRE(confirmed.size() == 1);
+  CHECK(confirmed[0].configuration_vouched_);
+  CHECK(confirmed[0].configuration_index_ == 2);
 
-  // Not confirmed: nothing is vouched, and the read is tried again.
+  // When the read fails, nothing is confirmed and the read is repeated.
   const ControlStep failed =
-      control.Give(ReadIndexAnswered{.read_id_ = read.read_ids_[0]});
+      control.Handle(ReadIndexAnswered{.read_id_ = read.read_ids_[0]});
   CHECK(MessagesOf<LeaseReply>(failed).empty());
   CHECK(control.Run(300).read_ids_.size() == 1);
 }
 
-// Guards against two operators who are both told that their document won, and
-// against daemons that learn of it only with their next renewal.
+// Guards against conflicting submissions that are both accepted, and against
+// daemons that receive the configuration only with their next renewal.
 TEST_CASE("a commit is pushed and a conflict names the winner",
           "[configuration]") {
   Control control(kInstances[0]);
-  control.Lead();
+  control.BecomeLeader();
   control.Message(Renew("d1", {1, 1}), "conn1");
   const ControlStep one = control.Message(Submit(1, "s1", "a"));
   const ControlStep two = control.Message(Submit(1, "s2", "b"));
@@ -276,9 +282,9 @@
   CHECK(pushed[0].configuration_->services_[0].name_ == "a");
 }
 
-// Guards against targets that are gone and stay listed, and against daemons
-// that are told late or lose a change because one push was lost.
-TEST_CASE("changes and expiries are pushed from what the daemon has",
+// Guards against targets that stay listed after their lease has expired, and
+// against daemons that receive a change late, or never because a push was lost.
+TEST_CASE("pushes contain the changes since the daemon's last renewal",
           "[membership]") {
   Control control(kInstances[0], {kInstances[0]});
   control.Message(Renew("d1", {1, 1}), "conn1");
@@ -315,9 +321,10 @@
       MessagesOf<LeaseReply>(control.Message(Renew("d2", {1, 3})))[0].granted_);
 }
 
-// Guards against a control instance that returns from a partition, or was
-// paused, and takes back what is newer or ends leases that it could not hear.
-TEST_CASE("a returning control instance overrules nothing newer",
+// Guards against a control instance that overwrites newer records after a
+// partition, or expires leases whose renewals it could not receive during a
+// pause.
+TEST_CASE("a control instance that is back overwrites no newer record",
           "[membership]") {
   Control first(kInstances[0]);
   Control second(kInstances[1], kInstances, 200);
@@ -326,7 +333,8 @@
   Exchange(&first, &second);
   CHECK(StateOf(second, "d1") == state::TargetState::kServing);
 
-  // d1 moves while the first instance is cut off; both judge by themselves.
+  // d1 moves its lease while the first instance is partitioned. Each instance
+  // expires and suspends records on its own.
   second.Message(Renew("d1", {1, 2}));
   first.Run(4000);
   for (int i = 0; i < 6; ++i) {
@@ -345,13 +353,13 @@
   CHECK(StateOf(second, "d2") == state::TargetState::kServing);
 
   first.now_ = first.now_ + Millis(60000);
-  first.Give(ControlTick{});
+  first.Handle(ControlTick{});
   CHECK(StateOf(first, "d2") == state::TargetState::kServing);
 }
 
-// Guards against an instance that has just started and makes daemons forget
-// the targets that it has not heard of yet.
-TEST_CASE("a started instance tells membership when it knows it",
+// Guards against an instance that has just started and makes daemons remove
+// targets whose records it has not received yet.
+TEST_CASE("a started instance sends membership when its table is complete",
           "[membership]") {
   Control first(kInstances[0]);
   first.Message(Renew("d1", {1, 1}));
@@ -367,8 +375,8 @@
   CHECK(later[0].membership_.size() == 2);
 }
 
-// Guards against a request that crashes every target, and against requests
-// that only happened to be in flight with it.
+// Guards against a request that crashes one target after another, and against
+// convicting requests that were only in flight at the same time.
 TEST_CASE("only the request that was alone is convicted", "[poison]") {
   Control first(kInstances[0]);
   Control second(kInstances[1], kInstances, 200);
@@ -380,7 +388,7 @@
   REQUIRE(suspects[0].refused_fingerprints_.size() == 2);
   CHECK_FALSE(suspects[0].refused_fingerprints_[0].convicted_);
 
-  // The same crash reported again, and a crash that both share.
+  // The same crash reported again, and another crash with both in flight.
   first.Message(Renew("d1", {1, 1}, serving, {{"bad", "x1", true}}));
   first.Message(Renew("d1", {1, 1}, serving,
                       {{"bad", "x2", false}, {"other", "x2", false}}));
@@ -402,13 +410,13 @@
   CHECK(spread[0].refused_fingerprints_[0].convicted_);
 }
 
-// Guards against replicas that differ after a snapshot.
+// Guards against replicas whose state differs after a snapshot is restored.
 TEST_CASE("a restored service continues from the snapshot", "[configuration]") {
   Control first(kInstances[0]);
-  first.Lead();
+  first.BecomeLeader();
   first.Commit(first.Message(Submit(1, "s1", "a")));
   Control second(kInstances[1], kInstances, 200);
-  second.Give(
+  second.Handle(
       SnapshotRestored{.index_ = 1, .state_ = first.service_.Snapshot()});
   CHECK(second.service_.applied_index() == 1);
   CHECK(second.service_.configuration().index_ == 1);
--- a/src/coordination/tests/group_membership_test.cc
+++ b/src/coordination/tests/group_membership_test.cc
@@ -8,12 +8,12 @@
 using state::ControlMember;
 using state::Millis;
 
-constexpr Millis kLately(10);
+constexpr Millis kRecent(10);
 constexpr Millis kLongAgo(5000);
 
 MemberStatus Member(const std::string& name,
                     bool voter,
-                    Millis silent_for,
+                    Millis last_contact_age,
                     const std::string& address = "") {
   return MemberStatus{
       .member_ = ControlMember{.identity_ = name,
@@ -22,10 +22,10 @@
                                                            : address,
                                .voter_ = voter},
       .match_index_ = 100,
-      .last_heard_age_ = silent_for};
+      .last_heard_age_ = last_contact_age};
 }
 
-// The leader "a" and the given other members.
+// Returns the view of the leader "a" in a group with the given other members.
 GroupView LeaderView(std::vector<MemberStatus> others) {
   std::vector<MemberStatus> members = {Member("a", true, Millis(0))};
   for (const MemberStatus& other : others) {
@@ -70,8 +70,8 @@
   return {};
 }
 
-// Guards against two groups that form beside each other, and against an
-// instance with a lost disk that forms a group of its own.
+// Guards against two separate groups: formed by two instances at the first
+// start, or by an instance that restarts after the loss of its disk.
 TEST_CASE("only the first seed forms the group, at the first start only",
           "[membership]") {
   GroupMembership first = Make(true);
@@ -85,9 +85,9 @@
   CHECK(restarted.Tick(NewView("a"), Millis(0)).events_.empty());
 }
 
-// Guards against an instance that is not told of any other, or only of some
-// that are down, and never finds the group.
-TEST_CASE("an instance asks one seed after another to let it join",
+// Guards against an instance that never finds the group because its first
+// settings name no other instance, or only some that are down.
+TEST_CASE("an instance sends its request to join to one seed after another",
           "[membership]") {
   GroupMembership membership = Make(false);
   std::set<std::string> asked;
@@ -102,50 +102,50 @@
   CHECK(std::get<SendToPeer>(step.commands_[0]).address_ == "d-address");
 }
 
-// Guards against a voter that lost its disk and holds its place for ever, and
-// against an old request to join that removes the living.
-TEST_CASE("an identity whose address asks under another one is replaced",
+// Guards against a voter that lost its disk but is never replaced, and against
+// a delayed request to join that removes a live member.
+TEST_CASE("an identity is replaced when its address joins with a new one",
           "[membership]") {
   GroupMembership membership = Make(false);
   const JoinRequest request{
       .identity_ = "b2", .instance_ = "b", .address_ = "b-address"};
   const GroupView lost = LeaderView({Member("b", true, Millis(400))});
   CHECK(RemovedBy(membership.OnJoin(request, lost, Millis(0))) == "b");
-  const GroupView alive = LeaderView({Member("b", true, kLately)});
+  const GroupView alive = LeaderView({Member("b", true, kRecent)});
   const auto ignored = membership.OnJoin(request, alive, Millis(0));
   CHECK(ignored.events_.empty());
   const GroupView removed = LeaderView({});
   CHECK(AddedBy(membership.OnJoin(request, removed, Millis(0))) == "b2");
 }
 
-// Guards against a group that shrinks while its members are only away: what it
-// accepts would then lie on fewer disks than may be lost.
-TEST_CASE("a silent voter gives way only to a learner that is ready",
+// Guards against a group that shrinks while voters are temporarily unreachable:
+// entries would then be stored on too few disks for the tolerated losses.
+TEST_CASE("an unresponsive voter is replaced only by a ready learner",
           "[membership]") {
   GroupMembership membership = Make(false);
   const std::vector<MemberStatus> voters = {
-      Member("b", true, kLately), Member("c", true, kLately),
-      Member("d", true, kLongAgo), Member("e", true, kLongAgo + kLately)};
+      Member("b", true, kRecent), Member("c", true, kRecent),
+      Member("d", true, kLongAgo), Member("e", true, kLongAgo + kRecent)};
   CHECK(RemovedBy(membership.Tick(LeaderView(voters), Millis(0))).empty());
   std::vector<MemberStatus> with_learner = voters;
-  with_learner.push_back(Member("f", false, kLately));
+  with_learner.push_back(Member("f", false, kRecent));
   CHECK(RemovedBy(membership.Tick(LeaderView(with_learner), Millis(1000))) ==
         "e");
-  std::vector<MemberStatus> with_silent_learner = voters;
-  with_silent_learner.push_back(Member("f", false, kLongAgo));
-  CHECK(
-      RemovedBy(membership.Tick(LeaderView(with_silent_learner), Millis(2000)))
-          .empty());
-  const std::vector<MemberStatus> all_heard = {
-      Member("b", true, kLately), Member("c", true, kLately),
-      Member("d", true, kLately), Member("e", true, kLately),
-      Member("f", false, kLately)};
-  CHECK(
-      RemovedBy(membership.Tick(LeaderView(all_heard), Millis(3000))).empty());
+  std::vector<MemberStatus> with_unresponsive_learner = voters;
+  with_unresponsive_learner.push_back(Member("f", false, kLongAgo));
+  CHECK(RemovedBy(membership.Tick(LeaderView(with_unresponsive_learner),
+                                  Millis(2000)))
+            .empty());
+  const std::vector<MemberStatus> all_responsive = {
+      Member("b", true, kRecent), Member("c", true, kRecent),
+      Member("d", true, kRecent), Member("e", true, kRecent),
+      Member("f", false, kRecent)};
+  CHECK(RemovedBy(membership.Tick(LeaderView(all_responsive), Millis(3000)))
+            .empty());
 }
 
-// Guards against a request that ends at a follower.
-TEST_CASE("a follower passes a request to join on to the leader",
+// Guards against a request to join that is lost at a follower.
+TEST_CASE("a follower forwards a request to join to the leader",
           "[membership]") {
   GroupMembership membership = Make(false);
   GroupView view = LeaderView({});
