--- a/src/coordination/coordination.h
+++ b/src/coordination/coordination.h
@@ -16,10 +16,10 @@
 #include "coordination/api/link_monitor.h"
 #include "coordination/api/messages.h"
 #include "coordination/api/node.h"
-#include "coordination/api/pace.h"
 #include "coordination/api/raft.h"
 #include "coordination/api/register_client.h"
 #include "coordination/api/router.h"
+#include "coordination/api/service_time.h"
 #include "coordination/api/strategy.h"
 
 #endif  // COORDINATION_COORDINATION_H_
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
-#include "coordination/api/pace.h"
+#include "coordination/api/service_time.h"
 #include "coordination/coordination.h"
 #include "coordination/internal/decision_log.h"
 #include "coordination/internal/early_calls.h"
