--- a/src/coordination/tests/control_client_test.cc
+++ b/src/coordination/tests/control_client_test.cc
@@ -286,7 +286,7 @@
 
 // Guards against a configuration that is not in force in time at daemons whose
 // control instance was partitioned at the same time as the change.
-TEST_CASE("a lease leaves an instance that has lost its leader",
+TEST_CASE("a daemon leaves an instance that has lost its leader",
           "[configuration]") {
   Daemon daemon;
   const auto reply = [&daemon](const std::string& address, double staleness) {
