--- a/src/coordination/api/control_client.h
+++ b/src/coordination/api/control_client.h
@@ -72,7 +72,7 @@
   const std::string& leader_address() const;
   // Returns how long ago a control instance that knew a quorum's leader was
   // heard from; infinity if never.
-  state::Millis KnowledgeAge(state::Millis now) const;
+  state::Millis Staleness(state::Millis now) const;
   // Returns the record that this daemon last announced.
   const state::TargetRecord& record() const;
 
--- a/src/coordination/api/events.h
+++ b/src/coordination/api/events.h
@@ -14,7 +14,7 @@
 // What duties tell the decisions of the call path.
 
 // A call that a caller made on this daemon.
-struct CallArrived {
+struct CallReceived {
   const uint64_t call_id_ = 0;
   // The service, or, when it is empty, the host by which the configuration's
   // routes choose one.
@@ -32,25 +32,26 @@
 };
 
 // The caller has gone: the call needs no answer.
-struct CallerLeft {
+struct CallerDisconnected {
   const uint64_t call_id_ = 0;
 };
 
 // A message that came from a peer. `connection_` is set when the peer opened
 // the connection, `address_` when this daemon did.
-struct PeerMessageArrived {
+struct PeerMessageReceived {
   const std::string connection_ = {};
   const std::string address_ = {};
   const PeerMessage message_ = {};
 };
 
 enum class DeliveryEnd {
-  kAnswered,       // The answer is whole.
-  kConnectFailed,  // No byte of the request was sent.
-  kNotSent,        // Not tried: the queue to the target workers was full.
-  kCut,            // Sent in part or whole; the answer is missing or not whole.
-  kTimeout,        // Sent; no whole answer within the timeout.
-  kCancelled,      // Cancelled after it was sent.
+  kAnswered,          // The answer is whole.
+  kConnectFailed,     // No byte of the request was sent.
+  kNotSent,           // Not tried: the queue to the target workers was full.
+  kIncompleteAnswer,  // Sent in part or whole; the answer is missing or not
+                      // whole.
+  kTimeout,           // Sent; no whole answer within the timeout.
+  kCancelled,         // Cancelled after it was sent.
 };
 
 // A request to the own target has ended.
@@ -80,7 +81,7 @@
   // recognized; 0 when the target does not tell.
   const uint64_t sequence_ = 0;
   // How much longer the target is slow after its start.
-  const state::Millis cold_left_ = {};
+  const state::Millis warmup_left_ = {};
 };
 
 // The own target leaves for good.
@@ -102,9 +103,9 @@
 // Time has passed.
 struct Ticked {};
 
-using NodeEvent = std::variant<CallArrived,
-                               CallerLeft,
-                               PeerMessageArrived,
+using NodeEvent = std::variant<CallReceived,
+                               CallerDisconnected,
+                               PeerMessageReceived,
                                DeliveryEnded,
                                TargetAnnounced,
                                TargetWithdrawn,
--- a/src/coordination/api/ingress.h
+++ b/src/coordination/api/ingress.h
@@ -35,11 +35,11 @@
   // Tells whether a control instance was heard from lately enough for actions.
   void SetActionsAllowed(bool allowed);
 
-  Commands OnCall(const CallArrived& call, state::Millis now);
+  Commands OnCall(const CallReceived& call, state::Millis now);
   // The caller of a lookup or of an action without a key has gone: its attempts
   // are cancelled. An action with a key runs to its end, since its answer is
   // kept for a resend.
-  Commands OnCallerLeft(uint64_t call_id, state::Millis now);
+  Commands OnCallerDisconnected(uint64_t call_id, state::Millis now);
   Commands OnAnswer(const AttemptAnswer& answer, state::Millis now);
   // Handles the end of a register call. Precondition: OwnsTag(end.tag_).
   Commands OnRegisterEnd(const RegisterEnd& end, state::Millis now);
--- a/src/coordination/api/messages.h
+++ b/src/coordination/api/messages.h
@@ -36,7 +36,7 @@
   // The guard may queue it until its deadline instead of refusing it.
   const bool may_queue_ = true;
   // Another copy of the same lookup may be running elsewhere.
-  const bool has_twin_ = false;
+  const bool is_hedged_ = false;
   const bool cross_region_ = false;
   // An earlier attempt ended in a crash of its target, so that the guard runs
   // this one alone: a second crash can then be blamed on it.
@@ -62,9 +62,9 @@
 
 enum class AttemptResult {
   kComplete,
-  kRefused,  // Not delivered, for the stated reason.
-  kCut,      // Delivered; the answer is missing or not whole.
-  kUnknown,  // An action that was delivered and whose end is unknown.
+  kRefused,           // Not delivered, for the stated reason.
+  kIncompleteAnswer,  // Delivered; the answer is missing or not whole.
+  kUnknown,           // An action that was delivered and whose end is unknown.
 };
 
 struct AttemptAnswer {
@@ -127,7 +127,7 @@
   const state::TargetRecord record_ = {};
   const uint64_t configuration_index_ = 0;
   // The reply must carry a configuration that a quorum vouches for.
-  const bool wants_vouched_ = false;
+  const bool requires_confirmed_ = false;
   const uint64_t membership_epoch_ = 0;
   const uint64_t membership_version_ = 0;
   // Services whose targets the daemon needs; "*" stands for all.
@@ -155,7 +155,7 @@
   // Set when the daemon's configuration is older. Either the whole document,
   // or a delta with only the changed services and the names of the removed.
   const uint64_t configuration_index_ = 0;
-  const bool configuration_vouched_ = false;
+  const bool configuration_confirmed_ = false;
   const uint64_t delta_base_index_ = 0;  // 0 for a whole document.
   const std::vector<std::string> removed_services_ = {};
   const std::shared_ptr<const state::Configuration> configuration_ = {};
@@ -165,7 +165,7 @@
   const std::vector<state::TargetRecord> membership_ = {};
   const std::vector<RefusedFingerprint> refused_fingerprints_ = {};
   // Time since this control instance last heard from a quorum's leader.
-  const state::Millis knowledge_age_ = {};
+  const state::Millis staleness_ = {};
   const std::string leader_address_ = {};  // Empty when unknown.
   // The members of the control group, and their regions where they are known.
   const std::vector<ControlAddress> control_members_ = {};
@@ -382,7 +382,7 @@
                                  LoadNotice>;
 
 // Which role of a daemon a message is for.
-enum class Addressee {
+enum class MessageRecipient {
   kNode,       // The call path.
   kControl,    // The control service.
   kLog,        // The replicated log of the control group.
@@ -390,7 +390,7 @@
 };
 
 // Thread-safe.
-Addressee AddresseeOf(const PeerMessage& message);
+MessageRecipient RecipientOf(const PeerMessage& message);
 
 }  // namespace gooseberrygap::coordination
 
--- a/src/coordination/api/node.h
+++ b/src/coordination/api/node.h
@@ -17,7 +17,7 @@
 struct NodeStatus {
   const uint64_t configuration_index_ = 0;
   const uint64_t configuration_version_ = 0;
-  const state::Millis knowledge_age_ = {};
+  const state::Millis staleness_ = {};
   const state::TargetRecord record_ = {};
   const state::GuardLoad load_ = {};
   const size_t calls_in_progress_ = 0;
--- a/src/coordination/api/raft.h
+++ b/src/coordination/api/raft.h
@@ -225,7 +225,7 @@
   std::vector<MemberStatus> Status(state::Millis now) const;
   // Returns how long ago this member was last in contact with a leader, or as
   // the leader with a quorum.
-  state::Millis KnowledgeAge(state::Millis now) const;
+  state::Millis Staleness(state::Millis now) const;
   // Size of the log since the snapshot; tells when to make the next one.
   uint64_t EntriesSinceSnapshot() const;
   uint64_t BytesSinceSnapshot() const;
--- a/src/coordination/internal/call.h
+++ b/src/coordination/internal/call.h
@@ -64,7 +64,7 @@
 
   struct SendOptions {
     const bool may_queue_ = false;
-    const bool has_twin_ = false;
+    const bool is_hedged_ = false;
     const bool run_alone_ = false;
     const uint64_t register_attempt_ = 0;
   };
--- a/src/coordination/internal/control_client.cc
+++ b/src/coordination/internal/control_client.cc
@@ -87,7 +87,7 @@
     }
     NoteKnowledge(reply, now);
     const bool moves =
-        choice_.OnAge(reply.control_instance_, reply.knowledge_age_, now);
+        choice_.OnAge(reply.control_instance_, reply.staleness_, now);
     const bool is_current = choice_.IsCurrent(reply.control_instance_, address);
     if (is_current) {
       waiting_since_.reset();
@@ -131,7 +131,7 @@
   const state::TargetRecord& record() const { return *record_; }
   const std::string& leader_address() const { return leader_address_; }
 
-  state::Millis KnowledgeAge(state::Millis now) const {
+  state::Millis Staleness(state::Millis now) const {
     return knowledge_at_.has_value()
                ? now - *knowledge_at_
                : state::Millis(std::numeric_limits<double>::infinity());
@@ -171,8 +171,8 @@
   }
 
   void NoteKnowledge(const LeaseReply& reply, state::Millis now) {
-    const state::Millis known_at = now - reply.knowledge_age_;
-    if (reply.knowledge_age_ < kNeverHeard &&
+    const state::Millis known_at = now - reply.staleness_;
+    if (reply.staleness_ < kNeverHeard &&
         (!knowledge_at_.has_value() || known_at > *knowledge_at_)) {
       knowledge_at_ = known_at;
     }
@@ -235,15 +235,15 @@
     }
     return {SendToPeer{
         .address_ = choice_.address(),
-        .message_ =
-            LeaseRenew{.instance_ = record_->instance_,
-                       .record_ = *record_,
-                       .configuration_index_ = followed_.index_to_report(),
-                       .wants_vouched_ = followed_.configuration().index_ == 0,
-                       .membership_epoch_ = followed_.membership_epoch(),
-                       .membership_version_ = followed_.membership_version(),
-                       .services_ = options_.services_,
-                       .crashes_ = crashes}}};
+        .message_ = LeaseRenew{
+            .instance_ = record_->instance_,
+            .record_ = *record_,
+            .configuration_index_ = followed_.index_to_report(),
+            .requires_confirmed_ = followed_.configuration().index_ == 0,
+            .membership_epoch_ = followed_.membership_epoch(),
+            .membership_version_ = followed_.membership_version(),
+            .services_ = options_.services_,
+            .crashes_ = crashes}}};
   }
 
   ControlChoice choice_;
@@ -320,8 +320,8 @@
   return impl_->leader_address();
 }
 
-state::Millis ControlClient::KnowledgeAge(state::Millis now) const {
-  return impl_->KnowledgeAge(now);
+state::Millis ControlClient::Staleness(state::Millis now) const {
+  return impl_->Staleness(now);
 }
 
 const state::TargetRecord& ControlClient::record() const {
--- a/src/coordination/internal/control_service.cc
+++ b/src/coordination/internal/control_service.cc
@@ -92,7 +92,8 @@
   for (const CrashReport& crash : sync.crashes_) {
     changed = crash_history_.Add(crash, poison_policy(), now) || changed;
   }
-  changed = crash_history_.ConvictShared(poison_policy(), now) || changed;
+  changed =
+      crash_history_.ConvictSharedFingerprint(poison_policy(), now) || changed;
   for (const RefusedFingerprint& refused : sync.refused_fingerprints_) {
     changed = crash_history_.Adopt(refused, now) || changed;
   }
--- a/src/coordination/internal/control_service_impl.h
+++ b/src/coordination/internal/control_service_impl.h
@@ -44,7 +44,7 @@
     uint64_t configuration_index_ = 0;
     uint64_t membership_epoch_ = 0;
     uint64_t membership_version_ = 0;
-    bool wants_vouched_ = false;
+    bool requires_confirmed_ = false;
     // Version of the table up to which changes were pushed.
     uint64_t pushed_version_ = 0;
     state::Millis lease_until_;
@@ -130,7 +130,7 @@
   void Push(state::Millis now);
   void RequestRead(state::Millis now);
   void ReplyVouched(state::Millis now);
-  state::Millis KnowledgeAge(state::Millis now) const;
+  state::Millis Staleness(state::Millis now) const;
   // Returns the members of the group with the regions of their daemons.
   std::vector<ControlAddress> ControlMembers() const;
   state::PoisonPolicy poison_policy() const;
--- a/src/coordination/internal/control_service_leases.cc
+++ b/src/coordination/internal/control_service_leases.cc
@@ -40,7 +40,7 @@
   counters_->Add(state::Counter::kLeasesRenewed);
   Session* session = UpdateSession(connection, renew, now);
   Reply(renew.instance_, session, Vouching::kNotVouched, now);
-  if (session->wants_vouched_) {
+  if (session->requires_confirmed_) {
     vouch_waiting_.insert(renew.instance_);
     RequestRead(now);
   }
@@ -75,7 +75,7 @@
   session.configuration_index_ = renew.configuration_index_;
   session.membership_epoch_ = renew.membership_epoch_;
   session.membership_version_ = renew.membership_version_;
-  session.wants_vouched_ = renew.wants_vouched_;
+  session.requires_confirmed_ = renew.requires_confirmed_;
   session.lease_until_ = now + kLeaseTime;
   return &session;
 }
@@ -86,13 +86,14 @@
   bool is_new_crash = false;
   const size_t convictions = crash_history_.convictions();
   for (const CrashReport& crash : renew.crashes_) {
-    is_new_crash = is_new_crash || !crash_history_.Knows(crash.crash_id_);
+    is_new_crash = is_new_crash || !crash_history_.HasCrash(crash.crash_id_);
     if (crash_history_.Add(crash, poison_policy(), now)) {
       crash_news_.emplace_back(now, crash);
       changed = true;
     }
   }
-  changed = crash_history_.ConvictShared(poison_policy(), now) || changed;
+  changed =
+      crash_history_.ConvictSharedFingerprint(poison_policy(), now) || changed;
   counters_->Add(state::Counter::kFingerprintsConvicted,
                  crash_history_.convictions() - convictions);
   if (is_new_crash) {
@@ -126,7 +127,7 @@
       .granted_ = false,
       .known_incarnation_ =
           known == nullptr ? 0 : known->record_.version_.incarnation_,
-      .knowledge_age_ = KnowledgeAge(now),
+      .staleness_ = Staleness(now),
       .leader_address_ =
           status_.has_value() ? status_->leader_address_ : std::string()};
 }
@@ -139,7 +140,7 @@
   const bool vouched = vouching == Vouching::kVouched;
   const bool sends_configuration =
       current.index_ > session->configuration_index_ &&
-      (vouched || !session->wants_vouched_);
+      (vouched || !session->requires_confirmed_);
   const std::optional<state::ConfigurationDelta> delta =
       sends_configuration
           ? configurations_.DeltaFrom(session->configuration_index_)
@@ -161,7 +162,7 @@
       .known_incarnation_ = basis.known_incarnation_,
       .configuration_index_ =
           sends_configuration || vouched ? current.index_ : 0,
-      .configuration_vouched_ = vouched,
+      .configuration_confirmed_ = vouched,
       .delta_base_index_ = has_delta ? delta->base_index_ : 0,
       .removed_services_ =
           has_delta ? delta->removed_services_ : std::vector<std::string>(),
@@ -177,7 +178,7 @@
                               full)
               : std::vector<state::TargetRecord>(),
       .refused_fingerprints_ = crash_history_.Refused(poison_policy(), now),
-      .knowledge_age_ = basis.knowledge_age_,
+      .staleness_ = basis.staleness_,
       .leader_address_ = basis.leader_address_,
       .control_members_ = ControlMembers()};
 }
@@ -287,7 +288,7 @@
   return members;
 }
 
-state::Millis ControlService::Impl::KnowledgeAge(state::Millis now) const {
+state::Millis ControlService::Impl::Staleness(state::Millis now) const {
   if (LeadsWithQuorum()) {
     return state::Millis();
   }
--- a/src/coordination/internal/control_service_log.cc
+++ b/src/coordination/internal/control_service_log.cc
@@ -180,7 +180,7 @@
   if (result.index_ == entry.index_) {
     ApplyConfigurationPolicy();
     for (const auto& [instance, session] : sessions_) {
-      if (session.wants_vouched_) {
+      if (session.requires_confirmed_) {
         vouch_waiting_.insert(instance);
       }
     }
--- a/src/coordination/internal/crash_history.cc
+++ b/src/coordination/internal/crash_history.cc
@@ -41,8 +41,8 @@
   return true;
 }
 
-bool CrashHistory::ConvictShared(const state::PoisonPolicy& policy,
-                                 state::Millis now) {
+bool CrashHistory::ConvictSharedFingerprint(const state::PoisonPolicy& policy,
+                                            state::Millis now) {
   const size_t unexplained = crashes_.size() - explained_.size();
   // More crashes than it takes have another cause, such as a lost rack.
   if (unexplained != static_cast<size_t>(policy.crashes_)) {
@@ -95,7 +95,7 @@
   return changed;
 }
 
-bool CrashHistory::Knows(const std::string& crash_id) const {
+bool CrashHistory::HasCrash(const std::string& crash_id) const {
   return crashes_.contains(crash_id);
 }
 
--- a/src/coordination/internal/crash_history.h
+++ b/src/coordination/internal/crash_history.h
@@ -21,7 +21,8 @@
   // only one. Both copies of a hedged call can crash their targets at the same
   // time, so that it never runs alone. Call it after all reports of a crash.
   // Returns whether Refused() has changed.
-  bool ConvictShared(const state::PoisonPolicy& policy, state::Millis now);
+  bool ConvictSharedFingerprint(const state::PoisonPolicy& policy,
+                                state::Millis now);
   // Takes over a conviction of another control instance. Returns whether
   // Refused() has changed.
   bool Adopt(const RefusedFingerprint& refused, state::Millis now);
@@ -30,7 +31,7 @@
   bool Tick(const state::PoisonPolicy& policy, state::Millis now);
 
   // Whether a report of that crash was recorded.
-  bool Knows(const std::string& crash_id) const;
+  bool HasCrash(const std::string& crash_id) const;
   // Returns suspects and convicted fingerprints with the time left.
   std::vector<RefusedFingerprint> Refused(const state::PoisonPolicy& policy,
                                           state::Millis now) const;
--- a/src/coordination/internal/decision_log.cc
+++ b/src/coordination/internal/decision_log.cc
@@ -83,7 +83,7 @@
       {"status", int64_t{answer.answer_.status_}},
       {"target", answer.target_},
       {"configuration", static_cast<int64_t>(known.configuration_index_)},
-      {"knowledge_age_ms", known.knowledge_age_.value()}};
+      {"knowledge_age_ms", known.staleness_.value()}};
   if (answer.latency_.has_value()) {
     fields.push_back({"latency_ms", answer.latency_->value()});
   }
--- a/src/coordination/internal/decision_log.h
+++ b/src/coordination/internal/decision_log.h
@@ -20,7 +20,7 @@
 // What a daemon knew when a call ended.
 struct KnownState {
   const uint64_t configuration_index_ = 0;
-  const state::Millis knowledge_age_ = {};
+  const state::Millis staleness_ = {};
 };
 
 // A call has its answer.
--- a/src/coordination/internal/early_calls.h
+++ b/src/coordination/internal/early_calls.h
@@ -14,7 +14,7 @@
 class EarlyCalls {
  public:
   // Returns whether the call was kept.
-  bool Keep(const CallArrived& call, state::Millis now) {
+  bool Keep(const CallReceived& call, state::Millis now) {
     if (released_ || kept_.size() >= kMaxKept) {
       return false;
     }
@@ -24,11 +24,11 @@
 
   // Returns the kept calls, with less time left, once the daemon knows enough
   // or has run for long enough. No call is kept after that.
-  std::deque<CallArrived> Release(bool knows_enough, state::Millis now) {
+  std::deque<CallReceived> Release(bool knows_enough, state::Millis now) {
     if (!started_at_.has_value()) {
       started_at_ = now;
     }
-    std::deque<CallArrived> calls;
+    std::deque<CallReceived> calls;
     released_ = released_ || knows_enough || now - *started_at_ >= kMaxWait;
     if (!released_) {
       return calls;
@@ -39,12 +39,12 @@
         left.emplace(*kept.call_.deadline_left_ - (now - kept.at_));
       }
       calls.push_back(
-          CallArrived{.call_id_ = kept.call_.call_id_,
-                      .service_ = kept.call_.service_,
-                      .request_ = kept.call_.request_,
-                      .idempotency_key_ = kept.call_.idempotency_key_,
-                      .deadline_left_ = left,
-                      .depth_ = kept.call_.depth_});
+          CallReceived{.call_id_ = kept.call_.call_id_,
+                       .service_ = kept.call_.service_,
+                       .request_ = kept.call_.request_,
+                       .idempotency_key_ = kept.call_.idempotency_key_,
+                       .deadline_left_ = left,
+                       .depth_ = kept.call_.depth_});
     }
     kept_.clear();
     return calls;
@@ -65,7 +65,7 @@
 
  private:
   struct Kept {
-    const CallArrived call_ = {};
+    const CallReceived call_ = {};
     const state::Millis at_ = {};
   };
 
--- a/src/coordination/internal/followed_state.cc
+++ b/src/coordination/internal/followed_state.cc
@@ -61,7 +61,7 @@
   }
   // The first one could be older than what this daemon applied before its
   // restart, unless a quorum vouches for it.
-  if (current.index_ == 0 && !reply.configuration_vouched_) {
+  if (current.index_ == 0 && !reply.configuration_confirmed_) {
     return false;
   }
   if (reply.delta_base_index_ != 0 &&
--- a/src/coordination/internal/group_membership.cc
+++ b/src/coordination/internal/group_membership.cc
@@ -72,7 +72,7 @@
                   [&view](const MemberStatus& status) {
                     return status.member_.identity_ == view.self_.identity_;
                   });
-  if ((is_member && view.knowledge_age_ < kLostContact) || now < ask_at_) {
+  if ((is_member && view.staleness_ < kLostContact) || now < ask_at_) {
     return {};
   }
   ask_at_ = now + kAskEvery;
--- a/src/coordination/internal/guard_delivery.cc
+++ b/src/coordination/internal/guard_delivery.cc
@@ -43,7 +43,7 @@
       commands =
           OnNotDelivered(running, RefusalReason::kInternalQueueFull, now);
       break;
-    case DeliveryEnd::kCut:
+    case DeliveryEnd::kIncompleteAnswer:
       crash_detector_.OnCut(running.work_.attempt_.digest_, in_flight,
                             running.started_, now);
       commands = OnUnanswered(running, RefusalReason::kTargetCrashed, now);
@@ -143,14 +143,14 @@
   const GuardWork& work = running.work_;
   const bool is_action =
       work.attempt_.request_class_ == state::RequestClass::kAction;
-  ReplyToPeer reply =
-      Reply(work.connection_,
-            AttemptAnswer{.request_id_ = work.attempt_.request_id_,
-                          .attempt_ = work.attempt_.attempt_,
-                          .result_ = is_action ? AttemptResult::kUnknown
-                                               : AttemptResult::kCut,
-                          .refusal_ = reason,
-                          .guard_time_ = now - work.arrival_});
+  ReplyToPeer reply = Reply(
+      work.connection_,
+      AttemptAnswer{.request_id_ = work.attempt_.request_id_,
+                    .attempt_ = work.attempt_.attempt_,
+                    .result_ = is_action ? AttemptResult::kUnknown
+                                         : AttemptResult::kIncompleteAnswer,
+                    .refusal_ = reason,
+                    .guard_time_ = now - work.arrival_});
   if (reason != RefusalReason::kTargetCrashed) {
     return {std::move(reply)};
   }
--- a/src/coordination/internal/guard_target.cc
+++ b/src/coordination/internal/guard_target.cc
@@ -79,7 +79,7 @@
                                      .state_ = target_state,
                                      .incarnation_ = old.incarnation_,
                                      .sequence_ = old.sequence_,
-                                     .cold_left_ = old.cold_left_});
+                                     .warmup_left_ = old.warmup_left_});
 }
 
 void GuardTarget::Drain() {
--- a/src/coordination/internal/ingress.cc
+++ b/src/coordination/internal/ingress.cc
@@ -49,7 +49,7 @@
 
   void SetActionsAllowed(bool allowed) { actions_allowed_ = allowed; }
 
-  Commands OnCall(const CallArrived& arrived, state::Millis now) {
+  Commands OnCall(const CallReceived& arrived, state::Millis now) {
     counters_->Add(state::Counter::kCallsReceived);
     const std::string request_id =
         absl::StrCat(request_id_prefix_, "-", next_request_++);
@@ -119,8 +119,8 @@
     return is_action ? actions_.OnCall(call, now) : lookups_.OnCall(call, now);
   }
 
-  Commands OnCallerLeft(uint64_t call_id, state::Millis now) {
-    return lookups_.OnCallerLeft(call_id, now);
+  Commands OnCallerDisconnected(uint64_t call_id, state::Millis now) {
+    return lookups_.OnCallerDisconnected(call_id, now);
   }
 
   Commands OnAnswer(const AttemptAnswer& answer, state::Millis now) {
@@ -165,7 +165,7 @@
   size_t calls_in_progress() const { return lookups_.size() + actions_.size(); }
 
  private:
-  static Commands Refuse(const CallArrived& arrived,
+  static Commands Refuse(const CallReceived& arrived,
                          const std::string& request_id,
                          RefusalReason reason) {
     return {AnswerCall{.call_id_ = arrived.call_id_,
@@ -177,7 +177,7 @@
   }
 
   // Precondition: there is a configuration.
-  Commands OnRoutedCall(const CallArrived& arrived,
+  Commands OnRoutedCall(const CallReceived& arrived,
                         const std::string& request_id,
                         state::Millis now) {
     const auto configuration = configuration_->configuration_;
@@ -267,12 +267,12 @@
   impl_->SetActionsAllowed(allowed);
 }
 
-Commands Ingress::OnCall(const CallArrived& call, state::Millis now) {
+Commands Ingress::OnCall(const CallReceived& call, state::Millis now) {
   return impl_->OnCall(call, now);
 }
 
-Commands Ingress::OnCallerLeft(uint64_t call_id, state::Millis now) {
-  return impl_->OnCallerLeft(call_id, now);
+Commands Ingress::OnCallerDisconnected(uint64_t call_id, state::Millis now) {
+  return impl_->OnCallerDisconnected(call_id, now);
 }
 
 Commands Ingress::OnAnswer(const AttemptAnswer& answer, state::Millis now) {
--- a/src/coordination/internal/lookup_calls.cc
+++ b/src/coordination/internal/lookup_calls.cc
@@ -60,7 +60,7 @@
       *next.target_,
       AttemptSet::SendOptions{
           .may_queue_ = may_queue,
-          .has_twin_ = !attempts.open().empty(),
+          .is_hedged_ = !attempts.open().empty(),
           .run_alone_ = lookup->call_.is_suspect_ || lookup->crashes_ > 0},
       now)};
 }
@@ -180,7 +180,8 @@
   return commands;
 }
 
-Commands LookupCalls::OnCallerLeft(uint64_t call_id, state::Millis now) {
+Commands LookupCalls::OnCallerDisconnected(uint64_t call_id,
+                                           state::Millis now) {
   const auto entry = request_by_call_.find(call_id);
   if (entry == request_by_call_.end()) {
     return {};
--- a/src/coordination/internal/lookup_calls.h
+++ b/src/coordination/internal/lookup_calls.h
@@ -22,7 +22,7 @@
   std::optional<Commands> OnAnswer(const AttemptAnswer& answer,
                                    state::Millis now);
   // Drops the lookup of this call, if there is one, and cancels its attempts.
-  Commands OnCallerLeft(uint64_t call_id, state::Millis now);
+  Commands OnCallerDisconnected(uint64_t call_id, state::Millis now);
   Commands OnTargetSlow(const std::string& target, state::Millis now);
   Commands OnLinkLost(const std::string& address, state::Millis now);
   Commands Tick(state::Millis now);
--- a/src/coordination/internal/messages.cc
+++ b/src/coordination/internal/messages.cc
@@ -6,55 +6,55 @@
 
 // One overload for each message that is not for the call path.
 template <class CallPathMessage>
-constexpr Addressee Of(const CallPathMessage&) {
-  return Addressee::kNode;
+constexpr MessageRecipient Of(const CallPathMessage&) {
+  return MessageRecipient::kNode;
 }
-constexpr Addressee Of(const LeaseRenew&) {
-  return Addressee::kControl;
+constexpr MessageRecipient Of(const LeaseRenew&) {
+  return MessageRecipient::kControl;
 }
-constexpr Addressee Of(const RegisterCall&) {
-  return Addressee::kControl;
+constexpr MessageRecipient Of(const RegisterCall&) {
+  return MessageRecipient::kControl;
 }
-constexpr Addressee Of(const MembershipSync&) {
-  return Addressee::kControl;
+constexpr MessageRecipient Of(const MembershipSync&) {
+  return MessageRecipient::kControl;
 }
-constexpr Addressee Of(const MembershipSyncAck&) {
-  return Addressee::kControl;
+constexpr MessageRecipient Of(const MembershipSyncAck&) {
+  return MessageRecipient::kControl;
 }
-constexpr Addressee Of(const ConfigSubmit&) {
-  return Addressee::kControl;
+constexpr MessageRecipient Of(const ConfigSubmit&) {
+  return MessageRecipient::kControl;
 }
-constexpr Addressee Of(const JoinRequest&) {
-  return Addressee::kControl;
+constexpr MessageRecipient Of(const JoinRequest&) {
+  return MessageRecipient::kControl;
 }
-constexpr Addressee Of(const VoteRequest&) {
-  return Addressee::kLog;
+constexpr MessageRecipient Of(const VoteRequest&) {
+  return MessageRecipient::kLog;
 }
-constexpr Addressee Of(const VoteReply&) {
-  return Addressee::kLog;
+constexpr MessageRecipient Of(const VoteReply&) {
+  return MessageRecipient::kLog;
 }
-constexpr Addressee Of(const AppendRequest&) {
-  return Addressee::kLog;
+constexpr MessageRecipient Of(const AppendRequest&) {
+  return MessageRecipient::kLog;
 }
-constexpr Addressee Of(const AppendReply&) {
-  return Addressee::kLog;
+constexpr MessageRecipient Of(const AppendReply&) {
+  return MessageRecipient::kLog;
 }
-constexpr Addressee Of(const InstallSnapshot&) {
-  return Addressee::kLog;
+constexpr MessageRecipient Of(const InstallSnapshot&) {
+  return MessageRecipient::kLog;
 }
-constexpr Addressee Of(const ReadIndexRequest&) {
-  return Addressee::kLog;
+constexpr MessageRecipient Of(const ReadIndexRequest&) {
+  return MessageRecipient::kLog;
 }
-constexpr Addressee Of(const ReadIndexReply&) {
-  return Addressee::kLog;
+constexpr MessageRecipient Of(const ReadIndexReply&) {
+  return MessageRecipient::kLog;
 }
-constexpr Addressee Of(const ConfigSubmitReply&) {
-  return Addressee::kOperators;
+constexpr MessageRecipient Of(const ConfigSubmitReply&) {
+  return MessageRecipient::kOperators;
 }
 
 }  // namespace
 
-Addressee AddresseeOf(const PeerMessage& message) {
+MessageRecipient RecipientOf(const PeerMessage& message) {
   return std::visit([](const auto& concrete) { return Of(concrete); }, message);
 }
 
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -87,7 +87,7 @@
         .configuration_version_ = indexed.configuration_ == nullptr
                                       ? 0
                                       : indexed.configuration_->version_,
-        .knowledge_age_ = control_client_.KnowledgeAge(now),
+        .staleness_ = control_client_.Staleness(now),
         .record_ = control_client_.record(),
         .load_ = guard_.Load(),
         .calls_in_progress_ =
@@ -109,7 +109,7 @@
   }
 
  private:
-  Commands On(const CallArrived& call, state::Millis now) {
+  Commands On(const CallReceived& call, state::Millis now) {
     // A routed call is refused at once: its caller comes back when told to.
     const bool is_routed = call.service_.empty();
     return !is_routed && early_calls_.Keep(call, now)
@@ -117,12 +117,12 @@
                : ingress_.OnCall(call, now);
   }
 
-  Commands On(const CallerLeft& left, state::Millis now) {
+  Commands On(const CallerDisconnected& left, state::Millis now) {
     early_calls_.Drop(left.call_id_);
-    return ingress_.OnCallerLeft(left.call_id_, now);
+    return ingress_.OnCallerDisconnected(left.call_id_, now);
   }
 
-  Commands On(const PeerMessageArrived& arrived, state::Millis now) {
+  Commands On(const PeerMessageReceived& arrived, state::Millis now) {
     if (!arrived.address_.empty()) {
       link_monitor_.OnReceived(arrived.address_, now);
     }
@@ -155,9 +155,9 @@
 
   Commands On(const Ticked&, state::Millis now) {
     Commands commands = Apply(control_client_.Tick(now), now);
-    ingress_.SetActionsAllowed(control_client_.KnowledgeAge(now) <=
+    ingress_.SetActionsAllowed(control_client_.Staleness(now) <=
                                kMaxKnowledgeAge);
-    for (const CallArrived& call :
+    for (const CallReceived& call :
          early_calls_.Release(KnowsEnough(now), now)) {
       Append(&commands, ingress_.OnCall(call, now));
     }
@@ -181,23 +181,23 @@
   bool KnowsEnough(state::Millis now) const {
     return control_client_.configuration().index_ > 0 &&
            control_client_.knows_membership() &&
-           control_client_.KnowledgeAge(now) <= kMaxKnowledgeAge;
+           control_client_.Staleness(now) <= kMaxKnowledgeAge;
   }
 
   Commands OnMessage(const Attempt& attempt,
-                     const PeerMessageArrived& arrived,
+                     const PeerMessageReceived& arrived,
                      state::Millis now) {
     return guard_.OnAttempt(arrived.connection_, attempt, now);
   }
 
   Commands OnMessage(const Cancel& cancel,
-                     const PeerMessageArrived&,
+                     const PeerMessageReceived&,
                      state::Millis now) {
     return guard_.OnCancel(cancel, now);
   }
 
   Commands OnMessage(const Probe& probe,
-                     const PeerMessageArrived& arrived,
+                     const PeerMessageReceived& arrived,
                      state::Millis) {
     return {
         ReplyToPeer{.connection_ = arrived.connection_,
@@ -207,20 +207,20 @@
   }
 
   Commands OnMessage(const AttemptAnswer& answer,
-                     const PeerMessageArrived&,
+                     const PeerMessageReceived&,
                      state::Millis now) {
     return ingress_.OnAnswer(answer, now);
   }
 
   Commands OnMessage(const ProbeReply& reply,
-                     const PeerMessageArrived&,
+                     const PeerMessageReceived&,
                      state::Millis now) {
     router_.OnLoad(reply.target_, reply.load_, now);
     return {};
   }
 
   Commands OnMessage(const LoadNotice& notice,
-                     const PeerMessageArrived&,
+                     const PeerMessageReceived&,
                      state::Millis now) {
     router_.OnLoad(notice.target_, notice.load_, now);
     return IsSlowPace(notice.load_.pace_)
@@ -229,7 +229,7 @@
   }
 
   Commands OnMessage(const LeaseReply& reply,
-                     const PeerMessageArrived& arrived,
+                     const PeerMessageReceived& arrived,
                      state::Millis now) {
     Commands commands =
         Apply(control_client_.OnReply(arrived.address_, reply, now), now);
@@ -240,14 +240,14 @@
   }
 
   Commands OnMessage(const RegisterReply& reply,
-                     const PeerMessageArrived&,
+                     const PeerMessageReceived&,
                      state::Millis now) {
     return Apply(register_client_.OnReply(reply, now), now);
   }
 
   // Messages for the control role do not come here.
   template <class Other>
-  Commands OnMessage(const Other&, const PeerMessageArrived&, state::Millis) {
+  Commands OnMessage(const Other&, const PeerMessageReceived&, state::Millis) {
     return {};
   }
 
@@ -314,16 +314,16 @@
             .event_ = CallAnsweredLine(answer->answer_, CurrentState(now))});
       }
       LogAttempt(command, now, &remaining);
-      const PeerMessageArrived* local = nullptr;
-      std::optional<PeerMessageArrived> arrived;
+      const PeerMessageReceived* local = nullptr;
+      std::optional<PeerMessageReceived> arrived;
       if (const auto* reply = std::get_if<ReplyToPeer>(&command)) {
         if (reply->connection_.empty()) {
-          arrived.emplace(PeerMessageArrived{.message_ = reply->message_});
+          arrived.emplace(PeerMessageReceived{.message_ = reply->message_});
           local = &*arrived;
         }
       } else if (const auto* send = std::get_if<SendToPeer>(&command)) {
         if (send->address_ == self_.guard_address_ && IsForNode(*send)) {
-          arrived.emplace(PeerMessageArrived{.message_ = send->message_});
+          arrived.emplace(PeerMessageReceived{.message_ = send->message_});
           local = &*arrived;
         } else {
           RecordSent(*send, now);
@@ -343,7 +343,7 @@
   KnownState CurrentState(state::Millis now) const {
     return KnownState{
         .configuration_index_ = control_client_.configuration().index_,
-        .knowledge_age_ = control_client_.KnowledgeAge(now)};
+        .staleness_ = control_client_.Staleness(now)};
   }
 
   void LogAttempt(const Command& command,
--- a/src/coordination/internal/raft.cc
+++ b/src/coordination/internal/raft.cc
@@ -204,7 +204,7 @@
   return status;
 }
 
-state::Millis Raft::Impl::KnowledgeAge(state::Millis now) const {
+state::Millis Raft::Impl::Staleness(state::Millis now) const {
   if (role_ == RaftRole::kLeader) {
     return now - QuorumValue(now, &RaftProgress::last_heard);
   }
@@ -263,8 +263,8 @@
   return impl_->Status(now);
 }
 
-state::Millis Raft::KnowledgeAge(state::Millis now) const {
-  return impl_->KnowledgeAge(now);
+state::Millis Raft::Staleness(state::Millis now) const {
+  return impl_->Staleness(now);
 }
 
 uint64_t Raft::EntriesSinceSnapshot() const {
--- a/src/coordination/internal/raft_election.cc
+++ b/src/coordination/internal/raft_election.cc
@@ -22,7 +22,7 @@
 
 void Raft::Impl::BecomeFollower(uint64_t term, const std::string& leader) {
   if (role_ == RaftRole::kLeader) {
-    contact_ = now_ - KnowledgeAge(now_);
+    contact_ = now_ - Staleness(now_);
     had_contact_ = true;
     AnswerLeaderReads(reads_.TakeAll(), false);
     progress_.clear();
--- a/src/coordination/internal/raft_impl.h
+++ b/src/coordination/internal/raft_impl.h
@@ -49,7 +49,7 @@
   uint64_t commit_index() const { return commit_; }
   const RaftLog& log() const { return log_; }
   std::vector<MemberStatus> Status(state::Millis now) const;
-  state::Millis KnowledgeAge(state::Millis now) const;
+  state::Millis Staleness(state::Millis now) const;
 
  private:
   using EventHandler = void (Impl::*)(const RaftEvent&);
--- a/src/coordination/internal/raft_leader.cc
+++ b/src/coordination/internal/raft_leader.cc
@@ -33,7 +33,7 @@
 
 void Raft::Impl::TickLeader() {
   // A leader that is cut off would go on to take proposals that never end.
-  if (KnowledgeAge(now_) > options_.election_min_) {
+  if (Staleness(now_) > options_.election_min_) {
     BecomeFollower(term_, "");
     return;
   }
--- a/src/coordination/tests/control_client_test.cc
+++ b/src/coordination/tests/control_client_test.cc
@@ -76,7 +76,7 @@
   return LeaseReply{
       .granted_ = true,
       .configuration_index_ = index,
-      .configuration_vouched_ = vouched,
+      .configuration_confirmed_ = vouched,
       .delta_base_index_ = delta_base,
       .configuration_ = std::make_shared<const state::Configuration>(
           state::Configuration{.version_ = index, .services_ = list})};
@@ -100,7 +100,7 @@
   Daemon daemon;
   CHECK_FALSE(daemon.Reply(WithConfiguration(4, false, {"old"}))
                   .configuration_changed_);
-  CHECK(daemon.Run(1000).at(0).renew_.wants_vouched_);
+  CHECK(daemon.Run(1000).at(0).renew_.requires_confirmed_);
   CHECK(daemon.Reply(WithConfiguration(7, true, {"a", "b"}))
             .configuration_changed_);
   CHECK_FALSE(
@@ -176,7 +176,7 @@
         address,
         LeaseReply{.control_instance_ = daemon.Name(address),
                    .granted_ = address == daemon.current_,
-                   .knowledge_age_ = Millis(age)},
+                   .staleness_ = Millis(age)},
         daemon.now_);
   };
   const state::LeaseVersion before = daemon.client_.record().version_;
@@ -200,7 +200,7 @@
   REQUIRE(moved.size() == 1);
   CHECK(moved[0].address_ == other);
   CHECK(moved[0].renew_.record_.version_ > before);
-  CHECK(daemon.client_.KnowledgeAge(daemon.now_) == Millis(100));
+  CHECK(daemon.client_.Staleness(daemon.now_) == Millis(100));
 }
 
 // Guards against a restarted daemon whose clock went back and which is never
@@ -290,7 +290,7 @@
         address,
         LeaseReply{.control_instance_ = daemon.Name(address),
                    .granted_ = true,
-                   .knowledge_age_ = Millis(age)},
+                   .staleness_ = Millis(age)},
         daemon.now_);
   };
   const std::string cut_off = daemon.current_;
--- a/src/coordination/tests/control_service_test.cc
+++ b/src/coordination/tests/control_service_test.cc
@@ -97,7 +97,7 @@
   return LeaseRenew{
       .instance_ = instance,
       .record_ = state::TargetRecord{.instance_ = instance, .version_ = {1, 1}},
-      .wants_vouched_ = true,
+      .requires_confirmed_ = true,
       .services_ = {"*"}};
 }
 
@@ -246,7 +246,7 @@
   const auto vouched = MessagesOf<LeaseReply>(
       control.Commit(control.Message(Submit(2, "s2", "b"))));
   REQUIRE(vouched.size() == 1);
-  CHECK(vouched[0].configuration_vouched_);
+  CHECK(vouched[0].configuration_confirmed_);
   CHECK(vouched[0].configuration_index_ == 2);
 
   // Not confirmed: nothing is vouched, and the read is tried again.
--- a/src/coordination/tests/crash_history_test.cc
+++ b/src/coordination/tests/crash_history_test.cc
@@ -20,7 +20,7 @@
                              .alone_ = fingerprints.size() == 1},
                  kPolicy, now);
   }
-  history->ConvictShared(kPolicy, now);
+  history->ConvictSharedFingerprint(kPolicy, now);
 }
 
 std::vector<std::string> ConvictedBy(const CrashHistory& history, Millis now) {
--- a/src/coordination/tests/node_test.cc
+++ b/src/coordination/tests/node_test.cc
@@ -32,7 +32,7 @@
 
   Commands Lease(uint64_t known_incarnation) {
     return node_.Handle(
-        PeerMessageArrived{
+        PeerMessageReceived{
             .address_ = kControl,
             .message_ =
                 LeaseReply{
@@ -40,7 +40,7 @@
                     .granted_ = true,
                     .known_incarnation_ = known_incarnation,
                     .configuration_index_ = 1,
-                    .configuration_vouched_ = true,
+                    .configuration_confirmed_ = true,
                     .configuration_ =
                         std::make_shared<const state::Configuration>(
                             state::Configuration{
@@ -82,7 +82,7 @@
   test.Lease(9);
   REQUIRE(test.node_.Status(Millis(1)).record_.version_.incarnation_ == 10);
   const RegisterCall call = RegisterCallOf(test.node_.Handle(
-      PeerMessageArrived{
+      PeerMessageReceived{
           .connection_ = "ingress",
           .message_ = Attempt{.request_id_ = "r",
                               .attempt_ = 1,
@@ -105,15 +105,15 @@
   test.Lease(5);
   test.node_.Handle(Ticked{}, Millis(2));
   const RegisterCall call = RegisterCallOf(test.node_.Handle(
-      CallArrived{.call_id_ = 3,
-                  .service_ = "s",
-                  .request_ = {.method_ = "POST", .path_ = "/certify"},
-                  .idempotency_key_ = "k"},
+      CallReceived{.call_id_ = 3,
+                   .service_ = "s",
+                   .request_ = {.method_ = "POST", .path_ = "/certify"},
+                   .idempotency_key_ = "k"},
       Millis(2)));
   REQUIRE(call.call_id_ != 0);
   REQUIRE(call.command_.operation_ == state::RegisterOperation::kBegin);
   const Commands commands = test.node_.Handle(
-      PeerMessageArrived{
+      PeerMessageReceived{
           .address_ = kControl,
           .message_ =
               RegisterReply{
--- a/src/coordination/tests/routed_calls_test.cc
+++ b/src/coordination/tests/routed_calls_test.cc
@@ -45,10 +45,10 @@
                 const std::string& path,
                 Millis deadline = Millis(2000)) {
     return ingress_.OnCall(
-        CallArrived{.call_id_ = id,
-                    .host_ = "h",
-                    .request_ = {.method_ = "GET", .path_ = path},
-                    .deadline_left_ = deadline},
+        CallReceived{.call_id_ = id,
+                     .host_ = "h",
+                     .request_ = {.method_ = "GET", .path_ = path},
+                     .deadline_left_ = deadline},
         now_);
   }
 
@@ -184,10 +184,10 @@
                              state::RefusalReason::kOverloaded))
           .at(0);
   const Attempt third =
-      AttemptsOf(test.Answer(second, AttemptResult::kCut,
+      AttemptsOf(test.Answer(second, AttemptResult::kIncompleteAnswer,
                              state::RefusalReason::kTargetTimeout))
           .at(0);
-  CHECK(AttemptsOf(test.Answer(third, AttemptResult::kCut,
+  CHECK(AttemptsOf(test.Answer(third, AttemptResult::kIncompleteAnswer,
                                state::RefusalReason::kTargetTimeout))
             .empty());
 }
@@ -214,13 +214,13 @@
 TEST_CASE("a caller that leaves cancels its attempts", "[path]") {
   TestIngress test;
   const Attempt attempt = AttemptsOf(test.Call(1, "/read/x")).at(0);
-  const Commands commands = test.ingress_.OnCallerLeft(1, test.now_);
+  const Commands commands = test.ingress_.OnCallerDisconnected(1, test.now_);
   REQUIRE(commands.size() == 1);
   const auto& cancel =
       std::get<Cancel>(std::get<SendToPeer>(commands[0]).message_);
   CHECK(cancel.request_id_ == attempt.request_id_);
   CHECK(test.ingress_.calls_in_progress() == 0);
-  CHECK(test.ingress_.OnCallerLeft(1, test.now_).empty());
+  CHECK(test.ingress_.OnCallerDisconnected(1, test.now_).empty());
 }
 
 // Guards against callers that come back at once to a daemon that has just
@@ -232,7 +232,7 @@
   RegisterClient register_client({"control"}, &counters);
   Ingress ingress("g-1", &router, &register_client, &counters);
   const Commands commands = ingress.OnCall(
-      CallArrived{.call_id_ = 1, .host_ = "h", .request_ = {.path_ = "/"}},
+      CallReceived{.call_id_ = 1, .host_ = "h", .request_ = {.path_ = "/"}},
       Millis(0));
   REQUIRE(AnswerOf(commands) != nullptr);
   CHECK(AnswerOf(commands)->reason_ == state::RefusalReason::kNoConfiguration);
--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -232,8 +232,8 @@
   }
   const std::string& connection =
       arrival.connection_.empty() ? arrival.address_ : arrival.connection_;
-  if (coordination::AddresseeOf(arrival.message_) ==
-      coordination::Addressee::kLog) {
+  if (coordination::RecipientOf(arrival.message_) ==
+      coordination::MessageRecipient::kLog) {
     raft_events->emplace_back(coordination::RaftMessageReceived{
         .connection_ = connection, .message_ = arrival.message_});
     return;
@@ -354,7 +354,7 @@
       .formed_ = raft_.last_index() > 0,
       .leads_ = raft_.role() == coordination::RaftRole::kLeader,
       .leader_address_ = raft_.leader_address(),
-      .knowledge_age_ = raft_.KnowledgeAge(now),
+      .staleness_ = raft_.Staleness(now),
       .last_index_ = raft_.last_index(),
       .members_ = raft_.Status(now)};
 }
@@ -406,7 +406,7 @@
 
 coordination::LogStatus ControlDuty::CurrentLogStatus(state::Millis now) const {
   const bool leads = raft_.role() == coordination::RaftRole::kLeader;
-  const state::Millis age = raft_.KnowledgeAge(now);
+  const state::Millis age = raft_.Staleness(now);
   std::optional<state::Millis> heard;
   if (std::isfinite(age.value())) {
     heard.emplace(now - age);
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -242,20 +242,20 @@
 }
 
 void Daemon::OnPeerArrival(transport::PeerArrival arrival) {
-  switch (coordination::AddresseeOf(arrival.message_)) {
-    case coordination::Addressee::kOperators:
+  switch (coordination::RecipientOf(arrival.message_)) {
+    case coordination::MessageRecipient::kOperators:
       // The control service relays submissions, so a control instance may wait
       // for this reply instead of an operator here.
       gateway_->OnReply(
           std::get<coordination::ConfigSubmitReply>(arrival.message_));
       return;
-    case coordination::Addressee::kControl:
-    case coordination::Addressee::kLog:
+    case coordination::MessageRecipient::kControl:
+    case coordination::MessageRecipient::kLog:
       if (control_ != nullptr && !control_->Post(std::move(arrival))) {
         counters_.Add(state::RefusalReason::kInternalQueueFull);
       }
       return;
-    case coordination::Addressee::kNode:
+    case coordination::MessageRecipient::kNode:
       PostToNode(arrival);
       return;
   }
@@ -263,9 +263,9 @@
 
 void Daemon::PostToNode(const transport::PeerArrival& arrival) {
   const bool accepted = node_->Post(
-      coordination::PeerMessageArrived{.connection_ = arrival.connection_,
-                                       .address_ = arrival.address_,
-                                       .message_ = arrival.message_});
+      coordination::PeerMessageReceived{.connection_ = arrival.connection_,
+                                        .address_ = arrival.address_,
+                                        .message_ = arrival.message_});
   if (!accepted) {
     RefuseArrival(arrival);
   }
--- a/src/daemon/event_front.cc
+++ b/src/daemon/event_front.cc
@@ -65,8 +65,9 @@
              (dialect_->*read)(arrival.request_));
 }
 
-void EventFront::OnCallerLeft(uint64_t request_id) {
-  node_->Post(coordination::CallerLeft{.call_id_ = request_id | kCallBit});
+void EventFront::OnCallerDisconnected(uint64_t request_id) {
+  node_->Post(
+      coordination::CallerDisconnected{.call_id_ = request_id | kCallBit});
 }
 
 void EventFront::OnAnswer(uint64_t call_id,
@@ -84,12 +85,12 @@
 
 void EventFront::Handle(uint64_t id, const protocol::CallRequest& request) {
   const bool accepted = node_->Post(
-      coordination::CallArrived{.call_id_ = id | kCallBit,
-                                .host_ = request.host_,
-                                .request_ = request.request_,
-                                .deadline_left_ = request.deadline_left_,
-                                .origin_service_ = service_,
-                                .caller_id_ = request.caller_id_});
+      coordination::CallReceived{.call_id_ = id | kCallBit,
+                                 .host_ = request.host_,
+                                 .request_ = request.request_,
+                                 .deadline_left_ = request.deadline_left_,
+                                 .origin_service_ = service_,
+                                 .caller_id_ = request.caller_id_});
   if (!accepted) {
     counters_->Add(state::RefusalReason::kInternalQueueFull);
     server_->Answer(id,
--- a/src/daemon/event_front.h
+++ b/src/daemon/event_front.h
@@ -35,7 +35,7 @@
   void StopGracefully();
 
   void OnRequest(const transport::CallServer::Arrival& arrival) override;
-  void OnCallerLeft(uint64_t request_id) override;
+  void OnCallerDisconnected(uint64_t request_id) override;
   void OnAnswer(uint64_t call_id,
                 const coordination::CallAnswer& answer) override;
   void OnConfiguration(
--- a/src/daemon/http_front.cc
+++ b/src/daemon/http_front.cc
@@ -205,7 +205,7 @@
     counters_->Add(RefusalReason::kBadRequest);
     return ToHttp(CallAnswer{.reason_ = RefusalReason::kBadRequest});
   }
-  const bool accepted = node_->Post(coordination::CallArrived{
+  const bool accepted = node_->Post(coordination::CallReceived{
       .call_id_ = opened.id_,
       .service_ = std::string(path.substr(0, service_end)),
       .request_ = HttpRequest{.method_ = request.method_,
--- a/src/daemon/node_duty.cc
+++ b/src/daemon/node_duty.cc
@@ -167,7 +167,7 @@
   // The ingress learns at once that its attempt was not sent.
   const auto* attempt = std::get_if<coordination::Attempt>(&command.message_);
   if (attempt != nullptr) {
-    follow_ups_.emplace_back(coordination::PeerMessageArrived{
+    follow_ups_.emplace_back(coordination::PeerMessageReceived{
         .message_ = coordination::AttemptAnswer{
             .request_id_ = attempt->request_id_,
             .attempt_ = attempt->attempt_,
--- a/src/protocol/internal/node_json.cc
+++ b/src/protocol/internal/node_json.cc
@@ -98,7 +98,7 @@
 std::string PrintNodeStatus(const coordination::NodeStatus& status) {
   return json{{"configuration_index", status.configuration_index_},
               {"configuration_version", status.configuration_version_},
-              {"knowledge_age_ms", status.knowledge_age_.value()},
+              {"knowledge_age_ms", status.staleness_.value()},
               {"target", TargetToJson(status.record_)},
               {"in_flight", status.load_.in_flight_},
               {"queued", status.load_.queued_},
--- a/src/protocol/internal/peer_codec.cc
+++ b/src/protocol/internal/peer_codec.cc
@@ -86,7 +86,7 @@
     out->set_request_class(static_cast<uint32_t>(message.request_class_));
     out->set_configuration_index(message.configuration_index_);
     out->set_may_queue(message.may_queue_);
-    out->set_has_twin(message.has_twin_);
+    out->set_has_twin(message.is_hedged_);
     out->set_cross_region(message.cross_region_);
     out->set_run_alone(message.run_alone_);
     out->set_key(message.key_);
@@ -130,7 +130,7 @@
     out->set_instance(message.instance_);
     ToWire(message.record_, out->mutable_record());
     out->set_configuration_index(message.configuration_index_);
-    out->set_wants_vouched(message.wants_vouched_);
+    out->set_wants_vouched(message.requires_confirmed_);
     out->set_membership_epoch(message.membership_epoch_);
     out->set_membership_version(message.membership_version_);
     for (const std::string& service : message.services_) {
@@ -146,7 +146,7 @@
     out->set_granted(message.granted_);
     out->set_known_incarnation(message.known_incarnation_);
     out->set_configuration_index(message.configuration_index_);
-    out->set_configuration_vouched(message.configuration_vouched_);
+    out->set_configuration_vouched(message.configuration_confirmed_);
     out->set_delta_base_index(message.delta_base_index_);
     for (const std::string& service : message.removed_services_) {
       out->add_removed_services(service);
@@ -163,7 +163,7 @@
     for (const auto& refused : message.refused_fingerprints_) {
       RefusedToWire(refused, out->add_refused_fingerprints());
     }
-    out->set_knowledge_age(message.knowledge_age_.value());
+    out->set_knowledge_age(message.staleness_.value());
     out->set_leader_address(message.leader_address_);
     for (const coordination::ControlAddress& member :
          message.control_members_) {
@@ -314,7 +314,7 @@
           reader->EnumOf(in.request_class(), state::RequestClass::kAction),
       .configuration_index_ = in.configuration_index(),
       .may_queue_ = in.may_queue(),
-      .has_twin_ = in.has_twin(),
+      .is_hedged_ = in.has_twin(),
       .cross_region_ = in.cross_region(),
       .run_alone_ = in.run_alone(),
       .objective_left_ = reader->MillisOf(in.objective_left()),
@@ -367,7 +367,7 @@
       .instance_ = in.instance(),
       .record_ = FromWire(in.record(), reader),
       .configuration_index_ = in.configuration_index(),
-      .wants_vouched_ = in.wants_vouched(),
+      .requires_confirmed_ = in.wants_vouched(),
       .membership_epoch_ = in.membership_epoch(),
       .membership_version_ = in.membership_version(),
       .services_ = {in.services().begin(), in.services().end()},
@@ -394,7 +394,7 @@
       .granted_ = in.granted(),
       .known_incarnation_ = in.known_incarnation(),
       .configuration_index_ = in.configuration_index(),
-      .configuration_vouched_ = in.configuration_vouched(),
+      .configuration_confirmed_ = in.configuration_vouched(),
       .delta_base_index_ = in.delta_base_index(),
       .removed_services_ = {in.removed_services().begin(),
                             in.removed_services().end()},
@@ -407,7 +407,7 @@
       .membership_ = membership,
       .refused_fingerprints_ =
           RefusedFromWire(in.refused_fingerprints(), reader),
-      .knowledge_age_ = reader->MillisOf(in.knowledge_age()),
+      .staleness_ = reader->MillisOf(in.knowledge_age()),
       .leader_address_ = in.leader_address(),
       .control_members_ = std::move(control_members)};
 }
--- a/src/transport/api/call_server.h
+++ b/src/transport/api/call_server.h
@@ -37,7 +37,7 @@
     virtual void OnRequest(const Arrival& arrival) = 0;
     // The caller has closed the connection of a request without an answer. An
     // answer that comes nevertheless is dropped.
-    virtual void OnCallerLeft(uint64_t request_id) = 0;
+    virtual void OnCallerDisconnected(uint64_t request_id) = 0;
   };
 
   // Binds and starts the thread. `handler` and `counters` must outlive the
--- a/src/transport/internal/call_server.cc
+++ b/src/transport/internal/call_server.cc
@@ -211,7 +211,7 @@
   void Remove(CallConnection* connection) {
     for (const uint64_t request : connection->Unanswered()) {
       requests_.erase(request);
-      handler_->OnCallerLeft(request);
+      handler_->OnCallerDisconnected(request);
     }
     poller_->Remove(connection->descriptor());
     connections_.erase(connection->descriptor());
--- a/src/transport/internal/target_client.cc
+++ b/src/transport/internal/target_client.cc
@@ -165,7 +165,7 @@
 
   void Finish(TargetLink* link, const DeliveryEnded& end) {
     --active_;
-    if (end.end_ == DeliveryEnd::kCut && link->has_answer_head()) {
+    if (end.end_ == DeliveryEnd::kIncompleteAnswer && link->has_answer_head()) {
       counters_->Add(state::Counter::kAnswersCut);
     }
     // Before the connection may be closed, so that no Cancel meets a
--- a/src/transport/internal/target_link.cc
+++ b/src/transport/internal/target_link.cc
@@ -89,7 +89,7 @@
   const ReadEnd read_end = Receive();
   std::optional<DeliveryEnded> end = Parse(read_end, now);
   if (!end.has_value() && !can_send) {
-    end.emplace(End(DeliveryEnd::kCut));
+    end.emplace(End(DeliveryEnd::kIncompleteAnswer));
   }
   return end;
 }
@@ -158,7 +158,7 @@
       break;
     }
     if (error) {
-      return End(DeliveryEnd::kCut);
+      return End(DeliveryEnd::kIncompleteAnswer);
     }
     if (parser_->is_done()) {
       std::optional<DeliveryEnded> end = TakeAnswer(now);
@@ -174,13 +174,14 @@
       read_end == ReadEnd::kClosed && options_->accepts_until_close_ &&
       parser_->is_header_done() && parser_->need_eof();
   if (!ends_with_connection) {
-    return End(DeliveryEnd::kCut);
+    return End(DeliveryEnd::kIncompleteAnswer);
   }
   boost::system::error_code error;
   parser_->put_eof(error);
   const std::optional<DeliveryEnded> end =
       error ? std::nullopt : TakeAnswer(now);
-  return end.has_value() ? end : std::optional(End(DeliveryEnd::kCut));
+  return end.has_value() ? end
+                         : std::optional(End(DeliveryEnd::kIncompleteAnswer));
 }
 
 // Returns nothing when the message was not the answer, and prepares for the
@@ -206,7 +207,7 @@
       .body_ = state::Bytes(std::move(parser_->get().body()))};
   const bool keeps_open = parser_->keep_alive();
   if (status == kSwitchingProtocols) {
-    return End(DeliveryEnd::kCut);
+    return End(DeliveryEnd::kIncompleteAnswer);
   }
   if (options_->is_answer_of_ && !options_->is_answer_of_(*delivery_, answer)) {
     // The answer of an earlier request, which came late. The own one follows.
@@ -228,7 +229,7 @@
   parser_.reset();
   output_ = std::string();
   sent_ = 0;
-  const bool nothing_sent = end == DeliveryEnd::kCut && !has_sent;
+  const bool nothing_sent = end == DeliveryEnd::kIncompleteAnswer && !has_sent;
   return DeliveryEnded{.delivery_id_ = id,
                        .end_ = nothing_sent ? DeliveryEnd::kConnectFailed : end,
                        .answer_ = answer,
--- a/src/transport/tests/call_server_test.cc
+++ b/src/transport/tests/call_server_test.cc
@@ -26,7 +26,9 @@
   void OnRequest(const CallServer::Arrival& arrival) override {
     requests_.TryPush(arrival);
   }
-  void OnCallerLeft(uint64_t request_id) override { left_.TryPush(request_id); }
+  void OnCallerDisconnected(uint64_t request_id) override {
+    left_.TryPush(request_id);
+  }
 
   CallServer::Arrival Next() {
     std::optional<CallServer::Arrival> arrival = requests_.Pop(kHang);
--- a/src/transport/tests/target_client_test.cc
+++ b/src/transport/tests/target_client_test.cc
@@ -167,12 +167,12 @@
   Client client;
   for (const std::string& answer : answers) {
     INFO(answer);
-    CHECK(AnswerWith(&client, answer).end_ == DeliveryEnd::kCut);
+    CHECK(AnswerWith(&client, answer).end_ == DeliveryEnd::kIncompleteAnswer);
   }
   CHECK(client.counters_.Get(Counter::kAnswersCut) == answers.size());
   for (const std::string answer : {"", "HTTP/1.1 200", "SSH-2.0\r\n\r\n"}) {
     INFO(answer);
-    CHECK(AnswerWith(&client, answer).end_ == DeliveryEnd::kCut);
+    CHECK(AnswerWith(&client, answer).end_ == DeliveryEnd::kIncompleteAnswer);
   }
 }
 
@@ -218,7 +218,7 @@
   }
   reset ? connection.Abort() : connection.Close();
   const DeliveryEnded cut = client.Next();
-  CHECK(cut.end_ == DeliveryEnd::kCut);
+  CHECK(cut.end_ == DeliveryEnd::kIncompleteAnswer);
   CHECK(cut.sent_);
   // The next connection carries the next request, not the last one again.
   client.client_->Deliver(
@@ -378,7 +378,8 @@
   connection.Send("HTTP/1.1 200 OK\r\n\r\nabc");
   is_reset ? connection.Abort() : connection.Close();
   const DeliveryEnded ended = client.Next();
-  CHECK(ended.end_ == (is_reset ? DeliveryEnd::kCut : DeliveryEnd::kAnswered));
+  CHECK(ended.end_ ==
+        (is_reset ? DeliveryEnd::kIncompleteAnswer : DeliveryEnd::kAnswered));
 }
 
 }  // namespace
