--- a/src/coordination/api/commands.h
+++ b/src/coordination/api/commands.h
@@ -11,43 +11,44 @@
 
 namespace gooseberrygap::coordination {
 
-// What decisions ask the duties to do. Decisions never do it themselves.
+// Commands that the decision code returns and the duties execute. The decision
+// code itself has no side effects.
 
-// Send on the connection that this daemon opened to `address_`.
+// Sends a message on the connection that this daemon opened to `address_`.
 struct SendToPeer {
   const std::string address_ = {};
   const PeerMessage message_ = {};
 };
 
-// Send back on the connection that a peer opened. `connection_` was given with
-// the message that is answered; empty stands for this daemon itself.
+// Replies on a connection that a peer opened. `connection_` is the connection
+// that the request was received on; empty stands for this daemon itself.
 struct ReplyToPeer {
   const std::string connection_ = {};
   const PeerMessage message_ = {};
 };
 
-// Replace the connection to `address_` by a new one.
+// Replaces the connection to `address_` by a new one.
 struct ResetLink {
   const std::string address_ = {};
 };
 
 enum class Outcome { kComplete, kNotRun, kUnknown };
 
-// What a caller is told.
+// The result of a call, as returned to the caller.
 struct CallAnswer {
   const Outcome outcome_ = Outcome::kNotRun;
-  // With kComplete, kAnswerTooLarge tells that the answer was not kept.
+  // With kComplete, kAnswerTooLarge means that the answer was not stored.
   const state::RefusalReason reason_ = state::RefusalReason::kNone;
   const std::string request_id_ = {};
-  // The caller's own name of the request; may be empty.
+  // The caller's own identifier of the request; may be empty.
   const std::string caller_id_ = {};
   const std::string target_ = {};
-  const state::HttpAnswer answer_ = {};  // Of kComplete without a reason.
-  // Time since the call's arrival, and the part of it that the answering guard
-  // had the attempt; absent when no guard has answered.
+  const state::HttpAnswer answer_ = {};  // Set for kComplete without a reason.
+  // Time from receiving the call to its answer, and the part of it that the
+  // attempt spent at the answering guard; absent if no guard answered.
   const std::optional<state::Millis> latency_ = {};
   const std::optional<state::Millis> guard_time_ = {};
-  // Of kNotRun: when the caller should come back.
+  // Set for kNotRun: the time after which the caller should retry.
   const state::Millis retry_after_ = {};
 
   friend bool operator==(const CallAnswer&, const CallAnswer&) = default;
@@ -58,7 +59,7 @@
   const CallAnswer answer_ = {};
 };
 
-// Send a request to the daemon's own target.
+// Sends a request to the daemon's own target.
 struct DeliverToTarget {
   const uint64_t delivery_id_ = 0;
   const std::string address_ = {};  // HTTP address of the target.
@@ -66,23 +67,23 @@
   const std::string request_id_ = {};
   const uint32_t attempt_ = 0;
   const uint32_t depth_ = 0;
-  const std::string target_ = {};  // Name of the target that is meant.
+  const std::string target_ = {};  // Name of the intended target.
   const std::string origin_service_ = {};
-  // Only connect and close, to find out whether the target's process lives.
+  // Only connect and close, to check whether the target's process is running.
   const bool connect_only_ = false;
-  // Ask for the target's load, with a request that is not a caller's.
+  // The daemon's own request for the target's load, not a caller's request.
   const bool is_load_probe_ = false;
   const state::Millis timeout_ = {};
-  // Use a connection that is new or was used a moment ago.
+  // Use only a new connection, or one that was idle for a short time at most.
   const bool fresh_connection_ = false;
 };
 
-// Close the target connection of a delivery, which cancels the request.
+// Closes the target connection of a delivery, which cancels the request.
 struct CancelDelivery {
   const uint64_t delivery_id_ = 0;
 };
 
-// Write a line to the log.
+// Writes a line to the log.
 struct WriteLog {
   const state::LogEvent event_ = {};
 };
--- a/src/coordination/api/digest.h
+++ b/src/coordination/api/digest.h
@@ -8,9 +8,10 @@
 
 namespace gooseberrygap::coordination {
 
-// Returns the SHA-256 of service, method, path and body. It tells requests
-// under one idempotency key apart, and is the fingerprint of a request that
-// crashes its targets. The same on every daemon. Thread-safe.
+// Returns the SHA-256 of service, method, path and body. It detects different
+// requests under the same idempotency key, and is the fingerprint by which a
+// request that crashes its targets is recognized. All daemons compute the same
+// value. Thread-safe.
 std::string DigestOf(absl::string_view service,
                      const state::HttpRequest& request);
 
--- a/src/coordination/api/ingress.h
+++ b/src/coordination/api/ingress.h
@@ -27,30 +27,32 @@
           state::Counters* counters);
   ~Ingress();
 
-  // Takes a configuration into force for calls that arrive from now on.
+  // Applies a configuration to the calls received from now on.
   void UpdateConfiguration(const state::IndexedConfiguration& configuration);
-  // Replaces the fingerprints that are refused.
+  // Replaces the set of suspected and convicted fingerprints.
   void UpdateRefusedFingerprints(
       const std::vector<RefusedFingerprint>& fingerprints);
-  // Tells whether a control instance was heard from lately enough for actions.
+  // Sets whether actions with a key are accepted. The last contact with a
+  // control instance must be recent enough for them.
   void SetActionsAllowed(bool allowed);
 
   Commands OnCall(const CallReceived& call, state::Millis now);
-  // The caller of a lookup or of an action without a key has gone: its attempts
-  // are cancelled. An action with a key runs to its end, since its answer is
-  // kept for a resend.
+  // Cancels the attempts of a lookup or of an action without a key whose caller
+  // has disconnected. An action with a key runs to its end, since its answer is
+  // stored for a resend.
   Commands OnCallerDisconnected(uint64_t call_id, state::Millis now);
   Commands OnAnswer(const AttemptAnswer& answer, state::Millis now);
   // Handles the end of a register call. Precondition: OwnsTag(end.tag_).
   Commands OnRegisterEnd(const RegisterEnd& end, state::Millis now);
-  // The machine of this target has turned slow: lookups that it has begun are
-  // sent to another one too, within the retry budget.
+  // The machine of this target has become slow: also sends the lookups that are
+  // open there to another target, within the retry budget.
   Commands OnTargetSlow(const std::string& target, state::Millis now);
-  // The connection to this address was replaced: its answers will not come.
+  // The connection to this address was replaced: ends the attempts sent on it,
+  // since their answers cannot be received any more.
   Commands OnLinkLost(const std::string& address, state::Millis now);
   Commands Tick(state::Millis now);
 
-  // Returns when Tick next has something to do, if anything waits.
+  // Returns the time when Tick is next due, or nothing if no call is pending.
   std::optional<state::Millis> NextDue() const;
 
   // Returns the number of calls that have not been answered.
--- a/src/coordination/api/link_monitor.h
+++ b/src/coordination/api/link_monitor.h
@@ -11,23 +11,23 @@
 
 namespace gooseberrygap::coordination {
 
-// Finds connections that have gone silent: a request is outstanding, no byte
-// has come for a while, and a probe got no answer either. A slow target alone
-// does not make a link silent, since its guard answers the probe. Not
-// thread-safe.
+// Detects unresponsive connections: a request is outstanding, no message is
+// received within a time limit, and a probe remains unanswered too. A slow
+// target alone does not make a link unresponsive, since its guard answers the
+// probe. Not thread-safe.
 class LinkMonitor {
  public:
-  // Records a message to `address` that will be answered.
+  // Records a message sent to `address` that expects an answer.
   void OnSent(const std::string& address, state::Millis now);
-  // Records any message that came back on the connection to `address`.
+  // Records any message received on the connection to `address`.
   void OnReceived(const std::string& address, state::Millis now);
 
   struct Step {
-    Commands commands_;                // Probes, and resets of silent links.
-    std::vector<std::string> silent_;  // Addresses whose link was reset.
+    Commands commands_;  // Probes, and resets of unresponsive links.
+    std::vector<std::string> reset_addresses_;
   };
-  // Asks `may_probe` before each probe. Without its consent a link stays
-  // unjudged until a later tick.
+  // Calls `may_probe` before each probe. If it returns false, no probe is sent
+  // and the link is checked again at a later tick.
   Step Tick(state::Millis now,
             absl::FunctionRef<bool(const std::string& address)> may_probe);
 
--- a/src/coordination/api/messages.h
+++ b/src/coordination/api/messages.h
@@ -12,7 +12,7 @@
 
 namespace gooseberrygap::coordination {
 
-// A control instance, as the settings or the group's members name it.
+// A control instance, as listed in the settings or in the group's membership.
 struct ControlAddress {
   const std::string instance_ = {};
   const std::string address_ = {};  // Peer address.
@@ -33,24 +33,24 @@
   const uint32_t depth_ = 0;
   const state::RequestClass request_class_ = state::RequestClass::kLookup;
   const uint64_t configuration_index_ = 0;
-  // The guard may queue it until its deadline instead of refusing it.
+  // The guard may queue the attempt until its deadline instead of refusing it.
   const bool may_queue_ = true;
   // Another copy of the same lookup may be running elsewhere.
   const bool is_hedged_ = false;
   const bool cross_region_ = false;
-  // An earlier attempt ended in a crash of its target, so that the guard runs
-  // this one alone: a second crash can then be blamed on it.
+  // The request was in flight when a target crashed, so the guard runs this
+  // attempt alone: another crash can then be attributed to the request.
   const bool run_alone_ = false;
   // Time left in which an answer is as good as an immediate one.
   const state::Millis objective_left_ = {};
   const int priority_ = 0;  // 0 is the highest.
-  // Service of the target beside which the call was made.
+  // Service of the target beside the daemon that received the call.
   const std::string origin_service_ = {};
-  // Of calls that a route has classified.
+  // Set for calls that a route has classified.
   const std::string host_ = {};
   const std::string route_ = {};
-  // Of actions only. Without a key the register does not know the action, and
-  // the ingress sends it on only after a refusal.
+  // Set for actions only. An action without a key is not in the register, and
+  // the ingress sends it to another target only after a refusal.
   const bool unkeyed_ = false;
   const std::string key_ = {};
   const std::string digest_ = {};
@@ -63,8 +63,8 @@
 enum class AttemptResult {
   kComplete,
   kRefused,           // Not delivered, for the stated reason.
-  kIncompleteAnswer,  // Delivered; the answer is missing or not whole.
-  kUnknown,           // An action that was delivered and whose end is unknown.
+  kIncompleteAnswer,  // Delivered; the answer is missing or incomplete.
+  kUnknown,           // A delivered action whose outcome is unknown.
 };
 
 struct AttemptAnswer {
@@ -75,7 +75,7 @@
   const state::HttpAnswer answer_ = {};
   const state::GuardLoad load_ = {};
   const std::string target_ = {};
-  // Time from the attempt's arrival to this answer, at the guard.
+  // Time from receiving the attempt to this answer, measured at the guard.
   const state::Millis guard_time_ = {};
 
   friend bool operator==(const AttemptAnswer&, const AttemptAnswer&) = default;
@@ -102,8 +102,8 @@
   friend bool operator==(const ProbeReply&, const ProbeReply&) = default;
 };
 
-// A guard tells the daemons that sent it work lately that the pace of its
-// target's machine has changed.
+// A guard's report that the service time of its target's machine has changed,
+// sent to the daemons on whose connections it recently received attempts.
 struct LoadNotice {
   const std::string target_ = {};
   const state::GuardLoad load_ = {};
@@ -114,19 +114,20 @@
 // A request that was in flight when a target crashed.
 struct CrashReport {
   const std::string fingerprint_ = {};
-  const std::string crash_id_ = {};  // Names one crash of one target.
+  const std::string crash_id_ = {};  // Identifies one crash of one target.
   const bool alone_ = false;         // No other request was in flight.
 
   friend bool operator==(const CrashReport&, const CrashReport&) = default;
 };
 
-// Renews a daemon's lease, announces its target and asks for news.
+// Renews a daemon's lease, announces its target and requests updates of the
+// configuration and the membership.
 struct LeaseRenew {
   const std::string instance_ = {};
   // `service_` is empty when no target has announced itself.
   const state::TargetRecord record_ = {};
   const uint64_t configuration_index_ = 0;
-  // The reply must carry a configuration that a quorum vouches for.
+  // The reply must carry a configuration that a quorum has confirmed.
   const bool requires_confirmed_ = false;
   const uint64_t membership_epoch_ = 0;
   const uint64_t membership_version_ = 0;
@@ -137,7 +138,9 @@
   friend bool operator==(const LeaseRenew&, const LeaseRenew&) = default;
 };
 
-// A fingerprint that is refused everywhere for the stated time.
+// The fingerprint of a request that is suspected or convicted of crashing
+// targets. For the time left, every daemon refuses a convicted request and runs
+// a suspected one alone.
 struct RefusedFingerprint {
   const std::string fingerprint_ = {};
   const state::Millis left_ = {};
@@ -152,8 +155,8 @@
   const std::string control_instance_ = {};
   const bool granted_ = false;
   const uint64_t known_incarnation_ = 0;
-  // Set when the daemon's configuration is older. Either the whole document,
-  // or a delta with only the changed services and the names of the removed.
+  // Set if the daemon's configuration is older. Either the whole document, or a
+  // delta with only the changed services and the names of the removed ones.
   const uint64_t configuration_index_ = 0;
   const bool configuration_confirmed_ = false;
   const uint64_t delta_base_index_ = 0;  // 0 for a whole document.
@@ -164,7 +167,8 @@
   const bool membership_full_ = false;  // Replaces the daemon's table.
   const std::vector<state::TargetRecord> membership_ = {};
   const std::vector<RefusedFingerprint> refused_fingerprints_ = {};
-  // Time since this control instance last heard from a quorum's leader.
+  // Time since this control instance last had contact with a leader that has a
+  // quorum.
   const state::Millis staleness_ = {};
   const std::string leader_address_ = {};  // Empty when unknown.
   // The members of the control group, and their regions where they are known.
@@ -183,8 +187,8 @@
 
 enum class RegisterStatus {
   kApplied,    // `result_` is valid.
-  kNotLeader,  // Not tried; ask `leader_address_` if it is not empty.
-  kNoQuorum,   // Not tried: the leader hears from no quorum.
+  kNotLeader,  // Not attempted; retry at `leader_address_` if it is set.
+  kNoQuorum,   // Not attempted: the leader has no contact with a quorum.
 };
 
 struct RegisterReply {
@@ -220,14 +224,14 @@
 
 struct MembershipSyncAck {
   const std::string instance_ = {};
-  const uint64_t epoch_ = 0;    // Of the table that was sent.
-  const uint64_t version_ = 0;  // Received up to here.
+  const uint64_t epoch_ = 0;    // Epoch of the received table.
+  const uint64_t version_ = 0;  // Changes up to this version were received.
 
   friend bool operator==(const MembershipSyncAck&,
                          const MembershipSyncAck&) = default;
 };
 
-// An operator's configuration, on its way to the leader.
+// Submits an operator's configuration to the leader.
 struct ConfigSubmit {
   const uint64_t call_id_ = 0;
   const std::string submission_ = {};
@@ -258,7 +262,7 @@
                          const ConfigSubmitReply&) = default;
 };
 
-// Asks to become a member of the control group. Any member passes it on to the
+// Requests membership in the control group. Any member forwards it to the
 // leader.
 struct JoinRequest {
   const std::string identity_ = {};
@@ -302,7 +306,8 @@
   const uint64_t previous_index_ = 0;
   const uint64_t previous_term_ = 0;
   const uint64_t commit_index_ = 0;
-  // Numbers the leader's rounds, so that a reply confirms leadership since.
+  // Number of the leader's round of requests. A reply to it confirms that the
+  // sender was still the leader after the round began.
   const uint64_t round_ = 0;
   const std::vector<state::LogEntry> entries_ = {};
 
@@ -315,7 +320,7 @@
   const std::string to_ = {};
   const uint64_t term_ = 0;
   const bool success_ = false;
-  // On success the last durable index; on failure where to try next.
+  // On success the last durable index; on failure the index to try next.
   const uint64_t index_ = 0;
   const uint64_t round_ = 0;
 
@@ -334,7 +339,7 @@
                          const InstallSnapshot&) = default;
 };
 
-// Asks the leader for an index that every accepted entry is at or below.
+// Requests from the leader an index that no accepted entry exceeds.
 struct ReadIndexRequest {
   const uint32_t group_ = 0;
   const std::string from_ = {};
@@ -381,15 +386,15 @@
                                  JoinRequest,
                                  LoadNotice>;
 
-// Which role of a daemon a message is for.
+// The part of a daemon that handles a message.
 enum class MessageRecipient {
   kNode,       // The call path.
   kControl,    // The control service.
   kLog,        // The replicated log of the control group.
-  kOperators,  // Whoever waits for the fate of a configuration.
+  kOperators,  // Operators' pending configuration submissions.
 };
 
-// Thread-safe.
+// Returns the part of a daemon that handles the message. Thread-safe.
 MessageRecipient RecipientOf(const PeerMessage& message);
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/api/node.h
+++ b/src/coordination/api/node.h
@@ -13,7 +13,7 @@
 
 namespace gooseberrygap::coordination {
 
-// What a daemon reports of itself.
+// A daemon's report of its own status.
 struct NodeStatus {
   const uint64_t configuration_index_ = 0;
   const uint64_t configuration_version_ = 0;
@@ -21,22 +21,22 @@
   const state::TargetRecord record_ = {};
   const state::GuardLoad load_ = {};
   const size_t calls_in_progress_ = 0;
-  // Attempts that the guard holds or runs.
+  // Attempts that are queued, held back or running at the guard.
   const size_t work_in_progress_ = 0;
-  // Ends of actions that the register has not confirmed.
+  // Reports of finished actions that the register has not confirmed.
   const size_t reports_in_progress_ = 0;
 };
 
 // All decisions of a daemon's call path: joins the ingress, the guard, the
 // router, the register client, the link monitor and the control client, and
-// passes events to those concerned. Not thread-safe: the node duty owns it.
+// dispatches events to them. Not thread-safe: the node duty owns it.
 class Node {
  public:
   struct Options {
     // This daemon without a target; its version carries the incarnation.
     const state::TargetRecord self_ = {};
     const std::vector<ControlAddress> control_instances_ = {};
-    // A target that has not announced itself for so long is gone.
+    // Time without an announcement after which the target counts as stopped.
     const state::Millis announcement_lifetime_ = kAnnouncementLifetime;
   };
 
@@ -46,16 +46,17 @@
        state::Counters* counters);
   ~Node();
 
-  // Handles an event. Send a Ticked by the time that NextTick returns.
+  // Handles an event. The caller must send a Ticked by the time that NextTick
+  // returns.
   Commands Handle(const NodeEvent& event, state::Millis now);
 
-  // Returns when the next Ticked must come. It is near while a hedge, a
-  // deadline or a probe is due, and far when idle, so that a daemon wakes
-  // rarely.
+  // Returns the time by which the next Ticked must be sent. It is near while a
+  // hedge, a deadline or a probe is due, and far when idle, so that an idle
+  // daemon rarely wakes.
   state::Millis NextTick(state::Millis now) const;
 
-  // Returns whether callers should be sent to this daemon: it knows the
-  // configuration and the targets, and is not draining.
+  // Returns whether this daemon should receive calls: it has a configuration
+  // and the targets, both recent enough for actions, and is not draining.
   bool IsReady(state::Millis now) const;
 
   NodeStatus Status(state::Millis now) const;
--- a/src/coordination/api/register_client.h
+++ b/src/coordination/api/register_client.h
@@ -10,29 +10,31 @@
 
 namespace gooseberrygap::coordination {
 
-// A register call that has ended, with its tag.
+// The end of a register call, with the tag that was passed to Call.
 struct RegisterEnd {
   const uint64_t tag_ = 0;
   const state::RegisterCommand command_ = {};
   // False when no leader with a quorum answered before the deadline: the
   // operation may or may not have been applied.
   const bool answered_ = false;
-  // True when no request was ever sent, so that it was surely not applied.
+  // True when no request was ever sent, so that the operation was certainly not
+  // applied.
   const bool never_sent_ = false;
   const state::RegisterResult result_ = {};
 };
 
-// Sends register operations to the control group's leader and repeats them
+// Sends register operations to the control group's leader and resends them
 // until an answer or their deadline. Operations are idempotent in the register,
-// so repeating is safe. Not thread-safe.
+// so resending is safe. Not thread-safe.
 class RegisterClient {
  public:
-  // `control_addresses` are the control instances known from the settings.
+  // `control_addresses` are the control instances listed in the settings.
   // `counters` must outlive the client.
   RegisterClient(std::vector<std::string> control_addresses,
                  state::Counters* counters);
 
-  // Takes the leader's address as the daemon's lease reports it.
+  // Sets the leader's address that the daemon's lease reports; an empty one is
+  // ignored.
   void SetLeader(const std::string& address);
 
   // Starts an operation; its end is returned by OnReply or Tick under `tag`.
@@ -41,7 +43,7 @@
                 state::Millis deadline,
                 state::Millis now);
 
-  // What a reply or the passing of time leads to.
+  // The commands and the ended calls that result from a reply or a tick.
   struct Step {
     Commands commands_;
     std::vector<RegisterEnd> ends_;
--- a/src/coordination/internal/action_calls.cc
+++ b/src/coordination/internal/action_calls.cc
@@ -12,29 +12,35 @@
 using state::RefusalReason;
 using state::RegisterOperation;
 
+// Refused attempts after which an action is fenced and not sent again.
 constexpr uint32_t kMaxRefusals = 8;
+// Refused attempts after which the guard may queue the next one.
 constexpr uint32_t kRefusalsBeforeQueueing = 2;
-constexpr uint32_t kMaxLosses = 3;
-// How often the register is asked about an action that runs.
+// Number of attempts lost with their link that may be retried.
+constexpr uint32_t kMaxLostAttempts = 3;
+// Time between two polls of the register for a started action.
 constexpr state::Millis kPollInterval(100);
-// An attempt without an answer is fenced this long before the deadline, so that
-// the caller can be told not-run in time. At most a quarter of the call's time.
-constexpr state::Millis kResolveMargin(500);
+// An unanswered attempt is fenced this long before the deadline, so that
+// not-run can be returned to the caller in time. At most a quarter of the
+// call's time limit.
+constexpr state::Millis kFenceMargin(500);
 
-// Refusals of begin that leave the entry of the key untouched.
-bool IsRefusedForGood(RefusalReason reason) {
+// Final refusals, which leave the entry of the key unchanged.
+bool IsPermanentRefusal(RefusalReason reason) {
   return reason == RefusalReason::kKeyReused ||
          reason == RefusalReason::kRegisterFull;
 }
 
-bool MeansOvertaken(RefusalReason reason) {
+// Another request under the same key has changed the entry, so that the attempt
+// may not be retried.
+bool MeansEntryChanged(RefusalReason reason) {
   return reason == RefusalReason::kStaleAttempt ||
          reason == RefusalReason::kAlreadyStarted;
 }
 
-// The guard had been granted the start and has given it back, which raised the
-// attempt number of the key by one.
-bool MeansReleased(RefusalReason reason) {
+// The guard was granted the start and has released it, which raised the attempt
+// number of the key by one.
+bool MeansStartReleased(RefusalReason reason) {
   return reason == RefusalReason::kConnectFailed ||
          reason == RefusalReason::kTargetShed;
 }
@@ -46,8 +52,8 @@
       call.request_id_, std::make_unique<Action>(call, router_));
   Action* action = entry->second.get();
   const state::Millis margin =
-      std::min(kResolveMargin, (call.deadline_ - now) / 4);
-  action->resolve_at_ = call.deadline_ - margin;
+      std::min(kFenceMargin, (call.deadline_ - now) / 4);
+  action->fence_at_ = call.deadline_ - margin;
   return Begin(action, now);
 }
 
@@ -74,7 +80,7 @@
 Commands ActionCalls::Fence(Action* action,
                             uint64_t attempt,
                             state::Millis now) {
-  action->phase_ = Phase::kResolving;
+  action->phase_ = ActionPhase::kFencing;
   action->poll_at_.reset();
   return CallRegister(action, RegisterOperation::kFence, attempt, now);
 }
@@ -100,27 +106,30 @@
                               state::Millis now) {
   const bool was_sent = action->attempts_.sent() > 0;
   if (!end.answered_) {
-    // Without an attempt nothing can have run under this request.
-    return Finish(action,
-                  was_sent || action->phase_ == Phase::kFollowing
-                      ? UnknownOutcome(action->call_, RefusalReason::kNoQuorum)
-                      : NotRun(action->call_, RefusalReason::kNoQuorum),
-                  now);
+    // This request cannot have run the action without sending an attempt.
+    return Finish(
+        action,
+        was_sent || action->phase_ == ActionPhase::kPolling
+            ? UnknownOutcomeAnswer(action->call_, RefusalReason::kNoQuorum)
+            : NotRunAnswer(action->call_, RefusalReason::kNoQuorum),
+        now);
   }
   const state::RegisterResult& result = end.result_;
-  if (IsRefusedForGood(result.refusal_)) {
-    // After an attempt the key's entry has expired, and what it said is lost.
+  if (IsPermanentRefusal(result.refusal_)) {
+    // After an attempt, this refusal means that the key's entry has expired and
+    // the outcome that it held is lost.
     return Finish(action,
-                  was_sent ? UnknownOutcome(action->call_, result.refusal_)
-                           : NotRun(action->call_, result.refusal_),
+                  was_sent
+                      ? UnknownOutcomeAnswer(action->call_, result.refusal_)
+                      : NotRunAnswer(action->call_, result.refusal_),
                   now);
   }
   if (result.state_ != ActionState::kOpen) {
-    return Follow(action, result, now);
+    return OnEntryNotOpen(action, result, now);
   }
-  if (action->phase_ == Phase::kFollowing) {
-    // The request that ran it has released it without running it.
-    action->overtaken_ = true;
+  if (action->phase_ == ActionPhase::kPolling) {
+    // The request that started the action has released it without running it.
+    action->no_more_attempts_ = true;
     return Fence(action, result.attempt_, now);
   }
   action->register_attempt_ = result.attempt_;
@@ -133,12 +142,12 @@
   const AttemptSet::NextTarget next = attempts.ChooseNext(now);
   if (!next.target_.has_value()) {
     if (attempts.sent() == 0) {
-      return Finish(action, NotRun(call, RefusalReason::kNoTarget), now);
+      return Finish(action, NotRunAnswer(call, RefusalReason::kNoTarget), now);
     }
-    action->overtaken_ = true;
+    action->no_more_attempts_ = true;
     return Fence(action, action->register_attempt_, now);
   }
-  action->phase_ = Phase::kRunning;
+  action->phase_ = ActionPhase::kRunning;
   return {attempts.Send(
       *next.target_,
       AttemptSet::SendOptions{
@@ -164,29 +173,32 @@
     return Commands();
   }
   if (answer.result_ == AttemptResult::kComplete) {
-    return Finish(action, Complete(action->call_, answer, now), now);
+    return Finish(action, CompleteAnswer(action->call_, answer, now), now);
   }
   if (answer.result_ != AttemptResult::kRefused) {
-    return Finish(action, UnknownOutcome(action->call_, answer.refusal_), now);
+    return Finish(action, UnknownOutcomeAnswer(action->call_, answer.refusal_),
+                  now);
   }
   action->last_reason_ = answer.refusal_;
-  if (action->phase_ != Phase::kRunning) {
+  if (action->phase_ != ActionPhase::kRunning) {
     return Commands();
   }
-  action->overtaken_ = action->overtaken_ || MeansOvertaken(answer.refusal_);
+  action->no_more_attempts_ =
+      action->no_more_attempts_ || MeansEntryChanged(answer.refusal_);
   ++action->refusals_;
-  if (MeansReleased(answer.refusal_)) {
+  if (MeansStartReleased(answer.refusal_)) {
     ++action->register_attempt_;
   }
   const bool is_final =
-      action->overtaken_ || action->refusals_ >= kMaxRefusals ||
-      answer.refusal_ == RefusalReason::kPoisoned || now >= action->resolve_at_;
+      action->no_more_attempts_ || action->refusals_ >= kMaxRefusals ||
+      answer.refusal_ == RefusalReason::kPoisoned || now >= action->fence_at_;
   if (is_final) {
-    action->overtaken_ = true;
+    action->no_more_attempts_ = true;
     return Fence(action, action->register_attempt_, now);
   }
   counters_->Add(state::RetryReason::kRefused);
-  // The register grants one start of a register attempt at most.
+  // The same register attempt can be sent again: the register grants at most
+  // one start of it.
   return SendNext(action, now);
 }
 
@@ -195,47 +207,50 @@
                                state::Millis now) {
   const ClassifiedCall& call = action->call_;
   if (!end.answered_) {
-    return Finish(action, UnknownOutcome(call, RefusalReason::kNoQuorum), now);
+    return Finish(action, UnknownOutcomeAnswer(call, RefusalReason::kNoQuorum),
+                  now);
   }
   const state::RegisterResult& result = end.result_;
-  if (IsRefusedForGood(result.refusal_)) {
-    // The key's entry has expired, and what it said of the attempt is lost.
-    return Finish(action, UnknownOutcome(call, result.refusal_), now);
+  if (IsPermanentRefusal(result.refusal_)) {
+    // The key's entry has expired, and the outcome that it held is lost.
+    return Finish(action, UnknownOutcomeAnswer(call, result.refusal_), now);
   }
   if (result.state_ != ActionState::kOpen) {
-    return Follow(action, result, now);
+    return OnEntryNotOpen(action, result, now);
   }
   if (!result.granted_) {
-    // Another request has fenced further; fence its attempt too.
-    action->overtaken_ = true;
+    // Another request has fenced a later attempt; fence that one too.
+    action->no_more_attempts_ = true;
     return Fence(action, result.attempt_, now);
   }
   action->register_attempt_ = result.attempt_;
   Commands commands = action->attempts_.CancelAll(now);
-  const bool may_retry = !action->overtaken_ && now < action->resolve_at_ &&
-                         action->losses_ <= kMaxLosses;
+  const bool may_retry = !action->no_more_attempts_ &&
+                         now < action->fence_at_ &&
+                         action->lost_attempts_ <= kMaxLostAttempts;
   Append(&commands,
-         may_retry ? SendNext(action, now)
-                   : Finish(action, NotRun(call, action->last_reason_), now));
+         may_retry
+             ? SendNext(action, now)
+             : Finish(action, NotRunAnswer(call, action->last_reason_), now));
   return commands;
 }
 
-Commands ActionCalls::Follow(Action* action,
-                             const state::RegisterResult& result,
-                             state::Millis now) {
+Commands ActionCalls::OnEntryNotOpen(Action* action,
+                                     const state::RegisterResult& result,
+                                     state::Millis now) {
   const ClassifiedCall& call = action->call_;
   if (result.state_ == ActionState::kDone) {
     return Finish(action,
                   result.refusal_ == RefusalReason::kAnswerTooLarge
                       ? CompleteWithoutAnswer(call)
-                      : Stored(call, result.answer_),
+                      : StoredAnswer(call, result.answer_),
                   now);
   }
   if (result.state_ == ActionState::kUnknown) {
-    return Finish(action, UnknownOutcome(call, RefusalReason::kTargetCrashed),
-                  now);
+    return Finish(
+        action, UnknownOutcomeAnswer(call, RefusalReason::kTargetCrashed), now);
   }
-  action->phase_ = Phase::kFollowing;
+  action->phase_ = ActionPhase::kPolling;
   action->poll_at_ = now + kPollInterval;
   return {};
 }
@@ -254,11 +269,11 @@
                                  state::Millis now) {
   Commands commands;
   for (const auto& [request_id, action] : actions_) {
-    const bool is_affected = action->attempts_.EndAt(address, now) > 0;
-    if (!is_affected || action->phase_ != Phase::kRunning) {
+    const bool is_affected = action->attempts_.EndAttemptsTo(address, now) > 0;
+    if (!is_affected || action->phase_ != ActionPhase::kRunning) {
       continue;
     }
-    ++action->losses_;
+    ++action->lost_attempts_;
     action->last_reason_ = RefusalReason::kLinkLost;
     counters_->Add(state::RetryReason::kSilentLink);
     Append(&commands, Fence(action.get(), action->register_attempt_, now));
@@ -268,9 +283,9 @@
 
 state::Millis ActionCalls::DueAt(const Action& action) {
   const state::Millis deadline = action.call_.deadline_;
-  const state::Millis resolve =
-      action.phase_ == Phase::kRunning ? action.resolve_at_ : deadline;
-  return std::min({deadline, resolve, action.poll_at_.value_or(deadline)});
+  const state::Millis fence_at =
+      action.phase_ == ActionPhase::kRunning ? action.fence_at_ : deadline;
+  return std::min({deadline, fence_at, action.poll_at_.value_or(deadline)});
 }
 
 std::optional<state::Millis> ActionCalls::NextDue() const {
@@ -291,20 +306,21 @@
     }
   }
   for (Action* action : due) {
-    const bool register_call_ends_it = action->phase_ == Phase::kBeginning ||
-                                       action->phase_ == Phase::kResolving;
+    const bool register_call_ends_it =
+        action->phase_ == ActionPhase::kBeginning ||
+        action->phase_ == ActionPhase::kFencing;
     if (now >= action->call_.deadline_) {
       if (!register_call_ends_it) {
-        Append(&commands,
-               Finish(action,
-                      UnknownOutcome(action->call_, RefusalReason::kDeadline),
-                      now));
+        Append(&commands, Finish(action,
+                                 UnknownOutcomeAnswer(action->call_,
+                                                      RefusalReason::kDeadline),
+                                 now));
       }
-    } else if (action->phase_ == Phase::kRunning) {
+    } else if (action->phase_ == ActionPhase::kRunning) {
       action->last_reason_ = RefusalReason::kDeadline;
-      action->overtaken_ = true;
+      action->no_more_attempts_ = true;
       Append(&commands, Fence(action, action->register_attempt_, now));
-    } else if (action->phase_ == Phase::kFollowing) {
+    } else if (action->phase_ == ActionPhase::kPolling) {
       Append(&commands, Begin(action, now));
     }
   }
--- a/src/coordination/internal/action_calls.h
+++ b/src/coordination/internal/action_calls.h
@@ -10,9 +10,9 @@
 
 namespace gooseberrygap::coordination {
 
-// The actions in progress. An action is sent only under the attempt number that
-// the register gave it, and its caller is told not-run only after a fence, or
-// when no attempt was sent. Not thread-safe.
+// The actions with a key in progress. An action is sent only under the attempt
+// number that the register assigned, and not-run is returned to its caller only
+// after a fence, or when no attempt was sent. Not thread-safe.
 class ActionCalls {
  public:
   ActionCalls(Router* router,
@@ -29,16 +29,16 @@
   Commands OnRegisterEnd(const RegisterEnd& end, state::Millis now);
   Commands OnLinkLost(const std::string& address, state::Millis now);
   Commands Tick(state::Millis now);
-  // Returns when Tick next has something to do, if anything waits.
+  // Returns the time when Tick is next due, or nothing if no action is pending.
   std::optional<state::Millis> NextDue() const;
   size_t size() const { return actions_.size(); }
 
  private:
-  enum class Phase {
-    kBeginning,  // Waits for the register to give an attempt number.
+  enum class ActionPhase {
+    kBeginning,  // Waits for the register to assign an attempt number.
     kRunning,    // An attempt is at a guard.
-    kResolving,  // Waits for a fence.
-    kFollowing,  // Another request runs it, or the end of the own is awaited.
+    kFencing,    // Waits for the register's answer to a fence.
+    kPolling,    // Started by this or another request; polls the register.
   };
 
   struct Action {
@@ -47,20 +47,20 @@
 
     const ClassifiedCall call_;
     AttemptSet attempts_;
-    Phase phase_ = Phase::kBeginning;
+    ActionPhase phase_ = ActionPhase::kBeginning;
     uint64_t register_attempt_ = 0;
-    // Another request under the same key has fenced this one off, so that it
-    // may not be sent again.
-    bool overtaken_ = false;
+    // The action may not be sent again: another request under the same key has
+    // fenced this one off, or this request has given up.
+    bool no_more_attempts_ = false;
     uint32_t refusals_ = 0;
-    uint32_t losses_ = 0;
+    uint32_t lost_attempts_ = 0;
     // When to fence an attempt that has not been answered.
-    state::Millis resolve_at_;
+    state::Millis fence_at_;
     std::optional<state::Millis> poll_at_;
     state::RefusalReason last_reason_ = state::RefusalReason::kNone;
   };
 
-  // When Tick has something to do for the action.
+  // Returns the time when Tick is next due for the action.
   static state::Millis DueAt(const Action& action);
 
   Commands Begin(Action* action, state::Millis now);
@@ -68,10 +68,11 @@
   Commands SendNext(Action* action, state::Millis now);
   Commands OnBegun(Action* action, const RegisterEnd& end, state::Millis now);
   Commands OnFenced(Action* action, const RegisterEnd& end, state::Millis now);
-  // Follows an entry that is not open: done, started or unknown.
-  Commands Follow(Action* action,
-                  const state::RegisterResult& result,
-                  state::Millis now);
+  // Handles an entry that is not open: ends the action if the entry is done or
+  // unknown, and polls the register while it is started.
+  Commands OnEntryNotOpen(Action* action,
+                          const state::RegisterResult& result,
+                          state::Millis now);
   Commands Finish(Action* action, AnswerCall answer, state::Millis now);
   Commands CallRegister(Action* action,
                         state::RegisterOperation operation,
--- a/src/coordination/internal/call.cc
+++ b/src/coordination/internal/call.cc
@@ -4,7 +4,8 @@
 
 namespace {
 
-// Long enough for a queue to move on by one request.
+// Retry time proposed to a caller whose call was not run. Long enough for a
+// queue to become shorter by one request.
 constexpr state::Millis kRetryAfter(50);
 
 }  // namespace
@@ -21,7 +22,7 @@
                                   .is_action_ = call_.is_unkeyed_,
                                   .tried_ = tried_},
                       now);
-  // A second copy beside an open attempt goes to another target or nowhere.
+  // A second copy beside an open attempt may only go to an untried target.
   if (untried.has_value() || tried_.empty() || !open_.empty()) {
     return NextTarget{.target_ = untried};
   }
@@ -69,7 +70,7 @@
 }
 
 bool AttemptSet::End(uint32_t number,
-                     AttemptEnd how,
+                     AttemptEnd end,
                      const std::optional<state::GuardLoad>& load,
                      state::Millis now) {
   std::vector<OpenAttempt> still_open;
@@ -82,7 +83,7 @@
     found = true;
     router_->OnEnd(AttemptOutcome{.service_ = call_.service_->name_,
                                   .target_ = attempt.target_.target_,
-                                  .end_ = how,
+                                  .end_ = end,
                                   .latency_ = now - attempt.sent_at_,
                                   .load_ = load},
                    now);
@@ -104,7 +105,8 @@
   return commands;
 }
 
-size_t AttemptSet::EndAt(const std::string& address, state::Millis now) {
+size_t AttemptSet::EndAttemptsTo(const std::string& address,
+                                 state::Millis now) {
   std::vector<uint32_t> numbers;
   for (const OpenAttempt& attempt : open_) {
     if (attempt.target_.guard_address_ == address) {
@@ -117,7 +119,8 @@
   return numbers.size();
 }
 
-AnswerCall NotRun(const ClassifiedCall& call, state::RefusalReason reason) {
+AnswerCall NotRunAnswer(const ClassifiedCall& call,
+                        state::RefusalReason reason) {
   return AnswerCall{.call_id_ = call.call_id_,
                     .answer_ = CallAnswer{.outcome_ = Outcome::kNotRun,
                                           .reason_ = reason,
@@ -126,8 +129,8 @@
                                           .retry_after_ = kRetryAfter}};
 }
 
-AnswerCall UnknownOutcome(const ClassifiedCall& call,
-                          state::RefusalReason reason) {
+AnswerCall UnknownOutcomeAnswer(const ClassifiedCall& call,
+                                state::RefusalReason reason) {
   return AnswerCall{.call_id_ = call.call_id_,
                     .answer_ = CallAnswer{.outcome_ = Outcome::kUnknown,
                                           .reason_ = reason,
@@ -144,20 +147,21 @@
                             .caller_id_ = call.caller_id_}};
 }
 
-AnswerCall Complete(const ClassifiedCall& call,
-                    const AttemptAnswer& answer,
-                    state::Millis now) {
+AnswerCall CompleteAnswer(const ClassifiedCall& call,
+                          const AttemptAnswer& answer,
+                          state::Millis now) {
   return AnswerCall{.call_id_ = call.call_id_,
                     .answer_ = CallAnswer{.outcome_ = Outcome::kComplete,
                                           .request_id_ = call.request_id_,
                                           .caller_id_ = call.caller_id_,
                                           .target_ = answer.target_,
                                           .answer_ = answer.answer_,
-                                          .latency_ = now - call.arrival_,
+                                          .latency_ = now - call.received_at_,
                                           .guard_time_ = answer.guard_time_}};
 }
 
-AnswerCall Stored(const ClassifiedCall& call, const state::HttpAnswer& answer) {
+AnswerCall StoredAnswer(const ClassifiedCall& call,
+                        const state::HttpAnswer& answer) {
   return AnswerCall{.call_id_ = call.call_id_,
                     .answer_ = CallAnswer{.outcome_ = Outcome::kComplete,
                                           .request_id_ = call.request_id_,
--- a/src/coordination/internal/call.h
+++ b/src/coordination/internal/call.h
@@ -11,7 +11,7 @@
 
 namespace gooseberrygap::coordination {
 
-// A call after classification. Shared by the lookup and the action decisions.
+// A call after classification. Shared by LookupCalls and ActionCalls.
 struct ClassifiedCall {
   const uint64_t call_id_ = 0;
   const std::string request_id_ = {};
@@ -21,23 +21,23 @@
   const state::RequestClass request_class_ = state::RequestClass::kLookup;
   const state::HttpRequest request_ = {};
   const std::string key_ = {};     // Register key of an action.
-  const std::string digest_ = {};  // Also the fingerprint.
-  // It was in flight when a target crashed.
+  const std::string digest_ = {};  // Also the request's fingerprint.
+  // A request with this fingerprint was in flight when a target crashed.
   const bool is_suspect_ = false;
-  const state::Millis arrival_ = {};
+  const state::Millis received_at_ = {};
   const state::Millis deadline_ = {};
   const uint32_t depth_ = 0;
-  // Targets to which the call may be sent.
+  // Maximum number of targets that attempts of the call may reach.
   const uint32_t max_attempts_ = 1;
-  // When an answer stops being as good as an immediate one.
+  // Time up to which an answer is as good as an immediate one.
   const state::Millis objective_ = {};
   const int priority_ = 0;
   const std::string origin_service_ = {};
   const std::string caller_id_ = {};
-  // Of calls that a route has classified.
+  // Set for calls that a route has classified.
   const std::string host_ = {};
   const std::string route_ = {};
-  // An action without a key: only a guard's refusal allows another attempt.
+  // The action has no key: only a guard's refusal allows another attempt.
   const bool is_unkeyed_ = false;
 };
 
@@ -48,14 +48,15 @@
   const state::Millis sent_at_ = {};
 };
 
-// Attempts of one call: numbers them, and reports each end to the router.
+// Attempts of one call: numbers them, and reports each start and end to the
+// router.
 class AttemptSet {
  public:
   AttemptSet(const ClassifiedCall& call, Router* router)
       : call_(call), router_(router) {}
 
-  // Where the next attempt may go. `all_tried_` tells that only targets that
-  // the call has tried before were left.
+  // Target for the next attempt, if there is one. With `all_tried_`, only
+  // targets that the call has already tried were available.
   struct NextTarget {
     const std::optional<state::TargetRecord> target_ = {};
     const bool all_tried_ = false;
@@ -72,15 +73,15 @@
   SendToPeer Send(const state::TargetRecord& target,
                   const SendOptions& options,
                   state::Millis now);
-  // Ends the attempt of this number. Returns false when it is not open.
+  // Ends the attempt with this number. Returns false when it is not open.
   bool End(uint32_t number,
-           AttemptEnd how,
+           AttemptEnd end,
            const std::optional<state::GuardLoad>& load,
            state::Millis now);
   // Ends all open attempts, and returns the cancels for their guards.
   Commands CancelAll(state::Millis now);
-  // Ends the open attempts that went to this address; returns how many.
-  size_t EndAt(const std::string& address, state::Millis now);
+  // Ends the open attempts that were sent to this address; returns how many.
+  size_t EndAttemptsTo(const std::string& address, state::Millis now);
 
   const std::vector<OpenAttempt>& open() const { return open_; }
   const std::vector<std::string>& tried() const { return tried_; }
@@ -94,17 +95,20 @@
   uint32_t sent_ = 0;
 };
 
-// Returns the answers that end a call.
-AnswerCall NotRun(const ClassifiedCall& call, state::RefusalReason reason);
-AnswerCall UnknownOutcome(const ClassifiedCall& call,
-                          state::RefusalReason reason);
-// The action has run, but its answer was too large for the register to keep.
+// The following functions return the answers that end a call.
+
+AnswerCall NotRunAnswer(const ClassifiedCall& call,
+                        state::RefusalReason reason);
+AnswerCall UnknownOutcomeAnswer(const ClassifiedCall& call,
+                                state::RefusalReason reason);
+// The action has run, but its answer was too large for the register to store.
 AnswerCall CompleteWithoutAnswer(const ClassifiedCall& call);
-AnswerCall Complete(const ClassifiedCall& call,
-                    const AttemptAnswer& answer,
-                    state::Millis now);
+AnswerCall CompleteAnswer(const ClassifiedCall& call,
+                          const AttemptAnswer& answer,
+                          state::Millis now);
 // The answer of an action that the register has stored.
-AnswerCall Stored(const ClassifiedCall& call, const state::HttpAnswer& answer);
+AnswerCall StoredAnswer(const ClassifiedCall& call,
+                        const state::HttpAnswer& answer);
 
 }  // namespace gooseberrygap::coordination
 
--- a/src/coordination/internal/crash_history.cc
+++ b/src/coordination/internal/crash_history.cc
@@ -6,11 +6,11 @@
 
 namespace {
 
-// Bounds the memory that a storm of crashes can take. Beyond it, further
-// fingerprints are not suspected.
+// Limits the memory used when many targets crash at once. Further fingerprints
+// are not suspected.
 constexpr size_t kMaxSuspects = 1024;
-// A conviction that is about to end is not adopted: two instances could
-// otherwise keep it alive by telling each other.
+// Shortest remaining time of a conviction that is adopted. Two instances could
+// otherwise keep it from ending by adopting it from each other.
 constexpr state::Millis kMinAdoptedHold(5000);
 
 }  // namespace
@@ -19,7 +19,7 @@
                        const state::PoisonPolicy& policy,
                        state::Millis now) {
   crashes_.emplace(report.crash_id_, now);
-  if (explained_.contains(report.crash_id_) ||
+  if (attributed_crashes_.contains(report.crash_id_) ||
       convicted_until_.contains(report.fingerprint_) ||
       (suspects_.size() >= kMaxSuspects &&
        !suspects_.contains(report.fingerprint_))) {
@@ -35,7 +35,7 @@
   }
   crashes.push_back(Crash{
       .crash_id_ = report.crash_id_, .alone_ = report.alone_, .at_ = now});
-  if (IsGuilty(crashes, policy)) {
+  if (MeetsConvictionRule(crashes, policy)) {
     Convict(report.fingerprint_, now + policy.hold_);
   }
   return true;
@@ -43,14 +43,15 @@
 
 bool CrashHistory::ConvictSharedFingerprint(const state::PoisonPolicy& policy,
                                             state::Millis now) {
-  const size_t unexplained = crashes_.size() - explained_.size();
-  // More crashes than it takes have another cause, such as a lost rack.
-  if (unexplained != static_cast<size_t>(policy.crashes_)) {
+  const size_t unattributed = crashes_.size() - attributed_crashes_.size();
+  // If there are more crashes than a conviction requires, they have another
+  // cause, such as a lost rack.
+  if (unattributed != static_cast<size_t>(policy.crashes_)) {
     return false;
   }
   std::vector<std::string> shared;
   for (const auto& [fingerprint, crashes] : suspects_) {
-    if (crashes.size() == unexplained) {
+    if (crashes.size() == unattributed) {
       shared.push_back(fingerprint);
     }
   }
@@ -91,7 +92,7 @@
     return is_past(entry.second);
   };
   std::erase_if(crashes_, is_old);
-  std::erase_if(explained_, is_old);
+  std::erase_if(attributed_crashes_, is_old);
   return changed;
 }
 
@@ -122,10 +123,12 @@
   return convicted;
 }
 
-bool CrashHistory::IsGuilty(const std::vector<Crash>& crashes,
-                            const state::PoisonPolicy& policy) const {
-  // Alone in the last crash, since otherwise a request that only shared both
-  // crashes with the guilty one would be convicted with it.
+bool CrashHistory::MeetsConvictionRule(
+    const std::vector<Crash>& crashes,
+    const state::PoisonPolicy& policy) const {
+  // The request must have run alone in the last crash. Otherwise a request that
+  // merely ran beside the guilty one in both crashes would be convicted with
+  // it.
   return crashes.size() >= static_cast<size_t>(policy.crashes_) &&
          crashes.back().alone_;
 }
@@ -139,12 +142,12 @@
     return;
   }
   for (const Crash& crash : convicted->second) {
-    explained_.emplace(crash.crash_id_, crash.at_);
+    attributed_crashes_.emplace(crash.crash_id_, crash.at_);
   }
   suspects_.erase(convicted);
   for (auto entry = suspects_.begin(); entry != suspects_.end();) {
     std::erase_if(entry->second, [this](const Crash& crash) {
-      return explained_.contains(crash.crash_id_);
+      return attributed_crashes_.contains(crash.crash_id_);
     });
     entry = entry->second.empty() ? suspects_.erase(entry) : std::next(entry);
   }
--- a/src/coordination/internal/crash_history.h
+++ b/src/coordination/internal/crash_history.h
@@ -23,16 +23,16 @@
   // Returns whether Refused() has changed.
   bool ConvictSharedFingerprint(const state::PoisonPolicy& policy,
                                 state::Millis now);
-  // Takes over a conviction of another control instance. Returns whether
+  // Adopts a conviction from another control instance. Returns whether
   // Refused() has changed.
   bool Adopt(const RefusedFingerprint& refused, state::Millis now);
-  // Forgets what has passed its window or hold. Returns whether Refused() has
-  // changed.
+  // Removes crashes older than the policy's window and convictions that have
+  // ended. Returns whether Refused() has changed.
   bool Tick(const state::PoisonPolicy& policy, state::Millis now);
 
-  // Whether a report of that crash was recorded.
+  // Returns whether a report of that crash was recorded.
   bool HasCrash(const std::string& crash_id) const;
-  // Returns suspects and convicted fingerprints with the time left.
+  // Returns suspected and convicted fingerprints with the time left.
   std::vector<RefusedFingerprint> Refused(const state::PoisonPolicy& policy,
                                           state::Millis now) const;
   std::vector<RefusedFingerprint> Convicted(state::Millis now) const;
@@ -45,18 +45,19 @@
     state::Millis at_;
   };
 
-  bool IsGuilty(const std::vector<Crash>& crashes,
-                const state::PoisonPolicy& policy) const;
+  // Returns whether these crashes convict the request that shared them.
+  bool MeetsConvictionRule(const std::vector<Crash>& crashes,
+                           const state::PoisonPolicy& policy) const;
   void Convict(const std::string& fingerprint, state::Millis until);
 
-  // Crashes within the window of each suspect, in order of arrival.
+  // Crashes of each suspect within the window, in the order of their reports.
   std::map<std::string, std::vector<Crash>> suspects_;
   std::map<std::string, state::Millis> convicted_until_;
-  // Crashes that were recorded, by id, with their time.
+  // Time of each recorded crash, by crash id.
   std::map<std::string, state::Millis> crashes_;
-  // Crashes that a convicted request has caused: no other request is suspected
-  // because of them.
-  std::map<std::string, state::Millis> explained_;
+  // Time of each crash that is attributed to a convicted request, by crash id.
+  // No other request is suspected because of them.
+  std::map<std::string, state::Millis> attributed_crashes_;
   size_t convictions_ = 0;
 };
 
--- a/src/coordination/internal/decision_log.cc
+++ b/src/coordination/internal/decision_log.cc
@@ -38,7 +38,7 @@
 }  // namespace
 
 LogEvent AttemptSentLine(const Attempt& attempt,
-                         const std::optional<KnownLoad>& known) {
+                         const std::optional<KnownLoad>& reported) {
   std::vector<LogField> fields = {
       {"attempt", int64_t{attempt.attempt_}},
       {"service", attempt.service_},
@@ -47,9 +47,9 @@
       {"deadline_left_ms", attempt.deadline_left_.value()},
       {"configuration", static_cast<int64_t>(attempt.configuration_index_)},
       {"may_queue", attempt.may_queue_}};
-  if (known.has_value()) {
-    fields.push_back({"load_age_ms", known->age_.value()});
-    AddLoad(known->load_, &fields);
+  if (reported.has_value()) {
+    fields.push_back({"load_age_ms", reported->age_.value()});
+    AddLoad(reported->load_, &fields);
   }
   return LogEvent{.event_ = "attempt_sent",
                   .request_ = attempt.request_id_,
@@ -73,7 +73,8 @@
                   .fields_ = std::move(fields)};
 }
 
-LogEvent CallAnsweredLine(const CallAnswer& answer, const KnownState& known) {
+LogEvent CallAnsweredLine(const CallAnswer& answer,
+                          const ConfigurationState& current) {
   const bool is_served = answer.outcome_ == Outcome::kComplete &&
                          answer.answer_.status_ < kFirstServerError;
   std::vector<LogField> fields = {
@@ -82,8 +83,8 @@
       {"reason", std::string(state::NameOf(answer.reason_))},
       {"status", int64_t{answer.answer_.status_}},
       {"target", answer.target_},
-      {"configuration", static_cast<int64_t>(known.configuration_index_)},
-      {"knowledge_age_ms", known.staleness_.value()}};
+      {"configuration", static_cast<int64_t>(current.configuration_index_)},
+      {"knowledge_age_ms", current.staleness_.value()}};
   if (answer.latency_.has_value()) {
     fields.push_back({"latency_ms", answer.latency_->value()});
   }
--- a/src/coordination/internal/decision_log.h
+++ b/src/coordination/internal/decision_log.h
@@ -8,24 +8,27 @@
 
 namespace gooseberrygap::coordination {
 
-// The log lines of decisions about requests. All functions are thread-safe.
+// Functions that build the log lines of decisions about requests. All of them
+// are thread-safe.
 
-// An attempt was sent; `known` is absent when the target had told nothing.
+// Returns the line for an attempt that was sent. `reported` is absent when the
+// target's load is not known.
 state::LogEvent AttemptSentLine(const Attempt& attempt,
-                                const std::optional<KnownLoad>& known);
+                                const std::optional<KnownLoad>& reported);
 
-// A guard answered an attempt.
+// Returns the line for a guard's answer to an attempt.
 state::LogEvent AttemptAnsweredLine(const AttemptAnswer& answer);
 
-// What a daemon knew when a call ended.
-struct KnownState {
+// The configuration in force when a call ended, and the time since the daemon's
+// state from the control group was last confirmed.
+struct ConfigurationState {
   const uint64_t configuration_index_ = 0;
   const state::Millis staleness_ = {};
 };
 
-// A call has its answer.
+// Returns the line for the answer to a call.
 state::LogEvent CallAnsweredLine(const CallAnswer& answer,
-                                 const KnownState& known);
+                                 const ConfigurationState& current);
 
 }  // namespace gooseberrygap::coordination
 
--- a/src/coordination/internal/digest.cc
+++ b/src/coordination/internal/digest.cc
@@ -15,7 +15,8 @@
   for (const absl::string_view part :
        {service, absl::string_view(request.method_),
         absl::string_view(request.path_), request.body_.view()}) {
-    // The length first, so that no two lists of parts give the same bytes.
+    // Each part is preceded by its length, so that different lists of parts
+    // cannot give the same bytes.
     const uint64_t size = part.size();
     EVP_DigestUpdate(context.get(), &size, sizeof(size));
     EVP_DigestUpdate(context.get(), part.data(), part.size());
--- a/src/coordination/internal/early_calls.h
+++ b/src/coordination/internal/early_calls.h
@@ -8,73 +8,76 @@
 
 namespace gooseberrygap::coordination {
 
-// Keeps the calls that reach a daemon which has just started until it knows the
+// Queues the calls received by a daemon that has just started until it has the
 // configuration and the targets. Refusing them would make each restart under
 // load fail calls. Not thread-safe.
 class EarlyCalls {
  public:
-  // Returns whether the call was kept.
-  bool Keep(const CallReceived& call, state::Millis now) {
-    if (released_ || kept_.size() >= kMaxKept) {
+  // Returns whether the call was queued.
+  bool Add(const CallReceived& call, state::Millis now) {
+    if (released_ || queued_.size() >= kMaxQueued) {
       return false;
     }
-    kept_.push_back(Kept{.call_ = call, .at_ = now});
+    queued_.push_back(QueuedCall{.call_ = call, .at_ = now});
     return true;
   }
 
-  // Returns the kept calls, with less time left, once the daemon knows enough
-  // or has run for long enough. No call is kept after that.
-  std::deque<CallReceived> Release(bool knows_enough, state::Millis now) {
+  // Returns the queued calls, their deadlines reduced by the time in the queue,
+  // once the daemon has the state it requires or has run for kMaxWait. No call
+  // is queued after that.
+  std::deque<CallReceived> Release(bool has_required_state, state::Millis now) {
     if (!started_at_.has_value()) {
       started_at_ = now;
     }
     std::deque<CallReceived> calls;
-    released_ = released_ || knows_enough || now - *started_at_ >= kMaxWait;
+    released_ =
+        released_ || has_required_state || now - *started_at_ >= kMaxWait;
     if (!released_) {
       return calls;
     }
-    for (const Kept& kept : kept_) {
+    for (const QueuedCall& queued : queued_) {
       std::optional<state::Millis> left;
-      if (kept.call_.deadline_left_.has_value()) {
-        left.emplace(*kept.call_.deadline_left_ - (now - kept.at_));
+      if (queued.call_.deadline_left_.has_value()) {
+        left.emplace(*queued.call_.deadline_left_ - (now - queued.at_));
       }
       calls.push_back(
-          CallReceived{.call_id_ = kept.call_.call_id_,
-                       .service_ = kept.call_.service_,
-                       .request_ = kept.call_.request_,
-                       .idempotency_key_ = kept.call_.idempotency_key_,
+          CallReceived{.call_id_ = queued.call_.call_id_,
+                       .service_ = queued.call_.service_,
+                       .request_ = queued.call_.request_,
+                       .idempotency_key_ = queued.call_.idempotency_key_,
                        .deadline_left_ = left,
-                       .depth_ = kept.call_.depth_});
+                       .depth_ = queued.call_.depth_});
     }
-    kept_.clear();
+    queued_.clear();
     return calls;
   }
 
-  // Drops the call of a caller that has gone.
-  void Drop(uint64_t call_id) {
-    std::deque<Kept> left;
-    for (const Kept& kept : kept_) {
-      if (kept.call_.call_id_ != call_id) {
-        left.push_back(kept);
+  // Removes the call of a caller that has disconnected.
+  void Remove(uint64_t call_id) {
+    std::deque<QueuedCall> remaining;
+    for (const QueuedCall& queued : queued_) {
+      if (queued.call_.call_id_ != call_id) {
+        remaining.push_back(queued);
       }
     }
-    kept_.swap(left);
+    queued_.swap(remaining);
   }
 
-  size_t size() const { return kept_.size(); }
+  size_t size() const { return queued_.size(); }
 
  private:
-  struct Kept {
+  struct QueuedCall {
     const CallReceived call_ = {};
     const state::Millis at_ = {};
   };
 
-  static constexpr size_t kMaxKept = 1024;
-  // A control instance that restarts needs an election, which takes up to 2 s,
-  // and a lease with an instance that knows the membership.
+  static constexpr size_t kMaxQueued = 1024;
+  // Limits the time from the first tick until calls are handled. A control
+  // instance that restarts needs an election, which takes up to 2 s, and a
+  // lease with an instance that has the membership.
   static constexpr state::Millis kMaxWait = state::Millis(5000);
 
-  std::deque<Kept> kept_;
+  std::deque<QueuedCall> queued_;
   std::optional<state::Millis> started_at_;
   bool released_ = false;
 };
--- a/src/coordination/internal/ingress.cc
+++ b/src/coordination/internal/ingress.cc
@@ -12,12 +12,15 @@
 
 using state::RefusalReason;
 
-// Chains of calls are up to 11 deep; a deeper one is most likely a cycle.
+// Maximum depth of a chain of calls. Chains are up to 11 deep; a deeper one is
+// most likely a cycle.
 constexpr uint32_t kMaxDepth = 16;
+// Maximum time limit of a call that no route has classified.
 constexpr state::Millis kMaxDeadline(60 * 1000);
-// A daemon that has just started knows the configuration within some hundred
-// milliseconds; a caller that comes back at once is refused again.
-constexpr state::Millis kRetryWhenKnown(300);
+// Retry time proposed to a caller whose call the ingress refused. A daemon that
+// has just started receives the configuration within some hundred milliseconds;
+// a caller that retries at once is refused again.
+constexpr state::Millis kRetryAfterRefusal(300);
 
 }  // namespace
 
@@ -49,20 +52,20 @@
 
   void SetActionsAllowed(bool allowed) { actions_allowed_ = allowed; }
 
-  Commands OnCall(const CallReceived& arrived, state::Millis now) {
+  Commands OnCall(const CallReceived& received, state::Millis now) {
     counters_->Add(state::Counter::kCallsReceived);
     const std::string request_id =
         absl::StrCat(request_id_prefix_, "-", next_request_++);
     const auto refuse = [&](RefusalReason reason) {
-      return Refuse(arrived, request_id, reason);
+      return Refuse(received, request_id, reason);
     };
-    if (arrived.depth_ > kMaxDepth) {
+    if (received.depth_ > kMaxDepth) {
       return refuse(RefusalReason::kTooDeep);
     }
     const bool has_configuration =
         configuration_.has_value() && configuration_->configuration_ != nullptr;
-    if (arrived.service_.empty()) {
-      return has_configuration ? OnRoutedCall(arrived, request_id, now)
+    if (received.service_.empty()) {
+      return has_configuration ? OnRoutedCall(received, request_id, now)
                                : refuse(RefusalReason::kNoConfiguration);
     }
     if (!has_configuration) {
@@ -70,23 +73,23 @@
     }
     const auto configuration = configuration_->configuration_;
     const state::Service* service =
-        state::FindService(*configuration, arrived.service_);
+        state::FindService(*configuration, received.service_);
     if (service == nullptr) {
       return refuse(RefusalReason::kNoService);
     }
     const state::Rule* rule = state::FindRule(
-        *service, arrived.request_.method_, arrived.request_.path_);
+        *service, received.request_.method_, received.request_.path_);
     if (rule == nullptr) {
       return refuse(RefusalReason::kNoRule);
     }
-    const std::string digest = DigestOf(service->name_, arrived.request_);
+    const std::string digest = DigestOf(service->name_, received.request_);
     if (convicted_.contains(digest)) {
       return refuse(RefusalReason::kPoisoned);
     }
     const bool is_action = rule->request_class_ == state::RequestClass::kAction;
     const std::string key = rule->key_source_ == state::KeySource::kPath
-                                ? arrived.request_.path_
-                                : arrived.idempotency_key_;
+                                ? received.request_.path_
+                                : received.idempotency_key_;
     if (is_action && key.empty()) {
       return refuse(RefusalReason::kKeyMissing);
     }
@@ -94,28 +97,28 @@
       return refuse(RefusalReason::kControlTooOld);
     }
     const state::Millis time_limit =
-        std::min(arrived.deadline_left_.value_or(service->default_deadline_),
+        std::min(received.deadline_left_.value_or(service->default_deadline_),
                  kMaxDeadline);
     if (time_limit <= state::Millis(0)) {
       return refuse(RefusalReason::kDeadline);
     }
     const ClassifiedCall call{
-        .call_id_ = arrived.call_id_,
+        .call_id_ = received.call_id_,
         .request_id_ = request_id,
         .configuration_ = configuration,
         .configuration_index_ = configuration_->index_,
         .service_ = service,
         .request_class_ = rule->request_class_,
-        .request_ = arrived.request_,
+        .request_ = received.request_,
         .key_ = is_action ? absl::StrCat(service->name_, "/", key) : "",
         .digest_ = digest,
         .is_suspect_ = suspects_.contains(digest),
-        .arrival_ = now,
+        .received_at_ = now,
         .deadline_ = now + time_limit,
-        .depth_ = arrived.depth_,
+        .depth_ = received.depth_,
         .max_attempts_ = static_cast<uint32_t>(service->retry_.max_attempts_),
         .objective_ = now + time_limit,
-        .origin_service_ = arrived.origin_service_};
+        .origin_service_ = received.origin_service_};
     return is_action ? actions_.OnCall(call, now) : lookups_.OnCall(call, now);
   }
 
@@ -165,27 +168,28 @@
   size_t calls_in_progress() const { return lookups_.size() + actions_.size(); }
 
  private:
-  static Commands Refuse(const CallReceived& arrived,
+  static Commands Refuse(const CallReceived& received,
                          const std::string& request_id,
                          RefusalReason reason) {
-    return {AnswerCall{.call_id_ = arrived.call_id_,
-                       .answer_ = CallAnswer{.outcome_ = Outcome::kNotRun,
-                                             .reason_ = reason,
-                                             .request_id_ = request_id,
-                                             .caller_id_ = arrived.caller_id_,
-                                             .retry_after_ = kRetryWhenKnown}}};
+    return {
+        AnswerCall{.call_id_ = received.call_id_,
+                   .answer_ = CallAnswer{.outcome_ = Outcome::kNotRun,
+                                         .reason_ = reason,
+                                         .request_id_ = request_id,
+                                         .caller_id_ = received.caller_id_,
+                                         .retry_after_ = kRetryAfterRefusal}}};
   }
 
   // Precondition: there is a configuration.
-  Commands OnRoutedCall(const CallReceived& arrived,
+  Commands OnRoutedCall(const CallReceived& received,
                         const std::string& request_id,
                         state::Millis now) {
     const auto configuration = configuration_->configuration_;
     const auto refuse = [&](RefusalReason reason) {
-      return Refuse(arrived, request_id, reason);
+      return Refuse(received, request_id, reason);
     };
-    const state::Route* route =
-        state::FindRoute(*configuration, arrived.host_, arrived.request_.path_);
+    const state::Route* route = state::FindRoute(*configuration, received.host_,
+                                                 received.request_.path_);
     if (route == nullptr) {
       return refuse(RefusalReason::kNoRoute);
     }
@@ -194,12 +198,12 @@
     if (service == nullptr) {
       return refuse(RefusalReason::kNoService);
     }
-    const std::string digest = DigestOf(service->name_, arrived.request_);
+    const std::string digest = DigestOf(service->name_, received.request_);
     if (convicted_.contains(digest)) {
       return refuse(RefusalReason::kPoisoned);
     }
     const state::Millis time_limit = std::min(
-        arrived.deadline_left_.value_or(route->timeout_), route->timeout_);
+        received.deadline_left_.value_or(route->timeout_), route->timeout_);
     if (time_limit <= state::Millis(0)) {
       return refuse(RefusalReason::kDeadline);
     }
@@ -207,24 +211,24 @@
         route->request_class_ == state::RequestClass::kAction;
     return lookups_.OnCall(
         ClassifiedCall{
-            .call_id_ = arrived.call_id_,
+            .call_id_ = received.call_id_,
             .request_id_ = request_id,
             .configuration_ = configuration,
             .configuration_index_ = configuration_->index_,
             .service_ = service,
             .request_class_ = route->request_class_,
-            .request_ = arrived.request_,
+            .request_ = received.request_,
             .digest_ = digest,
             .is_suspect_ = suspects_.contains(digest),
-            .arrival_ = now,
+            .received_at_ = now,
             .deadline_ = now + time_limit,
-            .depth_ = arrived.depth_,
+            .depth_ = received.depth_,
             .max_attempts_ = static_cast<uint32_t>(route->max_attempts_),
             .objective_ = now + route->latency_objective_,
             .priority_ = route->priority_,
-            .origin_service_ = arrived.origin_service_,
-            .caller_id_ = arrived.caller_id_,
-            .host_ = arrived.host_,
+            .origin_service_ = received.origin_service_,
+            .caller_id_ = received.caller_id_,
+            .host_ = received.host_,
             .route_ = route->name_,
             .is_unkeyed_ = is_action},
         now);
--- a/src/coordination/internal/link_monitor.cc
+++ b/src/coordination/internal/link_monitor.cc
@@ -4,11 +4,13 @@
 
 namespace {
 
-// A link with a request outstanding is probed after this time without a byte.
+// A link with a request outstanding is probed after this time without a
+// received message.
 constexpr state::Millis kProbeAfter(150);
-// And replaced this time after the probe. A round trip between regions takes
-// 26 ms, so the probe has had time to be answered several times over.
-constexpr state::Millis kSilentAfterProbe(250);
+// The link is replaced if no message is received within this time after the
+// probe. A round trip between regions takes 26 ms, so this is several times
+// what the reply needs.
+constexpr state::Millis kResetAfterProbe(250);
 
 }  // namespace
 
@@ -24,8 +26,8 @@
   if (entry == links_.end()) {
     return;
   }
-  // Other requests may still be outstanding. They are watched again from the
-  // next message that is sent; until then their own deadlines bound the wait.
+  // Other requests may still be outstanding. They are monitored again from the
+  // next message that is sent; until then their own deadlines limit the wait.
   entry->second = Link{.waiting_since_ = now, .waiting_ = false};
 }
 
@@ -35,19 +37,19 @@
   Step step;
   for (auto entry = links_.begin(); entry != links_.end();) {
     auto& [address, link] = *entry;
-    const state::Millis silence = now - link.waiting_since_;
+    const state::Millis waiting_time = now - link.waiting_since_;
     if (!link.waiting_) {
       ++entry;
       continue;
     }
     if (link.probed_at_.has_value() &&
-        now - *link.probed_at_ >= kSilentAfterProbe) {
+        now - *link.probed_at_ >= kResetAfterProbe) {
       step.commands_.push_back(ResetLink{.address_ = address});
-      step.silent_.push_back(address);
+      step.reset_addresses_.push_back(address);
       entry = links_.erase(entry);
       continue;
     }
-    if (silence >= kProbeAfter && !link.probed_at_.has_value() &&
+    if (waiting_time >= kProbeAfter && !link.probed_at_.has_value() &&
         may_probe(address)) {
       link.probed_at_ = now;
       step.commands_.push_back(
--- a/src/coordination/internal/lookup_calls.cc
+++ b/src/coordination/internal/lookup_calls.cc
@@ -6,16 +6,16 @@
 
 namespace {
 
-// Refusals cost the targets nothing, so they are limited only to bound the
-// messages of one call.
+// Refused attempts after which a call is not sent again. Refusals cost the
+// targets nothing, so this only limits the number of messages of one call.
 constexpr uint32_t kMaxRefusals = 4;
-// After this many refusals the guard is asked to queue the attempt. Giving up
+// Refused attempts after which the guard may queue the next one. Giving up
 // instead failed 1 to 7% of the calls in a trial.
 constexpr uint32_t kRefusalsBeforeQueueing = 2;
 
-// How long a call whose targets crashed waits for its answer. The suspicion
-// reaches all daemons meanwhile, so that the caller's resend runs alone and
-// the next crash can be attributed to it. A report takes two trips between
+// Delay of the answer to a call whose targets crashed. In that time all daemons
+// receive its fingerprint as a suspect, so that the caller's resend runs alone
+// and the next crash can be attributed to it. A report takes two trips between
 // regions, 50 ms, and a push.
 constexpr state::Millis kCrashAnswerWait(300);
 
@@ -30,8 +30,9 @@
       call.request_id_, std::make_unique<Lookup>(call, router_));
   Lookup* lookup = entry->second.get();
   const bool is_outermost = call.depth_ == 0;
-  // A second copy of a request that crashes its targets takes down two at once,
-  // neither of them for certain because of it.
+  // A suspect is not hedged: two copies of a request that crashes its targets
+  // would crash two at once, and neither crash could be attributed to it with
+  // certainty.
   request_by_call_[call.call_id_] = call.request_id_;
   if (is_outermost && !call.is_suspect_ && !call.is_unkeyed_ &&
       call.service_->hedge_.enabled_) {
@@ -85,7 +86,7 @@
   if (is_served) {
     router_->OnSize(lookup->call_.route_, lookup->call_.request_.body_.size() +
                                               answer.answer_.body_.size());
-    return Finish(lookup, Complete(lookup->call_, answer, now), now);
+    return Finish(lookup, CompleteAnswer(lookup->call_, answer, now), now);
   }
   if (is_refused) {
     return OnRefused(lookup, answer, now);
@@ -96,7 +97,7 @@
   Commands commands;
   if (answer.refusal_ == state::RefusalReason::kTargetCrashed) {
     ++lookup->crashes_;
-    // A second copy that still runs would crash its target too.
+    // A second copy that is still running would crash its target too.
     lookup->hedge_at_.reset();
     commands = lookup->attempts_.CancelAll(now);
   }
@@ -110,7 +111,7 @@
                                 state::Millis now) {
   ++lookup->refusals_;
   lookup->last_reason_ = answer.refusal_;
-  // A guard with a newer route refuses on every target of the service.
+  // Guards with a newer route refuse the call on every target of the service.
   const bool is_rerouted =
       !lookup->call_.host_.empty() &&
       answer.refusal_ == state::RefusalReason::kStaleConfiguration;
@@ -120,7 +121,8 @@
   if (is_final) {
     return lookup->attempts_.open().empty() ? GiveUp(lookup, now) : Commands();
   }
-  // A target that sheds has been reached, which costs it as a retry does.
+  // A shed attempt has reached its target and costs it as much as a retry, so
+  // that the next one uses the retry budget.
   if (answer.refusal_ == state::RefusalReason::kTargetShed &&
       !router_->TakeRetry(lookup->call_.service_->name_, now)) {
     counters_->Add(state::RetryReason::kBudgetExhausted);
@@ -138,7 +140,7 @@
   const ClassifiedCall& call = lookup->call_;
   const auto crash_limit =
       static_cast<uint32_t>(call.configuration_->poison_.crashes_);
-  const bool is_final = !MayReachAnother(*lookup) || call.is_unkeyed_ ||
+  const bool is_final = !MayReachAnotherTarget(*lookup) || call.is_unkeyed_ ||
                         lookup->crashes_ >= crash_limit ||
                         now >= call.deadline_;
   if (is_final) {
@@ -161,12 +163,12 @@
   }
   if (lookup->error_answer_.has_value()) {
     const AttemptAnswer answer = *lookup->error_answer_;
-    return Finish(lookup, Complete(call, answer, now), now);
+    return Finish(lookup, CompleteAnswer(call, answer, now), now);
   }
   if (lookup->failures_ == 0) {
-    return Finish(lookup, NotRun(call, lookup->last_reason_), now);
+    return Finish(lookup, NotRunAnswer(call, lookup->last_reason_), now);
   }
-  return Finish(lookup, UnknownOutcome(call, lookup->last_reason_), now);
+  return Finish(lookup, UnknownOutcomeAnswer(call, lookup->last_reason_), now);
 }
 
 Commands LookupCalls::Finish(Lookup* lookup,
@@ -199,18 +201,19 @@
   for (const auto& [request_id, lookup] : lookups_) {
     const std::vector<OpenAttempt>& open = lookup->attempts_.open();
     const ClassifiedCall& call = lookup->call_;
-    const bool is_there =
+    const bool is_only_at_target =
         open.size() == 1 && open.front().target_.target_ == target;
     // A second copy helps only if it can still answer within the objective.
-    const state::Millis usual = router_->UsualLatency(call.service_->name_);
-    if (is_there && !call.is_unkeyed_ && !call.is_suspect_ &&
-        now + usual < call.objective_) {
+    const state::Millis usual_latency =
+        router_->UsualLatency(call.service_->name_);
+    if (is_only_at_target && !call.is_unkeyed_ && !call.is_suspect_ &&
+        now + usual_latency < call.objective_) {
       affected.push_back(lookup.get());
     }
   }
   Commands commands;
   for (Lookup* lookup : affected) {
-    if (!MayReachAnother(*lookup) ||
+    if (!MayReachAnotherTarget(*lookup) ||
         !router_->TakeRetry(lookup->call_.service_->name_, now)) {
       continue;
     }
@@ -225,7 +228,7 @@
   Commands commands;
   std::vector<Lookup*> affected;
   for (const auto& [request_id, lookup] : lookups_) {
-    if (lookup->attempts_.EndAt(address, now) > 0) {
+    if (lookup->attempts_.EndAttemptsTo(address, now) > 0) {
       affected.push_back(lookup.get());
     }
   }
@@ -235,12 +238,12 @@
     if (!lookup->attempts_.open().empty()) {
       continue;
     }
-    if (lookup->call_.is_unkeyed_ || !MayReachAnother(*lookup)) {
+    if (lookup->call_.is_unkeyed_ || !MayReachAnotherTarget(*lookup)) {
       Append(&commands, GiveUp(lookup, now));
       continue;
     }
-    // Outside the retry budget: a lost link says nothing about load, and the
-    // number of links bounds these retries.
+    // Not taken from the retry budget: a lost link does not indicate load, and
+    // the number of links limits these retries.
     counters_->Add(state::RetryReason::kSilentLink);
     Append(&commands, SendNext(lookup, now));
   }
@@ -278,7 +281,7 @@
   return next;
 }
 
-bool LookupCalls::MayReachAnother(const Lookup& lookup) {
+bool LookupCalls::MayReachAnotherTarget(const Lookup& lookup) {
   return lookup.attempts_.sent() - lookup.refusals_ <
          lookup.call_.max_attempts_;
 }
@@ -288,15 +291,15 @@
       !lookup->attempts_.open().empty() || lookup->failures_ > 0;
   const auto reason = state::RefusalReason::kDeadline;
   return Finish(lookup,
-                may_have_run ? UnknownOutcome(lookup->call_, reason)
-                             : NotRun(lookup->call_, reason),
+                may_have_run ? UnknownOutcomeAnswer(lookup->call_, reason)
+                             : NotRunAnswer(lookup->call_, reason),
                 now);
 }
 
 Commands LookupCalls::Hedge(Lookup* lookup, state::Millis now) {
   lookup->hedge_at_.reset();
   const bool may_hedge =
-      lookup->attempts_.open().size() == 1 && MayReachAnother(*lookup);
+      lookup->attempts_.open().size() == 1 && MayReachAnotherTarget(*lookup);
   if (!may_hedge || !router_->TakeHedge(lookup->call_.service_->name_, now)) {
     return {};
   }
--- a/src/coordination/internal/lookup_calls.h
+++ b/src/coordination/internal/lookup_calls.h
@@ -21,12 +21,12 @@
   // Returns nothing when the answer belongs to no lookup in progress.
   std::optional<Commands> OnAnswer(const AttemptAnswer& answer,
                                    state::Millis now);
-  // Drops the lookup of this call, if there is one, and cancels its attempts.
+  // Removes the lookup of this call, if there is one, and cancels its attempts.
   Commands OnCallerDisconnected(uint64_t call_id, state::Millis now);
   Commands OnTargetSlow(const std::string& target, state::Millis now);
   Commands OnLinkLost(const std::string& address, state::Millis now);
   Commands Tick(state::Millis now);
-  // Returns when Tick next has something to do, if anything waits.
+  // Returns the time when Tick is next due, or nothing if no lookup is pending.
   std::optional<state::Millis> NextDue() const;
   size_t size() const { return lookups_.size(); }
 
@@ -38,13 +38,13 @@
     const ClassifiedCall call_;
     AttemptSet attempts_;
     std::optional<state::Millis> hedge_at_;
-    // When the answer goes out after the last attempt crashed its target.
+    // When the answer is sent after the last attempt crashed its target.
     std::optional<state::Millis> give_up_at_;
     uint32_t refusals_ = 0;
     uint32_t failures_ = 0;
     uint32_t crashes_ = 0;
     state::RefusalReason last_reason_ = state::RefusalReason::kNone;
-    // A target's own error answer, handed on when no retry is left.
+    // A target's own error answer, returned to the caller if no retry is left.
     std::optional<AttemptAnswer> error_answer_;
   };
   using Lookups = std::map<std::string, std::unique_ptr<Lookup>>;
@@ -58,14 +58,15 @@
   Commands OnFailed(Lookup* lookup, state::Millis now);
   Commands OnDeadline(Lookup* lookup, state::Millis now);
   Commands Hedge(Lookup* lookup, state::Millis now);
-  // When Tick has something to do for the lookup.
+  // Returns the time when Tick is next due for the lookup.
   static state::Millis DueAt(const Lookup& lookup);
-  // Whether one more target may be reached. Refused attempts have reached none.
-  static bool MayReachAnother(const Lookup& lookup);
+  // Returns whether one more target may be reached. Refused attempts do not
+  // count as having reached a target.
+  static bool MayReachAnotherTarget(const Lookup& lookup);
   Commands Finish(Lookup* lookup, AnswerCall answer, state::Millis now);
   // Ends the lookup after its last attempt ended without an answer. After a
-  // crash the answer is delayed, so that the caller's resend meets daemons that
-  // know of it.
+  // crash the answer is delayed, so that the caller's resend reaches daemons
+  // that already suspect the request.
   Commands GiveUp(Lookup* lookup, state::Millis now);
 
   Router* const router_;
--- a/src/coordination/internal/messages.cc
+++ b/src/coordination/internal/messages.cc
@@ -4,58 +4,59 @@
 
 namespace {
 
-// One overload for each message that is not for the call path.
+// RecipientFor has one overload for each message that is not for the call path.
 template <class CallPathMessage>
-constexpr MessageRecipient Of(const CallPathMessage&) {
+constexpr MessageRecipient RecipientFor(const CallPathMessage&) {
   return MessageRecipient::kNode;
 }
-constexpr MessageRecipient Of(const LeaseRenew&) {
+constexpr MessageRecipient RecipientFor(const LeaseRenew&) {
   return MessageRecipient::kControl;
 }
-constexpr MessageRecipient Of(const RegisterCall&) {
+constexpr MessageRecipient RecipientFor(const RegisterCall&) {
   return MessageRecipient::kControl;
 }
-constexpr MessageRecipient Of(const MembershipSync&) {
+constexpr MessageRecipient RecipientFor(const MembershipSync&) {
   return MessageRecipient::kControl;
 }
-constexpr MessageRecipient Of(const MembershipSyncAck&) {
+constexpr MessageRecipient RecipientFor(const MembershipSyncAck&) {
   return MessageRecipient::kControl;
 }
-constexpr MessageRecipient Of(const ConfigSubmit&) {
+constexpr MessageRecipient RecipientFor(const ConfigSubmit&) {
   return MessageRecipient::kControl;
 }
-constexpr MessageRecipient Of(const JoinRequest&) {
+constexpr MessageRecipient RecipientFor(const JoinRequest&) {
   return MessageRecipient::kControl;
 }
-constexpr MessageRecipient Of(const VoteRequest&) {
+constexpr MessageRecipient RecipientFor(const VoteRequest&) {
   return MessageRecipient::kLog;
 }
-constexpr MessageRecipient Of(const VoteReply&) {
+constexpr MessageRecipient RecipientFor(const VoteReply&) {
   return MessageRecipient::kLog;
 }
-constexpr MessageRecipient Of(const AppendRequest&) {
+constexpr MessageRecipient RecipientFor(const AppendRequest&) {
   return MessageRecipient::kLog;
 }
-constexpr MessageRecipient Of(const AppendReply&) {
+constexpr MessageRecipient RecipientFor(const AppendReply&) {
   return MessageRecipient::kLog;
 }
-constexpr MessageRecipient Of(const InstallSnapshot&) {
+constexpr MessageRecipient RecipientFor(const InstallSnapshot&) {
   return MessageRecipient::kLog;
 }
-constexpr MessageRecipient Of(const ReadIndexRequest&) {
+constexpr MessageRecipient RecipientFor(const ReadIndexRequest&) {
   return MessageRecipient::kLog;
 }
-constexpr MessageRecipient Of(const ReadIndexReply&) {
+constexpr MessageRecipient RecipientFor(const ReadIndexReply&) {
   return MessageRecipient::kLog;
 }
-constexpr MessageRecipient Of(const ConfigSubmitReply&) {
+constexpr MessageRecipient RecipientFor(const ConfigSubmitReply&) {
   return MessageRecipient::kOperators;
 }
 
 }  // namespace
 
 MessageRecipient RecipientOf(const PeerMessage& message) {
-  return std::visit([](const auto& concrete) { return Of(concrete); }, message);
+  return std::visit([](const auto& concrete) { return RecipientFor(concrete); },
+                    message);
 }
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -11,16 +11,18 @@
 
 namespace {
 
-// Without a control instance for longer than this, a daemon runs no actions:
-// their rules may have changed. Lookups go on.
-constexpr state::Millis kMaxKnowledgeAge(10 * 1000);
+// After more than this time without contact to a control instance, a daemon
+// accepts no actions with a key, since their rules may have changed. Lookups
+// continue.
+constexpr state::Millis kMaxStaleness(10 * 1000);
 
-// The shortest time between two ticks, and that between probes: what a target
-// tells of its load holds for some milliseconds only.
+// The shortest time between two ticks, also used while probes are sent: a
+// reported load is accurate for some milliseconds only.
 constexpr state::Millis kShortestTick(2);
-// While calls are in progress that wait for nothing sooner. Ticks every 2 ms
-// took half of the processor time of a busy daemon.
+// The longest time between two ticks while work is in progress. Ticks every
+// 2 ms took half of the processor time of a busy daemon.
 constexpr state::Millis kBusyTick(20);
+// Time between two ticks while nothing is in progress.
 constexpr state::Millis kIdleTick(50);
 
 std::vector<std::string> AddressesOf(
@@ -60,7 +62,7 @@
     Commands commands = std::visit(
         [this, now](const auto& concrete) { return On(concrete, now); }, event);
     Append(&commands, AnnounceChanges(now));
-    return CarryOutLocally(std::move(commands), now);
+    return DeliverLocalMessages(std::move(commands), now);
   }
 
   state::Millis NextTick(state::Millis now) const {
@@ -97,7 +99,7 @@
   }
 
   bool IsReady(state::Millis now) const {
-    return KnowsEnough(now) && !guard_.is_draining();
+    return HasRequiredState(now) && !guard_.is_draining();
   }
 
   const state::IndexedConfiguration& configuration() const {
@@ -110,25 +112,26 @@
 
  private:
   Commands On(const CallReceived& call, state::Millis now) {
-    // A routed call is refused at once: its caller comes back when told to.
+    // A routed call is refused immediately: its caller retries after the time
+    // given in the answer.
     const bool is_routed = call.service_.empty();
-    return !is_routed && early_calls_.Keep(call, now)
+    return !is_routed && early_calls_.Add(call, now)
                ? Commands()
                : ingress_.OnCall(call, now);
   }
 
-  Commands On(const CallerDisconnected& left, state::Millis now) {
-    early_calls_.Drop(left.call_id_);
-    return ingress_.OnCallerDisconnected(left.call_id_, now);
+  Commands On(const CallerDisconnected& disconnected, state::Millis now) {
+    early_calls_.Remove(disconnected.call_id_);
+    return ingress_.OnCallerDisconnected(disconnected.call_id_, now);
   }
 
-  Commands On(const PeerMessageReceived& arrived, state::Millis now) {
-    if (!arrived.address_.empty()) {
-      link_monitor_.OnReceived(arrived.address_, now);
+  Commands On(const PeerMessageReceived& received, state::Millis now) {
+    if (!received.address_.empty()) {
+      link_monitor_.OnReceived(received.address_, now);
     }
     return std::visit(
-        [&](const auto& message) { return OnMessage(message, arrived, now); },
-        arrived.message_);
+        [&](const auto& message) { return OnMessage(message, received, now); },
+        received.message_);
   }
 
   Commands On(const DeliveryEnded& ended, state::Millis now) {
@@ -155,22 +158,21 @@
 
   Commands On(const Ticked&, state::Millis now) {
     Commands commands = Apply(control_client_.Tick(now), now);
-    ingress_.SetActionsAllowed(control_client_.Staleness(now) <=
-                               kMaxKnowledgeAge);
+    ingress_.SetActionsAllowed(control_client_.Staleness(now) <= kMaxStaleness);
     for (const CallReceived& call :
-         early_calls_.Release(KnowsEnough(now), now)) {
+         early_calls_.Release(HasRequiredState(now), now)) {
       Append(&commands, ingress_.OnCall(call, now));
     }
     Append(&commands, Apply(register_client_.Tick(now), now));
     Append(&commands, ingress_.Tick(now));
     Append(&commands, guard_.Tick(now));
-    // Before the router, which can use up the budget.
+    // Before the router, which can use up the load budget for probes.
     LinkMonitor::Step links =
         link_monitor_.Tick(now, [this, now](const std::string& address) {
           return router_.TakeProbe(address, now);
         });
     Append(&commands, std::move(links.commands_));
-    for (const std::string& address : links.silent_) {
+    for (const std::string& address : links.reset_addresses_) {
       counters_->Add(state::Counter::kLinksReset);
       Append(&commands, ingress_.OnLinkLost(address, now));
     }
@@ -178,16 +180,18 @@
     return commands;
   }
 
-  bool KnowsEnough(state::Millis now) const {
+  // Returns whether the configuration and the targets are present and recent
+  // enough to accept all calls.
+  bool HasRequiredState(state::Millis now) const {
     return control_client_.configuration().index_ > 0 &&
            control_client_.knows_membership() &&
-           control_client_.Staleness(now) <= kMaxKnowledgeAge;
+           control_client_.Staleness(now) <= kMaxStaleness;
   }
 
   Commands OnMessage(const Attempt& attempt,
-                     const PeerMessageReceived& arrived,
+                     const PeerMessageReceived& received,
                      state::Millis now) {
-    return guard_.OnAttempt(arrived.connection_, attempt, now);
+    return guard_.OnAttempt(received.connection_, attempt, now);
   }
 
   Commands OnMessage(const Cancel& cancel,
@@ -197,10 +201,10 @@
   }
 
   Commands OnMessage(const Probe& probe,
-                     const PeerMessageReceived& arrived,
+                     const PeerMessageReceived& received,
                      state::Millis) {
     return {
-        ReplyToPeer{.connection_ = arrived.connection_,
+        ReplyToPeer{.connection_ = received.connection_,
                     .message_ = ProbeReply{.probe_id_ = probe.probe_id_,
                                            .target_ = guard_.target().target_,
                                            .load_ = guard_.Load()}}};
@@ -229,10 +233,10 @@
   }
 
   Commands OnMessage(const LeaseReply& reply,
-                     const PeerMessageReceived& arrived,
+                     const PeerMessageReceived& received,
                      state::Millis now) {
     Commands commands =
-        Apply(control_client_.OnReply(arrived.address_, reply, now), now);
+        Apply(control_client_.OnReply(received.address_, reply, now), now);
     guard_.SetIncarnation(control_client_.record().version_.incarnation_);
     register_client_.SetLeader(control_client_.leader_address());
     Append(&commands, guard_.OnCrashesReported(now));
@@ -245,7 +249,7 @@
     return Apply(register_client_.OnReply(reply, now), now);
   }
 
-  // Messages for the control role do not come here.
+  // Messages for the control role are not passed to the node.
   template <class Other>
   Commands OnMessage(const Other&, const PeerMessageReceived&, state::Millis) {
     return {};
@@ -280,7 +284,8 @@
     return commands;
   }
 
-  // Tells the control group when the own target or its state has changed.
+  // Announces changes of the daemon's own target or its state to the control
+  // group, and reports crashes of the target.
   Commands AnnounceChanges(state::Millis now) {
     Commands commands;
     const TargetAnnounced& target = guard_.target();
@@ -302,9 +307,10 @@
     return commands;
   }
 
-  // Hands messages between this daemon's own ingress and guard over directly,
-  // and records the rest with the link monitor.
-  Commands CarryOutLocally(Commands commands, state::Millis now) {
+  // Delivers messages between this daemon's own ingress and guard directly, and
+  // records the remaining ones with the link monitor. Adds log lines and counts
+  // answers. Returns the commands for the duties.
+  Commands DeliverLocalMessages(Commands commands, state::Millis now) {
     Commands remaining;
     for (size_t i = 0; i < commands.size(); ++i) {
       const Command command = commands[i];
@@ -315,16 +321,16 @@
       }
       LogAttempt(command, now, &remaining);
       const PeerMessageReceived* local = nullptr;
-      std::optional<PeerMessageReceived> arrived;
+      std::optional<PeerMessageReceived> received;
       if (const auto* reply = std::get_if<ReplyToPeer>(&command)) {
         if (reply->connection_.empty()) {
-          arrived.emplace(PeerMessageReceived{.message_ = reply->message_});
-          local = &*arrived;
+          received.emplace(PeerMessageReceived{.message_ = reply->message_});
+          local = &*received;
         }
       } else if (const auto* send = std::get_if<SendToPeer>(&command)) {
         if (send->address_ == self_.guard_address_ && IsForNode(*send)) {
-          arrived.emplace(PeerMessageReceived{.message_ = send->message_});
-          local = &*arrived;
+          received.emplace(PeerMessageReceived{.message_ = send->message_});
+          local = &*received;
         } else {
           RecordSent(*send, now);
         }
@@ -340,8 +346,8 @@
     return remaining;
   }
 
-  KnownState CurrentState(state::Millis now) const {
-    return KnownState{
+  ConfigurationState CurrentState(state::Millis now) const {
+    return ConfigurationState{
         .configuration_index_ = control_client_.configuration().index_,
         .staleness_ = control_client_.Staleness(now)};
   }
--- a/src/coordination/internal/recent_peers.h
+++ b/src/coordination/internal/recent_peers.h
@@ -9,18 +9,20 @@
 
 namespace gooseberrygap::coordination {
 
-// The connections on which work came lately. Not thread-safe.
+// The connections on which attempts were received recently, and the time of the
+// last one. Not thread-safe.
 class RecentPeers {
  public:
   void OnWork(const std::string& connection, state::Millis now) {
     last_work_[connection] = now;
   }
 
-  // Returns the connections of the recent past, and forgets the others.
+  // Returns the connections whose last attempt is at most kMaxAge old, and
+  // removes the others.
   std::vector<std::string> Take(state::Millis now) {
     std::vector<std::string> recent;
     for (auto entry = last_work_.begin(); entry != last_work_.end();) {
-      if (now - entry->second > kRecent) {
+      if (now - entry->second > kMaxAge) {
         entry = last_work_.erase(entry);
         continue;
       }
@@ -31,7 +33,7 @@
   }
 
  private:
-  static constexpr state::Millis kRecent = state::Millis(3000);
+  static constexpr state::Millis kMaxAge = state::Millis(3000);
 
   std::map<std::string, state::Millis> last_work_;  // By connection.
 };
--- a/src/coordination/internal/register_client.cc
+++ b/src/coordination/internal/register_client.cc
@@ -4,10 +4,10 @@
 
 namespace {
 
-// A register call that got no answer is sent again after this time. Longer than
-// a round trip between regions and a sync of the log.
+// An unanswered register call is sent again after this time. Longer than a
+// round trip between regions and a sync of the log.
 constexpr state::Millis kResendAfter(150);
-// Pause before asking again when an instance knew no leader.
+// Delay before a resend when an instance replied that it has no leader.
 constexpr state::Millis kNoLeaderPause(50);
 
 }  // namespace
@@ -92,7 +92,7 @@
       continue;
     }
     if (now >= pending.next_send_) {
-      // The instance that was asked may be cut off, so ask another one.
+      // The instance may be unreachable, so try another one.
       leader_.clear();
       counters_->Add(state::RetryReason::kRegisterUnanswered);
       Append(&step.commands_, Send(entry->first, &pending, now));
--- a/src/coordination/tests/crash_history_test.cc
+++ b/src/coordination/tests/crash_history_test.cc
@@ -9,7 +9,7 @@
 
 const state::PoisonPolicy kPolicy;
 
-// Records one crash at which the requests were in flight together.
+// Records one crash during which all these requests were in flight.
 void AddCrash(CrashHistory* history,
               const std::string& crash_id,
               const std::vector<std::string>& fingerprints,
@@ -32,7 +32,7 @@
 }
 
 // Guards against a third crash: both copies of a hedged call crash their
-// targets at once, neither of them alone.
+// targets at the same time, so that neither ran alone.
 TEST_CASE("the only request that two crashes share is convicted", "[poison]") {
   CrashHistory history;
   AddCrash(&history, "a-1", {"guilty", "innocent-1"}, Millis(10));
--- a/src/coordination/tests/node_test.cc
+++ b/src/coordination/tests/node_test.cc
@@ -74,8 +74,8 @@
   return {};
 }
 
-// Guards against starts under an incarnation that the group holds for outdated:
-// the leader would abandon each of them while it runs.
+// Guards against starts under an incarnation that the control group considers
+// outdated: the leader would abandon each of them while it runs.
 TEST_CASE("the guard starts actions under the incarnation of its lease",
           "[at_most_once]") {
   TestNode test;
@@ -98,7 +98,8 @@
   CHECK(call.command_.incarnation_ == 10);
 }
 
-// Guards against an empty answer that is passed off as the stored one.
+// Guards against an empty answer that is returned as the stored one, when the
+// register did not store the answer because of its size.
 TEST_CASE("a caller is told that the stored answer was too large",
           "[at_most_once]") {
   TestNode test;
@@ -128,7 +129,7 @@
       answers.push_back(answered->answer_);
       continue;
     }
-    // The answer's line in the log is all that may come with it.
+    // Only the answer's log line may accompany it.
     REQUIRE(std::holds_alternative<WriteLog>(command));
   }
   REQUIRE(answers.size() == 1);
