Merge the wording of calls in src/coordination

Cause: comments and names of this part read oddly to newcomers. Change: comments and names of the part reworded; names that other folders use were renamed with all their uses. warmup_remaining_ keeps a name of the platform out of the project's own code.

--- a/src/coordination/api/control_client.h
+++ b/src/coordination/api/control_client.h
@@ -75,7 +75,7 @@
   const std::string& leader_address() const;
   // Returns the time since a control instance that replied to this daemon was
   // last in contact with a leader that had a quorum; infinity if never.
-  state::Millis KnowledgeAge(state::Millis now) const;
+  state::Millis Staleness(state::Millis now) const;
   // Returns this daemon's record as its renewals announce it.
   const state::TargetRecord& record() const;
 
--- a/src/coordination/internal/followed_state.cc
+++ b/src/coordination/internal/followed_state.cc
@@ -61,7 +61,7 @@
   }
   // The first configuration could be older than the one that this daemon
   // applied before its restart, unless a quorum has confirmed it.
-  if (current.index_ == 0 && !reply.configuration_vouched_) {
+  if (current.index_ == 0 && !reply.configuration_confirmed_) {
     return false;
   }
   if (reply.delta_base_index_ != 0 &&
--- a/src/coordination/internal/guard_target.cc
+++ b/src/coordination/internal/guard_target.cc
@@ -74,14 +74,15 @@
     return;
   }
   const TargetAnnounced old = *announcement_;
-  announcement_.emplace(TargetAnnounced{.target_ = old.target_,
-                                        .service_ = old.service_,
-                                        .address_ = old.address_,
-                                        .slots_ = old.slots_,
-                                        .state_ = target_state,
-                                        .incarnation_ = old.incarnation_,
-                                        .sequence_ = old.sequence_,
-                                        .cold_left_ = old.cold_left_});
+  announcement_.emplace(
+      TargetAnnounced{.target_ = old.target_,
+                      .service_ = old.service_,
+                      .address_ = old.address_,
+                      .slots_ = old.slots_,
+                      .state_ = target_state,
+                      .incarnation_ = old.incarnation_,
+                      .sequence_ = old.sequence_,
+                      .warmup_remaining_ = old.warmup_remaining_});
 }
 
 void GuardTarget::Drain() {
--- a/src/coordination/internal/messages.cc
+++ b/src/coordination/internal/messages.cc
@@ -4,58 +4,59 @@
 
 namespace {
 
-// One overload for each message that is not for the call path.
+// RecipientFor has one overload for each message that is not for the call path.
 template <class CallPathMessage>
-constexpr Addressee Of(const CallPathMessage&) {
-  return Addressee::kNode;
+constexpr MessageRecipient RecipientFor(const CallPathMessage&) {
+  return MessageRecipient::kNode;
 }
-constexpr Addressee Of(const LeaseRenew&) {
-  return Addressee::kControl;
+constexpr MessageRecipient RecipientFor(const LeaseRenew&) {
+  return MessageRecipient::kControl;
 }
-constexpr Addressee Of(const RegisterCall&) {
-  return Addressee::kControl;
+constexpr MessageRecipient RecipientFor(const RegisterCall&) {
+  return MessageRecipient::kControl;
 }
-constexpr Addressee Of(const MembershipSync&) {
-  return Addressee::kControl;
+constexpr MessageRecipient RecipientFor(const MembershipSync&) {
+  return MessageRecipient::kControl;
 }
-constexpr Addressee Of(const MembershipSyncAck&) {
-  return Addressee::kControl;
+constexpr MessageRecipient RecipientFor(const MembershipSyncAck&) {
+  return MessageRecipient::kControl;
 }
-constexpr Addressee Of(const ConfigSubmit&) {
-  return Addressee::kControl;
+constexpr MessageRecipient RecipientFor(const ConfigSubmit&) {
+  return MessageRecipient::kControl;
 }
-constexpr Addressee Of(const JoinRequest&) {
-  return Addressee::kControl;
+constexpr MessageRecipient RecipientFor(const JoinRequest&) {
+  return MessageRecipient::kControl;
 }
-constexpr Addressee Of(const VoteRequest&) {
-  return Addressee::kLog;
+constexpr MessageRecipient RecipientFor(const VoteRequest&) {
+  return MessageRecipient::kLog;
 }
-constexpr Addressee Of(const VoteReply&) {
-  return Addressee::kLog;
+constexpr MessageRecipient RecipientFor(const VoteReply&) {
+  return MessageRecipient::kLog;
 }
-constexpr Addressee Of(const AppendRequest&) {
-  return Addressee::kLog;
+constexpr MessageRecipient RecipientFor(const AppendRequest&) {
+  return MessageRecipient::kLog;
 }
-constexpr Addressee Of(const AppendReply&) {
-  return Addressee::kLog;
+constexpr MessageRecipient RecipientFor(const AppendReply&) {
+  return MessageRecipient::kLog;
 }
-constexpr Addressee Of(const InstallSnapshot&) {
-  return Addressee::kLog;
+constexpr MessageRecipient RecipientFor(const InstallSnapshot&) {
+  return MessageRecipient::kLog;
 }
-constexpr Addressee Of(const ReadIndexRequest&) {
-  return Addressee::kLog;
+constexpr MessageRecipient RecipientFor(const ReadIndexRequest&) {
+  return MessageRecipient::kLog;
 }
-constexpr Addressee Of(const ReadIndexReply&) {
-  return Addressee::kLog;
+constexpr MessageRecipient RecipientFor(const ReadIndexReply&) {
+  return MessageRecipient::kLog;
 }
-constexpr Addressee Of(const ConfigSubmitReply&) {
-  return Addressee::kOperators;
+constexpr MessageRecipient RecipientFor(const ConfigSubmitReply&) {
+  return MessageRecipient::kOperators;
 }
 
 }  // namespace
 
-Addressee AddresseeOf(const PeerMessage& message) {
-  return std::visit([](const auto& concrete) { return Of(concrete); }, message);
+MessageRecipient RecipientOf(const PeerMessage& message) {
+  return std::visit([](const auto& concrete) { return RecipientFor(concrete); },
+                    message);
 }
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/tests/control_client_test.cc
+++ b/src/coordination/tests/control_client_test.cc
@@ -77,7 +77,7 @@
   return LeaseReply{
       .granted_ = true,
       .configuration_index_ = index,
-      .configuration_vouched_ = confirmed,
+      .configuration_confirmed_ = confirmed,
       .delta_base_index_ = delta_base,
       .configuration_ = std::make_shared<const state::Configuration>(
           state::Configuration{.version_ = index, .services_ = list})};
@@ -101,7 +101,7 @@
   Daemon daemon;
   CHECK_FALSE(daemon.Reply(WithConfiguration(4, false, {"old"}))
                   .configuration_changed_);
-  CHECK(daemon.Run(1000).at(0).renew_.wants_vouched_);
+  CHECK(daemon.Run(1000).at(0).renew_.requires_confirmed_);
   CHECK(daemon.Reply(WithConfiguration(7, true, {"a", "b"}))
             .configuration_changed_);
   CHECK_FALSE(
@@ -178,7 +178,7 @@
         address,
         LeaseReply{.control_instance_ = daemon.InstanceAt(address),
                    .granted_ = address == daemon.current_,
-                   .knowledge_age_ = Millis(staleness)},
+                   .staleness_ = Millis(staleness)},
         daemon.now_);
   };
   const state::LeaseVersion before = daemon.client_.record().version_;
@@ -202,7 +202,7 @@
   REQUIRE(moved.size() == 1);
   CHECK(moved[0].address_ == other);
   CHECK(moved[0].renew_.record_.version_ > before);
-  CHECK(daemon.client_.KnowledgeAge(daemon.now_) == Millis(100));
+  CHECK(daemon.client_.Staleness(daemon.now_) == Millis(100));
 }
 
 // Guards against a restarted daemon whose records are ignored because its clock
@@ -294,7 +294,7 @@
         address,
         LeaseReply{.control_instance_ = daemon.InstanceAt(address),
                    .granted_ = true,
-                   .knowledge_age_ = Millis(staleness)},
+                   .staleness_ = Millis(staleness)},
         daemon.now_);
   };
   const std::string partitioned = daemon.current_;
--- a/src/coordination/tests/control_service_test.cc
+++ b/src/coordination/tests/control_service_test.cc
@@ -98,7 +98,7 @@
   return LeaseRenew{
       .instance_ = instance,
       .record_ = state::TargetRecord{.instance_ = instance, .version_ = {1, 1}},
-      .wants_vouched_ = true,
+      .requires_confirmed_ = true,
       .services_ = {"*"}};
 }
 
@@ -252,7 +252,7 @@
   const auto confirmed = MessagesOf<LeaseReply>(
       control.Commit(control.Message(Submit(2, "s2", "b"))));
   REQUIRE(confirmed.size() == 1);
-  CHECK(confirmed[0].configuration_vouched_);
+  CHECK(confirmed[0].configuration_confirmed_);
   CHECK(confirmed[0].configuration_index_ == 2);
 
   // When the read fails, nothing is confirmed and the read is repeated.
