Rename the results of proposals and reads of the replicated log

ProposalEnd, ReadAnswer, Step::ended_ and last_heard_age_ said how a call ended or who was heard, not what the value is. They become ProposalResult, ReadIndexResult, proposal_results_ and last_contact_age_. RaftReads::ended_ is finished_, since it means another thing.

Only identifiers change.

--- a/src/coordination/api/raft.h
+++ b/src/coordination/api/raft.h
@@ -138,22 +138,24 @@
   kAlreadyFormed,  // Not appended: the log is not empty.
 };
 
-struct ProposalEnd {
+struct ProposalResult {
   const uint64_t tag_ = 0;
   const ProposalStatus status_ = ProposalStatus::kCommitted;
   const uint64_t index_ = 0;  // Of kCommitted.
 
-  friend bool operator==(const ProposalEnd&, const ProposalEnd&) = default;
+  friend bool operator==(const ProposalResult&,
+                         const ProposalResult&) = default;
 };
 
 // When confirmed, the entries up to `index_` were handed out by this step or by
 // an earlier one. A read that is not confirmed may be tried again.
-struct ReadAnswer {
+struct ReadIndexResult {
   const uint64_t read_id_ = 0;
   const bool confirmed_ = false;
   const uint64_t index_ = 0;
 
-  friend bool operator==(const ReadAnswer&, const ReadAnswer&) = default;
+  friend bool operator==(const ReadIndexResult&,
+                         const ReadIndexResult&) = default;
 };
 
 enum class RaftRole { kFollower, kPreCandidate, kCandidate, kLeader };
@@ -170,8 +172,8 @@
 // A member as the leader sees it.
 struct MemberStatus {
   const state::ControlMember member_ = {};
-  const uint64_t match_index_ = 0;           // 0 unless this member leads.
-  const state::Millis last_heard_age_ = {};  // 0 unless this member leads.
+  const uint64_t match_index_ = 0;             // 0 unless this member leads.
+  const state::Millis last_contact_age_ = {};  // 0 unless this member leads.
 
   friend bool operator==(const MemberStatus&, const MemberStatus&) = default;
 };
@@ -192,8 +194,8 @@
     Commands commands_;  // SendToPeer and ReplyToPeer.
     std::optional<state::LogSnapshot> restore_;
     std::vector<state::LogEntry> committed_;
-    std::vector<ProposalEnd> ended_;
-    std::vector<ReadAnswer> reads_;
+    std::vector<ProposalResult> proposal_results_;
+    std::vector<ReadIndexResult> reads_;
     std::optional<RoleChange> role_change_;
   };
 
--- a/src/coordination/internal/group_membership.cc
+++ b/src/coordination/internal/group_membership.cc
@@ -25,7 +25,7 @@
 bool IsReadyLearner(const MemberStatus& status, uint64_t last_index) {
   return !status.member_.voter_ && status.match_index_ > 0 &&
          status.match_index_ + kReadyLag >= last_index &&
-         status.last_heard_age_ < kSilentVoter / 3;
+         status.last_contact_age_ < kSilentVoter / 3;
 }
 
 }  // namespace
@@ -118,7 +118,7 @@
     if (status.member_.address_ != request.address_) {
       continue;
     }
-    if (status.last_heard_age_ < kReplacedAfter) {
+    if (status.last_contact_age_ < kReplacedAfter) {
       return {};
     }
     return Step{
@@ -141,7 +141,7 @@
       continue;
     }
     if (!status.member_.voter_) {
-      if (status.last_heard_age_ >= kSilentLearner) {
+      if (status.last_contact_age_ >= kSilentLearner) {
         return status.member_.identity_;
       }
       has_successor = has_successor || IsReadyLearner(status, view.last_index_);
@@ -150,8 +150,8 @@
     ++voters;
     const bool is_more_silent =
         silent_voter == nullptr ||
-        status.last_heard_age_ > silent_voter->last_heard_age_;
-    if (status.last_heard_age_ >= kSilentVoter && is_more_silent) {
+        status.last_contact_age_ > silent_voter->last_contact_age_;
+    if (status.last_contact_age_ >= kSilentVoter && is_more_silent) {
       silent_voter = &status;
     }
   }
--- a/src/coordination/internal/raft.cc
+++ b/src/coordination/internal/raft.cc
@@ -198,7 +198,7 @@
     status.push_back(MemberStatus{
         .member_ = member,
         .match_index_ = known ? progress->second.match() : own,
-        .last_heard_age_ =
+        .last_contact_age_ =
             known ? now - progress->second.last_heard() : state::Millis()});
   }
   return status;
--- a/src/coordination/internal/raft_proposals.cc
+++ b/src/coordination/internal/raft_proposals.cc
@@ -36,7 +36,8 @@
 }
 
 void Raft::Impl::EndProposal(uint64_t tag, ProposalStatus status) {
-  step_->ended_.push_back(ProposalEnd{.tag_ = tag, .status_ = status});
+  step_->proposal_results_.push_back(
+      ProposalResult{.tag_ = tag, .status_ = status});
 }
 
 // A proposal whose entry was replaced in this log ends only when the place is
@@ -50,8 +51,8 @@
     } else if (*term != proposal.term_) {
       EndProposal(proposal.tag_, ProposalStatus::kLost);
     } else {
-      step_->ended_.push_back(
-          ProposalEnd{.tag_ = proposal.tag_, .index_ = index});
+      step_->proposal_results_.push_back(
+          ProposalResult{.tag_ = proposal.tag_, .index_ = index});
     }
     proposals_.erase(proposals_.begin());
   }
--- a/src/coordination/internal/raft_reads.cc
+++ b/src/coordination/internal/raft_reads.cc
@@ -85,12 +85,12 @@
 }
 
 void RaftReads::End(uint64_t read_id, bool confirmed, uint64_t index) {
-  ended_.push_back(ReadAnswer{
+  finished_.push_back(ReadIndexResult{
       .read_id_ = read_id, .confirmed_ = confirmed, .index_ = index});
 }
 
-std::vector<ReadAnswer> RaftReads::TakeAnswers(uint64_t handed_out,
-                                               state::Millis now) {
+std::vector<ReadIndexResult> RaftReads::TakeAnswers(uint64_t handed_out,
+                                                    state::Millis now) {
   for (auto entry = forwarded_.begin(); entry != forwarded_.end();) {
     if (entry->second.expires_ > now) {
       ++entry;
@@ -99,7 +99,7 @@
     End(entry->second.read_id_, false, 0);
     entry = forwarded_.erase(entry);
   }
-  return Extract(&ended_, [&](const ReadAnswer& answer) {
+  return Extract(&finished_, [&](const ReadIndexResult& answer) {
     return !answer.confirmed_ || answer.index_ <= handed_out;
   });
 }
--- a/src/coordination/internal/raft_reads.h
+++ b/src/coordination/internal/raft_reads.h
@@ -57,7 +57,8 @@
   // `index` have been handed out.
   void End(uint64_t read_id, bool confirmed, uint64_t index);
   // Returns the own reads that can be answered.
-  std::vector<ReadAnswer> TakeAnswers(uint64_t handed_out, state::Millis now);
+  std::vector<ReadIndexResult> TakeAnswers(uint64_t handed_out,
+                                           state::Millis now);
 
  private:
   struct Forwarded {
@@ -69,7 +70,7 @@
   std::vector<LeaderRead> confirming_;
   uint64_t next_wire_id_;
   std::map<uint64_t, Forwarded> forwarded_;
-  std::vector<ReadAnswer> ended_;
+  std::vector<ReadIndexResult> finished_;
 };
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/tests/group_membership_test.cc
+++ b/src/coordination/tests/group_membership_test.cc
@@ -22,7 +22,7 @@
                                                            : address,
                                .voter_ = voter},
       .match_index_ = 100,
-      .last_heard_age_ = silent_for};
+      .last_contact_age_ = silent_for};
 }
 
 // The leader "a" and the given other members.
--- a/src/coordination/tests/raft_cluster.h
+++ b/src/coordination/tests/raft_cluster.h
@@ -300,10 +300,10 @@
         absl::StrAppend(&owner.value_, entry.payload_.view(), ",");
       }
     }
-    for (const ProposalEnd& end : step.ended_) {
+    for (const ProposalResult& end : step.proposal_results_) {
       history_.OnEnded(end);
     }
-    for (const ReadAnswer& answer : step.reads_) {
+    for (const ReadIndexResult& answer : step.reads_) {
       history_.OnReadAnswered(answer, owner.applied_);
     }
     if (step.role_change_ && step.role_change_->role_ == RaftRole::kLeader) {
--- a/src/coordination/tests/raft_history.h
+++ b/src/coordination/tests/raft_history.h
@@ -48,7 +48,7 @@
     const auto [seen, inserted] = committed_.emplace(entry.index_, entry);
     Require(seen->second == entry, "a committed entry changed");
   }
-  void OnEnded(const ProposalEnd& end) {
+  void OnEnded(const ProposalResult& end) {
     ends_.emplace(end.tag_, end);
     acknowledged_index_ = std::max(acknowledged_index_, end.index_);
   }
@@ -59,7 +59,7 @@
   void OnReadBegun(uint64_t read_id) {
     read_floors_.emplace(read_id, acknowledged_index_);
   }
-  void OnReadAnswered(const ReadAnswer& answer, uint64_t applied) {
+  void OnReadAnswered(const ReadIndexResult& answer, uint64_t applied) {
     Require(!answer.confirmed_ ||
                 (answer.index_ >= read_floors_.at(answer.read_id_) &&
                  applied >= answer.index_),
@@ -130,8 +130,8 @@
  private:
   std::map<uint64_t, std::string> leaders_;        // By term.
   std::map<uint64_t, state::LogEntry> committed_;  // By index.
-  std::map<uint64_t, ProposalEnd> ends_;           // By tag.
-  std::map<uint64_t, ReadAnswer> answers_;         // By read id.
+  std::map<uint64_t, ProposalResult> ends_;        // By tag.
+  std::map<uint64_t, ReadIndexResult> answers_;    // By read id.
   std::map<uint64_t, uint64_t> read_floors_;       // By read id.
   uint64_t acknowledged_index_ = 0;
 };
--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -309,10 +309,10 @@
                                        .command_ = command.value()},
           raft_events);
   }
-  for (const coordination::ProposalEnd& end : step.ended_) {
+  for (const coordination::ProposalResult& end : step.proposal_results_) {
     EndProposal(end, raft_events);
   }
-  for (const coordination::ReadAnswer& read : step.reads_) {
+  for (const coordination::ReadIndexResult& read : step.reads_) {
     EndRead(read, raft_events);
   }
   if (step.role_change_.has_value()) {
@@ -359,7 +359,7 @@
       .members_ = raft_.Status(now)};
 }
 
-void ControlDuty::EndRead(const coordination::ReadAnswer& read,
+void ControlDuty::EndRead(const coordination::ReadIndexResult& read,
                           RaftEvents* raft_events) {
   const auto own = reads_.find(read.read_id_);
   if (own == reads_.end()) {
@@ -377,7 +377,7 @@
   reads_.erase(own);
 }
 
-void ControlDuty::EndProposal(const coordination::ProposalEnd& end,
+void ControlDuty::EndProposal(const coordination::ProposalResult& end,
                               RaftEvents* raft_events) {
   if ((end.tag_ & kChangeTagBit) != 0) {
     change_slots_.Put(end.tag_ & ~kChangeTagBit, end);
--- a/src/daemon/control_duty.h
+++ b/src/daemon/control_duty.h
@@ -101,8 +101,9 @@
   void Apply(const coordination::GroupMembership::Step& step,
              RaftEvents* raft_events);
   coordination::GroupView CurrentGroupView(state::Millis now) const;
-  void EndRead(const coordination::ReadAnswer& read, RaftEvents* raft_events);
-  void EndProposal(const coordination::ProposalEnd& end,
+  void EndRead(const coordination::ReadIndexResult& read,
+               RaftEvents* raft_events);
+  void EndProposal(const coordination::ProposalResult& end,
                    RaftEvents* raft_events);
   coordination::LogStatus CurrentLogStatus(state::Millis now) const;
   void AnswerStatus(StatusSlot* slot) const;
@@ -126,7 +127,7 @@
   std::map<uint64_t, std::shared_ptr<ReadSlot>> reads_;
   uint64_t next_read_ = 1;
   transport::Ring<Item> ring_;
-  transport::AnswerSlots<coordination::ProposalEnd> change_slots_;
+  transport::AnswerSlots<coordination::ProposalResult> change_slots_;
   transport::PeerEndpoint* peers_ = nullptr;
   bool failed_ = false;
   std::unique_ptr<DiskDuty> disk_;
--- a/src/daemon/control_results.cc
+++ b/src/daemon/control_results.cc
@@ -41,7 +41,7 @@
   return kRoleNames.at(static_cast<size_t>(role));
 }
 
-state::Result<void> ResultOf(const coordination::ProposalEnd& end) {
+state::Result<void> ResultOf(const coordination::ProposalResult& end) {
   for (const ChangeErrorRow& row : kChangeErrors) {
     if (row.status_ == end.status_) {
       return state::MakeError(row.kind_, row.what_);
--- a/src/daemon/control_results.h
+++ b/src/daemon/control_results.h
@@ -11,7 +11,7 @@
 
 // Returns what an operator is told of the end of a membership change.
 // Thread-safe.
-state::Result<void> ResultOf(const coordination::ProposalEnd& end);
+state::Result<void> ResultOf(const coordination::ProposalResult& end);
 
 // Returns what the control service is told of the end of its proposal.
 // Thread-safe.
