--- a/src/coordination/api/raft.h
+++ b/src/coordination/api/raft.h
@@ -16,34 +16,38 @@
 
 struct RaftOptions {
   const uint32_t group_ = 0;
-  const state::Millis heartbeat_ = state::Millis(100);
-  // An election timeout is drawn from this range. The lower bound is also how
-  // long a leader may miss its quorum, and how long voters that hear from a
-  // leader refuse to elect another one.
-  const state::Millis election_min_ = state::Millis(500);
-  const state::Millis election_max_ = state::Millis(1000);
-  // The first election after a start is due after a time from this range.
-  const state::Millis start_min_ = state::Millis(150);
-  const state::Millis start_max_ = state::Millis(450);
-  // A candidate without a majority gives up after a time from this range. It
-  // must cover a round trip between regions and a sync of the log; it is short
-  // so that a split vote still leaves a new leader within 2 s.
-  const state::Millis candidate_min_ = state::Millis(150);
-  const state::Millis candidate_max_ = state::Millis(400);
-  // Limits of one append message and of what a follower has not acknowledged.
-  const uint64_t batch_entries_ = 256;
-  const uint64_t batch_bytes_ = uint64_t{256} * 1024;
-  const uint64_t window_entries_ = 4096;
-  const uint64_t window_bytes_ = uint64_t{2} * 1024 * 1024;
-  // Entries kept in memory behind a snapshot, so that a follower that is a
-  // little behind needs no snapshot.
-  const uint64_t tail_entries_ = 1024;
-  const uint64_t tail_bytes_ = uint64_t{4} * 1024 * 1024;
-  // Proposals beyond this many uncommitted entries are refused.
-  const uint64_t max_uncommitted_ = 8192;
-  // A learner becomes a voter when it lacks at most this many entries.
-  const uint64_t promotion_lag_ = 64;
-  // Learners stay learners while the group has this many voters; 0 for no
+  const state::Millis heartbeat_interval_ = state::Millis(100);
+  // Range of the random election timeout. The lower bound is also the time
+  // after which a leader without contact to a quorum steps down, and the time
+  // for which a voter refuses votes after its last contact with the leader.
+  const state::Millis election_timeout_min_ = state::Millis(500);
+  const state::Millis election_timeout_max_ = state::Millis(1000);
+  // Range of the random delay of the first election after a start.
+  const state::Millis first_election_delay_min_ = state::Millis(150);
+  const state::Millis first_election_delay_max_ = state::Millis(450);
+  // Range of the random time after which a candidate without a majority
+  // abandons its election. Must cover a round trip between regions and a sync
+  // of the log; short, so that a new leader is elected within 2 s even after a
+  // split vote.
+  const state::Millis candidate_timeout_min_ = state::Millis(150);
+  const state::Millis candidate_timeout_max_ = state::Millis(400);
+  // Limits on the entries in one AppendRequest. A single entry may exceed
+  // max_append_bytes_.
+  const uint64_t max_append_entries_ = 256;
+  const uint64_t max_append_bytes_ = uint64_t{256} * 1024;
+  // No further entries are sent to a follower that has this many entries or
+  // bytes to acknowledge.
+  const uint64_t max_in_flight_entries_ = 4096;
+  const uint64_t max_in_flight_bytes_ = uint64_t{2} * 1024 * 1024;
+  // Limits on the entries kept in memory although the snapshot covers them, so
+  // that a follower that lags slightly needs no snapshot.
+  const uint64_t retained_entries_ = 1024;
+  const uint64_t retained_bytes_ = uint64_t{4} * 1024 * 1024;
+  // New proposals are refused while this many entries are uncommitted.
+  const uint64_t max_uncommitted_entries_ = 8192;
+  // A learner is promoted to voter when it lacks at most this many entries.
+  const uint64_t max_promotion_lag_ = 64;
+  // Learners are not promoted while the group has this many voters; 0 for no
   // limit.
   const uint64_t max_voters_ = 0;
 
@@ -52,55 +56,63 @@
 
 // Events.
 
-// `connection_` is where replies go. Messages that are not of the replicated
-// log, of another group or for another identity are dropped.
+// A message from a peer. Replies are sent on `connection_`. Messages that do
+// not belong to the replicated log, to this group or to this identity are
+// dropped.
 struct RaftMessageReceived {
   const std::string connection_ = {};
   const PeerMessage message_ = {};
 };
 
-// All batches up to and with `sequence_` are durable.
+// All batches up to and including `sequence_` are durable.
 struct RaftPersisted {
   const uint64_t sequence_ = 0;
 };
 
+// Proposes `payload_` as a command entry. The result is reported under `tag_`
+// when the proposal finishes, as for the membership changes below.
 struct RaftPropose {
   const uint64_t tag_ = 0;
   const state::Bytes payload_ = {};
 };
 
-// Forms the group. Every member is formed with the identical list. Refused
-// when the log is not empty or the own identity is not a voter in the list.
+// Forms the group. Every member must be formed with the identical list. Refused
+// when the log is not empty or this member's identity is not a voter in the
+// list.
 struct RaftForm {
   const uint64_t tag_ = 0;
   const std::vector<state::ControlMember> members_ = {};
 };
 
-// Adds a learner. The leader makes it a voter by a further entry as soon as it
-// has caught up. The proposal ends when the learner's entry is committed.
+// Adds a learner. The leader promotes it to voter by a further entry as soon as
+// it has caught up. The proposal finishes when the entry that adds the learner
+// is committed.
 struct RaftAddMember {
   const uint64_t tag_ = 0;
   const state::ControlMember member_ = {};
 };
 
+// Removes a member. Refused when it is unknown or the last voter.
 struct RaftRemoveMember {
   const uint64_t tag_ = 0;
   const std::string identity_ = {};
 };
 
-// Asks for an index that every entry accepted before this event is at or below.
-// `read_id_` is unique among the reads of this member that have no answer yet.
+// Requests a read index: an index at or above that of every entry acknowledged
+// as committed before this event. `read_id_` is unique among the pending reads
+// of this member.
 struct RaftReadIndex {
   const uint64_t read_id_ = 0;
 };
 
-// The state machine's content after the committed entry at `index_`.
+// The owner took a snapshot: `content_` is the state machine's content after
+// the committed entry at `index_`.
 struct RaftSnapshotMade {
   const uint64_t index_ = 0;
   const state::Bytes content_ = {};
 };
 
-// Time passes. Sent about every 10 ms.
+// Drives the timers. Sent about every 10 ms.
 struct RaftTick {};
 
 using RaftEvent = std::variant<RaftMessageReceived,
@@ -113,13 +125,13 @@
                                RaftSnapshotMade,
                                RaftTick>;
 
-// What an event leads to.
+// Results of events.
 
 // Changes that the disk duty makes durable, in this order: truncate, snapshot,
-// vote, entries, sync. Batches are applied in the order of their sequence.
+// vote, entries, sync. Batches are written in the order of their sequence.
 struct RaftBatch {
   const uint64_t sequence_ = 0;
-  const uint64_t truncate_from_ = 0;  // Index; 0 for no truncation.
+  const uint64_t truncate_from_ = 0;  // Index; 0: no truncation.
   const std::optional<state::LogSnapshot> snapshot_ = {};
   const std::optional<state::VoteRecord> vote_ = {};
   const std::vector<state::LogEntry> entries_ = {};
@@ -128,27 +140,28 @@
 };
 
 enum class ProposalStatus {
-  kCommitted,      // At `index_`.
-  kNotLeader,      // Not appended; another member may lead.
-  kLost,           // Another leader's entry was committed in its place.
-  kUnknown,        // A snapshot skipped its place; it may be in or not.
+  kCommitted,      // Committed at `index_`.
+  kNotLeader,      // Not appended: this member is not the leader.
+  kLost,           // Another leader's entry was committed at its index.
+  kUnknown,        // A snapshot covers its index; it may be committed or not.
   kOverloaded,     // Not appended: too many uncommitted entries.
-  kChangePending,  // Not appended: another membership change is under way.
-  kInvalidChange,  // Not appended: the change makes no sense, see the members.
+  kChangePending,  // Not appended: an earlier change is not yet committed.
+  kInvalidChange,  // Not appended: the change does not fit the member list.
   kAlreadyFormed,  // Not appended: the log is not empty.
 };
 
 struct ProposalResult {
   const uint64_t tag_ = 0;
   const ProposalStatus status_ = ProposalStatus::kCommitted;
-  const uint64_t index_ = 0;  // Of kCommitted.
+  const uint64_t index_ = 0;  // Index of the entry; 0 unless kCommitted.
 
   friend bool operator==(const ProposalResult&,
                          const ProposalResult&) = default;
 };
 
-// When confirmed, the entries up to `index_` were handed out by this step or by
-// an earlier one. A read that is not confirmed may be tried again.
+// Result of a RaftReadIndex event. When confirmed, this step or an earlier one
+// contains the committed entries up to `index_`. A read that is not confirmed
+// may be retried.
 struct ReadIndexResult {
   const uint64_t read_id_ = 0;
   const bool confirmed_ = false;
@@ -169,26 +182,29 @@
   friend bool operator==(const RoleChange&, const RoleChange&) = default;
 };
 
-// A member as the leader sees it.
+// Replication status of a member, which only the leader tracks.
 struct MemberStatus {
   const state::ControlMember member_ = {};
-  const uint64_t match_index_ = 0;             // 0 unless this member leads.
-  const state::Millis last_contact_age_ = {};  // 0 unless this member leads.
+  // Highest index known to be durable on the member; 0 when read from a
+  // follower.
+  const uint64_t match_index_ = 0;
+  // Time since the member's last reply, or since the leader began to track it;
+  // 0 for the leader itself and when read from a follower.
+  const state::Millis last_contact_age_ = {};
 
   friend bool operator==(const MemberStatus&, const MemberStatus&) = default;
 };
 
-// The replicated log of one control group: decides what to send, to store and
-// to apply. A member that lacks its own identity in the member list neither
-// votes nor campaigns. Messages that promise something durable are handed out
-// only after the RaftPersisted event of the batch that they depend on. Not
-// thread-safe.
+// The replicated log of one control group (Raft): decides what to send, to
+// store and to apply. A member whose identity is not in its member list neither
+// votes nor campaigns. Messages that depend on durable state are returned only
+// after the RaftPersisted event of the batch with that state. Not thread-safe.
 class Raft {
  public:
-  // The owner carries out the parts in the order of their declaration: it
-  // replaces the state machine's content by `restore_`, applies `committed_`,
-  // and then answers. The batch may be written at the same time as the commands
-  // are sent.
+  // Actions for the owner, to be executed in the order of their declaration:
+  // replace the state machine's content by `restore_`, apply `committed_`, then
+  // report the results of proposals and reads. The batch may be written while
+  // the commands are sent.
   struct Step {
     std::optional<RaftBatch> batch_;
     Commands commands_;  // SendToPeer and ReplyToPeer.
@@ -199,7 +215,7 @@
     std::optional<RoleChange> role_change_;
   };
 
-  // Starts from what `log` holds; the first step restores its snapshot.
+  // Starts from the stored `log`; the first step restores its snapshot, if any.
   // `random` must outlive this object.
   Raft(RaftOptions options,
        const state::LoadedLog& log,
@@ -209,8 +225,8 @@
 
   // Handles one event.
   Step Handle(const RaftEvent& event, state::Millis now);
-  // Handles all events that wait, with one batch for the disk and merged
-  // messages.
+  // Handles all pending events in order, with one batch for the disk and
+  // combined messages.
   Step Handle(absl::Span<const RaftEvent> events, state::Millis now);
 
   const std::string& identity() const;
@@ -222,13 +238,15 @@
   std::string leader_address() const;
   uint64_t commit_index() const;
   uint64_t last_index() const;
-  // Members of the latest list in the log, committed or not.
+  // The latest member list in the log, committed or not.
   const std::vector<state::ControlMember>& members() const;
+  // Returns the replication status of every member in the latest list.
   std::vector<MemberStatus> Status(state::Millis now) const;
-  // Returns how long ago this member was last in contact with a leader, or as
-  // the leader with a quorum.
+  // Returns the time since this member's last contact with a leader or, on the
+  // leader, with a quorum; 1e15 ms when it had none since its start.
   state::Millis KnowledgeAge(state::Millis now) const;
-  // Size of the log since the snapshot; tells when to make the next one.
+  // Size of the log after the snapshot, by which the owner decides when to take
+  // the next one.
   uint64_t EntriesSinceSnapshot() const;
   uint64_t BytesSinceSnapshot() const;
 
--- a/src/coordination/internal/raft.cc
+++ b/src/coordination/internal/raft.cc
@@ -10,8 +10,8 @@
 
 namespace {
 
-// Age of the knowledge of a member that has never heard from a leader.
-constexpr state::Millis kNever(1e15);
+// Staleness of a member that has had no contact with a leader since its start.
+constexpr state::Millis kStalenessWithoutContact(1e15);
 
 // Messages between members of a control group.
 template <class Message>
@@ -36,14 +36,15 @@
       now_(now),
       term_(log.vote_.term_),
       voted_for_(log.vote_.voted_for_),
-      commit_(log_.snapshot_index()),
-      handed_out_(commit_),
-      verified_(commit_),
+      commit_index_(log_.snapshot_index()),
+      delivered_index_(commit_index_),
+      verified_index_(commit_index_),
       restore_pending_(log_.snapshot() != nullptr) {
-  // Soon after a start: when all members have restarted there is no leader to
-  // wait for, and a leader that lives makes them refuse the vote.
+  // The first election is due soon: after a restart of all members there is no
+  // leader to wait for, and members in contact with a leader refuse the vote.
   election_due_ =
-      now_ + Draw(random_, options_.start_min_, options_.start_max_);
+      now_ + RandomMillis(random_, options_.first_election_delay_min_,
+                          options_.first_election_delay_max_);
 }
 
 template <size_t kIndex>
@@ -90,9 +91,10 @@
 
 void Raft::Impl::On(const RaftPersisted& event) {
   durability_.OnPersisted(event.sequence_);
-  const uint64_t durable = std::min(verified_, durability_.durable_index());
+  const uint64_t durable =
+      std::min(verified_index_, durability_.durable_index());
   if (role_ == RaftRole::kFollower && !leader_.empty() &&
-      durable > acknowledged_) {
+      durable > acknowledged_index_) {
     AcknowledgeAppend();
   }
   if (role_ == RaftRole::kCandidate) {
@@ -104,7 +106,8 @@
 }
 
 void Raft::Impl::On(const RaftSnapshotMade& event) {
-  if (event.index_ <= log_.snapshot_index() || event.index_ > handed_out_) {
+  if (event.index_ <= log_.snapshot_index() ||
+      event.index_ > delivered_index_) {
     return;
   }
   const auto snapshot = std::make_shared<const state::LogSnapshot>(
@@ -112,8 +115,8 @@
                          .term_ = *log_.TermAt(event.index_),
                          .members_ = log_.MembersAt(event.index_),
                          .content_ = event.content_});
-  log_.Compact(snapshot, options_.tail_entries_, options_.tail_bytes_);
-  durability_.SnapshotMade(snapshot);
+  log_.Compact(snapshot, options_.retained_entries_, options_.retained_bytes_);
+  durability_.OnSnapshotMade(snapshot);
 }
 
 void Raft::Impl::On(const RaftTick& /*event*/) {
@@ -126,11 +129,11 @@
 void Raft::Impl::Flush() {
   if (role_ == RaftRole::kLeader) {
     PromoteLearner();
-    if (reads_.NeedsRound() && HasCommittedOwnTerm()) {
+    if (reads_.NeedsRound() && HasCommittedInCurrentTerm()) {
       StartRound();
     }
     const uint64_t quorum_round =
-        QuorumValue(round_, &RaftProgress::acked_round);
+        QuorumValue(round_, &RaftProgress::acknowledged_round);
     AnswerLeaderReads(reads_.TakeConfirmed(quorum_round), true);
     AnswerLeaderReads(reads_.TakeExpired(now_), false);
     ReplicateToAll();
@@ -140,9 +143,9 @@
           log_, {.term_ = term_, .voted_for_ = voted_for_})) {
     step_->batch_.emplace(*std::move(batch));
   }
-  Append(&step_->commands_, durability_.TakeReleased());
+  Append(&step_->commands_, durability_.TakeSendable());
   FlushCommitted();
-  step_->reads_ = reads_.TakeAnswers(handed_out_, now_);
+  step_->reads_ = reads_.TakeResults(delivered_index_, now_);
   FlushRoleChange();
 }
 
@@ -150,13 +153,13 @@
   if (restore_pending_) {
     restore_pending_ = false;
     step_->restore_.emplace(*log_.snapshot());
-    handed_out_ = log_.snapshot_index();
+    delivered_index_ = log_.snapshot_index();
   }
-  while (handed_out_ < commit_) {
-    ++handed_out_;
-    step_->committed_.push_back(log_.At(handed_out_));
+  while (delivered_index_ < commit_index_) {
+    ++delivered_index_;
+    step_->committed_.push_back(log_.At(delivered_index_));
   }
-  EndCommittedProposals();
+  FinishCommittedProposals();
 }
 
 void Raft::Impl::FlushRoleChange() {
@@ -164,8 +167,8 @@
                      .term_ = term_,
                      .leader_ = leader_,
                      .leader_address_ = AddressOf(leader_)};
-  if (reported_ != current) {
-    reported_.emplace(current);
+  if (reported_role_ != current) {
+    reported_role_.emplace(current);
     step_->role_change_.emplace(std::move(current));
   }
 }
@@ -177,7 +180,7 @@
 
 void Raft::Impl::ReplyWhenDurable(const std::string& connection,
                                   PeerMessage message) {
-  durability_.Hold(
+  durability_.DeferUntilVoteDurable(
       ReplyToPeer{.connection_ = connection, .message_ = std::move(message)});
 }
 
@@ -197,18 +200,18 @@
             : 0;
     status.push_back(MemberStatus{
         .member_ = member,
-        .match_index_ = known ? progress->second.match() : own,
+        .match_index_ = known ? progress->second.match_index() : own,
         .last_contact_age_ =
-            known ? now - progress->second.last_heard() : state::Millis()});
+            known ? now - progress->second.last_contact() : state::Millis()});
   }
   return status;
 }
 
 state::Millis Raft::Impl::KnowledgeAge(state::Millis now) const {
   if (role_ == RaftRole::kLeader) {
-    return now - QuorumValue(now, &RaftProgress::last_heard);
+    return now - QuorumValue(now, &RaftProgress::last_contact);
   }
-  return had_contact_ ? now - contact_ : kNever;
+  return had_contact_ ? now - last_contact_ : kStalenessWithoutContact;
 }
 
 Raft::Raft(RaftOptions options,
--- a/src/coordination/internal/raft_durability.cc
+++ b/src/coordination/internal/raft_durability.cc
@@ -11,45 +11,45 @@
 
 }  // namespace
 
-void RaftDurability::ForgetBehind(uint64_t index) {
+void RaftDurability::InvalidateAfter(uint64_t index) {
   durable_index_ = std::min(durable_index_, index);
-  for (Written& written : written_) {
-    written.last_index_ = std::min(written.last_index_, index);
+  for (PendingBatch& pending : pending_batches_) {
+    pending.last_index_ = std::min(pending.last_index_, index);
   }
 }
 
-void RaftDurability::Truncated(uint64_t index) {
-  if (index > handed_out_) {
+void RaftDurability::OnTruncated(uint64_t index) {
+  if (index > last_batched_index_) {
     return;
   }
   truncate_from_ =
       truncate_from_ == 0 ? index : std::min(truncate_from_, index);
-  handed_out_ = index - 1;
-  ForgetBehind(index - 1);
+  last_batched_index_ = index - 1;
+  InvalidateAfter(index - 1);
 }
 
-void RaftDurability::Restored(
+void RaftDurability::OnRestored(
     std::shared_ptr<const state::LogSnapshot> snapshot,
     uint64_t agreed) {
-  if (handed_out_ > snapshot->index_) {
-    Truncated(snapshot->index_ + 1);
+  if (last_batched_index_ > snapshot->index_) {
+    OnTruncated(snapshot->index_ + 1);
   }
-  ForgetBehind(agreed);
-  handed_out_ = snapshot->index_;
+  InvalidateAfter(agreed);
+  last_batched_index_ = snapshot->index_;
   snapshot_ = std::move(snapshot);
 }
 
-void RaftDurability::SnapshotMade(
+void RaftDurability::OnSnapshotMade(
     std::shared_ptr<const state::LogSnapshot> snapshot) {
-  // The snapshot stands for entries that were not yet written.
-  handed_out_ = std::max(handed_out_, snapshot->index_);
+  // The snapshot covers entries that no batch has included yet.
+  last_batched_index_ = std::max(last_batched_index_, snapshot->index_);
   snapshot_ = std::move(snapshot);
 }
 
 std::optional<RaftBatch> RaftDurability::TakeBatch(
     const RaftLog& log,
     const state::VoteRecord& vote) {
-  const bool has_entries = log.last_index() > handed_out_;
+  const bool has_entries = log.last_index() > last_batched_index_;
   if (!vote_changed_ && truncate_from_ == 0 && snapshot_ == nullptr &&
       !has_entries) {
     return std::nullopt;
@@ -62,8 +62,8 @@
                        : std::optional<state::LogSnapshot>(*snapshot_),
       .vote_ = vote_changed_ ? std::optional<state::VoteRecord>(vote)
                              : std::optional<state::VoteRecord>(),
-      .entries_ = has_entries ? log.Slice(handed_out_ + 1, log.last_index(),
-                                          kNoLimit, kNoLimit)
+      .entries_ = has_entries ? log.Slice(last_batched_index_ + 1,
+                                          log.last_index(), kNoLimit, kNoLimit)
                               : std::vector<state::LogEntry>()};
   if (vote_changed_) {
     vote_sequence_ = next_sequence_;
@@ -71,38 +71,39 @@
   vote_changed_ = false;
   truncate_from_ = 0;
   snapshot_.reset();
-  handed_out_ = log.last_index();
-  written_.push_back(
-      Written{.sequence_ = next_sequence_, .last_index_ = handed_out_});
+  last_batched_index_ = log.last_index();
+  pending_batches_.push_back(PendingBatch{.sequence_ = next_sequence_,
+                                          .last_index_ = last_batched_index_});
   ++next_sequence_;
   return batch;
 }
 
 void RaftDurability::OnPersisted(uint64_t sequence) {
-  persisted_ = std::max(persisted_, sequence);
-  while (!written_.empty() && written_.front().sequence_ <= persisted_) {
-    durable_index_ = written_.front().last_index_;
-    written_.pop_front();
+  persisted_sequence_ = std::max(persisted_sequence_, sequence);
+  while (!pending_batches_.empty() &&
+         pending_batches_.front().sequence_ <= persisted_sequence_) {
+    durable_index_ = pending_batches_.front().last_index_;
+    pending_batches_.pop_front();
   }
 }
 
-void RaftDurability::Hold(Command command) {
+void RaftDurability::DeferUntilVoteDurable(Command command) {
   const uint64_t sequence = vote_changed_ ? next_sequence_ : vote_sequence_;
-  held_.emplace_back(sequence, std::move(command));
+  deferred_.emplace_back(sequence, std::move(command));
 }
 
-Commands RaftDurability::TakeReleased() {
-  Commands released;
+Commands RaftDurability::TakeSendable() {
+  Commands sendable;
   std::vector<std::pair<uint64_t, Command>> waiting;
-  for (auto& [sequence, command] : held_) {
-    if (sequence <= persisted_) {
-      released.push_back(std::move(command));
+  for (auto& [sequence, command] : deferred_) {
+    if (sequence <= persisted_sequence_) {
+      sendable.push_back(std::move(command));
     } else {
       waiting.emplace_back(sequence, std::move(command));
     }
   }
-  held_.swap(waiting);
-  return released;
+  deferred_.swap(waiting);
+  return sendable;
 }
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/internal/raft_durability.h
+++ b/src/coordination/internal/raft_durability.h
@@ -14,59 +14,66 @@
 
 namespace gooseberrygap::coordination {
 
-// Collects what must become durable into batches, and knows what is. Commands
-// that promise the term or the vote wait here until these are durable. Not
-// thread-safe.
+// Collects changes to the stored state into batches and tracks which of them
+// are durable. Commands that depend on the term or the vote are deferred until
+// both are durable. Not thread-safe.
 class RaftDurability {
  public:
   explicit RaftDurability(uint64_t last_index)
-      : handed_out_(last_index), durable_index_(last_index) {}
+      : last_batched_index_(last_index), durable_index_(last_index) {}
 
-  // Notes a change, for the next batch.
-  void VoteChanged() { vote_changed_ = true; }
-  void Truncated(uint64_t index);
-  // The log was replaced by `snapshot`; entries up to `agreed` were the same.
-  void Restored(std::shared_ptr<const state::LogSnapshot> snapshot,
-                uint64_t agreed);
-  void SnapshotMade(std::shared_ptr<const state::LogSnapshot> snapshot);
+  // These record a change for the next batch.
 
-  // Returns what has changed since the last batch, if anything.
+  void OnVoteChanged() { vote_changed_ = true; }
+  void OnTruncated(uint64_t index);
+  // The log was replaced by `snapshot`. Stored entries up to `agreed` agree
+  // with the snapshot's log; later ones may not.
+  void OnRestored(std::shared_ptr<const state::LogSnapshot> snapshot,
+                  uint64_t agreed);
+  void OnSnapshotMade(std::shared_ptr<const state::LogSnapshot> snapshot);
+
+  // Returns the changes since the last batch, if any.
   std::optional<RaftBatch> TakeBatch(const RaftLog& log,
                                      const state::VoteRecord& vote);
+  // All batches up to and including `sequence` are durable.
   void OnPersisted(uint64_t sequence);
 
-  // Entries of the log up to this index are durable.
+  // The entries of the log up to this index are durable.
   uint64_t durable_index() const { return durable_index_; }
   // Returns whether the current term and vote are durable.
   bool IsVoteDurable() const {
-    return !vote_changed_ && vote_sequence_ <= persisted_;
+    return !vote_changed_ && vote_sequence_ <= persisted_sequence_;
   }
 
-  // Hands the command out once the current term and vote are durable.
-  void Hold(Command command);
-  // Drops what waits; for use when the term has changed.
-  void DropHeld() { held_.clear(); }
-  Commands TakeReleased();
+  // Defers the command until the current term and vote are durable.
+  void DeferUntilVoteDurable(Command command);
+  // Drops all deferred commands; for use when the term has changed.
+  void DropDeferred() { deferred_.clear(); }
+  // Returns the deferred commands whose term and vote are durable.
+  Commands TakeSendable();
 
  private:
-  struct Written {
+  // A batch that is not yet durable.
+  struct PendingBatch {
     uint64_t sequence_ = 0;
-    uint64_t last_index_ = 0;  // Of the log after the batch.
+    uint64_t last_index_ = 0;  // Last index of the log once it is written.
   };
 
-  // Entries behind `index` that were written are no longer those of the log.
-  void ForgetBehind(uint64_t index);
+  // Excludes the stored entries after `index`, which the log no longer
+  // contains, from the durable ones.
+  void InvalidateAfter(uint64_t index);
 
   uint64_t next_sequence_ = 1;
-  uint64_t persisted_ = 0;
-  uint64_t vote_sequence_ = 0;  // Of the batch with the last vote.
+  uint64_t persisted_sequence_ = 0;
+  uint64_t vote_sequence_ = 0;  // Sequence of the batch with the last vote.
   bool vote_changed_ = false;
-  uint64_t handed_out_ = 0;  // Last index given to the disk.
+  uint64_t last_batched_index_ = 0;  // Last index included in a batch.
   uint64_t truncate_from_ = 0;
   std::shared_ptr<const state::LogSnapshot> snapshot_;
   uint64_t durable_index_ = 0;
-  std::deque<Written> written_;
-  std::vector<std::pair<uint64_t, Command>> held_;
+  std::deque<PendingBatch> pending_batches_;
+  // Deferred commands with the sequence of the batch that they wait for.
+  std::vector<std::pair<uint64_t, Command>> deferred_;
 };
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/internal/raft_election.cc
+++ b/src/coordination/internal/raft_election.cc
@@ -11,18 +11,19 @@
 }
 
 void Raft::Impl::ResetElectionTimer() {
-  election_due_ =
-      now_ + Draw(random_, options_.election_min_, options_.election_max_);
+  election_due_ = now_ + RandomMillis(random_, options_.election_timeout_min_,
+                                      options_.election_timeout_max_);
 }
 
-bool Raft::Impl::HearsFromLeader() const {
+bool Raft::Impl::HasLeaderContact() const {
   return role_ == RaftRole::kLeader ||
-         (!leader_.empty() && now_ - contact_ < options_.election_min_);
+         (!leader_.empty() &&
+          now_ - last_contact_ < options_.election_timeout_min_);
 }
 
 void Raft::Impl::BecomeFollower(uint64_t term, const std::string& leader) {
   if (role_ == RaftRole::kLeader) {
-    contact_ = now_ - KnowledgeAge(now_);
+    last_contact_ = now_ - KnowledgeAge(now_);
     had_contact_ = true;
     AnswerLeaderReads(reads_.TakeAll(), false);
     progress_.clear();
@@ -33,12 +34,12 @@
   if (term > term_) {
     term_ = term;
     voted_for_.clear();
-    durability_.VoteChanged();
-    durability_.DropHeld();
+    durability_.OnVoteChanged();
+    durability_.DropDeferred();
     reads_.FailForwarded();
     leader_round_ = 0;
-    verified_ = commit_;
-    acknowledged_ = 0;
+    verified_index_ = commit_index_;
+    acknowledged_index_ = 0;
   }
   role_ = RaftRole::kFollower;
   leader_ = leader;
@@ -49,8 +50,8 @@
   role_ = RaftRole::kPreCandidate;
   leader_.clear();
   votes_ = {identity_};
-  AskForVotes(true);
-  ask_again_ = now_ + options_.heartbeat_;
+  RequestVotes(true);
+  pre_vote_retry_due_ = now_ + options_.heartbeat_interval_;
   CountVotes();
 }
 
@@ -58,18 +59,18 @@
   role_ = RaftRole::kCandidate;
   ++term_;
   voted_for_ = identity_;
-  durability_.VoteChanged();
-  durability_.DropHeld();
+  durability_.OnVoteChanged();
+  durability_.DropDeferred();
   leader_round_ = 0;
-  verified_ = commit_;
-  acknowledged_ = 0;
+  verified_index_ = commit_index_;
+  acknowledged_index_ = 0;
   votes_ = {identity_};
-  election_due_ =
-      now_ + Draw(random_, options_.candidate_min_, options_.candidate_max_);
-  AskForVotes(false);
+  election_due_ = now_ + RandomMillis(random_, options_.candidate_timeout_min_,
+                                      options_.candidate_timeout_max_);
+  RequestVotes(false);
 }
 
-void Raft::Impl::AskForVotes(bool pre_vote) {
+void Raft::Impl::RequestVotes(bool pre_vote) {
   for (const state::ControlMember& member : log_.members()) {
     if (!member.voter_ || member.identity_ == identity_) {
       continue;
@@ -83,11 +84,11 @@
                                 .pre_vote_ = pre_vote,
                                 .last_index_ = log_.last_index(),
                                 .last_term_ = log_.last_term()}};
-    // A pre-vote promises nothing.
+    // A pre-vote request does not depend on durable state.
     if (pre_vote) {
       step_->commands_.emplace_back(std::move(command));
     } else {
-      durability_.Hold(std::move(command));
+      durability_.DeferUntilVoteDurable(std::move(command));
     }
   }
 }
@@ -103,7 +104,7 @@
   if (role_ == RaftRole::kPreCandidate) {
     StartElection();
   } else if (durability_.IsVoteDurable()) {
-    // The own vote counts only once it cannot be forgotten.
+    // This member's own vote counts only once it is durable.
     BecomeLeader();
   }
 }
@@ -115,15 +116,15 @@
 
 void Raft::Impl::OnPeer(const VoteRequest& request,
                         const std::string& connection) {
-  // Learners vote too, when asked: the candidate may know that they have become
-  // voters, and counts only those in its list.
+  // Learners reply to requests too: the candidate's log may already contain
+  // their promotion, and the candidate counts only the voters in its own list.
   if (FindMember(log_.members(), identity_) == nullptr) {
     return;
   }
   const bool is_stale =
       request.term_ < term_ || (request.pre_vote_ && request.term_ == term_);
-  if (!is_stale && HearsFromLeader()) {
-    // Somebody who was cut off or removed must not unseat a working leader.
+  if (!is_stale && HasLeaderContact()) {
+    // A member that was isolated or removed must not depose a working leader.
     return;
   }
   bool granted = false;
@@ -137,7 +138,7 @@
               IsUpToDate(request);
     if (granted) {
       voted_for_ = request.from_;
-      durability_.VoteChanged();
+      durability_.OnVoteChanged();
       ResetElectionTimer();
     }
   }
@@ -180,12 +181,12 @@
   }
 }
 
-// Asks again at short intervals, since the others may refuse only because they
-// heard from the lost leader a little later.
+// Repeats the request at short intervals, since the others may have refused
+// only because their last contact with the lost leader was slightly later.
 void Raft::Impl::TickPreCandidate() {
-  if (now_ >= ask_again_) {
-    AskForVotes(true);
-    ask_again_ = now_ + options_.heartbeat_;
+  if (now_ >= pre_vote_retry_due_) {
+    RequestVotes(true);
+    pre_vote_retry_due_ = now_ + options_.heartbeat_interval_;
   }
 }
 
--- a/src/coordination/internal/raft_follower.cc
+++ b/src/coordination/internal/raft_follower.cc
@@ -10,7 +10,7 @@
                               const std::string& connection,
                               uint64_t round) {
   if (term < term_) {
-    // The reply's term tells the sender that it no longer leads.
+    // The higher term in the reply makes the sender step down.
     ReplyWhenDurable(connection, AppendReply{.group_ = options_.group_,
                                              .from_ = identity_,
                                              .to_ = from,
@@ -22,7 +22,7 @@
   }
   leader_connection_ = connection;
   leader_round_ = std::max(leader_round_, round);
-  contact_ = now_;
+  last_contact_ = now_;
   had_contact_ = true;
   ResetElectionTimer();
   return true;
@@ -33,7 +33,7 @@
   if (!FollowSender(request.term_, request.from_, connection, request.round_)) {
     return;
   }
-  if (!FitsLog(request)) {
+  if (!MatchesLog(request)) {
     RefuseAppend(RefusalHint(request.previous_index_));
     return;
   }
@@ -41,9 +41,9 @@
   AcknowledgeAppend();
 }
 
-bool Raft::Impl::FitsLog(const AppendRequest& request) const {
-  // What is committed is the same in the log of every later leader.
-  return request.previous_index_ <= commit_ ||
+bool Raft::Impl::MatchesLog(const AppendRequest& request) const {
+  // Committed entries are identical in the log of every later leader.
+  return request.previous_index_ <= commit_index_ ||
          log_.TermAt(request.previous_index_) == request.previous_term_;
 }
 
@@ -51,38 +51,40 @@
   if (previous_index > log_.last_index()) {
     return log_.last_index() + 1;
   }
-  return std::max(log_.FirstOfTermAt(previous_index), commit_ + 1);
+  return std::max(log_.FirstIndexOfTermAt(previous_index), commit_index_ + 1);
 }
 
 void Raft::Impl::AppendFromLeader(const AppendRequest& request) {
   uint64_t index = request.previous_index_;
   for (const state::LogEntry& entry : request.entries_) {
     if (entry.index_ != index + 1) {
-      return;  // Not a message that a leader sends.
+      return;  // Malformed: a leader sends consecutive entries.
     }
     ++index;
-    if (index <= commit_ || log_.TermAt(index) == entry.term_) {
+    if (index <= commit_index_ || log_.TermAt(index) == entry.term_) {
       continue;
     }
     if (index <= log_.last_index()) {
       log_.TruncateFrom(index);
-      durability_.Truncated(index);
+      durability_.OnTruncated(index);
     }
     log_.Append(entry);
   }
-  verified_ = std::max(verified_, index);
-  commit_ = std::max(commit_, std::min(request.commit_index_, verified_));
+  verified_index_ = std::max(verified_index_, index);
+  commit_index_ =
+      std::max(commit_index_, std::min(request.commit_index_, verified_index_));
 }
 
 void Raft::Impl::AcknowledgeAppend() {
-  acknowledged_ = std::min(verified_, durability_.durable_index());
-  ReplyWhenDurable(leader_connection_, AppendReply{.group_ = options_.group_,
-                                                   .from_ = identity_,
-                                                   .to_ = leader_,
-                                                   .term_ = term_,
-                                                   .success_ = true,
-                                                   .index_ = acknowledged_,
-                                                   .round_ = leader_round_});
+  acknowledged_index_ = std::min(verified_index_, durability_.durable_index());
+  ReplyWhenDurable(leader_connection_,
+                   AppendReply{.group_ = options_.group_,
+                               .from_ = identity_,
+                               .to_ = leader_,
+                               .term_ = term_,
+                               .success_ = true,
+                               .index_ = acknowledged_index_,
+                               .round_ = leader_round_});
 }
 
 void Raft::Impl::RefuseAppend(uint64_t hint) {
@@ -100,18 +102,18 @@
     return;
   }
   const state::LogSnapshot& snapshot = request.snapshot_;
-  if (snapshot.index_ > commit_) {
+  if (snapshot.index_ > commit_index_) {
     if (log_.TermAt(snapshot.index_) == snapshot.term_) {
-      // The entries are all here; only the commit index is new.
-      commit_ = snapshot.index_;
+      // The log already contains the entries; only the commit index is new.
+      commit_index_ = snapshot.index_;
     } else {
       const auto shared = std::make_shared<const state::LogSnapshot>(snapshot);
-      durability_.Restored(shared, commit_);
+      durability_.OnRestored(shared, commit_index_);
       log_.Restore(shared);
-      commit_ = snapshot.index_;
+      commit_index_ = snapshot.index_;
       restore_pending_ = true;
     }
-    verified_ = std::max(verified_, commit_);
+    verified_index_ = std::max(verified_index_, commit_index_);
   }
   AcknowledgeAppend();
 }
--- a/src/coordination/internal/raft_impl.h
+++ b/src/coordination/internal/raft_impl.h
@@ -21,17 +21,18 @@
 
 namespace gooseberrygap::coordination {
 
-// Returns a time from the range, at random.
-inline state::Millis Draw(absl::BitGenRef random,
-                          state::Millis from,
-                          state::Millis to) {
+// Returns a uniformly distributed random time from [from, to).
+inline state::Millis RandomMillis(absl::BitGenRef random,
+                                  state::Millis from,
+                                  state::Millis to) {
   return state::Millis(absl::uniform_real_distribution<double>(
       from.value(), to.value())(random));
 }
 
-// State and rules of a member. raft.cc holds events and results,
-// raft_election.cc terms and votes, raft_follower.cc and raft_leader.cc
-// replication, raft_proposals.cc proposals, members and reads.
+// Implements a member of the group. raft.cc dispatches events and assembles
+// steps, raft_election.cc implements terms and votes, raft_follower.cc and
+// raft_leader.cc replication, raft_proposals.cc proposals, membership changes
+// and reads. Not thread-safe.
 class Raft::Impl {
  public:
   Impl(RaftOptions options,
@@ -46,7 +47,7 @@
   uint64_t term() const { return term_; }
   const std::string& leader() const { return leader_; }
   std::string AddressOf(const std::string& identity) const;
-  uint64_t commit_index() const { return commit_; }
+  uint64_t commit_index() const { return commit_index_; }
   const RaftLog& log() const { return log_; }
   std::vector<MemberStatus> Status(state::Millis now) const;
   state::Millis KnowledgeAge(state::Millis now) const;
@@ -61,7 +62,8 @@
     const uint64_t tag_ = 0;
   };
 
-  // Events (raft.cc). The tables have one row for each alternative.
+  // Events (raft.cc). The tables have one handler for each alternative of the
+  // variant.
   template <size_t kIndex>
   void HandleEventAs(const RaftEvent& event) {
     On(std::get<kIndex>(event));
@@ -83,11 +85,12 @@
   void On(const RaftReadIndex& event);
   void On(const RaftSnapshotMade& event);
   void On(const RaftTick& event);
+  // Completes the step after its events have been handled.
   void Flush();
   void FlushCommitted();
   void FlushRoleChange();
   void Send(const std::string& identity, PeerMessage message);
-  // Replies once the current term and vote are durable.
+  // Sends the reply once the current term and vote are durable.
   void ReplyWhenDurable(const std::string& connection, PeerMessage message);
 
   // Elections.
@@ -96,10 +99,10 @@
   void StartPreVote();
   void StartElection();
   void BecomeLeader();
-  void AskForVotes(bool pre_vote);
+  void RequestVotes(bool pre_vote);
   void CountVotes();
   void ResetElectionTimer();
-  bool HearsFromLeader() const;
+  bool HasLeaderContact() const;
   bool IsUpToDate(const VoteRequest& request) const;
   void OnPeer(const VoteRequest& request, const std::string& connection);
   void OnPeer(const VoteReply& reply, const std::string& connection);
@@ -110,12 +113,13 @@
   // Follower.
   void OnPeer(const AppendRequest& request, const std::string& connection);
   void OnPeer(const InstallSnapshot& request, const std::string& connection);
-  // Returns whether the sender leads the current term; follows it then.
+  // Returns whether the sender is a leader of the current or a newer term, and
+  // if so, becomes its follower.
   bool FollowSender(uint64_t term,
                     const std::string& from,
                     const std::string& connection,
                     uint64_t round);
-  bool FitsLog(const AppendRequest& request) const;
+  bool MatchesLog(const AppendRequest& request) const;
   void AppendFromLeader(const AppendRequest& request);
   uint64_t RefusalHint(uint64_t previous_index) const;
   void AcknowledgeAppend();
@@ -131,13 +135,13 @@
                   RaftProgress* progress,
                   uint64_t last_index);
   void SendSnapshot(const std::string& identity, RaftProgress* progress);
-  bool HasRoom(const RaftProgress& progress) const;
-  void UpdateProgressMembers();
+  bool MaySendEntries(const RaftProgress& progress) const;
+  void SyncProgressWithMembers();
   void AdvanceCommit();
   void StepDownIfRemoved();
-  bool HasCommittedOwnTerm() const;
-  // Returns the highest value that a majority of the voters has reached, where
-  // `own` is that of this member and `value_of` gives that of another one.
+  bool HasCommittedInCurrentTerm() const;
+  // Returns the highest value that a majority of the voters has reached. `own`
+  // is the value of this member, `value_of` returns that of another member.
   template <class Value>
   Value QuorumValue(Value own, Value (RaftProgress::*value_of)() const) const {
     std::vector<Value> values;
@@ -154,16 +158,16 @@
   }
 
   // Proposals, members and reads.
-  void AppendOwn(state::LogEntryKind kind,
-                 state::Bytes payload,
-                 std::vector<state::ControlMember> members);
+  void AppendNewEntry(state::LogEntryKind kind,
+                      state::Bytes payload,
+                      std::vector<state::ControlMember> members);
   void Propose(uint64_t tag,
                state::LogEntryKind kind,
                state::Bytes payload,
                std::vector<state::ControlMember> members);
-  void EndProposal(uint64_t tag, ProposalStatus status);
-  void EndCommittedProposals();
-  std::optional<ProposalStatus> RefusalOfChange() const;
+  void FinishProposal(uint64_t tag, ProposalStatus status);
+  void FinishCommittedProposals();
+  std::optional<ProposalStatus> MembershipChangeRefusal() const;
   void PromoteLearner();
   void AnswerLeaderReads(const std::vector<LeaderRead>& reads, bool confirmed);
   void OnPeer(const ReadIndexRequest& request, const std::string& connection);
@@ -180,32 +184,33 @@
   RaftRole role_ = RaftRole::kFollower;
   uint64_t term_ = 0;
   std::string voted_for_;
-  uint64_t commit_ = 0;
-  uint64_t handed_out_ = 0;  // Entries up to here were given to the owner.
+  uint64_t commit_index_ = 0;
+  uint64_t delivered_index_ = 0;  // Last entry passed to the owner.
 
   // Follower.
   std::string leader_;
   std::string leader_connection_;
-  state::Millis contact_;  // Last contact with a leader or a quorum.
+  state::Millis last_contact_;  // Last contact with a leader or a quorum.
   bool had_contact_ = false;
   uint64_t leader_round_ = 0;  // Last round of the leader of this term.
-  uint64_t verified_ = 0;      // The log is the leader's up to here.
-  uint64_t acknowledged_ = 0;  // In this term.
+  // The log equals the leader's up to this index.
+  uint64_t verified_index_ = 0;
+  uint64_t acknowledged_index_ = 0;  // Last index acknowledged in this term.
 
   // Candidate.
   state::Millis election_due_;
-  state::Millis ask_again_;
+  state::Millis pre_vote_retry_due_;
   std::set<std::string> votes_;
 
   // Leader.
   std::map<std::string, RaftProgress> progress_;
-  uint64_t round_ = 0;
+  uint64_t round_ = 0;  // Number of the last heartbeat round started.
   state::Millis heartbeat_due_;
   std::multimap<uint64_t, PendingProposal> proposals_;
 
   bool restore_pending_ = false;
-  std::optional<RoleChange> reported_;
-  std::optional<Step> step_;  // What the events handled so far lead to.
+  std::optional<RoleChange> reported_role_;
+  std::optional<Step> step_;  // Result of the events handled so far.
 };
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/internal/raft_leader.cc
+++ b/src/coordination/internal/raft_leader.cc
@@ -9,18 +9,18 @@
   role_ = RaftRole::kLeader;
   leader_ = identity_;
   progress_.clear();
-  heartbeat_due_ = now_ + options_.heartbeat_;
-  // Entries of earlier terms are committed only along with one of this term.
-  AppendOwn(state::LogEntryKind::kNoop, {}, {});
-  UpdateProgressMembers();
+  heartbeat_due_ = now_ + options_.heartbeat_interval_;
+  // Entries of earlier terms are committed only together with one of this term.
+  AppendNewEntry(state::LogEntryKind::kNoop, {}, {});
+  SyncProgressWithMembers();
 }
 
-bool Raft::Impl::HasCommittedOwnTerm() const {
-  return log_.TermAt(commit_) == term_;
+bool Raft::Impl::HasCommittedInCurrentTerm() const {
+  return log_.TermAt(commit_index_) == term_;
 }
 
-// Follows the member list: the leader sends to its members only.
-void Raft::Impl::UpdateProgressMembers() {
+// Adapts `progress_` to the member list: the leader sends only to its members.
+void Raft::Impl::SyncProgressWithMembers() {
   for (const state::ControlMember& member : log_.members()) {
     if (member.identity_ != identity_) {
       progress_.try_emplace(member.identity_, log_.last_index(), now_);
@@ -32,8 +32,8 @@
 }
 
 void Raft::Impl::TickLeader() {
-  // A leader that is cut off would go on to take proposals that never end.
-  if (KnowledgeAge(now_) > options_.election_min_) {
+  // An isolated leader would continue to accept proposals that never finish.
+  if (KnowledgeAge(now_) > options_.election_timeout_min_) {
     BecomeFollower(term_, "");
     return;
   }
@@ -44,9 +44,9 @@
 
 void Raft::Impl::StartRound() {
   ++round_;
-  heartbeat_due_ = now_ + options_.heartbeat_;
-  if (HasCommittedOwnTerm()) {
-    reads_.OnRoundStarted(round_, commit_);
+  heartbeat_due_ = now_ + options_.heartbeat_interval_;
+  if (HasCommittedInCurrentTerm()) {
+    reads_.OnRoundStarted(round_, commit_index_);
   }
   for (auto& [identity, progress] : progress_) {
     progress.OnRoundStarted();
@@ -65,7 +65,7 @@
     return;
   }
   RaftProgress& progress = entry->second;
-  progress.OnHeard(reply.round_, now_);
+  progress.OnReply(reply.round_, now_);
   if (!reply.success_) {
     progress.OnRefusal(reply.index_, reply.round_);
     return;
@@ -76,11 +76,11 @@
 
 void Raft::Impl::AdvanceCommit() {
   const uint64_t index =
-      QuorumValue(durability_.durable_index(), &RaftProgress::match);
-  // An entry of an earlier term may still be replaced although a majority has
-  // it.
-  if (index > commit_ && log_.TermAt(index) == term_) {
-    commit_ = index;
+      QuorumValue(durability_.durable_index(), &RaftProgress::match_index);
+  // An entry of an earlier term may still be replaced although a majority
+  // stores it.
+  if (index > commit_index_ && log_.TermAt(index) == term_) {
+    commit_index_ = index;
   }
 }
 
@@ -90,26 +90,29 @@
   }
 }
 
-bool Raft::Impl::HasRoom(const RaftProgress& progress) const {
+bool Raft::Impl::MaySendEntries(const RaftProgress& progress) const {
   if (progress.mode() == RaftProgress::Mode::kProbe) {
     return progress.MayProbe();
   }
-  const uint64_t sent = progress.next() - 1;
-  return sent - progress.match() < options_.window_entries_ &&
-         log_.BytesBetween(progress.match(), sent) < options_.window_bytes_;
+  const uint64_t sent = progress.next_index() - 1;
+  return sent - progress.match_index() < options_.max_in_flight_entries_ &&
+         log_.BytesBetween(progress.match_index(), sent) <
+             options_.max_in_flight_bytes_;
 }
 
 void Raft::Impl::Replicate(const std::string& identity,
                            RaftProgress* progress) {
-  const bool is_behind_log = !log_.TermAt(progress->next() - 1);
-  const bool is_heard = now_ - progress->last_heard() <= options_.election_min_;
-  if (is_behind_log && progress->mode() != RaftProgress::Mode::kSnapshot &&
-      is_heard) {
+  const bool needs_snapshot = !log_.TermAt(progress->next_index() - 1);
+  const bool is_responsive =
+      now_ - progress->last_contact() <= options_.election_timeout_min_;
+  if (needs_snapshot && progress->mode() != RaftProgress::Mode::kSnapshot &&
+      is_responsive) {
     SendSnapshot(identity, progress);
     return;
   }
-  while (!is_behind_log && progress->mode() != RaftProgress::Mode::kSnapshot &&
-         progress->next() <= log_.last_index() && HasRoom(*progress)) {
+  while (!needs_snapshot && progress->mode() != RaftProgress::Mode::kSnapshot &&
+         progress->next_index() <= log_.last_index() &&
+         MaySendEntries(*progress)) {
     SendAppend(identity, progress, log_.last_index());
   }
   if (progress->heartbeat_due()) {
@@ -117,17 +120,19 @@
   }
 }
 
-// Sends the entries up to `last_index` that fit into one message; none for 0.
+// Sends one message with the entries up to `last_index`, within the limits of a
+// message. With `last_index` 0 the message has no entries.
 void Raft::Impl::SendAppend(const std::string& identity,
                             RaftProgress* progress,
                             uint64_t last_index) {
-  // A member that is too far behind refuses any place that it does not have.
+  // When the next entry is no longer in memory, the message refers to the
+  // oldest known entry; a member without that entry refuses it.
   const uint64_t previous =
-      std::max(progress->next() - 1, log_.first_index() - 1);
+      std::max(progress->next_index() - 1, log_.first_index() - 1);
   std::vector<state::LogEntry> entries;
   if (last_index > previous) {
-    entries = log_.Slice(previous + 1, last_index, options_.batch_entries_,
-                         options_.batch_bytes_);
+    entries = log_.Slice(previous + 1, last_index, options_.max_append_entries_,
+                         options_.max_append_bytes_);
   }
   const uint64_t last_sent = previous + entries.size();
   Send(identity, AppendRequest{.group_ = options_.group_,
@@ -136,10 +141,10 @@
                                .term_ = term_,
                                .previous_index_ = previous,
                                .previous_term_ = *log_.TermAt(previous),
-                               .commit_index_ = commit_,
+                               .commit_index_ = commit_index_,
                                .round_ = round_,
                                .entries_ = std::move(entries)});
-  progress->OnSent(last_sent, commit_);
+  progress->OnSent(last_sent, commit_index_);
 }
 
 void Raft::Impl::SendSnapshot(const std::string& identity,
@@ -154,10 +159,10 @@
 }
 
 void Raft::Impl::StepDownIfRemoved() {
-  if (commit_ < log_.members_index() || IsVoter()) {
+  if (commit_index_ < log_.members_index() || IsVoter()) {
     return;
   }
-  // The others must learn that the removal is committed.
+  // Announces to the other members that the removal is committed.
   for (auto& [identity, progress] : progress_) {
     SendAppend(identity, &progress, 0);
   }
--- a/src/coordination/internal/raft_log.cc
+++ b/src/coordination/internal/raft_log.cc
@@ -8,7 +8,8 @@
 
 namespace {
 
-// What an entry takes in a message apart from its payload; an estimate.
+// Estimated size of an entry in a message apart from its payload, and of each
+// member that it lists.
 constexpr uint64_t kEntryOverheadBytes = 32;
 constexpr uint64_t kMemberBytes = 128;
 
@@ -56,7 +57,7 @@
 }
 
 const state::LogEntry& RaftLog::At(uint64_t index) const {
-  return items_[index - first_index()].entry_;
+  return stored_entries_[index - first_index()].entry_;
 }
 
 std::vector<state::LogEntry> RaftLog::Slice(uint64_t from,
@@ -76,17 +77,18 @@
 }
 
 uint64_t RaftLog::BytesUpTo(uint64_t index) const {
-  if (index <= base_index_ || items_.empty()) {
+  if (index <= base_index_ || stored_entries_.empty()) {
     return base_bytes_;
   }
-  return items_[std::min(index, last_index()) - first_index()].bytes_to_here_;
+  return stored_entries_[std::min(index, last_index()) - first_index()]
+      .cumulative_bytes_;
 }
 
 uint64_t RaftLog::BytesBetween(uint64_t after, uint64_t last) const {
   return after >= last ? 0 : BytesUpTo(last) - BytesUpTo(after);
 }
 
-uint64_t RaftLog::FirstOfTermAt(uint64_t index) const {
+uint64_t RaftLog::FirstIndexOfTermAt(uint64_t index) const {
   const std::optional<uint64_t> term = TermAt(index);
   while (index > first_index() && TermAt(index - 1) == term) {
     --index;
@@ -99,19 +101,20 @@
     state::Replace(&members_, entry.index_, entry.members_);
   }
   const uint64_t bytes = BytesUpTo(last_index()) + SizeOf(entry);
-  items_.push_back(Item{.entry_ = std::move(entry), .bytes_to_here_ = bytes});
+  stored_entries_.push_back(
+      StoredEntry{.entry_ = std::move(entry), .cumulative_bytes_ = bytes});
 }
 
 void RaftLog::TruncateFrom(uint64_t index) {
-  while (!items_.empty() && last_index() >= index) {
-    items_.pop_back();
+  while (!stored_entries_.empty() && last_index() >= index) {
+    stored_entries_.pop_back();
   }
   members_.erase(members_.lower_bound(index), members_.end());
 }
 
 void RaftLog::Restore(std::shared_ptr<const state::LogSnapshot> snapshot) {
   base_bytes_ = BytesUpTo(last_index());
-  items_.clear();
+  stored_entries_.clear();
   base_index_ = snapshot->index_;
   base_term_ = snapshot->term_;
   members_.clear();
@@ -120,19 +123,19 @@
 }
 
 void RaftLog::Compact(std::shared_ptr<const state::LogSnapshot> snapshot,
-                      uint64_t tail_entries,
-                      uint64_t tail_bytes) {
+                      uint64_t retained_entries,
+                      uint64_t retained_bytes) {
   snapshot_ = std::move(snapshot);
   const uint64_t index = snapshot_->index_;
-  while (!items_.empty() && first_index() <= index &&
-         (index - base_index_ > tail_entries ||
-          BytesBetween(base_index_, index) > tail_bytes)) {
-    base_term_ = items_.front().entry_.term_;
-    base_bytes_ = items_.front().bytes_to_here_;
-    items_.pop_front();
+  while (!stored_entries_.empty() && first_index() <= index &&
+         (index - base_index_ > retained_entries ||
+          BytesBetween(base_index_, index) > retained_bytes)) {
+    base_term_ = stored_entries_.front().entry_.term_;
+    base_bytes_ = stored_entries_.front().cumulative_bytes_;
+    stored_entries_.pop_front();
     ++base_index_;
   }
-  // The list in force at the first entry stays.
+  // The list that applies at the first entry in memory is still needed.
   members_.erase(members_.begin(),
                  std::prev(members_.upper_bound(base_index_)));
 }
--- a/src/coordination/internal/raft_proposals.cc
+++ b/src/coordination/internal/raft_proposals.cc
@@ -7,21 +7,22 @@
 
 namespace {
 
-// The first entry is the same on every member, so it has a fixed term.
+// Term of the first entry; fixed, since every member creates that entry itself
+// and it must be identical on all of them.
 constexpr uint64_t kFormationTerm = 1;
 
 }  // namespace
 
-void Raft::Impl::AppendOwn(state::LogEntryKind kind,
-                           state::Bytes payload,
-                           std::vector<state::ControlMember> members) {
+void Raft::Impl::AppendNewEntry(state::LogEntryKind kind,
+                                state::Bytes payload,
+                                std::vector<state::ControlMember> members) {
   log_.Append(state::LogEntry{.index_ = log_.last_index() + 1,
                               .term_ = term_,
                               .kind_ = kind,
                               .payload_ = std::move(payload),
                               .members_ = std::move(members)});
   if (role_ == RaftRole::kLeader && kind == state::LogEntryKind::kMembers) {
-    UpdateProgressMembers();
+    SyncProgressWithMembers();
     AdvanceCommit();
   }
 }
@@ -30,26 +31,26 @@
                          state::LogEntryKind kind,
                          state::Bytes payload,
                          std::vector<state::ControlMember> members) {
-  AppendOwn(kind, std::move(payload), std::move(members));
+  AppendNewEntry(kind, std::move(payload), std::move(members));
   proposals_.emplace(log_.last_index(),
                      PendingProposal{.term_ = term_, .tag_ = tag});
 }
 
-void Raft::Impl::EndProposal(uint64_t tag, ProposalStatus status) {
+void Raft::Impl::FinishProposal(uint64_t tag, ProposalStatus status) {
   step_->proposal_results_.push_back(
       ProposalResult{.tag_ = tag, .status_ = status});
 }
 
-// A proposal whose entry was replaced in this log ends only when the place is
-// committed: a third leader may still bring the entry back.
-void Raft::Impl::EndCommittedProposals() {
-  while (!proposals_.empty() && proposals_.begin()->first <= commit_) {
+// A proposal whose entry was replaced in this log finishes only when its index
+// is committed: until then another leader may restore the entry.
+void Raft::Impl::FinishCommittedProposals() {
+  while (!proposals_.empty() && proposals_.begin()->first <= commit_index_) {
     const auto [index, proposal] = *proposals_.begin();
     const std::optional<uint64_t> term = log_.TermAt(index);
     if (!term) {
-      EndProposal(proposal.tag_, ProposalStatus::kUnknown);
+      FinishProposal(proposal.tag_, ProposalStatus::kUnknown);
     } else if (*term != proposal.term_) {
-      EndProposal(proposal.tag_, ProposalStatus::kLost);
+      FinishProposal(proposal.tag_, ProposalStatus::kLost);
     } else {
       step_->proposal_results_.push_back(
           ProposalResult{.tag_ = proposal.tag_, .index_ = index});
@@ -60,9 +61,10 @@
 
 void Raft::Impl::On(const RaftPropose& event) {
   if (role_ != RaftRole::kLeader) {
-    EndProposal(event.tag_, ProposalStatus::kNotLeader);
-  } else if (log_.last_index() - commit_ >= options_.max_uncommitted_) {
-    EndProposal(event.tag_, ProposalStatus::kOverloaded);
+    FinishProposal(event.tag_, ProposalStatus::kNotLeader);
+  } else if (log_.last_index() - commit_index_ >=
+             options_.max_uncommitted_entries_) {
+    FinishProposal(event.tag_, ProposalStatus::kOverloaded);
   } else {
     Propose(event.tag_, state::LogEntryKind::kCommand, event.payload_, {});
   }
@@ -71,11 +73,11 @@
 void Raft::Impl::On(const RaftForm& event) {
   const state::ControlMember* self = FindMember(event.members_, identity_);
   if (!log_.empty()) {
-    EndProposal(event.tag_, ProposalStatus::kAlreadyFormed);
+    FinishProposal(event.tag_, ProposalStatus::kAlreadyFormed);
     return;
   }
   if (self == nullptr || !self->voter_) {
-    EndProposal(event.tag_, ProposalStatus::kInvalidChange);
+    FinishProposal(event.tag_, ProposalStatus::kInvalidChange);
     return;
   }
   if (term_ < kFormationTerm) {
@@ -90,28 +92,28 @@
   ResetElectionTimer();
 }
 
-// A change must be committed before the next one begins, and an entry of the
-// leader's term before the first; otherwise two majorities may have no member
-// in common.
-std::optional<ProposalStatus> Raft::Impl::RefusalOfChange() const {
+// Returns why a membership change cannot start now, if so. The previous change
+// and an entry of the leader's term must be committed first; otherwise two
+// majorities could have no member in common.
+std::optional<ProposalStatus> Raft::Impl::MembershipChangeRefusal() const {
   if (role_ != RaftRole::kLeader) {
     return ProposalStatus::kNotLeader;
   }
-  if (log_.members_index() > commit_ || !HasCommittedOwnTerm()) {
+  if (log_.members_index() > commit_index_ || !HasCommittedInCurrentTerm()) {
     return ProposalStatus::kChangePending;
   }
   return std::nullopt;
 }
 
 void Raft::Impl::On(const RaftAddMember& event) {
-  if (const std::optional<ProposalStatus> refusal = RefusalOfChange()) {
-    EndProposal(event.tag_, *refusal);
+  if (const std::optional<ProposalStatus> refusal = MembershipChangeRefusal()) {
+    FinishProposal(event.tag_, *refusal);
     return;
   }
   const state::ControlMember& added = event.member_;
   if (added.identity_.empty() || added.address_.empty() ||
       FindMember(log_.members(), added.identity_) != nullptr) {
-    EndProposal(event.tag_, ProposalStatus::kInvalidChange);
+    FinishProposal(event.tag_, ProposalStatus::kInvalidChange);
     return;
   }
   std::vector<state::ControlMember> members = log_.members();
@@ -123,8 +125,8 @@
 }
 
 void Raft::Impl::On(const RaftRemoveMember& event) {
-  if (const std::optional<ProposalStatus> refusal = RefusalOfChange()) {
-    EndProposal(event.tag_, *refusal);
+  if (const std::optional<ProposalStatus> refusal = MembershipChangeRefusal()) {
+    FinishProposal(event.tag_, *refusal);
     return;
   }
   std::vector<state::ControlMember> members;
@@ -134,7 +136,7 @@
     }
   }
   if (members.size() == log_.members().size() || CountVoters(members) == 0) {
-    EndProposal(event.tag_, ProposalStatus::kInvalidChange);
+    FinishProposal(event.tag_, ProposalStatus::kInvalidChange);
     return;
   }
   Propose(event.tag_, state::LogEntryKind::kMembers, {}, std::move(members));
@@ -143,16 +145,17 @@
 void Raft::Impl::PromoteLearner() {
   const bool is_complete = options_.max_voters_ > 0 &&
                            CountVoters(log_.members()) >= options_.max_voters_;
-  if (is_complete || RefusalOfChange()) {
+  if (is_complete || MembershipChangeRefusal()) {
     return;
   }
   const auto is_caught_up = [&](const state::ControlMember& member) {
     const auto progress = progress_.find(member.identity_);
     return !member.voter_ && progress != progress_.end() &&
-           progress->second.match() > 0 &&
-           progress->second.match() + options_.promotion_lag_ >=
+           progress->second.match_index() > 0 &&
+           progress->second.match_index() + options_.max_promotion_lag_ >=
                log_.last_index() &&
-           now_ - progress->second.last_heard() <= options_.election_min_;
+           now_ - progress->second.last_contact() <=
+               options_.election_timeout_min_;
   };
   const auto learner =
       std::find_if(log_.members().begin(), log_.members().end(), is_caught_up);
@@ -167,17 +170,17 @@
         .address_ = member.address_,
         .voter_ = member.voter_ || member.identity_ == learner->identity_});
   }
-  AppendOwn(state::LogEntryKind::kMembers, {}, std::move(members));
+  AppendNewEntry(state::LogEntryKind::kMembers, {}, std::move(members));
 }
 
 void Raft::Impl::On(const RaftReadIndex& event) {
-  const state::Millis expires = now_ + options_.election_max_;
+  const state::Millis expires = now_ + options_.election_timeout_max_;
   if (role_ == RaftRole::kLeader) {
     reads_.Add(LeaderRead{.read_id_ = event.read_id_, .expires_ = expires});
     return;
   }
   if (AddressOf(leader_).empty()) {
-    reads_.End(event.read_id_, false, 0);
+    reads_.Finish(event.read_id_, false, 0);
     return;
   }
   Send(leader_,
@@ -192,7 +195,7 @@
   LeaderRead read{.read_id_ = request.read_id_,
                   .from_ = request.from_,
                   .connection_ = connection,
-                  .expires_ = now_ + options_.election_max_};
+                  .expires_ = now_ + options_.election_timeout_max_};
   if (role_ == RaftRole::kLeader) {
     reads_.Add(std::move(read));
   } else {
@@ -204,7 +207,7 @@
                                    bool confirmed) {
   for (const LeaderRead& read : reads) {
     if (read.from_.empty()) {
-      reads_.End(read.read_id_, confirmed, read.index_);
+      reads_.Finish(read.read_id_, confirmed, read.index_);
       continue;
     }
     step_->commands_.push_back(
@@ -215,11 +218,11 @@
                                                .read_id_ = read.read_id_,
                                                .confirmed_ = confirmed,
                                                .index_ = read.index_}});
-    // The reader waits for these entries; without a message of its own it
-    // would hear of their commitment only with the next heartbeat.
+    // The reading member waits until these entries are committed; without this
+    // message it would receive the commit index only with the next heartbeat.
     const auto progress = progress_.find(read.from_);
     if (confirmed && progress != progress_.end() &&
-        progress->second.sent_commit() < read.index_) {
+        progress->second.sent_commit_index() < read.index_) {
       SendAppend(read.from_, &progress->second, 0);
     }
   }
@@ -227,7 +230,7 @@
 
 void Raft::Impl::OnPeer(const ReadIndexReply& reply,
                         const std::string& /*connection*/) {
-  reads_.OnLeaderAnswer(reply.read_id_, reply.confirmed_, reply.index_);
+  reads_.OnLeaderReply(reply.read_id_, reply.confirmed_, reply.index_);
 }
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/internal/raft_reads.h
+++ b/src/coordination/internal/raft_reads.h
@@ -11,65 +11,72 @@
 
 namespace gooseberrygap::coordination {
 
-// A read that the leader has to confirm.
+// A read index request that the leader has to confirm.
 struct LeaderRead {
   const uint64_t read_id_ = 0;
-  const std::string from_ = {};  // Identity; empty for an own read.
+  const std::string from_ = {};  // Identity; empty for a local read.
   const std::string connection_ = {};
-  const uint64_t index_ = 0;  // Commit index when its round began.
-  const uint64_t round_ = 0;
+  const uint64_t index_ = 0;  // Commit index when its round started.
+  const uint64_t round_ = 0;  // The round that confirms it.
   const state::Millis expires_ = {};
 
   friend bool operator==(const LeaderRead&, const LeaderRead&) = default;
 };
 
-// Read indexes on their way: those that this member confirms as the leader,
-// and its own that wait for the leader's answer or for entries. Not
+// Pending read index requests: those that this member confirms as the leader,
+// and local ones that wait for the leader's reply or for entries. Not
 // thread-safe.
 class RaftReads {
  public:
-  // `first_wire_id` must differ after a restart, so that an answer to an
-  // earlier run is not taken for one to this run.
+  // `first_wire_id` must differ after a restart, so that a reply to a request
+  // from before the restart is not matched with a new request.
   explicit RaftReads(uint64_t first_wire_id) : next_wire_id_(first_wire_id) {}
 
   // Leader.
 
-  // Adds a read that the next round will confirm.
-  void Add(LeaderRead read) { waiting_.push_back(std::move(read)); }
-  bool NeedsRound() const { return !waiting_.empty() && confirming_.empty(); }
-  // All reads that wait are confirmed once a quorum has answered `round`.
+  // Adds a read, to be confirmed by the next round.
+  void Add(LeaderRead read) { awaiting_round_.push_back(std::move(read)); }
+  // Returns whether reads wait for a round while none is being confirmed.
+  bool NeedsRound() const {
+    return !awaiting_round_.empty() && awaiting_quorum_.empty();
+  }
+  // Assigns `round` to the reads that wait for one: they are confirmed once a
+  // quorum has replied to it.
   void OnRoundStarted(uint64_t round, uint64_t commit_index);
-  // Returns the reads whose round a quorum has answered.
+  // Removes and returns the reads whose round a quorum has replied to.
   std::vector<LeaderRead> TakeConfirmed(uint64_t quorum_round);
-  // Returns all reads that have no answer; for use when leadership ends.
+  // Removes and returns all unconfirmed reads; for use when leadership ends.
   std::vector<LeaderRead> TakeAll();
+  // Removes and returns the unconfirmed reads that have expired.
   std::vector<LeaderRead> TakeExpired(state::Millis now);
 
   // Follower.
 
-  // Returns the id for the message to the leader.
+  // Registers a local read; returns the id for the request to the leader.
   uint64_t Forward(uint64_t read_id, state::Millis expires);
-  void OnLeaderAnswer(uint64_t wire_id, bool confirmed, uint64_t index);
-  // Ends own reads that wait for a leader as not confirmed.
+  // Finishes the read with that id; a reply with an unknown id is ignored.
+  void OnLeaderReply(uint64_t wire_id, bool confirmed, uint64_t index);
+  // Finishes the reads that wait for the leader's reply as not confirmed.
   void FailForwarded();
 
-  // Ends an own read. A confirmed one is answered when the entries up to
-  // `index` have been handed out.
-  void End(uint64_t read_id, bool confirmed, uint64_t index);
-  // Returns the own reads that can be answered.
-  std::vector<ReadIndexResult> TakeAnswers(uint64_t handed_out,
+  // Finishes a local read. The result of a confirmed one becomes available when
+  // the entries up to `index` have been passed to the owner.
+  void Finish(uint64_t read_id, bool confirmed, uint64_t index);
+  // Removes and returns the available results of local reads, expired ones
+  // included. `delivered_index` is the last index passed to the owner.
+  std::vector<ReadIndexResult> TakeResults(uint64_t delivered_index,
                                            state::Millis now);
 
  private:
-  struct Forwarded {
+  struct ForwardedRead {
     const uint64_t read_id_ = 0;
     const state::Millis expires_ = {};
   };
 
-  std::vector<LeaderRead> waiting_;
-  std::vector<LeaderRead> confirming_;
+  std::vector<LeaderRead> awaiting_round_;
+  std::vector<LeaderRead> awaiting_quorum_;
   uint64_t next_wire_id_;
-  std::map<uint64_t, Forwarded> forwarded_;
+  std::map<uint64_t, ForwardedRead> forwarded_;
   std::vector<ReadIndexResult> finished_;
 };
 
--- a/src/coordination/tests/raft_cluster.h
+++ b/src/coordination/tests/raft_cluster.h
@@ -10,7 +10,9 @@
 
 namespace gooseberrygap::coordination {
 
-// How messages and writes fare. Times are in milliseconds.
+// Faults of the simulated network and disks: probabilities that a message is
+// dropped or duplicated, and the ranges of message delays and write times in
+// milliseconds.
 struct FaultOptions {
   const double drop_ = 0;
   const double duplicate_ = 0;
@@ -21,7 +23,7 @@
   friend bool operator==(const FaultOptions&, const FaultOptions&) = default;
 };
 
-// What survives a crash of a member.
+// The durable state of a member, which survives a crash. Not thread-safe.
 class RaftDisk {
  public:
   explicit RaftDisk(std::string identity) : identity_(std::move(identity)) {}
@@ -45,7 +47,8 @@
       vote_.emplace(*batch.vote_);
     }
     for (const state::LogEntry& entry : batch.entries_) {
-      Require(entry.index_ == last_index() + 1, "a batch leaves a gap");
+      Require(entry.index_ == last_index() + 1,
+              "the entries in a batch are not consecutive");
       entries_.emplace(entry.index_, entry);
     }
   }
@@ -68,7 +71,8 @@
 };
 
 // Members of one control group with an in-memory network and disks, on one
-// thread, in simulated time. All choices come from the seed. Not thread-safe.
+// thread, in simulated time. All random choices derive from the seed. Not
+// thread-safe.
 class RaftCluster {
  public:
   RaftCluster(size_t size, unsigned seed, RaftOptions options = {})
@@ -78,7 +82,7 @@
     }
   }
 
-  // Starts one more member with an empty data folder, and returns its number.
+  // Starts another member with an empty data folder and returns its number.
   size_t AddNode() {
     nodes_.emplace_back(std::make_unique<Node>());
     LoseDisk(size() - 1);
@@ -91,11 +95,11 @@
       members.push_back(MemberOf(i));
     }
     for (size_t i = 0; i < size(); ++i) {
-      Give(i, {RaftForm{.tag_ = next_number_++, .members_ = members}});
+      HandleEvents(i, {RaftForm{.tag_ = next_number_++, .members_ = members}});
     }
   }
   void SetFaults(const FaultOptions& faults) { faults_.emplace(faults); }
-  // Lets time pass, in steps of a millisecond.
+  // Advances the simulated time in steps of one millisecond.
   void Run(int millis) {
     for (const int end = now_ + millis; now_ < end;) {
       ++now_;
@@ -103,12 +107,13 @@
       for (size_t i = 0; i < size(); ++i) {
         FinishWrites(i);
         if (IsUp(i) && now_ % kTickMillis == 0) {
-          Give(i, {RaftTick{}});
+          HandleEvents(i, {RaftTick{}});
         }
       }
     }
   }
-  // Lets time pass until the condition holds; returns whether it did in time.
+  // Advances the time until the condition holds, by at most `limit`
+  // milliseconds; returns whether it holds.
   template <class Condition>
   bool RunUntil(const Condition& condition, int limit) {
     for (int passed = 0; passed < limit && !condition(); ++passed) {
@@ -117,11 +122,13 @@
     return condition();
   }
 
-  // Cuts all links between the node and the others, or joins them again.
-  void Cut(size_t node, bool cut) { nodes_[node]->cut_ = cut; }
-  bool IsCut(size_t node) const { return nodes_[node]->cut_; }
-  // Stops the node; of the batches not yet reported as durable, only some at
-  // the start are written.
+  // Blocks or restores all links between the node and the others.
+  void SetIsolated(size_t node, bool isolated) {
+    nodes_[node]->isolated_ = isolated;
+  }
+  bool IsIsolated(size_t node) const { return nodes_[node]->isolated_; }
+  // Stops the node. Of the batches that are not yet reported as durable, a
+  // random number of the first ones is written.
   void Crash(size_t node) {
     Node& crashed = *nodes_[node];
     crashed.raft_.reset();
@@ -163,7 +170,7 @@
   std::set<std::string> Voters(size_t node) const {
     return VotersOf(nodes_[node]->raft_->members());
   }
-  // Returns the node that leads the highest term among those that are up.
+  // Returns the leader of the highest term among the running nodes.
   std::optional<size_t> Leader() const {
     std::optional<size_t> leader;
     uint64_t term = 0;
@@ -178,11 +185,12 @@
   }
   size_t WaitForLeader() {
     Require(RunUntil([&] { return Leader().has_value(); }, kElectionLimit),
-            "no leader is elected");
+            "no leader was elected within the time limit");
     return *Leader();
   }
-  // Returns whether all nodes that are up have applied the same.
-  bool IsQuiet() const {
+  // Returns whether all running nodes have applied every known entry and hold
+  // the same value.
+  bool HasConverged() const {
     return std::all_of(nodes_.begin(), nodes_.end(), [&](const auto& node) {
       return node->raft_ == nullptr ||
              (node->applied_ == history_.last_index() &&
@@ -193,46 +201,47 @@
   // These return the tag of the proposal, or the id of the read.
   uint64_t Propose(size_t node) {
     const state::Bytes value(absl::StrCat(next_number_));
-    Give(node, {RaftPropose{.tag_ = next_number_, .payload_ = value}});
+    HandleEvents(node, {RaftPropose{.tag_ = next_number_, .payload_ = value}});
     return next_number_++;
   }
   uint64_t Add(size_t node, size_t added) {
-    Give(node,
-         {RaftAddMember{.tag_ = next_number_, .member_ = MemberOf(added)}});
+    HandleEvents(node, {RaftAddMember{.tag_ = next_number_,
+                                      .member_ = MemberOf(added)}});
     return next_number_++;
   }
   uint64_t Remove(size_t node, const std::string& identity) {
-    Give(node, {RaftRemoveMember{.tag_ = next_number_, .identity_ = identity}});
+    HandleEvents(
+        node, {RaftRemoveMember{.tag_ = next_number_, .identity_ = identity}});
     return next_number_++;
   }
   uint64_t Read(size_t node) {
-    history_.OnReadBegun(next_number_);
-    Give(node, {RaftReadIndex{.read_id_ = next_number_}});
+    history_.OnReadStarted(next_number_);
+    HandleEvents(node, {RaftReadIndex{.read_id_ = next_number_}});
     return next_number_++;
   }
-  // Hands waiting events to the node.
-  void Give(size_t node, const std::vector<RaftEvent>& events) {
-    Carry(node, nodes_[node]->raft_->Handle(events, state::Millis(now_)));
+  // Passes the events to the node and executes the resulting step.
+  void HandleEvents(size_t node, const std::vector<RaftEvent>& events) {
+    ExecuteStep(node, nodes_[node]->raft_->Handle(events, state::Millis(now_)));
   }
 
  private:
-  // A node makes a snapshot after this many entries; low, so that runs have
-  // many.
+  // Number of applied entries after which a node takes a snapshot; low, so that
+  // a run has many snapshots.
   static constexpr uint64_t kSnapshotEvery = 30;
   static constexpr int kTickMillis = 10;
   static constexpr int kElectionLimit = 20000;
 
   struct Node {
-    bool cut_ = false;
+    bool isolated_ = false;
     std::unique_ptr<RaftDisk> disk_;
     std::unique_ptr<Raft> raft_;
-    // With the time of the end.
+    // Batches being written, with the time when each write completes.
     std::deque<std::pair<int, RaftBatch>> writing_;
-    std::string value_;  // The state machine: the values so far.
+    std::string value_;  // The state machine: all values applied so far.
     uint64_t applied_ = 0;
     uint64_t snapshot_index_ = 0;
   };
-  struct Flight {
+  struct MessageInTransit {
     int due_ = 0;
     size_t from_ = 0;
     size_t to_ = 0;
@@ -248,19 +257,19 @@
 
   // Messages that arrive in the same millisecond are handled together.
   void Deliver() {
-    std::vector<Flight> later;
-    std::map<size_t, std::vector<RaftEvent>> arrived;
-    for (Flight& flight : flights_) {
-      if (flight.due_ > now_) {
-        later.push_back(std::move(flight));
-      } else if (IsUp(flight.to_) && !IsCut(flight.to_) &&
-                 !IsCut(flight.from_)) {
-        arrived[flight.to_].emplace_back(*flight.message_);
+    std::vector<MessageInTransit> later;
+    std::map<size_t, std::vector<RaftEvent>> received;
+    for (MessageInTransit& in_transit : messages_in_transit_) {
+      if (in_transit.due_ > now_) {
+        later.push_back(std::move(in_transit));
+      } else if (IsUp(in_transit.to_) && !IsIsolated(in_transit.to_) &&
+                 !IsIsolated(in_transit.from_)) {
+        received[in_transit.to_].emplace_back(*in_transit.message_);
       }
     }
-    flights_.swap(later);
-    for (const auto& [node, events] : arrived) {
-      Give(node, events);
+    messages_in_transit_.swap(later);
+    for (const auto& [node, events] : received) {
+      HandleEvents(node, events);
     }
   }
 
@@ -270,11 +279,11 @@
       const uint64_t sequence = writer.writing_.front().second.sequence_;
       writer.disk_->Write(writer.writing_.front().second);
       writer.writing_.pop_front();
-      Give(node, {RaftPersisted{.sequence_ = sequence}});
+      HandleEvents(node, {RaftPersisted{.sequence_ = sequence}});
     }
   }
 
-  void Carry(size_t node, const Raft::Step& step) {
+  void ExecuteStep(size_t node, const Raft::Step& step) {
     Node& owner = *nodes_[node];
     if (step.batch_) {
       const int begin =
@@ -285,8 +294,8 @@
     for (const Command& command : step.commands_) {
       const auto* send = std::get_if<SendToPeer>(&command);
       const auto* reply = std::get_if<ReplyToPeer>(&command);
-      Post(node, send != nullptr ? send->address_ : reply->connection_,
-           send != nullptr ? send->message_ : reply->message_);
+      SendMessage(node, send != nullptr ? send->address_ : reply->connection_,
+                  send != nullptr ? send->message_ : reply->message_);
     }
     if (step.restore_) {
       owner.value_ = step.restore_->content_.ToString();
@@ -294,52 +303,58 @@
       owner.snapshot_index_ = step.restore_->index_;
     }
     for (const state::LogEntry& entry : step.committed_) {
-      Require(entry.index_ == ++owner.applied_, "entries leave a gap");
+      Require(entry.index_ == ++owner.applied_,
+              "the applied entries are not consecutive");
       history_.OnApplied(entry);
       if (entry.kind_ == state::LogEntryKind::kCommand) {
         absl::StrAppend(&owner.value_, entry.payload_.view(), ",");
       }
     }
-    for (const ProposalResult& end : step.proposal_results_) {
-      history_.OnEnded(end);
+    for (const ProposalResult& result : step.proposal_results_) {
+      history_.OnProposalResult(result);
     }
-    for (const ReadIndexResult& answer : step.reads_) {
-      history_.OnReadAnswered(answer, owner.applied_);
+    for (const ReadIndexResult& result : step.reads_) {
+      history_.OnReadResult(result, owner.applied_);
     }
     if (step.role_change_ && step.role_change_->role_ == RaftRole::kLeader) {
-      history_.OnLeader(step.role_change_->term_, IdentityOf(node));
+      history_.OnLeaderElected(step.role_change_->term_, IdentityOf(node));
     }
     if (owner.applied_ >= owner.snapshot_index_ + kSnapshotEvery) {
       owner.snapshot_index_ = owner.applied_;
-      Give(node, {RaftSnapshotMade{.index_ = owner.applied_,
-                                   .content_ = state::Bytes(owner.value_)}});
+      HandleEvents(node,
+                   {RaftSnapshotMade{.index_ = owner.applied_,
+                                     .content_ = state::Bytes(owner.value_)}});
     }
   }
 
-  // A message must not promise what a crash would undo.
+  // Checks that the message depends on no state that a crash would lose.
   static void CheckDurable(const Node& node, const PeerMessage& message) {
     const state::VoteRecord& vote = node.disk_->vote();
     if (const auto* reply = std::get_if<VoteReply>(&message)) {
       Require(!reply->granted_ || reply->pre_vote_ ||
                   vote == state::VoteRecord{.term_ = reply->term_,
                                             .voted_for_ = reply->to_},
-              "a vote left before it was durable");
+              "a vote was sent before it was durable");
       Require(HasMember(node.raft_->members(), node.disk_->identity()),
               "a member outside the list voted");
     }
     if (const auto* request = std::get_if<VoteRequest>(&message)) {
       Require(request->pre_vote_ || vote.voted_for_ == node.disk_->identity(),
-              "a candidate may forget its own vote");
+              "a candidate requested votes before its own was durable");
     }
     if (const auto* reply = std::get_if<AppendReply>(&message)) {
-      Require(reply->term_ <= vote.term_, "a term left before it was durable");
+      Require(reply->term_ <= vote.term_,
+              "a term was sent before it was durable");
       Require(!reply->success_ || reply->index_ <= node.disk_->last_index(),
               "an entry was acknowledged before it was durable");
     }
   }
 
-  // Addresses and connections are the numbers of nodes.
-  void Post(size_t from, const std::string& to, const PeerMessage& message) {
+  // Sends a message to the node whose number is `to`; addresses and connections
+  // are node numbers.
+  void SendMessage(size_t from,
+                   const std::string& to,
+                   const PeerMessage& message) {
     CheckDurable(*nodes_[from], message);
     if (Chance(faults_->drop_)) {
       return;
@@ -349,10 +364,10 @@
             .connection_ = absl::StrCat(from), .message_ = message});
     for (int copy = Chance(faults_->duplicate_) ? 0 : 1; copy < 2; ++copy) {
       const int delay = Between(faults_->min_delay_, faults_->max_delay_);
-      flights_.push_back(Flight{.due_ = now_ + delay,
-                                .from_ = from,
-                                .to_ = std::stoul(to),
-                                .message_ = received});
+      messages_in_transit_.push_back(MessageInTransit{.due_ = now_ + delay,
+                                                      .from_ = from,
+                                                      .to_ = std::stoul(to),
+                                                      .message_ = received});
     }
   }
 
@@ -360,7 +375,7 @@
   const RaftOptions options_;
   std::optional<FaultOptions> faults_ = FaultOptions();
   std::vector<std::unique_ptr<Node>> nodes_;
-  std::vector<Flight> flights_;
+  std::vector<MessageInTransit> messages_in_transit_;
   int now_ = 0;
   uint64_t next_number_ = 1;
   RaftHistory history_;
--- a/src/coordination/tests/raft_history.h
+++ b/src/coordination/tests/raft_history.h
@@ -15,6 +15,7 @@
 
 namespace gooseberrygap::coordination {
 
+// Throws std::logic_error with the message `what` unless `condition` holds.
 inline void Require(bool condition, const char* what) {
   if (!condition) {
     throw std::logic_error(what);
@@ -40,43 +41,44 @@
                      });
 }
 
-// What was seen of a whole group, checked against the promises of the log; a
-// broken one throws std::logic_error. A proposal's value is its tag.
+// Records what all members of a group applied and reported, and checks it
+// against the guarantees of the log; a violation throws std::logic_error. The
+// payload of a proposal is its tag. Not thread-safe.
 class RaftHistory {
  public:
   void OnApplied(const state::LogEntry& entry) {
     const auto [seen, inserted] = committed_.emplace(entry.index_, entry);
     Require(seen->second == entry, "a committed entry changed");
   }
-  void OnEnded(const ProposalResult& end) {
-    ends_.emplace(end.tag_, end);
-    acknowledged_index_ = std::max(acknowledged_index_, end.index_);
+  void OnProposalResult(const ProposalResult& result) {
+    proposal_results_.emplace(result.tag_, result);
+    acknowledged_index_ = std::max(acknowledged_index_, result.index_);
   }
-  void OnLeader(uint64_t term, const std::string& identity) {
+  void OnLeaderElected(uint64_t term, const std::string& identity) {
     Require(leaders_.emplace(term, identity).first->second == identity,
             "a term has two leaders");
   }
-  void OnReadBegun(uint64_t read_id) {
-    read_floors_.emplace(read_id, acknowledged_index_);
+  void OnReadStarted(uint64_t read_id) {
+    min_read_indexes_.emplace(read_id, acknowledged_index_);
   }
-  void OnReadAnswered(const ReadIndexResult& answer, uint64_t applied) {
-    Require(!answer.confirmed_ ||
-                (answer.index_ >= read_floors_.at(answer.read_id_) &&
-                 applied >= answer.index_),
-            "a read went back");
-    answers_.emplace(answer.read_id_, answer);
+  void OnReadResult(const ReadIndexResult& result, uint64_t applied) {
+    Require(!result.confirmed_ ||
+                (result.index_ >= min_read_indexes_.at(result.read_id_) &&
+                 applied >= result.index_),
+            "a confirmed read was stale or not yet applied");
+    read_results_.emplace(result.read_id_, result);
   }
 
-  // These return nothing while there is no answer.
+  // These return nothing while the proposal or read is pending.
   std::optional<ProposalStatus> StatusOf(uint64_t tag) const {
-    const auto end = ends_.find(tag);
-    return end == ends_.end() ? std::optional<ProposalStatus>()
-                              : end->second.status_;
+    const auto result = proposal_results_.find(tag);
+    return result == proposal_results_.end() ? std::optional<ProposalStatus>()
+                                             : result->second.status_;
   }
   std::optional<bool> IsConfirmed(uint64_t read_id) const {
-    const auto answer = answers_.find(read_id);
-    return answer == answers_.end() ? std::optional<bool>()
-                                    : answer->second.confirmed_;
+    const auto result = read_results_.find(read_id);
+    return result == read_results_.end() ? std::optional<bool>()
+                                         : result->second.confirmed_;
   }
   bool IsCommitted(uint64_t tag) const {
     return StatusOf(tag) == ProposalStatus::kCommitted;
@@ -84,17 +86,18 @@
   uint64_t last_index() const { return committed_.rbegin()->first; }
   size_t Acknowledged() const {
     return static_cast<size_t>(
-        std::count_if(ends_.begin(), ends_.end(),
+        std::count_if(proposal_results_.begin(), proposal_results_.end(),
                       [&](const auto& row) { return IsCommitted(row.first); }));
   }
   size_t Confirmed() const {
     return static_cast<size_t>(
-        std::count_if(answers_.begin(), answers_.end(),
+        std::count_if(read_results_.begin(), read_results_.end(),
                       [](const auto& row) { return row.second.confirmed_; }));
   }
 
-  // Checks that acknowledged values are there, that no lost one was applied and
-  // that voters changed singly.
+  // Checks that every acknowledged value was applied, that no value was applied
+  // twice or although it was reported as not applied, and that each membership
+  // change affected at most one voter.
   void Check() const {
     std::set<std::string> voters;
     std::set<std::string> values;
@@ -113,26 +116,26 @@
                   values.insert(entry.payload_.ToString()).second,
               "a value was applied twice");
     }
-    for (const auto& [tag, end] : ends_) {
+    for (const auto& [tag, result] : proposal_results_) {
       const bool applied = values.contains(absl::StrCat(tag));
-      if (end.status_ == ProposalStatus::kCommitted) {
-        const state::LogEntry& entry = committed_.at(end.index_);
+      if (result.status_ == ProposalStatus::kCommitted) {
+        const state::LogEntry& entry = committed_.at(result.index_);
         Require(entry.kind_ == state::LogEntryKind::kMembers ||
                     entry.payload_.view() == absl::StrCat(tag),
                 "an acknowledged value was lost");
       } else {
-        Require(end.status_ == ProposalStatus::kUnknown || !applied,
+        Require(result.status_ == ProposalStatus::kUnknown || !applied,
                 "a value that was reported as not applied was applied");
       }
     }
   }
 
  private:
-  std::map<uint64_t, std::string> leaders_;        // By term.
-  std::map<uint64_t, state::LogEntry> committed_;  // By index.
-  std::map<uint64_t, ProposalResult> ends_;        // By tag.
-  std::map<uint64_t, ReadIndexResult> answers_;    // By read id.
-  std::map<uint64_t, uint64_t> read_floors_;       // By read id.
+  std::map<uint64_t, std::string> leaders_;              // By term.
+  std::map<uint64_t, state::LogEntry> committed_;        // By index.
+  std::map<uint64_t, ProposalResult> proposal_results_;  // By tag.
+  std::map<uint64_t, ReadIndexResult> read_results_;     // By read id.
+  std::map<uint64_t, uint64_t> min_read_indexes_;        // By read id.
   uint64_t acknowledged_index_ = 0;
 };
 
--- a/src/coordination/tests/raft_member_test.cc
+++ b/src/coordination/tests/raft_member_test.cc
@@ -6,7 +6,8 @@
 namespace gooseberrygap::coordination {
 namespace {
 
-// Guards against a vote of a member that is in no list, however it is asked.
+// Guards against a vote by a member that is in no member list, whichever
+// identity and kind of vote the request names.
 TEST_CASE("a member outside the list does not vote", "[configuration]") {
   std::mt19937 random(1);
   Raft raft({}, {.identity_ = "new"}, random, state::Millis(0));
@@ -51,13 +52,13 @@
   }
 }
 
-// Guards against acknowledging an entry because an entry that it replaced was
-// written in its place.
+// Guards against acknowledging an entry as durable because a replaced entry was
+// written at the same index.
 TEST_CASE("a replaced entry does not count as durable", "[configuration]") {
   std::mt19937 random(1);
   Raft raft({}, {.identity_ = "a"}, random, state::Millis(0));
   uint64_t acknowledged = 0;
-  const auto give = [&](const RaftEvent& event) {
+  const auto handle = [&](const RaftEvent& event) {
     const Raft::Step step = raft.Handle(event, state::Millis(0));
     for (const Command& command : step.commands_) {
       const auto* reply = std::get_if<ReplyToPeer>(&command);
@@ -71,7 +72,7 @@
     for (uint64_t index = previous + 1; index <= last; ++index) {
       entries.push_back({.index_ = index, .term_ = term});
     }
-    return give(RaftMessageReceived{
+    return handle(RaftMessageReceived{
         .message_ = AppendRequest{.from_ = "leader",
                                   .to_ = "a",
                                   .term_ = term,
@@ -80,15 +81,15 @@
                                   .entries_ = entries}});
   };
   append(1, 0, 3);
-  give(RaftPersisted{.sequence_ = append(2, 0, 0)});
+  handle(RaftPersisted{.sequence_ = append(2, 0, 0)});
   const uint64_t replacement = append(2, 1, 3);
   CHECK(acknowledged <= 1);
-  give(RaftPersisted{.sequence_ = replacement});
+  handle(RaftPersisted{.sequence_ = replacement});
   CHECK(acknowledged == 3);
 }
 
-// Guards against committing an entry of an earlier term because a majority has
-// it: a member without it may still be elected and replace it.
+// Guards against committing an entry of an earlier term because a majority
+// stores it: a member without the entry may still be elected and replace it.
 TEST_CASE("an entry of an earlier term is not committed alone",
           "[configuration]") {
   std::mt19937 random(1);
@@ -104,17 +105,17 @@
                            .members_ = members},
                           {.index_ = 2, .term_ = 2}}},
             random, now);
-  const auto give = [&](const RaftEvent& event) {
+  const auto handle = [&](const RaftEvent& event) {
     const Raft::Step step = raft.Handle(event, now);
     if (step.batch_) {
       raft.Handle(RaftPersisted{.sequence_ = step.batch_->sequence_}, now);
     }
   };
   const auto receive = [&](const PeerMessage& message) {
-    give(RaftMessageReceived{.message_ = message});
+    handle(RaftMessageReceived{.message_ = message});
   };
   now = state::Millis(1000);
-  give(RaftTick{});
+  handle(RaftTick{});
   for (const bool pre_vote : {true, false}) {
     receive(VoteReply{.from_ = "b",
                       .to_ = "a",
--- a/src/coordination/tests/raft_test.cc
+++ b/src/coordination/tests/raft_test.cc
@@ -5,12 +5,13 @@
 namespace gooseberrygap::coordination {
 namespace {
 
-// Delays of a group that is spread over two regions, and a slow disk.
+// Message delays of a group in two regions, and a slow disk.
 constexpr FaultOptions kTwoRegions = {.min_delay_ = 10,
                                       .max_delay_ = 14,
                                       .max_write_ = 10};
 
-// Proposes at whoever leads until a value is committed.
+// Proposes values to the current leader until one is committed; returns whether
+// that happened within `limit` milliseconds.
 bool Commits(RaftCluster* cluster, int limit = 5000) {
   std::set<uint64_t> tags;
   size_t proposer = 0;
@@ -31,11 +32,12 @@
   return cluster->RunUntil(is_committed, limit);
 }
 
-// Cuts, crashes or restarts a node, or repairs one. Mostly a majority is left;
-// now and then it is lost for a while.
+// Isolates, crashes or restarts a random node, or repairs it if it is faulty.
+// Keeps a majority of the nodes free of faults, except that one call in eight
+// may not.
 void InjectFault(RaftCluster* cluster) {
   const auto is_faulty = [&](size_t node) {
-    return !cluster->IsUp(node) || cluster->IsCut(node);
+    return !cluster->IsUp(node) || cluster->IsIsolated(node);
   };
   size_t faulty = 0;
   for (size_t i = 0; i < cluster->size(); ++i) {
@@ -45,12 +47,12 @@
   const bool may_break =
       (faulty + 1) * 2 < cluster->size() || cluster->random()() % 8 == 0;
   if (is_faulty(node)) {
-    cluster->Cut(node, false);
+    cluster->SetIsolated(node, false);
     if (!cluster->IsUp(node)) {
       cluster->Restart(node);
     }
   } else if (may_break && cluster->random()() % 2 == 0) {
-    cluster->Cut(node, true);
+    cluster->SetIsolated(node, true);
   } else {
     cluster->Crash(node);
     if (!may_break || cluster->random()() % 2 == 0) {
@@ -62,20 +64,20 @@
 void RepairAll(RaftCluster* cluster) {
   cluster->SetFaults({});
   for (size_t i = 0; i < cluster->size(); ++i) {
-    cluster->Cut(i, false);
+    cluster->SetIsolated(i, false);
     if (!cluster->IsUp(i)) {
       cluster->Restart(i);
     }
   }
 }
 
-// Guards against lost, changed or doubled entries, two leaders in a term, a
-// promise before it is durable and reads that go back, under message loss,
-// duplicates, reordering, partitions and crashes.
-TEST_CASE("the log keeps its promises under faults", "[configuration]") {
+// Guards against lost, changed or duplicate entries, two leaders in a term,
+// messages sent before their state is durable and stale reads, under message
+// loss, duplication, reordering, partitions and crashes.
+TEST_CASE("the log keeps its guarantees under faults", "[configuration]") {
   const unsigned seed = GENERATE(range(1U, 41U));
   CAPTURE(seed);
-  RaftCluster cluster(seed % 2 == 0 ? 3 : 5, seed, {.tail_entries_ = 8});
+  RaftCluster cluster(seed % 2 == 0 ? 3 : 5, seed, {.retained_entries_ = 8});
   cluster.Form();
   cluster.WaitForLeader();
   cluster.SetFaults(
@@ -97,19 +99,19 @@
   }
   RepairAll(&cluster);
   CHECK(Commits(&cluster));
-  CHECK(cluster.RunUntil([&] { return cluster.IsQuiet(); }, 2000));
+  CHECK(cluster.RunUntil([&] { return cluster.HasConverged(); }, 2000));
   CHECK(cluster.history().Acknowledged() > 50);
   CHECK(cluster.history().Confirmed() > 20);
   cluster.history().Check();
 }
 
-// Guards against two majorities without a common member, against a member that
-// lost its disk voting again, and against losing entries or the quorum when a
-// second instance is lost right after the first was replaced.
+// Guards against two majorities without a common member, against votes by a
+// member that lost its disk, and against loss of entries or of the quorum when
+// a second instance crashes right after the first was replaced.
 TEST_CASE("members are replaced under faults", "[configuration]") {
   const unsigned seed = GENERATE(range(1U, 21U));
   CAPTURE(seed);
-  RaftCluster cluster(3, seed, {.tail_entries_ = 8});
+  RaftCluster cluster(3, seed, {.retained_entries_ = 8});
   cluster.Form();
   for (int round = 0; round < 3; ++round) {
     cluster.SetFaults({.drop_ = 0.03,
@@ -145,13 +147,13 @@
   }
   RepairAll(&cluster);
   CHECK(Commits(&cluster));
-  CHECK(cluster.RunUntil([&] { return cluster.IsQuiet(); }, 2000));
+  CHECK(cluster.RunUntil([&] { return cluster.HasConverged(); }, 2000));
   CHECK(cluster.Voters(0).size() == 3);
   cluster.history().Check();
 }
 
-// Guards against an election that takes longer than 2 s after the leader was
-// lost, with the delays of two regions.
+// Guards against an election that takes longer than 2 s after the leader has
+// crashed, with the message delays of two regions.
 TEST_CASE("a lost leader is replaced within 2 s", "[configuration]") {
   const unsigned seed = GENERATE(range(1U, 101U));
   CAPTURE(seed);
@@ -164,36 +166,36 @@
   CHECK(cluster.RunUntil([&] { return cluster.Leader().has_value(); }, 2000));
 }
 
-// Guards against a member that was cut off raising its term and unseating a
-// working leader when it returns.
-TEST_CASE("a member that returns does not unseat the leader",
+// Guards against an isolated member that raises its term and deposes a working
+// leader when its links are restored.
+TEST_CASE("a reconnected member does not depose the leader",
           "[configuration]") {
   RaftCluster cluster(3, 7);
   cluster.Form();
   const size_t leader = cluster.WaitForLeader();
   const uint64_t term = cluster.raft(leader).term();
-  const size_t away = (leader + 1) % 3;
+  const size_t isolated = (leader + 1) % 3;
   cluster.Run(100);
   for (int round = 0; round < 20; ++round) {
-    cluster.Cut(away, true);
+    cluster.SetIsolated(isolated, true);
     cluster.Run(1500 + 37 * round);
-    CHECK(cluster.raft(away).leader().empty());
-    cluster.Cut(away, false);
+    CHECK(cluster.raft(isolated).leader().empty());
+    cluster.SetIsolated(isolated, false);
     cluster.Run(300);
-    CHECK(cluster.raft(away).leader() == cluster.IdentityOf(leader));
+    CHECK(cluster.raft(isolated).leader() == cluster.IdentityOf(leader));
     REQUIRE(cluster.raft(leader).role() == RaftRole::kLeader);
-    REQUIRE(cluster.raft(away).term() == term);
+    REQUIRE(cluster.raft(isolated).term() == term);
   }
 }
 
-// Guards against a cut-off leader that goes on to take proposals and to
+// Guards against an isolated leader that continues to accept proposals and to
 // confirm reads.
 TEST_CASE("a leader without a quorum steps down", "[configuration]") {
   RaftCluster cluster(3, 8);
   cluster.Form();
   const size_t leader = cluster.WaitForLeader();
   REQUIRE(Commits(&cluster));
-  cluster.Cut(leader, true);
+  cluster.SetIsolated(leader, true);
   const uint64_t value = cluster.Propose(leader);
   const uint64_t read = cluster.Read(leader);
   cluster.Run(700);
@@ -204,15 +206,16 @@
   CHECK(cluster.history().IsConfirmed(cluster.Read(leader)) == false);
   REQUIRE(Commits(&cluster));
   CHECK_FALSE(cluster.history().StatusOf(value));
-  cluster.Cut(leader, false);
+  cluster.SetIsolated(leader, false);
   cluster.Run(1000);
   CHECK(cluster.history().StatusOf(value) == ProposalStatus::kLost);
   cluster.history().Check();
 }
 
-// Guards against a majority that counts a voter which lost its disk: it must
-// not vote under its new identity, nor answer to the old one.
-TEST_CASE("a lost data folder does not vote", "[configuration]") {
+// Guards against a majority that includes a voter which lost its disk: it must
+// neither vote under its new identity nor reply to requests for the old one.
+TEST_CASE("a member that lost its data folder does not vote",
+          "[configuration]") {
   RaftCluster cluster(3, 9);
   cluster.Form();
   const size_t leader = cluster.WaitForLeader();
@@ -226,10 +229,10 @@
   CHECK(Commits(&cluster));
 }
 
-// Guards against a learner that counts before it has caught up, here by a
-// snapshot, and against reads at a follower that miss committed entries.
+// Guards against a learner that counts as a voter before it has caught up, here
+// by a snapshot, and against reads at a follower that miss committed entries.
 TEST_CASE("a new member catches up by a snapshot", "[configuration]") {
-  RaftCluster cluster(3, 10, {.tail_entries_ = 4});
+  RaftCluster cluster(3, 10, {.retained_entries_ = 4});
   cluster.Form();
   const size_t leader = cluster.WaitForLeader();
   for (int i = 0; i < 100; ++i) {
@@ -244,7 +247,7 @@
   };
   CHECK(cluster.RunUntil(has_joined, 1000));
   CHECK(cluster.history().IsCommitted(tag));
-  CHECK(cluster.RunUntil([&] { return cluster.IsQuiet(); }, 1000));
+  CHECK(cluster.RunUntil([&] { return cluster.HasConverged(); }, 1000));
   CHECK(cluster.raft(added).EntriesSinceSnapshot() < 60);
   const uint64_t value = cluster.Propose(leader);
   CHECK(cluster.RunUntil([&] { return cluster.history().IsCommitted(value); },
@@ -257,8 +260,8 @@
   CHECK(cluster.history().IsConfirmed(read) == true);
 }
 
-// Guards against changes that overlap or make no sense, and against a leader
-// that leads on after its removal.
+// Guards against overlapping or invalid membership changes, and against a
+// leader that continues to lead after its removal.
 TEST_CASE("membership changes are checked", "[configuration]") {
   RaftCluster cluster(3, 11);
   cluster.Form();
@@ -284,18 +287,20 @@
   CHECK(Commits(&cluster));
 }
 
-// Guards against forming a group over an existing log or without oneself, and
-// against a member that acts before the group is formed.
+// Guards against forming a group over an existing log or without the member
+// itself, and against a member that campaigns before the group is formed.
 TEST_CASE("a group is formed once", "[configuration]") {
   RaftCluster cluster(3, 12);
   cluster.Run(3000);
   CHECK_FALSE(cluster.Leader());
   CHECK(cluster.raft(0).term() == 0);
-  cluster.Give(0, {RaftForm{.tag_ = 900, .members_ = {cluster.MemberOf(1)}}});
+  cluster.HandleEvents(
+      0, {RaftForm{.tag_ = 900, .members_ = {cluster.MemberOf(1)}}});
   CHECK(cluster.history().StatusOf(900) == ProposalStatus::kInvalidChange);
   cluster.Form();
   cluster.WaitForLeader();
-  cluster.Give(0, {RaftForm{.tag_ = 901, .members_ = {cluster.MemberOf(0)}}});
+  cluster.HandleEvents(
+      0, {RaftForm{.tag_ = 901, .members_ = {cluster.MemberOf(0)}}});
   CHECK(cluster.history().StatusOf(901) == ProposalStatus::kAlreadyFormed);
   CHECK(Commits(&cluster));
 }
