--- a/src/coordination/internal/group_membership.cc
+++ b/src/coordination/internal/group_membership.cc
@@ -28,7 +28,7 @@
 bool IsReadyLearner(const MemberStatus& status, uint64_t last_index) {
   return !status.member_.voter_ && status.match_index_ > 0 &&
          status.match_index_ + kMaxReadyLag >= last_index &&
-         status.last_heard_age_ < kVoterTimeout / 3;
+         status.last_contact_age_ < kVoterTimeout / 3;
 }
 
 }  // namespace
@@ -121,7 +121,7 @@
     if (status.member_.address_ != request.address_) {
       continue;
     }
-    if (status.last_heard_age_ < kRecentContact) {
+    if (status.last_contact_age_ < kRecentContact) {
       return {};
     }
     return Step{
@@ -144,7 +144,7 @@
       continue;
     }
     if (!status.member_.voter_) {
-      if (status.last_heard_age_ >= kLearnerTimeout) {
+      if (status.last_contact_age_ >= kLearnerTimeout) {
         return status.member_.identity_;
       }
       has_ready_learner =
@@ -154,8 +154,8 @@
     ++voters;
     const bool is_longer_unresponsive =
         unresponsive_voter == nullptr ||
-        status.last_heard_age_ > unresponsive_voter->last_heard_age_;
-    if (status.last_heard_age_ >= kVoterTimeout && is_longer_unresponsive) {
+        status.last_contact_age_ > unresponsive_voter->last_contact_age_;
+    if (status.last_contact_age_ >= kVoterTimeout && is_longer_unresponsive) {
       unresponsive_voter = &status;
     }
   }
--- a/src/coordination/tests/group_membership_test.cc
+++ b/src/coordination/tests/group_membership_test.cc
@@ -22,7 +22,7 @@
                                                            : address,
                                .voter_ = voter},
       .match_index_ = 100,
-      .last_heard_age_ = last_contact_age};
+      .last_contact_age_ = last_contact_age};
 }
 
 // Returns the view of the leader "a" in a group with the given other members.
