--- a/examples/embedding/main.cc
+++ b/examples/embedding/main.cc
@@ -1,5 +1,5 @@
-// Uses the routing decisions of gooseberrygap in another program: no daemon, no
-// socket and no thread is involved.
+// Uses the routing decisions of gooseberrygap as a library: without a daemon,
+// sockets or threads.
 
 #include <cstdio>
 
