--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -15,17 +15,20 @@
 constexpr size_t kRingCapacity = 16384;
 constexpr state::Millis kTickInterval(10);
 constexpr state::Millis kMembershipInterval(50);
-// Items that are handled together, with one write to the disk.
+// Ring items that are handled together and share one write to the disk.
 constexpr size_t kMaxBatch = 512;
 constexpr state::Millis kStatusTimeout(2000);
 constexpr state::Millis kChangeTimeout(5000);
 constexpr state::Millis kFormTimeout(200);
-// Tags of membership changes differ from those of the control service.
+// Set in the tags of membership changes, to distinguish them from the tags of
+// the control service's proposals.
 constexpr uint64_t kChangeTagBit = uint64_t{1} << 63;
-// Numbers of reads for operators differ from those of the control service.
-constexpr uint64_t kOwnReadBit = uint64_t{1} << 63;
-// A leader that heard from its quorum this lately may answer for the group.
-constexpr state::Millis kQuorumFresh(500);
+// Set in the ids of reads for operators, to distinguish them from the ids of
+// the control service's reads.
+constexpr uint64_t kOperatorReadBit = uint64_t{1} << 63;
+// A leader may answer for the group if its last contact with a quorum is at
+// most this many milliseconds old.
+constexpr state::Millis kMaxQuorumStaleness(500);
 
 coordination::RaftOptions RaftOptionsFor(const ControlDuty::Options& options) {
   const uint64_t max_voters =
@@ -79,7 +82,7 @@
   peers_ = peers;
   disk_ = std::make_unique<DiskDuty>(
       std::move(store_),
-      [this](const state::Result<uint64_t>& result) { OnDiskEnd(result); },
+      [this](const state::Result<uint64_t>& result) { OnDiskResult(result); },
       counters_);
   thread_ =
       std::make_unique<transport::DutyThread>("control", [this] { Run(); });
@@ -89,7 +92,7 @@
   return ring_.TryPush(Item(std::move(arrival)));
 }
 
-void ControlDuty::OnDiskEnd(const state::Result<uint64_t>& result) {
+void ControlDuty::OnDiskResult(const state::Result<uint64_t>& result) {
   if (result) {
     ring_.TryPush(Item(
         RaftEvent(coordination::RaftPersisted{.sequence_ = result.value()})));
@@ -104,7 +107,7 @@
   ring_.TryPush(Item(RaftEvent(coordination::RaftForm{
       .tag_ = opened.id_ | kChangeTagBit, .members_ = members})));
   // The first members commit nothing before a majority of them is formed, so
-  // only a refusal is waited for.
+  // the wait ends early only for a refusal.
   const auto end = opened.slot_->Wait(kFormTimeout);
   change_slots_.Close(opened.id_);
   if (end.has_value()) {
@@ -115,30 +118,33 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
   return state::MakeError(state::ErrorKind::kTimeout,
-                          "The group was not formed in time");
+                          "The group was not formed in time; check its state "
+                          "with 'gooseberrygapctl control status'");
 }
 
 state::Result<void> ControlDuty::AddMember(const state::ControlMember& member) {
-  return Change([&member](uint64_t tag) -> RaftEvent {
+  return ChangeMembership([&member](uint64_t tag) -> RaftEvent {
     return coordination::RaftAddMember{.tag_ = tag, .member_ = member};
   });
 }
 
 state::Result<void> ControlDuty::RemoveMember(const std::string& identity) {
-  return Change([&identity](uint64_t tag) -> RaftEvent {
+  return ChangeMembership([&identity](uint64_t tag) -> RaftEvent {
     return coordination::RaftRemoveMember{.tag_ = tag, .identity_ = identity};
   });
 }
 
-state::Result<void> ControlDuty::Change(
+state::Result<void> ControlDuty::ChangeMembership(
     const std::function<RaftEvent(uint64_t tag)>& make_event) {
   const auto opened = change_slots_.Open();
   ring_.TryPush(Item(make_event(opened.id_ | kChangeTagBit)));
   const auto end = opened.slot_->Wait(kChangeTimeout);
   change_slots_.Close(opened.id_);
   if (!end.has_value()) {
-    return state::MakeError(state::ErrorKind::kTimeout,
-                            "The change was not accepted in time");
+    return state::MakeError(
+        state::ErrorKind::kTimeout,
+        "The change was not committed in time, but still may be; check the "
+        "members with 'gooseberrygapctl control status'");
   }
   return ResultOf(*end);
 }
@@ -165,8 +171,8 @@
 }
 
 void ControlDuty::Run() {
-  // The first step restores the snapshot that the data folder holds.
-  Drive({coordination::RaftTick{}});
+  // The first step restores the snapshot in the data folder.
+  ProcessRaftEvents({coordination::RaftTick{}});
   state::Millis next_tick = clock_.Now();
   while (!ring_.closed()) {
     const state::Millis wait =
@@ -174,7 +180,7 @@
     RaftEvents events;
     std::optional<Item> item = ring_.Pop(wait);
     for (size_t i = 0; i < kMaxBatch && item.has_value(); ++i) {
-      Accept(*item, &events);
+      Dispatch(*item, &events);
       const std::optional<Item> next = ring_.TryPop();
       item.reset();
       if (next.has_value()) {
@@ -182,17 +188,17 @@
       }
     }
     if (item.has_value()) {
-      Accept(*item, &events);
+      Dispatch(*item, &events);
     }
     if (clock_.Now() >= next_tick) {
       next_tick = clock_.Now() + kTickInterval;
       Tick(&events);
     }
-    Drive(std::move(events));
+    ProcessRaftEvents(std::move(events));
   }
 }
 
-void ControlDuty::Accept(const Item& item, RaftEvents* raft_events) {
+void ControlDuty::Dispatch(const Item& item, RaftEvents* raft_events) {
   if (const auto* request = std::get_if<StatusRequest>(&item)) {
     AnswerStatus(request->slot_.get());
     return;
@@ -209,8 +215,8 @@
     return;
   }
   if (const auto* request = std::get_if<ReadRequest>(&item)) {
-    const uint64_t read_id = next_read_++ | kOwnReadBit;
-    reads_.emplace(read_id, request->slot_);
+    const uint64_t read_id = next_read_id_++ | kOperatorReadBit;
+    pending_reads_.emplace(read_id, request->slot_);
     raft_events->emplace_back(coordination::RaftReadIndex{.read_id_ = read_id});
     return;
   }
@@ -238,21 +244,23 @@
         .connection_ = connection, .message_ = arrival.message_});
     return;
   }
-  Serve(coordination::ControlMessage{.connection_ = connection,
-                                     .message_ = arrival.message_},
-        raft_events);
+  ProcessControlEvent(
+      coordination::ControlMessage{.connection_ = connection,
+                                   .message_ = arrival.message_},
+      raft_events);
 }
 
 void ControlDuty::Tick(RaftEvents* raft_events) {
   const state::Millis now = clock_.Now();
   raft_events->emplace_back(coordination::RaftTick{});
-  if (membership_.has_value() && now >= membership_tick_) {
-    membership_tick_ = now + kMembershipInterval;
+  if (membership_.has_value() && now >= next_membership_tick_) {
+    next_membership_tick_ = now + kMembershipInterval;
     Apply(membership_->Tick(CurrentGroupView(now), now), raft_events);
   }
-  Serve(CurrentLogStatus(clock_.Now()), raft_events);
-  Serve(coordination::ControlTick{.wall_millis_ = state::WallMillis()},
-        raft_events);
+  ProcessControlEvent(CurrentLogStatus(clock_.Now()), raft_events);
+  ProcessControlEvent(
+      coordination::ControlTick{.wall_millis_ = state::WallMillis()},
+      raft_events);
   const auto limit =
       static_cast<uint64_t>(options_.settings_.snapshot_entries_);
   if (raft_.EntriesSinceSnapshot() > limit) {
@@ -263,12 +271,12 @@
   }
 }
 
-void ControlDuty::Serve(const coordination::ControlEvent& event,
-                        RaftEvents* raft_events) {
+void ControlDuty::ProcessControlEvent(const coordination::ControlEvent& event,
+                                      RaftEvents* raft_events) {
   Apply(service_.Handle(event, clock_.Now()), raft_events);
 }
 
-void ControlDuty::Drive(RaftEvents events) {
+void ControlDuty::ProcessRaftEvents(RaftEvents events) {
   while (!events.empty() && !failed_) {
     RaftEvents next;
     Apply(raft_.Handle(absl::MakeConstSpan(events), clock_.Now()), &next);
@@ -279,8 +287,10 @@
 void ControlDuty::Apply(coordination::Raft::Step step,
                         RaftEvents* raft_events) {
   if (step.batch_.has_value() && !disk_->Write(*step.batch_)) {
-    Fail(state::MakeError(state::ErrorKind::kDiskFailed,
-                          "The disk does not keep up with the log"));
+    Fail(state::MakeError(
+        state::ErrorKind::kDiskFailed,
+        "The disk does not keep up with the log: the queue of the disk "
+        "duty is full"));
     return;
   }
   CarryOut(step.commands_);
@@ -291,13 +301,15 @@
       Fail(restored.error());
       return;
     }
-    Serve(coordination::SnapshotRestored{.index_ = step.restore_->index_,
-                                         .state_ = restored.value()},
-          raft_events);
+    ProcessControlEvent(
+        coordination::SnapshotRestored{.index_ = step.restore_->index_,
+                                       .state_ = restored.value()},
+        raft_events);
   }
   for (const state::LogEntry& entry : step.committed_) {
     if (entry.kind_ != state::LogEntryKind::kCommand) {
-      Serve(coordination::EntryCommitted{.index_ = entry.index_}, raft_events);
+      ProcessControlEvent(coordination::EntryCommitted{.index_ = entry.index_},
+                          raft_events);
       continue;
     }
     const auto command = protocol::DecodeLogCommand(entry.payload_.view());
@@ -305,22 +317,23 @@
       Fail(command.error());
       return;
     }
-    Serve(coordination::EntryCommitted{.index_ = entry.index_,
-                                       .command_ = command.value()},
-          raft_events);
+    ProcessControlEvent(
+        coordination::EntryCommitted{.index_ = entry.index_,
+                                     .command_ = command.value()},
+        raft_events);
   }
   for (const coordination::ProposalEnd& end : step.ended_) {
-    EndProposal(end, raft_events);
+    CompleteProposal(end, raft_events);
   }
   for (const coordination::ReadAnswer& read : step.reads_) {
-    EndRead(read, raft_events);
+    CompleteRead(read, raft_events);
   }
   if (step.role_change_.has_value()) {
     Log({.event_ = "control_role",
          .fields_ = {{"role", std::string(NameOf(step.role_change_->role_))},
                      {"term", static_cast<int64_t>(step.role_change_->term_)},
                      {"leader", step.role_change_->leader_address_}}});
-    Serve(CurrentLogStatus(clock_.Now()), raft_events);
+    ProcessControlEvent(CurrentLogStatus(clock_.Now()), raft_events);
   }
 }
 
@@ -359,39 +372,42 @@
       .members_ = raft_.Status(now)};
 }
 
-void ControlDuty::EndRead(const coordination::ReadAnswer& read,
-                          RaftEvents* raft_events) {
-  const auto own = reads_.find(read.read_id_);
-  if (own == reads_.end()) {
-    Serve(coordination::ReadIndexAnswered{.read_id_ = read.read_id_,
-                                          .confirmed_ = read.confirmed_,
-                                          .index_ = read.index_},
-          raft_events);
+void ControlDuty::CompleteRead(const coordination::ReadAnswer& read,
+                               RaftEvents* raft_events) {
+  const auto pending = pending_reads_.find(read.read_id_);
+  if (pending == pending_reads_.end()) {
+    ProcessControlEvent(
+        coordination::ReadIndexAnswered{.read_id_ = read.read_id_,
+                                        .confirmed_ = read.confirmed_,
+                                        .index_ = read.index_},
+        raft_events);
     return;
   }
-  // What the read waits for has been applied before it ends. A reader whose
-  // read was not confirmed waits in vain and asks elsewhere.
+  // All entries up to the index of the read are applied by now. A read that was
+  // not confirmed gets no answer: its reader times out and asks another
+  // instance.
   if (read.confirmed_) {
-    own->second->Put(service_.configuration());
+    pending->second->Put(service_.configuration());
   }
-  reads_.erase(own);
+  pending_reads_.erase(pending);
 }
 
-void ControlDuty::EndProposal(const coordination::ProposalEnd& end,
-                              RaftEvents* raft_events) {
+void ControlDuty::CompleteProposal(const coordination::ProposalEnd& end,
+                                   RaftEvents* raft_events) {
   if ((end.tag_ & kChangeTagBit) != 0) {
     change_slots_.Put(end.tag_ & ~kChangeTagBit, end);
     return;
   }
-  Serve(coordination::ProposalEnded{.tag_ = end.tag_,
-                                    .outcome_ = OutcomeOf(end.status_)},
-        raft_events);
+  ProcessControlEvent(
+      coordination::ProposalEnded{.tag_ = end.tag_,
+                                  .outcome_ = OutcomeOf(end.status_)},
+      raft_events);
 }
 
 void ControlDuty::CarryOut(const coordination::Commands& commands) {
   for (const coordination::Command& command : commands) {
-    // A message that does not fit the peer ring is lost like one on a broken
-    // link; the log and the leases repeat theirs.
+    // A message that does not fit into the peer ring is lost, like one on a
+    // broken link; the log and the lease protocol resend theirs.
     if (const auto* send = std::get_if<coordination::SendToPeer>(&command)) {
       peers_->Send(*send);
     } else if (const auto* reply =
@@ -407,21 +423,22 @@
 coordination::LogStatus ControlDuty::CurrentLogStatus(state::Millis now) const {
   const bool leads = raft_.role() == coordination::RaftRole::kLeader;
   const state::Millis age = raft_.KnowledgeAge(now);
-  std::optional<state::Millis> heard;
+  std::optional<state::Millis> last_contact;
   if (std::isfinite(age.value())) {
-    heard.emplace(now - age);
+    last_contact.emplace(now - age);
   }
   std::vector<coordination::ControlAddress> members;
   for (const state::ControlMember& member : raft_.members()) {
     members.push_back(coordination::ControlAddress{
         .instance_ = member.instance_, .address_ = member.address_});
   }
-  return coordination::LogStatus{.formed_ = !raft_.members().empty(),
-                                 .leads_ = leads,
-                                 .has_quorum_ = leads && age <= kQuorumFresh,
-                                 .leader_address_ = raft_.leader_address(),
-                                 .members_ = std::move(members),
-                                 .leader_heard_ = heard};
+  return coordination::LogStatus{
+      .formed_ = !raft_.members().empty(),
+      .leads_ = leads,
+      .has_quorum_ = leads && age <= kMaxQuorumStaleness,
+      .leader_address_ = raft_.leader_address(),
+      .members_ = std::move(members),
+      .leader_heard_ = last_contact};
 }
 
 void ControlDuty::AnswerStatus(StatusSlot* slot) const {
--- a/src/daemon/control_duty.h
+++ b/src/daemon/control_duty.h
@@ -16,8 +16,9 @@
 
 namespace gooseberrygap::daemon {
 
-// The `control` duty: joins the replicated log and the control service of one
-// control instance, and hands their commands to the peer endpoint and the disk.
+// The `control` duty: connects the replicated log and the control service of
+// one control instance, and executes their commands through the peer endpoint
+// and the disk duty.
 class ControlDuty {
  public:
   struct Options {
@@ -25,12 +26,13 @@
     const std::vector<coordination::ControlAddress> control_instances_ = {};
     const uint64_t incarnation_ = 0;
     const protocol::ControlSettings settings_ = {};
-    // Of a group that keeps its members by itself.
+    // Set for a group that is formed from seeds and replaces its members
+    // itself.
     const std::optional<coordination::GroupMembership::Options> membership_ =
         {};
   };
 
-  // Opens the data folder. `counters` must outlive the duty.
+  // Opens the data folder in the settings. `counters` must outlive the duty.
   static state::Result<std::unique_ptr<ControlDuty>> Open(
       const Options& options,
       state::Counters* counters);
@@ -41,24 +43,26 @@
   // Stops the threads; events that are posted later are refused.
   void Stop();
 
-  // Hands a message for the control role over. Returns false when the ring is
-  // full. Thread-safe.
+  // Queues a peer's message to the control role. Returns false when the ring is
+  // full or closed. Thread-safe.
   bool Post(transport::PeerArrival arrival);
 
-  // Change the members of the control group; they block for at most a few
-  // seconds. Thread-safe.
+  // Change the members of the control group. They block for at most a
+  // few seconds. Thread-safe.
   state::Result<void> Form(const std::vector<state::ControlMember>& members);
   state::Result<void> AddMember(const state::ControlMember& member);
   state::Result<void> RemoveMember(const std::string& identity);
 
-  // Returns the newest configuration that a quorum vouches for, or nothing when
-  // it is not certain in time. Blocks. Thread-safe.
+  // Returns the newest configuration after a quorum has confirmed that it is
+  // the newest, or nothing without a confirmation within `timeout`. Blocks.
+  // Thread-safe.
   std::optional<state::IndexedConfiguration> ReadConfiguration(
       state::Millis timeout);
-  // Takes other peer addresses of seeds into use. Thread-safe.
+  // Replaces the peer addresses of the seeds. Thread-safe.
   void SetSeeds(const std::vector<std::string>& seeds);
 
-  // Returns nothing when the duty does not answer in time. Thread-safe.
+  // Returns the state of the control role, or nothing when the duty does not
+  // answer within 2 s. Blocks. Thread-safe.
   std::optional<protocol::ControlStatus> Status();
 
  private:
@@ -89,28 +93,30 @@
               state::Counters* counters);
 
   void Run();
-  // Sorts an item into events of the log, or handles it.
-  void Accept(const Item& item, RaftEvents* raft_events);
+  // Handles an item, or appends it to `raft_events` if it is one for the log.
+  void Dispatch(const Item& item, RaftEvents* raft_events);
   void Tick(RaftEvents* raft_events);
-  // Handles events of the log, and all that follows from them.
-  void Drive(RaftEvents events);
+  // Handles events of the log, then the events that result from them.
+  void ProcessRaftEvents(RaftEvents events);
   void Apply(coordination::Raft::Step step, RaftEvents* raft_events);
   void Apply(const coordination::ControlStep& step, RaftEvents* raft_events);
-  void Serve(const coordination::ControlEvent& event, RaftEvents* raft_events);
+  void ProcessControlEvent(const coordination::ControlEvent& event,
+                           RaftEvents* raft_events);
   void CarryOut(const coordination::Commands& commands);
   void Apply(const coordination::GroupMembership::Step& step,
              RaftEvents* raft_events);
   coordination::GroupView CurrentGroupView(state::Millis now) const;
-  void EndRead(const coordination::ReadAnswer& read, RaftEvents* raft_events);
-  void EndProposal(const coordination::ProposalEnd& end,
-                   RaftEvents* raft_events);
+  void CompleteRead(const coordination::ReadAnswer& read,
+                    RaftEvents* raft_events);
+  void CompleteProposal(const coordination::ProposalEnd& end,
+                        RaftEvents* raft_events);
   coordination::LogStatus CurrentLogStatus(state::Millis now) const;
   void AnswerStatus(StatusSlot* slot) const;
-  // Hands a membership change with a new tag to the log and waits for its end.
-  state::Result<void> Change(
+  // Proposes a membership change with a new tag and waits for its outcome.
+  state::Result<void> ChangeMembership(
       const std::function<coordination::RaftEvent(uint64_t tag)>& make_event);
-  void OnDiskEnd(const state::Result<uint64_t>& result);
-  // Ends the control role of this daemon; its call path goes on.
+  void OnDiskResult(const state::Result<uint64_t>& result);
+  // Stops the control role of this daemon. Calls are still served.
   void Fail(const state::Error& error);
 
   const state::SteadyClock clock_;
@@ -121,10 +127,10 @@
   coordination::Raft raft_;
   coordination::ControlService service_;
   std::optional<coordination::GroupMembership> membership_;
-  state::Millis membership_tick_;
-  // Reads that wait for a quorum, by number.
-  std::map<uint64_t, std::shared_ptr<ReadSlot>> reads_;
-  uint64_t next_read_ = 1;
+  state::Millis next_membership_tick_;
+  // Reads that wait for a quorum, by read id.
+  std::map<uint64_t, std::shared_ptr<ReadSlot>> pending_reads_;
+  uint64_t next_read_id_ = 1;
   transport::Ring<Item> ring_;
   transport::AnswerSlots<coordination::ProposalEnd> change_slots_;
   transport::PeerEndpoint* peers_ = nullptr;
--- a/src/daemon/control_results.cc
+++ b/src/daemon/control_results.cc
@@ -22,17 +22,23 @@
      "This control instance does not lead the group; ask the leader that "
      "'gooseberrygapctl control status' names"},
     {ProposalStatus::kLost, state::ErrorKind::kNoQuorum,
-     "Another leader took over before the change was accepted"},
+     "The change was not made: another leader was elected before it was "
+     "committed; submit it again"},
     {ProposalStatus::kUnknown, state::ErrorKind::kNoQuorum,
-     "It is not known whether the change was accepted"},
+     "It is unknown whether the change was committed; check the members with "
+     "'gooseberrygapctl control status'"},
     {ProposalStatus::kOverloaded, state::ErrorKind::kNoQuorum,
-     "Too many changes wait for a majority"},
+     "The change was not made: too many log entries wait for a majority; try "
+     "again later"},
     {ProposalStatus::kChangePending, state::ErrorKind::kNoQuorum,
-     "Another change of the members is under way"},
+     "The change was not made: another membership change is in progress; try "
+     "again when it has ended"},
     {ProposalStatus::kInvalidChange, state::ErrorKind::kInvalidRequest,
-     "The change does not fit the members of the group"},
+     "The change does not fit the current members of the group; compare it "
+     "with 'gooseberrygapctl control status'"},
     {ProposalStatus::kAlreadyFormed, state::ErrorKind::kAlreadyFormed,
-     "The data folder belongs to a control group"},
+     "The data folder already belongs to a control group; expected an empty "
+     "one"},
 }};
 
 }  // namespace
--- a/src/daemon/control_results.h
+++ b/src/daemon/control_results.h
@@ -6,15 +6,16 @@
 
 namespace gooseberrygap::daemon {
 
-// Returns the name of the role in the log. Thread-safe.
+// Returns the name of the Raft role for log lines and the control status.
+// Thread-safe.
 absl::string_view NameOf(coordination::RaftRole role);
 
-// Returns what an operator is told of the end of a membership change.
-// Thread-safe.
+// Converts the outcome of a membership change into the result that the operator
+// receives. Thread-safe.
 state::Result<void> ResultOf(const coordination::ProposalEnd& end);
 
-// Returns what the control service is told of the end of its proposal.
-// Thread-safe.
+// Converts the status of a proposal in the log into the outcome that the
+// control service receives. Thread-safe.
 coordination::ProposalOutcome OutcomeOf(coordination::ProposalStatus status);
 
 }  // namespace gooseberrygap::daemon
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -10,26 +10,29 @@
 
 namespace {
 
-// Long enough for the drain to reach the daemons that call this target, so that
-// few attempts are refused by the closing guard.
-constexpr absl::Duration kDrainNotice = absl::Milliseconds(300);
-// A new leader is elected within 2 s; an operator of a platform asks another
-// instance sooner.
-constexpr state::Millis kOrderTimeout(5000);
-constexpr state::Millis kPlatformOrderTimeout(900);
-// Parts of the allowed repeats that retries and hedges may use.
-constexpr double kRetryShare = 0.55;
-constexpr double kHedgeShare = 0.2;
-constexpr double kSlackShare = 0.4;
-// The targets of a platform tell the pace of their machines.
+// Time between the drain and the closing of the HTTP server. The drain reaches
+// the daemons that call this target within it, so that the closing guard
+// refuses few attempts.
+constexpr absl::Duration kDrainPropagationTime = absl::Milliseconds(300);
+// Time limits of one configuration submission. A new leader is elected within
+// 2 s. An operator of a platform retries at another instance earlier, hence the
+// shorter limit.
+constexpr state::Millis kSubmissionTimeout(5000);
+constexpr state::Millis kPlatformSubmissionTimeout(900);
+// Fractions of the platform's repeat allowance: of `repeat_ratio` for retries
+// and for hedges, of `repeat_slack` for retries.
+constexpr double kRetryRatioFraction = 0.55;
+constexpr double kHedgeRatioFraction = 0.2;
+constexpr double kRetrySlackFraction = 0.4;
+// The targets of a platform report the service time of their machines.
 constexpr absl::string_view kPlatformStrategy = "expected_time";
-// Work that was admitted ends within this time, and the other daemons learn of
-// the drain.
-constexpr absl::Duration kDrainLead = absl::Milliseconds(800);
+// Time between the drain and the closing of the platform's front. Admitted work
+// ends within it, and the other daemons receive the drain.
+constexpr absl::Duration kPlatformDrainTime = absl::Milliseconds(800);
 constexpr absl::Duration kWorkPollInterval = absl::Milliseconds(20);
-// A stopping daemon waits so long for the register to confirm the ends of
+// Limit of a stopping daemon's wait for the register to confirm the ends of
 // actions: twice the time of an election. Without a confirmation the entry
-// stays `started`, which is never run again.
+// stays `started`, and the action is never run again.
 constexpr absl::Duration kReportTimeout = absl::Seconds(4);
 
 std::string AdvertisedAddress(const protocol::Settings& settings) {
@@ -37,8 +40,8 @@
                                            : settings.peer_.advertise_;
 }
 
-state::TargetRecord SelfRecord(const protocol::Settings& settings,
-                               uint64_t incarnation) {
+state::TargetRecord OwnTargetRecord(const protocol::Settings& settings,
+                                    uint64_t incarnation) {
   return state::TargetRecord{
       .instance_ = settings.instance_,
       .guard_address_ = AdvertisedAddress(settings),
@@ -47,19 +50,20 @@
       .version_ = state::LeaseVersion{.incarnation_ = incarnation}};
 }
 
-// The control instances that the settings list, or else the seeds, whose names
-// and regions the first reply tells.
-std::vector<coordination::ControlAddress> KnownControlInstances(
+// Returns the control instances in the settings, or the seeds if there are
+// none. The names and regions of seeds become known with the first reply.
+std::vector<coordination::ControlAddress> InitialControlInstances(
     const protocol::Settings& settings) {
-  std::vector<coordination::ControlAddress> known = settings.control_instances_;
-  if (known.empty() && settings.seeds_.has_value()) {
+  std::vector<coordination::ControlAddress> instances =
+      settings.control_instances_;
+  if (instances.empty() && settings.seeds_.has_value()) {
     for (const std::string& address :
          protocol::SeedPeerAddresses(*settings.seeds_)) {
-      known.push_back(coordination::ControlAddress{.instance_ = address,
-                                                   .address_ = address});
+      instances.push_back(coordination::ControlAddress{.instance_ = address,
+                                                       .address_ = address});
     }
   }
-  return known;
+  return instances;
 }
 
 std::optional<coordination::GroupMembership::Options> MembershipOptions(
@@ -73,8 +77,9 @@
       .voters_ = 2 * settings.seeds_->tolerated_losses_ + 1};
 }
 
-// What the operators of a platform do not say of a service. Repeats stay below
-// the allowed part, since a repeat may call other services again.
+// Returns the defaults for the parts of a service that the documents of a
+// platform's operators do not contain. Repeats stay below the allowed fraction,
+// since a repeat may call other services again.
 state::Service PlatformService(const protocol::PlatformSettings& settings) {
   const double slack_per_second =
       settings.repeat_slack_ / settings.repeat_window_seconds_;
@@ -82,16 +87,17 @@
       .strategy_ = std::string(kPlatformStrategy),
       .retry_ =
           state::RetryPolicy{
-              .budget_ratio_ = kRetryShare * settings.repeat_ratio_,
-              .budget_per_second_ = kSlackShare * slack_per_second},
-      .hedge_ = state::HedgePolicy{.budget_ratio_ =
-                                       kHedgeShare * settings.repeat_ratio_}};
+              .budget_ratio_ = kRetryRatioFraction * settings.repeat_ratio_,
+              .budget_per_second_ = kRetrySlackFraction * slack_per_second},
+      .hedge_ = state::HedgePolicy{.budget_ratio_ = kHedgeRatioFraction *
+                                                    settings.repeat_ratio_}};
 }
 
 std::vector<std::string> ControlAddresses(const protocol::Settings& settings) {
   std::vector<std::string> addresses;
   if (settings.seeds_.has_value()) {
-    // A control instance knows the leader; another daemon takes no orders.
+    // With seeds, only daemons with the control role accept operators'
+    // requests, and the control role knows the leader.
     return {AdvertisedAddress(settings)};
   }
   for (const coordination::ControlAddress& instance :
@@ -114,8 +120,9 @@
     : settings_(settings), incarnation_(state::WallMillis()) {}
 
 Daemon::~Daemon() {
-  // Threads end in the order in which they feed each other; the peer thread
-  // hands arrivals to the others until it has ended.
+  // Threads stop before the threads that they feed. Only the peer thread posts
+  // messages to the other duties until it is joined; stopped duties refuse
+  // them.
   http_server_.reset();
   operators_.reset();
   if (control_ != nullptr) {
@@ -137,8 +144,8 @@
       NodeDuty::Options{
           .node_ =
               coordination::Node::Options{
-                  .self_ = SelfRecord(settings_, incarnation_),
-                  .control_instances_ = KnownControlInstances(settings_),
+                  .self_ = OwnTargetRecord(settings_, incarnation_),
+                  .control_instances_ = InitialControlInstances(settings_),
                   .announcement_lifetime_ =
                       has_platform ? settings_.platform_->announcement_lifetime_
                                    : coordination::kAnnouncementLifetime},
@@ -149,7 +156,7 @@
       transport::PeerEndpoint::Options{.listen_address_ =
                                            settings_.peer_.listen_},
       [this](transport::PeerArrival arrival) {
-        OnPeerArrival(std::move(arrival));
+        OnPeerMessage(std::move(arrival));
       },
       &counters_);
   if (!peers) {
@@ -159,7 +166,8 @@
   gateway_ = std::make_unique<OperatorGateway>(
       OperatorGateway::Options{
           .control_addresses_ = ControlAddresses(settings_),
-          .timeout_ = has_platform ? kPlatformOrderTimeout : kOrderTimeout},
+          .timeout_ =
+              has_platform ? kPlatformSubmissionTimeout : kSubmissionTimeout},
       peers_.get());
   if (control_ != nullptr) {
     control_->Start(peers_.get());
@@ -241,7 +249,7 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-void Daemon::OnPeerArrival(transport::PeerArrival arrival) {
+void Daemon::OnPeerMessage(transport::PeerArrival arrival) {
   switch (coordination::AddresseeOf(arrival.message_)) {
     case coordination::Addressee::kOperators:
       // The control service relays submissions, so a control instance may wait
@@ -267,11 +275,11 @@
                                        .address_ = arrival.address_,
                                        .message_ = arrival.message_});
   if (!accepted) {
-    RefuseArrival(arrival);
+    RefusePeerMessage(arrival);
   }
 }
 
-void Daemon::RefuseArrival(const transport::PeerArrival& arrival) {
+void Daemon::RefusePeerMessage(const transport::PeerArrival& arrival) {
   counters_.Add(state::RefusalReason::kInternalQueueFull);
   const auto* attempt = std::get_if<coordination::Attempt>(&arrival.message_);
   if (attempt == nullptr) {
@@ -291,18 +299,18 @@
   Log({.event_ = "stop_begun"});
   if (event_front_ != nullptr) {
     event_front_->AnnounceStop();
-    // The target goes on beside a daemon that stops, so that its slots are
-    // used for as long as callers come.
+    // The target keeps running while its daemon stops, so that its slots stay
+    // in use while callers still send calls.
     absl::SleepFor(
         absl::Milliseconds(settings_.platform_->stop_notice_.value()) -
-        kDrainLead);
+        kPlatformDrainTime);
     node_->Post(coordination::DrainRequested{});
-    absl::SleepFor(kDrainLead);
+    absl::SleepFor(kPlatformDrainTime);
     event_front_->StopGracefully();
   } else {
     node_->Post(coordination::DrainRequested{});
   }
-  absl::SleepFor(kDrainNotice);
+  absl::SleepFor(kDrainPropagationTime);
   http_server_->StopGracefully();
   WaitUntilIdle();
   node_->Post(coordination::TargetWithdrawn{});
@@ -311,19 +319,19 @@
 }
 
 void Daemon::WaitUntilIdle() {
-  std::optional<absl::Time> only_reports_since;
+  std::optional<absl::Time> waiting_for_register_since;
   while (true) {
     const std::optional<NodeView> view = node_->View();
     const bool has_work = !view.has_value() ||
                           view->status_.calls_in_progress_ > 0 ||
                           view->status_.work_in_progress_ > 0;
     if (has_work) {
-      only_reports_since.reset();
+      waiting_for_register_since.reset();
     } else if (view->status_.reports_in_progress_ == 0) {
       return;
-    } else if (!only_reports_since.has_value()) {
-      only_reports_since = absl::Now();
-    } else if (absl::Now() - *only_reports_since >= kReportTimeout) {
+    } else if (!waiting_for_register_since.has_value()) {
+      waiting_for_register_since = absl::Now();
+    } else if (absl::Now() - *waiting_for_register_since >= kReportTimeout) {
       Log({.level_ = state::LogLevel::kWarning,
            .event_ = "stop_without_register",
            .fields_ = {{"reports", static_cast<int64_t>(
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -11,25 +11,27 @@
 
 namespace gooseberrygap::daemon {
 
-// One running daemon: its duties, joined by their rings.
+// One running daemon. Owns the duties, the servers and the rings between them.
 class Daemon {
  public:
-  // Binds its addresses and starts all duties.
+  // Binds the listen addresses and starts all duties.
   static state::Result<std::unique_ptr<Daemon>> Start(
       const protocol::Settings& settings);
   ~Daemon();
 
-  // Takes changed settings into use, as far as that needs no restart: the
-  // seeds. Thread-safe.
+  // Applies the settings that can change without a restart: the seeds.
+  // Thread-safe.
   void Reload(const protocol::Settings& settings);
 
-  // Drains: refuses new work for the own target, answers the calls and finishes
-  // the work in progress, and returns when all is done. Call it once.
+  // Drains the daemon: refuses new work for its own target, answers the open
+  // calls, finishes the work in progress, and returns when all of it has ended.
+  // Call it once.
   void StopGracefully();
 
  private:
-  // Returns once no call and no attempt is in progress here, and the register
-  // has confirmed the ends of actions or is out of reach.
+  // Blocks until no call and no attempt is in progress in this daemon, and
+  // then, for at most kReportTimeout, until the register has confirmed the ends
+  // of actions.
   void WaitUntilIdle();
   explicit Daemon(const protocol::Settings& settings);
 
@@ -37,9 +39,9 @@
   state::Result<void> OpenControl();
   state::Result<void> StartHttp();
   state::Result<void> StartPlatformFront();
-  void OnPeerArrival(transport::PeerArrival arrival);
+  void OnPeerMessage(transport::PeerArrival arrival);
   void PostToNode(const transport::PeerArrival& arrival);
-  void RefuseArrival(const transport::PeerArrival& arrival);
+  void RefusePeerMessage(const transport::PeerArrival& arrival);
 
   const protocol::Settings settings_;
   const uint64_t incarnation_;
--- a/src/daemon/disk_duty.cc
+++ b/src/daemon/disk_duty.cc
@@ -4,8 +4,8 @@
 
 namespace {
 
-// Far more than the control duty has outstanding: it waits for durability
-// before it acknowledges.
+// Batches. Far more than the control duty has outstanding, since it
+// acknowledges nothing before it is durable.
 constexpr size_t kRingCapacity = 16384;
 constexpr state::Millis kPopTimeout(1000);
 
--- a/src/daemon/disk_duty.h
+++ b/src/daemon/disk_duty.h
@@ -8,22 +8,22 @@
 
 namespace gooseberrygap::daemon {
 
-// The `disk` duty: makes batches of the replicated log durable. Batches that
-// wait are written with one sync.
+// The `disk` duty: makes batches of the replicated log durable. All queued
+// batches are written with one sync.
 class DiskDuty {
  public:
-  // Called on the disk thread when all batches up to the sequence are durable,
-  // or with the error that has ended all writing.
+  // Called on the disk thread with the sequence number up to which all batches
+  // are durable, or with the error after which no batch is written any more.
   using Handler = std::function<void(state::Result<uint64_t>)>;
 
   // `counters` must outlive the duty.
   DiskDuty(std::unique_ptr<state::LogStore> store,
            Handler handler,
            state::Counters* counters);
-  // Writes what is queued, then stops the thread.
+  // Writes the queued batches, then stops the thread.
   ~DiskDuty();
 
-  // Queues a batch. Returns false when the ring is full. Thread-safe.
+  // Queues a batch. Returns false when the ring is full or closed. Thread-safe.
   bool Write(coordination::RaftBatch batch);
 
  private:
--- a/src/daemon/event_front.cc
+++ b/src/daemon/event_front.cc
@@ -6,7 +6,8 @@
 
 namespace {
 
-// Numbers of this front's calls differ from those of the other front.
+// Set in the ids of this front's calls, to distinguish them from those of
+// HttpFront.
 constexpr uint64_t kCallBit = uint64_t{1} << 63;
 
 }  // namespace
@@ -23,15 +24,15 @@
 state::Result<void> EventFront::Start(
     const protocol::PlatformSettings& settings) {
   service_ = settings.service_;
-  const std::vector<Address> known = {
+  const std::vector<Listener> listeners = {
       {settings.calls_, &protocol::FrontDialect::ReadCall},
       {settings.readiness_, &protocol::FrontDialect::ReadReadiness},
       {settings.administration_, &protocol::FrontDialect::ReadAdministration}};
   std::vector<std::string> listen;
-  for (const Address& address : known) {
-    if (!address.address_.empty()) {
-      addresses_.push_back(address);
-      listen.push_back(address.address_);
+  for (const Listener& listener : listeners) {
+    if (!listener.address_.empty()) {
+      listeners_.push_back(listener);
+      listen.push_back(listener.address_);
     }
   }
   auto server = transport::CallServer::Start(
@@ -57,9 +58,9 @@
 }
 
 void EventFront::OnRequest(const transport::CallServer::Arrival& arrival) {
-  // A request may come before Start has stored the server.
+  // A request can arrive before Start has stored the server.
   started_.WaitForNotification();
-  const Reader read = addresses_[arrival.listener_].read_;
+  const RequestReader read = listeners_[arrival.listener_].read_;
   std::visit([this, &arrival](
                  const auto& request) { Handle(arrival.request_id_, request); },
              (dialect_->*read)(arrival.request_));
@@ -115,27 +116,27 @@
 
 void EventFront::Handle(uint64_t id,
                         const protocol::ReadConfiguration& request) {
-  GiveOrder(id, request);
+  PostOperatorRequest(id, request);
 }
 
 void EventFront::Handle(uint64_t id,
                         const protocol::ReplaceConfiguration& request) {
-  GiveOrder(id, request);
+  PostOperatorRequest(id, request);
 }
 
 void EventFront::Handle(uint64_t id,
                         const protocol::ChangeConfiguration& request) {
-  GiveOrder(id, request);
+  PostOperatorRequest(id, request);
 }
 
 void EventFront::Handle(uint64_t id, const protocol::RefusedRequest& request) {
   server_->Answer(id, request.answer_);
 }
 
-void EventFront::GiveOrder(uint64_t id, OperatorOrder order) {
+void EventFront::PostOperatorRequest(uint64_t id, OperatorRequest request) {
   const bool accepted =
       operators_ != nullptr &&
-      operators_->Post(std::move(order),
+      operators_->Post(std::move(request),
                        [this, id](const state::HttpAnswer& answer) {
                          server_->Answer(id, answer);
                        });
--- a/src/daemon/event_front.h
+++ b/src/daemon/event_front.h
@@ -14,24 +14,27 @@
 
 namespace gooseberrygap::daemon {
 
-// The front that speaks a platform's dialect: turns requests into events of the
-// node and orders for the operator duty, and gives their answers back. No
-// request holds a thread. Its methods run on the threads of the server, the
-// node and the operator duty.
+// Serves callers, targets and operators of a platform in its dialect: turns
+// their requests into node events and operator requests, and returns the
+// answers. No request blocks a thread. The methods run on the threads of the
+// server, the node and the operator duty.
 class EventFront : public transport::CallServer::Handler, public NodeListener {
  public:
-  // Everything given must outlive the front. `operators` is null without the
+  // All arguments must outlive the front. `operators` is null without the
   // control role.
   EventFront(const protocol::FrontDialect* dialect,
              NodeDuty* node,
              OperatorDuty* operators,
              state::Counters* counters);
 
-  // Binds the addresses and serves them. Call it once.
+  // Binds the addresses in the settings and serves them. Call it once.
   state::Result<void> Start(const protocol::PlatformSettings& settings);
-  // Tells callers to go elsewhere and goes on serving. Thread-safe.
+  // Reports not ready and closes each connection with its last answer, so that
+  // callers move to other daemons; still serves requests. Call it after Start.
+  // Thread-safe.
   void AnnounceStop();
-  // Answers what was read and closes all connections. Call it once.
+  // Answers the requests that were read and closes all connections. Call it
+  // once.
   void StopGracefully();
 
   void OnRequest(const transport::CallServer::Arrival& arrival) override;
@@ -42,12 +45,12 @@
       const state::IndexedConfiguration& configuration) override;
 
  private:
-  // Reads a request to one of the addresses.
-  using Reader = protocol::FrontRequest (protocol::FrontDialect::*)(
+  // Interprets an HTTP request to one of the listen addresses.
+  using RequestReader = protocol::FrontRequest (protocol::FrontDialect::*)(
       const state::HttpRequest&) const;
-  struct Address {
+  struct Listener {
     std::string address_;
-    Reader read_ = nullptr;
+    RequestReader read_ = nullptr;
   };
 
   // One overload for each kind of request.
@@ -59,14 +62,14 @@
   void Handle(uint64_t id, const protocol::ReplaceConfiguration& request);
   void Handle(uint64_t id, const protocol::ChangeConfiguration& request);
   void Handle(uint64_t id, const protocol::RefusedRequest& request);
-  void GiveOrder(uint64_t id, OperatorOrder order);
+  void PostOperatorRequest(uint64_t id, OperatorRequest request);
 
   const protocol::FrontDialect* const dialect_;
   NodeDuty* const node_;
   OperatorDuty* const operators_;
   state::Counters* const counters_;
   std::string service_;
-  std::vector<Address> addresses_;
+  std::vector<Listener> listeners_;
   std::atomic<bool> stopping_ = false;
   absl::Notification started_;
   std::unique_ptr<transport::CallServer> server_;
--- a/src/daemon/http_front.cc
+++ b/src/daemon/http_front.cc
@@ -21,10 +21,10 @@
 using state::RefusalReason;
 
 constexpr absl::string_view kAdminPrefix = "/-/";
-// The worker waits this much longer than the call's time limit for the node's
-// own answer about the deadline.
+// The worker waits this much longer than the time limit of the call, so that
+// the node itself answers a call whose deadline has passed.
 constexpr state::Millis kAnswerGrace(1000);
-constexpr state::Millis kLongestCall(61 * 1000);
+constexpr state::Millis kMaxCallTime(61 * 1000);
 
 struct StatusRow {
   const RefusalReason reason_;
@@ -45,14 +45,14 @@
     {RefusalReason::kTargetTimeout, 504},
 }};
 
-// Whether the target's answer is passed to the caller.
-bool HasAnswer(const CallAnswer& answer) {
+// Returns whether the caller receives the target's answer.
+bool HasTargetAnswer(const CallAnswer& answer) {
   return answer.outcome_ == Outcome::kComplete &&
          answer.reason_ == RefusalReason::kNone;
 }
 
 int StatusOf(const CallAnswer& answer) {
-  if (HasAnswer(answer)) {
+  if (HasTargetAnswer(answer)) {
     return answer.answer_.status_;
   }
   for (const StatusRow& row : kStatusRows) {
@@ -71,7 +71,8 @@
   return kNames.at(static_cast<size_t>(outcome));
 }
 
-// Headers that concern the connection to this daemon, or that the daemon sets.
+// Returns whether a header is forwarded: all are, except those that concern the
+// connection to this daemon and those that the daemon sets.
 bool IsForwarded(absl::string_view name) {
   constexpr std::array<absl::string_view, 10> kNotForwarded = {
       "Connection",          "Keep-Alive", "Host",
@@ -95,7 +96,7 @@
   return forwarded;
 }
 
-HttpAnswer ToHttp(const CallAnswer& answer) {
+HttpAnswer ToHttpAnswer(const CallAnswer& answer) {
   std::vector<HttpHeader> headers = ForwardedHeaders(answer.answer_.headers_);
   const auto add = [&headers](absl::string_view name, absl::string_view value) {
     if (!value.empty()) {
@@ -106,7 +107,7 @@
   add(protocol::kOutcomeHeader, NameOf(answer.outcome_));
   add(protocol::kRequestIdHeader, answer.request_id_);
   add(protocol::kTargetHeader, answer.target_);
-  if (HasAnswer(answer)) {
+  if (HasTargetAnswer(answer)) {
     return HttpAnswer{.status_ = answer.answer_.status_,
                       .headers_ = headers,
                       .body_ = answer.answer_.body_};
@@ -203,7 +204,7 @@
   if (!is_valid) {
     slots_->Close(opened.id_);
     counters_->Add(RefusalReason::kBadRequest);
-    return ToHttp(CallAnswer{.reason_ = RefusalReason::kBadRequest});
+    return ToHttpAnswer(CallAnswer{.reason_ = RefusalReason::kBadRequest});
   }
   const bool accepted = node_->Post(coordination::CallArrived{
       .call_id_ = opened.id_,
@@ -222,17 +223,18 @@
   if (!accepted) {
     slots_->Close(opened.id_);
     counters_->Add(RefusalReason::kInternalQueueFull);
-    return ToHttp(CallAnswer{.reason_ = RefusalReason::kInternalQueueFull});
+    return ToHttpAnswer(
+        CallAnswer{.reason_ = RefusalReason::kInternalQueueFull});
   }
   const state::Millis longest =
-      std::min(deadline_left.value_or(kLongestCall), kLongestCall);
+      std::min(deadline_left.value_or(kMaxCallTime), kMaxCallTime);
   const auto answer = opened.slot_->Wait(longest + kAnswerGrace);
   slots_->Close(opened.id_);
   if (!answer.has_value()) {
-    return ToHttp(CallAnswer{.outcome_ = Outcome::kUnknown,
-                             .reason_ = RefusalReason::kDeadline});
+    return ToHttpAnswer(CallAnswer{.outcome_ = Outcome::kUnknown,
+                                   .reason_ = RefusalReason::kDeadline});
   }
-  return ToHttp(*answer);
+  return ToHttpAnswer(*answer);
 }
 
 HttpAnswer HttpFront::HandleAdmin(const HttpRequest& request) {
@@ -257,17 +259,17 @@
 HttpAnswer HttpFront::Post(coordination::NodeEvent event) {
   if (!node_->Post(std::move(event))) {
     return ErrorAnswer(503, state::ErrorKind::kTimeout,
-                       "The daemon's node ring is full");
+                       "The ring of the node duty is full; try again");
   }
   return Json(200, "{}");
 }
 
-HttpAnswer HttpFront::WithView(
+HttpAnswer HttpFront::AnswerFromView(
     const std::function<std::string(const NodeView&)>& print) {
   const std::optional<NodeView> view = node_->View();
   if (!view.has_value()) {
     return ErrorAnswer(503, state::ErrorKind::kTimeout,
-                       "The daemon's node duty did not answer");
+                       "The node duty did not answer in time; try again");
   }
   return Json(200, print(*view));
 }
@@ -289,7 +291,7 @@
 }
 
 HttpAnswer HttpFront::ShowTargets(const HttpRequest&) {
-  return WithView([](const NodeView& view) {
+  return AnswerFromView([](const NodeView& view) {
     return protocol::PrintTargets(view.targets_);
   });
 }
@@ -309,13 +311,13 @@
 }
 
 HttpAnswer HttpFront::ShowStatus(const HttpRequest&) {
-  return WithView([](const NodeView& view) {
+  return AnswerFromView([](const NodeView& view) {
     return protocol::PrintNodeStatus(view.status_);
   });
 }
 
 HttpAnswer HttpFront::ShowConfiguration(const HttpRequest&) {
-  return WithView([](const NodeView& view) {
+  return AnswerFromView([](const NodeView& view) {
     return protocol::PrintIndexedConfiguration(view.configuration_);
   });
 }
@@ -340,7 +342,8 @@
   }
   if (control_ == nullptr) {
     return ErrorAnswer(404, state::ErrorKind::kNotFound,
-                       "This daemon has no control role");
+                       "This daemon has no control role; send the request to a "
+                       "control instance");
   }
   const auto formed = control_->Form(members.value());
   return formed ? Json(200, "{}") : ErrorAnswer(409, formed.error());
@@ -353,7 +356,8 @@
   }
   if (control_ == nullptr) {
     return ErrorAnswer(404, state::ErrorKind::kNotFound,
-                       "This daemon has no control role");
+                       "This daemon has no control role; send the request to a "
+                       "control instance");
   }
   const auto added = control_->AddMember(member.value());
   return added ? Json(200, "{}") : ErrorAnswer(409, added.error());
@@ -366,7 +370,8 @@
   }
   if (control_ == nullptr) {
     return ErrorAnswer(404, state::ErrorKind::kNotFound,
-                       "This daemon has no control role");
+                       "This daemon has no control role; send the request to a "
+                       "control instance");
   }
   const auto removed = control_->RemoveMember(identity.value());
   return removed ? Json(200, "{}") : ErrorAnswer(409, removed.error());
@@ -375,12 +380,13 @@
 HttpAnswer HttpFront::ShowControlStatus(const HttpRequest&) {
   if (control_ == nullptr) {
     return ErrorAnswer(404, state::ErrorKind::kNotFound,
-                       "This daemon has no control role");
+                       "This daemon has no control role; send the request to a "
+                       "control instance");
   }
   const auto status = control_->Status();
   if (!status.has_value()) {
     return ErrorAnswer(503, state::ErrorKind::kTimeout,
-                       "The control duty did not answer");
+                       "The control duty did not answer in time; try again");
   }
   return Json(200, protocol::PrintControlStatus(*status));
 }
--- a/src/daemon/http_front.h
+++ b/src/daemon/http_front.h
@@ -11,11 +11,12 @@
 
 namespace gooseberrygap::daemon {
 
-// Answers HTTP requests: calls of callers, and the administration endpoints
-// under "/-/". Runs on the HTTP workers.
+// Answers HTTP requests: callers' calls, and the administration endpoints under
+// "/-/". Runs on the HTTP workers.
 class HttpFront {
  public:
-  // All must outlive the front. `control` is null without the control role.
+  // All arguments must outlive the front. `control` is null without the control
+  // role.
   HttpFront(NodeDuty* node,
             CallSlots* slots,
             OperatorGateway* gateway,
@@ -52,8 +53,10 @@
   state::HttpAnswer RemoveMember(const state::HttpRequest& request);
   state::HttpAnswer ShowControlStatus(const state::HttpRequest& request);
 
+  // Posts an event to the node. Answers 200 once it is queued, and 503 when the
+  // ring is full.
   state::HttpAnswer Post(coordination::NodeEvent event);
-  state::HttpAnswer WithView(
+  state::HttpAnswer AnswerFromView(
       const std::function<std::string(const NodeView&)>& print);
 
   NodeDuty* const node_;
--- a/src/daemon/logging.cc
+++ b/src/daemon/logging.cc
@@ -22,24 +22,24 @@
 using state::Millis;
 
 constexpr size_t kRingCapacity = 2048;
-// Events that come within this time are written together.
-constexpr absl::Duration kBundleTime = absl::Milliseconds(100);
+// Events that are logged within this time are written together.
+constexpr absl::Duration kBatchInterval = absl::Milliseconds(100);
 constexpr Millis kIdleWait(3600000);
 
-// Lines a second. A daemon has some twenty requests a second, with about three
-// lines each; beyond that, failures matter more.
-constexpr double kInfoLines = 100;
-constexpr double kWarningLines = 200;
+// Limits in lines per second. A daemon has some twenty requests per second,
+// with about three lines each; above that rate, failures have priority.
+constexpr double kInfoLinesPerSecond = 100;
+constexpr double kWarningLinesPerSecond = 200;
 constexpr double kBurstSeconds = 2;
 
-// An event with the time of day at which it was logged, so that the lines of
-// several daemons can be put in order.
+// An event with the wall-clock time at which it was logged, by which the lines
+// of several daemons can be ordered.
 struct TimedEvent {
   const uint64_t wall_millis_ = 0;
   const LogEvent event_ = {};
 };
 
-log4cplus::Logger& Output() {
+log4cplus::Logger& OutputLogger() {
   static log4cplus::Logger logger =
       log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("gooseberrygapd"));
   return logger;
@@ -47,8 +47,8 @@
 
 class LogDuty {
  public:
-  LogDuty(LogLevel least, std::string instance)
-      : least_(least),
+  LogDuty(LogLevel min_level, std::string instance)
+      : min_level_(min_level),
         instance_(std::move(instance)),
         ring_(kRingCapacity),
         thread_("log", [this] { Run(); }) {}
@@ -58,8 +58,8 @@
     thread_.Join();
   }
 
-  void Take(const LogEvent& event) {
-    if (event.level_ >= least_ &&
+  void Enqueue(const LogEvent& event) {
+    if (event.level_ >= min_level_ &&
         !ring_.TryPush(
             TimedEvent{.wall_millis_ = state::WallMillis(), .event_ = event})) {
       dropped_.fetch_add(1);
@@ -74,7 +74,7 @@
         return;
       }
       if (!ring_.closed()) {
-        absl::SleepFor(kBundleTime);
+        absl::SleepFor(kBatchInterval);
       }
       while (event.has_value()) {
         WriteWithinLimit(*event);
@@ -111,15 +111,16 @@
   }
 
   void Write(const TimedEvent& event) {
-    LOG4CPLUS_INFO(Output(), protocol::PrintLogLine(
-                                 event.event_, event.wall_millis_, instance_));
+    LOG4CPLUS_INFO(
+        OutputLogger(),
+        protocol::PrintLogLine(event.event_, event.wall_millis_, instance_));
   }
 
-  const LogLevel least_;
+  const LogLevel min_level_;
   const std::string instance_;
   const state::SteadyClock clock_;
-  state::TokenBucket info_budget_{kInfoLines, kBurstSeconds};
-  state::TokenBucket warning_budget_{kWarningLines, kBurstSeconds};
+  state::TokenBucket info_budget_{kInfoLinesPerSecond, kBurstSeconds};
+  state::TokenBucket warning_budget_{kWarningLinesPerSecond, kBurstSeconds};
   std::atomic<int64_t> dropped_ = 0;
   transport::Ring<TimedEvent> ring_;
   transport::DutyThread thread_;
@@ -148,8 +149,8 @@
       new log4cplus::ConsoleAppender(kToStandardError, kFlushEachLine));
   appender->setLayout(
       std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
-  Output().addAppender(appender);
-  Output().setLogLevel(log4cplus::INFO_LOG_LEVEL);
+  OutputLogger().addAppender(appender);
+  OutputLogger().setLogLevel(log4cplus::INFO_LOG_LEVEL);
   Duty() = std::make_unique<LogDuty>(LevelOf(level), instance);
 }
 
@@ -159,7 +160,7 @@
 
 void Log(const LogEvent& event) {
   if (Duty() != nullptr) {
-    Duty()->Take(event);
+    Duty()->Enqueue(event);
   }
 }
 
--- a/src/daemon/logging.h
+++ b/src/daemon/logging.h
@@ -11,13 +11,13 @@
 // "warn" or "error") to standard output. Call it once, before Log.
 void StartLogging(const std::string& level, const std::string& instance);
 
-// Writes what waits and ends the duty. Events that are logged later are lost.
+// Writes the queued events and ends the duty. Events logged later are lost.
 void StopLogging();
 
-// Hands an event to the log duty. Never blocks: when too many events wait, or
-// more come than may be written, it is dropped, and the number of dropped
-// events is logged. Events of calls that were served are dropped first.
-// Thread-safe.
+// Queues an event for the log duty. Never blocks: the event is dropped when the
+// queue is full or the limit of lines per second is exceeded, and the number of
+// dropped events is logged. Events of calls that were served have a lower limit
+// and are dropped first. Thread-safe.
 void Log(const state::LogEvent& event);
 
 }  // namespace gooseberrygap::daemon
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -22,7 +22,8 @@
 
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
-// How often the settings file is read for changes that come without a signal.
+// Interval at which the settings file is read again for changes made without a
+// signal.
 constexpr int kSettingsCheckSeconds = 2;
 
 int ReportError(const state::Error& error, int exit_code) {
@@ -35,14 +36,16 @@
   if (!file) {
     return state::MakeError(
         state::ErrorKind::kInvalidSettings,
-        "The settings file \"" + path + "\" cannot be read");
+        "The settings file \"" + path +
+            "\" cannot be read; pass a readable JSON file with --settings");
   }
   std::stringstream text;
   text << file.rdbuf();
   return protocol::ParseSettings(text.str());
 }
 
-// Blocks the signals that end the daemon, for all threads started later.
+// Blocks SIGTERM, SIGINT and SIGHUP for all threads started later, and ignores
+// SIGPIPE and SIGXFSZ. Returns the blocked signals.
 sigset_t BlockStopSignals() {
   sigset_t signals;
   sigemptyset(&signals);
@@ -51,13 +54,13 @@
   sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
-  // A file-size limit then fails the write with an error that names it.
+  // A write beyond the file-size limit then returns an error that names it.
   std::signal(SIGXFSZ, SIG_IGN);
   return signals;
 }
 
-// Waits for a stop signal. Takes changed settings into use meanwhile, also
-// those that come without a signal.
+// Waits for a stop signal. Meanwhile applies changed settings, on SIGHUP and on
+// a periodic check of the file.
 void WaitForStop(const sigset_t& signals,
                  const protocol::Settings& initial,
                  Daemon* daemon) {
@@ -103,14 +106,14 @@
                    {"peer", settings.value().peer_.listen_},
                    {"control", settings.value().control_.has_value()}}});
   WaitForStop(signals, settings.value(), daemon.value().get());
-  // Further stop signals stay blocked, so that they cut no work short.
+  // Further stop signals stay blocked, so that they do not interrupt the drain.
   daemon.value()->StopGracefully();
   daemon.value().reset();
   Log({.event_ = "stopped"});
   StopLogging();
-  // All duties have ended. The destructors of static objects of the libraries
-  // did not return on the users' platform, which held each restart up until the
-  // process was killed.
+  // All duties have ended. Skips the destructors of the libraries' static
+  // objects: on the users' platform they did not return, which delayed each
+  // restart until the process was killed.
   std::_Exit(0);
 }
 
--- a/src/daemon/node_duty.cc
+++ b/src/daemon/node_duty.cc
@@ -52,7 +52,8 @@
                     return dialect->IsAnswerOf(delivery, answer);
                   }},
           [this](const coordination::DeliveryEnded& ended) {
-            // Deliveries in flight are far fewer than the ring's places.
+            // Cannot fail: deliveries in flight are far fewer than the
+            // capacity of the ring.
             Post(dialect_->Interpret(ended));
           },
           counters)),
@@ -100,7 +101,7 @@
       next_tick = node_.NextTick(now);
       LogStatus();
     }
-    // What has arrived meanwhile can be due sooner.
+    // Events handled since the last tick can make the next one due earlier.
     next_tick = std::min(next_tick, node_.NextTick(now));
     const std::optional<Item> item =
         ring_.Pop(std::max(state::Millis(0), next_tick - clock_.Now()));
@@ -120,10 +121,10 @@
 
 void NodeDuty::LogStatus() {
   const state::Millis now = clock_.Now();
-  if (now < status_at_) {
+  if (now < next_status_log_) {
     return;
   }
-  status_at_ = now + kStatusInterval;
+  next_status_log_ = now + kStatusInterval;
   std::vector<state::LogField> fields;
   for (const StatusField& field : kStatusFields) {
     fields.push_back({std::string(field.name_),
@@ -164,7 +165,7 @@
   if (peers_->Send(command)) {
     return;
   }
-  // The ingress learns at once that its attempt was not sent.
+  // Reports at once to the ingress that its attempt was not sent.
   const auto* attempt = std::get_if<coordination::Attempt>(&command.message_);
   if (attempt != nullptr) {
     follow_ups_.emplace_back(coordination::PeerMessageArrived{
@@ -178,7 +179,7 @@
 }
 
 void NodeDuty::CarryOut(const coordination::ReplyToPeer& command) {
-  // A lost answer is found by the ingress through its deadline.
+  // The ingress detects a lost answer by its deadline.
   peers_->Reply(command);
 }
 
--- a/src/daemon/node_duty.h
+++ b/src/daemon/node_duty.h
@@ -13,35 +13,37 @@
 
 namespace gooseberrygap::daemon {
 
-// What the administration endpoints read of the node.
+// A snapshot of the node's state for the administration endpoints.
 struct NodeView {
   const coordination::NodeStatus status_ = {};
   const state::IndexedConfiguration configuration_ = {};
   const std::vector<state::TargetRecord> targets_ = {};
 };
 
-// Learns what the node decides for the fronts. Called on the node thread; must
-// not block.
+// Receives the node's answers and configurations for a front. Called on the
+// node thread; must not block.
 class NodeListener {
  public:
   virtual ~NodeListener() = default;
-  // A call has its answer. Calls of other fronts are told too.
+  // Called for each answered call, also for calls of other fronts.
   virtual void OnAnswer(uint64_t call_id,
                         const coordination::CallAnswer& answer) = 0;
+  // Called when another configuration comes into force.
   virtual void OnConfiguration(
       const state::IndexedConfiguration& configuration) = 0;
 };
 
 using CallSlots = transport::AnswerSlots<coordination::CallAnswer>;
 
-// The `node` duty: feeds the node's decisions from its ring, and passes their
-// commands to the peer endpoint, the target client and the waiting callers.
+// The `node` duty: passes the events of its ring to the node, and executes the
+// resulting commands through the peer endpoint, the target client, the answer
+// slots and the listeners.
 class NodeDuty {
  public:
   struct Options {
     const coordination::Node::Options node_ = {};
     const int target_workers_ = 16;
-    // Takes answers of the target that end with their connection for whole.
+    // Accepts target answers without a length that end with their connection.
     const bool accepts_until_close_ = false;
   };
 
@@ -59,14 +61,14 @@
   // Stops the threads; events that are posted later are refused.
   void Stop();
 
-  // Hands an event to the node. Returns false when the ring is full.
-  // Thread-safe.
+  // Queues an event for the node. Returns false when the ring is full or
+  // closed. Thread-safe.
   bool Post(coordination::NodeEvent event);
 
   // Returns whether callers should be sent to this daemon. Thread-safe.
   bool is_ready() const { return ready_.load(); }
-  // Returns what the node reports, or nothing when it does not answer in time.
-  // Thread-safe.
+  // Returns a snapshot of the node, or nothing when the duty does not answer
+  // within 2 s. Blocks. Thread-safe.
   std::optional<NodeView> View();
 
  private:
@@ -78,7 +80,7 @@
 
   void Run();
   void Handle(const coordination::NodeEvent& event);
-  // Logs the counters that tell most, from time to time.
+  // Logs the counters in kStatusFields every 10 s.
   void LogStatus();
   void CarryOut(const coordination::SendToPeer& command);
   void CarryOut(const coordination::ReplyToPeer& command);
@@ -98,11 +100,11 @@
   transport::Ring<Item> ring_;
   std::unique_ptr<transport::TargetClient> target_client_;
   transport::PeerEndpoint* peers_ = nullptr;
-  // Events that carrying out commands gave rise to.
+  // Events that result from the commands carried out last.
   std::vector<coordination::NodeEvent> follow_ups_;
   uint64_t logged_index_ = 0;
   state::Counters* const counters_;
-  state::Millis status_at_;
+  state::Millis next_status_log_;
   std::unique_ptr<transport::DutyThread> thread_;
 };
 
--- a/src/daemon/operator_duty.cc
+++ b/src/daemon/operator_duty.cc
@@ -12,7 +12,8 @@
 constexpr int kThreads = 4;
 constexpr size_t kRingCapacity = 64;
 constexpr state::Millis kIdleWait(3600000);
-// An operator asks another instance after a second without an answer.
+// Below the second after which an operator without an answer retries at another
+// instance.
 constexpr state::Millis kReadTimeout(700);
 
 }  // namespace
@@ -35,17 +36,18 @@
   threads_.clear();
 }
 
-bool OperatorDuty::Post(OperatorOrder order, Answered answered) {
+bool OperatorDuty::Post(OperatorRequest request, AnswerHandler handler) {
   return ring_.TryPush(
-      Item{.order_ = std::move(order), .answered_ = std::move(answered)});
+      Item{.request_ = std::move(request), .handler_ = std::move(handler)});
 }
 
 void OperatorDuty::Run() {
   while (true) {
     const std::optional<Item> item = ring_.Pop(kIdleWait);
     if (item.has_value()) {
-      item->answered_(std::visit(
-          [this](const auto& order) { return Handle(order); }, item->order_));
+      item->handler_(
+          std::visit([this](const auto& request) { return Handle(request); },
+                     item->request_));
     } else if (ring_.closed()) {
       return;
     }
@@ -59,21 +61,21 @@
 }
 
 state::HttpAnswer OperatorDuty::Handle(
-    const protocol::ReplaceConfiguration& order) {
-  const auto checked = state::CheckRoutes(order.configuration_);
+    const protocol::ReplaceConfiguration& request) {
+  const auto checked = state::CheckRoutes(request.configuration_);
   if (!checked) {
     return dialect_->PrintOrderEnd(OrderEnd::kInvalid,
                                    checked.error().message_);
   }
   return Submit(state::SubmittedConfiguration{
-      .submission_ = order.submission_,
-      .base_version_ = order.base_version_,
-      .configuration_ =
-          std::make_shared<const state::Configuration>(order.configuration_)});
+      .submission_ = request.submission_,
+      .base_version_ = request.base_version_,
+      .configuration_ = std::make_shared<const state::Configuration>(
+          request.configuration_)});
 }
 
 state::HttpAnswer OperatorDuty::Handle(
-    const protocol::ChangeConfiguration& order) {
+    const protocol::ChangeConfiguration& request) {
   const auto newest = control_->ReadConfiguration(kReadTimeout);
   if (!newest.has_value()) {
     return dialect_->PrintOrderEnd(OrderEnd::kNotCertain,
@@ -81,25 +83,25 @@
   }
   const uint64_t current =
       newest->configuration_ == nullptr ? 0 : newest->configuration_->version_;
-  if (current < order.base_version_) {
+  if (current < request.base_version_) {
     return dialect_->PrintOrderEnd(
         OrderEnd::kConflict,
         "Version " + std::to_string(current) + " is in force; build on it.");
   }
-  if (current > order.base_version_ || current == 0) {
-    // It may have been accepted before, which only the log can tell. It cannot
-    // be accepted now, since no later version is the one it builds on.
+  if (current > request.base_version_ || current == 0) {
+    // The change may have been accepted earlier, which only the log shows. It
+    // cannot be accepted now, since its base version is no longer in force.
     return Submit(state::SubmittedConfiguration{
-        .submission_ = order.submission_,
-        .base_version_ = order.base_version_,
+        .submission_ = request.submission_,
+        .base_version_ = request.base_version_,
         .configuration_ = std::make_shared<const state::Configuration>(
-            state::ApplyChange(state::Configuration(), order.change_))});
+            state::ApplyChange(state::Configuration(), request.change_))});
   }
   return Handle(protocol::ReplaceConfiguration{
-      .submission_ = order.submission_,
-      .base_version_ = order.base_version_,
+      .submission_ = request.submission_,
+      .base_version_ = request.base_version_,
       .configuration_ =
-          state::ApplyChange(*newest->configuration_, order.change_)});
+          state::ApplyChange(*newest->configuration_, request.change_)});
 }
 
 state::HttpAnswer OperatorDuty::Submit(
--- a/src/daemon/operator_duty.h
+++ b/src/daemon/operator_duty.h
@@ -13,38 +13,39 @@
 
 namespace gooseberrygap::daemon {
 
-using OperatorOrder = std::variant<protocol::ReadConfiguration,
-                                   protocol::ReplaceConfiguration,
-                                   protocol::ChangeConfiguration>;
+// A read or a submission of the configuration.
+using OperatorRequest = std::variant<protocol::ReadConfiguration,
+                                     protocol::ReplaceConfiguration,
+                                     protocol::ChangeConfiguration>;
 
-// The `operator` duties: carry out operators' orders, which wait for a quorum,
-// on a few threads.
+// The `operator` duties: handle operators' requests on a few threads, since
+// each request blocks until a quorum has answered.
 class OperatorDuty {
  public:
   // Called on an operator thread; must not block.
-  using Answered = std::function<void(const state::HttpAnswer&)>;
+  using AnswerHandler = std::function<void(const state::HttpAnswer&)>;
 
-  // Everything given must outlive the duty.
+  // All arguments must outlive the duty.
   OperatorDuty(const protocol::FrontDialect* dialect,
                ControlDuty* control,
                OperatorGateway* gateway);
   ~OperatorDuty();
 
-  // Returns false when too many orders wait; `answered` is then not called.
-  // Thread-safe.
-  bool Post(OperatorOrder order, Answered answered);
+  // Queues a request. Returns false when the ring is full; `handler` is then
+  // not called. Thread-safe.
+  bool Post(OperatorRequest request, AnswerHandler handler);
 
  private:
   struct Item {
-    OperatorOrder order_;
-    Answered answered_;
+    OperatorRequest request_;
+    AnswerHandler handler_;
   };
 
   void Run();
-  // One overload for each kind of order.
-  state::HttpAnswer Handle(const protocol::ReadConfiguration& order);
-  state::HttpAnswer Handle(const protocol::ReplaceConfiguration& order);
-  state::HttpAnswer Handle(const protocol::ChangeConfiguration& order);
+  // One overload for each kind of request.
+  state::HttpAnswer Handle(const protocol::ReadConfiguration& request);
+  state::HttpAnswer Handle(const protocol::ReplaceConfiguration& request);
+  state::HttpAnswer Handle(const protocol::ChangeConfiguration& request);
   state::HttpAnswer Submit(const state::SubmittedConfiguration& submitted);
 
   const protocol::FrontDialect* const dialect_;
--- a/src/daemon/operator_gateway.cc
+++ b/src/daemon/operator_gateway.cc
@@ -13,9 +13,9 @@
 using coordination::ConfigSubmitReply;
 using coordination::SubmitStatus;
 
-// Longer than a commit across regions.
+// Limit of the wait for one instance: longer than a commit across regions.
 constexpr state::Millis kInstanceTimeout(1000);
-constexpr absl::Duration kNoLeaderPause = absl::Milliseconds(100);
+constexpr absl::Duration kNoLeaderRetryDelay = absl::Milliseconds(100);
 
 }  // namespace
 
@@ -37,7 +37,7 @@
                        : leader;
     leader.clear();
     const auto opened = slots_.Open();
-    // The submission id makes the repeated request harmless.
+    // The submission id makes a repeated request idempotent.
     peers_->Send(coordination::SendToPeer{
         .address_ = address,
         .message_ = coordination::ConfigSubmit{
@@ -61,7 +61,7 @@
     leader = reply->leader_address_;
     if (leader.empty() || leader == address) {
       leader.clear();
-      absl::SleepFor(kNoLeaderPause);
+      absl::SleepFor(kNoLeaderRetryDelay);
     }
   }
   return ConfigSubmitReply{.status_ = last_status};
--- a/src/daemon/operator_gateway.h
+++ b/src/daemon/operator_gateway.h
@@ -9,25 +9,26 @@
 
 namespace gooseberrygap::daemon {
 
-// Carries an operator's configuration to the leader of the control group, from
-// whichever daemon the operator has asked.
+// Submits an operator's configuration to the leader of the control group, from
+// the daemon that received it.
 class OperatorGateway {
  public:
   struct Options {
     const std::vector<std::string> control_addresses_ = {};
-    // How long one submission may take: a new leader is elected within 2 s.
+    // Time limit of one submission. A new leader is elected within 2 s.
     const state::Millis timeout_ = state::Millis(5000);
   };
 
   // `peers` must outlive the gateway.
   OperatorGateway(const Options& options, transport::PeerEndpoint* peers);
 
-  // Submits the configuration; asks one control instance after another until
-  // one answers for the leader, for at most a few seconds. Blocks. Thread-safe.
+  // Submits the configuration: sends it to one control instance after another
+  // until one returns a final status, for at most `timeout_`. Blocks.
+  // Thread-safe.
   coordination::ConfigSubmitReply Submit(
       const state::SubmittedConfiguration& submission);
 
-  // Takes a reply from the peer thread. Thread-safe.
+  // Passes a reply to the submission that waits for it. Thread-safe.
   void OnReply(const coordination::ConfigSubmitReply& reply);
 
  private:
