Name the parts of the Spin models by the terms of the field

Comments and variables of the models used people's verbs and vague nouns (told, asked, vouched, cut off, present). They now say what each variable holds and what each broken variant changes. The variant NO_VOUCHING of the configuration model is now NO_CONFIRMATION.

--- a/spec/action_register.pml
+++ b/spec/action_register.pml
@@ -1,17 +1,19 @@
 /*
- * The register entry of one action key: two ingresses that carry the same
- * action (a caller and its resend), two guards, lost, late and repeated
- * messages, lost register replies, a guard that restarts at any moment.
+ * Models the register entry of one action key. Two ingresses carry the same
+ * action (the original request and a resend), and two guards execute it.
+ * Messages may be lost, delayed or duplicated, register replies may be lost,
+ * and a guard may restart at any point.
  *
  * Invariants:
  *   - the target runs the action at most once;
- *   - an ingress that told its caller not-run was not run, then or later;
+ *   - an action that an ingress reported as not-run to its caller does not run
+ *     for that ingress, neither before nor after the report;
  *   - once the entry is done, nothing runs.
  *
  * Broken variants, each of which must fail:
- *   -DNO_ATTEMPT_CHECK  start is granted under any attempt number
- *   -DNO_FENCE          not-run is told after a timeout without a fence
- *   -DNO_NONCE          start is granted again to another start of the attempt
+ *   -DNO_ATTEMPT_CHECK  start is granted for any attempt number
+ *   -DNO_FENCE          not-run is reported after a timeout without a fence
+ *   -DNO_NONCE          a second start of the same attempt is granted too
  */
 
 #define INGRESSES 2
@@ -25,17 +27,18 @@
 byte entry_n = 1;
 byte entry_nonce = 0;
 
-/* sent[k]: the attempt message k was sent. A message stays, so that it may
- * arrive late and more than once; loss is the guard's choice not to take it. */
+/* sent[k]: attempt message k was sent. Messages are never removed, so that they
+ * may arrive late and more than once. A guard that never receives a message
+ * models its loss. */
 bool sent[GUARDS * INGRESSES * MAX_N];
 #define MESSAGE(g, i, n) (((g) * INGRESSES + (i)) * MAX_N + (n))
 
-/* answered[i]: a guard's complete answer is under way to ingress i. */
+/* answered[i]: a guard has sent a complete answer to ingress i. */
 bool answered[INGRESSES];
 
 byte runs = 0;
-bool ran_for[INGRESSES];
-bool told_not_run[INGRESSES];
+bool ran_for[INGRESSES];       /* the action ran in an attempt of ingress i */
+bool reported_not_run[INGRESSES];
 
 proctype Ingress(byte i) {
   byte n = 0;
@@ -45,7 +48,7 @@
   atomic {
     if
     :: entry == OPEN && entry_n < MAX_N -> n = entry_n
-    :: else -> goto told  /* done, unknown, or follows the other request */
+    :: else -> goto finished  /* done, unknown, or follows the other request */
     fi
   }
 
@@ -57,37 +60,37 @@
   sent[MESSAGE(g, i, n)] = true;
 
   if
-  :: answered[i] -> goto told          /* complete */
+  :: answered[i] -> goto finished      /* complete */
   :: true -> skip                      /* timeout, link lost, or a refusal */
   fi;
 
 #ifdef NO_FENCE
   atomic {
-    told_not_run[i] = true;
+    reported_not_run[i] = true;
     assert(!ran_for[i]);
-    goto told
+    goto finished
   }
 #endif
 
 fence:
   atomic {
     if
-    :: entry != OPEN -> goto told      /* unknown, or the stored answer */
+    :: entry != OPEN -> goto finished  /* unknown, or the stored answer */
     :: entry == OPEN && entry_n <= n && n + 1 < MAX_N ->
          entry_n = n + 1
     :: entry == OPEN && entry_n <= n && n + 1 >= MAX_N ->
          entry_n = n + 1;
          goto not_run
     :: entry == OPEN && entry_n > n ->
-         /* overtaken by another request: fence its attempt too */
+         /* superseded by another request: fence its attempt too */
          if
          :: entry_n + 1 <= MAX_N -> n = entry_n; entry_n = entry_n + 1;
               goto not_run
-         :: else -> goto told          /* bound of the model */
+         :: else -> goto finished      /* bound of the model */
          fi
     fi
   };
-  /* The fence holds: try again under the next number, or give up. */
+  /* The fence is set: retry with the next attempt number, or give up. */
   n = n + 1;
   if
   :: goto send
@@ -97,15 +100,15 @@
 not_run:
   atomic {
     assert(!ran_for[i]);
-    told_not_run[i] = true
+    reported_not_run[i] = true
   };
 
-told:
+finished:
   skip
 }
 
 proctype Guard(byte g) {
-  bool seen[INGRESSES * MAX_N];
+  bool received[INGRESSES * MAX_N];
   byte restarts = 0;
   byte i;
   byte n;
@@ -113,7 +116,7 @@
   bool granted;
 
 idle:
-  /* Take any message that was not seen in this incarnation. */
+  /* Receive any message not yet received in this incarnation. */
   if
   :: i = 0
   :: i = 1
@@ -124,7 +127,8 @@
   :: goto end
   fi;
   if
-  :: sent[MESSAGE(g, i, n)] && !seen[i * MAX_N + n] -> seen[i * MAX_N + n] = true
+  :: sent[MESSAGE(g, i, n)] && !received[i * MAX_N + n] ->
+       received[i * MAX_N + n] = true
   :: goto end
   fi;
   /* Unique to the guard's incarnation and the attempt. */
@@ -151,7 +155,7 @@
   if
   :: !granted -> goto idle             /* refused */
   :: granted -> skip
-  :: granted -> goto start             /* the reply was lost: ask again */
+  :: granted -> goto start             /* the reply was lost: retry */
   :: granted && restarts < 1 -> goto restart  /* killed after the grant */
   fi;
 
@@ -170,7 +174,7 @@
   atomic {                             /* deliver */
     runs = runs + 1;
     assert(runs <= 1);
-    assert(!told_not_run[i]);
+    assert(!reported_not_run[i]);
     ran_for[i] = true
   };
   if
@@ -180,16 +184,16 @@
   fi;
   if
   :: atomic { entry == STARTED || entry == UNKNOWN_END -> entry = DONE }
-  :: true -> skip                      /* finish is lost for good */
+  :: true -> skip                      /* finish never arrives */
   fi;
   goto idle;
 
 restart:
   restarts = restarts + 1;
-  d_step {                             /* the memory of attempts is lost */
+  d_step {                             /* the received attempts are lost */
     i = 0;
     do
-    :: i < INGRESSES * MAX_N -> seen[i] = false; i = i + 1
+    :: i < INGRESSES * MAX_N -> received[i] = false; i = i + 1
     :: else -> break
     od;
     i = 0
--- a/spec/configuration.pml
+++ b/spec/configuration.pml
@@ -1,35 +1,37 @@
 /*
- * Configuration at one daemon: three control instances of which one is cut off
- * and stale, a leader that accepts configurations, a daemon that restarts and
- * asks any instance.
+ * Models the configuration of one daemon. There are three control instances, of
+ * which one may be partitioned and stale, a leader that accepts configurations,
+ * and a daemon that restarts and requests the configuration from any instance.
  *
  * Invariants:
- *   - the index in force at the daemon never goes down, restarts included;
- *   - a daemon that has just started never takes an index below one that was
- *     accepted before it asked.
+ *   - the index in force at the daemon never decreases, even after a restart;
+ *   - a daemon that has just started never applies an index lower than one that
+ *     was accepted before its request.
  *
  * Broken variants, each of which must fail:
- *   -DNO_VOUCHING   a daemon that has started takes any configuration
- *   -DAPPLY_LOWER   a daemon takes what the last reply says
- *   -DNO_QUORUM     an instance vouches without a confirmed read index
+ *   -DNO_CONFIRMATION  a daemon that has just started applies an unconfirmed
+ *                      configuration
+ *   -DAPPLY_LOWER      a daemon applies each reply, even one with a lower index
+ *   -DNO_QUORUM        an instance marks its reply as confirmed without a
+ *                      confirmed read index
  */
 
 #define INSTANCES 3
 #define MAX_INDEX 4
 
-byte log[INSTANCES];       /* last index that the instance holds */
-byte applied[INSTANCES];   /* index that the instance has applied */
-byte accepted = 0;         /* highest index that an operator was told */
-bool cut_off[INSTANCES];
+byte log[INSTANCES];       /* last index in the instance's log */
+byte applied[INSTANCES];   /* last index that the instance has applied */
+byte accepted = 0;         /* highest index reported to an operator */
+bool partitioned[INSTANCES];
 
-byte in_force = 0;         /* at the daemon; 0 after a restart */
-byte highest_ever = 0;     /* highest index that was ever in force there */
+byte in_force = 0;         /* index in force at the daemon; 0 after a restart */
+byte highest_in_force = 0; /* highest index that was ever in force there */
 
-/* The leader is instance 0 or, once that is cut off, instance 1. A leader
- * accepts an index once two instances hold it. */
+/* The leader is instance 0 or, while that is partitioned, instance 1. A leader
+ * accepts an index once two instances have stored it. */
 inline pick_leader(l) {
   if
-  :: !cut_off[0] -> l = 0
+  :: !partitioned[0] -> l = 0
   :: else -> l = 1
   fi
 }
@@ -41,10 +43,10 @@
   :: atomic {
        accepted < MAX_INDEX ->
        pick_leader(l);
-       /* A follower that is not cut off stores the entry too. */
+       /* A follower that is not partitioned stores the entry too. */
        if
-       :: !cut_off[(l + 1) % INSTANCES] -> f = (l + 1) % INSTANCES
-       :: !cut_off[(l + 2) % INSTANCES] -> f = (l + 2) % INSTANCES
+       :: !partitioned[(l + 1) % INSTANCES] -> f = (l + 1) % INSTANCES
+       :: !partitioned[(l + 2) % INSTANCES] -> f = (l + 2) % INSTANCES
        fi;
        log[l] = accepted + 1;
        log[f] = accepted + 1;
@@ -53,79 +55,80 @@
      }
   :: atomic {                          /* an instance catches up */
        if
-       :: !cut_off[0] -> f = 0
-       :: !cut_off[1] -> f = 1
-       :: !cut_off[2] -> f = 2
+       :: !partitioned[0] -> f = 0
+       :: !partitioned[1] -> f = 1
+       :: !partitioned[2] -> f = 2
        fi;
        log[f] = accepted;
        applied[f] = accepted
      }
-  :: atomic {                          /* one instance at most is cut off */
-       !cut_off[0] && !cut_off[1] && !cut_off[2] ->
+  :: atomic {                          /* at most one instance is partitioned */
+       !partitioned[0] && !partitioned[1] && !partitioned[2] ->
        if
-       :: log[1] == accepted -> cut_off[0] = true
-       :: cut_off[2] = true
+       :: log[1] == accepted -> partitioned[0] = true
+       :: partitioned[2] = true
        fi
      }
   :: atomic {
-       cut_off[0] || cut_off[2] ->
-       cut_off[0] = false;
-       cut_off[2] = false
+       partitioned[0] || partitioned[2] ->
+       partitioned[0] = false;
+       partitioned[2] = false
      }
   :: accepted == MAX_INDEX -> break
   od
 }
 
 proctype Daemon() {
-  byte asked;
+  byte queried;
   byte index;
-  byte floor;
-  bool vouched;
+  byte accepted_at_request;
+  bool confirmed;
   byte steps = 0;
   do
   :: steps < 8 ->
      steps = steps + 1;
      atomic {
        if
-       :: asked = 0
-       :: asked = 1
-       :: asked = 2
+       :: queried = 0
+       :: queried = 1
+       :: queried = 2
        fi;
-       floor = accepted
+       accepted_at_request = accepted
      };
-     /* The instance answers: with a confirmed read index if it can reach the
-      * leader's quorum, else with what it has and no voucher. */
+     /* The instance replies with the index that it has applied. A read index
+      * confirms the reply if the instance can reach the leader's quorum. */
      atomic {
 #ifdef NO_QUORUM
-       vouched = true;
+       confirmed = true;
 #else
        if
-       :: !cut_off[asked] && applied[asked] >= accepted -> vouched = true
-       :: else -> vouched = false
+       :: !partitioned[queried] && applied[queried] >= accepted ->
+            confirmed = true
+       :: else -> confirmed = false
        fi;
 #endif
-       index = applied[asked]
+       index = applied[queried]
      };
-     /* The reply arrives, possibly late: the daemon may have restarted. */
+     /* The reply may arrive after a restart of the daemon. */
      atomic {
        if
 #ifdef APPLY_LOWER
        :: index > 0 -> in_force = index
 #else
-#ifdef NO_VOUCHING
+#ifdef NO_CONFIRMATION
        :: index > in_force -> in_force = index
 #else
-       :: in_force == 0 && vouched && index > 0 ->
-            assert(index >= floor);
+       :: in_force == 0 && confirmed && index > 0 ->
+            assert(index >= accepted_at_request);
             in_force = index
        :: in_force > 0 && index > in_force -> in_force = index
 #endif
 #endif
        :: else -> skip
        fi;
-       assert(in_force == 0 || in_force >= highest_ever);
+       assert(in_force == 0 || in_force >= highest_in_force);
        if
-       :: in_force > highest_ever -> highest_ever = in_force
+       :: in_force > highest_in_force -> highest_in_force = in_force
        :: else -> skip
        fi
      }
