Reword the comments and messages of scripts, CMake and deployment files

Comments now say what a script, a CMake function or a setting does, and error messages say what was expected.

--- a/cmake/Tests.cmake
+++ b/cmake/Tests.cmake
@@ -5,8 +5,8 @@
   target_link_libraries(gooseberrygap_test_main PUBLIC Catch2::Catch2)
 endif()
 
-# Adds one CTest entry for each label: the cases of the program that carry the
-# label as a Catch2 tag. An entry without cases fails.
+# Adds one CTest entry for each label. The entry runs the cases of the program
+# that have the label as a Catch2 tag, and fails when there are none.
 function(gooseberrygap_add_labelled_tests program)
   foreach(label IN LISTS ARGN)
     add_test(NAME ${program}.${label} COMMAND ${program} "[${label}]" -w NoTests
@@ -17,7 +17,8 @@
 endfunction()
 
 # Adds the unit tests of a layer, every tests/*_test.cc, with the label "unit".
-# Further arguments are labels of single promises.
+# Each further argument is the label of one guarantee and adds a CTest entry for
+# the cases tagged with it.
 function(gooseberrygap_add_layer_tests layer)
   if(NOT BUILD_TESTING)
     return()
--- a/tools/loopback.py
+++ b/tools/loopback.py
@@ -1,4 +1,4 @@
-"""Starts daemons on loopback and reads them; shared by the scripts in tools/."""
+"""Starts daemons on loopback and queries them; shared by the scripts in tools/."""
 
 import json
 import os
@@ -16,23 +16,26 @@
 DAEMON = BUILD / "src/daemon/gooseberrygapd"
 TOOL = BUILD / "src/ctl/gooseberrygapctl"
 TARGET = BUILD / "tests/support/stand_in_target/stand_in_target"
-PLACES = [("kochi", "kochi-a"), ("kochi", "kochi-b"),
-          ("kozhikode", "kozhikode-a"), ("kozhikode", "kozhikode-b")]
+# Region and failure domain; plan_instances assigns them in turn.
+FAILURE_DOMAINS = [("kochi", "kochi-a"), ("kochi", "kochi-b"),
+                   ("kozhikode", "kozhikode-a"), ("kozhikode", "kozhikode-b")]
+# Time limit of one request and of one wait_until.
 WAIT_SECONDS = 30
 
 
 class Instance:
     """Names and addresses of one daemon and its target."""
 
-    def __init__(self, number, service, has_control, ports):
-        self.region, self.failure_domain = PLACES[number % len(PLACES)]
+    def __init__(self, number, service, runs_control, ports):
+        self.region, self.failure_domain = FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
         self.name = f"{self.failure_domain}-{number}"
         self.service = service
         self.http, self.peer, self.target = (f"127.0.0.1:{port}" for port in ports)
-        self.has_control = has_control
+        self.runs_control = runs_control
 
 
 def free_ports(count):
+    """Returns ports that were free when checked; all differ."""
     sockets = [socket.socket() for _ in range(count)]
     for each in sockets:
         each.bind(("127.0.0.1", 0))
@@ -63,9 +66,9 @@
         "peer": {"listen": instance.peer},
         "control_instances": [
             {"instance": each.name, "address": each.peer, "region": each.region}
-            for each in instances if each.has_control],
+            for each in instances if each.runs_control],
     }
-    if instance.has_control:
+    if instance.runs_control:
         settings["control"] = {"data_dir": str(folder / f"{instance.name}.data")}
     path = folder / f"{instance.name}.json"
     path.write_text(json.dumps(settings))
@@ -73,7 +76,7 @@
 
 
 def request(address, method, path, body=None, headers=None):
-    """Returns status, outcome and body; status 0 without an answer."""
+    """Returns status, outcome and body; without an answer, 0 and the error text."""
     call = urllib.request.Request(f"http://{address}{path}", method=method,
                                   data=body, headers=headers or {})
     try:
@@ -87,17 +90,19 @@
 
 
 def read_json(address, path):
+    """Returns the parsed body of a GET request, or {} for a status other than 200."""
     status, _, body = request(address, "GET", path)
     return json.loads(body) if status == 200 else {}
 
 
-def wait_until(what, condition):
+def wait_until(description, condition):
+    """Polls the condition; ends the script when it does not hold in time."""
     end = time.monotonic() + WAIT_SECONDS
     while time.monotonic() < end:
         if condition():
             return
         time.sleep(0.1)
-    sys.exit(f"Waited {WAIT_SECONDS} s in vain: {what}")
+    sys.exit(f"Timed out after {WAIT_SECONDS} s, waiting until {description}.")
 
 
 def wait_for_answers(instances):
@@ -111,11 +116,11 @@
         print(f"$ gooseberrygapctl {' '.join(arguments)}\n"
               f"{result.stdout}{result.stderr}", end="")
     if result.returncode != 0:
-        sys.exit(f"The tool ended with exit code {result.returncode}: {result.stderr}")
+        sys.exit(f"gooseberrygapctl failed with exit code {result.returncode}: {result.stderr}")
 
 
 def form_group(instances, quiet=False):
-    run_tool("control", "form", *(each.http for each in instances if each.has_control),
+    run_tool("control", "form", *(each.http for each in instances if each.runs_control),
              quiet=quiet)
 
 
@@ -133,11 +138,13 @@
 
 
 def cpu_seconds(pid):
+    """Returns the user and system time that the process has used so far."""
     fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
 def resident_mb(pid):
+    """Returns the resident memory in MiB."""
     for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
         if line.startswith("VmRSS"):
             return int(line.split()[1]) / 1024
