--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -287,6 +287,7 @@
         # Hook (method, answers sent before on the connection): returns bytes that the
         # endpoint sends on the connection before its answer, or None.
         self.before_answer = None
+        self._writers = []
         machine.deployment.endpoints.append(self)
 
     async def start(self):
@@ -294,6 +295,13 @@
             self._serve, self.machine.ip, self.machine.deployment.ports["endpoint"])
         self.machine.deployment.tasks.append(asyncio.create_task(self._beat()))
 
+    def stop(self):
+        """Ends the endpoint as if its machine had been lost."""
+        self.beating = False
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
     def beat_body(self):
         self.sequence += 1
         return {"service": self.machine.service, "address": self.machine.address("endpoint"),
@@ -326,6 +334,7 @@
 
     async def _serve(self, reader, writer):
         answered = 0
+        self._writers.append(writer)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
