Count a marker of the log as durable only after the next sync

Seen by: a member of the control group that does not start again after a loss of power ("bad checksum ..., within the part of the log that was durable").

Cause: LogSegment::Sync writes a marker after each sync and counted the marker's own bytes as synced. The next entry repeats that claim, so that a lost marker beside an entry that did reach the disk looks like corruption. The same cause on a related path: the marker at the end of a file that is not the last one is never synced, but a torn marker there was refused too.

Change: the durable offset ends before the marker until the next sync covers it. A file that is not the last one may end with a torn record; that no entry is missing follows from the index at which the next file begins.

Evidence: "a loss of power keeps what was synced, whatever later writes remain" cuts the file at every offset with each of the later writes there or missing.

--- a/src/state/internal/log_segment.cc
+++ b/src/state/internal/log_segment.cc
@@ -1,5 +1,6 @@
 #include "state/internal/log_segment.h"
 
+#include <algorithm>
 #include <optional>
 #include <random>
 #include <utility>
@@ -85,7 +86,7 @@
   const std::string content = EncodeRecordFile(header.bytes());
   BOOST_OUTCOME_TRYV(ReplaceFile(folder, name, content));
   segment.size_ = content.size();
-  segment.synced_offset_ = content.size();
+  segment.durable_offset_ = content.size();
   BOOST_OUTCOME_TRY(file, OpenForAppend(segment.path_));
   segment.file_ = std::move(file);
   return segment;
@@ -114,7 +115,7 @@
         "the first index in the header differs from the file name");
   }
   segment.size_ = kMagic.size() + kFrameHeaderBytes + frame->payload_.size();
-  BOOST_OUTCOME_TRYV(segment.ReadFrames(content, is_last, entries));
+  BOOST_OUTCOME_TRYV(segment.ReadFrames(content, entries));
   BOOST_OUTCOME_TRY(file, OpenForAppend(segment.path_));
   segment.file_ = std::move(file);
   if (segment.size_ < content.size()) {
@@ -125,17 +126,16 @@
     // been synced.
     BOOST_OUTCOME_TRYV(SyncFile(segment.file_.get(), segment.path_));
   }
-  segment.synced_offset_ = segment.size_;
+  segment.durable_offset_ = segment.size_;
   return segment;
 }
 
 Result<void> LogSegment::ReadFrames(absl::string_view content,
-                                    bool is_last,
                                     std::vector<LogEntry>* entries) {
   while (size_ < content.size()) {
     const std::optional<Frame> frame = DecodeFrame(content, salt_, size_);
     if (!frame) {
-      if (!is_last || WasSyncedBeyond(content, salt_, size_)) {
+      if (WasSyncedBeyond(content, salt_, size_)) {
         return CorruptError(
             path_,
             absl::StrCat("bad checksum at byte ", size_,
@@ -163,22 +163,25 @@
   for (const LogEntry& entry : entries) {
     const uint64_t offset = size_ + bytes.size();
     frame_offsets_.push_back(offset);
-    bytes += EncodeFrame(salt_, offset, synced_offset_, EncodeEntry(entry));
+    bytes += EncodeFrame(salt_, offset, durable_offset_, EncodeEntry(entry));
   }
   size_ += bytes.size();
+  has_unsynced_entries_ = true;
   return WriteAll(file_.get(), bytes, path_);
 }
 
 Result<void> LogSegment::Sync() {
-  if (synced_offset_ == size_) {
+  if (!has_unsynced_entries_) {
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
   BOOST_OUTCOME_TRYV(SyncFile(file_.get(), path_));
+  durable_offset_ = size_;
+  has_unsynced_entries_ = false;
   // The marker itself need not be durable: without it, corruption of the last
   // entries is treated as a write that a crash interrupted.
-  const std::string sync_marker = EncodeFrame(salt_, size_, size_, "");
+  const std::string sync_marker =
+      EncodeFrame(salt_, size_, durable_offset_, "");
   size_ += sync_marker.size();
-  synced_offset_ = size_;
   return WriteAll(file_.get(), sync_marker, path_);
 }
 
@@ -188,8 +191,11 @@
   }
   size_ = frame_offsets_[index - first_index_];
   frame_offsets_.resize(index - first_index_);
-  synced_offset_ = size_;
-  return TruncateFile(file_.get(), size_, path_);
+  durable_offset_ = std::min(durable_offset_, size_);
+  BOOST_OUTCOME_TRYV(TruncateFile(file_.get(), size_, path_));
+  durable_offset_ = size_;
+  has_unsynced_entries_ = false;
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
 }  // namespace gooseberrygap::state
--- a/src/state/internal/log_segment.h
+++ b/src/state/internal/log_segment.h
@@ -34,8 +34,9 @@
   static Result<LogSegment> Create(const std::string& folder,
                                    uint64_t first_index);
   // Reads a segment and appends its entries to `entries`. An incomplete record
-  // at the end is truncated if `is_last`, otherwise it is kCorruptLog. The
-  // remaining content is durable on return.
+  // at the end is truncated; in a segment that is not the last one it can only
+  // be the marker, which the caller checks by the index that follows. The
+  // content of the last segment is durable on return.
   static Result<LogSegment> Open(const std::string& folder,
                                  const std::string& name,
                                  bool is_last,
@@ -56,7 +57,6 @@
  private:
   LogSegment() = default;
   Result<void> ReadFrames(absl::string_view content,
-                          bool is_last,
                           std::vector<LogEntry>* entries);
 
   std::string path_;
@@ -64,7 +64,10 @@
   uint64_t salt_ = 0;
   uint64_t first_index_ = 0;
   uint64_t size_ = 0;
-  uint64_t synced_offset_ = 0;  // Offset up to which the file is durable.
+  // Offset up to which the file is durable. The marker after a sync is not
+  // included until the next sync: a loss of power may remove it alone.
+  uint64_t durable_offset_ = 0;
+  bool has_unsynced_entries_ = false;
   std::vector<uint64_t> frame_offsets_;  // Offset of each entry's frame.
 };
 
--- a/src/state/tests/log_store_test.cc
+++ b/src/state/tests/log_store_test.cc
@@ -88,6 +88,8 @@
 constexpr char kFirstSegment[] = "log-00000000000000000001";
 // Length of a segment without entries, in bytes.
 constexpr size_t kSegmentHeader = 44;
+// Length of the marker that is written after a sync, in bytes.
+constexpr size_t kMarkerBytes = 20;
 // Number of entries that are synced; the remaining ones are not.
 constexpr size_t kSynced = 3;
 
@@ -240,6 +242,81 @@
   CHECK(refused >= kSegmentHeader + kSynced);
 }
 
+// Guards against a voter that does not start again after a loss of power: the
+// marker that follows a sync was counted as durable, so that its loss beside an
+// entry that was written later looked like corruption. After a loss of power
+// each write since the last sync may be there, missing or torn.
+TEST_CASE("a loss of power keeps what was synced, whatever later writes remain",
+          "[disk]") {
+  const TemporaryFolder temporary;
+  const std::string folder = temporary / "data";
+  const std::string path = folder + "/" + kFirstSegment;
+  // The end of what is durable, and of each write after it: the marker and the
+  // entries that are not synced.
+  std::vector<size_t> ends;
+  {
+    const auto store = OpenStore(folder);
+    for (size_t i = 0; i < kEntries.size(); ++i) {
+      REQUIRE(store->Append({&kEntries[i], 1}));
+      REQUIRE((i >= kSynced || store->Sync().has_value()));
+      if (i + 1 == kSynced) {
+        ends.push_back(fs::file_size(path) - kMarkerBytes);
+      }
+      if (i + 1 >= kSynced) {
+        ends.push_back(fs::file_size(path));
+      }
+    }
+  }
+  const std::string content = Read(path);
+  REQUIRE(ends.back() == content.size());
+  const size_t writes = ends.size() - 1;
+  for (size_t missing = 0; missing < size_t{1} << writes; ++missing) {
+    std::string left = content;
+    for (size_t i = 0; i < writes; ++i) {
+      if ((missing >> i & 1U) != 0) {
+        const size_t length = ends[i + 1] - ends[i];
+        left.replace(ends[i], length, std::string(length, '\0'));
+      }
+    }
+    for (size_t size = ends.front(); size <= left.size(); ++size) {
+      INFO("missing " << missing << ", " << size << " bytes");
+      Write(path, left.substr(0, size));
+      const auto store = LogStore::Open(folder);
+      REQUIRE(store.has_value());
+      const std::vector<LogEntry> entries = store.value()->Load().entries_;
+      REQUIRE(IsPrefix(entries));
+      REQUIRE(entries.size() >= kSynced);
+    }
+  }
+}
+
+// Guards against a voter that does not start again after a loss of power that
+// follows the start of a new file: the marker at the end of the old file is not
+// synced with it.
+TEST_CASE("a loss of power may cut the marker at the end of any file",
+          "[disk]") {
+  const TemporaryFolder temporary;
+  const std::string folder = temporary / "data";
+  const std::string path = folder + "/" + kFirstSegment;
+  {
+    const auto store = OpenStore(folder, {.segment_bytes_ = 100});
+    for (const LogEntry& entry : kEntries) {
+      REQUIRE(store->Append({&entry, 1}));
+      REQUIRE(store->Sync());
+    }
+  }
+  REQUIRE(fs::exists(folder + "/log-00000000000000000003"));
+  const std::string content = Read(path);
+  for (size_t cut = 0; cut <= kMarkerBytes; ++cut) {
+    INFO("cut " << cut);
+    Write(path, content.substr(0, content.size() - cut));
+    REQUIRE(Reload(folder).entries_ == kEntries);
+  }
+  // Entries of an old file are durable.
+  Write(path, content.substr(0, content.size() - kMarkerBytes - 1));
+  REQUIRE(LogStore::Open(folder).error().kind_ == ErrorKind::kCorruptLog);
+}
+
 // Guards against undetected corruption or loss of the identity, vote and
 // snapshot files.
 TEST_CASE("a damaged or missing file stops the voter", "[disk]") {
