Write the log again when the disk takes bytes after it refused some

Three disks are full for 5 s each, one after the other; from the third on no configuration can be read or changed, although all processes run and all disks work.

Cause: after the first failed write DiskDuty ends its thread, LogStore returns that error for every later write, and ControlDuty drops every event from then on. Nothing tries again, and the process does not end either. The users' own record shows the same state: three members whose own daemons find the link to their control role silent every 2 s, while the two others stay pre-candidates.

Change: a disk that refuses writes is to the log a disk that is slow, which Raft bears already. DiskDuty keeps what is not durable, merges it into one batch (MergeBatches) and writes it again every 100 ms, after LogStore::Recover has cut the log back to what was durable: what a failed sync was to write is written again, not synced again. A file of the log whose creation failed halfway is removed first. The status still shows the role `failed` while the disk refuses writes; `log_write_failed` names the remedy, `log_write_recovered` the end, and the counter `log_write_failed_total` each attempt.

Still open: a disk that hangs until 16,384 batches wait ends the control role as before.

--- a/src/coordination/api/raft.h
+++ b/src/coordination/api/raft.h
@@ -139,6 +139,11 @@
   friend bool operator==(const RaftBatch&, const RaftBatch&) = default;
 };
 
+// Returns one batch with the effect of writing `batches` in order. Batches that
+// follow each other can be merged whether or not the disk holds a part of them.
+// Precondition: `batches` is not empty. Thread-safe.
+RaftBatch MergeBatches(absl::Span<const RaftBatch> batches);
+
 enum class ProposalStatus {
   kCommitted,      // Committed at `index_`.
   kNotLeader,      // Not appended: this member is not the leader.
--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -207,10 +207,13 @@
     return;
   }
   if (const auto* disk_failed = std::get_if<DiskFailed>(&item)) {
-    Fail(disk_failed->error_);
+    LogDiskFailed(disk_failed->error_);
     return;
   }
   if (const auto* event = std::get_if<RaftEvent>(&item)) {
+    if (std::holds_alternative<coordination::RaftPersisted>(*event)) {
+      LogDiskWorks();
+    }
     raft_events->push_back(*event);
     return;
   }
@@ -442,7 +445,8 @@
 }
 
 void ControlDuty::AnswerStatus(StatusSlot* slot) const {
-  const std::string role(failed_ ? "failed" : NameOf(raft_.role()));
+  const bool has_failed = failed_ || disk_failed_;
+  const std::string role(has_failed ? "failed" : NameOf(raft_.role()));
   slot->Put(protocol::ControlStatus{.identity_ = raft_.identity(),
                                     .instance_ = options_.self_.instance_,
                                     .address_ = options_.self_.address_,
@@ -454,6 +458,20 @@
                                     .members_ = raft_.members()});
 }
 
+void ControlDuty::LogDiskFailed(const state::Error& error) {
+  disk_failed_ = true;
+  Log({.level_ = state::LogLevel::kError,
+       .event_ = "log_write_failed",
+       .fields_ = {{"error", error.message_}}});
+}
+
+void ControlDuty::LogDiskWorks() {
+  if (disk_failed_) {
+    disk_failed_ = false;
+    Log({.event_ = "log_write_recovered"});
+  }
+}
+
 void ControlDuty::Fail(const state::Error& error) {
   if (failed_) {
     return;
--- a/src/daemon/control_duty.h
+++ b/src/daemon/control_duty.h
@@ -116,6 +116,9 @@
   state::Result<void> ChangeMembership(
       const std::function<coordination::RaftEvent(uint64_t tag)>& make_event);
   void OnDiskResult(const state::Result<uint64_t>& result);
+  // Logs the first failed write, and that the disk takes writes again.
+  void LogDiskFailed(const state::Error& error);
+  void LogDiskWorks();
   // Stops the control role of this daemon. Calls are still served.
   void Fail(const state::Error& error);
 
@@ -135,6 +138,7 @@
   transport::AnswerSlots<coordination::ProposalResult> change_slots_;
   transport::PeerEndpoint* peers_ = nullptr;
   bool failed_ = false;
+  bool disk_failed_ = false;  // The disk refuses writes, which are repeated.
   std::unique_ptr<DiskDuty> disk_;
   std::unique_ptr<transport::DutyThread> thread_;
 };
--- a/src/daemon/disk_duty.cc
+++ b/src/daemon/disk_duty.cc
@@ -1,5 +1,9 @@
 #include "daemon/disk_duty.h"
 
+#include <algorithm>
+#include <utility>
+#include <vector>
+
 namespace gooseberrygap::daemon {
 
 namespace {
@@ -8,6 +12,9 @@
 // acknowledges nothing before it is durable.
 constexpr size_t kRingCapacity = 16384;
 constexpr state::Millis kPopTimeout(1000);
+// Time between a failed write and the next one. The log waits for the disk no
+// longer than a few of its heartbeats after the disk takes bytes again.
+constexpr state::Millis kRetryInterval(100);
 
 }  // namespace
 
@@ -30,42 +37,71 @@
 }
 
 void DiskDuty::Run() {
-  while (true) {
-    std::optional<coordination::RaftBatch> batch = ring_.Pop(kPopTimeout);
-    if (!batch.has_value()) {
-      if (ring_.closed()) {
-        return;
-      }
-      continue;
-    }
-    uint64_t sequence = 0;
-    state::Result<void> result = BOOST_OUTCOME_V2_NAMESPACE::success();
-    while (batch.has_value() && result) {
-      sequence = batch->sequence_;
-      const auto applied = Apply(*batch);
-      if (!applied) {
-        handler_(applied.error());
-        return;
-      }
-      const std::optional<coordination::RaftBatch> next = ring_.TryPop();
-      batch.reset();
-      if (next.has_value()) {
-        batch.emplace(*next);
-      }
+  while (!ring_.closed()) {
+    TakeQueued();
+    if (!unsynced_.empty() && (!failed_ || clock_.Now() >= retry_at_)) {
+      WriteUnsynced();
     }
-    const auto synced = store_->Sync();
-    if (!synced) {
-      handler_(synced.error());
-      return;
+  }
+  TakeQueued();
+  if (!unsynced_.empty()) {
+    WriteUnsynced();
+  }
+}
+
+void DiskDuty::TakeQueued() {
+  const state::Millis wait =
+      failed_ ? std::max(state::Millis(0), retry_at_ - clock_.Now())
+              : kPopTimeout;
+  std::optional<coordination::RaftBatch> batch = ring_.Pop(wait);
+  while (batch.has_value()) {
+    unsynced_.push_back(*batch);
+    const std::optional<coordination::RaftBatch> next = ring_.TryPop();
+    batch.reset();
+    if (next.has_value()) {
+      batch.emplace(*next);
     }
-    counters_->Add(state::Counter::kLogSyncs);
-    handler_(sequence);
   }
 }
 
+void DiskDuty::WriteUnsynced() {
+  const std::vector<coordination::RaftBatch> batches(unsynced_.begin(),
+                                                     unsynced_.end());
+  const coordination::RaftBatch batch = coordination::MergeBatches(batches);
+  unsynced_.clear();
+  const state::Result<void> result = Apply(batch);
+  if (result) {
+    failed_ = false;
+    handler_(batch.sequence_);
+    return;
+  }
+  unsynced_.push_back(batch);
+  counters_->Add(state::Counter::kLogWritesFailed);
+  retry_at_ = clock_.Now() + kRetryInterval;
+  if (!std::exchange(failed_, true)) {
+    handler_(result.error());
+  }
+}
+
+state::Result<void> DiskDuty::Recover(const coordination::RaftBatch& batch) {
+  BOOST_OUTCOME_TRYV(store_->Recover());
+  // The entries of the batch may be there already, from a write that failed
+  // later.
+  return batch.entries_.empty()
+             ? state::Result<void>(BOOST_OUTCOME_V2_NAMESPACE::success())
+             : store_->TruncateFrom(batch.entries_.front().index_);
+}
+
 state::Result<void> DiskDuty::Apply(const coordination::RaftBatch& batch) {
+  if (failed_) {
+    BOOST_OUTCOME_TRYV(Recover(batch));
+  }
   if (batch.truncate_from_ > 0) {
-    BOOST_OUTCOME_TRYV(store_->TruncateFrom(batch.truncate_from_));
+    // A snapshot of the batch may be there already, without the entries that it
+    // covers.
+    const uint64_t lowest = failed_ ? store_->first_index() : 0;
+    BOOST_OUTCOME_TRYV(
+        store_->TruncateFrom(std::max(batch.truncate_from_, lowest)));
   }
   if (batch.snapshot_.has_value()) {
     BOOST_OUTCOME_TRYV(store_->SaveSnapshot(*batch.snapshot_));
@@ -78,6 +114,8 @@
     counters_->Add(state::Counter::kLogAppends, batch.entries_.size());
     BOOST_OUTCOME_TRYV(store_->Append(batch.entries_));
   }
+  BOOST_OUTCOME_TRYV(store_->Sync());
+  counters_->Add(state::Counter::kLogSyncs);
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
--- a/src/daemon/disk_duty.h
+++ b/src/daemon/disk_duty.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_DISK_DUTY_H_
 #define DAEMON_DISK_DUTY_H_
 
+#include <deque>
 #include <functional>
 #include <memory>
 
@@ -9,18 +10,21 @@
 namespace gooseberrygap::daemon {
 
 // The `disk` duty: makes batches of the replicated log durable. All queued
-// batches are written with one sync.
+// batches are written with one sync. A batch that cannot be written is written
+// again, together with those that follow it, until the disk takes it: to the
+// log, a disk that refuses writes is one that is slow.
 class DiskDuty {
  public:
   // Called on the disk thread with the sequence number up to which all batches
-  // are durable, or with the error after which no batch is written any more.
+  // are durable, and with the error of the first failed write after a
+  // successful one.
   using Handler = std::function<void(state::Result<uint64_t>)>;
 
   // `counters` must outlive the duty.
   DiskDuty(std::unique_ptr<state::LogStore> store,
            Handler handler,
            state::Counters* counters);
-  // Writes the queued batches, then stops the thread.
+  // Tries once to write the queued batches, then stops the thread.
   ~DiskDuty();
 
   // Queues a batch. Returns false when the ring is full or closed. Thread-safe.
@@ -28,12 +32,22 @@
 
  private:
   void Run();
+  // Waits for batches and takes all that are queued.
+  void TakeQueued();
+  void WriteUnsynced();
   state::Result<void> Apply(const coordination::RaftBatch& batch);
+  // Prepares the store for a batch of which it may hold a part.
+  state::Result<void> Recover(const coordination::RaftBatch& batch);
 
   const std::unique_ptr<state::LogStore> store_;
   const Handler handler_;
   state::Counters* const counters_;
+  const state::SteadyClock clock_;
   transport::Ring<coordination::RaftBatch> ring_;
+  // Batches that are not durable. A deque, since batches cannot be assigned.
+  std::deque<coordination::RaftBatch> unsynced_;
+  bool failed_ = false;     // The last write failed.
+  state::Millis retry_at_;  // Time of the next write after a failed one.
   transport::DutyThread thread_;
 };
 
--- a/src/state/api/counters.h
+++ b/src/state/api/counters.h
@@ -59,6 +59,7 @@
   kLeaderChanges,
   kLogAppends,
   kLogSyncs,
+  kLogWritesFailed,
   kSnapshotsSaved,
   kTargetsEjected,
   kTargetCrashes,
--- a/src/state/api/log_store.h
+++ b/src/state/api/log_store.h
@@ -33,9 +33,9 @@
 };
 
 // The log, vote and snapshot of a control group's member in one data folder.
-// After the first failed write, every further write returns the same error,
-// since the content of the disk is unknown after a failed sync. Not
-// thread-safe.
+// After a failed write, every further write returns the same error until
+// Recover() has succeeded, since the content of the disk is unknown after a
+// failed sync. Not thread-safe.
 class LogStore {
  public:
   // Locks the folder and reads it; creates the folder and a random identity on
@@ -53,6 +53,10 @@
   // the content is moved out.
   LoadedLog Load();
 
+  // Index of the first entry that the log files can hold; earlier ones were
+  // removed because a snapshot covers them.
+  uint64_t first_index() const;
+
   // Appends entries; durable after Sync. Precondition: the
   // indexes follow the last entry, or the snapshot, without a gap.
   Result<void> Append(absl::Span<const LogEntry> entries);
@@ -65,6 +69,10 @@
   Result<void> SaveSnapshot(const LogSnapshot& snapshot);
   // Makes the appended entries durable.
   Result<void> Sync();
+  // Prepares for further writes after a failed one: removes all entries that
+  // were not durable, so that they are written again. Everything else that was
+  // durable is kept. May be called again after an error.
+  Result<void> Recover();
 
  private:
   class Impl;
--- a/src/state/internal/counters.cc
+++ b/src/state/internal/counters.cc
@@ -96,6 +96,8 @@
          "Changes of the known leader."},
         {Counter::kLogAppends, "log_append", "Entries appended to the log."},
         {Counter::kLogSyncs, "log_sync", "Syncs of the log."},
+        {Counter::kLogWritesFailed, "log_write_failed",
+         "Writes of the log that failed and are tried again."},
         {Counter::kSnapshotsSaved, "log_snapshot", "Snapshots saved."},
         {Counter::kTargetsEjected, "routing_target_ejected",
          "Targets ejected because they failed quickly."},
--- a/src/state/internal/log_segment.cc
+++ b/src/state/internal/log_segment.cc
@@ -73,11 +73,16 @@
   return absl::SimpleAtoi(name, &index) ? index : 0;
 }
 
+std::string LogSegment::PathOf(const std::string& folder,
+                               uint64_t first_index) {
+  return absl::StrCat(folder, "/", SegmentName(first_index));
+}
+
 Result<LogSegment> LogSegment::Create(const std::string& folder,
                                       uint64_t first_index) {
   LogSegment segment;
   const std::string name = SegmentName(first_index);
-  segment.path_ = absl::StrCat(folder, "/", name);
+  segment.path_ = PathOf(folder, first_index);
   segment.first_index_ = first_index;
   segment.salt_ = RandomSalt();
   BinaryWriter header;
@@ -198,4 +203,13 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+Result<void> LogSegment::DiscardUnsynced() {
+  while (!frame_offsets_.empty() && frame_offsets_.back() >= durable_offset_) {
+    frame_offsets_.pop_back();
+  }
+  size_ = durable_offset_;
+  has_unsynced_entries_ = false;
+  return TruncateFile(file_.get(), size_, path_);
+}
+
 }  // namespace gooseberrygap::state
--- a/src/state/internal/log_segment.h
+++ b/src/state/internal/log_segment.h
@@ -30,6 +30,9 @@
   // Returns the first index encoded in a segment name; 0 for other names.
   static uint64_t FirstIndexOf(absl::string_view name);
 
+  // Returns the path of the segment that begins with that entry.
+  static std::string PathOf(const std::string& folder, uint64_t first_index);
+
   // Creates an empty segment, durably.
   static Result<LogSegment> Create(const std::string& folder,
                                    uint64_t first_index);
@@ -45,6 +48,9 @@
   // Appends entries; durable after Sync.
   Result<void> Append(absl::Span<const LogEntry> entries);
   Result<void> Sync();
+  // Removes the entries that are not durable, and what a failed write left, so
+  // that they can be appended again.
+  Result<void> DiscardUnsynced();
   // Removes the entries with `index` and above, durably. Precondition: `index`
   // is at least first_index().
   Result<void> TruncateFrom(uint64_t index);
--- a/src/state/internal/log_store.cc
+++ b/src/state/internal/log_store.cc
@@ -73,6 +73,8 @@
   Result<void> SaveVote(const VoteRecord& vote);
   Result<void> SaveSnapshot(const LogSnapshot& snapshot);
   Result<void> Sync() { return segments_.back().Sync(); }
+  Result<void> Recover();
+  uint64_t first_index() const { return segments_.front().first_index(); }
 
  private:
   Error CorruptError(absl::string_view what) const {
@@ -101,6 +103,9 @@
   std::unique_ptr<LogSnapshot> snapshot_;
   std::vector<LogEntry> entries_;
   std::vector<LogSegment> segments_;  // At least one, without gaps.
+  // Path of a segment whose creation failed and that may exist nevertheless;
+  // otherwise empty.
+  std::string unfinished_segment_;
   std::unique_ptr<Error> first_error_;
 };
 
@@ -225,8 +230,10 @@
 }
 
 Result<void> LogStore::Impl::CreateSegment(uint64_t first_index) {
+  unfinished_segment_ = LogSegment::PathOf(folder_, first_index);
   BOOST_OUTCOME_TRY(segment, LogSegment::Create(folder_, first_index));
   segments_.push_back(std::move(segment));
+  unfinished_segment_.clear();
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -255,6 +262,17 @@
   return result;
 }
 
+Result<void> LogStore::Impl::Recover() {
+  if (!unfinished_segment_.empty()) {
+    BOOST_OUTCOME_TRYV(RemoveFile(unfinished_segment_));
+    BOOST_OUTCOME_TRYV(SyncFolder(folder_));
+    unfinished_segment_.clear();
+  }
+  BOOST_OUTCOME_TRYV(segments_.back().DiscardUnsynced());
+  first_error_.reset();
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
 Result<void> LogStore::Impl::Append(absl::Span<const LogEntry> entries) {
   if (entries.empty()) {
     return BOOST_OUTCOME_V2_NAMESPACE::success();
@@ -329,6 +347,10 @@
   return impl_->Load();
 }
 
+uint64_t LogStore::first_index() const {
+  return impl_->first_index();
+}
+
 Result<void> LogStore::Append(absl::Span<const LogEntry> entries) {
   return impl_->RunUnlessFailed([&] { return impl_->Append(entries); });
 }
@@ -349,4 +371,8 @@
   return impl_->RunUnlessFailed([&] { return impl_->Sync(); });
 }
 
+Result<void> LogStore::Recover() {
+  return impl_->Recover();
+}
+
 }  // namespace gooseberrygap::state
--- a/tests/integration/control_disk_test.cc
+++ b/tests/integration/control_disk_test.cc
@@ -240,9 +240,11 @@
   CHECK(monitor.decreases() == 0);
 }
 
-// Guards against a voter that acknowledges what it could not write. Each voter
-// is hit once, so the leader is among them.
-TEST_CASE("a full disk stops the voter with a remedy", "[disk]") {
+// Guards against a voter that acknowledges what it could not write, and against
+// one that never writes again once its disk was full. Each voter is hit once,
+// so the leader is among them.
+TEST_CASE("a full disk stops the voter with a remedy until it takes bytes",
+          "[disk]") {
   const auto deployment = StartVoters(3);
   const std::vector<std::string> voters = Voters(3);
   IndexMonitor monitor(*deployment);
@@ -278,6 +280,19 @@
     Check(deployment->WaitForConfiguration(index));
     CHECK(CallOnce(CallerAddress(*deployment, victim), Lookup("/samples/1"))
               .Outcome() == "complete");
+    // Space is freed: the voter makes a majority with one of the others,
+    // without a restart.
+    const rlimit no_limit = {RLIM_INFINITY, RLIM_INFINITY};
+    REQUIRE(prlimit(deployment->Find(victim)->pid(), RLIMIT_FSIZE, &no_limit,
+                    nullptr) == 0);
+    Check(WaitUntil("the voter that writes again", [&] {
+      const ControlPage page = ReadControlPage(*deployment, victim);
+      return page.role_ != "failed" && page.commit_index_ >= index;
+    }));
+    deployment->Pause(healthy[1]);
+    SubmitVersions(*deployment, {healthy[0], victim}, version + 1, version + 2);
+    version += 2;
+    deployment->Resume(healthy[1]);
     // The restart after space was freed; the new process has no limit.
     Check(deployment->Restart(victim));
     Check(WaitUntil("the restarted voter", [&] {
