End a stopping front although callers send requests ahead

A client that always has three or four requests unanswered is served after SIGTERM without end and is never told to close. The process does not end within its grace, and SIGKILL cuts the requests that are at targets, late ones and unsafe ones among them.

Cause: CallConnection closed with an answer only if nothing had come behind the request, read on while it drained, and CallServer::StopGracefully waits for all connections. A request that never comes whole kept a stop waiting as well: only the head of a request has a time limit.

Change: once connections close after their answers, a connection takes no request behind those it has taken; the last of these is answered with `Connection: close`. What the caller has sent behind it counts as not read (PROTOCOL.md) and reaches no target. An answer is printed when it is sent, since only then is it known whether it is the last one. 1 s after the listeners are closed a request that has not come whole gets 408.

--- a/src/transport/api/call_server.h
+++ b/src/transport/api/call_server.h
@@ -52,10 +52,12 @@
   virtual void Answer(uint64_t request_id, state::HttpAnswer answer) = 0;
   // Takes new limits into force for what is read from now on. Thread-safe.
   virtual void SetLimits(const state::CallerLimits& limits) = 0;
-  // From now on a connection is closed with its last answer. Thread-safe.
+  // From now on a connection is closed with its last answer, and no request is
+  // read behind those that wait for an answer. Thread-safe.
   virtual void CloseAfterAnswers() = 0;
   // Stops accepting connections, closes idle ones, and returns when every
-  // request that was read has its answer. Call it once, from another thread.
+  // request that was read has its answer. A request that does not come whole
+  // within 1 s is refused. Call it once, from another thread.
   virtual void StopGracefully() = 0;
   // Returns the addresses that it listens at, with chosen ports. Thread-safe.
   virtual const std::vector<std::string>& addresses() const = 0;
--- a/src/transport/internal/call_connection.cc
+++ b/src/transport/internal/call_connection.cc
@@ -51,9 +51,11 @@
                           const Take& take,
                           state::Millis now) {
   const bool is_open = Receive();
+  if (stopped_reading_) {
+    input_.clear();
+  }
   if (lingering_) {
     done_ = done_ || !is_open;
-    input_.clear();
     return;
   }
   if (!input_.empty()) {
@@ -145,7 +147,7 @@
   auto& message = parser->get();
   Pending pending{.has_body_ = message.method() != http::verb::head,
                   .closes_ = !parser->keep_alive()};
-  stopped_reading_ = pending.closes_;
+  stopped_reading_ = pending.closes_ || closes_after_pending_;
   const state::HttpRequest request{
       .method_ = std::string(message.method_string()),
       .path_ = std::string(message.target()),
@@ -159,35 +161,29 @@
   parser_.reset();
   input_ = std::string();
   stopped_reading_ = true;
-  pending_.push_back(
-      Pending{.closes_ = true,
-              .answer_ = PrintAnswer(state::HttpAnswer{.status_ = status}, true,
-                                     AfterAnswer::kClose)});
+  pending_.push_back(Pending{.closes_ = true,
+                             .answer_ = state::HttpAnswer{.status_ = status}});
 }
 
 void CallConnection::Answer(uint64_t request_id,
-                            const state::HttpAnswer& answer,
-                            bool closes) {
+                            const state::HttpAnswer& answer) {
   for (Pending& pending : pending_) {
-    if (pending.request_id_ != request_id || pending.answer_.has_value()) {
-      continue;
+    if (pending.request_id_ == request_id && !pending.answer_.has_value()) {
+      pending.answer_.emplace(answer);
+      return;
     }
-    // A request behind a closing answer would count as not read.
-    const bool is_last =
-        &pending == &pending_.back() && input_.empty() && parser_ == nullptr;
-    pending.closes_ = pending.closes_ || (closes && is_last);
-    pending.answer_ = PrintAnswer(
-        answer, pending.has_body_,
-        pending.closes_ ? AfterAnswer::kClose : AfterAnswer::kKeepOpen);
-    return;
   }
 }
 
 void CallConnection::Flush(state::Millis now) {
   while (!pending_.empty() && pending_.front().answer_.has_value() &&
          !closing_) {
-    output_ += *pending_.front().answer_;
-    closing_ = pending_.front().closes_;
+    const Pending& next = pending_.front();
+    const bool is_last = closes_after_pending_ && pending_.size() == 1;
+    closing_ = next.closes_ || is_last;
+    output_ +=
+        PrintAnswer(*next.answer_, next.has_body_,
+                    closing_ ? AfterAnswer::kClose : AfterAnswer::kKeepOpen);
     pending_.pop_front();
     last_used_ = now;
   }
@@ -219,7 +215,11 @@
     return;
   }
   const bool reads_head = parser_ != nullptr && !parser_->is_header_done();
-  if (reads_head && now - message_began_ >= limits.header_timeout_) {
+  const bool is_late =
+      (reads_head && now - message_began_ >= limits.header_timeout_) ||
+      (parser_ != nullptr && reading_limit_.has_value() &&
+       now >= *reading_limit_);
+  if (is_late) {
     Refuse(kRequestTimeout);
     return;
   }
@@ -228,6 +228,19 @@
   }
 }
 
+void CallConnection::CloseAfterPending() {
+  closes_after_pending_ = true;
+  if (!pending_.empty()) {
+    parser_.reset();
+    input_ = std::string();
+    stopped_reading_ = true;
+  }
+}
+
+void CallConnection::LimitReading(state::Millis limit) {
+  reading_limit_ = limit;
+}
+
 void CallConnection::CloseIfIdle() {
   if (!is_busy() && parser_ == nullptr && input_.empty() && !lingering_) {
     done_ = true;
--- a/src/transport/internal/call_connection.h
+++ b/src/transport/internal/call_connection.h
@@ -31,15 +31,18 @@
   void Read(const state::CallerLimits& limits,
             const Take& take,
             state::Millis now);
-  // Gives the answer of a request. With `closes` the connection is closed after
-  // it, if nothing else waits on it.
-  void Answer(uint64_t request_id,
-              const state::HttpAnswer& answer,
-              bool closes);
+  // Gives the answer of a request.
+  void Answer(uint64_t request_id, const state::HttpAnswer& answer);
   // Sends answers as far as possible.
   void Flush(state::Millis now);
   // Ends what lasts too long: a head that does not come, an idle connection.
   void CheckTime(const state::CallerLimits& limits, state::Millis now);
+  // Takes no request behind those that wait for an answer, or behind the next
+  // one if there are none, and closes the connection with the last answer. What
+  // the caller has sent behind it counts as not read.
+  void CloseAfterPending();
+  // Refuses a request that has not come whole by `limit`.
+  void LimitReading(state::Millis limit);
   // Closes the connection if no request is being read or answered.
   void CloseIfIdle();
 
@@ -63,7 +66,7 @@
     uint64_t request_id_ = 0;
     bool has_body_ = true;  // The answer has one: not for HEAD.
     bool closes_ = false;
-    std::optional<std::string> answer_;
+    std::optional<state::HttpAnswer> answer_;
   };
 
   // Returns false when the caller has closed the connection.
@@ -85,6 +88,8 @@
   std::string output_;
   size_t sent_ = 0;
   bool stopped_reading_ = false;
+  bool closes_after_pending_ = false;
+  std::optional<state::Millis> reading_limit_;
   bool closing_ = false;  // Close once the output is sent.
   bool lingering_ = false;
   bool caller_left_ = false;
--- a/src/transport/internal/call_server.cc
+++ b/src/transport/internal/call_server.cc
@@ -21,6 +21,8 @@
 
 // Far above the requests that one daemon has in progress.
 constexpr size_t kRingCapacity = 16384;
+// How long a stopping server reads a request that has not come whole.
+constexpr state::Millis kStopReadTime(1000);
 // How often connections are looked through for those that last too long.
 constexpr state::Millis kTimeCheck(500);
 constexpr uint32_t kAlways = EPOLLRDHUP;
@@ -115,7 +117,7 @@
     }
     CallConnection* connection = entry->second;
     requests_.erase(entry);
-    connection->Answer(given.request_id_, given.answer_, closes_);
+    connection->Answer(given.request_id_, given.answer_);
     connection->Flush(clock_.Now());
     if (connection->has_unread()) {
       Read(connection);
@@ -125,9 +127,9 @@
   }
 
   void On(const NewLimits& order) { limits_.emplace(order.limits_); }
-  void On(const CloseAfterAnswer&) { closes_ = true; }
+  void On(const CloseAfterAnswer&) { CloseAfterPending(); }
   void On(const StopAccepting&) {
-    closes_ = true;
+    CloseAfterPending();
     stopping_ = true;
     // Connections that wait to be accepted may hold requests.
     for (size_t i = 0; i < listeners_.size(); ++i) {
@@ -135,9 +137,21 @@
       poller_->Remove(listeners_[i].socket_.get());
     }
     listeners_.clear();
+    const state::Millis reading_limit = clock_.Now() + kStopReadTime;
+    for (CallConnection* connection : All()) {
+      connection->LimitReading(reading_limit);
+    }
     CloseIdle();
   }
 
+  void CloseAfterPending() {
+    closes_ = true;
+    for (CallConnection* connection : All()) {
+      connection->CloseAfterPending();
+      Continue(connection);
+    }
+  }
+
   void OnReady(int descriptor) {
     for (size_t i = 0; i < listeners_.size(); ++i) {
       if (listeners_[i].socket_.get() == descriptor) {
@@ -172,6 +186,9 @@
       auto connection = std::make_unique<CallConnection>(
           std::move(accepted), listener, clock_.Now());
       CallConnection* opened = connection.get();
+      if (closes_) {
+        opened->CloseAfterPending();
+      }
       connections_[descriptor] = std::move(connection);
       // A request often comes together with the connection.
       Read(opened);
--- a/src/transport/tests/call_server_test.cc
+++ b/src/transport/tests/call_server_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <optional>
 #include <thread>
 
@@ -10,6 +11,8 @@
 namespace {
 
 constexpr char kBlockingPath[] = "/blocking";
+// Polls, 2 ms each, after which no further request is expected.
+constexpr int kPollsWithoutRequest = 100;
 const char* const kGet = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 
 // A server whose requests and departures wait in rings for the test.
@@ -174,6 +177,92 @@
   stop.join();
 }
 
+// Guards against a planned stop that goes on to read requests which a caller
+// sends ahead of the answers: the connection is then never without a request,
+// and the end of the process cuts those in progress.
+TEST_CASE("a closing connection takes no request behind those it has taken") {
+  TestServer server;
+  TestSocket caller = server.Connect();
+  caller.Send(std::string(kGet) + kGet + kGet);
+  const CallServer::ReceivedRequest first = server.Next();
+  const CallServer::ReceivedRequest second = server.Next();
+  const CallServer::ReceivedRequest third = server.Next();
+  // The last request has its answer before the stop begins.
+  server.Answer(third, "three");
+  server.server_->CloseAfterAnswers();
+  server.Answer(first, "one");
+  CHECK(caller.ReadUntil("one").find("Connection: close") == std::string::npos);
+  caller.Send(std::string(kGet) + kGet);
+  server.Answer(second, "two");
+  const std::string answers = caller.ReadAll();
+  CHECK(answers.find("two") < answers.find("Connection: close"));
+  CHECK(answers.find("Connection: close") < answers.find("three"));
+  // Requests behind an answer that closes count as not read.
+  CHECK_FALSE(server.requests_.TryPop());
+}
+
+// Guards against a planned stop that never ends while a caller keeps requests
+// in flight on its connection.
+TEST_CASE("a graceful stop ends although a caller sends on") {
+  TestServer server;
+  TestSocket caller = server.Connect();
+  caller.Send(std::string(kGet) + kGet);
+  std::optional<CallServer::ReceivedRequest> oldest(server.Next());
+  std::atomic<bool> ended = false;
+  std::thread stop([&server, &ended] {
+    server.server_->StopGracefully();
+    ended = true;
+  });
+  std::thread read([&caller] { caller.ReadAll(); });
+  // The oldest request is answered once another one has been handed over, or
+  // when no further one has come for a while.
+  int polls = 0;
+  CHECK(Eventually([&] {
+    caller.Send(kGet);
+    const std::optional<CallServer::ReceivedRequest> next =
+        server.requests_.TryPop();
+    ++polls;
+    const bool is_due = next.has_value() || polls >= kPollsWithoutRequest;
+    if (oldest.has_value() && is_due) {
+      server.Answer(*oldest, "answer");
+      oldest.reset();
+    }
+    if (next.has_value()) {
+      oldest.emplace(*next);
+      polls = 0;
+    }
+    return ended.load();
+  }));
+  caller.Close();
+  read.join();
+  stop.join();
+}
+
+// Guards against a planned stop that waits for the end of a request that comes
+// too slowly: the process is ended before it has answered.
+TEST_CASE("a graceful stop refuses a request that does not come whole") {
+  const std::string incomplete = GENERATE(values<std::string>(
+      {"GET / HTTP/1.1\r\nHost: h\r\nX: ",
+       "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n"}));
+  CAPTURE(incomplete);
+  TestServer server;
+  TestSocket caller = server.Connect();
+  caller.Send(incomplete);
+  std::atomic<bool> ended = false;
+  std::thread stop([&server, &ended] {
+    server.server_->StopGracefully();
+    ended = true;
+  });
+  CHECK(Eventually([&] {
+    caller.Send("x");
+    return ended.load();
+  }));
+  CHECK(caller.ReadAll().find("HTTP/1.1 408") != std::string::npos);
+  CHECK_FALSE(server.requests_.TryPop());
+  caller.Close();
+  stop.join();
+}
+
 // Guards against a caller whose bytes never end and are no request: they would
 // fill the daemon's memory, since a chunk's extension has no limit of its own.
 TEST_CASE("a request that never ends is refused") {
