End a stopping HTTP server although callers send requests ahead

Change: what had come when the first answer after the stop was given is still answered, as before; the first answer behind these bytes closes the connection.

Evidence: "a graceful stop of the HTTP server ends although a caller sends on" had not ended after 20 s on the old code and passes now; "a graceful stop answers every request that has begun" passes unchanged.

--- a/src/transport/internal/http_connection.h
+++ b/src/transport/internal/http_connection.h
@@ -61,6 +61,16 @@
   bool lingers() const { return lingers_; }
   void set_lingers() { lingers_ = true; }
 
+  // Whether all bytes have been read that had come when this was called first.
+  bool HasReadWhatHadCome() {
+    stream_.FillAvailable();
+    if (!last_accepted_byte_.has_value()) {
+      last_accepted_byte_ = stream_.received();
+    }
+    return stream_.received() - stream_.buffered().size() >=
+           *last_accepted_byte_;
+  }
+
   // Whether the idle poller knows the descriptor.
   bool is_polled() const { return is_polled_; }
   void set_polled() { is_polled_ = true; }
@@ -74,6 +84,7 @@
  private:
   SocketStream stream_;
   ConnectionCount* const count_;
+  std::optional<uint64_t> last_accepted_byte_;
   bool lingers_ = false;
   bool is_polled_ = false;
   std::optional<state::Millis> deadline_;
--- a/src/transport/internal/request_runner.cc
+++ b/src/transport/internal/request_runner.cc
@@ -213,10 +213,10 @@
   if (!exchange_->answer_ || exchange_->closes_) {
     return true;
   }
-  SocketStream& stream = exchange_->connection_->stream();
-  // A request that has begun to arrive behind this one is answered as well.
-  return stopping_.load() && stream.buffered().empty() &&
-         !stream.FillAvailable();
+  // A request that has begun to arrive behind the first one that ends after the
+  // stop is answered as well. Later ones are not, so that a caller that sends
+  // on does not keep the server from ending.
+  return stopping_.load() && exchange_->connection_->HasReadWhatHadCome();
 }
 
 }  // namespace gooseberrygap::transport
--- a/src/transport/internal/socket_stream.cc
+++ b/src/transport/internal/socket_stream.cc
@@ -80,6 +80,7 @@
   if (count > 0) {
     input_.erase(0, std::exchange(position_, 0));
     input_.append(bytes.data(), count);
+    received_ += count;
   } else if (count == 0) {
     end_ = StreamEnd::kClosed;
   } else if (!IsRetryable(errno)) {
--- a/src/transport/internal/socket_stream.h
+++ b/src/transport/internal/socket_stream.h
@@ -60,7 +60,9 @@
   absl::string_view buffered() const {
     return absl::string_view(input_).substr(position_);
   }
-  // Drops the first bytes of those.
+  // Returns how many bytes have been received since the connection was opened.
+  uint64_t received() const { return received_; }
+  // Drops the first bytes of those that are buffered.
   void Discard(size_t count);
   StreamEnd end() const { return end_; }
   // Returns whether any byte was handed to the system since BeginMessage.
@@ -98,6 +100,7 @@
   size_t head_position_ = 0;
   std::string input_;
   size_t position_ = 0;
+  uint64_t received_ = 0;
   std::string output_;
 };
 
--- a/src/transport/tests/http_server_test.cc
+++ b/src/transport/tests/http_server_test.cc
@@ -9,12 +9,16 @@
 namespace gooseberrygap::transport {
 namespace {
 
+// Requests that a caller sends ahead of their answers.
+constexpr int kRequestsAhead = 50;
+
 using state::Counter;
 
 constexpr int kIdleConnections = 240;
 
-// Answers with the method, path and body of the request; "/wait" waits until
-// the test lets it go on.
+// Answers with the method, path and body of the request; "/slow" takes 5 ms,
+// and
+// "/wait" waits until the test lets it go on.
 class Server {
  public:
   explicit Server(const HttpServer::Options& options = {
@@ -30,6 +34,9 @@
 
   state::HttpAnswer Answer(const state::HttpRequest& request) {
     ++requests_;
+    if (request.path_ == "/slow") {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
     if (request.path_ == "/wait") {
       waiting_.Notify();
       go_on_.WaitForNotification();
@@ -318,6 +325,33 @@
   server.server_->StopGracefully();
 }
 
+// Guards against a stop that never ends while a caller keeps requests in flight
+// on its connection.
+TEST_CASE(
+    "a graceful stop of the HTTP server ends although a caller sends on") {
+  Server server;
+  TestSocket caller = server.Connect();
+  const std::string request = "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n";
+  std::string ahead;
+  for (int i = 0; i < kRequestsAhead; ++i) {
+    ahead += request;
+  }
+  caller.Send(ahead);
+  std::atomic<bool> ended = false;
+  std::thread stop([&server, &ended] {
+    server.server_->StopGracefully();
+    ended = true;
+  });
+  std::thread read([&caller] { caller.ReadAll(); });
+  CHECK(Eventually([&] {
+    caller.Send(ahead);
+    return ended.load();
+  }));
+  caller.Close();
+  read.join();
+  stop.join();
+}
+
 // Guards against two servers that share a port without noticing, and against a
 // wrong address that is reported as something else.
 TEST_CASE("an HTTP address that cannot be listened at is reported") {
