Log which control instance a daemon leaves, and why

`control_moved` names both addresses, the reason (silent, stale, other_region) and the staleness that the old instance reported last; `control_query_answered` names the staleness of an instance that was asked while the daemon follows another.

--- a/src/coordination/internal/control_choice.cc
+++ b/src/coordination/internal/control_choice.cc
@@ -20,9 +20,9 @@
 // daemons do not move back and forth among instances that all wait for a new
 // leader.
 constexpr state::Millis kMinStalenessGain(500);
-// Interval between queries to other instances: while the current one is stale,
-// and while it is not stale but in another region.
-constexpr state::Millis kStaleQueryInterval(250);
+// Interval between queries to other instances: while the current one is stale
+// or silent, and while it is neither but in another region.
+constexpr state::Millis kUnfitQueryInterval(250);
 constexpr state::Millis kOtherRegionQueryInterval(10000);
 
 }  // namespace
@@ -111,24 +111,30 @@
   return instance == current.instance_ || address == current.address_;
 }
 
-bool ControlChoice::OnStalenessReport(const std::string& instance,
-                                      state::Millis staleness,
-                                      state::Millis now) {
+std::optional<ControlMoveReason> ControlChoice::OnStalenessReport(
+    const std::string& instance,
+    state::Millis staleness,
+    state::Millis now) {
   Instance* replied = Find(instance);
   if (replied == nullptr) {
-    return false;
+    return std::nullopt;
   }
   replied->has_replied_ = true;
   replied->replied_at_ = now;
   replied->staleness_ = staleness;
   const Instance& current = instances_[current_];
   if (replied == &current || !IsFresh(*replied, now)) {
-    return false;
+    return std::nullopt;
   }
   const bool is_better =
       replied->staleness_ + kMinStalenessGain < current.staleness_;
-  return (IsStale(current, now) && is_better) ||
-         (replied->in_own_region_ && !current.in_own_region_);
+  if (IsStale(current, now) && is_better) {
+    return ControlMoveReason::kStale;
+  }
+  if (replied->in_own_region_ && !current.in_own_region_) {
+    return ControlMoveReason::kOtherRegion;
+  }
+  return std::nullopt;
 }
 
 void ControlChoice::MoveTo(const std::string& instance) {
@@ -144,8 +150,8 @@
   const auto rank = [this, now](size_t index) {
     const Instance& instance = instances_[index];
     const bool is_current = index == current_;
-    return std::tuple(is_current, !IsFresh(instance, now), instance.tried_at_,
-                      !instance.in_own_region_, index);
+    return std::tuple(is_current, !IsFresh(instance, now),
+                      instance.tried_at_, !instance.in_own_region_, index);
   };
   size_t best = current_;
   for (size_t index = 0; index < instances_.size(); ++index) {
@@ -158,18 +164,21 @@
 
 std::string ControlChoice::AddressToQuery(state::Millis now) {
   const Instance& current = instances_[current_];
-  const bool is_stale = IsStale(current, now);
+  const bool is_unfit = IsStale(current, now);
   const bool has_own_region = instances_.front().in_own_region_;
   const bool is_in_other_region = has_own_region && !current.in_own_region_;
-  if (now < query_at_ || (!is_stale && !is_in_other_region)) {
+  if (!is_unfit && !is_in_other_region) {
+    return {};
+  }
+  if (now < query_at_) {
     return {};
   }
   query_at_ =
-      now + (is_stale ? kStaleQueryInterval : kOtherRegionQueryInterval);
+      now + (is_unfit ? kUnfitQueryInterval : kOtherRegionQueryInterval);
   Instance* chosen = nullptr;
   for (Instance& instance : instances_) {
     const bool is_candidate =
-        &instance != &current && (is_stale || instance.in_own_region_);
+        &instance != &current && (is_unfit || instance.in_own_region_);
     if (is_candidate &&
         (chosen == nullptr || instance.tried_at_ < chosen->tried_at_)) {
       chosen = &instance;
--- a/src/coordination/internal/control_choice.h
+++ b/src/coordination/internal/control_choice.h
@@ -1,10 +1,12 @@
 #ifndef COORDINATION_INTERNAL_CONTROL_CHOICE_H_
 #define COORDINATION_INTERNAL_CONTROL_CHOICE_H_
 
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "coordination/api/control_client.h"
+#include "coordination/internal/decision_log.h"
 
 namespace gooseberrygap::coordination {
 
@@ -38,22 +40,24 @@
   // which it was received.
   bool IsCurrent(const std::string& instance, const std::string& address) const;
 
-  // Records the staleness that an instance reported. Returns whether the lease
-  // should move to it: it is fresh, and either the current instance is stale
-  // and this one clearly fresher, or only this one is in the daemon's region.
-  bool OnStalenessReport(const std::string& instance,
-                         state::Millis staleness,
-                         state::Millis now);
+  // Records the staleness that an instance reported. Returns why the lease
+  // should move to it, if so: it is fresh, and either the current instance is
+  // stale and this one clearly fresher, or only this one is in the daemon's
+  // region.
+  std::optional<ControlMoveReason> OnStalenessReport(
+      const std::string& instance,
+      state::Millis staleness,
+      state::Millis now);
   // Makes that instance the current one. Ignores an unknown name.
   void MoveTo(const std::string& instance);
   // Call it when the current instance does not reply. Chooses another one:
-  // first one that is known to be fresh, then the one that was tried least
-  // recently, then one in the daemon's region.
+  // first one that is known to be fresh, then the one that was
+  // tried least recently, then one in the daemon's region.
   void MoveToNext(state::Millis now);
   // Returns the address of an instance to query for its staleness while the
-  // current instance is stale or in another region; otherwise an empty string.
-  // The lease moves only after a reply from a fresh instance, so that it does
-  // not move back and forth among stale ones.
+  // current instance is stale or in another region; otherwise an empty
+  // string. The lease moves only after a reply from a fresh instance, so that
+  // it does not move back and forth among stale ones.
   std::string AddressToQuery(state::Millis now);
 
  private:
--- a/src/coordination/internal/control_client.cc
+++ b/src/coordination/internal/control_client.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "coordination/internal/control_choice.h"
+#include "coordination/internal/decision_log.h"
 #include "coordination/internal/followed_state.h"
 
 namespace gooseberrygap::coordination {
@@ -89,12 +90,17 @@
       return step;
     }
     UpdateLeaderContact(reply, now);
-    const bool moves = choice_.OnStalenessReport(reply.control_instance_,
-                                                 reply.staleness_, now);
+    const std::optional<ControlMoveReason> move_reason =
+        choice_.OnStalenessReport(reply.control_instance_, reply.staleness_,
+                                  now);
     const bool is_current = choice_.IsCurrent(reply.control_instance_, address);
     if (is_current) {
       awaiting_reply_since_.reset();
+      current_staleness_ = reply.staleness_;
       ApplyReply(reply, now, &step);
+    } else {
+      step.commands_.emplace_back(WriteLog{
+          .event_ = ControlQueryAnsweredLine(choice_.address(), reply)});
     }
     if (reply.known_incarnation_ > record_->version_.incarnation_) {
       // Another process used this name, or the wall clock was set back.
@@ -102,9 +108,10 @@
           .incarnation_ = reply.known_incarnation_ + 1, .sequence_ = 1});
       renew_at_ = now;
     }
-    if (moves) {
+    if (move_reason.has_value()) {
+      const std::string from = choice_.address();
       choice_.MoveTo(reply.control_instance_);
-      OnLeaseMoved(now);
+      OnLeaseMoved(from, *move_reason, now, &step);
     }
     Append(&step.commands_, RenewIfDue(now));
     return step;
@@ -116,13 +123,14 @@
       return step;
     }
     step.refused_fingerprints_changed_ = followed_.RemoveExpired(now);
-    if (awaiting_reply_since_.has_value() &&
-        now - *awaiting_reply_since_ >= ReplyTimeout()) {
+    if (IsSilentFor(ReplyTimeout(), now)) {
+      const std::string from = choice_.address();
       choice_.MoveToNext(now);
-      OnLeaseMoved(now);
+      OnLeaseMoved(from, ControlMoveReason::kSilent, now, &step);
     }
-    step.commands_ = RenewIfDue(now);
-    const std::string query_address = choice_.AddressToQuery(now);
+    Append(&step.commands_, RenewIfDue(now));
+    const std::string query_address =
+        choice_.AddressToQuery(now);
     if (!query_address.empty()) {
       step.commands_.push_back(
           SendToPeer{.address_ = query_address,
@@ -152,6 +160,12 @@
                                                  : kReplyTimeout;
   }
 
+  // Returns whether a renewal has been without a reply for that time.
+  bool IsSilentFor(state::Millis time, state::Millis now) const {
+    return awaiting_reply_since_.has_value() &&
+           now - *awaiting_reply_since_ >= time;
+  }
+
   void ApplyReply(const LeaseReply& reply, state::Millis now, Step* step) {
     if (!reply.granted_) {
       // The lease has expired, or another instance holds it with this version.
@@ -189,8 +203,14 @@
     }
   }
 
-  void OnLeaseMoved(state::Millis now) {
+  void OnLeaseMoved(const std::string& from,
+                    ControlMoveReason reason,
+                    state::Millis now,
+                    Step* step) {
     counters_->Add(state::Counter::kLeaseControlMoves);
+    step->commands_.emplace_back(
+        WriteLog{.event_ = ControlMovedLine(from, choice_.address(), reason,
+                                            current_staleness_)});
     awaiting_reply_since_.reset();
     RaiseSequence();
     renew_at_ = now;
@@ -260,6 +280,8 @@
   state::Millis renewed_at_;
   // Time of the oldest renewal that the current instance has not replied to.
   std::optional<state::Millis> awaiting_reply_since_;
+  // Staleness that the current instance, or the one before it, reported last.
+  state::Millis current_staleness_;
   // Time of the most recent contact with a leader that had a quorum, at any
   // control instance that replied.
   std::optional<state::Millis> leader_contact_at_;
--- a/src/coordination/internal/decision_log.cc
+++ b/src/coordination/internal/decision_log.cc
@@ -20,6 +20,8 @@
                                                        "cut", "unknown"};
 constexpr std::array<absl::string_view, 4> kStates = {"starting", "serving",
                                                       "draining", "left"};
+constexpr std::array<absl::string_view, 3> kMoveReasons = {"silent", "stale",
+                                                           "other_region"};
 constexpr int kFirstServerError = 500;
 
 template <class Names, class Enum>
@@ -103,4 +105,24 @@
                   .fields_ = std::move(fields)};
 }
 
+LogEvent ControlMovedLine(const std::string& from,
+                          const std::string& to,
+                          ControlMoveReason reason,
+                          state::Millis staleness) {
+  return LogEvent{.level_ = LogLevel::kWarning,
+                  .event_ = "control_moved",
+                  .fields_ = {{"from", from},
+                              {"to", to},
+                              {"reason", NameIn(kMoveReasons, reason)},
+                              {"staleness_ms", staleness.value()}}};
+}
+
+LogEvent ControlQueryAnsweredLine(const std::string& current,
+                                  const LeaseReply& reply) {
+  return LogEvent{.event_ = "control_query_answered",
+                  .fields_ = {{"current", current},
+                              {"control", reply.control_instance_},
+                              {"staleness_ms", reply.staleness_.value()}}};
+}
+
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/internal/decision_log.h
+++ b/src/coordination/internal/decision_log.h
@@ -2,6 +2,7 @@
 #define COORDINATION_INTERNAL_DECISION_LOG_H_
 
 #include <optional>
+#include <string>
 
 #include "coordination/api/commands.h"
 #include "coordination/api/router.h"
@@ -35,6 +36,21 @@
 state::LogEvent CallAnsweredLine(const CallAnswer& answer,
                                  const ConfigurationState& current);
 
+// Why a daemon leaves its control instance.
+enum class ControlMoveReason { kSilent, kStale, kOtherRegion };
+
+// Returns the line for a lease that moves from the control instance at one
+// address to that at another. `staleness` is what the old one reported last.
+state::LogEvent ControlMovedLine(const std::string& from,
+                                 const std::string& to,
+                                 ControlMoveReason reason,
+                                 state::Millis staleness);
+
+// Returns the line for the answer of a control instance that a daemon has asked
+// for its staleness while it holds its lease with the one at `current`.
+state::LogEvent ControlQueryAnsweredLine(const std::string& current,
+                                         const LeaseReply& reply);
+
 }  // namespace gooseberrygap::coordination
 
 #endif  // COORDINATION_INTERNAL_DECISION_LOG_H_
