Ask for a fresh control instance whatever query came before

Cause: a daemon whose control instance is in another region asks for one in its own region every 10 s. The time of the next query was stored with that interval, and a query because the instance is stale waited for the same time.

Change: the time of the last query is stored, and compared with the interval that the state at the moment asks for.

Evidence: "a query for the own region does not delay one for a fresh instance" sent no query within 1 s on the old code.

--- a/src/coordination/internal/control_choice.cc
+++ b/src/coordination/internal/control_choice.cc
@@ -170,11 +170,14 @@
   if (!is_unfit && !is_in_other_region) {
     return {};
   }
-  if (now < query_at_) {
+  // Compared with the time of the last query, whatever its reason was: a query
+  // for the own region must not hold up those for a fresh instance.
+  const state::Millis interval =
+      is_unfit ? kUnfitQueryInterval : kOtherRegionQueryInterval;
+  if (queried_at_.has_value() && now - *queried_at_ < interval) {
     return {};
   }
-  query_at_ =
-      now + (is_unfit ? kUnfitQueryInterval : kOtherRegionQueryInterval);
+  queried_at_ = now;
   Instance* chosen = nullptr;
   for (Instance& instance : instances_) {
     const bool is_candidate =
--- a/src/coordination/internal/control_choice.h
+++ b/src/coordination/internal/control_choice.h
@@ -85,7 +85,7 @@
   const std::string region_;
   std::vector<Instance> instances_;  // Those in the daemon's region first.
   size_t current_ = 0;
-  state::Millis query_at_;
+  std::optional<state::Millis> queried_at_;  // Time of the last query.
 };
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/tests/control_client_test.cc
+++ b/src/coordination/tests/control_client_test.cc
@@ -347,5 +347,39 @@
   CHECK(moved[0].address_ == other);
 }
 
+// Guards against a configuration that is not in force for 10 s at daemons that
+// have just asked for an instance in their own region when theirs is cut off
+// from its leader.
+TEST_CASE("a query for the own region does not delay one for a fresh instance",
+          "[configuration]") {
+  Daemon daemon;
+  daemon.Reply(WithConfiguration(7, true, {"a"}));
+  const auto reply_from_far = [&daemon](double staleness) {
+    return daemon.client_.OnReply("f",
+                                  LeaseReply{.control_instance_ = "far",
+                                             .granted_ = true,
+                                             .staleness_ = Millis(staleness)},
+                                  daemon.now_);
+  };
+  // Both instances of the region are silent, so that the lease moves away.
+  const auto is_at_far = [&daemon](const std::vector<SentRenewal>& sent) {
+    const auto renewals = WithoutQueries(sent);
+    return !renewals.empty() && renewals.back().address_ == "f";
+  };
+  for (int i = 0; i < 50 && !is_at_far(daemon.Run(100)); ++i) {
+  }
+  reply_from_far(0);
+  daemon.Run(900);
+  // The instance in the other region is cut off.
+  reply_from_far(900);
+  std::set<std::string> asked;
+  for (const SentRenewal& sent : daemon.Run(1000)) {
+    if (sent.renew_.record_.version_.incarnation_ == 0) {
+      asked.insert(sent.address_);
+    }
+  }
+  CHECK(asked == std::set<std::string>{"n1", "n2"});
+}
+
 }  // namespace
 }  // namespace gooseberrygap::coordination
