Ask other control instances while one does not reply

Seen by: callers, in the users' trial with two frozen control instances: a new route was answered 404 up to 1.81 s after the acknowledgement, with 2.0 s allowed.

Cause: after 1 s without a reply the lease moves to the instance that was tried least recently, frozen or not, and loses another second there.

Change: after 300 ms without a reply the daemon asks the other instances for their staleness, one every 250 ms, and the move after 1 s goes to one that has answered; among those, to one that is not stale.

--- a/src/coordination/internal/control_choice.cc
+++ b/src/coordination/internal/control_choice.cc
@@ -151,7 +151,8 @@
     const Instance& instance = instances_[index];
     const bool is_current = index == current_;
     return std::tuple(is_current, !IsFresh(instance, now),
-                      instance.tried_at_, !instance.in_own_region_, index);
+                      IsStale(instance, now), instance.tried_at_,
+                      !instance.in_own_region_, index);
   };
   size_t best = current_;
   for (size_t index = 0; index < instances_.size(); ++index) {
@@ -162,9 +163,10 @@
   current_ = best;
 }
 
-std::string ControlChoice::AddressToQuery(state::Millis now) {
+std::string ControlChoice::AddressToQuery(bool current_is_silent,
+                                          state::Millis now) {
   const Instance& current = instances_[current_];
-  const bool is_unfit = IsStale(current, now);
+  const bool is_unfit = current_is_silent || IsStale(current, now);
   const bool has_own_region = instances_.front().in_own_region_;
   const bool is_in_other_region = has_own_region && !current.in_own_region_;
   if (!is_unfit && !is_in_other_region) {
--- a/src/coordination/internal/control_choice.h
+++ b/src/coordination/internal/control_choice.h
@@ -51,14 +51,14 @@
   // Makes that instance the current one. Ignores an unknown name.
   void MoveTo(const std::string& instance);
   // Call it when the current instance does not reply. Chooses another one:
-  // first one that is known to be fresh, then the one that was
+  // first one that is known to be fresh and not stale, then the one that was
   // tried least recently, then one in the daemon's region.
   void MoveToNext(state::Millis now);
   // Returns the address of an instance to query for its staleness while the
-  // current instance is stale or in another region; otherwise an empty
+  // current instance is stale, silent or in another region; otherwise an empty
   // string. The lease moves only after a reply from a fresh instance, so that
   // it does not move back and forth among stale ones.
-  std::string AddressToQuery(state::Millis now);
+  std::string AddressToQuery(bool current_is_silent, state::Millis now);
 
  private:
   struct Instance {
--- a/src/coordination/internal/control_client.cc
+++ b/src/coordination/internal/control_client.cc
@@ -19,6 +19,10 @@
 // the control instances start one after another, so that the first one
 // contacted may not be running yet.
 constexpr state::Millis kFirstReplyTimeout(200);
+// After this time without a reply, other instances are asked for their
+// staleness, so that the lease moves to one that works and not from one silent
+// instance to the next. Longer than a round trip between regions.
+constexpr state::Millis kQueryAfterSilence(300);
 // Minimum time between a renewal and the next one after a refusal or an
 // unusable delta, so that two daemons with the same name do not displace each
 // other in a tight loop.
@@ -130,7 +134,7 @@
     }
     Append(&step.commands_, RenewIfDue(now));
     const std::string query_address =
-        choice_.AddressToQuery(now);
+        choice_.AddressToQuery(IsSilentFor(kQueryAfterSilence, now), now);
     if (!query_address.empty()) {
       step.commands_.push_back(
           SendToPeer{.address_ = query_address,
