Renew the lease early at an instance that may have lost its leader

A daemon learns from the replies to its renewals, one a second, that its control instance is stale, so that an instance that lost its leader was left 1.8 s later at worst, with 2 s allowed for a configuration. A reply that reports more than 300 ms since the last contact with the leader, three heartbeats, now brings the next renewal forward to 250 ms.

--- a/src/coordination/internal/control_client.cc
+++ b/src/coordination/internal/control_client.cc
@@ -23,6 +23,10 @@
 // staleness, so that the lease moves to one that works and not from one silent
 // instance to the next. Longer than a round trip between regions.
 constexpr state::Millis kQueryAfterSilence(300);
+// An instance that reports more than this has missed several heartbeats of its
+// leader, and the next renewal is sent after the shorter interval.
+constexpr state::Millis kSuspectStaleness(300);
+constexpr state::Millis kSuspectRenewInterval(250);
 // Minimum time between a renewal and the next one after a refusal or an
 // unusable delta, so that two daemons with the same name do not displace each
 // other in a tight loop.
@@ -102,6 +106,7 @@
       awaiting_reply_since_.reset();
       current_staleness_ = reply.staleness_;
       ApplyReply(reply, now, &step);
+      RenewEarlyIfSuspect(reply.staleness_, now);
     } else {
       step.commands_.emplace_back(WriteLog{
           .event_ = ControlQueryAnsweredLine(choice_.address(), reply)});
@@ -170,6 +175,14 @@
            now - *awaiting_reply_since_ >= time;
   }
 
+  // An instance that may have lost its leader is asked again soon, since a
+  // daemon learns only from its replies that it is stale.
+  void RenewEarlyIfSuspect(state::Millis staleness, state::Millis now) {
+    if (staleness > kSuspectStaleness && staleness < kNeverContacted) {
+      renew_at_ = std::min(renew_at_, now + kSuspectRenewInterval);
+    }
+  }
+
   void ApplyReply(const LeaseReply& reply, state::Millis now, Step* step) {
     if (!reply.granted_) {
       // The lease has expired, or another instance holds it with this version.
--- a/src/coordination/tests/control_client_test.cc
+++ b/src/coordination/tests/control_client_test.cc
@@ -407,5 +407,23 @@
   CHECK(renewals.back().address_ == "f");
 }
 
+// Guards against a daemon that notices only with the regular renewal, up to a
+// second later, that its instance has lost its leader.
+TEST_CASE(
+    "an instance without recent contact to its leader is asked again soon",
+    "[configuration]") {
+  Daemon daemon;
+  daemon.Reply(WithConfiguration(7, true, {"a"}));
+  CHECK(daemon.Run(900).empty());
+  daemon.Run(200);
+  daemon.Reply(
+      LeaseReply{.control_instance_ = daemon.InstanceAt(daemon.current_),
+                 .granted_ = true,
+                 .staleness_ = Millis(400)});
+  const std::vector<SentRenewal> sent = daemon.Run(300);
+  REQUIRE(sent.size() == 1);
+  CHECK(sent[0].address_ == daemon.current_);
+}
+
 }  // namespace
 }  // namespace gooseberrygap::coordination
