Deny no route while a change of the routes may have been missed

No caller repeats a request after a 404.

Change: a daemon without contact to a fresh control instance for more than 2 s refuses a call that matches none of its routes as `control_too_old` (503 with Retry-After): it has not run, and the caller may come back. Calls on known routes are served as before.

--- a/src/coordination/api/ingress.h
+++ b/src/coordination/api/ingress.h
@@ -35,6 +35,10 @@
   // Sets whether actions with a key are accepted. The last contact with a
   // control instance must be recent enough for them.
   void SetActionsAllowed(bool allowed);
+  // Sets whether the routes are recent enough to tell a caller that there is
+  // none for its call. While they are not, such a call is refused with
+  // kControlTooOld, since a route for it may have been added.
+  void SetRoutesRecent(bool recent);
 
   Commands OnCall(const CallReceived& call, state::Millis now);
   // Cancels the attempts of a lookup or of an action without a key whose caller
--- a/src/coordination/internal/ingress.cc
+++ b/src/coordination/internal/ingress.cc
@@ -51,6 +51,7 @@
   }
 
   void SetActionsAllowed(bool allowed) { actions_allowed_ = allowed; }
+  void SetRoutesRecent(bool recent) { routes_recent_ = recent; }
 
   Commands OnCall(const CallReceived& received, state::Millis now) {
     counters_->Add(state::Counter::kCallsReceived);
@@ -191,7 +192,8 @@
     const state::Route* route = state::FindRoute(*configuration, received.host_,
                                                  received.request_.path_);
     if (route == nullptr) {
-      return refuse(RefusalReason::kNoRoute);
+      return refuse(routes_recent_ ? RefusalReason::kNoRoute
+                                   : RefusalReason::kControlTooOld);
     }
     const state::Service* service =
         state::FindService(*configuration, splits_.Choose(*route));
@@ -243,6 +245,7 @@
   absl::flat_hash_set<std::string> suspects_;
   SplitChoice splits_;
   bool actions_allowed_ = false;
+  bool routes_recent_ = true;
   uint64_t next_request_ = 1;
 };
 
@@ -271,6 +274,10 @@
   impl_->SetActionsAllowed(allowed);
 }
 
+void Ingress::SetRoutesRecent(bool recent) {
+  impl_->SetRoutesRecent(recent);
+}
+
 Commands Ingress::OnCall(const CallReceived& call, state::Millis now) {
   return impl_->OnCall(call, now);
 }
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -15,6 +15,10 @@
 // accepts no actions with a key, since their rules may have changed. Lookups
 // continue.
 constexpr state::Millis kMaxStaleness(10 * 1000);
+// After more than this time without contact to a control instance, a daemon
+// does not deny that a route exists: an accepted configuration must be in force
+// within 2 s on the users' platform.
+constexpr state::Millis kMaxRouteStaleness(2000);
 
 // The shortest time between two ticks, also used while probes are sent: a
 // reported load is accurate for some milliseconds only.
@@ -115,6 +119,8 @@
     // A routed call is refused immediately: its caller retries after the time
     // given in the answer.
     const bool is_routed = call.service_.empty();
+    ingress_.SetRoutesRecent(control_client_.Staleness(now) <=
+                             kMaxRouteStaleness);
     return !is_routed && early_calls_.Add(call, now)
                ? Commands()
                : ingress_.OnCall(call, now);
--- a/src/coordination/tests/node_test.cc
+++ b/src/coordination/tests/node_test.cc
@@ -98,6 +98,35 @@
   CHECK(call.command_.incarnation_ == 10);
 }
 
+// Guards against a caller that is told for good that a route does not exist by
+// a daemon that is cut off from the change that has added it.
+TEST_CASE("a daemon that may have missed a change denies no route",
+          "[configuration]") {
+  TestNode test;
+  test.Lease(5);
+  const auto reason_at = [&test](double now) {
+    for (const Command& command :
+         test.node_.Handle(CallReceived{.call_id_ = 1,
+         .host_ = "h",
+         .request_ = {.method_ = "GET", .path_ = "/new/"}},
+                           Millis(now))) {
+      if (const auto* answer = std::get_if<AnswerCall>(&command)) {
+        CHECK(answer->answer_.outcome_ == Outcome::kNotRun);
+        return answer->answer_.reason_;
+      }
+    }
+    return state::RefusalReason::kNone;
+  };
+  CHECK(reason_at(1500) == state::RefusalReason::kNoRoute);
+  CHECK(reason_at(2500) == state::RefusalReason::kControlTooOld);
+  test.node_.Handle(
+      PeerMessageReceived{
+          .address_ = kControl,
+          .message_ = LeaseReply{.control_instance_ = "c", .granted_ = true}},
+      Millis(2600));
+  CHECK(reason_at(2700) == state::RefusalReason::kNoRoute);
+}
+
 // Guards against an empty answer that is returned as the stored one, when the
 // register did not store the answer because of its size.
 TEST_CASE("a caller is told that the stored answer was too large",
