Take only the answer that is the request's own

Cause: an answer without an id was taken for the answer of whatever request waited, no answer was checked for the signature of a success, and a connection that had carried a refusal was used for the same action again, so that the same refusal, written once more, ended it as not run while it ran.

Change: JudgeAnswer decides by a table what a message is to the request that waits: its own answer, one that belongs to no request (skipped; the connection is not used again), or one that cannot be trusted (the request may have run). A message without an id is an answer only as the first one on its connection. An action takes no connection that has carried a refusal.

--- a/src/coordination/coordination.h
+++ b/src/coordination/coordination.h
@@ -5,6 +5,7 @@
 // functions of state, event and time, without sockets, threads, clocks or
 // codecs.
 
+#include "coordination/api/answer_check.h"
 #include "coordination/api/commands.h"
 #include "coordination/api/control_client.h"
 #include "coordination/api/control_service.h"
--- a/src/daemon/node_duty.cc
+++ b/src/daemon/node_duty.cc
@@ -46,10 +46,10 @@
           transport::TargetClient::Options{
               .workers_ = options.target_workers_,
               .accepts_until_close_ = options.accepts_until_close_,
-              .is_answer_of_ =
+              .identify_ =
                   [dialect](const coordination::DeliverToTarget& delivery,
                             const state::HttpAnswer& answer) {
-                    return dialect->IsAnswerOf(delivery, answer);
+                    return dialect->Identify(delivery, answer);
                   }},
           [this](const coordination::DeliveryEnded& ended) {
             // Cannot fail: deliveries in flight are far fewer than the
--- a/src/protocol/api/target_dialect.h
+++ b/src/protocol/api/target_dialect.h
@@ -16,10 +16,10 @@
   // Returns the request with the headers that the target expects of its daemon.
   virtual state::HttpRequest Request(
       const coordination::DeliverToTarget& delivery) const = 0;
-  // Returns whether the answer is that of the request, and not a late one of
-  // another request.
-  virtual bool IsAnswerOf(const coordination::DeliverToTarget& delivery,
-                          const state::HttpAnswer& answer) const = 0;
+  // Returns what a message that came while the request waits says of itself.
+  virtual coordination::ReceivedAnswer Identify(
+      const coordination::DeliverToTarget& delivery,
+      const state::HttpAnswer& answer) const = 0;
   // Returns the end of a delivery with what the answer tells of the target.
   virtual coordination::DeliveryEnded Interpret(
       const coordination::DeliveryEnded& ended) const = 0;
--- a/src/protocol/internal/target_dialect.cc
+++ b/src/protocol/internal/target_dialect.cc
@@ -47,12 +47,19 @@
                               .body_ = delivery.request_.body_};
   }
 
-  bool IsAnswerOf(const coordination::DeliverToTarget& delivery,
-                  const state::HttpAnswer& answer) const override {
+  coordination::ReceivedAnswer Identify(
+      const coordination::DeliverToTarget& delivery,
+      const state::HttpAnswer& answer) const override {
     const auto answered = state::FindHeader(answer.headers_, kAnswerToHeader);
-    return !answered.has_value() ||
-           *answered ==
-               absl::StrCat(delivery.request_id_, "/", delivery.attempt_);
+    // Targets need not return the header.
+    const bool is_own =
+        !answered.has_value() ||
+        *answered == absl::StrCat(delivery.request_id_, "/", delivery.attempt_);
+    return coordination::ReceivedAnswer{
+        .owner_ = is_own ? coordination::AnswerOwner::kRequest
+                         : coordination::AnswerOwner::kOtherRequest,
+        .is_refusal_ =
+            state::FindHeader(answer.headers_, kShedHeader).has_value()};
   }
 
   coordination::DeliveryEnded Interpret(
--- a/src/protocol/tests/target_dialect_test.cc
+++ b/src/protocol/tests/target_dialect_test.cc
@@ -26,7 +26,8 @@
   const coordination::DeliverToTarget delivery{.request_id_ = "a-1",
                                                .attempt_ = 2};
   const auto is_own = [&](const std::vector<state::HttpHeader>& headers) {
-    return dialect->IsAnswerOf(delivery, {.headers_ = headers});
+    return dialect->Identify(delivery, {.headers_ = headers}).owner_ ==
+           coordination::AnswerOwner::kRequest;
   };
   CHECK(is_own({{.name_ = "gooseberrygap-answer-to", .value_ = "a-1/2"}}));
   CHECK_FALSE(
--- a/src/transport/api/target_client.h
+++ b/src/transport/api/target_client.h
@@ -15,23 +15,25 @@
 // over kept-alive HTTP connections.
 class TargetClient {
  public:
-  // Returns whether an answer is that of the request. One that is not belongs
-  // to no request: it is dropped, and the connection is not used again.
-  using AnswerCheck = std::function<bool(const coordination::DeliverToTarget&,
-                                         const state::HttpAnswer&)>;
+  // Returns what a message that came while the request waits says of itself.
+  // coordination::JudgeAnswer decides what becomes of it.
+  using IdentifyAnswer = std::function<coordination::ReceivedAnswer(
+      const coordination::DeliverToTarget&,
+      const state::HttpAnswer&)>;
 
   struct Options {
     // Deliveries in progress at a time; further ones wait in the ring.
     const int workers_ = 16;
     const size_t ring_capacity_ = 1024;
-    // A kept connection that was idle for longer is not used for a delivery
-    // that wants a fresh one.
+    // A kept connection that was idle for longer, or that has carried a
+    // refusal, is not used for a delivery that wants a fresh one.
     const state::Millis fresh_for_ = state::Millis(500);
     const size_t max_answer_bytes_ = 4194304;
     // Takes an answer without a length for whole when its connection is closed
     // in order. Otherwise such an answer counts as cut.
     const bool accepts_until_close_ = false;
-    const AnswerCheck is_answer_of_ = {};
+    // Without it each message is the answer of the request that waits.
+    const IdentifyAnswer identify_ = {};
   };
 
   // Called on the target thread when a delivery has ended; must not block.
--- a/src/transport/internal/target_client.cc
+++ b/src/transport/internal/target_client.cc
@@ -126,7 +126,7 @@
       const bool is_fresh =
           clock_.Now() - link->last_used() <= options_.fresh_for_;
       if (!delivery.connect_only_ &&
-          (is_fresh || !delivery.fresh_connection_)) {
+          ((is_fresh && !link->has_refused()) || !delivery.fresh_connection_)) {
         return link;
       }
     }
--- a/src/transport/internal/target_link.cc
+++ b/src/transport/internal/target_link.cc
@@ -226,12 +226,20 @@
   if (status == kSwitchingProtocols) {
     return End(DeliveryEnd::kIncompleteAnswer);
   }
-  if (options_->is_answer_of_ && !options_->is_answer_of_(*delivery_, answer)) {
-    // The answer of an earlier request, which came late. The own one follows.
+  const coordination::ReceivedAnswer received =
+      options_->identify_ ? options_->identify_(*delivery_, answer)
+                          : coordination::ReceivedAnswer();
+  const coordination::AnswerVerdict verdict =
+      coordination::JudgeAnswer(received, std::exchange(has_answer_, true));
+  if (verdict == coordination::AnswerVerdict::kSkip) {
     has_foreign_answer_ = true;
     SkipMessage();
     return std::nullopt;
   }
+  if (verdict == coordination::AnswerVerdict::kGiveUp) {
+    return End(DeliveryEnd::kIncompleteAnswer);
+  }
+  has_refused_ = has_refused_ || received.is_refusal_;
   reusable_ = keeps_open && input_.empty() && sent_ == output_.size() &&
               !has_foreign_answer_;
   last_used_ = now;
--- a/src/transport/internal/target_link.h
+++ b/src/transport/internal/target_link.h
@@ -45,6 +45,9 @@
   // Whether another delivery may be sent: the connection is open and no byte
   // has come that belongs to no request.
   bool CanReuse();
+  // Whether an answer on this connection was a refusal. A target in trouble
+  // may send it once more.
+  bool has_refused() const { return has_refused_; }
   // Whether an answer's head has come in part or whole.
   bool has_answer_head() const { return has_answer_head_; }
 
@@ -84,8 +87,10 @@
   size_t message_bytes_ = 0;  // Taken by `parser_`.
   size_t skipped_bytes_ = 0;  // Of messages before the answer.
   bool has_answer_head_ = false;
-  // An answer of another request has come on this connection.
+  bool has_answer_ = false;  // A whole answer has come on this connection.
+  // One has come that belongs to no request that waited.
   bool has_foreign_answer_ = false;
+  bool has_refused_ = false;
 };
 
 }  // namespace gooseberrygap::transport
--- a/src/transport/tests/target_client_test.cc
+++ b/src/transport/tests/target_client_test.cc
@@ -8,7 +8,9 @@
 namespace gooseberrygap::transport {
 namespace {
 
+using coordination::AnswerOwner;
 using coordination::DeliverToTarget;
+using coordination::ReceivedAnswer;
 using state::Counter;
 
 constexpr state::Millis kTimeout(10000);
@@ -71,6 +73,18 @@
   return std::nullopt;
 }
 
+// Identifies an answer by the header Id; one with the header Refused declines.
+ReceivedAnswer IdentifyById(const DeliverToTarget& delivery,
+                            const state::HttpAnswer& answer) {
+  const std::optional<std::string> id = HeaderOf(answer, "Id");
+  const AnswerOwner owner = !id.has_value() ? AnswerOwner::kUnnamed
+                            : *id == delivery.request_id_
+                                ? AnswerOwner::kRequest
+                                : AnswerOwner::kOtherRequest;
+  return {.owner_ = owner,
+          .is_refusal_ = HeaderOf(answer, "Refused").has_value()};
+}
+
 // Guards against requests that reach the target changed: decoded paths, headers
 // of the caller's connection, headers of the library's choice.
 TEST_CASE("a request reaches the target as the caller sent it") {
@@ -345,11 +359,7 @@
 // of the next one.
 TEST_CASE("the answer of another request is dropped") {
   const TestListener target;
-  Client client({.workers_ = 1,
-                 .is_answer_of_ = [](const DeliverToTarget& delivery,
-                                     const state::HttpAnswer& answer) {
-                   return HeaderOf(answer, "Id") == delivery.request_id_;
-                 }});
+  Client client({.workers_ = 1, .identify_ = IdentifyById});
   client.client_->Deliver({.delivery_id_ = 1,
                            .address_ = target.address(),
                            .request_ = {.method_ = "GET", .path_ = "/"},
@@ -369,6 +379,70 @@
   target.Accept().ReadUntil("\r\n\r\n");
 }
 
+// Guards against a refusal that a target in trouble sends once more, or other
+// bytes without the name of a request: the next request on the connection would
+// count as not run while it runs, and run a second time elsewhere.
+TEST_CASE("a message without a name does not answer the next request") {
+  const std::string bytes = GENERATE(values<std::string>(
+      {"HTTP/1.1 503 Busy\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n",
+       "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nbytes"}));
+  CAPTURE(bytes);
+  const TestListener target;
+  Client client({.workers_ = 1, .identify_ = IdentifyById});
+  const auto deliver = [&](uint64_t id) {
+    client.client_->Deliver({.delivery_id_ = id,
+                             .address_ = target.address(),
+                             .request_ = {.method_ = "POST", .path_ = "/"},
+                             .request_id_ = "r" + std::to_string(id),
+                             .timeout_ = kTimeout,
+                             .fresh_connection_ = true});
+  };
+  deliver(1);
+  TestSocket connection = target.Accept();
+  connection.ReadUntil("\r\n\r\n");
+  connection.Send("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 0\r\n\r\n");
+  CHECK(client.Next().end_ == DeliveryEnd::kAnswered);
+  deliver(2);
+  connection.ReadUntil("\r\n\r\n");
+  connection.Send(bytes);
+  connection.Send(
+      "HTTP/1.1 201 Made\r\nId: r2\r\nContent-Length: 3\r\n\r\nown");
+  const DeliveryEnded ended = client.Next();
+  CHECK(ended.end_ == DeliveryEnd::kAnswered);
+  CHECK(ended.answer_.status_ == 201);
+  CHECK(ended.answer_.body_.view() == "own");
+  // The connection is not used again.
+  deliver(3);
+  target.Accept().ReadUntil("\r\n\r\n");
+}
+
+// Guards against a refusal that is sent once more while the same request runs,
+// now accepted, on the same connection: its name is the same, too.
+TEST_CASE("a connection that has carried a refusal takes no action") {
+  const TestListener target;
+  Client client({.workers_ = 1, .identify_ = IdentifyById});
+  const auto deliver = [&](uint64_t id, bool fresh_connection) {
+    client.client_->Deliver({.delivery_id_ = id,
+                             .address_ = target.address(),
+                             .request_ = {.method_ = "POST", .path_ = "/"},
+                             .request_id_ = "same",
+                             .timeout_ = kTimeout,
+                             .fresh_connection_ = fresh_connection});
+  };
+  deliver(1, true);
+  TestSocket refused = target.Accept();
+  refused.ReadUntil("\r\n\r\n");
+  refused.Send(
+      "HTTP/1.1 503 Busy\r\nId: same\r\nRefused: 1\r\n"
+      "Content-Length: 0\r\n\r\n");
+  CHECK(client.Next().answer_.status_ == 503);
+  deliver(2, true);
+  TestSocket other = target.Accept();
+  other.ReadUntil("\r\n\r\n");
+  other.Send("HTTP/1.1 200 OK\r\nId: same\r\nContent-Length: 0\r\n\r\n");
+  CHECK(client.Next().answer_.status_ == 200);
+}
+
 // An answer that never ends: its first bytes, and the text that is repeated.
 struct EndlessAnswer {
   std::string begin_;
@@ -398,9 +472,12 @@
   Client client({.workers_ = 1,
                  .max_answer_bytes_ = 1 << 20,
                  .accepts_until_close_ = true,
-                 .is_answer_of_ = [](const DeliverToTarget&,
-                                     const state::HttpAnswer& received) {
-                   return HeaderOf(received, "Id") != "other";
+                 .identify_ = [](const DeliverToTarget&,
+                                 const state::HttpAnswer& received) {
+                   const bool is_other = HeaderOf(received, "Id") == "other";
+                   return ReceivedAnswer{
+                       .owner_ = is_other ? AnswerOwner::kOtherRequest
+                                          : AnswerOwner::kRequest};
                  }});
   client.client_->Deliver(
       Delivery(target.address(), 1, {.method_ = "GET", .path_ = "/"}, kHang));
