Bound the answers that stay incomplete together

Reported by other operators: a target in trouble sends bytes without end, and the daemon that keeps them runs out of memory. Each answer is limited to 4 MB and its head to 64 KB here ("an answer that never ends is given up" passes on the old code), but 64 answers that are begun and never ended take the memory of a whole daemon: an upper bound by reading, not seen in a run.

Change: the answers that are not whole share a limit of 32 MB, above which the largest is given up. The sum is taken only when an answer of 64 KB or more grows.

Evidence: "answers that stay incomplete share one limit" had no end within 20 s on the old code. transport_tests: 8,800 assertions passed.

--- a/src/transport/api/target_client.h
+++ b/src/transport/api/target_client.h
@@ -29,6 +29,10 @@
     // refusal, is not used for a delivery that wants a fresh one.
     const state::Millis fresh_for_ = state::Millis(500);
     const size_t max_answer_bytes_ = 4194304;
+    // Bytes of all answers that are not whole. Above it the largest one is
+    // given up, so that a target in trouble cannot fill the daemon's memory
+    // with the answers to many requests.
+    const size_t max_buffered_bytes_ = 33554432;
     // Takes an answer without a length for whole when its connection is closed
     // in order. Otherwise such an answer counts as cut.
     const bool accepts_until_close_ = false;
--- a/src/transport/internal/target_client.cc
+++ b/src/transport/internal/target_client.cc
@@ -20,6 +20,10 @@
 
 namespace {
 
+// Answers below this size do not count towards the limit of all answers: they
+// cannot exceed it together.
+constexpr size_t kLargeAnswerBytes = 65536;
+
 struct QueuedDelivery {
   const coordination::DeliverToTarget delivery_ = {};
   const state::Millis deadline_ = {};
@@ -162,6 +166,27 @@
     }
     poller_->Modify(descriptor,
                     link->waits_to_write() ? EPOLLIN | EPOLLOUT : EPOLLIN);
+    if (link->buffered_bytes() >= kLargeAnswerBytes) {
+      LimitBufferedBytes();
+    }
+  }
+
+  // Gives up the largest answer while the answers that are not whole exceed
+  // their limit.
+  void LimitBufferedBytes() {
+    size_t total = 0;
+    TargetLink* largest = nullptr;
+    for (const auto& [descriptor, link] : links_) {
+      const size_t bytes = link->has_delivery() ? link->buffered_bytes() : 0;
+      total += bytes;
+      if (bytes > 0 &&
+          (largest == nullptr || bytes > largest->buffered_bytes())) {
+        largest = link.get();
+      }
+    }
+    if (total > options_.max_buffered_bytes_) {
+      Finish(largest, largest->Abandon(DeliveryEnd::kIncompleteAnswer));
+    }
   }
 
   void Finish(TargetLink* link, const DeliveryEnded& end) {
--- a/src/transport/internal/target_link.h
+++ b/src/transport/internal/target_link.h
@@ -48,6 +48,8 @@
   // Whether an answer on this connection was a refusal. A target in trouble
   // may send it once more.
   bool has_refused() const { return has_refused_; }
+  // Bytes of the answer that have come and are kept.
+  size_t buffered_bytes() const { return message_bytes_ + input_.size(); }
   // Whether an answer's head has come in part or whole.
   bool has_answer_head() const { return has_answer_head_; }
 
