--- a/src/coordination/tests/control_client_test.cc
+++ b/src/coordination/tests/control_client_test.cc
@@ -362,7 +362,7 @@
                                   daemon.now_);
   };
   // Both instances of the region are silent, so that the lease moves away.
-  const auto is_at_far = [&daemon](const std::vector<SentRenewal>& sent) {
+  const auto is_at_far = [](const std::vector<SentRenewal>& sent) {
     const auto renewals = WithoutQueries(sent);
     return !renewals.empty() && renewals.back().address_ == "f";
   };
