Use the newer of two records of one target

A target that starts again under its id at an added instance is announced at two instances until the old lease expires; each daemon that gets this list ends by signal 11, again and again.

Cause: Router::Impl::UpdateTargets keeps targets by id and moves each known one out of the previous table. For the second record of an id the pointer has been moved from and is dereferenced; for an id that was not known before, the second insertion fails and the service keeps a pointer to a destroyed target.

Change: one record of each id is in force, that of the instance whose daemon started later (the lease's version), then by the instance's name; the order of the list does not matter, and when the newer record goes, the older one that still stands is used.

Evidence: "of two records of a target the newer one is in force" ended by SIGSEGV on the old code.

--- a/src/coordination/internal/router_members.cc
+++ b/src/coordination/internal/router_members.cc
@@ -1,6 +1,7 @@
 #include "coordination/internal/router_impl.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace gooseberrygap::coordination {
 
@@ -9,6 +10,33 @@
 using state::TargetRecord;
 using state::TargetState;
 
+// Returns whether the record is in force when both name the same target. A
+// target that has moved is announced at two instances until the lease of the
+// old one expires; the instance whose daemon started later has it.
+bool IsNewer(const TargetRecord& left, const TargetRecord& right) {
+  return std::tie(left.version_, left.instance_) >
+         std::tie(right.version_, right.instance_);
+}
+
+// Returns one record for each target, in the order of `records`.
+std::vector<const TargetRecord*> RecordsInForce(
+    const std::vector<TargetRecord>& records) {
+  absl::flat_hash_map<absl::string_view, const TargetRecord*> newest;
+  for (const TargetRecord& record : records) {
+    const TargetRecord*& known = newest[record.target_];
+    if (known == nullptr || IsNewer(record, *known)) {
+      known = &record;
+    }
+  }
+  std::vector<const TargetRecord*> in_force;
+  for (const TargetRecord& record : records) {
+    if (!record.target_.empty() && newest[record.target_] == &record) {
+      in_force.push_back(&record);
+    }
+  }
+  return in_force;
+}
+
 }  // namespace
 
 void Router::Impl::UpdateConfiguration(
@@ -34,10 +62,8 @@
   for (auto& [name, service] : services_) {
     service.members_.clear();
   }
-  for (const TargetRecord& record : targets) {
-    if (record.target_.empty()) {
-      continue;
-    }
+  for (const TargetRecord* in_force : RecordsInForce(targets)) {
+    const TargetRecord& record = *in_force;
     const auto existing = previous.find(record.target_);
     auto target = existing == previous.end() ? std::make_unique<Target>()
                                              : std::move(existing->second);
