Check a change that builds on no configuration

Cause: OperatorDuty submits a change without a check when its base is no longer in force, and took version 0 for such a case; SplitChoice dereferences a null pointer for a route without destinations.

Change: CompareBase names the three cases; a change of the version in force is checked, 0 included. A route without destinations, which a log written by an older build may hold, refuses its calls as no_service.

Not covered: an invalid configuration that reaches the log by another way than the platform's front.

--- a/src/coordination/internal/split_choice.h
+++ b/src/coordination/internal/split_choice.h
@@ -15,9 +15,12 @@
 // next call. Not thread-safe.
 class SplitChoice {
  public:
-  // Returns the service for the next call. Precondition: the route has a
-  // destination.
-  const std::string& Choose(const state::Route& route) {
+  // Returns the service for the next call; an empty name for a route without
+  // destinations.
+  std::string Choose(const state::Route& route) {
+    if (route.destinations_.empty()) {
+      return {};
+    }
     if (route.destinations_.size() == 1) {
       return route.destinations_.front().service_;
     }
--- a/src/coordination/tests/routed_calls_test.cc
+++ b/src/coordination/tests/routed_calls_test.cc
@@ -133,6 +133,23 @@
   CHECK(AnswerOf(refused)->reason_ == state::RefusalReason::kNoRoute);
 }
 
+// Guards against a daemon that crashes on a route without destinations, which
+// an older build may have accepted.
+TEST_CASE("a route without destinations is refused", "[not_run]") {
+  TestIngress test;
+  test.ingress_.UpdateConfiguration(
+      {.index_ = 2,
+       .configuration_ =
+           std::make_shared<const state::Configuration>(state::Configuration{
+               .version_ = 2,
+               .routes_ = {
+                   {.name_ = "empty", .host_ = "h", .path_prefix_ = "/e/"}}})});
+  const Commands refused = test.Call(1, "/e/x");
+  REQUIRE(AnswerOf(refused) != nullptr);
+  CHECK(AnswerOf(refused)->outcome_ == Outcome::kNotRun);
+  CHECK(AnswerOf(refused)->reason_ == state::RefusalReason::kNoService);
+}
+
 // Guards against a split that has the right proportions only after many calls.
 TEST_CASE("each destination of a split gets its share at once", "[path]") {
   TestIngress test;
--- a/src/daemon/operator_duty.cc
+++ b/src/daemon/operator_duty.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "daemon/change_base.h"
+
 namespace gooseberrygap::daemon {
 
 namespace {
@@ -83,12 +85,13 @@
   }
   const uint64_t current =
       newest->configuration_ == nullptr ? 0 : newest->configuration_->version_;
-  if (current < request.base_version_) {
+  const ChangeBase base = CompareBase(request.base_version_, current);
+  if (base == ChangeBase::kUnknown) {
     return dialect_->PrintSubmissionOutcome(
         SubmissionOutcome::kConflict,
         "Version " + std::to_string(current) + " is in force; build on it.");
   }
-  if (current > request.base_version_ || current == 0) {
+  if (base == ChangeBase::kOutdated) {
     // The change may have been accepted earlier, which only the log shows. It
     // cannot be accepted now, since its base version is no longer in force.
     return Submit(state::SubmittedConfiguration{
@@ -97,11 +100,14 @@
         .configuration_ = std::make_shared<const state::Configuration>(
             state::ApplyChange(state::Configuration(), request.change_))});
   }
-  return Handle(protocol::ReplaceConfiguration{
-      .submission_ = request.submission_,
-      .base_version_ = request.base_version_,
-      .configuration_ =
-          state::ApplyChange(*newest->configuration_, request.change_)});
+  const state::Configuration changed =
+      newest->configuration_ == nullptr
+          ? state::ApplyChange(state::Configuration(), request.change_)
+          : state::ApplyChange(*newest->configuration_, request.change_);
+  return Handle(
+      protocol::ReplaceConfiguration{.submission_ = request.submission_,
+                                     .base_version_ = request.base_version_,
+                                     .configuration_ = changed});
 }
 
 state::HttpAnswer OperatorDuty::Submit(
