Bind the limits for callers to the callers' address

A configuration with a low `max_body_bytes` is accepted; sent again, as after a lost acknowledgement, it gets 413, and so does every larger one from then on. With `max_header_bytes` 0 each order and read got 431.

Cause: EventFront handed the limits of the configuration to all addresses of the daemon.

Change: CallServer has limits for each address, and the configuration sets those of the callers' address. Requests of operators, targets and the platform have bounds of their own: a head of 16 KB, a body of 4 MB, 5 s for a head, 60 s idle.

Evidence: with the limits set for all addresses, as before, "limits bind the requests to their address only" had no request from the other address within 20 s; it passes now.

--- a/src/daemon/event_front.cc
+++ b/src/daemon/event_front.cc
@@ -11,6 +11,13 @@
 // Set in the ids of this front's calls, to distinguish them from those of
 // HttpFront.
 constexpr uint64_t kCallBit = uint64_t{1} << 63;
+// Limits of the requests of operators, targets and the platform, and of callers
+// before a configuration is in force.
+constexpr state::CallerLimits kAdministrationLimits = {
+    .max_header_bytes_ = 16384,
+    .max_body_bytes_ = 4194304,
+    .header_timeout_ = state::Millis(5000),
+    .idle_timeout_ = state::Millis(60000)};
 // Bytes of a refusal that are logged: it can quote a value of any size.
 constexpr size_t kMaxLoggedBytes = 256;
 
@@ -34,6 +41,10 @@
       {settings.administration_, &protocol::FrontDialect::ReadAdministration}};
   std::vector<std::string> listen;
   for (const Listener& listener : listeners) {
+    if (listener.read_ == &protocol::FrontDialect::ReadCall &&
+        !listener.address_.empty()) {
+      calls_listener_ = listeners_.size();
+    }
     if (!listener.address_.empty()) {
       listeners_.push_back(listener);
       listen.push_back(listener.address_);
@@ -42,7 +53,8 @@
   auto server = transport::CallServer::Start(
       transport::CallServer::Options{
           .listen_addresses_ = listen,
-          .max_connections_ = settings.max_connections_},
+          .max_connections_ = settings.max_connections_,
+          .limits_ = kAdministrationLimits},
       this, counters_);
   if (!server) {
     return server.error();
@@ -86,7 +98,12 @@
 void EventFront::OnConfiguration(
     const state::IndexedConfiguration& configuration) {
   started_.WaitForNotification();
-  server_->SetLimits(configuration.configuration_->caller_limits_);
+  // Operators, targets and the platform must reach the daemon whatever limits
+  // an operator has set for callers.
+  if (calls_listener_.has_value()) {
+    server_->SetLimits(*calls_listener_,
+                       configuration.configuration_->caller_limits_);
+  }
 }
 
 void EventFront::Handle(uint64_t id, const protocol::CallRequest& request) {
--- a/src/daemon/event_front.h
+++ b/src/daemon/event_front.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -71,6 +72,7 @@
   state::Counters* const counters_;
   std::string service_;
   std::vector<Listener> listeners_;
+  std::optional<size_t> calls_listener_;  // Index of the callers' address.
   std::atomic<bool> stopping_ = false;
   absl::Notification started_;
   std::unique_ptr<transport::CallServer> server_;
--- a/src/transport/api/call_server.h
+++ b/src/transport/api/call_server.h
@@ -19,7 +19,7 @@
   struct Options {
     const std::vector<std::string> listen_addresses_ = {};
     const int max_connections_ = 2048;
-    const state::CallerLimits limits_ = {};
+    const state::CallerLimits limits_ = {};  // At first, of all addresses.
   };
 
   struct ReceivedRequest {
@@ -50,8 +50,10 @@
   // Answers a request. Headers of the connection and of the framing are left
   // out and set by the server. Thread-safe.
   virtual void Answer(uint64_t request_id, state::HttpAnswer answer) = 0;
-  // Takes new limits into force for what is read from now on. Thread-safe.
-  virtual void SetLimits(const state::CallerLimits& limits) = 0;
+  // Takes new limits into force for what is read from now on on connections to
+  // the address with this index in the options. Thread-safe.
+  virtual void SetLimits(size_t listener,
+                         const state::CallerLimits& limits) = 0;
   // From now on a connection is closed with its last answer, and no request is
   // read behind those that wait for an answer. Thread-safe.
   virtual void CloseAfterAnswers() = 0;
--- a/src/transport/internal/call_server.cc
+++ b/src/transport/internal/call_server.cc
@@ -35,6 +35,7 @@
   state::HttpAnswer answer_;
 };
 struct NewLimits {
+  size_t listener_ = 0;
   state::CallerLimits limits_;
 };
 struct CloseAfterAnswer {};
@@ -55,7 +56,7 @@
         poller_(std::move(poller)),
         listeners_(std::move(listeners)),
         ring_(kRingCapacity) {
-    limits_.emplace(options.limits_);
+    limits_.resize(listeners_.size(), MakeLimits(options.limits_));
     for (const ListenSocket& listener : listeners_) {
       addresses_.push_back(listener.address_);
       poller_->Add(listener.socket_.get(), EPOLLIN);
@@ -72,8 +73,8 @@
   void Answer(uint64_t request_id, state::HttpAnswer answer) override {
     Give(GivenAnswer{.request_id_ = request_id, .answer_ = std::move(answer)});
   }
-  void SetLimits(const state::CallerLimits& limits) override {
-    Give(NewLimits{.limits_ = limits});
+  void SetLimits(size_t listener, const state::CallerLimits& limits) override {
+    Give(NewLimits{.listener_ = listener, .limits_ = limits});
   }
   void CloseAfterAnswers() override { Give(CloseAfterAnswer{}); }
   void StopGracefully() override {
@@ -85,6 +86,13 @@
   }
 
  private:
+  // Limits cannot be assigned, since their members are constant.
+  using Limits = std::shared_ptr<const state::CallerLimits>;
+
+  static Limits MakeLimits(const state::CallerLimits& limits) {
+    return std::make_shared<const state::CallerLimits>(limits);
+  }
+
   void Give(Order order) {
     if (!ring_.TryPush(std::move(order))) {
       counters_->Add(state::RefusalReason::kInternalQueueFull);
@@ -126,7 +134,9 @@
     }
   }
 
-  void On(const NewLimits& order) { limits_.emplace(order.limits_); }
+  void On(const NewLimits& order) {
+    limits_.at(order.listener_) = MakeLimits(order.limits_);
+  }
   void On(const CloseAfterAnswer&) { CloseAfterPending(); }
   void On(const StopAccepting&) {
     CloseAfterPending();
@@ -204,7 +214,7 @@
   void TakeRequests(CallConnection* connection) {
     const size_t listener = connection->listener();
     connection->Read(
-        *limits_,
+        *limits_[listener],
         [this, connection, listener](const state::HttpRequest& request) {
           const uint64_t id = next_request_++;
           requests_[id] = connection;
@@ -246,7 +256,7 @@
     }
     check_at_ = now + kTimeCheck;
     for (CallConnection* connection : All()) {
-      connection->CheckTime(*limits_, now);
+      connection->CheckTime(*limits_[connection->listener()], now);
       Continue(connection);
     }
     if (stopping_) {
@@ -281,7 +291,7 @@
   std::vector<ListenSocket> listeners_;
   std::vector<std::string> addresses_;
   Ring<Order> ring_;
-  std::optional<state::CallerLimits> limits_;
+  std::vector<Limits> limits_;  // By index of the listener.
   std::map<int, std::unique_ptr<CallConnection>> connections_;
   std::map<uint64_t, CallConnection*> requests_;  // Without an answer.
   uint64_t next_request_ = 1;
--- a/src/transport/tests/call_server_test.cc
+++ b/src/transport/tests/call_server_test.cc
@@ -130,6 +130,27 @@
   CHECK_FALSE(server.requests_.TryPop());
 }
 
+// Guards against limits for callers that also bind operators: after an operator
+// has set low ones, no larger configuration would be accepted any more.
+TEST_CASE("limits bind the requests to their address only") {
+  TestServer server;
+  server.server_->SetLimits(0, {.max_body_bytes_ = 10});
+  const std::string request =
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n" +
+      std::string(20, 'x');
+  CHECK(Eventually([&] {
+    TestSocket caller = server.Connect(0);
+    caller.Send(request);
+    const std::optional<CallServer::ReceivedRequest> taken =
+        server.requests_.Pop(state::Millis(50));
+    return !taken.has_value() &&
+           caller.ReadUntil("\r\n\r\n").find("413") != std::string::npos;
+  }));
+  TestSocket operator_socket = server.Connect(1);
+  operator_socket.Send(request);
+  CHECK(server.Next().request_.body_.size() == 20);
+}
+
 // Guards against a planned stop that cuts a request, or that waits for idle
 // callers.
 TEST_CASE("a graceful stop answers what was read") {
