Keep a target open after a request whose deadline was too short

Seen by: callers (found by the review, read in the code): a request with a few milliseconds left ends before its first byte is sent, which is reported as a failed connection. The guard takes that for the exit of its target, refuses what is queued and takes no work until the next announcement, up to 1.5 s later.

Change: a delivery that ends so at its deadline, and had less than 100 ms, is refused as `deadline` and changes nothing at the target.

--- a/src/coordination/internal/guard_delivery.cc
+++ b/src/coordination/internal/guard_delivery.cc
@@ -11,6 +11,10 @@
 using state::RegisterOperation;
 using state::TargetState;
 
+// A request that had less time than this and whose deadline passed before a
+// byte was sent says nothing about its target.
+constexpr state::Millis kConnectTime(100);
+
 }  // namespace
 
 Commands Guard::Impl::OnDeliveryEnded(const DeliveryEnded& ended,
@@ -119,6 +123,11 @@
 
 Commands Guard::Impl::OnConnectFailed(const RunningWork& running,
                                       state::Millis now) {
+  const bool was_too_short =
+      now >= running.work_.deadline_ && now - running.started_ < kConnectTime;
+  if (was_too_short) {
+    return OnNotDelivered(running, RefusalReason::kDeadline, now);
+  }
   // A refused connection confirms that the process has exited. No work is
   // admitted until the next announcement.
   ReportCrash(now);
--- a/src/coordination/tests/guard_test.cc
+++ b/src/coordination/tests/guard_test.cc
@@ -75,6 +75,44 @@
                                          Millis(4))) != 0);
 }
 
+// Guards against a request with a deadline of a few milliseconds that ends
+// before its first byte is sent and counts as a failed connection: the target
+// would get no work until its next announcement.
+TEST_CASE("a deadline that passes before sending does not close the target",
+          "[not_run]") {
+  TestGuard test;
+  const auto deliver = [&test](const std::string& id, double at) {
+    return DeliveryOf(test.guard_.OnAttempt("c",
+                                            Attempt{.request_id_ = id,
+                                                    .attempt_ = 1,
+                                                    .service_ = "s",
+                                                    .target_ = "t",
+                                                    .deadline_left_ = Millis(3),
+                                                    .digest_ = id},
+                                            Millis(at)));
+  };
+  const auto fail = [&test](uint64_t delivery, double at) {
+    const Commands commands = test.guard_.OnDeliveryEnded(
+        DeliveryEnded{.delivery_id_ = delivery,
+                      .end_ = DeliveryEnd::kConnectFailed},
+        Millis(at));
+    for (const Command& command : commands) {
+      if (const auto* reply = std::get_if<ReplyToPeer>(&command)) {
+        return std::get<AttemptAnswer>(reply->message_).refusal_;
+      }
+    }
+    return state::RefusalReason::kNone;
+  };
+  const uint64_t late = deliver("late", 1);
+  REQUIRE(late != 0);
+  CHECK(fail(late, 4) == state::RefusalReason::kDeadline);
+  // A connection that fails earlier shows that the target is gone.
+  const uint64_t refused = deliver("refused", 5);
+  REQUIRE(refused != 0);
+  CHECK(fail(refused, 6) == state::RefusalReason::kConnectFailed);
+  CHECK(deliver("next", 7) == 0);
+}
+
 // Guards against a guard that starts no further work after the register refused
 // the start of an action that was to run alone.
 TEST_CASE("work goes on after a refused start that was to run alone",
