--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -193,6 +193,7 @@
     if (clock_.Now() >= next_tick) {
       next_tick = clock_.Now() + kTickInterval;
       Tick(&events);
+      LogOutage(clock_.Now());
     }
     ProcessRaftEvents(std::move(events));
   }
@@ -444,22 +445,40 @@
       .last_leader_contact_ = last_contact};
 }
 
-void ControlDuty::AnswerStatus(StatusSlot* slot) const {
+std::string ControlDuty::RoleName() const {
   const bool has_failed = failed_ || disk_failed_;
-  const std::string role(has_failed ? "failed" : NameOf(raft_.role()));
+  return std::string(has_failed ? "failed" : NameOf(raft_.role()));
+}
+
+void ControlDuty::AnswerStatus(StatusSlot* slot) const {
   slot->Put(protocol::ControlStatus{.identity_ = raft_.identity(),
                                     .instance_ = options_.self_.instance_,
                                     .address_ = options_.self_.address_,
                                     .formed_ = !raft_.members().empty(),
-                                    .role_ = role,
+                                    .role_ = RoleName(),
                                     .term_ = raft_.term(),
                                     .leader_ = raft_.leader(),
                                     .commit_index_ = raft_.commit_index(),
                                     .members_ = raft_.members()});
 }
 
+void ControlDuty::LogOutage(state::Millis now) {
+  const auto line =
+      outage_log_.Update(ControlRoleState{.role_ = RoleName(),
+                                          .term_ = raft_.term(),
+                                          .leader_ = raft_.leader_address(),
+                                          .commit_index_ = raft_.commit_index(),
+                                          .staleness_ = raft_.Staleness(now),
+                                          .error_ = error_},
+                         now);
+  if (line.has_value()) {
+    Log(*line);
+  }
+}
+
 void ControlDuty::LogDiskFailed(const state::Error& error) {
   disk_failed_ = true;
+  error_ = error.message_;
   Log({.level_ = state::LogLevel::kError,
        .event_ = "log_write_failed",
        .fields_ = {{"error", error.message_}}});
@@ -468,6 +487,7 @@
 void ControlDuty::LogDiskWorks() {
   if (disk_failed_) {
     disk_failed_ = false;
+    error_.clear();
     Log({.event_ = "log_write_recovered"});
   }
 }
@@ -477,6 +497,7 @@
     return;
   }
   failed_ = true;
+  error_ = error.message_;
   Log({.level_ = state::LogLevel::kError,
        .event_ = "control_role_stopped",
        .fields_ = {{"error", error.message_}}});
--- a/src/daemon/control_duty.h
+++ b/src/daemon/control_duty.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "absl/random/random.h"
+#include "daemon/control_outage_log.h"
 #include "daemon/disk_duty.h"
 #include "protocol/protocol.h"
 #include "transport/transport.h"
@@ -111,7 +112,11 @@
   void CompleteProposal(const coordination::ProposalResult& end,
                         RaftEvents* raft_events);
   coordination::LogStatus CurrentLogStatus(state::Millis now) const;
+  // Name of the role for log lines and the status; `failed` while the role or
+  // its disk does not work.
+  std::string RoleName() const;
   void AnswerStatus(StatusSlot* slot) const;
+  void LogOutage(state::Millis now);
   // Proposes a membership change with a new tag and waits for its outcome.
   state::Result<void> ChangeMembership(
       const std::function<coordination::RaftEvent(uint64_t tag)>& make_event);
@@ -139,6 +144,8 @@
   transport::PeerEndpoint* peers_ = nullptr;
   bool failed_ = false;
   bool disk_failed_ = false;  // The disk refuses writes, which are repeated.
+  std::string error_;         // Of the stopped role or the failed disk.
+  ControlOutageLog outage_log_;
   std::unique_ptr<DiskDuty> disk_;
   std::unique_ptr<transport::DutyThread> thread_;
 };
