Keep what a hanging disk has not taken

What callers see: once the disk of a control instance has hung until 16,384 batches of the log waited, its control role answers nobody until the process is started again, although the disk works and the process runs on.

Cause: ControlDuty::Apply treated the full ring of the disk duty like a stored command that cannot be decoded and stopped the role for good.

Evidence: by a test, and by reading; not seen in a run of real processes. The test lets the disk thread hang and writes 20,000 batches. On the code before, with REQUIRE around the result of Write:

what waits for a disk that hangs is written when it works again disk_duty_test.cc:235: FAILED: REQUIRE( is_taken ) with expansion: false with message: batch 16386

Change: Write takes every batch. The ring now has 256 places. Nothing counts as durable earlier than before: the disk duty still reports the sequence of what it has synced.

Test of the bound: "what waits for a disk that hangs is bounded by the log"; without the merging it holds 60,000 batches where at most 256 are allowed.

--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -193,6 +193,7 @@
     if (clock_.Now() >= next_tick) {
       next_tick = clock_.Now() + kTickInterval;
       Tick(&events);
+      disk_->Flush();
       LogOutage(clock_.Now());
     }
     ProcessRaftEvents(std::move(events));
@@ -290,12 +291,8 @@
 
 void ControlDuty::Apply(coordination::Raft::Step step,
                         RaftEvents* raft_events) {
-  if (step.batch_.has_value() && !disk_->Write(*step.batch_)) {
-    Fail(state::MakeError(
-        state::ErrorKind::kDiskFailed,
-        "The disk does not keep up with the log: the queue of the disk "
-        "duty is full"));
-    return;
+  if (step.batch_.has_value()) {
+    disk_->Write(*step.batch_);
   }
   CarryOut(step.commands_);
   if (step.restore_.has_value()) {
--- a/src/daemon/disk_duty.cc
+++ b/src/daemon/disk_duty.cc
@@ -8,9 +8,8 @@
 
 namespace {
 
-// Batches. Far more than the control duty has outstanding, since it
-// acknowledges nothing before it is durable.
-constexpr size_t kRingCapacity = 16384;
+// Batches. Those that come while the disk is slower are merged by the backlog.
+constexpr size_t kRingCapacity = 256;
 constexpr state::Millis kPopTimeout(1000);
 // Time between a failed write and the next one. The log waits for the disk no
 // longer than a few of its heartbeats after the disk takes bytes again.
@@ -32,8 +31,15 @@
   thread_.Join();
 }
 
-bool DiskDuty::Write(coordination::RaftBatch batch) {
-  return ring_.TryPush(std::move(batch));
+void DiskDuty::Write(const coordination::RaftBatch& batch) {
+  backlog_.Add(batch);
+  Flush();
+}
+
+void DiskDuty::Flush() {
+  backlog_.Drain([this](const coordination::RaftBatch& batch) {
+    return ring_.TryPush(batch);
+  });
 }
 
 void DiskDuty::Run() {
--- a/src/daemon/disk_duty.h
+++ b/src/daemon/disk_duty.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 
+#include "daemon/batch_backlog.h"
 #include "transport/transport.h"
 
 namespace gooseberrygap::daemon {
@@ -12,7 +13,8 @@
 // The `disk` duty: makes batches of the replicated log durable. All queued
 // batches are written with one sync. A batch that cannot be written is written
 // again, together with those that follow it, until the disk takes it: to the
-// log, a disk that refuses writes is one that is slow.
+// log, a disk that refuses writes is one that is slow. So is one that hangs:
+// what it has not taken yet is merged and kept.
 class DiskDuty {
  public:
   // Called on the disk thread with the sequence number up to which all batches
@@ -27,8 +29,11 @@
   // Tries once to write the queued batches, then stops the thread.
   ~DiskDuty();
 
-  // Queues a batch. Returns false when the ring is full or closed. Thread-safe.
-  bool Write(coordination::RaftBatch batch);
+  // Queues a batch. Must be called on the same thread as Flush.
+  void Write(const coordination::RaftBatch& batch);
+  // Passes batches that found the ring full to the disk thread, as far as there
+  // is room by now. Call it at each tick.
+  void Flush();
 
  private:
   void Run();
@@ -43,6 +48,7 @@
   const Handler handler_;
   state::Counters* const counters_;
   const state::SteadyClock clock_;
+  BatchBacklog backlog_;  // Batches that wait for room in the ring.
   transport::Ring<coordination::RaftBatch> ring_;
   // Batches that are not durable. A deque, since batches cannot be assigned.
   std::deque<coordination::RaftBatch> unsynced_;
