Bound what the log defers while the disk hangs

While the disk of a member hangs right after a change of the term, each request for its vote and each heartbeat adds a reply that waits for the term to be durable, and each batch adds a record. All these replies are sent at once when the disk works again.

Cause: RaftDurability kept both lists without a limit.

a disk that hangs defers one reply of a kind to a connection CHECK( step.commands_.size() == 5 ) with expansion: 3000 (0xbb8) == 5

Change: a deferred reply replaces an earlier one of the same kind to the same connection; replies to votes and to pre-votes are different kinds. Requests for votes are left alone: they are few, and two members can have one address. From 1,024 batches on, the record of the last batch stands for the new one as well, which is safe because a batch is durable only after those before it.

--- a/src/coordination/internal/raft_durability.cc
+++ b/src/coordination/internal/raft_durability.cc
@@ -2,12 +2,28 @@
 
 #include <algorithm>
 #include <limits>
+#include <variant>
 
 namespace gooseberrygap::coordination {
 
 namespace {
 
 constexpr uint64_t kNoLimit = std::numeric_limits<uint64_t>::max();
+// Far more than a disk that works has outstanding.
+constexpr size_t kMaxPendingBatches = 1024;
+
+// Returns whether a later reply makes an earlier one out of date: both are of
+// the same kind and go to the same connection.
+bool Supersedes(const ReplyToPeer& later, const Command& earlier) {
+  const auto* reply = std::get_if<ReplyToPeer>(&earlier);
+  if (reply == nullptr || reply->connection_ != later.connection_ ||
+      reply->message_.index() != later.message_.index()) {
+    return false;
+  }
+  const auto* vote = std::get_if<VoteReply>(&later.message_);
+  return vote == nullptr ||
+         vote->pre_vote_ == std::get<VoteReply>(reply->message_).pre_vote_;
+}
 
 }  // namespace
 
@@ -72,6 +88,11 @@
   truncate_from_ = 0;
   snapshot_.reset();
   last_batched_index_ = log.last_index();
+  if (pending_batches_.size() == kMaxPendingBatches) {
+    // A batch is durable only after those before it, so the new one can stand
+    // for the last one as well.
+    pending_batches_.pop_back();
+  }
   pending_batches_.push_back(PendingBatch{.sequence_ = next_sequence_,
                                           .last_index_ = last_batched_index_});
   ++next_sequence_;
@@ -88,13 +109,18 @@
 }
 
 void RaftDurability::DeferUntilVoteDurable(Command command) {
+  if (const auto* reply = std::get_if<ReplyToPeer>(&command)) {
+    std::erase_if(deferred_, [reply](const auto& deferred) {
+      return Supersedes(*reply, deferred.second);
+    });
+  }
   const uint64_t sequence = vote_changed_ ? next_sequence_ : vote_sequence_;
   deferred_.emplace_back(sequence, std::move(command));
 }
 
 Commands RaftDurability::TakeSendable() {
   Commands sendable;
-  std::vector<std::pair<uint64_t, Command>> waiting;
+  std::list<std::pair<uint64_t, Command>> waiting;
   for (auto& [sequence, command] : deferred_) {
     if (sequence <= persisted_sequence_) {
       sendable.push_back(std::move(command));
--- a/src/coordination/internal/raft_durability.h
+++ b/src/coordination/internal/raft_durability.h
@@ -3,11 +3,11 @@
 
 #include <cstdint>
 #include <deque>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
 #include <utility>
-#include <vector>
 
 #include "coordination/api/raft.h"
 #include "coordination/internal/raft_log.h"
@@ -45,15 +45,18 @@
     return !vote_changed_ && vote_sequence_ <= persisted_sequence_;
   }
 
-  // Defers the command until the current term and vote are durable.
+  // Defers the command until the current term and vote are durable. A reply
+  // replaces a deferred one of the same kind to the same connection.
   void DeferUntilVoteDurable(Command command);
   // Drops all deferred commands; for use when the term has changed.
   void DropDeferred() { deferred_.clear(); }
+  // Number of batches that are tracked one by one.
+  size_t pending_batches() const { return pending_batches_.size(); }
   // Returns the deferred commands whose term and vote are durable.
   Commands TakeSendable();
 
  private:
-  // A batch that is not yet durable.
+  // A batch that is not yet durable. The last one can stand for several.
   struct PendingBatch {
     uint64_t sequence_ = 0;
     uint64_t last_index_ = 0;  // Last index of the log once it is written.
@@ -72,8 +75,9 @@
   std::shared_ptr<const state::LogSnapshot> snapshot_;
   uint64_t durable_index_ = 0;
   std::deque<PendingBatch> pending_batches_;
-  // Deferred commands with the sequence of the batch that they wait for.
-  std::vector<std::pair<uint64_t, Command>> deferred_;
+  // Deferred commands with the sequence of the batch that they wait for. A
+  // list, since commands cannot be assigned.
+  std::list<std::pair<uint64_t, Command>> deferred_;
 };
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/tests/raft_member_test.cc
+++ b/src/coordination/tests/raft_member_test.cc
@@ -135,5 +135,112 @@
   }
 }
 
+// Guards against replies that pile up while the disk hangs and are all sent
+// when it works again: each of them but the last is out of date.
+TEST_CASE("a disk that hangs defers one reply of a kind to a connection",
+          "[configuration]") {
+  std::mt19937 random(1);
+  const std::vector<state::ControlMember> members = {
+      {.identity_ = "a"}, {.identity_ = "b"}, {.identity_ = "c"}};
+  Raft raft({},
+            {.identity_ = "a",
+             .entries_ = {{.index_ = 1,
+                           .term_ = 1,
+                           .kind_ = state::LogEntryKind::kMembers,
+                           .members_ = members}}},
+            random, state::Millis(0));
+  uint64_t last_batch = 0;
+  size_t sent = 0;
+  const auto handle = [&](const RaftEvent& event, state::Millis now) {
+    const Raft::Step step = raft.Handle(event, now);
+    last_batch = step.batch_ ? step.batch_->sequence_ : last_batch;
+    sent += step.commands_.size();
+    return step;
+  };
+  const auto receive = [&](const std::string& from, PeerMessage message,
+                           state::Millis now) {
+    handle(RaftMessageReceived{.connection_ = from,
+                               .message_ = std::move(message)},
+           now);
+  };
+  // A minute of requests for votes, then one of heartbeats.
+  constexpr uint64_t kRounds = 600;
+  for (uint64_t round = 1; round <= kRounds; ++round) {
+    for (const char* from : {"b", "c"}) {
+      for (const bool pre_vote : {false, true}) {
+        receive(from,
+                VoteRequest{.from_ = from,
+                            .to_ = "a",
+                            .term_ = 5,
+                            .pre_vote_ = pre_vote,
+                            .last_index_ = 1,
+                            .last_term_ = 1},
+                state::Millis(1));
+      }
+    }
+  }
+  for (uint64_t round = 1; round <= kRounds; ++round) {
+    receive("b",
+            AppendRequest{.from_ = "b",
+                          .to_ = "a",
+                          .term_ = 5,
+                          .previous_index_ = 1,
+                          .previous_term_ = 1,
+                          .round_ = round},
+            state::Millis(100.0 * static_cast<double>(round)));
+  }
+  REQUIRE(sent == 0);
+  const Raft::Step step =
+      handle(RaftPersisted{.sequence_ = last_batch}, state::Millis(60000));
+  // To b and to c one reply for each kind of vote, and to b one for heartbeats.
+  CHECK(step.commands_.size() == 5);
+  const auto* reply = std::get_if<ReplyToPeer>(&step.commands_.back());
+  REQUIRE(reply != nullptr);
+  const auto* appended = std::get_if<AppendReply>(&reply->message_);
+  REQUIRE(appended != nullptr);
+  CHECK(appended->round_ == kRounds);
+}
+
+// Guards against a list of batches that grows for as long as the disk hangs,
+// and against a member that does not work when the disk does again.
+TEST_CASE("entries count as durable after a disk that hung for long",
+          "[configuration]") {
+  std::mt19937 random(1);
+  Raft raft({}, {.identity_ = "a"}, random, state::Millis(0));
+  // More batches than a member keeps apart.
+  constexpr uint64_t kEntries = 5000;
+  std::vector<uint64_t> sequences = {0};
+  uint64_t acknowledged = 0;
+  const auto handle = [&](const RaftEvent& event) {
+    const Raft::Step step = raft.Handle(event, state::Millis(0));
+    if (step.batch_) {
+      sequences.push_back(step.batch_->sequence_);
+    }
+    for (const Command& command : step.commands_) {
+      const auto& reply = std::get<ReplyToPeer>(command);
+      const auto& appended = std::get<AppendReply>(reply.message_);
+      CHECK(appended.index_ >= acknowledged);
+      acknowledged = appended.index_;
+    }
+  };
+  for (uint64_t index = 1; index <= kEntries; ++index) {
+    handle(
+        RaftMessageReceived{.message_ = AppendRequest{
+                                .from_ = "leader",
+                                .to_ = "a",
+                                .term_ = 1,
+                                .previous_index_ = index - 1,
+                                .previous_term_ = index == 1 ? 0U : 1U,
+                                .entries_ = {{.index_ = index, .term_ = 1}}}});
+  }
+  REQUIRE(sequences.size() == kEntries + 1);
+  for (uint64_t written = 1; written <= kEntries; written += 7) {
+    handle(RaftPersisted{.sequence_ = sequences[written]});
+    CHECK(acknowledged <= written);
+  }
+  handle(RaftPersisted{.sequence_ = sequences.back()});
+  CHECK(acknowledged == kEntries);
+}
+
 }  // namespace
 }  // namespace gooseberrygap::coordination
