Do not replace the link to the own control role

What operators see: while the control role of an instance does not answer, its own log shows link_replaced every 2 s for the instance's own address.

Cause: the node's probe to the own address is delivered inside the process, and its reply bears no address. The link monitor takes the link for silent whenever the own control role does not answer a renewal.

Evidence, on the code before:

the link to the own control role is not replaced node_test.cc:193: FAILED: CHECK( (replaced == 0) == is_own ) with expansion: false == true with message: g-address

Change: the node does not replace that link, and logs own_control_role_silent instead, at the same interval. The reply to the local probe does not count as one from the own address: it shows that the node duty works and says nothing of the control role, and counting it would hide a role that waits without end, which writes no line of its own. Replacing the link helps nobody, since only the own control role is reached on it; a connection to oneself that is really lost is found by the heartbeats that processes with a control role have on their links. The field own of link_replaced would always be false and is gone. The link to another control instance is still replaced; the test checks both.

--- a/src/coordination/internal/decision_log.cc
+++ b/src/coordination/internal/decision_log.cc
@@ -125,4 +125,9 @@
                               {"staleness_ms", reply.staleness_.value()}}};
 }
 
+state::LogEvent OwnControlRoleSilentLine() {
+  return state::LogEvent{.level_ = state::LogLevel::kWarning,
+                         .event_ = "own_control_role_silent"};
+}
+
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/internal/decision_log.h
+++ b/src/coordination/internal/decision_log.h
@@ -51,6 +51,9 @@
 state::LogEvent ControlQueryAnsweredLine(const std::string& current,
                                          const LeaseReply& reply);
 
+// Returns the line of a daemon whose own control role does not answer it.
+state::LogEvent OwnControlRoleSilentLine();
+
 }  // namespace gooseberrygap::coordination
 
 #endif  // COORDINATION_INTERNAL_DECISION_LOG_H_
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -177,15 +177,34 @@
         link_monitor_.Tick(now, [this, now](const std::string& address) {
           return router_.TakeProbe(address, now);
         });
-    Append(&commands, std::move(links.commands_));
+    for (Command& command : links.commands_) {
+      if (!IsOwnLinkReset(command)) {
+        commands.push_back(std::move(command));
+      }
+    }
     for (const std::string& address : links.reset_addresses_) {
-      counters_->Add(state::Counter::kLinksReset);
-      Append(&commands, ingress_.OnLinkLost(address, now));
+      Append(&commands, OnLinkSilent(address, now));
     }
     Append(&commands, router_.Tick(now));
     return commands;
   }
 
+  // The link to the own process is not replaced: only the own control role is
+  // reached on it, and a role that does not answer on one link does not answer
+  // on another.
+  bool IsOwnLinkReset(const Command& command) const {
+    const auto* reset = std::get_if<ResetLink>(&command);
+    return reset != nullptr && reset->address_ == self_.guard_address_;
+  }
+
+  Commands OnLinkSilent(const std::string& address, state::Millis now) {
+    if (address == self_.guard_address_) {
+      return {WriteLog{.event_ = OwnControlRoleSilentLine()}};
+    }
+    counters_->Add(state::Counter::kLinksReset);
+    return ingress_.OnLinkLost(address, now);
+  }
+
   // Returns whether the configuration and the targets are present and recent
   // enough to accept all calls.
   bool HasRequiredState(state::Millis now) const {
--- a/src/coordination/tests/node_test.cc
+++ b/src/coordination/tests/node_test.cc
@@ -167,5 +167,33 @@
   CHECK(answer.reason_ == state::RefusalReason::kAnswerTooLarge);
 }
 
+// Guards against a link to the own process that is replaced again and again
+// while the own control role does not answer: that helps nobody, and its log
+// line hides the cause.
+TEST_CASE("the link to the own control role is not replaced", "[silent_link]") {
+  constexpr const char* kOwn = "g-address";
+  constexpr const char* kRoleSilent = "own_control_role_silent";
+  for (const char* control : {kOwn, kControl}) {
+    std::mt19937_64 random;
+    state::Counters counters;
+    Node node({.self_ = {.instance_ = "g", .guard_address_ = kOwn},
+               .control_instances_ = {{"c", control, "kochi"}}},
+              random, &counters);
+    int replaced = 0;
+    int lines = 0;
+    for (Millis now; now < Millis(10000); now = now + Millis(10)) {
+      for (const Command& command : node.Handle(Ticked{}, now)) {
+        const auto* log = std::get_if<WriteLog>(&command);
+        replaced += std::holds_alternative<ResetLink>(command) ? 1 : 0;
+        lines += log != nullptr && log->event_.event_ == kRoleSilent ? 1 : 0;
+      }
+    }
+    INFO(control);
+    const bool is_own = control == kOwn;
+    CHECK((replaced == 0) == is_own);
+    CHECK((lines > 0) == is_own);
+  }
+}
+
 }  // namespace
 }  // namespace gooseberrygap::coordination
--- a/src/daemon/node_duty.cc
+++ b/src/daemon/node_duty.cc
@@ -40,7 +40,6 @@
                    state::Counters* counters)
     : dialect_(dialect),
       slots_(slots),
-      own_address_(options.node_.self_.guard_address_),
       node_(options.node_, random_, counters),
       ring_(kRingCapacity),
       target_client_(transport::TargetClient::Start(
@@ -188,8 +187,7 @@
   Log({.level_ = state::LogLevel::kWarning,
        .event_ = "link_replaced",
        .fields_ = {{"address", command.address_},
-                   {"reason", std::string("silent")},
-                   {"own", command.address_ == own_address_}}});
+                   {"reason", std::string("silent")}}});
   peers_->Reset(command);
 }
 
--- a/src/daemon/node_duty.h
+++ b/src/daemon/node_duty.h
@@ -94,7 +94,6 @@
   absl::BitGen random_;
   const protocol::TargetDialect* const dialect_;
   CallSlots* const slots_;
-  const std::string own_address_;
   std::vector<NodeListener*> listeners_;
   std::atomic<bool> ready_ = false;
   coordination::Node node_;
