Write the log again after its output was full

What operators see: once the disk that holds the log of a process was full for a moment, the process writes no further line until it is started again, not even log_dropped.

Cause: a stream that has failed takes nothing more until it is cleared, and nothing cleared the standard output.

Evidence: the test limits the size of files to 0 for a moment. On the code before, after 50 tries in 20 s:

the log goes on after its output was full logging_test.cc:83: FAILED: CHECK( has_line ) with expansion: false

Change: the log duty clears the stream after a failed flush, and counts the lines written since the last good one as dropped. A closed output still takes nothing.

--- a/src/daemon/logging.cc
+++ b/src/daemon/logging.cc
@@ -85,7 +85,7 @@
         }
       }
       WriteDropped();
-      std::cout.flush();
+      Flush();
     }
   }
 
@@ -110,7 +110,19 @@
     }
   }
 
+  // Counts the lines that the output has refused, which may be a file on a full
+  // disk. A stream that has failed takes nothing more until it is cleared.
+  void Flush() {
+    std::cout.flush();
+    if (!std::cout.good()) {
+      std::cout.clear();
+      dropped_.fetch_add(unflushed_);
+    }
+    unflushed_ = 0;
+  }
+
   void Write(const TimedEvent& event) {
+    ++unflushed_;
     LOG4CPLUS_INFO(
         OutputLogger(),
         protocol::PrintLogLine(event.event_, event.wall_millis_, instance_));
@@ -122,6 +134,7 @@
   state::TokenBucket info_budget_{kInfoLinesPerSecond, kBurstSeconds};
   state::TokenBucket warning_budget_{kWarningLinesPerSecond, kBurstSeconds};
   std::atomic<int64_t> dropped_ = 0;
+  int64_t unflushed_ = 0;  // Lines written since the last flush.
   transport::Ring<TimedEvent> ring_;
   transport::DutyThread thread_;
 };
