Keep room in a full ring for what must not be lost

- The end of a delivery was dropped when the ring of the node duty was full of messages and calls, although the comment said that this cannot fail.
Nothing reports it again: the guard keeps the slot of its target in use for good, and the process does not end by itself after SIGTERM.
- The result of a write was dropped when the ring of the control duty was full.
A vote or the last entries of the log then count only after the next write.
- The order to stop was dropped when the ring of the HTTP front was full, and StopGracefully waits for it without a limit; new limits for callers were lost until the next configuration.

Change: a ring can have a reserve beyond its capacity, for items whose number something else bounds. These four kinds use it.

Test: "an item that must not be lost finds room in a full ring"; new code, so there is no failing run before. Filling the rings of the duties themselves is not covered.

--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -13,6 +13,9 @@
 using coordination::RaftEvent;
 
 constexpr size_t kRingCapacity = 16384;
+// Results of the disk duty. While the control duty stands still, the disk duty
+// has at most the batches in its ring to report.
+constexpr size_t kRingReserve = 512;
 constexpr state::Millis kTickInterval(10);
 constexpr state::Millis kMembershipInterval(50);
 // Ring items that are handled together and share one write to the disk.
@@ -61,7 +64,7 @@
                options.incarnation_,
                counters,
                clock_.Now()),
-      ring_(kRingCapacity) {
+      ring_(kRingCapacity, kRingReserve) {
   if (options.membership_.has_value()) {
     membership_.emplace(*options.membership_);
   }
@@ -93,11 +96,13 @@
 }
 
 void ControlDuty::OnDiskResult(const state::Result<uint64_t>& result) {
+  // A lost result would keep a vote or the last entries from counting until the
+  // next write.
   if (result) {
-    ring_.TryPush(Item(
+    ring_.TryPushReserved(Item(
         RaftEvent(coordination::RaftPersisted{.sequence_ = result.value()})));
   } else {
-    ring_.TryPush(Item(DiskFailed{.error_ = result.error()}));
+    ring_.TryPushReserved(Item(DiskFailed{.error_ = result.error()}));
   }
 }
 
--- a/src/daemon/node_duty.cc
+++ b/src/daemon/node_duty.cc
@@ -9,6 +9,8 @@
 using coordination::NodeEvent;
 
 constexpr size_t kRingCapacity = 16384;
+// Ends of deliveries. Far more than a guard has in progress.
+constexpr size_t kRingReserve = 4096;
 constexpr state::Millis kViewTimeout(2000);
 constexpr state::Millis kStatusInterval(10000);
 
@@ -41,7 +43,7 @@
     : dialect_(dialect),
       slots_(slots),
       node_(options.node_, random_, counters),
-      ring_(kRingCapacity),
+      ring_(kRingCapacity, kRingReserve),
       target_client_(transport::TargetClient::Start(
           transport::TargetClient::Options{
               .workers_ = options.target_workers_,
@@ -52,9 +54,8 @@
                     return dialect->Identify(delivery, answer);
                   }},
           [this](const coordination::DeliveryEnded& ended) {
-            // Cannot fail: deliveries in flight are far fewer than the
-            // capacity of the ring.
-            Post(dialect_->Interpret(ended));
+            // A lost end would keep a slot of the target in use for good.
+            ring_.TryPushReserved(Item(NodeEvent(dialect_->Interpret(ended))));
           },
           counters)),
       counters_(counters) {}
--- a/src/transport/api/ring.h
+++ b/src/transport/api/ring.h
@@ -15,22 +15,22 @@
 template <class T>
 class Ring {
  public:
-  // Precondition: `capacity` is positive.
-  explicit Ring(size_t capacity) : capacity_(capacity) {}
+  // `reserve` is the room for items beyond the capacity that must not be lost,
+  // and whose number something else bounds. Precondition: `capacity` is
+  // positive.
+  explicit Ring(size_t capacity, size_t reserve = 0)
+      : capacity_(capacity), reserve_(reserve) {}
 
   Ring(const Ring&) = delete;
   Ring& operator=(const Ring&) = delete;
 
   // Appends the item. Returns false, and leaves it out, when the ring is full
   // or closed; the producer counts the refusal.
-  bool TryPush(T item) {
-    const std::lock_guard lock(mutex_);
-    if (closed_ || items_.size() == capacity_) {
-      return false;
-    }
-    items_.push_back(std::move(item));
-    not_empty_.SignalOne();
-    return true;
+  bool TryPush(T item) { return PushBelow(capacity_, std::move(item)); }
+
+  // Like TryPush, but the item may also take room of the reserve.
+  bool TryPushReserved(T item) {
+    return PushBelow(capacity_ + reserve_, std::move(item));
   }
 
   // Takes the oldest item, or nothing when none came within `timeout` or the
@@ -61,6 +61,16 @@
   }
 
  private:
+  bool PushBelow(size_t limit, T item) {
+    const std::lock_guard lock(mutex_);
+    if (closed_ || items_.size() >= limit) {
+      return false;
+    }
+    items_.push_back(std::move(item));
+    not_empty_.SignalOne();
+    return true;
+  }
+
   // Precondition: `mutex_` is held.
   std::optional<T> TakeFront() {
     if (items_.empty()) {
@@ -74,6 +84,7 @@
   mutable std::mutex mutex_;  // Guards `items_` and `closed_`.
   SteadyCondition not_empty_;
   const size_t capacity_;
+  const size_t reserve_;
   // Grows with what waits, so that a large bound costs no memory when idle.
   std::deque<T> items_;
   bool closed_ = false;
--- a/src/transport/internal/call_server.cc
+++ b/src/transport/internal/call_server.cc
@@ -21,6 +21,9 @@
 
 // Far above the requests that one daemon has in progress.
 constexpr size_t kRingCapacity = 16384;
+// Orders other than answers: new limits and those of a stop. A lost order to
+// stop would keep the process from ending.
+constexpr size_t kRingReserve = 64;
 // How long a stopping server reads a request that has not come whole.
 constexpr state::Millis kStopReadTime(1000);
 // How often connections are looked through for those that last too long.
@@ -55,7 +58,7 @@
         counters_(counters),
         poller_(std::move(poller)),
         listeners_(std::move(listeners)),
-        ring_(kRingCapacity) {
+        ring_(kRingCapacity, kRingReserve) {
     limits_.resize(listeners_.size(), MakeLimits(options.limits_));
     for (const ListenSocket& listener : listeners_) {
       addresses_.push_back(listener.address_);
@@ -94,7 +97,10 @@
   }
 
   void Give(Order order) {
-    if (!ring_.TryPush(std::move(order))) {
+    const bool is_taken = std::holds_alternative<GivenAnswer>(order)
+                              ? ring_.TryPush(std::move(order))
+                              : ring_.TryPushReserved(std::move(order));
+    if (!is_taken) {
       counters_->Add(state::RefusalReason::kInternalQueueFull);
     }
     poller_->Wake();
--- a/src/transport/tests/ring_test.cc
+++ b/src/transport/tests/ring_test.cc
@@ -69,5 +69,20 @@
   CHECK_FALSE(ring.Pop(Millis(20000)).has_value());
 }
 
+// Guards against the end of a work that is lost because other items have filled
+// the ring: nothing would ever report it again.
+TEST_CASE("an item that must not be lost finds room in a full ring", "[ring]") {
+  Ring<int> ring(2, 1);
+  REQUIRE(ring.TryPush(1));
+  REQUIRE(ring.TryPush(2));
+  CHECK_FALSE(ring.TryPush(3));
+  CHECK(ring.TryPushReserved(4));
+  CHECK_FALSE(ring.TryPushReserved(5));
+  CHECK_FALSE(ring.TryPush(6));
+  for (const int expected : {1, 2, 4}) {
+    CHECK(ring.TryPop() == expected);
+  }
+}
+
 }  // namespace
 }  // namespace gooseberrygap::transport
