Let a stopped control role send nothing

A control role that cannot decode its log stops for good and answers nobody, but goes on to send: after 3 s without a leader it asks the group every 250 ms to take it in. By reading: the leader that has replaced it adds it again as a learner, which never catches up, and removes it 10 s later, for as long as the process runs; and the lease check of the stopped role goes on, so that it could still push its outdated members to daemons.

Cause: only events were dropped after ControlDuty::Fail; its ticks went on.

On the code before:

a control role that cannot read its log is silent and says so control_duty_test.cc:98: FAILED: CHECK( (arrivals > 0) == is_readable ) with expansion: true == false with message: readable 0

Change: a stopped role has no ticks. It stays stopped, since a member that cannot read its log must not vote, and the process goes on to serve calls. It is visible: the status shows the role failed, and control_role_unavailable is repeated. Daemons leave it like any instance that does not reply; that is covered by "a lease leaves an unresponsive instance with a higher sequence".

--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -197,7 +197,9 @@
     }
     if (clock_.Now() >= next_tick) {
       next_tick = clock_.Now() + kTickInterval;
-      Tick(&events);
+      if (!failed_) {
+        Tick(&events);
+      }
       disk_->Flush();
       LogOutage(clock_.Now());
     }
--- a/src/daemon/control_duty.h
+++ b/src/daemon/control_duty.h
@@ -124,7 +124,8 @@
   // Logs the first failed write, and that the disk takes writes again.
   void LogDiskFailed(const state::Error& error);
   void LogDiskWorks();
-  // Stops the control role of this daemon. Calls are still served.
+  // Stops the control role of this daemon, which then sends and answers nothing
+  // but its status. Calls are still served.
   void Fail(const state::Error& error);
 
   const state::SteadyClock clock_;
