Show that the disk of a control instance hangs

What operators see: nothing. A disk that refuses writes shows as the role failed and as control_role_unavailable; one that hangs showed as a healthy follower, which acknowledges nothing.

Change: the disk duty tells how long its present write has lasted. From 3 s on the status shows the role failed, and control_role_unavailable is repeated with the time and the folder. Only what is shown changes: the role goes on and works again when the disk does.

Test: "what waits for a disk that hangs is written when it works again" also checks the time during and after the hang; new code, so there is no failing run before. The line itself was not seen in a run of a whole process.

--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "absl/strings/str_cat.h"
 #include "daemon/control_results.h"
 #include "daemon/logging.h"
 
@@ -23,6 +24,9 @@
 constexpr state::Millis kStatusTimeout(2000);
 constexpr state::Millis kChangeTimeout(5000);
 constexpr state::Millis kFormTimeout(200);
+// A write that takes longer is shown as a failure of the disk. Longer than the
+// writes of a disk that is only busy.
+constexpr state::Millis kMaxWriteTime(3000);
 // Set in the tags of membership changes, to distinguish them from the tags of
 // the control service's proposals.
 constexpr uint64_t kChangeTagBit = uint64_t{1} << 63;
@@ -450,8 +454,18 @@
 }
 
 std::string ControlDuty::RoleName() const {
-  const bool has_failed = failed_ || disk_failed_;
-  return std::string(has_failed ? "failed" : NameOf(raft_.role()));
+  return CurrentError().empty() ? std::string(NameOf(raft_.role())) : "failed";
+}
+
+std::string ControlDuty::CurrentError() const {
+  const state::Millis write_time = disk_->WriteTime();
+  if (!error_.empty() || write_time < kMaxWriteTime) {
+    return error_;
+  }
+  return absl::StrCat("The disk has not finished a write for ",
+                      static_cast<int64_t>(write_time.value()),
+                      " ms; check the disk of the folder \"",
+                      options_.settings_.data_dir_, "\".");
 }
 
 void ControlDuty::AnswerStatus(StatusSlot* slot) const {
@@ -473,7 +487,7 @@
                                           .leader_ = raft_.leader_address(),
                                           .commit_index_ = raft_.commit_index(),
                                           .staleness_ = raft_.Staleness(now),
-                                          .error_ = error_},
+                                          .error_ = CurrentError()},
                          now);
   if (line.has_value()) {
     Log(*line);
--- a/src/daemon/control_duty.h
+++ b/src/daemon/control_duty.h
@@ -115,6 +115,9 @@
   // Name of the role for log lines and the status; `failed` while the role or
   // its disk does not work.
   std::string RoleName() const;
+  // The error of the stopped role, or of the disk that refuses writes or hangs;
+  // empty without one.
+  std::string CurrentError() const;
   void AnswerStatus(StatusSlot* slot) const;
   void LogOutage(state::Millis now);
   // Proposes a membership change with a new tag and waits for its outcome.
--- a/src/daemon/disk_duty.cc
+++ b/src/daemon/disk_duty.cc
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "absl/cleanup/cleanup.h"
+
 namespace gooseberrygap::daemon {
 
 namespace {
@@ -42,6 +44,12 @@
   });
 }
 
+state::Millis DiskDuty::WriteTime() const {
+  const double began_ms = write_began_ms_.load();
+  return began_ms > 0 ? clock_.Now() - state::Millis(began_ms)
+                      : state::Millis(0);
+}
+
 void DiskDuty::Run() {
   while (!ring_.closed()) {
     TakeQueued();
@@ -71,6 +79,8 @@
 }
 
 void DiskDuty::WriteUnsynced() {
+  write_began_ms_.store(clock_.Now().value());
+  const absl::Cleanup end = [this] { write_began_ms_.store(0); };
   const std::vector<coordination::RaftBatch> batches(unsynced_.begin(),
                                                      unsynced_.end());
   const coordination::RaftBatch batch = coordination::MergeBatches(batches);
--- a/src/daemon/disk_duty.h
+++ b/src/daemon/disk_duty.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_DISK_DUTY_H_
 #define DAEMON_DISK_DUTY_H_
 
+#include <atomic>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -34,6 +35,8 @@
   // Passes batches that found the ring full to the disk thread, as far as there
   // is room by now. Call it at each tick.
   void Flush();
+  // Returns how long the present write has lasted; 0 without one. Thread-safe.
+  state::Millis WriteTime() const;
 
  private:
   void Run();
@@ -52,6 +55,8 @@
   transport::Ring<coordination::RaftBatch> ring_;
   // Batches that are not durable. A deque, since batches cannot be assigned.
   std::deque<coordination::RaftBatch> unsynced_;
+  // Time at which the present write began; 0 without one.
+  std::atomic<double> write_began_ms_ = 0;
   bool failed_ = false;     // The last write failed.
   state::Millis retry_at_;  // Time of the next write after a failed one.
   transport::DutyThread thread_;
--- a/src/daemon/tests/disk_duty_test.cc
+++ b/src/daemon/tests/disk_duty_test.cc
@@ -230,7 +230,9 @@
       written = batch.sequence_;
       duty.Write(batch);
     }
+    const state::Millis hang_time = duty.WriteTime();
     disk_works.set_value();
+    CHECK(hang_time > state::Millis(0));
     const state::SteadyClock clock;
     const state::Millis give_up = clock.Now() + kHang;
     while (durable < written && clock.Now() < give_up) {
@@ -242,6 +244,10 @@
       }
     }
     REQUIRE(durable == written);
+    while (duty.WriteTime() > state::Millis(0) && clock.Now() < give_up) {
+      results.Pop(kTick);
+    }
+    CHECK(duty.WriteTime() == state::Millis(0));
   }
   auto reopened = state::LogStore::Open(name, options);
   REQUIRE(reopened);
