Test a group with a disk that hangs for a minute

The disk of the leader or of a follower hangs for 60 s of simulated time, four seeds each: the group commits with the two others, does not commit with one of the others and the member whose disk hangs, and does so when that disk works again.

--- a/src/coordination/tests/raft_cluster.h
+++ b/src/coordination/tests/raft_cluster.h
@@ -127,6 +127,10 @@
     nodes_[node]->isolated_ = isolated;
   }
   bool IsIsolated(size_t node) const { return nodes_[node]->isolated_; }
+  // While the disk of a node hangs, none of its writes completes.
+  void SetDiskHangs(size_t node, bool hangs) {
+    nodes_[node]->disk_hangs_ = hangs;
+  }
   // Stops the node. Of the batches that are not yet reported as durable, a
   // random number of the first ones is written.
   void Crash(size_t node) {
@@ -233,6 +237,7 @@
 
   struct Node {
     bool isolated_ = false;
+    bool disk_hangs_ = false;
     std::unique_ptr<RaftDisk> disk_;
     std::unique_ptr<Raft> raft_;
     // Batches being written, with the time when each write completes.
@@ -275,7 +280,8 @@
 
   void FinishWrites(size_t node) {
     Node& writer = *nodes_[node];
-    while (!writer.writing_.empty() && writer.writing_.front().first <= now_) {
+    while (!writer.disk_hangs_ && !writer.writing_.empty() &&
+           writer.writing_.front().first <= now_) {
       const uint64_t sequence = writer.writing_.front().second.sequence_;
       writer.disk_->Write(writer.writing_.front().second);
       writer.writing_.pop_front();
--- a/src/coordination/tests/raft_test.cc
+++ b/src/coordination/tests/raft_test.cc
@@ -305,5 +305,35 @@
   CHECK(Commits(&cluster));
 }
 
+// Guards against a member whose disk hangs that is counted with what it has not
+// stored, that holds up the others, or that does not work when its disk does.
+TEST_CASE("the group bears a disk that hangs for a minute", "[configuration]") {
+  constexpr int kHangMillis = 60000;
+  const unsigned seed = GENERATE(range(1U, 5U));
+  const bool hits_leader = GENERATE(true, false);
+  CAPTURE(seed, hits_leader);
+  RaftCluster cluster(3, seed, {.retained_entries_ = 8});
+  cluster.Form();
+  const size_t leader = cluster.WaitForLeader();
+  const size_t victim = hits_leader ? leader : (leader + 1) % cluster.size();
+  const size_t healthy = (leader + 2) % cluster.size();
+  REQUIRE(Commits(&cluster));
+  cluster.SetDiskHangs(victim, true);
+  for (int passed = 0; passed < kHangMillis; passed += 1000) {
+    CHECK(Commits(&cluster));
+    cluster.Run(1000);
+  }
+  // Without the third member, the one with the disk that hangs makes no quorum.
+  cluster.SetIsolated(healthy, true);
+  cluster.Run(100);
+  CHECK_FALSE(Commits(&cluster));
+  cluster.SetDiskHangs(victim, false);
+  CHECK(Commits(&cluster));
+  cluster.SetIsolated(healthy, false);
+  CHECK(Commits(&cluster));
+  CHECK(cluster.RunUntil([&] { return cluster.HasConverged(); }, 5000));
+  cluster.history().Check();
+}
+
 }  // namespace
 }  // namespace gooseberrygap::coordination
