--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "absl/strings/str_cat.h"
 #include "daemon/control_results.h"
 #include "daemon/logging.h"
 
@@ -13,6 +14,9 @@
 using coordination::RaftEvent;
 
 constexpr size_t kRingCapacity = 16384;
+// Results of the disk duty. While the control duty stands still, the disk duty
+// has at most the batches in its ring to report.
+constexpr size_t kRingReserve = 512;
 constexpr state::Millis kTickInterval(10);
 constexpr state::Millis kMembershipInterval(50);
 // Ring items that are handled together and share one write to the disk.
@@ -20,6 +24,9 @@
 constexpr state::Millis kStatusTimeout(2000);
 constexpr state::Millis kChangeTimeout(5000);
 constexpr state::Millis kFormTimeout(200);
+// A write that takes longer is shown as a failure of the disk. Longer than the
+// writes of a disk that is only busy.
+constexpr state::Millis kMaxWriteTime(3000);
 // Set in the tags of membership changes, to distinguish them from the tags of
 // the control service's proposals.
 constexpr uint64_t kChangeTagBit = uint64_t{1} << 63;
@@ -61,7 +68,7 @@
                options.incarnation_,
                counters,
                clock_.Now()),
-      ring_(kRingCapacity) {
+      ring_(kRingCapacity, kRingReserve) {
   if (options.membership_.has_value()) {
     membership_.emplace(*options.membership_);
   }
@@ -93,11 +100,13 @@
 }
 
 void ControlDuty::OnDiskResult(const state::Result<uint64_t>& result) {
+  // A lost result would keep a vote or the last entries from counting until the
+  // next write.
   if (result) {
-    ring_.TryPush(Item(
+    ring_.TryPushReserved(Item(
         RaftEvent(coordination::RaftPersisted{.sequence_ = result.value()})));
   } else {
-    ring_.TryPush(Item(DiskFailed{.error_ = result.error()}));
+    ring_.TryPushReserved(Item(DiskFailed{.error_ = result.error()}));
   }
 }
 
@@ -192,7 +201,10 @@
     }
     if (clock_.Now() >= next_tick) {
       next_tick = clock_.Now() + kTickInterval;
-      Tick(&events);
+      if (!failed_) {
+        Tick(&events);
+      }
+      disk_->Flush();
       LogOutage(clock_.Now());
     }
     ProcessRaftEvents(std::move(events));
@@ -290,12 +302,8 @@
 
 void ControlDuty::Apply(coordination::Raft::Step step,
                         RaftEvents* raft_events) {
-  if (step.batch_.has_value() && !disk_->Write(*step.batch_)) {
-    Fail(state::MakeError(
-        state::ErrorKind::kDiskFailed,
-        "The disk does not keep up with the log: the queue of the disk "
-        "duty is full"));
-    return;
+  if (step.batch_.has_value()) {
+    disk_->Write(*step.batch_);
   }
   CarryOut(step.commands_);
   if (step.restore_.has_value()) {
@@ -446,8 +454,18 @@
 }
 
 std::string ControlDuty::RoleName() const {
-  const bool has_failed = failed_ || disk_failed_;
-  return std::string(has_failed ? "failed" : NameOf(raft_.role()));
+  return CurrentError().empty() ? std::string(NameOf(raft_.role())) : "failed";
+}
+
+std::string ControlDuty::CurrentError() const {
+  const state::Millis write_time = disk_->WriteTime();
+  if (!error_.empty() || write_time < kMaxWriteTime) {
+    return error_;
+  }
+  return absl::StrCat("The disk has not finished a write for ",
+                      static_cast<int64_t>(write_time.value()),
+                      " ms; check the disk of the folder \"",
+                      options_.settings_.data_dir_, "\".");
 }
 
 void ControlDuty::AnswerStatus(StatusSlot* slot) const {
@@ -469,7 +487,7 @@
                                           .leader_ = raft_.leader_address(),
                                           .commit_index_ = raft_.commit_index(),
                                           .staleness_ = raft_.Staleness(now),
-                                          .error_ = error_},
+                                          .error_ = CurrentError()},
                          now);
   if (line.has_value()) {
     Log(*line);
--- a/src/daemon/control_duty.h
+++ b/src/daemon/control_duty.h
@@ -115,6 +115,9 @@
   // Name of the role for log lines and the status; `failed` while the role or
   // its disk does not work.
   std::string RoleName() const;
+  // The error of the stopped role, or of the disk that refuses writes or hangs;
+  // empty without one.
+  std::string CurrentError() const;
   void AnswerStatus(StatusSlot* slot) const;
   void LogOutage(state::Millis now);
   // Proposes a membership change with a new tag and waits for its outcome.
@@ -124,7 +127,8 @@
   // Logs the first failed write, and that the disk takes writes again.
   void LogDiskFailed(const state::Error& error);
   void LogDiskWorks();
-  // Stops the control role of this daemon. Calls are still served.
+  // Stops the control role of this daemon, which then sends and answers nothing
+  // but its status. Calls are still served.
   void Fail(const state::Error& error);
 
   const state::SteadyClock clock_;
--- a/src/daemon/disk_duty.cc
+++ b/src/daemon/disk_duty.cc
@@ -4,13 +4,14 @@
 #include <utility>
 #include <vector>
 
+#include "absl/cleanup/cleanup.h"
+
 namespace gooseberrygap::daemon {
 
 namespace {
 
-// Batches. Far more than the control duty has outstanding, since it
-// acknowledges nothing before it is durable.
-constexpr size_t kRingCapacity = 16384;
+// Batches. Those that come while the disk is slower are merged by the backlog.
+constexpr size_t kRingCapacity = 256;
 constexpr state::Millis kPopTimeout(1000);
 // Time between a failed write and the next one. The log waits for the disk no
 // longer than a few of its heartbeats after the disk takes bytes again.
@@ -32,8 +33,21 @@
   thread_.Join();
 }
 
-bool DiskDuty::Write(coordination::RaftBatch batch) {
-  return ring_.TryPush(std::move(batch));
+void DiskDuty::Write(const coordination::RaftBatch& batch) {
+  backlog_.Add(batch);
+  Flush();
+}
+
+void DiskDuty::Flush() {
+  backlog_.Drain([this](const coordination::RaftBatch& batch) {
+    return ring_.TryPush(batch);
+  });
+}
+
+state::Millis DiskDuty::WriteTime() const {
+  const double began_ms = write_began_ms_.load();
+  return began_ms > 0 ? clock_.Now() - state::Millis(began_ms)
+                      : state::Millis(0);
 }
 
 void DiskDuty::Run() {
@@ -65,6 +79,8 @@
 }
 
 void DiskDuty::WriteUnsynced() {
+  write_began_ms_.store(clock_.Now().value());
+  const absl::Cleanup end = [this] { write_began_ms_.store(0); };
   const std::vector<coordination::RaftBatch> batches(unsynced_.begin(),
                                                      unsynced_.end());
   const coordination::RaftBatch batch = coordination::MergeBatches(batches);
--- a/src/daemon/node_duty.cc
+++ b/src/daemon/node_duty.cc
@@ -9,6 +9,8 @@
 using coordination::NodeEvent;
 
 constexpr size_t kRingCapacity = 16384;
+// Ends of deliveries. Far more than a guard has in progress.
+constexpr size_t kRingReserve = 4096;
 constexpr state::Millis kViewTimeout(2000);
 constexpr state::Millis kStatusInterval(10000);
 
@@ -40,9 +42,8 @@
                    state::Counters* counters)
     : dialect_(dialect),
       slots_(slots),
-      own_address_(options.node_.self_.guard_address_),
       node_(options.node_, random_, counters),
-      ring_(kRingCapacity),
+      ring_(kRingCapacity, kRingReserve),
       target_client_(transport::TargetClient::Start(
           transport::TargetClient::Options{
               .workers_ = options.target_workers_,
@@ -53,9 +54,8 @@
                     return dialect->Identify(delivery, answer);
                   }},
           [this](const coordination::DeliveryEnded& ended) {
-            // Cannot fail: deliveries in flight are far fewer than the
-            // capacity of the ring.
-            Post(dialect_->Interpret(ended));
+            // A lost end would keep a slot of the target in use for good.
+            ring_.TryPushReserved(Item(NodeEvent(dialect_->Interpret(ended))));
           },
           counters)),
       counters_(counters) {}
@@ -188,8 +188,7 @@
   Log({.level_ = state::LogLevel::kWarning,
        .event_ = "link_replaced",
        .fields_ = {{"address", command.address_},
-                   {"reason", std::string("silent")},
-                   {"own", command.address_ == own_address_}}});
+                   {"reason", std::string("silent")}}});
   peers_->Reset(command);
 }
 
