Report how long a control instance has lacked committed entries

What callers saw: a request on a route that had been added and acknowledged more than 2 s before was refused with 404, or run by the old service, by the daemons of one control instance.

Cause: the staleness that an instance reports counted from the last message of its leader. A follower may hear its leader and lack entries: when its disk stops at an election, the new term never becomes durable, no reply leaves, the leader never learns which entries it lacks, and its daemons take a configuration that is seconds old for a fresh one. A restarted member that catches up and a leader that has not committed an entry of its own term passed as fresh in the same way, and a leader with a quorum reported 0.

Staleness now counts from the last time at which the member had applied everything that a leader with a committed entry of its own term had committed. Only the earliest commit index that is not reached yet is awaited, so a member that is always a few entries behind is not taken for one that is cut off. Messages of an earlier heartbeat round do not count. The time of the last contact stays what a leader steps down by, what HasLeaderContact compares, what a member asks to join again by, and what control_role_unavailable is logged by.

Why that covers an acknowledged configuration: it is committed when it is acknowledged, so a member that lacks it was up to date at the latest when the last message from before the commit arrived.

A stopped disk alone does not show the fault: while the new leader's messages arrive it sends new entries with each heartbeat; the member must also lack an entry at the election.

--- a/src/coordination/api/control_service.h
+++ b/src/coordination/api/control_service.h
@@ -48,8 +48,8 @@
   const uint64_t index_ = 0;
 };
 
-// Staleness, in ms, of an instance that has never been in contact with a
-// leader. Finite, so that it can be encoded in a message.
+// Staleness, in ms, of an instance that has never been up to date. Finite, so
+// that it can be encoded in a message.
 inline constexpr state::Millis kNeverContacted(1e9);
 
 // State of the replicated log at this instance. Pass it on every change and
@@ -61,9 +61,9 @@
   const std::string leader_address_ = {};  // Empty when unknown.
   // Members of the group; empty while this instance knows none.
   const std::vector<ControlAddress> members_ = {};
-  // Time of the last contact with a leader or, as the leader, with a quorum;
-  // absent if never.
-  const std::optional<state::Millis> last_leader_contact_ = {};
+  // Last time at which this instance had applied every committed entry; absent
+  // if never.
+  const std::optional<state::Millis> last_up_to_date_ = {};
 };
 
 // The replicated state was replaced by a snapshot.
--- a/src/coordination/api/group_membership.h
+++ b/src/coordination/api/group_membership.h
@@ -17,7 +17,7 @@
   const bool leads_ = false;
   const std::string leader_address_ = {};  // Empty when unknown.
   // Time since the last contact with a leader or, as the leader, a quorum.
-  const state::Millis staleness_ = {};
+  const state::Millis contact_age_ = {};
   const uint64_t last_index_ = 0;
   const std::vector<MemberStatus> members_ = {};
 };
--- a/src/coordination/internal/control_service_leases.cc
+++ b/src/coordination/internal/control_service_leases.cc
@@ -308,13 +308,10 @@
 }
 
 state::Millis ControlService::Impl::Staleness(state::Millis now) const {
-  if (LeadsWithQuorum()) {
-    return state::Millis();
-  }
-  if (!status_.has_value() || !status_->last_leader_contact_.has_value()) {
+  if (!status_.has_value() || !status_->last_up_to_date_.has_value()) {
     return kNeverContacted;
   }
-  return now - *status_->last_leader_contact_;
+  return now - *status_->last_up_to_date_;
 }
 
 state::PoisonPolicy ControlService::Impl::poison_policy() const {
--- a/src/coordination/internal/group_membership.cc
+++ b/src/coordination/internal/group_membership.cc
@@ -75,7 +75,8 @@
                   [&view](const MemberStatus& status) {
                     return status.member_.identity_ == view.self_.identity_;
                   });
-  if ((is_member && view.staleness_ < kRejoinAfter) || now < join_request_at_) {
+  if ((is_member && view.contact_age_ < kRejoinAfter) ||
+      now < join_request_at_) {
     return {};
   }
   join_request_at_ = now + kJoinRequestInterval;
--- a/src/coordination/internal/raft.cc
+++ b/src/coordination/internal/raft.cc
@@ -10,8 +10,8 @@
 
 namespace {
 
-// Staleness of a member that has had no contact with a leader since its start.
-constexpr state::Millis kStalenessWithoutContact(1e15);
+// Age of what has not happened since the start of the member.
+constexpr state::Millis kNeverAge(1e15);
 
 // Messages between members of a control group.
 template <class Message>
@@ -207,11 +207,19 @@
   return status;
 }
 
-state::Millis Raft::Impl::Staleness(state::Millis now) const {
+state::Millis Raft::Impl::ContactAge(state::Millis now) const {
   if (role_ == RaftRole::kLeader) {
-    return now - QuorumValue(now, &RaftProgress::last_contact);
+    return now - LastQuorumContact(now);
   }
-  return had_contact_ ? now - last_contact_ : kStalenessWithoutContact;
+  return had_contact_ ? now - last_contact_ : kNeverAge;
+}
+
+state::Millis Raft::Impl::Staleness(state::Millis now) const {
+  // No other leader can commit an entry while a quorum replies to this one.
+  if (role_ == RaftRole::kLeader && HasCommittedInCurrentTerm()) {
+    return now - LastQuorumContact(now);
+  }
+  return last_up_to_date_.has_value() ? now - *last_up_to_date_ : kNeverAge;
 }
 
 Raft::Raft(RaftOptions options,
@@ -266,6 +274,10 @@
   return impl_->Status(now);
 }
 
+state::Millis Raft::ContactAge(state::Millis now) const {
+  return impl_->ContactAge(now);
+}
+
 state::Millis Raft::Staleness(state::Millis now) const {
   return impl_->Staleness(now);
 }
--- a/src/coordination/internal/raft_election.cc
+++ b/src/coordination/internal/raft_election.cc
@@ -23,8 +23,11 @@
 
 void Raft::Impl::BecomeFollower(uint64_t term, const std::string& leader) {
   if (role_ == RaftRole::kLeader) {
-    last_contact_ = now_ - Staleness(now_);
+    last_contact_ = now_ - ContactAge(now_);
     had_contact_ = true;
+    if (HasCommittedInCurrentTerm()) {
+      last_up_to_date_ = last_contact_;
+    }
     AnswerLeaderReads(reads_.TakeAll(), false);
     progress_.clear();
   }
@@ -40,6 +43,7 @@
     leader_round_ = 0;
     verified_index_ = commit_index_;
     acknowledged_index_ = 0;
+    awaited_commit_.reset();
   }
   role_ = RaftRole::kFollower;
   leader_ = leader;
@@ -64,6 +68,7 @@
   leader_round_ = 0;
   verified_index_ = commit_index_;
   acknowledged_index_ = 0;
+  awaited_commit_.reset();
   votes_ = {identity_};
   election_due_ = now_ + RandomMillis(random_, options_.candidate_timeout_min_,
                                       options_.candidate_timeout_max_);
--- a/src/coordination/internal/raft_follower.cc
+++ b/src/coordination/internal/raft_follower.cc
@@ -33,12 +33,13 @@
   if (!FollowSender(request.term_, request.from_, connection, request.round_)) {
     return;
   }
-  if (!MatchesLog(request)) {
+  if (MatchesLog(request)) {
+    AppendFromLeader(request);
+    AcknowledgeAppend();
+  } else {
     RefuseAppend(RefusalHint(request.previous_index_));
-    return;
   }
-  AppendFromLeader(request);
-  AcknowledgeAppend();
+  OnCommitReported(request);
 }
 
 bool Raft::Impl::MatchesLog(const AppendRequest& request) const {
@@ -75,6 +76,30 @@
       std::max(commit_index_, std::min(request.commit_index_, verified_index_));
 }
 
+// Only the earliest commit index that is not reached yet is remembered: under
+// constant changes a member may never have reached the latest one.
+void Raft::Impl::OnCommitReported(const AppendRequest& request) {
+  FinishAwaitedCommit();
+  const bool is_delayed = request.round_ < leader_round_;
+  if (!is_delayed && !awaited_commit_.has_value()) {
+    awaited_commit_.emplace(
+        ReportedCommit{.index_ = request.commit_index_, .received_at_ = now_});
+    FinishAwaitedCommit();
+  }
+}
+
+void Raft::Impl::FinishAwaitedCommit() {
+  if (!awaited_commit_.has_value() || awaited_commit_->index_ > commit_index_) {
+    return;
+  }
+  // A leader that has not committed an entry of its own term may not know yet
+  // that earlier entries are committed.
+  if (log_.TermAt(awaited_commit_->index_) == term_) {
+    last_up_to_date_ = awaited_commit_->received_at_;
+  }
+  awaited_commit_.reset();
+}
+
 void Raft::Impl::AcknowledgeAppend() {
   acknowledged_index_ = std::min(verified_index_, durability_.durable_index());
   ReplyWhenDurable(leader_connection_,
--- a/src/coordination/internal/raft_impl.h
+++ b/src/coordination/internal/raft_impl.h
@@ -50,6 +50,7 @@
   uint64_t commit_index() const { return commit_index_; }
   const RaftLog& log() const { return log_; }
   std::vector<MemberStatus> Status(state::Millis now) const;
+  state::Millis ContactAge(state::Millis now) const;
   state::Millis Staleness(state::Millis now) const;
 
  private:
@@ -61,6 +62,11 @@
     const uint64_t term_ = 0;
     const uint64_t tag_ = 0;
   };
+  // The commit index that the leader of this term has reported.
+  struct ReportedCommit {
+    const uint64_t index_ = 0;
+    const state::Millis received_at_;
+  };
 
   // Events (raft.cc). The tables have one handler for each alternative of the
   // variant.
@@ -122,6 +128,9 @@
   bool MatchesLog(const AppendRequest& request) const;
   void AppendFromLeader(const AppendRequest& request);
   uint64_t RefusalHint(uint64_t previous_index) const;
+  // Updates `last_up_to_date_`. Call it after the request has been handled.
+  void OnCommitReported(const AppendRequest& request);
+  void FinishAwaitedCommit();
   void AcknowledgeAppend();
   void RefuseAppend(uint64_t hint);
 
@@ -140,6 +149,10 @@
   void AdvanceCommit();
   void StepDownIfRemoved();
   bool HasCommittedInCurrentTerm() const;
+  // Returns the last time at which a majority of the voters had replied.
+  state::Millis LastQuorumContact(state::Millis now) const {
+    return QuorumValue(now, &RaftProgress::last_contact);
+  }
   // Returns the highest value that a majority of the voters has reached. `own`
   // is the value of this member, `value_of` returns that of another member.
   template <class Value>
@@ -192,6 +205,10 @@
   std::string leader_connection_;
   state::Millis last_contact_;  // Last contact with a leader or a quorum.
   bool had_contact_ = false;
+  // Last time at which every committed entry was applied; absent if never.
+  std::optional<state::Millis> last_up_to_date_;
+  // The earliest commit index reported since then that was not reached yet.
+  std::optional<ReportedCommit> awaited_commit_;
   uint64_t leader_round_ = 0;  // Last round of the leader of this term.
   // The log equals the leader's up to this index.
   uint64_t verified_index_ = 0;
--- a/src/coordination/internal/raft_leader.cc
+++ b/src/coordination/internal/raft_leader.cc
@@ -33,7 +33,7 @@
 
 void Raft::Impl::TickLeader() {
   // An isolated leader would continue to accept proposals that never finish.
-  if (Staleness(now_) > options_.election_timeout_min_) {
+  if (ContactAge(now_) > options_.election_timeout_min_) {
     BecomeFollower(term_, "");
     return;
   }
--- a/src/coordination/tests/control_service_test.cc
+++ b/src/coordination/tests/control_service_test.cc
@@ -32,7 +32,7 @@
                      .leads_ = true,
                      .has_quorum_ = true,
                      .leader_address_ = "addr1",
-                     .last_leader_contact_ = now_});
+                     .last_up_to_date_ = now_});
   }
   // Ticks every 10 ms and returns the results of all ticks.
   ControlStep Run(double milliseconds) {
--- a/src/coordination/tests/group_membership_test.cc
+++ b/src/coordination/tests/group_membership_test.cc
@@ -43,7 +43,7 @@
   return GroupView{.self_ = ControlMember{.identity_ = name,
                                           .instance_ = name,
                                           .address_ = name + "-address"},
-                   .staleness_ = Millis(1e9)};
+                   .contact_age_ = Millis(1e9)};
 }
 
 GroupMembership Make(bool first_start) {
--- a/src/coordination/tests/raft_cluster.h
+++ b/src/coordination/tests/raft_cluster.h
@@ -127,6 +127,10 @@
     nodes_[node]->isolated_ = isolated;
   }
   bool IsIsolated(size_t node) const { return nodes_[node]->isolated_; }
+  // Stops or resumes the node's disk. A stopped disk completes no write.
+  void SetDiskStopped(size_t node, bool stopped) {
+    nodes_[node]->disk_stopped_ = stopped;
+  }
   // Stops the node. Of the batches that are not yet reported as durable, a
   // random number of the first ones is written.
   void Crash(size_t node) {
@@ -155,6 +159,10 @@
     Restart(node);
   }
 
+  int now() const { return now_; }
+  state::Millis StalenessOf(size_t node) const {
+    return nodes_[node]->raft_->Staleness(state::Millis(now_));
+  }
   bool IsUp(size_t node) const { return nodes_[node]->raft_ != nullptr; }
   size_t size() const { return nodes_.size(); }
   Raft& raft(size_t node) { return *nodes_[node]->raft_; }
@@ -233,6 +241,7 @@
 
   struct Node {
     bool isolated_ = false;
+    bool disk_stopped_ = false;
     std::unique_ptr<RaftDisk> disk_;
     std::unique_ptr<Raft> raft_;
     // Batches being written, with the time when each write completes.
@@ -275,7 +284,8 @@
 
   void FinishWrites(size_t node) {
     Node& writer = *nodes_[node];
-    while (!writer.writing_.empty() && writer.writing_.front().first <= now_) {
+    while (!writer.disk_stopped_ && !writer.writing_.empty() &&
+           writer.writing_.front().first <= now_) {
       const uint64_t sequence = writer.writing_.front().second.sequence_;
       writer.disk_->Write(writer.writing_.front().second);
       writer.writing_.pop_front();
--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -1,7 +1,6 @@
 #include "daemon/control_duty.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "daemon/control_results.h"
 #include "daemon/logging.h"
@@ -28,7 +27,7 @@
 constexpr uint64_t kOperatorReadBit = uint64_t{1} << 63;
 // A leader may answer for the group if its last contact with a quorum is at
 // most this many milliseconds old.
-constexpr state::Millis kMaxQuorumStaleness(500);
+constexpr state::Millis kMaxQuorumContactAge(500);
 
 coordination::RaftOptions RaftOptionsFor(const ControlDuty::Options& options) {
   const uint64_t max_voters =
@@ -371,7 +370,7 @@
       .formed_ = raft_.last_index() > 0,
       .leads_ = raft_.role() == coordination::RaftRole::kLeader,
       .leader_address_ = raft_.leader_address(),
-      .staleness_ = raft_.Staleness(now),
+      .contact_age_ = raft_.ContactAge(now),
       .last_index_ = raft_.last_index(),
       .members_ = raft_.Status(now)};
 }
@@ -426,11 +425,6 @@
 
 coordination::LogStatus ControlDuty::CurrentLogStatus(state::Millis now) const {
   const bool leads = raft_.role() == coordination::RaftRole::kLeader;
-  const state::Millis age = raft_.Staleness(now);
-  std::optional<state::Millis> last_contact;
-  if (std::isfinite(age.value())) {
-    last_contact.emplace(now - age);
-  }
   std::vector<coordination::ControlAddress> members;
   for (const state::ControlMember& member : raft_.members()) {
     members.push_back(coordination::ControlAddress{
@@ -439,10 +433,10 @@
   return coordination::LogStatus{
       .formed_ = !raft_.members().empty(),
       .leads_ = leads,
-      .has_quorum_ = leads && age <= kMaxQuorumStaleness,
+      .has_quorum_ = leads && raft_.ContactAge(now) <= kMaxQuorumContactAge,
       .leader_address_ = raft_.leader_address(),
       .members_ = std::move(members),
-      .last_leader_contact_ = last_contact};
+      .last_up_to_date_ = now - raft_.Staleness(now)};
 }
 
 std::string ControlDuty::RoleName() const {
@@ -468,7 +462,7 @@
                                           .term_ = raft_.term(),
                                           .leader_ = raft_.leader_address(),
                                           .commit_index_ = raft_.commit_index(),
-                                          .staleness_ = raft_.Staleness(now),
+                                          .staleness_ = raft_.ContactAge(now),
                                           .error_ = error_},
                          now);
   if (line.has_value()) {
