Test that daemons leave an instance whose disk fails at an election

With real processes: five control instances and six further daemons; an instance does not get the last entry before its leader is killed, and its disk refuses every write from then on, the new term first. A change is then acknowledged by the other three.

The test compares the version in force and sends no request on a new route. A limit that lets the small vote file through does not show the fault: the term becomes durable, and the instance replies.

--- a/tests/integration/configuration_test.cc
+++ b/tests/integration/configuration_test.cc
@@ -1,3 +1,5 @@
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -292,5 +294,64 @@
   CHECK(monitor.decreases() == 0);
 }
 
+// Lets the disk of the instance refuse to write to any file beyond that size;
+// to no file with RLIM_INFINITY.
+void SetFileSizeLimit(const Deployment& deployment,
+                      const std::string& instance,
+                      rlim_t bytes) {
+  const rlimit limit = {bytes, RLIM_INFINITY};
+  REQUIRE(prlimit(deployment.Find(instance)->pid(), RLIMIT_FSIZE, &limit,
+                  nullptr) == 0);
+}
+
+// Guards against daemons that follow a control instance which hears its leader
+// but lacks entries: its disk refuses the new term, so that it cannot tell the
+// leader which ones. Whatever instance a daemon follows, it must apply what was
+// acknowledged within 2 s.
+TEST_CASE("daemons leave an instance whose disk fails at an election",
+          "[configuration]") {
+  const std::vector<std::string> voters = {"lookup-0", "lookup-1", "lookup-2",
+                                           "lookup-3", "lookup-4"};
+  const auto deployment =
+      StartDeployment({.lookup_targets_ = 5,
+                       .action_targets_ = 6,
+                       .control_instances_ = 5,
+                       .proxied_ = {.peer_ = true, .control_ = true}});
+  IndexMonitor monitor(*deployment);
+  Check(deployment->WaitForConfiguration(
+      SubmitVersions(*deployment, voters, 2, 60)));
+  const std::string leader = WaitForLeader(*deployment, voters);
+  const std::string victim = Others(voters, leader).front();
+  const std::vector<std::string> healthy =
+      Others(Others(voters, leader), victim);
+  INFO("leader " << leader << ", victim " << victim);
+  // The last entry before the election does not reach the victim.
+  BlockWay(*deployment, leader, victim, true, /*both_ways=*/true);
+  SubmitVersions(*deployment, healthy, 61, 61);
+  SetFileSizeLimit(*deployment, victim, 0);
+  deployment->Kill(leader);
+  const uint64_t known = ReadControlPage(*deployment, victim).commit_index_;
+
+  const uint64_t index = SubmitVersions(*deployment, healthy, 62, 62);
+  CHECK(deployment->WaitForConfiguration(index, state::Millis(2000)));
+  CHECK(ReadControlPage(*deployment, victim).commit_index_ == known);
+  CHECK(ReadControlPage(*deployment, victim).role_ == "failed");
+  for (const auto& instance : deployment->spec().instances_) {
+    if (instance.name_ != leader) {
+      INFO(instance.name_);
+      CHECK(ReadVersion(deployment->AddressesOf(instance.name_).http_) == 62);
+    }
+  }
+
+  SetFileSizeLimit(*deployment, victim, RLIM_INFINITY);
+  BlockWay(*deployment, leader, victim, false, /*both_ways=*/true);
+  Check(deployment->Start(leader));
+  Check(deployment->WaitForConfiguration(
+      SubmitVersions(*deployment, voters, 63, 65)));
+  CheckVersionEverywhere(*deployment, 65);
+  monitor.Stop();
+  CHECK(monitor.decreases() == 0);
+}
+
 }  // namespace
 }  // namespace gooseberrygap::integration
