--- a/tests/integration/configuration_test.cc
+++ b/tests/integration/configuration_test.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <csignal>
 #include <memory>
+#include <random>
 #include <thread>
 
 #include "absl/strings/str_cat.h"
@@ -353,5 +354,39 @@
   CHECK(monitor.decreases() == 0);
 }
 
+// Guards against a daemon that starts with an older configuration after all
+// processes have ended at once, as by a loss of power, right after a change was
+// acknowledged.
+TEST_CASE("a change survives that all processes end at once",
+          "[configuration]") {
+  const std::vector<std::string> voters = {"lookup-0", "lookup-1", "lookup-2",
+                                           "lookup-3", "lookup-4"};
+  const auto deployment = StartDeployment(
+      {.lookup_targets_ = 5, .action_targets_ = 6, .control_instances_ = 5});
+  IndexMonitor monitor(*deployment);
+  std::mt19937 random(32);
+  std::vector<std::string> daemons;
+  for (const auto& instance : deployment->spec().instances_) {
+    daemons.push_back(instance.name_);
+  }
+  constexpr uint64_t kLastVersion = 5;
+  for (uint64_t version = 2; version <= kLastVersion; ++version) {
+    INFO("version " << version);
+    const uint64_t index =
+        SubmitVersions(*deployment, voters, version, version);
+    for (const std::string& daemon : daemons) {
+      deployment->Find(daemon)->Signal(SIGKILL);
+    }
+    std::shuffle(daemons.begin(), daemons.end(), random);
+    for (const std::string& daemon : daemons) {
+      Check(deployment->Restart(daemon));
+    }
+    Check(deployment->WaitForConfiguration(index, state::Millis(2000)));
+    CheckVersionEverywhere(*deployment, version);
+  }
+  monitor.Stop();
+  CHECK(monitor.decreases() == 0);
+}
+
 }  // namespace
 }  // namespace gooseberrygap::integration
