--- a/src/coordination/tests/raft_cluster.h
+++ b/src/coordination/tests/raft_cluster.h
@@ -159,6 +159,10 @@
     Restart(node);
   }
 
+  int now() const { return now_; }
+  state::Millis StalenessOf(size_t node) const {
+    return nodes_[node]->raft_->Staleness(state::Millis(now_));
+  }
   bool IsUp(size_t node) const { return nodes_[node]->raft_ != nullptr; }
   size_t size() const { return nodes_.size(); }
   Raft& raft(size_t node) { return *nodes_[node]->raft_; }
--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -1,7 +1,6 @@
 #include "daemon/control_duty.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "absl/strings/str_cat.h"
 #include "daemon/control_results.h"
@@ -35,7 +34,7 @@
 constexpr uint64_t kOperatorReadBit = uint64_t{1} << 63;
 // A leader may answer for the group if its last contact with a quorum is at
 // most this many milliseconds old.
-constexpr state::Millis kMaxQuorumStaleness(500);
+constexpr state::Millis kMaxQuorumContactAge(500);
 
 coordination::RaftOptions RaftOptionsFor(const ControlDuty::Options& options) {
   const uint64_t max_voters =
@@ -379,7 +378,7 @@
       .formed_ = raft_.last_index() > 0,
       .leads_ = raft_.role() == coordination::RaftRole::kLeader,
       .leader_address_ = raft_.leader_address(),
-      .staleness_ = raft_.Staleness(now),
+      .contact_age_ = raft_.ContactAge(now),
       .last_index_ = raft_.last_index(),
       .members_ = raft_.Status(now)};
 }
@@ -434,11 +433,6 @@
 
 coordination::LogStatus ControlDuty::CurrentLogStatus(state::Millis now) const {
   const bool leads = raft_.role() == coordination::RaftRole::kLeader;
-  const state::Millis age = raft_.Staleness(now);
-  std::optional<state::Millis> last_contact;
-  if (std::isfinite(age.value())) {
-    last_contact.emplace(now - age);
-  }
   std::vector<coordination::ControlAddress> members;
   for (const state::ControlMember& member : raft_.members()) {
     members.push_back(coordination::ControlAddress{
@@ -447,10 +441,10 @@
   return coordination::LogStatus{
       .formed_ = !raft_.members().empty(),
       .leads_ = leads,
-      .has_quorum_ = leads && age <= kMaxQuorumStaleness,
+      .has_quorum_ = leads && raft_.ContactAge(now) <= kMaxQuorumContactAge,
       .leader_address_ = raft_.leader_address(),
       .members_ = std::move(members),
-      .last_leader_contact_ = last_contact};
+      .last_up_to_date_ = now - raft_.Staleness(now)};
 }
 
 std::string ControlDuty::RoleName() const {
@@ -486,7 +480,7 @@
                                           .term_ = raft_.term(),
                                           .leader_ = raft_.leader_address(),
                                           .commit_index_ = raft_.commit_index(),
-                                          .staleness_ = raft_.Staleness(now),
+                                          .staleness_ = raft_.ContactAge(now),
                                           .error_ = CurrentError()},
                          now);
   if (line.has_value()) {
