--- a/src/coordination/tests/raft_member_test.cc
+++ b/src/coordination/tests/raft_member_test.cc
@@ -152,7 +152,7 @@
   uint64_t last_batch = 0;
   size_t sent = 0;
   const auto handle = [&](const RaftEvent& event, state::Millis now) {
-    const Raft::Step step = raft.Handle(event, now);
+    Raft::Step step = raft.Handle(event, now);
     last_batch = step.batch_ ? step.batch_->sequence_ : last_batch;
     sent += step.commands_.size();
     return step;
