Test answers that are cut at every byte under each framing

The trials did not try HTTP/1.0, interim answers, repeated lengths, bare line ends, HEAD, 204, 304, a refusal that is cut, and answers without a framing that are reset.

--- a/src/transport/tests/target_client_test.cc
+++ b/src/transport/tests/target_client_test.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "transport/tests/support.h"
+#include "transport/tests/target_client_support.h"
 #include "transport/transport.h"
 
 namespace gooseberrygap::transport {
@@ -14,66 +15,6 @@
 using coordination::ReceivedAnswer;
 using state::Counter;
 
-constexpr state::Millis kTimeout(10000);
-const char* const kEmptyAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-
-DeliverToTarget Delivery(const std::string& address,
-                         uint64_t id,
-                         state::HttpRequest request = {.method_ = "GET",
-                                                       .path_ = "/a%20b?c=%41"},
-                         state::Millis timeout = kTimeout) {
-  return {.delivery_id_ = id,
-          .address_ = address,
-          .request_ = std::move(request),
-          .timeout_ = timeout};
-}
-
-// A client with one worker, so that its connection is the one a test expects.
-class Client {
- public:
-  explicit Client(const TargetClient::Options& options = {.workers_ = 1})
-      : client_(TargetClient::Start(
-            options,
-            [this](DeliveryEnded result) {
-              results_.TryPush(std::move(result));
-            },
-            &counters_)) {}
-
-  DeliveryEnded Next() {
-    std::optional<DeliveryEnded> result = results_.Pop(kHang);
-    REQUIRE(result);
-    return std::move(*result);
-  }
-
-  state::Counters counters_;
-  Ring<DeliveryEnded> results_{64};
-  std::unique_ptr<TargetClient> client_;
-};
-
-// Delivers one request and lets the target answer with these bytes and close.
-DeliveryEnded AnswerWith(Client* client,
-                         const std::string& answer,
-                         const std::string& method = "GET") {
-  const TestListener target;
-  REQUIRE(client->client_->Deliver(
-      Delivery(target.address(), 1, {.method_ = method, .path_ = "/"})));
-  TestSocket connection = target.Accept();
-  connection.ReadUntil("\r\n\r\n");
-  connection.Send(answer);
-  connection.Close();
-  return client->Next();
-}
-
-std::optional<std::string> HeaderOf(const state::HttpAnswer& answer,
-                                    const std::string& name) {
-  for (const state::HttpHeader& header : answer.headers_) {
-    if (header.name_ == name) {
-      return header.value_;
-    }
-  }
-  return std::nullopt;
-}
-
 // Identifies an answer by the header Id; one with the header Refused declines.
 ReceivedAnswer IdentifyById(const DeliverToTarget& delivery,
                             const state::HttpAnswer& answer) {
--- /dev/null
+++ b/src/transport/tests/target_framing_test.cc
@@ -0,0 +1,178 @@
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+#include "transport/tests/support.h"
+#include "transport/tests/target_client_support.h"
+#include "transport/transport.h"
+
+namespace gooseberrygap::transport {
+namespace {
+
+constexpr char kOk[] = "HTTP/1.1 200 OK\r\n";
+
+// An answer whose own framing shows where it ends.
+struct FramedAnswer {
+  std::string method_;
+  std::string text_;
+  std::string body_;
+};
+
+const std::vector<FramedAnswer> kFramedAnswers = {
+    {"GET", "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 3\r\n\r\nabc", "abc"},
+    {"POST", "HTTP/1.1 201 Made\r\nContent-Length: 3\r\n\r\nabc", "abc"},
+    {"GET", "HTTP/1.1 404 No\r\nContent-Length: 3\r\n\r\nabc", "abc"},
+    {"POST", "HTTP/1.1 500 No\r\nContent-Length: 3\r\n\r\nabc", "abc"},
+    {"GET", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", ""},
+    {"GET", "HTTP/1.0 200 OK\r\nContent-Length: 3\r\n\r\nabc", "abc"},
+    {"GET",
+     "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+     "abc"},
+    {"GET", "HTTP/1.1 200 OK\r\nContent-Length: 3, 3\r\n\r\nabc", "abc"},
+    {"GET",
+     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nTrailer: z\r\n\r\n",
+     "abcde"},
+    {"GET",
+     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
+     "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+     "abc"},
+    {"GET",
+     "HTTP/1.1 103 Early Hints\r\nContent-Length: 3\r\n\r\n"
+     "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+     "chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+     "abc"},
+    {"GET",
+     "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "3\r\nabc\r\n0\r\n\r\n",
+     "abc"},
+    {"HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", ""},
+    {"HEAD", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", ""},
+    {"HEAD", "HTTP/1.1 200 OK\r\nX: y\r\n\r\n", ""},
+    {"POST", "HTTP/1.1 204 No Content\r\nX: y\r\n\r\n", ""},
+    {"GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 3\r\n\r\n", ""},
+    {"POST",
+     "HTTP/1.1 503 Busy\r\nX-Gooseberrygap-Not-Executed: 1\r\n"
+     "Content-Length: 3\r\n\r\nabc",
+     "abc"},
+};
+
+// Guards against a cut answer that counts as whole, and against one that counts
+// as a request that was not run: its target may be at work on it.
+TEST_CASE("an answer with a framing is incomplete when cut at any byte") {
+  const bool accepts_until_close = GENERATE(false, true);
+  const ConnectionEnd end =
+      GENERATE(ConnectionEnd::kClose, ConnectionEnd::kReset);
+  Client client({.workers_ = 1, .accepts_until_close_ = accepts_until_close});
+  for (const FramedAnswer& answer : kFramedAnswers) {
+    for (size_t cut = 0; cut < answer.text_.size(); ++cut) {
+      INFO(answer.method_ << " " << answer.text_.substr(0, cut));
+      const DeliveryEnded ended =
+          AnswerWith(&client, answer.text_.substr(0, cut), answer.method_, end);
+      CHECK(ended.end_ == DeliveryEnd::kIncompleteAnswer);
+      CHECK(ended.sent_);
+      CHECK(ended.answer_ == state::HttpAnswer{});
+    }
+  }
+}
+
+// Guards against a check of the framing that refuses sound answers.
+TEST_CASE("an answer with a framing is whole at its last byte") {
+  const bool accepts_until_close = GENERATE(false, true);
+  Client client({.workers_ = 1, .accepts_until_close_ = accepts_until_close});
+  for (const FramedAnswer& answer : kFramedAnswers) {
+    INFO(answer.method_ << " " << answer.text_);
+    const DeliveryEnded ended =
+        AnswerWith(&client, answer.text_, answer.method_);
+    CHECK(ended.end_ == DeliveryEnd::kAnswered);
+    CHECK(ended.answer_.body_.view() == answer.body_);
+  }
+}
+
+// Guards against a head that is cut, and against a body that is reset, where
+// the end of the connection is the end of the answer.
+TEST_CASE("an answer without a framing needs a whole head and a close") {
+  constexpr char kBody[] = "abc";
+  const std::string method = GENERATE(values<std::string>({"GET", "POST"}));
+  const std::string head = GENERATE(values<std::string>(
+      {"HTTP/1.1 200 OK\r\nX: y\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n",
+       "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+       "HTTP/1.1 404 No\r\n\r\n", "HTTP/1.1 500 No\r\n\r\n",
+       "HTTP/1.1 503 Busy\r\nX-Gooseberrygap-Not-Executed: 1\r\n\r\n"}));
+  Client client({.workers_ = 1, .accepts_until_close_ = true});
+  Client strict({.workers_ = 1});
+  const std::string text = head + kBody;
+  for (size_t cut = 0; cut <= text.size(); ++cut) {
+    const std::string part = text.substr(0, cut);
+    INFO(method << " " << part);
+    CHECK(AnswerWith(&client, part, method, ConnectionEnd::kReset).end_ ==
+          DeliveryEnd::kIncompleteAnswer);
+    CHECK(AnswerWith(&strict, part, method).end_ ==
+          DeliveryEnd::kIncompleteAnswer);
+    const DeliveryEnded closed = AnswerWith(&client, part, method);
+    const bool is_whole = cut >= head.size();
+    CHECK(closed.end_ ==
+          (is_whole ? DeliveryEnd::kAnswered : DeliveryEnd::kIncompleteAnswer));
+    CHECK(closed.answer_.body_.view() ==
+          (is_whole ? part.substr(head.size()) : ""));
+  }
+}
+
+// Guards against a length behind a bare line end: the line before it would take
+// it for a part of its own value, and the close would end the answer.
+TEST_CASE("an answer with a bare line end in its head is never whole") {
+  const std::string answer = GENERATE(values<std::string>({
+      "HTTP/1.1 200 OK\nContent-Length: 3\n\nabc",
+      "HTTP/1.1 200 OK\n\nabc",
+      "HTTP/1.1 200 OK\r\n\nabc",
+      "HTTP/1.1 200 OK\r\nX: y\nContent-Length: 9\r\n\r\nabc",
+      "HTTP/1.1 200 OK\r\nContent-Length: 9\n\r\nabc",
+      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\nabc",
+      "HTTP/1.1 200 OK\r\nX: y\rContent-Length: 9\r\n\r\nabc",
+      "HTTP/1.1 200 OK\r\r\n\r\nabc",
+      "\r\nHTTP/1.1 200 OK\r\n\r\nabc",
+  }));
+  Client client({.workers_ = 1, .accepts_until_close_ = true});
+  INFO(answer);
+  CHECK(AnswerWith(&client, answer).end_ == DeliveryEnd::kIncompleteAnswer);
+}
+
+// Guards against a length that cannot be read and is taken for none, and
+// against one of two lengths that is taken for the right one.
+TEST_CASE("an answer whose length is malformed is never whole") {
+  const std::string lines = GENERATE(values<std::string>({
+      "Content-Length:\r\n",
+      "Content-Length: \r\n",
+      "Content-Length: x\r\n",
+      "Content-Length: -3\r\n",
+      "Content-Length: +3\r\n",
+      "Content-Length: 0x3\r\n",
+      "Content-Length: 3x\r\n",
+      "Content-Length: 3 3\r\n",
+      "Content-Length: 3;q=1\r\n",
+      "Content-Length: \"3\"\r\n",
+      "Content-Length: 3,\r\n",
+      "Content-Length: ,3\r\n",
+      "Content-Length: 3, 9\r\n",
+      "Content-Length: 9, 3\r\n",
+      "Content-Length: 18446744073709551619\r\n",
+      "Content-Length : 9\r\n",
+      " Content-Length: 9\r\n",
+      "Content-Length 9\r\n",
+      "Content-Length\r\n",
+      ": 9\r\n",
+      "Content-Length: 3\r\nContent-Length: 9\r\n",
+      "Content-Length: 9\r\nContent-Length: 3\r\n",
+      "Content-Length: 3\r\nContent-Length: x\r\n",
+      "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+      "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+  }));
+  Client client({.workers_ = 1, .accepts_until_close_ = true});
+  INFO(lines);
+  CHECK(AnswerWith(&client, kOk + lines + "\r\nabc").end_ ==
+        DeliveryEnd::kIncompleteAnswer);
+}
+
+}  // namespace
+}  // namespace gooseberrygap::transport
