Refuse answers with a transfer coding other than chunked

A target's answer with "Transfer-Encoding: gzip", with a malformed coding or with one behind "chunked" reached callers as a success. Its body was what came before the close, with the coding or the chunk sizes in it, and it was sent on with a Content-Length.

Cause: Beast sets its chunked flag only if "chunked" is the last element of a list that it can read, and takes every other coding for none. Such an answer ends with the connection, or at its Content-Length. "gzip, chunked" is read as chunks of which the gzip coding stays in the body. The header itself is not passed on.

The head is checked as soon as it has come: no coding, or a single "chunked", is the only framing whose end Beast finds where the target has set it. Others count as incomplete, so that an action is answered as unknown, never not-run.

--- a/src/transport/internal/http_message.cc
+++ b/src/transport/internal/http_message.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/beast/http/status.hpp>
+#include <iterator>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
@@ -12,6 +13,7 @@
 namespace {
 
 constexpr absl::string_view kHost = "Host";
+constexpr absl::string_view kChunked = "chunked";
 
 bool HasHost(const std::vector<state::HttpHeader>& headers) {
   return std::any_of(headers.begin(), headers.end(), [](const auto& header) {
@@ -51,6 +53,18 @@
   return headers;
 }
 
+bool HasOnlyChunkedCoding(const boost::beast::http::fields& fields) {
+  const auto [first, last] =
+      fields.equal_range(boost::beast::http::field::transfer_encoding);
+  if (first == last) {
+    return true;
+  }
+  const auto value = first->value();
+  return std::next(first) == last &&
+         absl::EqualsIgnoreCase(absl::string_view(value.data(), value.size()),
+                                kChunked);
+}
+
 std::string PrintRequest(const state::HttpRequest& request,
                          absl::string_view address) {
   const std::vector<state::HttpHeader> headers =
--- a/src/transport/internal/http_message.h
+++ b/src/transport/internal/http_message.h
@@ -18,6 +18,11 @@
 std::vector<state::HttpHeader> HeadersOf(
     const boost::beast::http::fields& fields);
 
+// Returns whether the message has no transfer coding but a single "chunked".
+// Beast reads a body with any other coding up to the end of the connection or
+// leaves the coding in the body.
+bool HasOnlyChunkedCoding(const boost::beast::http::fields& fields);
+
 // Returns the text of a request. A body length is stated when there is a body
 // or the method usually has one. Headers of the connection and of the framing
 // are left out; a Host header is added when there is none.
--- a/src/transport/internal/target_link.cc
+++ b/src/transport/internal/target_link.cc
@@ -159,13 +159,23 @@
   return ReadEnd::kOpen;
 }
 
+size_t TargetLink::ParseNext(boost::system::error_code* error) {
+  const bool was_in_head = !parser_->is_header_done();
+  const size_t taken = parser_->put(boost::asio::buffer(input_), *error);
+  if (was_in_head && parser_->is_header_done() &&
+      !HasOnlyChunkedCoding(parser_->get())) {
+    *error = http::error::bad_transfer_encoding;
+  }
+  return taken;
+}
+
 std::optional<DeliveryEnded> TargetLink::Parse(ReadEnd read_end,
                                                state::Millis now) {
   has_answer_head_ =
       has_answer_head_ || HeadSize(input_) > 0 || parser_->is_header_done();
   while (!input_.empty() && !parser_->is_done()) {
     boost::system::error_code error;
-    const size_t taken = parser_->put(boost::asio::buffer(input_), error);
+    const size_t taken = ParseNext(&error);
     input_.erase(0, taken);
     message_bytes_ += taken;
     const bool is_unbounded =
--- a/src/transport/internal/target_link.h
+++ b/src/transport/internal/target_link.h
@@ -66,6 +66,9 @@
   bool SendRest();
   ReadEnd Receive();
   void StartParser();
+  // Gives the parser the next bytes and returns how many it has taken. A head
+  // whose framing is ambiguous sets `error`, too.
+  size_t ParseNext(boost::system::error_code* error);
   // Parses what has been received. Returns the end of the delivery once the
   // answer is whole or known to be bad.
   std::optional<DeliveryEnded> Parse(ReadEnd read_end, state::Millis now);
--- a/src/transport/tests/target_framing_test.cc
+++ b/src/transport/tests/target_framing_test.cc
@@ -174,5 +174,31 @@
         DeliveryEnd::kIncompleteAnswer);
 }
 
+// Guards against a transfer coding that is not undone, and against one that
+// hides the chunks whose last one shows the end.
+TEST_CASE("an answer with a transfer coding other than chunked is refused") {
+  const std::string chunks = "3\r\nabc\r\n0\r\n\r\n";
+  const std::string lines = GENERATE(values<std::string>({
+      "Transfer-Encoding:\r\n",
+      "Transfer-Encoding: gzip\r\n",
+      "Transfer-Encoding: identity\r\n",
+      "Transfer-Encoding: xchunked\r\n",
+      "Transfer-Encoding: \"chunked\"\r\n",
+      "Transfer-Encoding: chunked;\r\n",
+      "Transfer-Encoding: chunked;q=1\r\n",
+      "Transfer-Encoding: chunked, gzip\r\n",
+      "Transfer-Encoding: gzip, chunked\r\n",
+      "Transfer-Encoding: chunked, chunked\r\n",
+      "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+      "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+      "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n",
+      "Transfer-Encoding: gzip\r\nContent-Length: 13\r\n",
+  }));
+  Client client({.workers_ = 1, .accepts_until_close_ = true});
+  INFO(lines);
+  CHECK(AnswerWith(&client, kOk + lines + "\r\n" + chunks).end_ ==
+        DeliveryEnd::kIncompleteAnswer);
+}
+
 }  // namespace
 }  // namespace gooseberrygap::transport
