Refuse answers with a folded line in their head

A target's answer whose Content-Length or Transfer-Encoding stood in a line that begins with a blank reached callers as a success with whatever body had come before the close, sent on with a Content-Length.

Cause: Beast joins such a line to the header before it, so that no framing is left and, on the platform, the close ends the answer.

RFC 9112, 5.2 has a proxy refuse such an answer or unfold it; targets of the platform fold no lines, and a length that a reader may miss shows nothing to be whole. The head is parsed apart from the body, so that the bytes that the parser has taken are those of the head's lines. "an answer that comes byte by byte is judged as in one piece" tries heads that the network has split.

--- a/src/transport/internal/http_head.cc
+++ b/src/transport/internal/http_head.cc
@@ -125,6 +125,10 @@
   return !lines.empty();
 }
 
+bool HasFoldedLine(absl::string_view head) {
+  return absl::StrContains(head, "\r\n ") || absl::StrContains(head, "\r\n\t");
+}
+
 bool FitsLineLimit(absl::string_view escaped_head) {
   const std::vector<absl::string_view> lines = LinesOf(escaped_head);
   return std::all_of(lines.begin(), lines.end(), [](absl::string_view line) {
--- a/src/transport/internal/http_head.h
+++ b/src/transport/internal/http_head.h
@@ -23,6 +23,10 @@
 // than the one its sender meant.
 bool IsWellFormedHead(absl::string_view head);
 
+// Returns whether a line of the head continues the one before it. A length or a
+// transfer coding in such a line belongs to the other header's value.
+bool HasFoldedLine(absl::string_view head);
+
 // Returns whether httplib takes each line of the escaped head.
 bool FitsLineLimit(absl::string_view escaped_head);
 
--- a/src/transport/internal/target_link.cc
+++ b/src/transport/internal/target_link.cc
@@ -77,7 +77,6 @@
 void TargetLink::StartParser() {
   message_bytes_ = 0;
   parser_ = std::make_unique<Parser>();
-  parser_->eager(true);
   parser_->header_limit(kMaxAnswerHeadBytes);
   parser_->body_limit(options_->max_answer_bytes_);
   parser_->skip(delivery_->request_.method_ == "HEAD");
@@ -161,9 +160,17 @@
 
 size_t TargetLink::ParseNext(boost::system::error_code* error) {
   const bool was_in_head = !parser_->is_header_done();
+  // Keeps the body out of the bytes in which folded lines are looked for.
+  parser_->eager(!was_in_head);
   const size_t taken = parser_->put(boost::asio::buffer(input_), *error);
-  if (was_in_head && parser_->is_header_done() &&
-      !HasOnlyChunkedCoding(parser_->get())) {
+  if (!was_in_head) {
+    return taken;
+  }
+  // The parser takes a header together with the lines that continue it.
+  if (HasFoldedLine(absl::string_view(input_).substr(0, taken))) {
+    *error = http::error::bad_obs_fold;
+  } else if (parser_->is_header_done() &&
+             !HasOnlyChunkedCoding(parser_->get())) {
     *error = http::error::bad_transfer_encoding;
   }
   return taken;
--- a/src/transport/tests/target_framing_test.cc
+++ b/src/transport/tests/target_framing_test.cc
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "transport/tests/support.h"
@@ -174,6 +176,54 @@
         DeliveryEnd::kIncompleteAnswer);
 }
 
+// Guards against a length in a folded line: the line before it would take it
+// for a part of its own value.
+TEST_CASE("an answer with a folded line in its head is never whole") {
+  const std::string lines = GENERATE(values<std::string>({
+      "X: y\r\n Content-Length: 9\r\n",
+      "X:\r\n\tContent-Length: 9\r\n",
+      "Content-Length:\r\n 3\r\n",
+      "Content-Length: 3\r\n 0\r\n",
+      "Content-Length: 3\r\n \r\n",
+      "Transfer-Encoding:\r\n chunked\r\n",
+      "X: y\r\n Transfer-Encoding: chunked\r\n",
+  }));
+  Client client({.workers_ = 1, .accepts_until_close_ = true});
+  INFO(lines);
+  CHECK(AnswerWith(&client, kOk + lines + "\r\nabc").end_ ==
+        DeliveryEnd::kIncompleteAnswer);
+}
+
+// Guards against a check of the head that depends on where the network has
+// split it.
+TEST_CASE("an answer that comes byte by byte is judged as in one piece") {
+  constexpr std::chrono::microseconds kPause(200);
+  const auto [text, end] = GENERATE(table<std::string, DeliveryEnd>({
+      {"HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 3\r\n\r\nabc",
+       DeliveryEnd::kAnswered},
+      {"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "3\r\nabc\r\n0\r\n\r\n",
+       DeliveryEnd::kAnswered},
+      {"HTTP/1.1 200 OK\r\nX: y\r\n Content-Length: 9\r\n\r\nabc",
+       DeliveryEnd::kIncompleteAnswer},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nabc",
+       DeliveryEnd::kIncompleteAnswer},
+  }));
+  INFO(text);
+  const TestListener target;
+  Client client({.workers_ = 1, .accepts_until_close_ = true});
+  client.client_->Deliver(Delivery(target.address(), 1));
+  TestSocket connection = target.Accept();
+  connection.ReadUntil("\r\n\r\n");
+  for (const char byte : text) {
+    connection.Send(std::string(1, byte));
+    std::this_thread::sleep_for(kPause);
+  }
+  connection.Close();
+  CHECK(client.Next().end_ == end);
+}
+
 // Guards against a transfer coding that is not undone, and against one that
 // hides the chunks whose last one shows the end.
 TEST_CASE("an answer with a transfer coding other than chunked is refused") {
