--- a/src/coordination/tests/guard_test.cc
+++ b/src/coordination/tests/guard_test.cc
@@ -439,5 +439,54 @@
             Millis(2))) == state::RefusalReason::kTargetShed);
 }
 
+AttemptResult ResultOf(const Commands& commands) {
+  for (const Command& command : commands) {
+    if (const auto* reply = std::get_if<ReplyToPeer>(&command)) {
+      return std::get<AttemptAnswer>(reply->message_).result_;
+    }
+  }
+  FAIL("no reply");
+  return {};
+}
+
+// Guards against a request that counts as not run, or as answered, although its
+// target may have run it: only a part of the answer came.
+TEST_CASE("an incomplete answer is neither a refusal nor an answer",
+          "[not_run]") {
+  const auto cut = [](TestGuard* test, uint64_t delivery) {
+    Commands commands = test->guard_.OnDeliveryEnded(
+        DeliveryEnded{.delivery_id_ = delivery,
+                      .end_ = DeliveryEnd::kIncompleteAnswer,
+                      .sent_ = true},
+        Millis(3));
+    // The reply to an action waits for a check whether the target has crashed.
+    for (const Command& command : test->guard_.Tick(Millis(500))) {
+      commands.push_back(command);
+    }
+    return ResultOf(commands);
+  };
+  TestGuard test;
+  const uint64_t lookup = DeliveryOf(
+      test.guard_.OnAttempt("a", LookupAttempt("1", false), Millis(1)));
+  CHECK(cut(&test, lookup) == AttemptResult::kIncompleteAnswer);
+  TestGuard other;
+  const Commands started =
+      other.guard_.OnAttempt("c", ActionAttempt("2", false), Millis(1));
+  REQUIRE(started.size() == 1);
+  const auto call =
+      std::get<RegisterCall>(std::get<SendToPeer>(started[0]).message_);
+  const RegisterClient::Step granted = other.register_client_.OnReply(
+      RegisterReply{.call_id_ = call.call_id_,
+                    .result_ = {.granted_ = true,
+                                .state_ = state::ActionState::kStarted,
+                                .attempt_ = 1}},
+      Millis(2));
+  REQUIRE(granted.ends_.size() == 1);
+  const uint64_t action =
+      DeliveryOf(other.guard_.OnRegisterEnd(granted.ends_[0], Millis(2)));
+  REQUIRE(action != 0);
+  CHECK(cut(&other, action) == AttemptResult::kUnknown);
+}
+
 }  // namespace
 }  // namespace gooseberrygap::coordination
