--- a/tests/support/fault_proxy/connection.cc
+++ b/tests/support/fault_proxy/connection.cc
@@ -28,14 +28,15 @@
                        std::array<int, 2> sockets,
                        absl::string_view kind,
                        LinkDirection* forward,
-                       LinkDirection* backward)
+                       LinkDirection* backward,
+                       Millis now)
     : epoll_(epoll),
       ends_{End{.socket_ = sockets[0],
                 .tag_ = client_tag,
-                .flow_ = Flow(kind, forward)},
+                .flow_ = Flow(kind, forward, now)},
             End{.socket_ = sockets[1],
                 .tag_ = client_tag + 1,
-                .flow_ = Flow(kind, backward)}} {}
+                .flow_ = Flow(kind, backward, now)}} {}
 
 Connection::~Connection() {
   for (const End& each : ends_) {
--- a/tests/support/fault_proxy/connection.h
+++ b/tests/support/fault_proxy/connection.h
@@ -28,7 +28,8 @@
              std::array<int, 2> sockets,
              absl::string_view kind,
              LinkDirection* forward,
-             LinkDirection* backward);
+             LinkDirection* backward,
+             state::Millis now);
   // Closes both sockets.
   ~Connection();
 
--- a/tests/support/fault_proxy/fault_settings.cc
+++ b/tests/support/fault_proxy/fault_settings.cc
@@ -48,7 +48,8 @@
           {"duplicate_share", faults.duplicate_share_},
           {"reorder_share", faults.reorder_share_},
           {"drop_share", faults.drop_share_},
-          {"blocked", faults.blocked_}};
+          {"blocked", faults.blocked_},
+          {"open_delay_ms", faults.open_delay_ms_}};
 }
 
 state::Result<DirectionFaults> PatchFaults(const DirectionFaults& current,
@@ -72,7 +73,8 @@
                          .duplicate_share_ = merged["duplicate_share"],
                          .reorder_share_ = merged["reorder_share"],
                          .drop_share_ = merged["drop_share"],
-                         .blocked_ = merged["blocked"]};
+                         .blocked_ = merged["blocked"],
+                         .open_delay_ms_ = merged["open_delay_ms"]};
 }
 
 }  // namespace gooseberrygap::test_support
--- a/tests/support/fault_proxy/fault_settings.h
+++ b/tests/support/fault_proxy/fault_settings.h
@@ -21,6 +21,9 @@
   const double drop_share_ = 0;
   // Passes nothing; bytes wait as they do behind a partition that will heal.
   const bool blocked_ = false;
+  // A new connection passes nothing until this long after its start, as where
+  // the other host answers a connect late.
+  const double open_delay_ms_ = 0;
 
   friend bool operator==(const DirectionFaults&,
                          const DirectionFaults&) = default;
--- a/tests/support/fault_proxy/flow.cc
+++ b/tests/support/fault_proxy/flow.cc
@@ -54,8 +54,10 @@
   return sent + Millis(faults_->delay_ms_ + jitter);
 }
 
-Flow::Flow(absl::string_view kind, LinkDirection* direction)
-    : direction_(direction), splitter_(MakeSplitter(kind)) {}
+Flow::Flow(absl::string_view kind, LinkDirection* direction, Millis started_at)
+    : direction_(direction),
+      splitter_(MakeSplitter(kind)),
+      opens_at_(started_at + Millis(direction->faults().open_delay_ms_)) {}
 
 void Flow::Take(absl::string_view bytes, Millis now) {
   direction_->counts().bytes_ += bytes.size();
@@ -131,8 +133,9 @@
 
 void Flow::Schedule(const state::Bytes& bytes, int copies, Millis now) {
   for (int i = 0; i < copies; ++i) {
-    waiting_.push_back({.arrival_ = direction_->ArrivalOf(bytes.size(), now),
-                        .bytes_ = bytes});
+    const Millis arrival = direction_->ArrivalOf(bytes.size(), now);
+    waiting_.push_back(
+        {.arrival_ = std::max(arrival, opens_at_), .bytes_ = bytes});
     waiting_bytes_ += bytes.size();
   }
 }
--- a/tests/support/fault_proxy/flow.h
+++ b/tests/support/fault_proxy/flow.h
@@ -92,8 +92,11 @@
   // More waiting bytes than this stop the sender, as a full send buffer does.
   static constexpr size_t kMaxWaiting = 1 << 20;
 
-  // `direction` must outlive this object.
-  Flow(absl::string_view kind, LinkDirection* direction);
+  // `direction` must outlive this object. `started_at` is the time at which the
+  // connection was accepted.
+  Flow(absl::string_view kind,
+       LinkDirection* direction,
+       state::Millis started_at);
 
   // Takes bytes from the sender.
   void Take(absl::string_view bytes, state::Millis now);
@@ -137,6 +140,7 @@
 
   LinkDirection* const direction_;
   const std::unique_ptr<Splitter> splitter_;
+  const state::Millis opens_at_;  // No byte arrives before.
   // Bytes are passed in this order: jitter delays those behind, too.
   std::deque<Departure> waiting_;
   size_t waiting_bytes_ = 0;
--- a/tests/support/fault_proxy/proxy.cc
+++ b/tests/support/fault_proxy/proxy.cc
@@ -152,7 +152,7 @@
                 .connection_ = std::make_unique<Connection>(
                     epoll_, TagOf(TagKind::kConnection, id * 2),
                     std::array<int, 2>{client, server}, link->plan_.kind_,
-                    &link->forward_, &link->backward_)});
+                    &link->forward_, &link->backward_, clock_.Now())});
   connections_.at(id).connection_->Update(clock_.Now());
   Refresh(id);
 }
--- a/tests/support/tests/flow_test.cc
+++ b/tests/support/tests/flow_test.cc
@@ -50,7 +50,7 @@
   BandwidthGroups groups;
   LinkDirection direction(seed, &groups);
   direction.SetFaults(faults);
-  Flow flow("peer", &direction);
+  Flow flow("peer", &direction, Millis(0));
   flow.Take(Greeting(), Millis(0));
   for (char i = 0; i < 100; ++i) {
     flow.Take(Frame(0, {i}), Millis(0));
@@ -144,7 +144,7 @@
   BandwidthGroups groups;
   LinkDirection direction(1, &groups);
   direction.SetFaults({.reorder_share_ = 1});
-  Flow flow("peer", &direction);
+  Flow flow("peer", &direction, Millis(0));
   flow.Take(Greeting() + ProbeMessage(1), Millis(0));
   CHECK(Drain(&flow, Millis(0)) == Greeting());
   REQUIRE(flow.NextArrival().has_value());
@@ -152,12 +152,29 @@
   CHECK(Drain(&flow, Flow::kReorderHold) == ProbeMessage(1));
 }
 
+// Guards against a late connect that delays more than the start of a
+// connection, or that touches connections that are open already.
+TEST_CASE("a connection that opens late passes its first bytes late") {
+  BandwidthGroups groups;
+  LinkDirection direction(1, &groups);
+  Flow before("tcp", &direction, Millis(0));
+  direction.SetFaults({.open_delay_ms_ = 1500});
+  Flow late("tcp", &direction, Millis(100));
+  before.Take("abc", Millis(100));
+  CHECK(Drain(&before, Millis(100)) == "abc");
+  late.Take("abc", Millis(100));
+  CHECK(Drain(&late, Millis(1599)).empty());
+  CHECK(Drain(&late, Millis(1600)) == "abc");
+  late.Take("def", Millis(1700));
+  CHECK(Drain(&late, Millis(1700)) == "def");
+}
+
 // Guards against jitter that reorders the bytes of a stream.
 TEST_CASE("bytes arrive after the delay and in order") {
   BandwidthGroups groups;
   LinkDirection direction(1, &groups);
   direction.SetFaults({.delay_ms_ = 12, .jitter_ms_ = 5});
-  Flow flow("tcp", &direction);
+  Flow flow("tcp", &direction, Millis(0));
   std::string sent;
   for (int i = 0; i < 50; ++i) {
     flow.Take(std::to_string(i), Millis(i * 0.1));
@@ -175,8 +192,8 @@
   LinkDirection second(2, &groups);
   first.SetFaults({.delay_ms_ = 3, .group_ = "line"});
   second.SetFaults({.group_ = "line"});
-  Flow a("tcp", &first);
-  Flow b("tcp", &second);
+  Flow a("tcp", &first, Millis(0));
+  Flow b("tcp", &second, Millis(0));
   a.Take("0123456789", Millis(0));
   b.Take("0123456789", Millis(0));
   CHECK(*a.NextArrival() == Millis(13));
@@ -188,7 +205,7 @@
 TEST_CASE("blocked bytes wait and frozen bytes never pass") {
   BandwidthGroups groups;
   LinkDirection direction(1, &groups);
-  Flow flow("tcp", &direction);
+  Flow flow("tcp", &direction, Millis(0));
   flow.Take("abc", Millis(0));
   direction.SetFaults({.blocked_ = true});
   CHECK_FALSE(flow.WantsMore());
@@ -201,7 +218,7 @@
   flow.Freeze();
   CHECK_FALSE(flow.WantsMore());
   CHECK(Drain(&flow, Millis(2000)).empty());
-  Flow next("tcp", &direction);
+  Flow next("tcp", &direction, Millis(0));
   next.Take("ghi", Millis(2000));
   CHECK(Drain(&next, Millis(2000)) == "ghi");
 }
