--- a/src/transport/tests/peer_endpoint_test.cc
+++ b/src/transport/tests/peer_endpoint_test.cc
@@ -1,5 +1,8 @@
 #include <zmq.h>
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <utility>
+#include <vector>
 
 #include "transport/tests/support.h"
 #include "transport/transport.h"
@@ -15,6 +18,72 @@
 constexpr int kMessages = 2000;
 constexpr int kHighWaterMark = 10;
 
+// A listening socket whose host drops connects, since its queue of connections
+// that nobody accepts is full, until Heal.
+class DroppingListener {
+ public:
+  DroppingListener() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
+    sockaddr_in name = {};
+    name.sin_family = AF_INET;
+    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof name;
+    REQUIRE(bind(fd_, reinterpret_cast<sockaddr*>(&name), size) == 0);
+    REQUIRE(listen(fd_, 0) == 0);
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&name), &size);
+    port_ = ntohs(name.sin_port);
+    // A queue of length 0 holds one connection; the others make sure of it.
+    for (int i = 0; i < 3; ++i) {
+      const int filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      connect(filler, reinterpret_cast<sockaddr*>(&name), size);
+      fillers_.push_back(filler);
+    }
+  }
+
+  ~DroppingListener() {
+    CloseFillers();
+    for (const int fd : accepted_) {
+      close(fd);
+    }
+    close(fd_);
+  }
+
+  DroppingListener(const DroppingListener&) = delete;
+  DroppingListener& operator=(const DroppingListener&) = delete;
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+
+  void Heal() {
+    CloseFillers();
+    listen(fd_, SOMAXCONN);
+  }
+
+  // Accepts what has come, and returns whether one of the connections has sent
+  // the first byte of a ZMTP greeting.
+  bool HasGreeting() {
+    for (int fd = accept(fd_, nullptr, nullptr); fd >= 0;
+         fd = accept(fd_, nullptr, nullptr)) {
+      accepted_.push_back(fd);
+    }
+    return std::any_of(accepted_.begin(), accepted_.end(), [](int fd) {
+      char first = 0;
+      return recv(fd, &first, 1, MSG_PEEK | MSG_DONTWAIT) == 1 &&
+             first == '\xff';
+    });
+  }
+
+ private:
+  void CloseFillers() {
+    for (const int filler : std::exchange(fillers_, {})) {
+      close(filler);
+    }
+  }
+
+  const int fd_;
+  uint16_t port_ = 0;
+  std::vector<int> fillers_;
+  std::vector<int> accepted_;
+};
+
 // An endpoint whose arrivals are collected; probes are answered.
 class Peer {
  public:
@@ -159,6 +228,28 @@
   REQUIRE(ingress.Next());
 }
 
+// Guards against a connect whose packets were dropped during a cut, and which
+// the kernel repeats only after a time as long as the cut: a group has a leader
+// within 5 s after a heal.
+TEST_CASE("a connect that began during a cut comes through soon after it",
+          "[silent_link]") {
+  // After 11 s, the next packet of the same connect leaves at 19 s.
+  constexpr state::Millis kCut(12000);
+  constexpr state::Millis kLeaderAfterHeal(5000);
+  DroppingListener host;
+  Peer ingress;
+  const state::SteadyClock clock;
+  const state::Millis healed = clock.Now() + kCut;
+  while (clock.Now() < healed) {
+    REQUIRE(ingress.SendProbe(host.address(), 1));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  host.Heal();
+  REQUIRE(Eventually([&] { return host.HasGreeting(); }));
+  const state::Millis connected_after = clock.Now() - healed;
+  CHECK(connected_after.value() <= kLeaderAfterHeal.value());
+}
+
 // Guards against garbage on the peer port that stops or blocks the endpoint.
 TEST_CASE("garbage and foreign messages are dropped and counted") {
   Peer guard;
