Keep a replaced link long enough for a slow connect

Callers: an instance behind a path on which a connect takes 1.5 s would never be reached by a daemon that keeps sending to it. Shown on the link monitor alone; the integration test with connects 1.5 s late after a cut passes before and after, since members reach each other by the log's own messages.

Cause: the monitor's clock starts at the first message, while the connection is still being made, and it replaces the link after 0.4 s, or 1.25 s without a budget for probes. Each replacement begins the connect anew.

"a link that connects slowly comes up" failed before, with and without budget:

CHECK( link.is_up() ) false

A link on which nothing has come since its replacement is now kept for 0.5 s, 1 s, and then 1.75 s, and the next check after that replaces it: within 3 s, the time after a heal in which a daemon must be up to date. Any message ends the delay. An unresponsive link is reported at each check as before, so calls move on at the same time. A host that answers 3 s late stays out of reach.

--- a/src/coordination/api/link_monitor.h
+++ b/src/coordination/api/link_monitor.h
@@ -23,7 +23,11 @@
   void OnReceived(const std::string& address, state::Millis now);
 
   struct Step {
-    Commands commands_;  // Probes, and resets of unresponsive links.
+    // Probes, and resets of unresponsive links. A link on which nothing has
+    // come since its last reset is kept for a while, so that a slow connect
+    // comes through.
+    Commands commands_;
+    // All links that were found unresponsive, those that are kept too.
     std::vector<std::string> reset_addresses_;
   };
   // Calls `may_probe` before a probe. If it returns false, the link is checked
@@ -36,6 +40,10 @@
     state::Millis waiting_since_;
     bool waiting_ = false;
     std::optional<state::Millis> probed_at_;
+    // How long the link is kept after its last reset; 0 when a message has come
+    // since.
+    state::Millis keep_;
+    state::Millis keep_until_;
   };
 
   std::map<std::string, Link> links_;
--- a/src/coordination/internal/link_monitor.cc
+++ b/src/coordination/internal/link_monitor.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "coordination/coordination.h"
 
 namespace gooseberrygap::coordination {
@@ -15,13 +17,21 @@
 // probe. A round trip between regions takes 26 ms, so this is several times
 // what the reply needs.
 constexpr state::Millis kResetAfterProbe(250);
+// A link on which no message has come since it was replaced is kept for this
+// time, and for twice as long after each further replacement, so that a slow
+// connect comes through.
+constexpr state::Millis kFirstKeep(500);
+// With a check that takes 1.25 s, a link is replaced within 3 s of a heal, the
+// time after which a daemon must be up to date.
+constexpr state::Millis kLongestKeep(1750);
 
 }  // namespace
 
 void LinkMonitor::OnSent(const std::string& address, state::Millis now) {
   Link& link = links_[address];
   if (!link.waiting_) {
-    link = Link{.waiting_since_ = now, .waiting_ = true};
+    link.waiting_since_ = now;
+    link.waiting_ = true;
   }
 }
 
@@ -39,18 +49,23 @@
     state::Millis now,
     absl::FunctionRef<bool(const std::string& address)> may_probe) {
   Step step;
-  for (auto entry = links_.begin(); entry != links_.end();) {
-    auto& [address, link] = *entry;
+  for (auto& [address, link] : links_) {
     const state::Millis waiting_time = now - link.waiting_since_;
     if (!link.waiting_) {
-      ++entry;
       continue;
     }
     if (link.probed_at_.has_value() &&
         now - *link.probed_at_ >= kResetAfterProbe) {
-      step.commands_.push_back(ResetLink{.address_ = address});
       step.reset_addresses_.push_back(address);
-      entry = links_.erase(entry);
+      link.waiting_ = false;
+      link.probed_at_.reset();
+      if (now >= link.keep_until_) {
+        step.commands_.push_back(ResetLink{.address_ = address});
+        link.keep_ = link.keep_ == state::Millis()
+                         ? kFirstKeep
+                         : std::min(link.keep_ + link.keep_, kLongestKeep);
+        link.keep_until_ = now + link.keep_;
+      }
       continue;
     }
     const bool is_due =
@@ -61,7 +76,6 @@
           SendToPeer{.address_ = address,
                      .message_ = Probe{.probe_id_ = next_probe_id_++}});
     }
-    ++entry;
   }
   return step;
 }
