Keep a target's withdrawal over a restart of its daemon

Callers' requests reached a target that had left, or that drained, until its process ended: its daemon was killed after the acknowledgement, and a heartbeat from before it arrived at the restarted daemon.

Cause: only GuardTarget knew of the withdrawal, in memory. The lease record of the new daemon's incarnation replaced the one that said "left", and the late heartbeat counted as the target's first announcement.

The record now names the last process of a target that has drained or left by its own announcement (target, incarnation, sequence). The membership table keeps it when a newer record comes without it, and each granted reply carries it. The guard ignores announcements from before it, and a target is sent to the control group only after the first granted reply, so that no other daemon chooses it before. A drain or stop of the daemon itself is no withdrawal. A Leave that is the first message after the restart counts too. Targets that announce no incarnation (the project's own interface) are not covered, since a later process could not be told apart.

Mixed builds: both fields are optional. An earlier control instance drops them, which leaves the behaviour as it was.

--- a/src/coordination/api/control_client.h
+++ b/src/coordination/api/control_client.h
@@ -48,11 +48,14 @@
 
   // Announces a change of this daemon's target with an immediate renewal. Sends
   // nothing when nothing has changed. An empty service withdraws the target.
+  // The target is sent only after the first granted reply, which carries the
+  // withdrawal that a daemon has forgotten by its restart.
   Step Announce(const std::string& target,
                 const std::string& service,
                 int slots,
                 state::TargetState target_state,
-                state::Millis now);
+                state::Millis now,
+                const state::TargetWithdrawal& withdrawal = {});
   // Reports a crash of this daemon's target with an immediate renewal.
   Step ReportCrash(const std::vector<CrashReport>& crashes, state::Millis now);
   // Handles a reply received on the connection to `address`.
@@ -76,7 +79,11 @@
   // Returns the time since a control instance that replied to this daemon was
   // last in contact with a leader that had a quorum; infinity if never.
   state::Millis Staleness(state::Millis now) const;
-  // Returns this daemon's record as its renewals announce it.
+  // Returns the withdrawal that the last granted reply carried; one without a
+  // name when there is none.
+  const state::TargetWithdrawal& kept_withdrawal() const;
+  // Returns this daemon's record, which its renewals announce after the first
+  // granted reply.
   const state::TargetRecord& record() const;
 
  private:
--- a/src/coordination/api/guard.h
+++ b/src/coordination/api/guard.h
@@ -39,6 +39,9 @@
 
   Commands OnAnnounced(const TargetAnnounced& announced, state::Millis now);
   Commands OnWithdrawn(const TargetWithdrawn& withdrawn);
+  // Applies the withdrawal that the control group has kept, so that a daemon
+  // that has restarted ignores announcements from before it.
+  Commands RestoreWithdrawal(const state::TargetWithdrawal& withdrawal);
   // Refuses new work permanently. Work that is already admitted continues.
   void Drain();
   // Returns whether Drain was called.
@@ -67,6 +70,9 @@
   state::GuardLoad Load() const;
   // Returns the announced target's name, service, slots and effective state.
   const TargetAnnounced& target() const;
+  // Returns the last withdrawal by a target itself, for the control group to
+  // keep; one without a name when there was none.
+  const state::TargetWithdrawal& withdrawal() const;
   // Returns the crash reports that no earlier call has returned.
   std::vector<CrashReport> TakeCrashReports();
   // Returns the number of admitted attempts that are not answered yet.
--- a/src/coordination/api/messages.h
+++ b/src/coordination/api/messages.h
@@ -184,6 +184,8 @@
   const std::string leader_address_ = {};  // Empty when unknown.
   // The members of the control group, and their regions where they are known.
   const std::vector<ControlAddress> control_members_ = {};
+  // The last withdrawal that the control group knows of the daemon's targets.
+  const state::TargetWithdrawal withdrawal_ = {};
 
   friend bool operator==(const LeaseReply&, const LeaseReply&) = default;
 };
--- a/src/coordination/internal/control_client.cc
+++ b/src/coordination/internal/control_client.cc
@@ -31,6 +31,9 @@
 // unusable delta, so that two daemons with the same name do not displace each
 // other in a tight loop.
 constexpr state::Millis kRefusalRetryDelay(50);
+// Delay before a target is announced that was held back until the first granted
+// reply: shorter than the time between two ticks.
+constexpr state::Millis kHeldTargetDelay(1);
 // Every renewal repeats a crash report until a reply arrives at least the first
 // time after the crash. The report is discarded after the second time at the
 // latest, when it is too old to say anything about its request.
@@ -63,10 +66,12 @@
                 const std::string& service,
                 int slots,
                 state::TargetState target_state,
-                state::Millis now) {
+                state::Millis now,
+                const state::TargetWithdrawal& withdrawal) {
     const state::TargetRecord& old = *record_;
     if (old.target_ == target && old.service_ == service &&
-        old.slots_ == slots && old.state_ == target_state) {
+        old.slots_ == slots && old.state_ == target_state &&
+        old.withdrawal_ == withdrawal) {
       return {};
     }
     const state::TargetRecord changed{.target_ = target,
@@ -77,7 +82,8 @@
                                       .failure_domain_ = old.failure_domain_,
                                       .slots_ = slots,
                                       .state_ = target_state,
-                                      .version_ = old.version_};
+                                      .version_ = old.version_,
+                                      .withdrawal_ = withdrawal};
     record_.emplace(changed);
     RaiseSequence();
     return Step{.commands_ = Renew(now)};
@@ -150,6 +156,9 @@
 
   const FollowedState& followed() const { return followed_; }
   const state::TargetRecord& record() const { return *record_; }
+  const state::TargetWithdrawal& kept_withdrawal() const {
+    return *kept_withdrawal_;
+  }
   const std::string& leader_address() const { return leader_address_; }
 
   state::Millis Staleness(state::Millis now) const {
@@ -191,6 +200,11 @@
       return;
     }
     counters_->Add(state::Counter::kLeasesRenewed);
+    kept_withdrawal_.emplace(reply.withdrawal_);
+    if (!has_been_granted_) {
+      has_been_granted_ = true;
+      AnnounceHeldTarget(now);
+    }
     if (!reply.leader_address_.empty()) {
       leader_address_ = reply.leader_address_;
     }
@@ -205,6 +219,15 @@
     }
   }
 
+  // Announces the target that was not sent before the first granted reply. Not
+  // with this call: the reply's withdrawal must be applied to the target first.
+  void AnnounceHeldTarget(state::Millis now) {
+    if (!record_->target_.empty()) {
+      RaiseSequence();
+      renew_at_ = now + kHeldTargetDelay;
+    }
+  }
+
   void UpdateLeaderContact(const LeaseReply& reply, state::Millis now) {
     const state::Millis contact_at = now - reply.staleness_;
     if (reply.staleness_ < kNeverContacted &&
@@ -249,7 +272,22 @@
                                         .failure_domain_ = old.failure_domain_,
                                         .slots_ = old.slots_,
                                         .state_ = old.state_,
-                                        .version_ = version});
+                                        .version_ = version,
+                                        .withdrawal_ = old.withdrawal_});
+  }
+
+  // Returns the record that a renewal carries. Before the first granted reply
+  // the daemon does not know whether its target has withdrawn, so that no other
+  // daemon may choose the target yet.
+  state::TargetRecord RecordToSend() const {
+    const state::TargetRecord& record = *record_;
+    return has_been_granted_
+               ? record
+               : state::TargetRecord{.instance_ = record.instance_,
+                                     .guard_address_ = record.guard_address_,
+                                     .region_ = record.region_,
+                                     .failure_domain_ = record.failure_domain_,
+                                     .version_ = record.version_};
   }
 
   Commands RenewIfDue(state::Millis now) {
@@ -278,7 +316,7 @@
         .address_ = choice_.address(),
         .message_ = LeaseRenew{
             .instance_ = record_->instance_,
-            .record_ = *record_,
+            .record_ = RecordToSend(),
             .configuration_index_ = followed_.index_to_report(),
             .requires_confirmed_ = followed_.configuration().index_ == 0,
             .membership_epoch_ = followed_.membership_epoch(),
@@ -292,6 +330,9 @@
   state::Counters* counters_;
   const ControlClientOptions options_;
   std::optional<state::TargetRecord> record_;
+  std::optional<state::TargetWithdrawal> kept_withdrawal_ =
+      state::TargetWithdrawal();
+  bool has_been_granted_ = false;
   std::deque<ReportedCrash> crashes_;
   state::Millis renew_at_;
   state::Millis renewed_at_;
@@ -320,12 +361,14 @@
   impl_->SetSeeds(addresses);
 }
 
-ControlClient::Step ControlClient::Announce(const std::string& target,
-                                            const std::string& service,
-                                            int slots,
-                                            state::TargetState target_state,
-                                            state::Millis now) {
-  return impl_->Announce(target, service, slots, target_state, now);
+ControlClient::Step ControlClient::Announce(
+    const std::string& target,
+    const std::string& service,
+    int slots,
+    state::TargetState target_state,
+    state::Millis now,
+    const state::TargetWithdrawal& withdrawal) {
+  return impl_->Announce(target, service, slots, target_state, now, withdrawal);
 }
 
 ControlClient::Step ControlClient::ReportCrash(
@@ -369,6 +412,10 @@
   return impl_->Staleness(now);
 }
 
+const state::TargetWithdrawal& ControlClient::kept_withdrawal() const {
+  return impl_->kept_withdrawal();
+}
+
 const state::TargetRecord& ControlClient::record() const {
   return impl_->record();
 }
--- a/src/coordination/internal/control_service_leases.cc
+++ b/src/coordination/internal/control_service_leases.cc
@@ -164,6 +164,7 @@
     session->pushed_version_ = table_.version();
   }
   const LeaseReply common_fields = MakeRefusal(instance, now);
+  const state::MembershipRecord* known = table_.Find(instance);
   return LeaseReply{
       .control_instance_ = common_fields.control_instance_,
       .granted_ = true,
@@ -188,7 +189,9 @@
       .refused_fingerprints_ = crash_history_.Refused(poison_policy(), now),
       .staleness_ = common_fields.staleness_,
       .leader_address_ = common_fields.leader_address_,
-      .control_members_ = ControlMembers()};
+      .control_members_ = ControlMembers(),
+      .withdrawal_ = known == nullptr ? state::TargetWithdrawal()
+                                      : known->record_.withdrawal_};
 }
 
 bool ControlService::Impl::Concerns(const Session& session,
--- a/src/coordination/internal/guard.cc
+++ b/src/coordination/internal/guard.cc
@@ -53,6 +53,13 @@
              : Commands();
 }
 
+Commands Guard::Impl::RestoreWithdrawal(
+    const state::TargetWithdrawal& withdrawal) {
+  return target_.RestoreWithdrawal(withdrawal)
+             ? RefuseQueued(RefusalReason::kDraining)
+             : Commands();
+}
+
 Commands Guard::Impl::OnAttempt(const std::string& connection,
                                 const Attempt& attempt,
                                 state::Millis now) {
@@ -322,6 +329,10 @@
   return impl_->OnWithdrawn(withdrawn);
 }
 
+Commands Guard::RestoreWithdrawal(const state::TargetWithdrawal& withdrawal) {
+  return impl_->RestoreWithdrawal(withdrawal);
+}
+
 void Guard::Drain() {
   impl_->target()->Drain();
 }
@@ -369,6 +380,10 @@
   return impl_->target()->announcement();
 }
 
+const state::TargetWithdrawal& Guard::withdrawal() const {
+  return impl_->target()->withdrawal();
+}
+
 std::vector<CrashReport> Guard::TakeCrashReports() {
   return impl_->TakeCrashReports();
 }
--- a/src/coordination/internal/guard_impl.h
+++ b/src/coordination/internal/guard_impl.h
@@ -61,6 +61,8 @@
 
   Commands OnWithdrawn(const TargetWithdrawn& withdrawn);
 
+  Commands RestoreWithdrawal(const state::TargetWithdrawal& withdrawal);
+
   Commands OnAttempt(const std::string& connection,
                      const Attempt& attempt,
                      state::Millis now);
--- a/src/coordination/internal/guard_target.cc
+++ b/src/coordination/internal/guard_target.cc
@@ -37,6 +37,15 @@
        (announced.incarnation_ != 0 &&
         announcement_->incarnation_ != announced.incarnation_));
   withdrawn_ = withdrawn_ && !is_new_process;
+  const bool was_draining =
+      has_announcement() && announcement_->state_ == TargetState::kDraining;
+  const bool is_known_withdrawal =
+      was_draining && withdrawal_.has_value() &&
+      withdrawal_->target_ == announced.target_ &&
+      withdrawal_->incarnation_ == announced.incarnation_;
+  if (announced.state_ == TargetState::kDraining && !is_known_withdrawal) {
+    SetWithdrawal(announced, TargetState::kDraining);
+  }
   announcement_.emplace(announced);
   if (draining_ && announced.state_ != TargetState::kLeft) {
     SetState(TargetState::kDraining);
@@ -44,7 +53,35 @@
   return is_new_process;
 }
 
+void GuardTarget::SetWithdrawal(const TargetAnnounced& announced,
+                                TargetState target_state) {
+  // Without an incarnation, a later process could not be told apart.
+  if (announced.incarnation_ != 0) {
+    withdrawal_.emplace(
+        state::TargetWithdrawal{.target_ = announced.target_,
+                                .incarnation_ = announced.incarnation_,
+                                .sequence_ = announced.sequence_,
+                                .state_ = target_state});
+  }
+}
+
+bool GuardTarget::IsWithdrawn(const TargetAnnounced& announced) const {
+  if (!withdrawal_.has_value() || announced.incarnation_ == 0 ||
+      announced.target_ != withdrawal_->target_) {
+    return false;
+  }
+  if (announced.incarnation_ != withdrawal_->incarnation_) {
+    return announced.incarnation_ < withdrawal_->incarnation_;
+  }
+  return withdrawal_->state_ == TargetState::kLeft ||
+         (announced.sequence_ != 0 &&
+          announced.sequence_ <= withdrawal_->sequence_);
+}
+
 bool GuardTarget::IsStale(const TargetAnnounced& announced) const {
+  if (IsWithdrawn(announced)) {
+    return true;
+  }
   if (!has_announcement() || announced.incarnation_ == 0 ||
       announcement_->incarnation_ == 0) {
     return false;
@@ -73,10 +110,38 @@
        withdrawn.target_ == announcement_->target_) &&
       (withdrawn.incarnation_ == 0 || announcement_->incarnation_ == 0 ||
        withdrawn.incarnation_ == announcement_->incarnation_);
+  // Empty when the daemon withdraws the target, as it does when it stops.
+  const bool is_by_target = !withdrawn.target_.empty();
   if (is_for_target) {
     withdrawn_ = true;
     SetState(TargetState::kLeft);
+    if (is_by_target) {
+      SetWithdrawal(*announcement_, TargetState::kLeft);
+    }
+  } else if (is_by_target && !has_announcement()) {
+    // The daemon has restarted since the target's last announcement.
+    SetWithdrawal(TargetAnnounced{.target_ = withdrawn.target_,
+                                  .incarnation_ = withdrawn.incarnation_},
+                  TargetState::kLeft);
+  }
+}
+
+bool GuardTarget::RestoreWithdrawal(const state::TargetWithdrawal& withdrawal) {
+  if (withdrawal_.has_value() || withdrawal.target_.empty()) {
+    return false;
   }
+  withdrawal_.emplace(withdrawal);
+  if (!has_announcement() || !IsWithdrawn(*announcement_)) {
+    return false;
+  }
+  withdrawn_ = withdrawal.state_ == TargetState::kLeft;
+  SetState(withdrawal.state_);
+  return true;
+}
+
+const state::TargetWithdrawal& GuardTarget::withdrawal() const {
+  static const state::TargetWithdrawal kNone;
+  return withdrawal_.has_value() ? *withdrawal_ : kNone;
 }
 
 void GuardTarget::SetState(TargetState target_state) {
--- a/src/coordination/internal/guard_target.h
+++ b/src/coordination/internal/guard_target.h
@@ -27,6 +27,10 @@
   // Marks the target as left. Later announcements of the same process have no
   // effect.
   void Withdraw(const TargetWithdrawn& withdrawn);
+  // Applies a withdrawal that was acknowledged before this daemon started. Has
+  // no effect when a later one is known. Returns whether it withdraws the
+  // target that is announced.
+  bool RestoreWithdrawal(const state::TargetWithdrawal& withdrawal);
   void SetState(state::TargetState target_state);
   // Keeps the target draining, whatever state it announces later.
   void Drain();
@@ -52,13 +56,23 @@
   // Returns the last announcement; one without a name when there was none.
   const TargetAnnounced& announcement() const;
 
+  // Returns the last withdrawal by a target itself; one without a name when
+  // there was none. A drain or stop of this daemon is none.
+  const state::TargetWithdrawal& withdrawal() const;
+
   bool is_draining() const { return draining_; }
   // Returns the path at which the target reports its load; empty without one.
   std::string HealthPath() const;
 
  private:
-  // Returns whether the announcement is older than the last one.
+  // Returns whether the announcement is older than the last one or than the
+  // withdrawal.
   bool IsStale(const TargetAnnounced& announced) const;
+  // Returns whether the announcement comes from a process that has withdrawn
+  // later than it was sent.
+  bool IsWithdrawn(const TargetAnnounced& announced) const;
+  void SetWithdrawal(const TargetAnnounced& announced,
+                     state::TargetState target_state);
   // Returns whether the announcement would move the target from a service of
   // the configuration to one that the configuration does not have. Such an
   // announcement comes from another writer.
@@ -73,6 +87,7 @@
   absl::flat_hash_set<std::string> suspects_;
   const state::Millis announcement_lifetime_;
   std::optional<TargetAnnounced> announcement_;
+  std::optional<state::TargetWithdrawal> withdrawal_;
   bool withdrawn_ = false;
   state::Millis last_announced_;
   bool draining_ = false;
--- a/src/coordination/tests/control_client_test.cc
+++ b/src/coordination/tests/control_client_test.cc
@@ -253,6 +253,36 @@
         serving[0].renew_.record_.version_);
 }
 
+// Guards against a daemon that has restarted and announces its target before it
+// knows whether the target has withdrawn.
+TEST_CASE("a target is announced only after the first granted reply",
+          "[membership]") {
+  Daemon daemon;
+  const auto announced = RenewalsOf(
+      daemon.client_
+          .Announce("t", "s", 4, state::TargetState::kServing, daemon.now_)
+          .commands_);
+  REQUIRE(announced.size() == 1);
+  CHECK(announced[0].renew_.record_.service_.empty());
+  daemon.Reply(LeaseReply{.granted_ = false});
+  for (const SentRenewal& sent : WithoutQueries(daemon.Run(100))) {
+    CHECK(sent.renew_.record_.service_.empty());
+  }
+  const state::TargetWithdrawal withdrawal{.target_ = "t", .incarnation_ = 7};
+  // Nothing is sent before the withdrawal has been applied to the target.
+  CHECK(
+      RenewalsOf(
+          daemon.Reply(LeaseReply{.granted_ = true, .withdrawal_ = withdrawal})
+              .commands_)
+          .empty());
+  CHECK(daemon.client_.kept_withdrawal() == withdrawal);
+  const std::vector<SentRenewal> granted = daemon.Run(10);
+  REQUIRE(granted.size() == 1);
+  CHECK(granted[0].renew_.record_.service_ == "s");
+  CHECK(granted[0].renew_.record_.version_ >
+        announced[0].renew_.record_.version_);
+}
+
 // Guards against a membership table that applies an older record, or changes
 // that are based on another control instance's table.
 TEST_CASE("membership applies only newer records and changes to its table",
--- a/src/coordination/tests/guard_test.cc
+++ b/src/coordination/tests/guard_test.cc
@@ -223,6 +223,52 @@
   CHECK(test.guard_.target().state_ == TargetState::kServing);
 }
 
+// Guards against a daemon that has restarted, and takes an announcement from
+// before its target's acknowledged withdrawal as the target's current state.
+TEST_CASE("a restored withdrawal outdates earlier announcements",
+          "[membership]") {
+  using state::TargetState;
+  state::Counters counters;
+  RegisterClient register_client({"control"}, &counters);
+  Guard guard("g", 1, &register_client, &counters);
+  SECTION("of a target that has left") {
+    guard.RestoreWithdrawal({.target_ = "t", .incarnation_ = 100});
+    guard.OnAnnounced(Announcement(100, 9, TargetState::kServing), Millis(1));
+    CHECK(guard.target().target_.empty());
+  }
+  SECTION("of a target that drains") {
+    guard.RestoreWithdrawal({.target_ = "t",
+                             .incarnation_ = 100,
+                             .sequence_ = 5,
+                             .state_ = TargetState::kDraining});
+    guard.OnAnnounced(Announcement(100, 4, TargetState::kServing), Millis(1));
+    CHECK(guard.target().target_.empty());
+    guard.OnAnnounced(Announcement(100, 6, TargetState::kDraining), Millis(2));
+    CHECK(guard.target().state_ == TargetState::kDraining);
+  }
+  SECTION("that has arrived before it") {
+    guard.OnAnnounced(Announcement(100, 4, TargetState::kServing), Millis(1));
+    guard.RestoreWithdrawal({.target_ = "t", .incarnation_ = 100});
+    CHECK(guard.target().state_ == TargetState::kLeft);
+  }
+  SECTION("when the withdrawal itself comes first after the restart") {
+    guard.OnWithdrawn(TargetWithdrawn{.target_ = "t", .incarnation_ = 100});
+    guard.OnAnnounced(Announcement(100, 9, TargetState::kServing), Millis(1));
+    CHECK(guard.target().target_.empty());
+  }
+  guard.OnAnnounced(Announcement(200, 1, TargetState::kServing), Millis(3));
+  CHECK(guard.target().state_ == TargetState::kServing);
+  // A drain of the daemon is no withdrawal; one of the target meanwhile is.
+  guard.Drain();
+  CHECK(guard.withdrawal().incarnation_ == 100);
+  guard.OnAnnounced(Announcement(200, 2, TargetState::kDraining), Millis(4));
+  CHECK(guard.withdrawal() ==
+        state::TargetWithdrawal{.target_ = "t",
+                                .incarnation_ = 200,
+                                .sequence_ = 2,
+                                .state_ = TargetState::kDraining});
+}
+
 // Guards against an announcement by another writer that takes the target out of
 // its service: it names a service that the configuration does not have.
 TEST_CASE("an announcement for an unknown service keeps the known one",
--- a/src/protocol/internal/operator_json.cc
+++ b/src/protocol/internal/operator_json.cc
@@ -66,7 +66,8 @@
     Required("failure_domain", &TargetRecord::failure_domain_, kAnyText),
     Required("slots", &TargetRecord::slots_, Integer{0, 1000000}),
     Required("state", &TargetRecord::state_, NamedEnumOf(kTargetStates)),
-    Absent(&TargetRecord::version_));
+    Absent(&TargetRecord::version_),
+    Absent(&TargetRecord::withdrawal_));
 
 constexpr auto kCounterRecord = RecordOf<CounterSample>(
     Required("name", &CounterSample::name_, kAnyText),
--- a/src/protocol/internal/peer_codec.cc
+++ b/src/protocol/internal/peer_codec.cc
@@ -178,6 +178,9 @@
       wire_member->set_address(member.address_);
       wire_member->set_region(member.region_);
     }
+    if (!message.withdrawal_.target_.empty()) {
+      ToWire(message.withdrawal_, out->mutable_withdrawal());
+    }
   }
   void operator()(const coordination::RegisterCall& message) const {
     wire::RegisterCall* out = envelope_->mutable_register_call();
@@ -415,7 +418,8 @@
           RefusedFromWire(in.refused_fingerprints(), reader),
       .staleness_ = reader->MillisOf(in.knowledge_age()),
       .leader_address_ = in.leader_address(),
-      .control_members_ = std::move(control_members)};
+      .control_members_ = std::move(control_members),
+      .withdrawal_ = FromWire(in.withdrawal(), reader)};
 }
 
 PeerMessage ReadRegisterCall(const wire::Envelope& envelope,
--- a/src/protocol/internal/wire_values.cc
+++ b/src/protocol/internal/wire_values.cc
@@ -191,6 +191,13 @@
   out->set_service_time(static_cast<float>(value.service_time_.value()));
 }
 
+void ToWire(const state::TargetWithdrawal& value, wire::TargetWithdrawal* out) {
+  out->set_target(value.target_);
+  out->set_incarnation(value.incarnation_);
+  out->set_sequence(value.sequence_);
+  out->set_state(static_cast<uint32_t>(value.state_));
+}
+
 void ToWire(const state::TargetRecord& value, wire::TargetRecord* out) {
   out->set_target(value.target_);
   out->set_service(value.service_);
@@ -202,6 +209,9 @@
   out->set_state(static_cast<uint32_t>(value.state_));
   out->set_incarnation(value.version_.incarnation_);
   out->set_sequence(value.version_.sequence_);
+  if (!value.withdrawal_.target_.empty()) {
+    ToWire(value.withdrawal_, out->mutable_withdrawal());
+  }
 }
 
 void ToWire(const state::RegisterCommand& value, wire::RegisterCommand* out) {
@@ -288,6 +298,19 @@
       .service_time_ = reader->MillisOf(in.service_time())};
 }
 
+state::TargetWithdrawal FromWire(const wire::TargetWithdrawal& in,
+                                 WireReader* reader) {
+  // A message without the field, as earlier builds send it, names no target.
+  if (in.target().empty()) {
+    return {};
+  }
+  return state::TargetWithdrawal{
+      .target_ = in.target(),
+      .incarnation_ = in.incarnation(),
+      .sequence_ = in.sequence(),
+      .state_ = reader->EnumOf(in.state(), state::TargetState::kLeft)};
+}
+
 state::TargetRecord FromWire(const wire::TargetRecord& in, WireReader* reader) {
   return state::TargetRecord{
       .target_ = in.target(),
@@ -299,7 +322,8 @@
       .slots_ = in.slots(),
       .state_ = reader->EnumOf(in.state(), state::TargetState::kLeft),
       .version_ = state::LeaseVersion{.incarnation_ = in.incarnation(),
-                                      .sequence_ = in.sequence()}};
+                                      .sequence_ = in.sequence()},
+      .withdrawal_ = FromWire(in.withdrawal(), reader)};
 }
 
 state::RegisterCommand FromWire(const wire::RegisterCommand& in,
--- a/src/protocol/tests/peer_codec_test.cc
+++ b/src/protocol/tests/peer_codec_test.cc
@@ -40,6 +40,29 @@
   CHECK(decoded_call.value() == call);
 }
 
+// Guards against a withdrawal that is lost between a daemon and the control
+// group, and against a message of an earlier build that is read as one.
+TEST_CASE("a withdrawal is carried by renewals and replies") {
+  const state::TargetWithdrawal withdrawal{
+      .target_ = "t",
+      .incarnation_ = 1700000000123,
+      .sequence_ = 5,
+      .state_ = state::TargetState::kDraining};
+  for (const state::TargetWithdrawal& each :
+       {withdrawal, state::TargetWithdrawal()}) {
+    const coordination::PeerMessage renew = coordination::LeaseRenew{
+        .instance_ = "i", .record_ = {.instance_ = "i", .withdrawal_ = each}};
+    const auto decoded_renew = DecodePeerMessage(EncodePeerMessage(renew));
+    REQUIRE(decoded_renew);
+    CHECK(decoded_renew.value() == renew);
+    const coordination::PeerMessage reply =
+        coordination::LeaseReply{.granted_ = true, .withdrawal_ = each};
+    const auto decoded_reply = DecodePeerMessage(EncodePeerMessage(reply));
+    REQUIRE(decoded_reply);
+    CHECK(decoded_reply.value() == reply);
+  }
+}
+
 // Guards against bytes of another program that end the process or are taken for
 // a message.
 TEST_CASE("bytes that are no message are refused") {
--- a/src/state/api/membership_table.h
+++ b/src/state/api/membership_table.h
@@ -43,7 +43,9 @@
 // change increments. Not thread-safe.
 class MembershipTable {
  public:
-  // Stores the record if it is newer: it has a higher LeaseVersion, or the same
+  // Stores the record if it is newer, with the stored withdrawal if it names
+  // none: a daemon that has restarted does not know of it. A record is newer if
+  // it has a higher LeaseVersion, or the same
   // one and is kLeft while the stored one is not, which is how an expiry is
   // replicated.
   MergeResult Merge(const TargetRecord& record,
--- a/src/state/api/target.h
+++ b/src/state/api/target.h
@@ -26,6 +26,19 @@
   friend auto operator<=>(const LeaseVersion&, const LeaseVersion&) = default;
 };
 
+// The announcement by which a process of a target drained or left. Earlier
+// announcements of the same process are outdated, also after a restart of its
+// daemon.
+struct TargetWithdrawal {
+  const std::string target_ = {};   // Empty when no process has withdrawn.
+  const uint64_t incarnation_ = 0;  // Incarnation of the target's process.
+  const uint64_t sequence_ = 0;     // Its last announcement at that time.
+  const TargetState state_ = TargetState::kLeft;  // kDraining or kLeft.
+
+  friend bool operator==(const TargetWithdrawal&,
+                         const TargetWithdrawal&) = default;
+};
+
 // A target's record, announced by its daemon to the control group.
 struct TargetRecord {
   const std::string target_ = {};   // Unique name of the target.
@@ -37,6 +50,9 @@
   const int slots_ = 0;
   const TargetState state_ = TargetState::kStarting;
   const LeaseVersion version_ = {};
+  // The last withdrawal at this instance, of the target above or an earlier
+  // one.
+  const TargetWithdrawal withdrawal_ = {};
 
   friend bool operator==(const TargetRecord&, const TargetRecord&) = default;
 };
--- a/src/state/internal/membership_table.cc
+++ b/src/state/internal/membership_table.cc
@@ -21,7 +21,22 @@
                       .failure_domain_ = record.failure_domain_,
                       .slots_ = record.slots_,
                       .state_ = state,
-                      .version_ = record.version_};
+                      .version_ = record.version_,
+                      .withdrawal_ = record.withdrawal_};
+}
+
+TargetRecord WithWithdrawal(const TargetRecord& record,
+                            const TargetWithdrawal& withdrawal) {
+  return TargetRecord{.target_ = record.target_,
+                      .service_ = record.service_,
+                      .instance_ = record.instance_,
+                      .guard_address_ = record.guard_address_,
+                      .region_ = record.region_,
+                      .failure_domain_ = record.failure_domain_,
+                      .slots_ = record.slots_,
+                      .state_ = record.state_,
+                      .version_ = record.version_,
+                      .withdrawal_ = withdrawal};
 }
 
 }  // namespace
@@ -63,12 +78,17 @@
   }
   const bool is_same_for_routing = known != nullptr && !known->suspended_ &&
                                    IsSameForRouting(known->record_, record);
-  Put(MembershipRecord{.record_ = record,
-                       .holder_ = std::string(holder),
-                       .holder_epoch_ = holder_epoch,
-                       .former_service_ = former_service,
-                       .change_version_ = ++version_,
-                       .changed_at_ = now});
+  const bool keeps_withdrawal =
+      known != nullptr && record.withdrawal_.target_.empty();
+  Put(MembershipRecord{
+      .record_ = keeps_withdrawal
+                     ? WithWithdrawal(record, known->record_.withdrawal_)
+                     : record,
+      .holder_ = std::string(holder),
+      .holder_epoch_ = holder_epoch,
+      .former_service_ = former_service,
+      .change_version_ = ++version_,
+      .changed_at_ = now});
   if (!is_same_for_routing) {
     routing_version_ = version_;
   }
--- a/src/state/tests/membership_table_test.cc
+++ b/src/state/tests/membership_table_test.cc
@@ -56,6 +56,26 @@
   CHECK(table.ChangesSince(table.version()).empty());
 }
 
+// Guards against a withdrawal that is lost with the first renewal of a daemon
+// that has restarted and does not know of it.
+TEST_CASE("a record keeps the last withdrawal", "[membership]") {
+  const auto record = [](LeaseVersion version,
+                         const TargetWithdrawal& withdrawal) {
+    return TargetRecord{
+        .instance_ = "i", .version_ = version, .withdrawal_ = withdrawal};
+  };
+  const TargetWithdrawal first{.target_ = "t", .incarnation_ = 7};
+  const TargetWithdrawal second{.target_ = "u", .incarnation_ = 8};
+  MembershipTable table;
+  table.Merge(record({1, 1}, first), "c1", 1, Millis(0));
+  table.Merge(record({2, 1}, {}), "c2", 1, Millis(0));
+  CHECK(table.Find("i")->record_.withdrawal_ == first);
+  table.Expire("i", Millis(0));
+  CHECK(table.Find("i")->record_.withdrawal_ == first);
+  table.Merge(record({2, 2}, second), "c2", 1, Millis(0));
+  CHECK(table.Find("i")->record_.withdrawal_ == second);
+}
+
 // Guards against a delta that omits a purged record.
 TEST_CASE("a purged tombstone ends deltas from before it", "[membership]") {
   MembershipTable table;
