Fill the disk of a control instance in the soak

For the length of the fault no file of one control instance may grow (RLIMIT_FSIZE 0), neither the log of the group nor the process's own messages. The instance must not end meanwhile. A row of the table may now choose its instance.

The soak does not check that the control role reports the failure.

--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -1,5 +1,7 @@
 #include "soak/faults.h"
 
+#include <sys/resource.h>
+
 #include <csignal>
 #include <nlohmann/json.hpp>
 #include <thread>
@@ -50,6 +52,7 @@
   const char* const name_;
   void (Faults::*const begin_)(const std::string&);
   void (Faults::*const end_)(const std::string&);
+  std::string (Faults::*const choose_)() = &Faults::ChooseAny;
 };
 
 const Faults::Row Faults::kFaults[] = {
@@ -57,6 +60,8 @@
     {"stop a daemon", &Faults::StopDaemon, &Faults::AwaitDaemonStopped},
     {"pause a daemon", &Faults::PauseDaemon, &Faults::ResumeDaemon},
     {"reload a daemon", &Faults::ReloadDaemon, &Faults::ReloadDaemon},
+    {"fill a control disk", &Faults::FillDisk, &Faults::FreeDisk,
+     &Faults::ChooseControl},
     {"kill a target", &Faults::KillTarget, &Faults::AwaitTargetStopped},
     {"stop a target", &Faults::StopTarget, &Faults::AwaitTargetStopped},
     {"pause a target", &Faults::PauseTarget, &Faults::ResumeTarget},
@@ -99,8 +104,11 @@
 }
 
 void Faults::Begin() {
-  const std::string instance = ChooseIdleInstance();
   const Row& row = kFaults[random_() % std::size(kFaults)];
+  const std::string instance = (this->*row.choose_)();
+  if (instance.empty()) {
+    return;
+  }
   ++begun_[row.name_];
   (this->*row.begin_)(instance);
   active_[instance] = {
@@ -145,7 +153,7 @@
   }
 }
 
-std::string Faults::ChooseIdleInstance() {
+std::string Faults::ChooseAny() {
   const auto& instances = deployment_->spec().instances_;
   while (true) {
     const std::string& name = instances[random_() % instances.size()].name_;
@@ -155,6 +163,16 @@
   }
 }
 
+std::string Faults::ChooseControl() {
+  std::vector<std::string> idle;
+  for (const InstanceSpec& instance : deployment_->spec().instances_) {
+    if (instance.control_ && !active_.contains(instance.name_)) {
+      idle.push_back(instance.name_);
+    }
+  }
+  return idle.empty() ? std::string() : idle[random_() % idle.size()];
+}
+
 void Faults::KillDaemon(const std::string& instance) {
   cut_.insert(instance);
   deployment_->Kill(instance);
@@ -198,6 +216,32 @@
   Check("the start of " + instance, deployment_->Restart(instance));
 }
 
+// The disk takes no bytes: the log of the control group and the process's own
+// messages fail alike.
+void Faults::FillDisk(const std::string& instance) {
+  LimitFiles(instance, 0);
+}
+
+void Faults::FreeDisk(const std::string& instance) {
+  const std::optional<int> exit_code =
+      deployment_->Find(instance)->Wait(state::Millis(0));
+  if (exit_code.has_value()) {
+    findings_->Add(absl::StrCat(instance, " ended with code ", *exit_code,
+                                " while its disk was full"));
+    StartDaemon(instance);
+    return;
+  }
+  LimitFiles(instance, RLIM_INFINITY);
+}
+
+void Faults::LimitFiles(const std::string& instance, uint64_t bytes) {
+  const rlimit limit = {bytes, RLIM_INFINITY};
+  if (prlimit(deployment_->Find(instance)->pid(), RLIMIT_FSIZE, &limit,
+              nullptr) != 0) {
+    findings_->Add("no limit for the files of " + instance);
+  }
+}
+
 void Faults::KillTarget(const std::string& instance) {
   deployment_->Kill(TargetNameOf(instance));
 }
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -45,9 +45,11 @@
   };
 
   void Begin();
+  // Each returns an instance without a fault, or an empty string.
+  std::string ChooseAny();
+  std::string ChooseControl();
   void EndDue(bool all);
   void CheckConfigurations();
-  std::string ChooseIdleInstance();
 
   void KillDaemon(const std::string& instance);
   void StopDaemon(const std::string& instance);
@@ -56,6 +58,8 @@
   void ResumeDaemon(const std::string& instance);
   void ReloadDaemon(const std::string& instance);
   void StartDaemon(const std::string& instance);
+  void FillDisk(const std::string& instance);
+  void FreeDisk(const std::string& instance);
   void KillTarget(const std::string& instance);
   void StopTarget(const std::string& instance);
   void AwaitTargetStopped(const std::string& instance);
@@ -83,6 +87,8 @@
                 const std::string& outgoing,
                 const std::string& incoming);
   void SetBehaviour(const std::string& instance, const std::string& patch);
+  // Lets the daemon's files grow up to this size only.
+  void LimitFiles(const std::string& instance, uint64_t bytes);
   void Check(const std::string& what, const state::Result<void>& result);
   int CountBegun(const std::string& instance) const;
   int Draw(int least, int most);
