Kill the leader after an accepted change in the soak

The operators expect that the change stays and that the next one is accepted. Nothing is begun when no change came or the leader has another fault.

--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -3,7 +3,6 @@
 #include <sys/resource.h>
 
 #include <csignal>
-#include <nlohmann/json.hpp>
 #include <thread>
 
 #include "absl/strings/str_cat.h"
@@ -14,6 +13,7 @@
 
 namespace {
 
+using nlohmann::json;
 using test_support::InstanceSpec;
 using test_support::Process;
 using test_support::TargetNameOf;
@@ -25,6 +25,9 @@
 // Of the instances, this part can have a fault at the same time.
 constexpr size_t kInstancesForOneFault = 2;
 constexpr std::chrono::milliseconds kStep(100);
+// Longest wait for a change, after which a leader is killed.
+constexpr std::chrono::milliseconds kChangeWait(2000);
+constexpr std::chrono::milliseconds kChangePoll(10);
 constexpr state::Millis kStatusTimeout(500);
 // A planned stop ends within a call's deadline of 4 s, and 4 s for the
 // register.
@@ -62,6 +65,8 @@
     {"reload a daemon", &Faults::ReloadDaemon, &Faults::ReloadDaemon},
     {"fill a control disk", &Faults::FillDisk, &Faults::FreeDisk,
      &Faults::ChooseControl},
+    {"kill the leader after a change", &Faults::KillDaemon,
+     &Faults::StartDaemon, &Faults::ChooseLeaderAfterChange},
     {"kill a target", &Faults::KillTarget, &Faults::AwaitTargetStopped},
     {"stop a target", &Faults::StopTarget, &Faults::AwaitTargetStopped},
     {"pause a target", &Faults::PauseTarget, &Faults::ResumeTarget},
@@ -81,9 +86,13 @@
 };
 
 Faults::Faults(test_support::Deployment* deployment,
+               const Operators& operators,
                uint64_t seed,
                Findings* findings)
-    : deployment_(deployment), findings_(findings), random_(seed) {}
+    : deployment_(deployment),
+      operators_(operators),
+      findings_(findings),
+      random_(seed) {}
 
 void Faults::Run(std::chrono::milliseconds duration) {
   const auto end = Clock::now() + duration;
@@ -128,6 +137,15 @@
   }
 }
 
+json Faults::ReadPage(const std::string& instance,
+                      const std::string& path) const {
+  const test_support::CallAnswer answer =
+      test_support::CallOnce(deployment_->AddressesOf(instance).http_,
+                             {.path_ = path, .timeout_ = kStatusTimeout});
+  json page = json::parse(answer.body_, nullptr, /*allow_exceptions=*/false);
+  return page.is_object() ? page : json::object();
+}
+
 // A process reports the index of the configuration that it applies, which
 // never falls while it runs.
 void Faults::CheckConfigurations() {
@@ -135,12 +153,8 @@
     if (active_.contains(instance.name_)) {
       continue;
     }
-    const test_support::CallAnswer answer = test_support::CallOnce(
-        deployment_->AddressesOf(instance.name_).http_,
-        {.path_ = "/-/status", .timeout_ = kStatusTimeout});
-    const auto status = nlohmann::json::parse(answer.body_, nullptr,
-                                              /*allow_exceptions=*/false);
-    if (!status.is_object()) {
+    const json status = ReadPage(instance.name_, "/-/status");
+    if (status.empty()) {
       continue;
     }
     const uint64_t index = status.value("configuration_index", uint64_t{0});
@@ -173,6 +187,25 @@
   return idle.empty() ? std::string() : idle[random_() % idle.size()];
 }
 
+std::string Faults::ChooseLeaderAfterChange() {
+  const int before = operators_.acknowledged_count();
+  const auto end = Clock::now() + kChangeWait;
+  while (operators_.acknowledged_count() == before) {
+    if (Clock::now() >= end) {
+      return {};
+    }
+    std::this_thread::sleep_for(kChangePoll);
+  }
+  for (const InstanceSpec& instance : deployment_->spec().instances_) {
+    if (instance.control_ && !active_.contains(instance.name_) &&
+        ReadPage(instance.name_, "/-/control/status").value("role", "") ==
+            "leader") {
+      return instance.name_;
+    }
+  }
+  return {};
+}
+
 void Faults::KillDaemon(const std::string& instance) {
   cut_.insert(instance);
   deployment_->Kill(instance);
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -3,12 +3,14 @@
 
 #include <chrono>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "soak/findings.h"
+#include "soak/operators.h"
 #include "support/deployment.h"
 
 namespace gooseberrygap::soak {
@@ -19,8 +21,9 @@
 // thread that started the deployment.
 class Faults {
  public:
-  // Both pointers must outlive this object.
+  // The pointers and the operators must outlive this object.
   Faults(test_support::Deployment* deployment,
+         const Operators& operators,
          uint64_t seed,
          Findings* findings);
 
@@ -48,7 +51,12 @@
   // Each returns an instance without a fault, or an empty string.
   std::string ChooseAny();
   std::string ChooseControl();
+  // Waits until a change is acknowledged, and returns the leader.
+  std::string ChooseLeaderAfterChange();
   void EndDue(bool all);
+  // Returns a status page of the daemon, or an empty object without an answer.
+  nlohmann::json ReadPage(const std::string& instance,
+                          const std::string& path) const;
   void CheckConfigurations();
 
   void KillDaemon(const std::string& instance);
@@ -94,6 +102,7 @@
   int Draw(int least, int most);
 
   test_support::Deployment* const deployment_;
+  const Operators& operators_;
   Findings* const findings_;
   std::mt19937_64 random_;
   std::map<std::string, Active> active_;  // By instance.
--- a/tests/soak/operators.cc
+++ b/tests/soak/operators.cc
@@ -141,6 +141,7 @@
         json::parse(answer.body_, nullptr, /*allow_exceptions=*/false);
     if (answer.status_ == 200 && reply.is_object()) {
       *index = reply.value("index", uint64_t{0});
+      ++acknowledged_count_;
       return Verdict::kAccepted;
     }
     if (answer.status_ == 409) {
--- a/tests/soak/operators.h
+++ b/tests/soak/operators.h
@@ -35,6 +35,8 @@
   Operators(const Operators&) = delete;
   Operators& operator=(const Operators&) = delete;
 
+  // Returns how many changes were acknowledged. Thread-safe.
+  int acknowledged_count() const { return acknowledged_count_; }
   // Waits until the change in progress has a clear answer, and returns the last
   // one that was acknowledged.
   AcknowledgedChange Finish();
@@ -59,6 +61,7 @@
   std::mt19937_64 random_;
   std::vector<test_support::Address> daemons_;
   std::atomic<bool> stopping_ = false;
+  mutable std::atomic<int> acknowledged_count_ = 0;
   AcknowledgedChange acknowledged_;
   std::thread thread_;
 };
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -170,7 +170,7 @@
   integration::ActionLoad actions(*deployment, {.seed_ = options.seed_,
                                                 .callers_ = options.instances_,
                                                 .keys_each_ = 1});
-  Faults faults(deployment.get(), options.seed_, &findings);
+  Faults faults(deployment.get(), operators, options.seed_, &findings);
   faults.Run(std::chrono::seconds(options.seconds_));
   const AcknowledgedChange change = operators.Finish();
   CheckConfiguration(*deployment, change, &findings);
