--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -1,7 +1,8 @@
 #include "soak/faults.h"
 
+#include <sys/resource.h>
+
 #include <csignal>
-#include <nlohmann/json.hpp>
 #include <thread>
 
 #include "absl/strings/str_cat.h"
@@ -12,6 +13,7 @@
 
 namespace {
 
+using nlohmann::json;
 using test_support::InstanceSpec;
 using test_support::Process;
 using test_support::TargetNameOf;
@@ -23,6 +25,9 @@
 // Of the instances, this part can have a fault at the same time.
 constexpr size_t kInstancesForOneFault = 2;
 constexpr std::chrono::milliseconds kStep(100);
+// Longest wait for a change, after which a leader is killed.
+constexpr std::chrono::milliseconds kChangeWait(2000);
+constexpr std::chrono::milliseconds kChangePoll(10);
 constexpr state::Millis kStatusTimeout(500);
 // A planned stop ends within a call's deadline of 4 s, and 4 s for the
 // register.
@@ -50,6 +55,7 @@
   const char* const name_;
   void (Faults::*const begin_)(const std::string&);
   void (Faults::*const end_)(const std::string&);
+  std::string (Faults::*const choose_)() = &Faults::ChooseAny;
 };
 
 const Faults::Row Faults::kFaults[] = {
@@ -57,6 +63,10 @@
     {"stop a daemon", &Faults::StopDaemon, &Faults::AwaitDaemonStopped},
     {"pause a daemon", &Faults::PauseDaemon, &Faults::ResumeDaemon},
     {"reload a daemon", &Faults::ReloadDaemon, &Faults::ReloadDaemon},
+    {"fill a control disk", &Faults::FillDisk, &Faults::FreeDisk,
+     &Faults::ChooseControl},
+    {"kill the leader after a change", &Faults::KillDaemon,
+     &Faults::StartDaemon, &Faults::ChooseLeaderAfterChange},
     {"kill a target", &Faults::KillTarget, &Faults::AwaitTargetStopped},
     {"stop a target", &Faults::StopTarget, &Faults::AwaitTargetStopped},
     {"pause a target", &Faults::PauseTarget, &Faults::ResumeTarget},
@@ -76,9 +86,13 @@
 };
 
 Faults::Faults(test_support::Deployment* deployment,
+               const Operators& operators,
                uint64_t seed,
                Findings* findings)
-    : deployment_(deployment), findings_(findings), random_(seed) {}
+    : deployment_(deployment),
+      operators_(operators),
+      findings_(findings),
+      random_(seed) {}
 
 void Faults::Run(std::chrono::milliseconds duration) {
   const auto end = Clock::now() + duration;
@@ -99,8 +113,11 @@
 }
 
 void Faults::Begin() {
-  const std::string instance = ChooseIdleInstance();
   const Row& row = kFaults[random_() % std::size(kFaults)];
+  const std::string instance = (this->*row.choose_)();
+  if (instance.empty()) {
+    return;
+  }
   ++begun_[row.name_];
   (this->*row.begin_)(instance);
   active_[instance] = {
@@ -120,6 +137,15 @@
   }
 }
 
+json Faults::ReadPage(const std::string& instance,
+                      const std::string& path) const {
+  const test_support::CallAnswer answer =
+      test_support::CallOnce(deployment_->AddressesOf(instance).http_,
+                             {.path_ = path, .timeout_ = kStatusTimeout});
+  json page = json::parse(answer.body_, nullptr, /*allow_exceptions=*/false);
+  return page.is_object() ? page : json::object();
+}
+
 // A process reports the index of the configuration that it applies, which
 // never falls while it runs.
 void Faults::CheckConfigurations() {
@@ -127,12 +153,8 @@
     if (active_.contains(instance.name_)) {
       continue;
     }
-    const test_support::CallAnswer answer = test_support::CallOnce(
-        deployment_->AddressesOf(instance.name_).http_,
-        {.path_ = "/-/status", .timeout_ = kStatusTimeout});
-    const auto status = nlohmann::json::parse(answer.body_, nullptr,
-                                              /*allow_exceptions=*/false);
-    if (!status.is_object()) {
+    const json status = ReadPage(instance.name_, "/-/status");
+    if (status.empty()) {
       continue;
     }
     const uint64_t index = status.value("configuration_index", uint64_t{0});
@@ -145,7 +167,7 @@
   }
 }
 
-std::string Faults::ChooseIdleInstance() {
+std::string Faults::ChooseAny() {
   const auto& instances = deployment_->spec().instances_;
   while (true) {
     const std::string& name = instances[random_() % instances.size()].name_;
@@ -155,6 +177,35 @@
   }
 }
 
+std::string Faults::ChooseControl() {
+  std::vector<std::string> idle;
+  for (const InstanceSpec& instance : deployment_->spec().instances_) {
+    if (instance.control_ && !active_.contains(instance.name_)) {
+      idle.push_back(instance.name_);
+    }
+  }
+  return idle.empty() ? std::string() : idle[random_() % idle.size()];
+}
+
+std::string Faults::ChooseLeaderAfterChange() {
+  const int before = operators_.acknowledged_count();
+  const auto end = Clock::now() + kChangeWait;
+  while (operators_.acknowledged_count() == before) {
+    if (Clock::now() >= end) {
+      return {};
+    }
+    std::this_thread::sleep_for(kChangePoll);
+  }
+  for (const InstanceSpec& instance : deployment_->spec().instances_) {
+    if (instance.control_ && !active_.contains(instance.name_) &&
+        ReadPage(instance.name_, "/-/control/status").value("role", "") ==
+            "leader") {
+      return instance.name_;
+    }
+  }
+  return {};
+}
+
 void Faults::KillDaemon(const std::string& instance) {
   cut_.insert(instance);
   deployment_->Kill(instance);
@@ -198,6 +249,32 @@
   Check("the start of " + instance, deployment_->Restart(instance));
 }
 
+// The disk takes no bytes: the log of the control group and the process's own
+// messages fail alike.
+void Faults::FillDisk(const std::string& instance) {
+  LimitFiles(instance, 0);
+}
+
+void Faults::FreeDisk(const std::string& instance) {
+  const std::optional<int> exit_code =
+      deployment_->Find(instance)->Wait(state::Millis(0));
+  if (exit_code.has_value()) {
+    findings_->Add(absl::StrCat(instance, " ended with code ", *exit_code,
+                                " while its disk was full"));
+    StartDaemon(instance);
+    return;
+  }
+  LimitFiles(instance, RLIM_INFINITY);
+}
+
+void Faults::LimitFiles(const std::string& instance, uint64_t bytes) {
+  const rlimit limit = {bytes, RLIM_INFINITY};
+  if (prlimit(deployment_->Find(instance)->pid(), RLIMIT_FSIZE, &limit,
+              nullptr) != 0) {
+    findings_->Add("no limit for the files of " + instance);
+  }
+}
+
 void Faults::KillTarget(const std::string& instance) {
   deployment_->Kill(TargetNameOf(instance));
 }
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -3,12 +3,14 @@
 
 #include <chrono>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "soak/findings.h"
+#include "soak/operators.h"
 #include "support/deployment.h"
 
 namespace gooseberrygap::soak {
@@ -19,8 +21,9 @@
 // thread that started the deployment.
 class Faults {
  public:
-  // Both pointers must outlive this object.
+  // The pointers and the operators must outlive this object.
   Faults(test_support::Deployment* deployment,
+         const Operators& operators,
          uint64_t seed,
          Findings* findings);
 
@@ -45,9 +48,16 @@
   };
 
   void Begin();
+  // Each returns an instance without a fault, or an empty string.
+  std::string ChooseAny();
+  std::string ChooseControl();
+  // Waits until a change is acknowledged, and returns the leader.
+  std::string ChooseLeaderAfterChange();
   void EndDue(bool all);
+  // Returns a status page of the daemon, or an empty object without an answer.
+  nlohmann::json ReadPage(const std::string& instance,
+                          const std::string& path) const;
   void CheckConfigurations();
-  std::string ChooseIdleInstance();
 
   void KillDaemon(const std::string& instance);
   void StopDaemon(const std::string& instance);
@@ -56,6 +66,8 @@
   void ResumeDaemon(const std::string& instance);
   void ReloadDaemon(const std::string& instance);
   void StartDaemon(const std::string& instance);
+  void FillDisk(const std::string& instance);
+  void FreeDisk(const std::string& instance);
   void KillTarget(const std::string& instance);
   void StopTarget(const std::string& instance);
   void AwaitTargetStopped(const std::string& instance);
@@ -83,11 +95,14 @@
                 const std::string& outgoing,
                 const std::string& incoming);
   void SetBehaviour(const std::string& instance, const std::string& patch);
+  // Lets the daemon's files grow up to this size only.
+  void LimitFiles(const std::string& instance, uint64_t bytes);
   void Check(const std::string& what, const state::Result<void>& result);
   int CountBegun(const std::string& instance) const;
   int Draw(int least, int most);
 
   test_support::Deployment* const deployment_;
+  const Operators& operators_;
   Findings* const findings_;
   std::mt19937_64 random_;
   std::map<std::string, Active> active_;  // By instance.
