--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -75,6 +75,7 @@
     {"let a target shed", &Faults::ShedAtTarget, &Faults::ResetTarget},
     {"let a target fail", &Faults::FailAtTarget, &Faults::ResetTarget},
     {"cut a target's answers", &Faults::CutAnswers, &Faults::ResetTarget},
+    {"add stray answers", &Faults::AddStrayAnswers, &Faults::ResetTarget},
     {"let a target report idle", &Faults::ReportIdle, &Faults::ResetTarget},
     {"block links", &Faults::BlockLinks, &Faults::OpenLinks},
     {"block one way", &Faults::BlockOutgoing, &Faults::OpenLinks},
@@ -334,15 +335,20 @@
   SetBehaviour(instance, R"({"cut_answers": true})");
 }
 
+void Faults::AddStrayAnswers(const std::string& instance) {
+  SetBehaviour(instance, R"({"stray_answers": true})");
+}
+
 void Faults::ReportIdle(const std::string& instance) {
   SetBehaviour(instance, R"({"load_report": "idle"})");
 }
 
 void Faults::ResetTarget(const std::string& instance) {
-  SetBehaviour(instance,
-               R"({"state": "serving", "slow_factor": 1, "shed_share": 0,)"
-               R"( "fail_share": 0, "cut_answers": false,)"
-               R"( "load_report": "honest"})");
+  SetBehaviour(
+      instance,
+      R"({"state": "serving", "slow_factor": 1, "shed_share": 0,)"
+      R"( "fail_share": 0, "cut_answers": false, "stray_answers": false,)"
+      R"( "load_report": "honest"})");
 }
 
 void Faults::BlockLinks(const std::string& instance) {
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -79,6 +79,7 @@
   void ShedAtTarget(const std::string& instance);
   void FailAtTarget(const std::string& instance);
   void CutAnswers(const std::string& instance);
+  void AddStrayAnswers(const std::string& instance);
   void ReportIdle(const std::string& instance);
   void ResetTarget(const std::string& instance);
   void BlockLinks(const std::string& instance);
--- a/tests/support/stand_in_target/behaviour.cc
+++ b/tests/support/stand_in_target/behaviour.cc
@@ -52,6 +52,7 @@
       {"shed_share", behaviour.shed_share_},
       {"silent", behaviour.silent_},
       {"cut_answers", behaviour.cut_answers_},
+      {"stray_answers", behaviour.stray_answers_},
       {"load_report", behaviour.load_report_},
       {"load_lag_ms", behaviour.load_lag_ms_},
   };
@@ -70,6 +71,7 @@
       .shed_share_ = object["shed_share"],
       .silent_ = object["silent"],
       .cut_answers_ = object["cut_answers"],
+      .stray_answers_ = object["stray_answers"],
       .load_report_ = object["load_report"],
       .load_lag_ms_ = object["load_lag_ms"],
   };
--- a/tests/support/stand_in_target/behaviour.h
+++ b/tests/support/stand_in_target/behaviour.h
@@ -29,6 +29,8 @@
   const bool silent_ = false;
   // Connections are closed after half of each answer's body.
   const bool cut_answers_ = false;
+  // A second answer, which belongs to no request, follows each answer.
+  const bool stray_answers_ = false;
   const std::string load_report_ = "honest";  // "honest", "idle"
   const double load_lag_ms_ = 0;
 
--- a/tests/support/stand_in_target/target_service.cc
+++ b/tests/support/stand_in_target/target_service.cc
@@ -57,6 +57,9 @@
   response->set_content("the deadline has passed\n", kPlainText);
 }
 
+constexpr char kStrayAnswer[] =
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
+
 }  // namespace
 
 TargetService::TargetService(const Parts& parts,
@@ -200,6 +203,16 @@
   // The body tells callers whose answer it is: see ExpectedEcho.
   const std::string body =
       absl::StrCat(request.method, " ", request.target, "\n", request.body);
+  if (behaviour.stray_answers_) {
+    response->set_content_provider(
+        body.size(), kPlainText,
+        [body](size_t /*offset*/, size_t /*length*/, httplib::DataSink& sink) {
+          const std::string bytes = absl::StrCat(body, kStrayAnswer);
+          sink.write(bytes.data(), bytes.size());
+          return true;
+        });
+    return;
+  }
   if (!behaviour.cut_answers_) {
     response->set_content(body, kPlainText);
     return;
--- a/tests/support/tests/stand_in_target_test.cc
+++ b/tests/support/tests/stand_in_target_test.cc
@@ -1,12 +1,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "absl/strings/match.h"
 #include "absl/synchronization/mutex.h"
 #include "support/caller.h"
 #include "support/connection_server.h"
@@ -240,6 +242,26 @@
   }
 }
 
+// Guards against a soak that plays no stray answers.
+TEST_CASE("a stray answer follows the answer on its connection") {
+  const Fixture fixture({.service_ = "assay"});
+  fixture.SetBehaviour(R"({"stray_answers":true})");
+  const int connection = fixture.Begin("/x");
+  std::string received;
+  std::array<char, 1024> bytes;
+  const auto came = WaitUntil("the stray answer", [&] {
+    const ssize_t count =
+        recv(connection, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    if (count > 0) {
+      received.append(bytes.data(), static_cast<size_t>(count));
+    }
+    return absl::EndsWith(received, "\r\n\r\nstray");
+  });
+  close(connection);
+  CHECK(came.has_value());
+  CHECK(absl::StrContains(received, "GET /x\nHTTP/1.1 200 OK"));
+}
+
 // Guards against a silent target that cannot be stopped.
 TEST_CASE("a silent target begins requests, never answers, and still stops") {
   Fixture fixture({.service_ = "assay"});
