--- a/src/transport/tests/peer_endpoint_test.cc
+++ b/src/transport/tests/peer_endpoint_test.cc
@@ -34,7 +34,7 @@
     // A queue of length 0 holds one connection; the others make sure of it.
     for (int i = 0; i < 3; ++i) {
       const int filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      connect(filler, reinterpret_cast<sockaddr*>(&name), size);
+      (void)connect(filler, reinterpret_cast<sockaddr*>(&name), size);
       fillers_.push_back(filler);
     }
   }
--- a/tests/integration/control_freeze_test.cc
+++ b/tests/integration/control_freeze_test.cc
@@ -213,7 +213,7 @@
   const auto others = Without(kMembers, {leader});
   const std::vector<std::string> minority = {
       leader, others[(*random)() % others.size()]};
-  const auto majority = Without(kMembers, minority);
+  auto majority = Without(kMembers, minority);
   for (const std::string& one : minority) {
     for (const std::string& other : majority) {
       SetLinks(*deployment, one, other, kBlocked);
@@ -227,7 +227,7 @@
 // one more, chosen at random.
 std::vector<std::string> CutDaemons(Deployment* deployment,
                                     std::mt19937_64* random) {
-  const auto submitters = FreezeLeaderAndAnother(deployment, random);
+  auto submitters = FreezeLeaderAndAnother(deployment, random);
   for (const std::string& daemon : Daemons()) {
     auto kept = submitters;
     std::shuffle(kept.begin(), kept.end(), *random);
