Count a configuration as recent only by an instance that brought it

What callers see: a daemon whose control instance has died answers 404 for a route that was added meanwhile, where it would answer 503 if it knew how old its configuration is. Found by an independent review by reading; not seen in a run of real processes.

Cause: the age by which a daemon denies routes, accepts actions and is ready was refreshed by every reply, also by answers to queries and by refusals, which carry no configuration.

Now only a granted reply of the instance that the daemon follows counts, and only if the configuration in force is at least the one in the reply.

One check of "a lease leaves a stale control instance only for a fresh one" expected the age of the answer to the query right after the move. It asks for the old age there now, and for the new one after the first granted reply.

--- a/src/coordination/api/control_client.h
+++ b/src/coordination/api/control_client.h
@@ -76,8 +76,9 @@
   // Returns the leader's address from the last granted reply that named one, or
   // an empty string.
   const std::string& leader_address() const;
-  // Returns the time since a control instance that replied to this daemon was
-  // last in contact with a leader that had a quorum; infinity if never.
+  // Returns the time since the configuration in force here was the newest one,
+  // as far as the instances that this daemon has followed could tell; infinity
+  // if never.
   state::Millis Staleness(state::Millis now) const;
   // Returns the withdrawal that the last granted reply carried; one without a
   // name when there is none.
--- a/src/coordination/internal/control_client.cc
+++ b/src/coordination/internal/control_client.cc
@@ -103,7 +103,6 @@
     if (choice_.empty()) {
       return step;
     }
-    UpdateLeaderContact(reply, now);
     const std::optional<ControlMoveReason> move_reason =
         choice_.OnStalenessReport(reply.control_instance_, reply.staleness_,
                                   now);
@@ -162,8 +161,8 @@
   const std::string& leader_address() const { return leader_address_; }
 
   state::Millis Staleness(state::Millis now) const {
-    return leader_contact_at_.has_value()
-               ? now - *leader_contact_at_
+    return up_to_date_at_.has_value()
+               ? now - *up_to_date_at_
                : state::Millis(std::numeric_limits<double>::infinity());
   }
 
@@ -217,6 +216,9 @@
     if (changes.needs_full_configuration_) {
       renew_at_ = std::max(now, renewed_at_ + kRefusalRetryDelay);
     }
+    if (reply.configuration_index_ <= followed_.configuration().index_) {
+      UpdateUpToDate(reply, now);
+    }
   }
 
   // Announces the target that was not sent before the first granted reply. Not
@@ -228,11 +230,13 @@
     }
   }
 
-  void UpdateLeaderContact(const LeaseReply& reply, state::Millis now) {
-    const state::Millis contact_at = now - reply.staleness_;
+  // Call it only for a reply whose configuration is in force here: an answer to
+  // a query or a refusal carries none.
+  void UpdateUpToDate(const LeaseReply& reply, state::Millis now) {
+    const state::Millis up_to_date_at = now - reply.staleness_;
     if (reply.staleness_ < kNeverContacted &&
-        (!leader_contact_at_.has_value() || contact_at > *leader_contact_at_)) {
-      leader_contact_at_ = contact_at;
+        (!up_to_date_at_.has_value() || up_to_date_at > *up_to_date_at_)) {
+      up_to_date_at_ = up_to_date_at;
     }
   }
 
@@ -340,9 +344,9 @@
   std::optional<state::Millis> awaiting_reply_since_;
   // Staleness that the current instance, or the one before it, reported last.
   state::Millis current_staleness_;
-  // Time of the most recent contact with a leader that had a quorum, at any
-  // control instance that replied.
-  std::optional<state::Millis> leader_contact_at_;
+  // Last time at which the configuration in force here was the newest one, as
+  // far as the instances that this daemon has followed could tell.
+  std::optional<state::Millis> up_to_date_at_;
   std::string leader_address_;
 };
 
--- a/src/coordination/tests/control_client_test.cc
+++ b/src/coordination/tests/control_client_test.cc
@@ -217,6 +217,10 @@
   REQUIRE(moved.size() == 1);
   CHECK(moved[0].address_ == other);
   CHECK(moved[0].renew_.record_.version_ > before);
+  // The answer to the query carried no configuration.
+  CHECK(daemon.client_.Staleness(daemon.now_) == Millis(5000));
+  daemon.current_ = other;
+  reply_with_staleness(other, 100);
   CHECK(daemon.client_.Staleness(daemon.now_) == Millis(100));
 }
 
@@ -455,5 +459,22 @@
   CHECK(sent[0].address_ == daemon.current_);
 }
 
+// Guards against a daemon that denies routes as if its configuration were
+// recent, although only an instance that it does not follow has answered.
+TEST_CASE("an answer to a query does not make the configuration recent",
+          "[configuration]") {
+  Daemon daemon;
+  daemon.Reply({.control_instance_ = daemon.InstanceAt(daemon.current_),
+                .granted_ = true,
+                .staleness_ = Millis(50)});
+  CHECK(daemon.client_.Staleness(daemon.now_) == Millis(50));
+  daemon.now_ = daemon.now_ + Millis(900);
+  daemon.client_.OnReply("f", {.control_instance_ = "far"}, daemon.now_);
+  CHECK(daemon.client_.Staleness(daemon.now_) == Millis(950));
+  // The same from the instance that it follows, which has refused the renewal.
+  daemon.Reply({.control_instance_ = daemon.InstanceAt(daemon.current_)});
+  CHECK(daemon.client_.Staleness(daemon.now_) == Millis(950));
+}
+
 }  // namespace
 }  // namespace gooseberrygap::coordination
