--- a/tests/integration/control_freeze_test.cc
+++ b/tests/integration/control_freeze_test.cc
@@ -281,7 +281,7 @@
 // Guards against daemons that follow silent or stale control instances one
 // after another while a configuration is in force elsewhere.
 TEST_CASE("a configuration is in force with two of five members frozen",
-          "[configuration]") {
+          "[control_freeze]") {
   RunRounds(kDisruptions[0], 2);
 }
 
--- a/tests/integration/control_links_test.cc
+++ b/tests/integration/control_links_test.cc
@@ -98,7 +98,7 @@
 // Guards against members whose links stay silent after a cut of all of them:
 // nothing passes on open connections, and new ones open but are silent too.
 TEST_CASE("members accept soon after all their links were silent",
-          "[silent_link]") {
+          "[control_links]") {
   const bool one_way = GENERATE(false, true);
   const bool lost = GENERATE(false, true);
   const std::string name = absl::StrCat(one_way ? "one way" : "both ways",
@@ -121,7 +121,7 @@
 // Guards against members that give up a path on which new connections are
 // silent for a while after the old ones have gone.
 TEST_CASE("members accept soon after new connections were silent",
-          "[silent_link]") {
+          "[control_links]") {
   constexpr Millis kSilentAfterHeal(3000);
   const bool lost = GENERATE(false, true);
   const auto deployment = StartMembers();
@@ -139,7 +139,7 @@
 // Guards against links that are replaced before the connect is through, where
 // hosts answer connects late after a cut, and so never come up.
 TEST_CASE("members accept where hosts answer connects late after a cut",
-          "[silent_link]") {
+          "[control_links]") {
   constexpr Millis kLate(1500);
   const auto deployment = StartMembers();
   SetLinks(*deployment, AllPairs(), Patch(true, true, ""));
@@ -155,7 +155,7 @@
 
 // Guards against one host that answers connects late and holds up the others.
 TEST_CASE("members accept where one host answers connects late",
-          "[silent_link]") {
+          "[control_links]") {
   constexpr Millis kLate(3000);
   const auto deployment = StartMembers();
   std::vector<Pair> pairs = AllPairs();
@@ -171,7 +171,7 @@
 // Guards against two sides that replace their links to each other at once and
 // go on to do so.
 TEST_CASE("members accept soon after all open links went silent",
-          "[silent_link]") {
+          "[control_links]") {
   const auto deployment = StartMembers();
   SetLinks(*deployment, AllPairs(), Patch(false, false, kFreeze));
   CheckAccepted(*deployment, "open links silent", kLeaderAfterHeal);
@@ -179,7 +179,7 @@
 
 // Guards against a candidate that gets no votes because it has no links yet.
 TEST_CASE("members accept soon after a restart with two of five frozen",
-          "[configuration]") {
+          "[control_links]") {
   const auto deployment = StartMembers();
   const std::string leader = WaitForLeader(*deployment, kMembers);
   std::vector<std::string> others = kMembers;
