Return to the own region only for an instance that has caught up

Cause: a daemon leaves its instance at a staleness of 800 ms, but returned to one of its own region at up to 3000 ms. Members that catch up report such ages since staleness counts from the last complete state, so a daemon would go back and forth, with a higher sequence each time.

--- a/src/coordination/internal/control_choice.cc
+++ b/src/coordination/internal/control_choice.cc
@@ -131,7 +131,8 @@
   if (IsStale(current, now) && is_better) {
     return ControlMoveReason::kStale;
   }
-  if (replied->in_own_region_ && !current.in_own_region_) {
+  if (replied->in_own_region_ && !current.in_own_region_ &&
+      !IsStale(*replied, now)) {
     return ControlMoveReason::kOtherRegion;
   }
   return std::nullopt;
--- a/src/coordination/tests/control_client_test.cc
+++ b/src/coordination/tests/control_client_test.cc
@@ -476,5 +476,28 @@
   CHECK(daemon.client_.Staleness(daemon.now_) == Millis(950));
 }
 
+// Guards against a daemon that goes to an instance of its own region which is
+// still catching up, and leaves it again at once.
+TEST_CASE("a daemon returns to its own region only for a fresh instance",
+          "[configuration]") {
+  Daemon daemon;
+  // The instances of the own region are silent, and the other one answers.
+  while (daemon.current_ != "f") {
+    for (const SentRenewal& sent : daemon.Run(10)) {
+      if (sent.renew_.record_.version_.incarnation_ != 0) {
+        daemon.current_ = sent.address_;
+      }
+    }
+  }
+  daemon.Reply({.control_instance_ = "far", .granted_ = true});
+  for (const double staleness : {2900.0, 100.0}) {
+    const ControlClient::Step step = daemon.client_.OnReply(
+        "n1", {.control_instance_ = "near1", .staleness_ = Millis(staleness)},
+        daemon.now_);
+    const bool moves = !WithoutQueries(RenewalsOf(step.commands_)).empty();
+    CHECK(moves == (staleness == 100.0));
+  }
+}
+
 }  // namespace
 }  // namespace gooseberrygap::coordination
