--- a/src/transport/tests/target_framing_test.cc
+++ b/src/transport/tests/target_framing_test.cc
@@ -55,7 +55,7 @@
     {"POST", "HTTP/1.1 204 No Content\r\nX: y\r\n\r\n", ""},
     {"GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 3\r\n\r\n", ""},
     {"POST",
-     "HTTP/1.1 503 Busy\r\nX-Gooseberrygap-Not-Executed: 1\r\n"
+     "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n"
      "Content-Length: 3\r\n\r\nabc",
      "abc"},
 };
@@ -101,7 +101,7 @@
       {"HTTP/1.1 200 OK\r\nX: y\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n",
        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
        "HTTP/1.1 404 No\r\n\r\n", "HTTP/1.1 500 No\r\n\r\n",
-       "HTTP/1.1 503 Busy\r\nX-Gooseberrygap-Not-Executed: 1\r\n\r\n"}));
+       "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n\r\n"}));
   Client client({.workers_ = 1, .accepts_until_close_ = true});
   Client strict({.workers_ = 1});
   const std::string text = head + kBody;
