--- a/src/coordination/api/commands.h
+++ b/src/coordination/api/commands.h
@@ -69,6 +69,7 @@
   const uint32_t depth_ = 0;
   const std::string target_ = {};  // Name of the intended target.
   const std::string origin_service_ = {};
+  const std::string tenant_ = {};  // Empty for a call without an API key.
   // Only connect and close, to check whether the target's process is running.
   const bool connect_only_ = false;
   // The daemon's own request for the target's load, not a caller's request.
--- a/src/coordination/api/events.h
+++ b/src/coordination/api/events.h
@@ -31,6 +31,11 @@
   const std::string origin_service_ = {};
   // The caller's own identifier of the request, for the log; may be empty.
   const std::string caller_id_ = {};
+  // The API key, if the caller sent credentials; empty for credentials that
+  // name no key. `request_` is without the headers that carried them.
+  const std::optional<std::string> api_key_ = {};
+  // Those headers, which are passed on while the configuration has no tenants.
+  const std::vector<state::HttpHeader> credentials_ = {};
 };
 
 // The caller has disconnected: the call needs no answer.
@@ -68,6 +73,8 @@
   // Service time that the target reports for its machine, in percent of the
   // usual time; 0 if it reports none.
   const int service_time_percent_ = 0;
+  // How much longer the target is cold, if the answer says so.
+  const std::optional<state::Millis> warmup_remaining_ = {};
 };
 
 // The daemon's own target has announced itself.
--- a/src/coordination/api/messages.h
+++ b/src/coordination/api/messages.h
@@ -49,6 +49,13 @@
   // Set for calls that a route has classified.
   const std::string host_ = {};
   const std::string route_ = {};
+  // The tenant whose API key the call had; empty without one. Never the key.
+  const std::string tenant_ = {};
+  const int tenant_priority_ = 0;  // Compared before `priority_`.
+  // Time left for which the key is known to be valid; the request must not be
+  // started later. Absent for calls without a key, and where keys need no
+  // confirmation.
+  const std::optional<state::Millis> authorization_left_ = {};
   // Set for actions only. An action without a key is not in the register, and
   // the ingress sends it to another target only after a refusal.
   const bool unkeyed_ = false;
@@ -145,6 +152,12 @@
   // Services whose targets the daemon needs; "*" stands for all.
   const std::vector<std::string> services_ = {};
   const std::vector<CrashReport> crashes_ = {};
+  // Number of this renewal, which the reply returns. The daemon counts what the
+  // reply confirms from the time at which it sent the renewal.
+  const uint64_t renewal_ = 0;
+  // The daemon serves calls under API keys, so that the control instance has to
+  // keep its confirmation by a quorum recent.
+  const bool requires_confirmed_keys_ = false;
 
   friend bool operator==(const LeaseRenew&, const LeaseRenew&) = default;
 };
@@ -167,11 +180,11 @@
   const bool granted_ = false;
   const uint64_t known_incarnation_ = 0;
   // Set if the daemon's configuration is older. Either the whole document, or a
-  // delta with only the changed services and the names of the removed ones.
+  // delta with only the changed items and the names of the removed ones.
   const uint64_t configuration_index_ = 0;
   const bool configuration_confirmed_ = false;
   const uint64_t delta_base_index_ = 0;  // 0 for a whole document.
-  const std::vector<std::string> removed_services_ = {};
+  const state::RemovedItems removed_ = {};
   const std::shared_ptr<const state::Configuration> configuration_ = {};
   const uint64_t membership_epoch_ = 0;
   const uint64_t membership_version_ = 0;
@@ -186,6 +199,13 @@
   const std::vector<ControlAddress> control_members_ = {};
   // The last withdrawal that the control group knows of the daemon's targets.
   const state::TargetWithdrawal withdrawal_ = {};
+  // The renewal that this reply answers; 0 when it answers none.
+  const uint64_t renewal_ = 0;
+  // At the time `confirmed_age_` before this reply, a quorum confirmed that the
+  // configuration with this index was the newest. 0 without a confirmation.
+  const uint64_t confirmed_index_ = 0;
+  const state::Millis confirmed_age_ = {};
+  const state::Evacuations evacuations_ = {};
 
   friend bool operator==(const LeaseReply&, const LeaseReply&) = default;
 };
--- a/src/coordination/api/node.h
+++ b/src/coordination/api/node.h
@@ -10,6 +10,7 @@
 #include "coordination/api/control_client.h"
 #include "coordination/api/events.h"
 #include "coordination/api/guard.h"
+#include "coordination/api/policies.h"
 
 namespace gooseberrygap::coordination {
 
@@ -38,6 +39,9 @@
     const std::vector<ControlAddress> control_instances_ = {};
     // Time without an announcement after which the target counts as stopped.
     const state::Millis announcement_lifetime_ = kAnnouncementLifetime;
+    const RevocationPolicy revocation_ = {};
+    const QuotaPolicy quota_ = {};
+    const WarmupTolerance warmup_ = {};
   };
 
   // `random` and `counters` must outlive the node.
--- a/src/coordination/api/router.h
+++ b/src/coordination/api/router.h
@@ -24,6 +24,7 @@
   const bool is_action_ = false;
   // Targets that this call has already tried.
   const std::vector<std::string> tried_ = {};
+  const state::AllowedRegions allowed_regions_ = {};
 };
 
 // The last load that a target's guard reported, and the age of that report.
@@ -67,8 +68,10 @@
   // eligible or none is expected to answer in time.
   std::optional<state::TargetRecord> Choose(const ChoiceQuery& query,
                                             state::Millis now);
-  // Returns whether the service has any target.
-  bool HasTarget(absl::string_view service) const;
+  // Returns whether the service has any target in a region that `allowed`
+  // allows.
+  bool HasTarget(absl::string_view service,
+                 const state::AllowedRegions& allowed = {}) const;
   // Records an attempt that was sent to the target.
   void OnSent(absl::string_view target, state::Millis now);
   // Records the end of an attempt. Each OnSent has exactly one OnEnd.
--- a/src/coordination/coordination.h
+++ b/src/coordination/coordination.h
@@ -17,6 +17,7 @@
 #include "coordination/api/link_monitor.h"
 #include "coordination/api/messages.h"
 #include "coordination/api/node.h"
+#include "coordination/api/policies.h"
 #include "coordination/api/raft.h"
 #include "coordination/api/register_client.h"
 #include "coordination/api/router.h"
--- a/src/coordination/internal/call.cc
+++ b/src/coordination/internal/call.cc
@@ -20,20 +20,22 @@
                                   .objective_left_ = objective_left,
                                   .route_ = call_.route_,
                                   .is_action_ = call_.is_unkeyed_,
-                                  .tried_ = tried_},
+                                  .tried_ = tried_,
+                                  .allowed_regions_ = call_.allowed_regions_},
                       now);
   // A second copy beside an open attempt may only go to an untried target.
   if (untried.has_value() || tried_.empty() || !open_.empty()) {
     return NextTarget{.target_ = untried};
   }
-  return NextTarget{
-      .target_ = router_->Choose(ChoiceQuery{.service_ = service,
-                                             .deadline_left_ = deadline_left,
-                                             .objective_left_ = objective_left,
-                                             .route_ = call_.route_,
-                                             .is_action_ = call_.is_unkeyed_},
-                                 now),
-      .all_tried_ = true};
+  return NextTarget{.target_ = router_->Choose(
+                        ChoiceQuery{.service_ = service,
+                                    .deadline_left_ = deadline_left,
+                                    .objective_left_ = objective_left,
+                                    .route_ = call_.route_,
+                                    .is_action_ = call_.is_unkeyed_,
+                                    .allowed_regions_ = call_.allowed_regions_},
+                        now),
+                    .all_tried_ = true};
 }
 
 SendToPeer AttemptSet::Send(const state::TargetRecord& target,
@@ -46,27 +48,32 @@
   router_->OnSent(target.target_, now);
   return SendToPeer{
       .address_ = target.guard_address_,
-      .message_ = Attempt{.request_id_ = call_.request_id_,
-                          .attempt_ = number,
-                          .service_ = call_.service_->name_,
-                          .target_ = target.target_,
-                          .request_ = call_.request_,
-                          .deadline_left_ = call_.deadline_ - now,
-                          .depth_ = call_.depth_,
-                          .request_class_ = call_.request_class_,
-                          .configuration_index_ = call_.configuration_index_,
-                          .may_queue_ = options.may_queue_,
-                          .is_hedged_ = options.is_hedged_,
-                          .run_alone_ = options.run_alone_,
-                          .objective_left_ = call_.objective_ - now,
-                          .priority_ = call_.priority_,
-                          .origin_service_ = call_.origin_service_,
-                          .host_ = call_.host_,
-                          .route_ = call_.route_,
-                          .unkeyed_ = call_.is_unkeyed_,
-                          .key_ = call_.key_,
-                          .digest_ = call_.digest_,
-                          .register_attempt_ = options.register_attempt_}};
+      .message_ = Attempt{
+          .request_id_ = call_.request_id_,
+          .attempt_ = number,
+          .service_ = call_.service_->name_,
+          .target_ = target.target_,
+          .request_ = call_.request_,
+          .deadline_left_ = call_.deadline_ - now,
+          .depth_ = call_.depth_,
+          .request_class_ = call_.request_class_,
+          .configuration_index_ = call_.configuration_index_,
+          .may_queue_ = options.may_queue_,
+          .is_hedged_ = options.is_hedged_,
+          .run_alone_ = options.run_alone_,
+          .objective_left_ = call_.objective_ - now,
+          .priority_ = call_.priority_,
+          .origin_service_ = call_.origin_service_,
+          .host_ = call_.host_,
+          .route_ = call_.route_,
+          .tenant_ = call_.tenant_.has_value() ? (*call_.tenant_)->name_
+                                               : std::string(),
+          .tenant_priority_ =
+              call_.tenant_.has_value() ? (*call_.tenant_)->priority_ : 0,
+          .unkeyed_ = call_.is_unkeyed_,
+          .key_ = call_.key_,
+          .digest_ = call_.digest_,
+          .register_attempt_ = options.register_attempt_}};
 }
 
 bool AttemptSet::End(uint32_t number,
--- a/src/coordination/internal/call.h
+++ b/src/coordination/internal/call.h
@@ -39,6 +39,9 @@
   const std::string route_ = {};
   // The action has no key: only a guard's refusal allows another attempt.
   const bool is_unkeyed_ = false;
+  // The tenant whose API key the call had, if any.
+  const std::optional<state::Shared<state::Tenant>> tenant_ = {};
+  const state::AllowedRegions allowed_regions_ = {};
 };
 
 // An attempt that was sent and has not ended.
--- a/src/coordination/internal/control_service_impl.h
+++ b/src/coordination/internal/control_service_impl.h
@@ -172,6 +172,9 @@
   void Apply(const state::ExpireKeys& change,
              const EntryCommitted& entry,
              state::Millis now);
+  void Apply(const state::EvacuationOrder& change,
+             const EntryCommitted& entry,
+             state::Millis now);
   // Removes and returns the pending proposal of this command, or nothing when
   // this instance has none.
   std::optional<PendingProposal> TakePending(const state::LogCommand& command);
@@ -212,6 +215,7 @@
   // The replicated log.
   state::ActionRegister register_;
   state::ConfigurationStore configurations_;
+  state::EvacuationTable evacuations_;
   uint64_t applied_index_ = 0;
   std::optional<LogStatus> status_;
   uint64_t next_tag_ = 1;
--- a/src/coordination/internal/control_service_leases.cc
+++ b/src/coordination/internal/control_service_leases.cc
@@ -173,8 +173,7 @@
           sends_configuration || is_confirmed ? current.index_ : 0,
       .configuration_confirmed_ = is_confirmed,
       .delta_base_index_ = has_delta ? delta->base_index_ : 0,
-      .removed_services_ =
-          has_delta ? delta->removed_services_ : std::vector<std::string>(),
+      .removed_ = has_delta ? delta->removed_ : state::RemovedItems(),
       .configuration_ = has_delta             ? delta->changes_
                         : sends_configuration ? current.configuration_
                                               : nullptr,
@@ -191,7 +190,8 @@
       .leader_address_ = common_fields.leader_address_,
       .control_members_ = ControlMembers(),
       .withdrawal_ = known == nullptr ? state::TargetWithdrawal()
-                                      : known->record_.withdrawal_};
+                                      : known->record_.withdrawal_,
+      .evacuations_ = evacuations_.Snapshot()};
 }
 
 bool ControlService::Impl::Concerns(const Session& session,
--- a/src/coordination/internal/control_service_log.cc
+++ b/src/coordination/internal/control_service_log.cc
@@ -242,6 +242,16 @@
   TakePending(*entry.command_);
 }
 
+void ControlService::Impl::Apply(const state::EvacuationOrder& change,
+                                 const EntryCommitted& entry,
+                                 state::Millis now) {
+  if (evacuations_.Apply(entry.index_, change)) {
+    push_all_ = true;
+    SchedulePush(now);
+  }
+  TakePending(*entry.command_);
+}
+
 void ControlService::Impl::ApplyConfigurationPolicy() {
   const state::IndexedConfiguration current = configurations_.current();
   if (current.configuration_ != nullptr) {
@@ -254,6 +264,7 @@
   applied_index_ = event.index_;
   register_.Restore(event.state_.register_);
   configurations_.Restore(event.state_.configurations_, event.state_.accepted_);
+  evacuations_.Restore(event.state_.evacuations_);
   ApplyConfigurationPolicy();
   push_all_ = true;
   SchedulePush(now);
@@ -264,7 +275,8 @@
   return state::ReplicatedState{
       .register_ = register_.Snapshot(),
       .configurations_ = configurations_.Snapshot(),
-      .accepted_ = configurations_.AcceptedSubmissions()};
+      .accepted_ = configurations_.AcceptedSubmissions(),
+      .evacuations_ = evacuations_.Snapshot()};
 }
 
 void ControlService::Impl::ProposeAbandon(const std::string& guard,
--- a/src/coordination/internal/followed_state.cc
+++ b/src/coordination/internal/followed_state.cc
@@ -73,9 +73,9 @@
   const std::shared_ptr<const state::Configuration> newer =
       reply.delta_base_index_ == 0
           ? reply.configuration_
-          : std::make_shared<const state::Configuration>(state::ApplyDelta(
-                *current.configuration_, *reply.configuration_,
-                reply.removed_services_));
+          : std::make_shared<const state::Configuration>(
+                state::ApplyDelta(*current.configuration_,
+                                  *reply.configuration_, reply.removed_));
   configuration_.emplace(state::IndexedConfiguration{
       .index_ = reply.configuration_index_, .configuration_ = newer});
   counters_->Add(state::Counter::kConfigurationsApplied);
--- a/src/coordination/internal/guard.cc
+++ b/src/coordination/internal/guard.cc
@@ -217,6 +217,7 @@
                          .depth_ = work.attempt_.depth_,
                          .target_ = work.attempt_.target_,
                          .origin_service_ = work.attempt_.origin_service_,
+                         .tenant_ = work.attempt_.tenant_,
                          .timeout_ = work.deadline_ - now,
                          .fresh_connection_ = work.attempt_.request_class_ ==
                                               state::RequestClass::kAction};
--- a/src/coordination/internal/ingress.cc
+++ b/src/coordination/internal/ingress.cc
@@ -5,6 +5,7 @@
 #include "coordination/internal/action_calls.h"
 #include "coordination/internal/lookup_calls.h"
 #include "coordination/internal/split_choice.h"
+#include "coordination/internal/tenant_directory.h"
 
 namespace gooseberrygap::coordination {
 
@@ -37,6 +38,9 @@
 
   void UpdateConfiguration(const state::IndexedConfiguration& configuration) {
     configuration_.emplace(configuration);
+    if (configuration.configuration_ != nullptr) {
+      tenants_.Update(*configuration.configuration_);
+    }
     splits_.Reset();
   }
 
@@ -195,6 +199,20 @@
       return refuse(routes_recent_ ? RefusalReason::kNoRoute
                                    : RefusalReason::kControlTooOld);
     }
+    const std::optional<RefusalReason> denial =
+        CheckAccess(received, route->allows_anonymous_);
+    if (denial.has_value()) {
+      return refuse(*denial);
+    }
+    const state::Shared<state::Tenant>* tenant = TenantOf(received);
+    const state::AllowedRegions allowed_regions =
+        state::AllowedRegions(route->allowed_regions_)
+            .Intersect(tenant == nullptr ? state::AllowedRegions()
+                                         : state::AllowedRegions(
+                                               (*tenant)->allowed_regions_));
+    if (allowed_regions.allows_none()) {
+      return refuse(RefusalReason::kNoAllowedRegion);
+    }
     const state::Service* service =
         state::FindService(*configuration, splits_.Choose(*route));
     if (service == nullptr) {
@@ -219,7 +237,7 @@
             .configuration_index_ = configuration_->index_,
             .service_ = service,
             .request_class_ = route->request_class_,
-            .request_ = received.request_,
+            .request_ = RequestToPassOn(received),
             .digest_ = digest,
             .is_suspect_ = suspects_.contains(digest),
             .received_at_ = now,
@@ -232,10 +250,52 @@
             .caller_id_ = received.caller_id_,
             .host_ = received.host_,
             .route_ = route->name_,
-            .is_unkeyed_ = is_action},
+            .is_unkeyed_ = is_action,
+            .tenant_ =
+                tenant == nullptr ? std::nullopt : std::optional(*tenant),
+            .allowed_regions_ = allowed_regions},
         now);
   }
 
+  // Returns the tenant whose key the call has, or null.
+  const state::Shared<state::Tenant>* TenantOf(
+      const CallReceived& received) const {
+    return received.api_key_.has_value()
+               ? tenants_.FindByKey(*received.api_key_)
+               : nullptr;
+  }
+
+  // Returns why the call may not be made with its credentials, or nothing.
+  std::optional<RefusalReason> CheckAccess(const CallReceived& received,
+                                           bool allows_anonymous) const {
+    if (!tenants_.has_tenants()) {
+      return std::nullopt;
+    }
+    const bool is_allowed = received.api_key_.has_value()
+                                ? TenantOf(received) != nullptr
+                                : allows_anonymous;
+    if (is_allowed) {
+      return std::nullopt;
+    }
+    return routes_recent_ ? RefusalReason::kUnknownKey
+                          : RefusalReason::kControlTooOld;
+  }
+
+  // Returns the request with the credentials that are none of a tenant.
+  state::HttpRequest RequestToPassOn(const CallReceived& received) const {
+    if (tenants_.has_tenants() || received.credentials_.empty()) {
+      return received.request_;
+    }
+    std::vector<state::HttpHeader> headers = received.request_.headers_;
+    for (const state::HttpHeader& credential : received.credentials_) {
+      headers.push_back(credential);
+    }
+    return state::HttpRequest{.method_ = received.request_.method_,
+                              .path_ = received.request_.path_,
+                              .headers_ = headers,
+                              .body_ = received.request_.body_};
+  }
+
   const std::string request_id_prefix_;
   state::Counters* const counters_;
   LookupCalls lookups_;
@@ -243,6 +303,7 @@
   std::optional<state::IndexedConfiguration> configuration_;
   absl::flat_hash_set<std::string> convicted_;
   absl::flat_hash_set<std::string> suspects_;
+  TenantDirectory tenants_;
   SplitChoice splits_;
   bool actions_allowed_ = false;
   bool routes_recent_ = true;
--- a/src/coordination/internal/lookup_calls.cc
+++ b/src/coordination/internal/lookup_calls.cc
@@ -55,9 +55,7 @@
   const AttemptSet::NextTarget next = attempts.ChooseNext(now);
   if (!next.target_.has_value()) {
     if (lookup->last_reason_ == state::RefusalReason::kNone) {
-      lookup->last_reason_ = router_->HasTarget(lookup->call_.service_->name_)
-                                 ? state::RefusalReason::kOverloaded
-                                 : state::RefusalReason::kNoTarget;
+      lookup->last_reason_ = ReasonWithoutTarget(lookup->call_);
     }
     return attempts.open().empty() ? GiveUp(lookup, now) : Commands();
   }
@@ -72,6 +70,16 @@
       now)};
 }
 
+state::RefusalReason LookupCalls::ReasonWithoutTarget(
+    const ClassifiedCall& call) const {
+  const std::string& service = call.service_->name_;
+  if (router_->HasTarget(service, call.allowed_regions_)) {
+    return state::RefusalReason::kOverloaded;
+  }
+  return router_->HasTarget(service) ? state::RefusalReason::kNoAllowedRegion
+                                     : state::RefusalReason::kNoTarget;
+}
+
 std::optional<Commands> LookupCalls::OnAnswer(const AttemptAnswer& answer,
                                               state::Millis now) {
   const auto entry = lookups_.find(answer.request_id_);
--- a/src/coordination/internal/lookup_calls.h
+++ b/src/coordination/internal/lookup_calls.h
@@ -53,6 +53,8 @@
   // Sends the next attempt, or ends the lookup when none can be sent and none
   // is open.
   Commands SendNext(Lookup* lookup, state::Millis now);
+  // Returns why no target can be chosen for the call.
+  state::RefusalReason ReasonWithoutTarget(const ClassifiedCall& call) const;
   Commands OnRefused(Lookup* lookup,
                      const AttemptAnswer& answer,
                      state::Millis now);
--- a/src/coordination/internal/router.cc
+++ b/src/coordination/internal/router.cc
@@ -62,8 +62,9 @@
   return impl_->Choose(query, now);
 }
 
-bool Router::HasTarget(absl::string_view service) const {
-  return impl_->HasTarget(service);
+bool Router::HasTarget(absl::string_view service,
+                       const state::AllowedRegions& allowed) const {
+  return impl_->HasTarget(service, allowed);
 }
 
 void Router::OnSent(absl::string_view target, state::Millis now) {
--- a/src/coordination/internal/router_choice.cc
+++ b/src/coordination/internal/router_choice.cc
@@ -77,7 +77,8 @@
                                      record.target_) > 0;
     const bool takes_work =
         record.state_ == TargetState::kServing && GuardTakesWork(*target, now);
-    if (is_local != local || is_tried || !takes_work) {
+    if (is_local != local || is_tried || !takes_work ||
+        !query.allowed_regions_.Allows(record.region_)) {
       continue;
     }
     (now < target->ejected_until_ ? ejected : eligible).push_back(target);
--- a/src/coordination/internal/router_impl.h
+++ b/src/coordination/internal/router_impl.h
@@ -39,7 +39,8 @@
                      state::Millis now);
   std::optional<state::TargetRecord> Choose(const ChoiceQuery& query,
                                             state::Millis now);
-  bool HasTarget(absl::string_view service) const;
+  bool HasTarget(absl::string_view service,
+                 const state::AllowedRegions& allowed) const;
   void OnSent(absl::string_view target, state::Millis);
   void OnEnd(const AttemptOutcome& outcome, state::Millis now);
   bool TakeProbe(const std::string& address, state::Millis now);
--- a/src/coordination/internal/router_members.cc
+++ b/src/coordination/internal/router_members.cc
@@ -112,9 +112,15 @@
   }
 }
 
-bool Router::Impl::HasTarget(absl::string_view service) const {
+bool Router::Impl::HasTarget(absl::string_view service,
+                             const state::AllowedRegions& allowed) const {
   const auto entry = services_.find(service);
-  return entry != services_.end() && !entry->second.members_.empty();
+  return entry != services_.end() &&
+         std::any_of(entry->second.members_.begin(),
+                     entry->second.members_.end(),
+                     [&allowed](const Target* target) {
+                       return allowed.Allows(target->record_->region_);
+                     });
 }
 
 }  // namespace gooseberrygap::coordination
--- a/src/daemon/control_duty.h
+++ b/src/daemon/control_duty.h
@@ -27,6 +27,7 @@
     const std::vector<coordination::ControlAddress> control_instances_ = {};
     const uint64_t incarnation_ = 0;
     const protocol::ControlSettings settings_ = {};
+    const coordination::QuotaPolicy quota_ = {};
     // Set for a group that is formed from seeds and replaces its members
     // itself.
     const std::optional<coordination::GroupMembership::Options> membership_ =
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -150,7 +150,10 @@
                   .control_instances_ = InitialControlInstances(settings_),
                   .announcement_lifetime_ =
                       has_platform ? settings_.platform_->announcement_lifetime_
-                                   : coordination::kAnnouncementLifetime},
+                                   : coordination::kAnnouncementLifetime,
+                  .revocation_ = settings_.revocation_,
+                  .quota_ = settings_.quota_,
+                  .warmup_ = settings_.warmup_},
           .target_workers_ = settings_.target_workers_,
           .accepts_until_close_ = has_platform},
       target_dialect_.get(), &call_slots_, &counters_);
@@ -198,6 +201,7 @@
                            .control_instances_ = settings_.control_instances_,
                            .incarnation_ = incarnation_,
                            .settings_ = *settings_.control_,
+                           .quota_ = settings_.quota_,
                            .membership_ = MembershipOptions(settings_)},
       &counters_);
   if (!control) {
--- a/src/daemon/event_front.cc
+++ b/src/daemon/event_front.cc
@@ -113,7 +113,9 @@
                                  .request_ = request.request_,
                                  .deadline_left_ = request.deadline_left_,
                                  .origin_service_ = service_,
-                                 .caller_id_ = request.caller_id_});
+                                 .caller_id_ = request.caller_id_,
+                                 .api_key_ = request.api_key_,
+                                 .credentials_ = request.credentials_});
   if (!accepted) {
     counters_->Add(state::RefusalReason::kInternalQueueFull);
     server_->Answer(id,
--- a/src/daemon/node_duty.cc
+++ b/src/daemon/node_duty.cc
@@ -211,6 +211,7 @@
       .depth_ = command.depth_,
       .target_ = command.target_,
       .origin_service_ = command.origin_service_,
+      .tenant_ = command.tenant_,
       .connect_only_ = command.connect_only_,
       .is_load_probe_ = command.is_load_probe_,
       .timeout_ = command.timeout_,
--- a/src/daemon/operator_duty.cc
+++ b/src/daemon/operator_duty.cc
@@ -64,7 +64,7 @@
 
 state::HttpAnswer OperatorDuty::Handle(
     const protocol::ReplaceConfiguration& request) {
-  const auto checked = state::CheckRoutes(request.configuration_);
+  const auto checked = state::CheckConfiguration(request.configuration_);
   if (!checked) {
     return dialect_->PrintSubmissionOutcome(SubmissionOutcome::kInvalid,
                                             checked.error().message_);
--- a/src/protocol/api/front_dialect.h
+++ b/src/protocol/api/front_dialect.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "coordination/coordination.h"
 
@@ -20,6 +21,9 @@
   const std::optional<state::Millis> deadline_left_ = {};
   // The caller's own name of the request, for the log.
   const std::string caller_id_ = {};
+  // As in coordination::CallReceived.
+  const std::optional<std::string> api_key_ = {};
+  const std::vector<state::HttpHeader> credentials_ = {};
 };
 
 // Whether callers should be sent to this daemon.
--- a/src/protocol/api/settings.h
+++ b/src/protocol/api/settings.h
@@ -88,6 +88,9 @@
   const std::optional<ControlSettings> control_ = {};
   const std::optional<SeedSettings> seeds_ = {};
   const std::optional<PlatformSettings> platform_ = {};
+  const coordination::RevocationPolicy revocation_ = {};
+  const coordination::QuotaPolicy quota_ = {};
+  const coordination::WarmupTolerance warmup_ = {};
   const std::string log_level_ = "info";
   const int target_workers_ = 16;
 
--- a/src/protocol/internal/configuration_fields.h
+++ b/src/protocol/internal/configuration_fields.h
@@ -73,7 +73,8 @@
     Optional("retry", &state::Service::retry_, kRetryRecord),
     Optional("hedge", &state::Service::hedge_, kHedgeRecord),
     Optional("admission", &state::Service::admission_, kAdmissionRecord),
-    Absent(&state::Service::properties_));
+    Absent(&state::Service::properties_),
+    Absent(&state::Service::warmup_));
 
 inline constexpr auto kLoadBudgetRecord = RecordOf<state::LoadBudget>(
     Optional("bytes_per_second",
@@ -121,7 +122,8 @@
              &state::Configuration::cross_region_bytes_per_second_,
              Number{0, kMaxBytesPerSecond}),
     Optional("actions", &state::Configuration::actions_, kActionsRecord),
-    Optional("poison", &state::Configuration::poison_, kPoisonRecord));
+    Optional("poison", &state::Configuration::poison_, kPoisonRecord),
+    Absent(&state::Configuration::tenants_));
 
 }  // namespace gooseberrygap::protocol
 
--- a/src/protocol/internal/log_codec.cc
+++ b/src/protocol/internal/log_codec.cc
@@ -43,6 +43,9 @@
     out_->mutable_command()->mutable_expire_keys()->set_now(
         out_->wall_millis());
   }
+  void operator()(const state::EvacuationOrder& change) const {
+    ToWire(change, out_->mutable_command()->mutable_evacuation());
+  }
 };
 
 state::LogChange ReadConfiguration(const wire::LogCommand& in,
@@ -59,6 +62,11 @@
   return state::ExpireKeys{};
 }
 
+state::LogChange ReadEvacuation(const wire::LogCommand& in,
+                                WireReader* reader) {
+  return FromWire(in.evacuation(), reader);
+}
+
 struct ChangeRow {
   const wire::LogCommand::CommandCase kind_;
   state::LogChange (*const read_)(const wire::LogCommand&, WireReader*);
@@ -68,6 +76,7 @@
     {wire::LogCommand::kConfiguration, ReadConfiguration},
     {wire::LogCommand::kRegisterCommand, ReadRegisterCommand},
     {wire::LogCommand::kExpireKeys, ReadExpireKeys},
+    {wire::LogCommand::kEvacuation, ReadEvacuation},
 };
 
 void EntryToWire(const state::KeyedRegisterEntry& keyed,
@@ -160,6 +169,7 @@
     wire_accepted->set_submission(accepted.submission_);
     wire_accepted->set_index(accepted.index_);
   }
+  ToWire(state.evacuations_, out.mutable_evacuations());
   return out.SerializeAsString();
 }
 
@@ -188,6 +198,7 @@
     accepted.push_back(state::AcceptedSubmission{
         .submission_ = entry.submission(), .index_ = entry.index()});
   }
+  state::Evacuations evacuations = FromWire(in.evacuations(), &reader);
   if (!reader.valid()) {
     return Malformed("The replicated state has a field that is out of range");
   }
@@ -197,7 +208,8 @@
                                                in.register_wall_millis(),
                                            .entries_ = std::move(entries)},
       .configurations_ = std::move(configurations),
-      .accepted_ = std::move(accepted)};
+      .accepted_ = std::move(accepted),
+      .evacuations_ = std::move(evacuations)};
 }
 
 }  // namespace gooseberrygap::protocol
--- a/src/protocol/internal/peer_codec.cc
+++ b/src/protocol/internal/peer_codec.cc
@@ -99,6 +99,11 @@
     out->set_host(message.host_);
     out->set_route(message.route_);
     out->set_unkeyed(message.unkeyed_);
+    out->set_tenant(message.tenant_);
+    out->set_tenant_priority(message.tenant_priority_);
+    if (message.authorization_left_.has_value()) {
+      out->set_authorization_left(message.authorization_left_->value());
+    }
   }
   void operator()(const coordination::AttemptAnswer& message) const {
     wire::AttemptAnswer* out = envelope_->mutable_attempt_answer();
@@ -145,6 +150,8 @@
     for (const coordination::CrashReport& crash : message.crashes_) {
       CrashToWire(crash, out->add_crashes());
     }
+    out->set_renewal(message.renewal_);
+    out->set_requires_confirmed_keys(message.requires_confirmed_keys_);
   }
   void operator()(const coordination::LeaseReply& message) const {
     wire::LeaseReply* out = envelope_->mutable_lease_reply();
@@ -154,9 +161,15 @@
     out->set_configuration_index(message.configuration_index_);
     out->set_configuration_vouched(message.configuration_confirmed_);
     out->set_delta_base_index(message.delta_base_index_);
-    for (const std::string& service : message.removed_services_) {
+    for (const std::string& service : message.removed_.services_) {
       out->add_removed_services(service);
     }
+    for (const std::string& route : message.removed_.routes_) {
+      out->add_removed_routes(route);
+    }
+    for (const std::string& tenant : message.removed_.tenants_) {
+      out->add_removed_tenants(tenant);
+    }
     if (message.configuration_ != nullptr) {
       ToWire(*message.configuration_, out->mutable_configuration());
     }
@@ -181,6 +194,12 @@
     if (!message.withdrawal_.target_.empty()) {
       ToWire(message.withdrawal_, out->mutable_withdrawal());
     }
+    out->set_renewal(message.renewal_);
+    out->set_confirmed_index(message.confirmed_index_);
+    out->set_confirmed_age(message.confirmed_age_.value());
+    if (message.evacuations_.index_ > 0) {
+      ToWire(message.evacuations_, out->mutable_evacuations());
+    }
   }
   void operator()(const coordination::RegisterCall& message) const {
     wire::RegisterCall* out = envelope_->mutable_register_call();
@@ -331,6 +350,12 @@
       .origin_service_ = in.origin_service(),
       .host_ = in.host(),
       .route_ = in.route(),
+      .tenant_ = in.tenant(),
+      .tenant_priority_ = in.tenant_priority(),
+      .authorization_left_ =
+          in.has_authorization_left()
+              ? std::optional(reader->MillisOf(in.authorization_left()))
+              : std::nullopt,
       .unkeyed_ = in.unkeyed(),
       .key_ = in.key(),
       .digest_ = in.digest(),
@@ -346,7 +371,7 @@
       .attempt_ = in.attempt(),
       .result_ =
           reader->EnumOf(in.result(), coordination::AttemptResult::kUnknown),
-      .refusal_ = reader->EnumOf(in.refusal(), state::RefusalReason::kSlow),
+      .refusal_ = reader->EnumOf<state::RefusalReason>(in.refusal()),
       .answer_ = FromWire(in.answer(), reader),
       .load_ = FromWire(in.load(), reader),
       .target_ = in.target(),
@@ -380,7 +405,9 @@
       .membership_epoch_ = in.membership_epoch(),
       .membership_version_ = in.membership_version(),
       .services_ = {in.services().begin(), in.services().end()},
-      .crashes_ = CrashesFromWire(in.crashes())};
+      .crashes_ = CrashesFromWire(in.crashes()),
+      .renewal_ = in.renewal(),
+      .requires_confirmed_keys_ = in.requires_confirmed_keys()};
 }
 
 PeerMessage ReadLeaseReply(const wire::Envelope& envelope, WireReader* reader) {
@@ -405,8 +432,13 @@
       .configuration_index_ = in.configuration_index(),
       .configuration_confirmed_ = in.configuration_vouched(),
       .delta_base_index_ = in.delta_base_index(),
-      .removed_services_ = {in.removed_services().begin(),
-                            in.removed_services().end()},
+      .removed_ =
+          state::RemovedItems{.services_ = {in.removed_services().begin(),
+                                            in.removed_services().end()},
+                              .routes_ = {in.removed_routes().begin(),
+                                          in.removed_routes().end()},
+                              .tenants_ = {in.removed_tenants().begin(),
+                                           in.removed_tenants().end()}},
       .configuration_ = in.has_configuration()
                             ? SharedConfiguration(in.configuration(), reader)
                             : nullptr,
@@ -419,7 +451,11 @@
       .staleness_ = reader->MillisOf(in.knowledge_age()),
       .leader_address_ = in.leader_address(),
       .control_members_ = std::move(control_members),
-      .withdrawal_ = FromWire(in.withdrawal(), reader)};
+      .withdrawal_ = FromWire(in.withdrawal(), reader),
+      .renewal_ = in.renewal(),
+      .confirmed_index_ = in.confirmed_index(),
+      .confirmed_age_ = reader->MillisOf(in.confirmed_age()),
+      .evacuations_ = FromWire(in.evacuations(), reader)};
 }
 
 PeerMessage ReadRegisterCall(const wire::Envelope& envelope,
--- a/src/protocol/internal/settings.cc
+++ b/src/protocol/internal/settings.cc
@@ -102,6 +102,27 @@
              &PlatformSettings::repeat_window_seconds_,
              Number{0.1, 600}));
 
+constexpr auto kRevocationRecord = RecordOf<coordination::RevocationPolicy>(
+    Optional("strict", &coordination::RevocationPolicy::is_strict_, Flag{}),
+    Optional("limit_ms",
+             &coordination::RevocationPolicy::limit_,
+             Number{1000, 60 * kMinuteMs}));
+
+constexpr auto kQuotaRecord = RecordOf<coordination::QuotaPolicy>(
+    Optional("window_s",
+             &coordination::QuotaPolicy::window_seconds_,
+             Number{1, 3600}),
+    Optional("overshoot",
+             &coordination::QuotaPolicy::overshoot_,
+             Number{0, 10}),
+    Optional("slack", &coordination::QuotaPolicy::slack_, Number{0, 1e6}));
+
+constexpr auto kWarmupRecord = RecordOf<coordination::WarmupTolerance>(
+    Optional("overshoot",
+             &coordination::WarmupTolerance::overshoot_,
+             Number{1, 10}),
+    Optional("slack", &coordination::WarmupTolerance::slack_, Number{0, 1e6}));
+
 constexpr auto kSettingsRecord = RecordOf<Settings>(
     Required("instance", &Settings::instance_, kNameText),
     Required("region", &Settings::region_, kNameText),
@@ -117,6 +138,9 @@
     Optional("control", &Settings::control_, SectionOf(kControlRecord)),
     Optional("seeds", &Settings::seeds_, SectionOf(kSeedsRecord)),
     Optional("platform", &Settings::platform_, SectionOf(kPlatformRecord)),
+    Optional("revocation", &Settings::revocation_, kRevocationRecord),
+    Optional("quota", &Settings::quota_, kQuotaRecord),
+    Optional("warmup", &Settings::warmup_, kWarmupRecord),
     Optional("log_level", &Settings::log_level_, Word{kLogLevels}),
     Optional("target_workers", &Settings::target_workers_, Integer{1, 4096}));
 
--- a/src/protocol/internal/wire_values.cc
+++ b/src/protocol/internal/wire_values.cc
@@ -54,6 +54,8 @@
   out->set_max_connections(value.properties_.max_connections_);
   out->set_protocol(value.properties_.protocol_);
   out->set_tls(value.properties_.tls_);
+  out->set_warmup_duration(value.warmup_.duration_.value());
+  out->set_warmup_requests_per_second(value.warmup_.requests_per_second_);
 }
 
 state::Service ServiceFromWire(const wire::Service& in, WireReader* reader) {
@@ -92,7 +94,10 @@
           state::ServiceProperties{.health_path_ = in.health_path(),
                                    .max_connections_ = in.max_connections(),
                                    .protocol_ = in.protocol(),
-                                   .tls_ = in.tls()}};
+                                   .tls_ = in.tls()},
+      .warmup_ = state::WarmupPolicy{
+          .duration_ = reader->MillisOf(in.warmup_duration()),
+          .requests_per_second_ = in.warmup_requests_per_second()}};
 }
 
 void RouteToWire(const state::Route& value, wire::Route* out) {
@@ -110,6 +115,11 @@
     wire_destination->set_weight(destination.weight_);
   }
   out->set_is_split(value.is_split_);
+  out->set_has_large_answers(value.has_large_answers_);
+  out->set_allows_anonymous(value.allows_anonymous_);
+  for (const std::string& region : value.allowed_regions_) {
+    out->add_allowed_regions(region);
+  }
 }
 
 state::Route RouteFromWire(const wire::Route& in, WireReader* reader) {
@@ -130,7 +140,35 @@
       .priority_ = in.priority(),
       .max_attempts_ = in.max_attempts(),
       .destinations_ = std::move(destinations),
-      .is_split_ = in.is_split()};
+      .is_split_ = in.is_split(),
+      .has_large_answers_ = in.has_large_answers(),
+      .allows_anonymous_ = in.allows_anonymous(),
+      .allowed_regions_ = {in.allowed_regions().begin(),
+                           in.allowed_regions().end()}};
+}
+
+void TenantToWire(const state::Tenant& value, wire::Tenant* out) {
+  out->set_name(value.name_);
+  for (const std::string& key : value.api_keys_) {
+    out->add_api_keys(key);
+  }
+  out->set_priority(value.priority_);
+  out->set_calls_per_second(value.calls_per_second_);
+  out->set_burst_calls(value.burst_calls_);
+  for (const std::string& region : value.allowed_regions_) {
+    out->add_allowed_regions(region);
+  }
+}
+
+state::Tenant TenantFromWire(const wire::Tenant& in) {
+  return state::Tenant{
+      .name_ = in.name(),
+      .api_keys_ = {in.api_keys().begin(), in.api_keys().end()},
+      .priority_ = in.priority(),
+      .calls_per_second_ = in.calls_per_second(),
+      .burst_calls_ = in.burst_calls(),
+      .allowed_regions_ = {in.allowed_regions().begin(),
+                           in.allowed_regions().end()}};
 }
 
 void MembersToWire(
@@ -189,6 +227,8 @@
   out->set_state(static_cast<uint32_t>(value.state_));
   out->set_pace(value.service_time_percent_);
   out->set_service_time(static_cast<float>(value.service_time_.value()));
+  out->set_admissions_per_second(
+      static_cast<float>(value.admissions_per_second_));
 }
 
 void ToWire(const state::TargetWithdrawal& value, wire::TargetWithdrawal* out) {
@@ -257,6 +297,25 @@
   out->set_max_body_bytes(value.caller_limits_.max_body_bytes_);
   out->set_header_timeout(value.caller_limits_.header_timeout_.value());
   out->set_idle_timeout(value.caller_limits_.idle_timeout_.value());
+  for (const state::Shared<state::Tenant>& tenant : value.tenants_) {
+    TenantToWire(*tenant, out->add_tenants());
+  }
+}
+
+void ToWire(const state::Evacuations& value, wire::Evacuations* out) {
+  out->set_index(value.index_);
+  for (const state::EvacuationState& domain : value.domains_) {
+    wire::EvacuationState* wire_domain = out->add_domains();
+    wire_domain->set_failure_domain(domain.failure_domain_);
+    wire_domain->set_evacuated(domain.evacuated_);
+    wire_domain->set_index(domain.index_);
+  }
+}
+
+void ToWire(const state::EvacuationOrder& value, wire::EvacuationOrder* out) {
+  out->set_failure_domain(value.failure_domain_);
+  out->set_evacuates(value.evacuates_);
+  out->set_known_index(value.known_index_);
 }
 
 void ToWire(const state::LogEntry& value, wire::LogEntry* out) {
@@ -295,7 +354,8 @@
       .latency_ = reader->MillisOf(in.latency()),
       .state_ = reader->EnumOf(in.state(), state::TargetState::kLeft),
       .service_time_percent_ = in.pace(),
-      .service_time_ = reader->MillisOf(in.service_time())};
+      .service_time_ = reader->MillisOf(in.service_time()),
+      .admissions_per_second_ = in.admissions_per_second()};
 }
 
 state::TargetWithdrawal FromWire(const wire::TargetWithdrawal& in,
@@ -345,7 +405,7 @@
                                WireReader* reader) {
   return state::RegisterResult{
       .granted_ = in.granted(),
-      .refusal_ = reader->EnumOf(in.refusal(), state::RefusalReason::kSlow),
+      .refusal_ = reader->EnumOf<state::RefusalReason>(in.refusal()),
       .state_ = reader->EnumOf(in.state(), state::ActionState::kUnknown),
       .attempt_ = in.attempt(),
       .answer_ = FromWire(in.answer(), reader)};
@@ -363,6 +423,11 @@
   for (const wire::Route& route : in.routes()) {
     routes.push_back(RouteFromWire(route, reader));
   }
+  std::vector<state::Shared<state::Tenant>> tenants;
+  tenants.reserve(in.tenants_size());
+  for (const wire::Tenant& tenant : in.tenants()) {
+    tenants.emplace_back(TenantFromWire(tenant));
+  }
   return state::Configuration{
       .version_ = in.version(),
       .services_ = services,
@@ -388,7 +453,27 @@
       .poison_ =
           state::PoisonPolicy{.crashes_ = in.poison_crashes(),
                               .window_ = reader->MillisOf(in.poison_window()),
-                              .hold_ = reader->MillisOf(in.poison_hold())}};
+                              .hold_ = reader->MillisOf(in.poison_hold())},
+      .tenants_ = std::move(tenants)};
+}
+
+state::Evacuations FromWire(const wire::Evacuations& in, WireReader*) {
+  std::vector<state::EvacuationState> domains;
+  domains.reserve(in.domains_size());
+  for (const wire::EvacuationState& domain : in.domains()) {
+    domains.push_back(
+        state::EvacuationState{.failure_domain_ = domain.failure_domain(),
+                               .evacuated_ = domain.evacuated(),
+                               .index_ = domain.index()});
+  }
+  return state::Evacuations{.index_ = in.index(),
+                            .domains_ = std::move(domains)};
+}
+
+state::EvacuationOrder FromWire(const wire::EvacuationOrder& in, WireReader*) {
+  return state::EvacuationOrder{.failure_domain_ = in.failure_domain(),
+                                .evacuates_ = in.evacuates(),
+                                .known_index_ = in.known_index()};
 }
 
 state::LogEntry FromWire(const wire::LogEntry& in, WireReader* reader) {
--- a/src/protocol/internal/wire_values.h
+++ b/src/protocol/internal/wire_values.h
@@ -24,6 +24,12 @@
     }
     return static_cast<Enum>(number);
   }
+  // The same for an enum that ends with kCount.
+  template <class Enum>
+  Enum EnumOf(uint32_t number) {
+    return EnumOf(number,
+                  static_cast<Enum>(static_cast<uint32_t>(Enum::kCount) - 1));
+  }
   // Returns a duration; one that is not a finite number is a fault.
   state::Millis MillisOf(double value);
   void SetInvalid() { valid_ = false; }
@@ -41,6 +47,8 @@
 void ToWire(const state::RegisterCommand& value, wire::RegisterCommand* out);
 void ToWire(const state::RegisterResult& value, wire::RegisterResult* out);
 void ToWire(const state::Configuration& value, wire::Configuration* out);
+void ToWire(const state::Evacuations& value, wire::Evacuations* out);
+void ToWire(const state::EvacuationOrder& value, wire::EvacuationOrder* out);
 void ToWire(const state::LogEntry& value, wire::LogEntry* out);
 void ToWire(const state::LogSnapshot& value, wire::LogSnapshot* out);
 
@@ -56,6 +64,9 @@
                                WireReader* reader);
 state::Configuration FromWire(const wire::Configuration& in,
                               WireReader* reader);
+state::Evacuations FromWire(const wire::Evacuations& in, WireReader* reader);
+state::EvacuationOrder FromWire(const wire::EvacuationOrder& in,
+                                WireReader* reader);
 state::LogEntry FromWire(const wire::LogEntry& in, WireReader* reader);
 state::LogSnapshot FromWire(const wire::LogSnapshot& in, WireReader* reader);
 
--- a/src/protocol/protocol.h
+++ b/src/protocol/protocol.h
@@ -5,6 +5,7 @@
 // settings, configuration and metrics.
 
 #include "protocol/api/configuration_json.h"
+#include "protocol/api/credentials.h"
 #include "protocol/api/front_dialect.h"
 #include "protocol/api/header_names.h"
 #include "protocol/api/log_codec.h"
--- a/src/state/api/configuration.h
+++ b/src/state/api/configuration.h
@@ -8,6 +8,7 @@
 #include "absl/strings/string_view.h"
 
 #include "state/api/clock.h"
+#include "state/api/shared.h"
 
 namespace gooseberrygap::state {
 
@@ -71,6 +72,15 @@
                          const ServiceProperties&) = default;
 };
 
+// Limit on the requests that a target gets while it is cold: after its start,
+// or whenever it says that it is.
+struct WarmupPolicy {
+  const Millis duration_ = {};  // How long a target is cold after its start.
+  const double requests_per_second_ = 0;  // 0 sets no limit.
+
+  friend bool operator==(const WarmupPolicy&, const WarmupPolicy&) = default;
+};
+
 struct Service {
   const std::string name_ = {};
   const std::string strategy_ = "probed_latency";
@@ -85,6 +95,7 @@
   const HedgePolicy hedge_ = {};
   const AdmissionPolicy admission_ = {};
   const ServiceProperties properties_ = {};
+  const WarmupPolicy warmup_ = {};
 
   friend bool operator==(const Service&, const Service&) = default;
 };
@@ -116,10 +127,30 @@
   // Whether the operator wrote the destinations as a traffic split, possibly
   // with a single destination.
   const bool is_split_ = false;
+  // Answers are so large that their bytes load the links.
+  const bool has_large_answers_ = false;
+  // Calls need no API key although the configuration has tenants.
+  const bool allows_anonymous_ = false;
+  // Regions whose targets may run the calls; empty allows all.
+  const std::vector<std::string> allowed_regions_ = {};
 
   friend bool operator==(const Route&, const Route&) = default;
 };
 
+// A customer whose callers name it by one of its API keys.
+struct Tenant {
+  const std::string name_ = {};
+  const std::vector<std::string> api_keys_ = {};
+  const int priority_ = 0;  // 0 is the highest; compared before the route's.
+  // Quota of calls over all daemons together; a rate of 0 sets no limit.
+  const double calls_per_second_ = 0;
+  const double burst_calls_ = 0;
+  // Regions whose targets may run the calls; empty allows all.
+  const std::vector<std::string> allowed_regions_ = {};
+
+  friend bool operator==(const Tenant&, const Tenant&) = default;
+};
+
 // Limits on the size of a caller's requests, on the time until the header is
 // complete and on idle time.
 struct CallerLimits {
@@ -170,6 +201,9 @@
   const double cross_region_bytes_per_second_ = 262144;
   const ActionPolicy actions_ = {};
   const PoisonPolicy poison_ = {};
+  // While there are tenants, each call names one by an API key, unless its
+  // route allows anonymous calls.
+  const std::vector<Shared<Tenant>> tenants_ = {};
 
   friend bool operator==(const Configuration&, const Configuration&) = default;
 };
--- a/src/state/api/configuration_change.h
+++ b/src/state/api/configuration_change.h
@@ -20,6 +20,8 @@
   const std::optional<CallerLimits> caller_limits_ = {};
   const std::vector<std::string> removed_routes_ = {};
   const std::vector<std::string> removed_services_ = {};
+  const std::vector<Shared<Tenant>> tenants_ = {};
+  const std::vector<std::string> removed_tenants_ = {};
 
   friend bool operator==(const ConfigurationChange&,
                          const ConfigurationChange&) = default;
@@ -36,6 +38,16 @@
 // '/', a duplicate host and prefix, a duplicate name. Thread-safe.
 Result<void> CheckRoutes(const Configuration& configuration);
 
+// Returns kInvalidConfiguration with a message that describes the first error
+// in the tenants: an empty or duplicate name, an empty or overlong key, a key
+// that two tenants share, a quota that is negative or not finite. Names the
+// tenant but never a key. Thread-safe.
+Result<void> CheckTenants(const Configuration& configuration);
+
+// Returns the first error in any part of the configuration. Every way by which
+// a configuration comes into force checks it with this function. Thread-safe.
+Result<void> CheckConfiguration(const Configuration& configuration);
+
 }  // namespace gooseberrygap::state
 
 #endif  // STATE_API_CONFIGURATION_CHANGE_H_
--- a/src/state/api/configuration_store.h
+++ b/src/state/api/configuration_store.h
@@ -60,19 +60,28 @@
                          const SubmissionResult&) = default;
 };
 
+// Names of items that a newer configuration does not have.
+struct RemovedItems {
+  const std::vector<std::string> services_ = {};
+  const std::vector<std::string> routes_ = {};
+  const std::vector<std::string> tenants_ = {};
+
+  friend bool operator==(const RemovedItems&, const RemovedItems&) = default;
+};
+
 // The difference between two configurations. `changes_` is the newer document
-// with only its new and changed services.
+// with only its new and changed services, routes and tenants.
 struct ConfigurationDelta {
   const uint64_t base_index_ = 0;
-  const std::vector<std::string> removed_services_ = {};
+  const RemovedItems removed_ = {};
   const std::shared_ptr<const Configuration> changes_ = {};
 };
 
-// Returns the newer document. Precondition: `changes` and `removed_services`
-// come from a delta computed against `base`. Thread-safe.
+// Returns the newer document. Precondition: `changes` and `removed` come from a
+// delta computed against `base`. Thread-safe.
 Configuration ApplyDelta(const Configuration& base,
                          const Configuration& changes,
-                         const std::vector<std::string>& removed_services);
+                         const RemovedItems& removed);
 
 // The accepted configurations: a deterministic state machine, so that replicas
 // that apply the same submissions agree. Not thread-safe.
--- a/src/state/api/log_command.h
+++ b/src/state/api/log_command.h
@@ -10,6 +10,7 @@
 #include "state/api/action.h"
 #include "state/api/action_register.h"
 #include "state/api/configuration_store.h"
+#include "state/api/evacuation.h"
 
 namespace gooseberrygap::state {
 
@@ -18,8 +19,10 @@
   friend bool operator==(const ExpireKeys&, const ExpireKeys&) = default;
 };
 
-using LogChange =
-    std::variant<SubmittedConfiguration, RegisterCommand, ExpireKeys>;
+using LogChange = std::variant<SubmittedConfiguration,
+                               RegisterCommand,
+                               ExpireKeys,
+                               EvacuationOrder>;
 
 // The decoded payload of a kCommand log entry.
 struct LogCommand {
@@ -40,6 +43,7 @@
   const RegisterSnapshot register_ = {};
   const std::vector<StoredConfiguration> configurations_ = {};
   const std::vector<AcceptedSubmission> accepted_ = {};
+  const Evacuations evacuations_ = {};
 
   friend bool operator==(const ReplicatedState&,
                          const ReplicatedState&) = default;
--- a/src/state/api/reasons.h
+++ b/src/state/api/reasons.h
@@ -40,6 +40,15 @@
   kMisdirected,      // The address belongs to another target.
   kTargetReplaced,   // The target has restarted since the attempt was queued.
   kSlow,  // The target's machine is currently slow; another may be faster.
+  kUnknownKey,            // No tenant has the API key of the call.
+  kAuthorizationExpired,  // Too long without a confirmation of the API keys.
+  kQuotaExceeded,         // The tenant has used up its quota.
+  kQuotaUnavailable,      // No answer came on whether the quota has room.
+  kNoAllowedRegion,       // No target in a region that may run the call.
+  kEvacuated,             // The target's failure domain is evacuated.
+  kWarmingUp,             // The target is cold and has its requests already.
+  kCallerShare,     // The caller's tenant has more than its share waiting.
+  kMemoryPressure,  // The process holds too many bytes for its callers.
   kCount,
 };
 
--- a/src/state/api/target.h
+++ b/src/state/api/target.h
@@ -76,6 +76,9 @@
   // Mean service time of a request while the machine has its usual speed; 0
   // when unknown.
   const Millis service_time_ = {};
+  // Requests a second that the guard admits while its target is cold; 0 when it
+  // sets no limit.
+  const double admissions_per_second_ = 0;
 
   friend bool operator==(const GuardLoad&, const GuardLoad&) = default;
 };
--- a/src/state/internal/configuration_change.cc
+++ b/src/state/internal/configuration_change.cc
@@ -5,43 +5,18 @@
 #include <set>
 #include <utility>
 
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "state/internal/named_items.h"
 
 namespace gooseberrygap::state {
 
 namespace {
 
-// Returns `base` with items removed, replaced and appended by name.
-template <class Item>
-std::vector<Item> ApplyItemChanges(
-    const std::vector<Item>& base,
-    const std::vector<Item>& changes,
-    const std::vector<std::string>& removed_names) {
-  const std::set<std::string> removed(removed_names.begin(),
-                                      removed_names.end());
-  const auto find = [](const std::vector<Item>& items,
-                       const std::string& name) {
-    return std::find_if(items.begin(), items.end(), [&name](const Item& item) {
-      return item.name_ == name;
-    });
-  };
-  std::vector<Item> items;
-  for (const Item& item : base) {
-    const auto change = find(changes, item.name_);
-    if (change != changes.end()) {
-      items.push_back(*change);
-    } else if (!removed.contains(item.name_)) {
-      items.push_back(item);
-    }
-  }
-  for (const Item& change : changes) {
-    if (find(base, change.name_) == base.end()) {
-      items.push_back(change);
-    }
-  }
-  return items;
-}
+// Upper bound of an API key, in bytes. Keys are kept in memory at each daemon.
+constexpr size_t kMaxApiKeyBytes = 1024;
 
 Error RouteError(const Route& route, absl::string_view what) {
   return MakeError(ErrorKind::kInvalidConfiguration,
@@ -65,6 +40,33 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+Error TenantError(const Tenant& tenant, absl::string_view what) {
+  return MakeError(ErrorKind::kInvalidConfiguration,
+                   absl::StrCat("The tenant \"", tenant.name_, "\" ", what));
+}
+
+bool IsQuota(double value) {
+  return std::isfinite(value) && value >= 0;
+}
+
+// Checks a tenant by itself.
+Result<void> CheckTenant(const Tenant& tenant) {
+  if (tenant.name_.empty()) {
+    return TenantError(tenant, "has no name");
+  }
+  for (const std::string& key : tenant.api_keys_) {
+    if (key.empty() || key.size() > kMaxApiKeyBytes) {
+      return TenantError(tenant,
+                         absl::StrCat("has a key that is empty or longer than ",
+                                      kMaxApiKeyBytes, " bytes"));
+    }
+  }
+  if (!IsQuota(tenant.calls_per_second_) || !IsQuota(tenant.burst_calls_)) {
+    return TenantError(tenant, "has a quota that is not 0 or more");
+  }
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
 }  // namespace
 
 Configuration ApplyChange(const Configuration& base,
@@ -79,7 +81,9 @@
       .load_budget_ = base.load_budget_,
       .cross_region_bytes_per_second_ = base.cross_region_bytes_per_second_,
       .actions_ = base.actions_,
-      .poison_ = base.poison_};
+      .poison_ = base.poison_,
+      .tenants_ = ApplyItemChanges(base.tenants_, change.tenants_,
+                                   change.removed_tenants_)};
 }
 
 Result<void> CheckRoutes(const Configuration& configuration) {
@@ -105,4 +109,29 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+Result<void> CheckTenants(const Configuration& configuration) {
+  absl::flat_hash_set<absl::string_view> names;
+  absl::flat_hash_map<absl::string_view, const Tenant*> owners;  // By key.
+  for (const Shared<Tenant>& tenant : configuration.tenants_) {
+    BOOST_OUTCOME_TRYV(CheckTenant(*tenant));
+    if (!names.insert(tenant->name_).second) {
+      return TenantError(*tenant, "has the name of another tenant");
+    }
+    for (const std::string& key : tenant->api_keys_) {
+      const auto [owner, is_new] = owners.emplace(key, &*tenant);
+      if (!is_new && owner->second != &*tenant) {
+        return TenantError(*tenant,
+                           absl::StrCat("has a key that the tenant \"",
+                                        owner->second->name_, "\" has too"));
+      }
+    }
+  }
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Result<void> CheckConfiguration(const Configuration& configuration) {
+  BOOST_OUTCOME_TRYV(CheckRoutes(configuration));
+  return CheckTenants(configuration);
+}
+
 }  // namespace gooseberrygap::state
--- a/src/state/internal/configuration_store.cc
+++ b/src/state/internal/configuration_store.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
-#include <set>
 
+#include "state/internal/named_items.h"
 #include "state/state.h"
 
 namespace gooseberrygap::state {
@@ -15,43 +15,41 @@
 // operator may resend a submission long after its answer was lost.
 constexpr size_t kMaxStoredSubmissions = 4096;
 
-Configuration WithServices(const Configuration& configuration,
-                           const std::vector<Service>& services) {
+// Returns `configuration` with other services, routes and tenants.
+Configuration WithItems(const Configuration& configuration,
+                        const std::vector<Service>& services,
+                        const std::vector<Route>& routes,
+                        const std::vector<Shared<Tenant>>& tenants) {
   return Configuration{.version_ = configuration.version_,
                        .services_ = services,
-                       .routes_ = configuration.routes_,
+                       .routes_ = routes,
                        .caller_limits_ = configuration.caller_limits_,
                        .load_budget_ = configuration.load_budget_,
                        .cross_region_bytes_per_second_ =
                            configuration.cross_region_bytes_per_second_,
                        .actions_ = configuration.actions_,
-                       .poison_ = configuration.poison_};
+                       .poison_ = configuration.poison_,
+                       .tenants_ = tenants};
 }
 
 std::optional<ConfigurationDelta> MakeDelta(uint64_t base_index,
                                             const Configuration& base,
                                             const Configuration& newer) {
-  std::vector<Service> changed;
-  for (const Service& service : newer.services_) {
-    const Service* old = FindService(base, service.name_);
-    if (old == nullptr || !(*old == service)) {
-      changed.push_back(service);
-    }
-  }
-  std::vector<std::string> removed;
-  for (const Service& service : base.services_) {
-    if (FindService(newer, service.name_) == nullptr) {
-      removed.push_back(service.name_);
-    }
-  }
-  const Configuration changes = WithServices(newer, changed);
+  const Configuration changes =
+      WithItems(newer, ChangedItems(base.services_, newer.services_),
+                ChangedItems(base.routes_, newer.routes_),
+                ChangedItems(base.tenants_, newer.tenants_));
+  const RemovedItems removed{
+      .services_ = RemovedNames(base.services_, newer.services_),
+      .routes_ = RemovedNames(base.routes_, newer.routes_),
+      .tenants_ = RemovedNames(base.tenants_, newer.tenants_)};
   // A delta cannot express every change, for example a reordering.
   if (!(ApplyDelta(base, changes, removed) == newer)) {
     return std::nullopt;
   }
   return ConfigurationDelta{
       .base_index_ = base_index,
-      .removed_services_ = removed,
+      .removed_ = removed,
       .changes_ = std::make_shared<const Configuration>(changes)};
 }
 
@@ -72,23 +70,12 @@
 
 Configuration ApplyDelta(const Configuration& base,
                          const Configuration& changes,
-                         const std::vector<std::string>& removed_services) {
-  const std::set<std::string> removed(removed_services.begin(),
-                                      removed_services.end());
-  std::vector<Service> services;
-  for (const Service& service : base.services_) {
-    if (removed.contains(service.name_)) {
-      continue;
-    }
-    const Service* changed = FindService(changes, service.name_);
-    services.push_back(changed == nullptr ? service : *changed);
-  }
-  for (const Service& service : changes.services_) {
-    if (FindService(base, service.name_) == nullptr) {
-      services.push_back(service);
-    }
-  }
-  return WithServices(changes, services);
+                         const RemovedItems& removed) {
+  return WithItems(
+      changes,
+      ApplyItemChanges(base.services_, changes.services_, removed.services_),
+      ApplyItemChanges(base.routes_, changes.routes_, removed.routes_),
+      ApplyItemChanges(base.tenants_, changes.tenants_, removed.tenants_));
 }
 
 SubmissionResult ConfigurationStore::Submit(
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -6,6 +6,7 @@
 
 #include "state/api/action.h"
 #include "state/api/action_register.h"
+#include "state/api/allowed_regions.h"
 #include "state/api/bytes.h"
 #include "state/api/clock.h"
 #include "state/api/configuration.h"
@@ -13,6 +14,8 @@
 #include "state/api/configuration_store.h"
 #include "state/api/counters.h"
 #include "state/api/error.h"
+#include "state/api/evacuation.h"
+#include "state/api/evacuation_table.h"
 #include "state/api/histograms.h"
 #include "state/api/http.h"
 #include "state/api/log.h"
@@ -22,6 +25,7 @@
 #include "state/api/membership_table.h"
 #include "state/api/reasons.h"
 #include "state/api/replace.h"
+#include "state/api/shared.h"
 #include "state/api/target.h"
 #include "state/api/token_bucket.h"
 
--- a/src/state/tests/configuration_store_test.cc
+++ b/src/state/tests/configuration_store_test.cc
@@ -54,9 +54,8 @@
   const auto delta = store.DeltaFrom(5);
   REQUIRE(delta.has_value());
   CHECK(delta->changes_->services_.size() == 2);
-  CHECK(delta->removed_services_ == std::vector<std::string>{"c"});
-  CHECK(ApplyDelta(*base.configuration_, *delta->changes_,
-                   delta->removed_services_) ==
+  CHECK(delta->removed_.services_ == std::vector<std::string>{"c"});
+  CHECK(ApplyDelta(*base.configuration_, *delta->changes_, delta->removed_) ==
         *store.current().configuration_);
   CHECK_FALSE(store.DeltaFrom(7).has_value());
 
