Count suspended time on the steady clock

Cause: CLOCK_MONOTONIC stands still while a machine is suspended, so that a lease or a deadline could still be valid after seconds of suspension. Change: SteadyClock reads CLOCK_BOOTTIME. Waits are relative and unchanged.

--- a/src/state/api/clock.h
+++ b/src/state/api/clock.h
@@ -42,7 +42,9 @@
   virtual Millis Now() const = 0;
 };
 
-// The monotonic clock of the operating system. Thread-safe.
+// The monotonic clock of the operating system that also counts the time for
+// which the machine is suspended, so that a permission that expires meanwhile
+// has expired when the process runs again. Thread-safe.
 class SteadyClock : public Clock {
  public:
   Millis Now() const override;
--- a/src/state/internal/clock.cc
+++ b/src/state/internal/clock.cc
@@ -1,3 +1,5 @@
+#include <time.h>
+
 #include <chrono>
 
 #include "state/state.h"
@@ -11,7 +13,10 @@
 }  // namespace
 
 Millis SteadyClock::Now() const {
-  const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
+  timespec now = {};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  const auto since_start = std::chrono::seconds(now.tv_sec) +
+                           std::chrono::nanoseconds(now.tv_nsec);
   return Millis(DoubleMillis(since_start).count());
 }
 
