Begin connects again after 300 ms at first

Cause: a connect to an instance that has no power yet loses its first packet, and the kernel repeats it after 1 s and more. After a loss of power at one third of a deployment's machines, followers and daemons waited for this.

Change: the first link to an address gives up a connect after 300 ms, the next one after 1 s, later ones after 3.5 s as before. A young link on which nothing comes gives way to the next one.

--- a/src/transport/internal/peer_endpoint.cc
+++ b/src/transport/internal/peer_endpoint.cc
@@ -21,6 +21,9 @@
 constexpr state::Millis kAcceptedHeartbeatInterval(10000);
 constexpr state::Millis kAcceptedHeartbeatTimeout(30000);
 constexpr state::Millis kShutdownLinger(300);
+// A link without an attempt on which nothing has come since it was opened is
+// replaced after this time by one whose connects may take longer.
+constexpr state::Millis kMaxSilentAge(2500);
 
 ZmqOptions RouterOptions(const PeerEndpoint::Options& options) {
   return {.high_water_mark_ = options.high_water_mark_,
@@ -29,11 +32,14 @@
           .max_message_bytes_ = options.max_message_bytes_};
 }
 
-ZmqOptions DealerOptions(const PeerEndpoint::Options& options) {
+ZmqOptions DealerOptions(const PeerEndpoint::Options& options,
+                         const ConnectSchedule::Times& times) {
   return {.high_water_mark_ = options.high_water_mark_,
           .heartbeat_interval_ = options.heartbeat_interval_,
           .heartbeat_timeout_ = options.heartbeat_timeout_,
-          .max_message_bytes_ = options.max_message_bytes_};
+          .max_message_bytes_ = options.max_message_bytes_,
+          .connect_timeout_ = times.connect_,
+          .reconnect_pause_ = times.pause_};
 }
 
 }  // namespace
@@ -216,6 +222,10 @@
       return true;
     }
     link->last_used_ = clock_.Now();
+    if (!link->has_received_) {
+      link->has_received_ = true;
+      connect_schedule_.OnReceived(link->address_);
+    }
     HandleFrames(link, frames);
   }
   return false;
@@ -252,7 +262,8 @@
     return known->second;
   }
   state::Result<ZmqSocket> socket = ZmqSocket::Open(
-      context_.get(), ZmqKind::kDealer, DealerOptions(options_));
+      context_.get(), ZmqKind::kDealer,
+      DealerOptions(options_, connect_schedule_.OnLinkOpened(address)));
   const absl::string_view listen = options_.listen_address_;
   const absl::string_view source_host = listen.substr(0, listen.rfind(':'));
   if (!socket || !socket.value().Connect(source_host, address)) {
@@ -267,7 +278,8 @@
                                                   ZmqSocket socket) {
   const int fd = socket.PollDescriptor();
   auto link = std::make_unique<Link>(address, fd, std::move(socket));
-  link->last_used_ = clock_.Now();
+  link->opened_at_ = clock_.Now();
+  link->last_used_ = link->opened_at_;
   Link* added = link.get();
   links_.emplace(fd, std::move(link));
   poller_->Add(fd, EPOLLIN);
@@ -290,10 +302,7 @@
   next_link_check_ = now + kLinkCheckInterval;
   std::vector<Link*> unused;
   for (const auto& [address, link] : dealers_) {
-    const state::Millis limit = link->unanswered_ > 0
-                                    ? options_.close_unanswered_after_
-                                    : options_.close_unused_after_;
-    if (now - link->last_used_ > limit) {
+    if (IsToBeClosed(*link, now)) {
       unused.push_back(link);
     }
   }
@@ -302,4 +311,13 @@
   }
 }
 
+bool PeerEndpointImpl::IsToBeClosed(const Link& link, state::Millis now) const {
+  const bool has_attempts = link.unanswered_ > 0;
+  const bool is_silent = !link.has_received_ && !has_attempts &&
+                         now - link.opened_at_ > kMaxSilentAge;
+  const state::Millis limit = has_attempts ? options_.close_unanswered_after_
+                                           : options_.close_unused_after_;
+  return is_silent || now - link.last_used_ > limit;
+}
+
 }  // namespace gooseberrygap::transport
--- a/src/transport/internal/peer_endpoint_impl.h
+++ b/src/transport/internal/peer_endpoint_impl.h
@@ -11,6 +11,7 @@
 #include <vector>
 #include "absl/strings/string_view.h"
 
+#include "transport/internal/connect_schedule.h"
 #include "transport/internal/poller.h"
 #include "transport/internal/zmq_socket.h"
 #include "transport/transport.h"
@@ -63,6 +64,8 @@
     const int fd_;               // Poll descriptor.
     ZmqSocket socket_;
     state::Millis last_used_;
+    state::Millis opened_at_;
+    bool has_received_ = false;
     int unanswered_ = 0;  // Attempts sent without an answer or a cancel.
 
     void OnAttemptEnded() { unanswered_ = std::max(0, unanswered_ - 1); }
@@ -91,6 +94,9 @@
   Link* AddLink(const std::string& address, ZmqSocket socket);
   void CloseLink(Link* link);
   void CloseUnusedLinks();
+  // Returns whether a link to a peer should be closed. The next message opens
+  // another one.
+  bool IsToBeClosed(const Link& link, state::Millis now) const;
 
   const Options options_;
   const Handler handler_;
@@ -104,6 +110,7 @@
   std::map<int, std::unique_ptr<Link>> links_;  // By poll descriptor.
   std::map<std::string, Link*> dealers_;        // By address.
   Link* router_ = nullptr;
+  ConnectSchedule connect_schedule_;
   // Poll descriptors of sockets that may have messages.
   std::set<int> touched_;
   state::Millis next_link_check_;
--- a/src/transport/internal/zmq_socket.cc
+++ b/src/transport/internal/zmq_socket.cc
@@ -15,10 +15,6 @@
 
 constexpr absl::string_view kTcp = "tcp://";
 constexpr int kReconnectMs = 50;
-constexpr int kReconnectMaxMs = 500;
-// A connect whose packets are dropped is begun again, since the kernel repeats
-// them at growing intervals, up to the length of the cut after it has healed.
-constexpr int kConnectMs = 3500;
 // A peer that accepts the connection but does not answer the handshake.
 constexpr int kHandshakeMs = 2000;
 constexpr int kListenBacklog = 1024;
@@ -67,10 +63,11 @@
       {ZMQ_HEARTBEAT_TIMEOUT,
        static_cast<int>(options.heartbeat_timeout_.value())},
       {ZMQ_HEARTBEAT_TTL, static_cast<int>(options.heartbeat_timeout_.value())},
-      {ZMQ_CONNECT_TIMEOUT, kConnectMs},
+      {ZMQ_CONNECT_TIMEOUT, static_cast<int>(options.connect_timeout_.value())},
       {ZMQ_HANDSHAKE_IVL, kHandshakeMs},
       {ZMQ_RECONNECT_IVL, kReconnectMs},
-      {ZMQ_RECONNECT_IVL_MAX, kReconnectMaxMs},
+      {ZMQ_RECONNECT_IVL_MAX,
+       static_cast<int>(options.reconnect_pause_.value())},
       {ZMQ_BACKLOG, kListenBacklog},
   };
   if (router) {
--- a/src/transport/internal/zmq_socket.h
+++ b/src/transport/internal/zmq_socket.h
@@ -17,6 +17,10 @@
   const state::Millis heartbeat_interval_ = {};
   const state::Millis heartbeat_timeout_ = {};
   const size_t max_message_bytes_ = 0;
+  // Only for a socket that connects: the time after which a connect is begun
+  // again, and the longest pause before it.
+  const state::Millis connect_timeout_ = {};
+  const state::Millis reconnect_pause_ = {};
 };
 
 // One ZeroMQ socket over TCP. Only for the thread that owns it. All operations
