Count the targets of the first 3 s as ramped up

Cause: after a restart of all instances a daemon learns of the targets in parts. Only those of the first part counted as ramped up, so that nearly all calls went to them. A target that was cold after its start recorded no service times and admitted any number of requests.

Change: targets learned within 3 s of the first ones count as ramped up. A guard also records service times at another steady speed, converted to the usual one, until the first usual one. A long queue at a target cannot count as an average load before its slots could have worked it off.

--- a/src/coordination/internal/guard_delivery.cc
+++ b/src/coordination/internal/guard_delivery.cc
@@ -73,10 +73,7 @@
                                  state::Millis now) {
   const GuardWork& work = running.work_;
   latency_.Add(now - running.started_);
-  if (IsUsualServiceTime(running.service_time_percent_) &&
-      IsUsualServiceTime(service_time_percent_)) {
-    RecordUsualServiceTime(running, now - running.started_);
-  }
+  RecordServiceTime(running, now - running.started_);
   Commands commands = {Reply(
       work.connection_, AttemptAnswer{.request_id_ = work.attempt_.request_id_,
                                       .attempt_ = work.attempt_.attempt_,
@@ -90,9 +87,18 @@
   return commands;
 }
 
-void Guard::Impl::RecordUsualServiceTime(const RunningWork& running,
-                                         state::Millis time) {
+void Guard::Impl::RecordServiceTime(const RunningWork& running,
+                                    state::Millis time) {
   const std::string& route = running.work_.attempt_.route_;
+  const int percent = running.service_time_percent_;
+  if (!IsUsualServiceTime(percent) ||
+      !IsUsualServiceTime(service_time_percent_)) {
+    const bool is_steady = percent > 0 && percent == service_time_percent_;
+    if (is_steady && !IsSlowServiceTime(percent)) {
+      service_times_.AddAtSpeed(route, time, percent);
+    }
+    return;
+  }
   const state::Millis usual = service_times_.For(route);
   if (usual > state::Millis(0)) {
     slot_limit_.Add(running.running_at_start_, target_.slots(),
--- a/src/coordination/internal/guard_impl.h
+++ b/src/coordination/internal/guard_impl.h
@@ -179,9 +179,9 @@
   // Requests the target's load when the last report is too old.
   Commands ProbeTargetLoad(state::Millis now);
 
-  // Records the duration of a request that began and ended while the service
-  // time of the target was usual.
-  void RecordUsualServiceTime(const RunningWork& running, state::Millis time);
+  // Records the duration of a request that began and ended while the speed of
+  // the target was the same and not slow.
+  void RecordServiceTime(const RunningWork& running, state::Millis time);
 
   // Handles an answer that states that the target did not run the request.
   Commands OnDeclined(const RunningWork& running,
--- a/src/coordination/internal/router_impl.h
+++ b/src/coordination/internal/router_impl.h
@@ -127,7 +127,7 @@
   absl::flat_hash_map<std::string, std::unique_ptr<Target>> targets_;
   // Smoothed size of the calls of each route, in kilobytes.
   absl::flat_hash_map<std::string, double> call_kilobytes_;
-  bool has_targets_ = false;
+  std::optional<state::Millis> first_targets_at_;  // First known targets.
   LoadMeter load_meter_;
   state::TokenBucket cross_region_bytes_;
   uint64_t next_probe_id_ = 1;
--- a/src/coordination/internal/router_members.cc
+++ b/src/coordination/internal/router_members.cc
@@ -10,6 +10,14 @@
 using state::TargetRecord;
 using state::TargetState;
 
+// Targets that a daemon learns within this time after its first ones count as
+// ramped up. After a restart of all instances the records arrive in parts while
+// daemons renew their leases, and ramping up only the later ones would send all
+// calls to the first.
+constexpr state::Millis kCollectionTime(3000);
+// Age of a target that has ramped up.
+constexpr state::Millis kRampedUpAge(1e9);
+
 // Returns whether the record is in force when both name the same target. A
 // target that has moved is announced at two instances until the lease of the
 // old one expires; the instance whose daemon started later has it.
@@ -62,6 +70,11 @@
   for (auto& [name, service] : services_) {
     service.members_.clear();
   }
+  if (!targets.empty() && !first_targets_at_.has_value()) {
+    first_targets_at_ = now;
+  }
+  const bool is_collecting = first_targets_at_.has_value() &&
+                             now - *first_targets_at_ < kCollectionTime;
   for (const TargetRecord* in_force : RecordsInForce(targets)) {
     const TargetRecord& record = *in_force;
     const auto existing = previous.find(record.target_);
@@ -75,16 +88,12 @@
              record.version_.incarnation_);
     if (starts_serving) {
       target->load_.reset();
-      // When the daemon starts, all targets are new to it, but they have
-      // already ramped up.
-      target->serving_since_ =
-          has_targets_ ? now : state::Millis(-kEjectionTime.value() * 1e6);
+      target->serving_since_ = is_collecting ? now - kRampedUpAge : now;
     }
     target->record_ = std::make_unique<TargetRecord>(record);
     AdmitMember(target.get());
     targets_.emplace(record.target_, std::move(target));
   }
-  has_targets_ = has_targets_ || !targets.empty();
   // Each daemon has one target, and all daemons share the retries that a
   // service may have in a second.
   for (auto& [name, service] : services_) {
--- a/src/coordination/internal/strategy.cc
+++ b/src/coordination/internal/strategy.cc
@@ -250,12 +250,8 @@
   static double ExpectedMillis(const Candidate& candidate,
                                const AverageLoad& average) {
     const state::GuardLoad& load = candidate.load_;
-    const double weight = Weight(candidate, kInFlightHalfLifeMs);
-    const double in_flight = candidate.own_in_flight_ +
-                             weight * OtherRequests(candidate) +
-                             (1 - weight) * average.other_requests_;
-    const double slots = std::max(
-        1.0, candidate.slots_ * std::max(0.1, candidate.ramp_up_fraction_));
+    const double ramp_up = std::max(0.1, candidate.ramp_up_fraction_);
+    const double slots = std::max(1.0, candidate.slots_ * ramp_up);
     const double usual_ms = load.service_time_ > state::Millis(0)
                                 ? load.service_time_.value()
                                 : average.service_ms_;
@@ -268,12 +264,36 @@
                                                   load.service_time_percent_)
                                   .value() +
         (1 - service_time_weight) * kUnknownServiceTimeFactor * usual_ms;
+    const double in_flight =
+        candidate.own_in_flight_ +
+        std::max(OthersByAverage(candidate, average) * ramp_up,
+                 OthersLeft(candidate, service_ms));
     const double utilization = in_flight / slots;
     const double rounds = std::max(1.0, (in_flight + 1) / slots);
     return candidate.link_latency_.value() +
            service_ms * (rounds + kFullTargetSlowdown * utilization);
   }
 
+  // Returns the expected number of requests of other daemons, which approaches
+  // the average with the age of the report.
+  static double OthersByAverage(const Candidate& candidate,
+                                const AverageLoad& average) {
+    const double weight = Weight(candidate, kInFlightHalfLifeMs);
+    return weight * OtherRequests(candidate) +
+           (1 - weight) * average.other_requests_;
+  }
+
+  // Returns how many of the reported requests cannot have ended yet: a long
+  // queue lasts longer than the average load says.
+  static double OthersLeft(const Candidate& candidate, double service_ms) {
+    if (!candidate.has_load_) {
+      return 0;
+    }
+    const double ended = candidate.load_age_.value() * candidate.slots_ /
+                         std::max(1.0, service_ms);
+    return OtherRequests(candidate) - ended;
+  }
+
   bool best_is_late_ = false;
 };
 
