Route by the route's own run times and the measured round trips

Cause: each guard reports the mean service time of its recent requests. A target that had just answered a few short requests reported a mean of a few milliseconds, looked empty with a hundred requests in its queue, and drew the calls of all ingresses while other targets were idle.

Change: an answer reports for how long the target ran the request. The ingress keeps these times for each route over all targets, predicts the requests ahead by the average over all targets, and the call itself by its route. It measures the round trips to the failure domains instead of assuming usual ones.

--- a/src/coordination/api/messages.h
+++ b/src/coordination/api/messages.h
@@ -84,6 +84,9 @@
   const std::string target_ = {};
   // Time from receiving the attempt to this answer, measured at the guard.
   const state::Millis guard_time_ = {};
+  // The part of it for which the target ran the request; 0 if it did not
+  // answer.
+  const state::Millis run_time_ = {};
 
   friend bool operator==(const AttemptAnswer&, const AttemptAnswer&) = default;
 };
--- a/src/coordination/api/router.h
+++ b/src/coordination/api/router.h
@@ -36,6 +36,15 @@
 // How an attempt ended, in the terms that routing distinguishes.
 enum class AttemptEnd { kServed, kRefused, kFailed, kLost, kCancelled };
 
+// What a served attempt shows of its route and of the link to its target.
+struct ServedAttempt {
+  const std::string route_ = {};
+  const size_t bytes_ = 0;  // Of the request's and the answer's bodies.
+  const state::Millis guard_time_ = {};
+  // Time for which the target ran the request; 0 when it is not reported.
+  const state::Millis run_time_ = {};
+};
+
 struct AttemptOutcome {
   const std::string service_ = {};
   const std::string target_ = {};
@@ -43,6 +52,8 @@
   const state::Millis latency_ = {};
   // Load that the answer reported; nothing without an answer.
   const std::optional<state::GuardLoad> load_ = {};
+  // Set for kServed, if the times are known.
+  const std::optional<ServedAttempt> served_ = {};
 };
 
 // Chooses targets for the calls that this daemon accepts, based on membership,
@@ -79,8 +90,6 @@
   // Charges a probe of `address` and its reply to the load budget and counts
   // them. Returns false when the budget is spent.
   bool TakeProbe(const std::string& address, state::Millis now);
-  // Records the size of a call's request and answer together, in bytes.
-  void OnSize(absl::string_view route, size_t bytes);
   // Records a load that the target's guard reported outside an answer.
   void OnLoad(absl::string_view target,
               const state::GuardLoad& load,
--- a/src/coordination/api/strategy.h
+++ b/src/coordination/api/strategy.h
@@ -25,8 +25,7 @@
   const bool has_load_ = false;
   const state::GuardLoad load_ = {};
   const state::Millis load_age_ = {};
-  // Round-trip time to the guard, less that to a guard in the own failure
-  // domain.
+  // Round-trip time to the guard.
   const state::Millis link_latency_ = {};
   // Cost of the call's bytes on the link, as a fraction of the call's value.
   const double link_cost_ = 0;
@@ -34,6 +33,8 @@
   // value; 0 when unknown.
   const state::Millis objective_left_ = {};
   const state::Millis deadline_left_ = {};
+  // Time that the call's route usually takes at a target; 0 when unknown.
+  const state::Millis usual_run_time_ = {};
   const int slots_ = 1;
   // Fraction of its slots, from 0 to 1, that a target may use while it ramps
   // up.
--- a/src/coordination/internal/call.cc
+++ b/src/coordination/internal/call.cc
@@ -79,7 +79,8 @@
 bool AttemptSet::End(uint32_t number,
                      AttemptEnd end,
                      const std::optional<state::GuardLoad>& load,
-                     state::Millis now) {
+                     state::Millis now,
+                     const std::optional<ServedAttempt>& served) {
   std::vector<OpenAttempt> still_open;
   bool found = false;
   for (const OpenAttempt& attempt : open_) {
@@ -92,7 +93,8 @@
                                   .target_ = attempt.target_.target_,
                                   .end_ = end,
                                   .latency_ = now - attempt.sent_at_,
-                                  .load_ = load},
+                                  .load_ = load,
+                                  .served_ = served},
                    now);
   }
   open_.swap(still_open);
--- a/src/coordination/internal/call.h
+++ b/src/coordination/internal/call.h
@@ -80,7 +80,8 @@
   bool End(uint32_t number,
            AttemptEnd end,
            const std::optional<state::GuardLoad>& load,
-           state::Millis now);
+           state::Millis now,
+           const std::optional<ServedAttempt>& served = std::nullopt);
   // Ends all open attempts, and returns the cancels for their guards.
   Commands CancelAll(state::Millis now);
   // Returns requests to answer the open attempts at this address on the new
--- a/src/coordination/internal/guard_delivery.cc
+++ b/src/coordination/internal/guard_delivery.cc
@@ -11,6 +11,12 @@
 using state::RegisterOperation;
 using state::TargetState;
 
+// Errors are often answered much sooner than requests that are served.
+bool IsSuccess(int status) {
+  constexpr int kFirstError = 400;
+  return status < kFirstError;
+}
+
 // A request that had less time than this and whose deadline passed before a
 // byte was sent says nothing about its target.
 constexpr state::Millis kConnectTime(100);
@@ -73,12 +79,15 @@
                                  state::Millis now) {
   const GuardWork& work = running.work_;
   latency_.Add(now - running.started_);
-  RecordServiceTime(running, now - running.started_);
+  if (IsSuccess(answer.status_)) {
+    RecordServiceTime(running, now - running.started_);
+  }
   Commands commands = {Reply(
       work.connection_, AttemptAnswer{.request_id_ = work.attempt_.request_id_,
                                       .attempt_ = work.attempt_.attempt_,
                                       .answer_ = answer,
-                                      .guard_time_ = now - work.arrival_})};
+                                      .guard_time_ = now - work.arrival_,
+                                      .run_time_ = now - running.started_})};
   if (IsKeyed(work.attempt_)) {
     Append(&commands,
            CallRegister(kNoDelivery, running, RegisterOperation::kFinish,
--- a/src/coordination/internal/guard_resume.cc
+++ b/src/coordination/internal/guard_resume.cc
@@ -24,7 +24,8 @@
                             .answer_ = answer.answer_,
                             .load_ = Load(),
                             .target_ = target_.announcement().target_,
-                            .guard_time_ = answer.guard_time_};
+                            .guard_time_ = answer.guard_time_,
+                            .run_time_ = answer.run_time_};
   recent_answers_.Add(id, reply);
   const auto resumed = resumed_connections_.extract(id);
   return ReplyToPeer{
--- a/src/coordination/internal/lookup_calls.cc
+++ b/src/coordination/internal/lookup_calls.cc
@@ -93,13 +93,16 @@
   const AttemptEnd end = is_served    ? AttemptEnd::kServed
                          : is_refused ? AttemptEnd::kRefused
                                       : AttemptEnd::kFailed;
-  if (!lookup->attempts_.End(answer.attempt_, end, answer.load_, now)) {
+  const ServedAttempt served{.route_ = lookup->call_.route_,
+                             .bytes_ = lookup->call_.request_.body_.size() +
+                                       answer.answer_.body_.size(),
+                             .guard_time_ = answer.guard_time_,
+                             .run_time_ = answer.run_time_};
+  if (!lookup->attempts_.End(answer.attempt_, end, answer.load_, now, served)) {
     counters_->Add(state::Counter::kAnswersLate);
     return Commands();
   }
   if (is_served) {
-    router_->OnSize(lookup->call_.route_, lookup->call_.request_.body_.size() +
-                                              answer.answer_.body_.size());
     return Finish(lookup, CompleteAnswer(lookup->call_, answer, now), now);
   }
   if (is_refused) {
--- a/src/coordination/internal/router.cc
+++ b/src/coordination/internal/router.cc
@@ -79,10 +79,6 @@
   return impl_->TakeProbe(address, now);
 }
 
-void Router::OnSize(absl::string_view route, size_t bytes) {
-  impl_->OnSize(route, bytes);
-}
-
 void Router::OnLoad(absl::string_view target,
                     const state::GuardLoad& load,
                     state::Millis now) {
--- a/src/coordination/internal/router_choice.cc
+++ b/src/coordination/internal/router_choice.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 
+#include "coordination/api/service_time.h"
+
 namespace gooseberrygap::coordination {
 
 namespace {
@@ -10,9 +12,6 @@
 using state::TargetRecord;
 using state::TargetState;
 
-// Round trips beyond the own failure domain, from the platform's latencies.
-constexpr state::Millis kRegionRoundTrip(2);
-constexpr state::Millis kCrossRegionRoundTrip(24);
 // Bytes charged to the cross-region budget for a call. Its size is unknown when
 // it is sent, so one packet is charged.
 constexpr double kChargedCallBytes = 1500;
@@ -148,14 +147,6 @@
   return *targets[index]->record_;
 }
 
-LinkClass Router::Impl::LinkTo(const TargetRecord& record) const {
-  if (record.region_ != self_.region_) {
-    return LinkClass::kCrossRegion;
-  }
-  return record.failure_domain_ == self_.failure_domain_ ? LinkClass::kDomain
-                                                         : LinkClass::kRegion;
-}
-
 double Router::Impl::LinkCost(LinkClass link, const ChoiceQuery& query) const {
   const auto entry = call_kilobytes_.find(query.route_);
   const double kilobytes =
@@ -170,8 +161,6 @@
                                     const state::Service& policy,
                                     const ChoiceQuery& query,
                                     state::Millis now) const {
-  constexpr state::Millis kLinkLatency[] = {state::Millis(0), kRegionRoundTrip,
-                                            kCrossRegionRoundTrip};
   const double ramp_up_ms = std::max(1.0, policy.ramp_up_.value());
   const double ramp = (now - target.serving_since_).value() / ramp_up_ms;
   const LinkClass link = LinkTo(*target.record_);
@@ -180,15 +169,36 @@
                    .has_load_ = target.load_.has_value(),
                    .load_ = target.load_.value_or(state::GuardLoad{}),
                    .load_age_ = now - target.load_at_,
-                   .link_latency_ = kLinkLatency[static_cast<size_t>(link)],
+                   .link_latency_ = link_times_.For(*target.record_),
                    .link_cost_ = LinkCost(link, query),
                    .objective_left_ = query.objective_left_,
                    .deadline_left_ = query.deadline_left_,
+                   .usual_run_time_ = route_times_.ForRoute(query.route_),
                    .slots_ = target.record_->slots_,
                    .ramp_up_fraction_ = std::clamp(ramp, 0.0, 1.0)};
 }
 
-void Router::Impl::OnSize(absl::string_view route, size_t bytes) {
+void Router::Impl::OnServed(const Target& target,
+                            const AttemptOutcome& outcome,
+                            const ServedAttempt& served) {
+  if (served.route_.empty()) {
+    return;
+  }
+  RecordSize(served.route_, served.bytes_);
+  link_times_.Add(*target.record_, outcome.latency_ - served.guard_time_);
+  const int percent =
+      outcome.load_.has_value() ? outcome.load_->service_time_percent_ : 0;
+  if (served.run_time_ <= state::Millis(0) || IsSlowServiceTime(percent)) {
+    return;
+  }
+  if (IsUsualServiceTime(percent)) {
+    route_times_.Add(served.route_, served.run_time_);
+  } else {
+    route_times_.AddAtSpeed(served.route_, served.run_time_, percent);
+  }
+}
+
+void Router::Impl::RecordSize(const std::string& route, size_t bytes) {
   constexpr double kSampleWeight = 0.1;
   const double kilobytes =
       (static_cast<double>(bytes) + kHeaderBytes) / kBytesPerKilobyte;
--- a/src/coordination/internal/router_impl.h
+++ b/src/coordination/internal/router_impl.h
@@ -10,8 +10,10 @@
 #include "absl/container/flat_hash_map.h"
 #include "coordination/coordination.h"
 #include "coordination/internal/latency_window.h"
+#include "coordination/internal/link_times.h"
 #include "coordination/internal/load_meter.h"
 #include "coordination/internal/ratio_budget.h"
+#include "coordination/internal/service_times.h"
 
 namespace gooseberrygap::coordination {
 
@@ -32,6 +34,7 @@
       : self_(self),
         random_(random),
         counters_(counters),
+        link_times_(self),
         load_meter_(counters) {}
 
   void UpdateConfiguration(const state::Configuration& configuration);
@@ -44,7 +47,6 @@
   void OnSent(absl::string_view target, state::Millis);
   void OnEnd(const AttemptOutcome& outcome, state::Millis now);
   bool TakeProbe(const std::string& address, state::Millis now);
-  void OnSize(absl::string_view route, size_t bytes);
   void OnLoad(absl::string_view target,
               const state::GuardLoad& load,
               state::Millis now);
@@ -79,7 +81,14 @@
   };
 
   static bool IsProbed(const ServiceState& service, state::Millis now);
-  LinkClass LinkTo(const state::TargetRecord& record) const;
+  LinkClass LinkTo(const state::TargetRecord& record) const {
+    return link_times_.ClassOf(record);
+  }
+  void OnServed(const Target& target,
+                const AttemptOutcome& outcome,
+                const ServedAttempt& served);
+  // Records the size of a call, in bytes.
+  void RecordSize(const std::string& route, size_t bytes);
   // Makes the target a member of its service if the admission policy allows it.
   void AdmitMember(Target* target);
   // Returns the targets on this or the other side of the region's border that
@@ -127,6 +136,8 @@
   absl::flat_hash_map<std::string, std::unique_ptr<Target>> targets_;
   // Smoothed size of the calls of each route, in kilobytes.
   absl::flat_hash_map<std::string, double> call_kilobytes_;
+  ServiceTimes route_times_;  // Of all targets, for each route.
+  LinkTimes link_times_;
   std::optional<state::Millis> first_targets_at_;  // First known targets.
   LoadMeter load_meter_;
   state::TokenBucket cross_region_bytes_;
--- a/src/coordination/internal/router_load.cc
+++ b/src/coordination/internal/router_load.cc
@@ -46,6 +46,9 @@
   }
   if (outcome.end_ == AttemptEnd::kServed) {
     target->failures_ = 0;
+    if (outcome.served_.has_value()) {
+      OnServed(*target, outcome, *outcome.served_);
+    }
   } else if (outcome.end_ == AttemptEnd::kFailed) {
     ++target->failures_;
     EjectIfFailing(target, now);
--- a/src/coordination/internal/strategy.cc
+++ b/src/coordination/internal/strategy.cc
@@ -249,29 +249,36 @@
 
   static double ExpectedMillis(const Candidate& candidate,
                                const AverageLoad& average) {
-    const state::GuardLoad& load = candidate.load_;
     const double ramp_up = std::max(0.1, candidate.ramp_up_fraction_);
     const double slots = std::max(1.0, candidate.slots_ * ramp_up);
-    const double usual_ms = load.service_time_ > state::Millis(0)
-                                ? load.service_time_.value()
-                                : average.service_ms_;
-    const double service_time_weight =
-        load.service_time_percent_ > 0
-            ? Weight(candidate, kServiceTimeHalfLifeMs)
-            : 0;
-    const double service_ms =
-        service_time_weight * ExpectedServiceTime(state::Millis(usual_ms),
-                                                  load.service_time_percent_)
-                                  .value() +
-        (1 - service_time_weight) * kUnknownServiceTimeFactor * usual_ms;
+    // The mean of one target's recent requests depends on which routes they
+    // were of, so that the average of all targets predicts the requests ahead
+    // better.
+    const double ahead_ms = ExpectedAtSpeed(candidate, average.service_ms_);
+    const double run_ms =
+        candidate.usual_run_time_ > state::Millis(0)
+            ? ExpectedAtSpeed(candidate, candidate.usual_run_time_.value())
+            : ahead_ms;
     const double in_flight =
         candidate.own_in_flight_ +
         std::max(OthersByAverage(candidate, average) * ramp_up,
-                 OthersLeft(candidate, service_ms));
+                 OthersLeft(candidate, ahead_ms));
     const double utilization = in_flight / slots;
     const double rounds = std::max(1.0, (in_flight + 1) / slots);
-    return candidate.link_latency_.value() +
-           service_ms * (rounds + kFullTargetSlowdown * utilization);
+    return candidate.link_latency_.value() + ahead_ms * (rounds - 1) +
+           run_ms * (1 + kFullTargetSlowdown * utilization);
+  }
+
+  // Returns the expected duration of work that usually takes `usual_ms`, at the
+  // speed of the target that its last report gives.
+  static double ExpectedAtSpeed(const Candidate& candidate, double usual_ms) {
+    const int percent = candidate.load_.service_time_percent_;
+    const double weight =
+        percent > 0 ? Weight(candidate, kServiceTimeHalfLifeMs) : 0;
+    const double at_reported_speed =
+        ExpectedServiceTime(state::Millis(usual_ms), percent).value();
+    return weight * at_reported_speed +
+           (1 - weight) * kUnknownServiceTimeFactor * usual_ms;
   }
 
   // Returns the expected number of requests of other daemons, which approaches
--- a/src/coordination/internal/work_queue.h
+++ b/src/coordination/internal/work_queue.h
@@ -9,38 +9,10 @@
 #include <vector>
 
 #include "coordination/internal/guard_work.h"
+#include "coordination/internal/service_times.h"
 
 namespace gooseberrygap::coordination {
 
-// Smoothed usual service times of a target for each route. Times are recorded
-// while work takes its usual time there, and in addition, until the first of
-// these, while the machine has another known speed: a target that is cold after
-// its start would otherwise admit any number of requests. Not thread-safe.
-class ServiceTimes {
- public:
-  // Records a time that was measured at the usual speed.
-  void Add(const std::string& route, state::Millis time);
-  // Records a time that was measured while work took `percent` of its usual
-  // time. Precondition: `percent` is above 0.
-  void AddAtSpeed(const std::string& route, state::Millis time, int percent);
-  // Returns the mean of the route, or of all routes while the route has none.
-  state::Millis For(const std::string& route) const;
-  state::Millis mean() const;
-
- private:
-  struct Estimates {
-    std::map<std::string, LatencyEstimate> routes_;
-    LatencyEstimate all_;
-
-    void Add(const std::string& route, state::Millis time);
-    // Returns 0 without a sample.
-    state::Millis For(const std::string& route) const;
-  };
-
-  Estimates usual_;
-  Estimates converted_;  // Measured at other speeds.
-};
-
 // Work that waits for a slot of the target. Under a load above the target's
 // capacity, work that can still be answered within its objective starts first,
 // by priority and then by arrival, and work that no longer can is to be
--- a/src/protocol/internal/peer_codec.cc
+++ b/src/protocol/internal/peer_codec.cc
@@ -115,6 +115,7 @@
     ToWire(message.load_, out->mutable_load());
     out->set_target(message.target_);
     out->set_guard_time(message.guard_time_.value());
+    out->set_run_time(message.run_time_.value());
   }
   void operator()(const coordination::Cancel& message) const {
     wire::Cancel* out = envelope_->mutable_cancel();
@@ -375,7 +376,8 @@
       .answer_ = FromWire(in.answer(), reader),
       .load_ = FromWire(in.load(), reader),
       .target_ = in.target(),
-      .guard_time_ = reader->MillisOf(in.guard_time())};
+      .guard_time_ = reader->MillisOf(in.guard_time()),
+      .run_time_ = reader->MillisOf(in.run_time())};
 }
 
 PeerMessage ReadCancel(const wire::Envelope& envelope, WireReader*) {
