Confirm the API keys at control instances by one read for all daemons

Cause: a daemon could not know whether a configuration that removes a key had been accepted elsewhere; replies carried no confirmation of their index. A daemon that needs confirmations counts an instance that cannot give one as stale, since an instance that hears its leader but cannot reach it reports no staleness.

--- a/src/coordination/api/control_client.h
+++ b/src/coordination/api/control_client.h
@@ -13,6 +13,8 @@
 struct ControlClientOptions {
   // Services whose targets the daemon needs; "*" stands for all.
   const std::vector<std::string> services_ = {"*"};
+  // The daemon serves calls under API keys only while they are confirmed.
+  const bool requires_confirmed_keys_ = false;
 
   friend bool operator==(const ControlClientOptions&,
                          const ControlClientOptions&) = default;
@@ -65,6 +67,9 @@
   // Renews the lease when it is due, and moves it when the control instance is
   // unresponsive or stale. Call it about every 10 ms.
   Step Tick(state::Millis now);
+  // Makes the next renewal due sooner than usual. Call it while the daemon's
+  // authorization lease runs low.
+  void RenewSoon();
 
   // Returns the configuration in force; index 0 when none has been applied.
   const state::IndexedConfiguration& configuration() const;
--- a/src/coordination/internal/control_client.cc
+++ b/src/coordination/internal/control_client.cc
@@ -53,6 +53,9 @@
         counters_(counters),
         options_(std::move(options)) {
     record_.emplace(self);
+    // Above the numbers of earlier incarnations, which sent less than one
+    // renewal in a millisecond.
+    next_renewal_ = std::max<uint64_t>(self.version_.incarnation_, 1);
     SetVersion(state::LeaseVersion{
         .incarnation_ = std::max<uint64_t>(self.version_.incarnation_, 1),
         .sequence_ = 1});
@@ -104,8 +107,8 @@
       return step;
     }
     const std::optional<ControlMoveReason> move_reason =
-        choice_.OnStalenessReport(reply.control_instance_, reply.staleness_,
-                                  now);
+        choice_.OnStalenessReport(reply.control_instance_,
+                                  UsableStaleness(reply, address, now), now);
     const bool is_current = choice_.IsCurrent(reply.control_instance_, address);
     if (is_current) {
       awaiting_reply_since_.reset();
@@ -153,6 +156,10 @@
     return step;
   }
 
+  void RenewSoon() {
+    renew_at_ = std::min(renew_at_, renewed_at_ + kSuspectRenewInterval);
+  }
+
   const FollowedState& followed() const { return followed_; }
   const state::TargetRecord& record() const { return *record_; }
   const state::TargetWithdrawal& kept_withdrawal() const {
@@ -183,6 +190,25 @@
            now - *awaiting_reply_since_ >= time;
   }
 
+  // Returns how stale the replying instance is for this daemon. One that hears
+  // its leader but cannot confirm the API keys, because its own messages to the
+  // leader are lost, is of no use to a daemon that needs the confirmation.
+  state::Millis UsableStaleness(const LeaseReply& reply,
+                                const std::string& address,
+                                state::Millis now) const {
+    const bool has_keys = options_.requires_confirmed_keys_ &&
+                          followed_.configuration().index_ > 0;
+    if (!has_keys) {
+      return reply.staleness_;
+    }
+    if (reply.confirmed_index_ > 0) {
+      return std::max(reply.staleness_, reply.confirmed_age_);
+    }
+    return choice_.IsCurrent(reply.control_instance_, address)
+               ? std::max(reply.staleness_, now - followed_since_)
+               : reply.staleness_;
+  }
+
   // An instance that may have lost its leader is asked again soon, since a
   // daemon learns only from its replies that it is stale.
   void RenewEarlyIfSuspect(state::Millis staleness, state::Millis now) {
@@ -209,8 +235,13 @@
     }
     choice_.SetInstances(reply.control_members_);
     RemoveReportedCrashes(now);
+    const bool was_without_configuration =
+        followed_.configuration().index_ == 0;
     const FollowedState::Changes changes = followed_.Apply(reply, now);
     step->configuration_changed_ = changes.configuration_;
+    if (changes.configuration_ && was_without_configuration) {
+      followed_since_ = now;
+    }
     step->membership_changed_ = changes.membership_;
     step->refused_fingerprints_changed_ = changes.refused_fingerprints_;
     if (changes.needs_full_configuration_) {
@@ -256,6 +287,7 @@
         WriteLog{.event_ = ControlMovedLine(from, choice_.address(), reason,
                                             current_staleness_)});
     awaiting_reply_since_.reset();
+    followed_since_ = now;
     RaiseSequence();
     renew_at_ = now;
   }
@@ -326,7 +358,9 @@
             .membership_epoch_ = followed_.membership_epoch(),
             .membership_version_ = followed_.membership_version(),
             .services_ = options_.services_,
-            .crashes_ = crashes}}};
+            .crashes_ = crashes,
+            .renewal_ = next_renewal_++,
+            .requires_confirmed_keys_ = options_.requires_confirmed_keys_}}};
   }
 
   ControlChoice choice_;
@@ -340,6 +374,10 @@
   std::deque<ReportedCrash> crashes_;
   state::Millis renew_at_;
   state::Millis renewed_at_;
+  uint64_t next_renewal_ = 1;
+  // Time at which the current instance was chosen, or at which the first
+  // configuration came into force.
+  state::Millis followed_since_;
   // Time of the oldest renewal that the current instance has not replied to.
   std::optional<state::Millis> awaiting_reply_since_;
   // Staleness that the current instance, or the one before it, reported last.
@@ -391,6 +429,10 @@
   return impl_->Tick(now);
 }
 
+void ControlClient::RenewSoon() {
+  impl_->RenewSoon();
+}
+
 const state::IndexedConfiguration& ControlClient::configuration() const {
   return impl_->followed().configuration();
 }
--- a/src/coordination/internal/control_service.cc
+++ b/src/coordination/internal/control_service.cc
@@ -143,6 +143,7 @@
   }
   Append(&step_.commands_, ExchangeMembership(now));
   RequestRead(now);
+  RequestKeyRead(now);
   const bool can_send_now = !could_send_membership_ && CanSendMembership(now);
   // A move of a lease reaches the daemons with their next renewals: pushed at
   // once, the moves after the loss of one control instance would cost a message
--- a/src/coordination/internal/control_service_impl.h
+++ b/src/coordination/internal/control_service_impl.h
@@ -10,6 +10,7 @@
 
 #include "coordination/api/control_service.h"
 #include "coordination/internal/crash_history.h"
+#include "coordination/internal/key_confirmation.h"
 #include "coordination/internal/membership_exchange.h"
 
 namespace gooseberrygap::coordination {
@@ -119,13 +120,15 @@
   LeaseReply MakeReply(const std::string& instance,
                        Session* session,
                        Confirmation confirmation,
+                       uint64_t renewal,
                        state::Millis now);
   LeaseReply MakeRefusal(const std::string& instance, state::Millis now) const;
-  // Sends a reply to the daemon. Returns the number of membership records in
-  // it.
+  // Sends a reply to the daemon: to the renewal with this number, or a push
+  // with 0. Returns the number of membership records in it.
   size_t Reply(const std::string& instance,
                Session* session,
                Confirmation confirmation,
+               uint64_t renewal,
                state::Millis now);
   std::vector<state::TargetRecord> MembershipFor(const Session& session,
                                                  uint64_t since,
@@ -140,6 +143,8 @@
   void SchedulePush(state::Millis now);
   void Push(state::Millis now);
   void RequestRead(state::Millis now);
+  // Requests the read that keeps the confirmation of API keys recent.
+  void RequestKeyRead(state::Millis now);
   void ReplyWithConfirmed(state::Millis now);
   state::Millis Staleness(state::Millis now) const;
   // Returns the members of the group, with the regions from their records.
@@ -207,6 +212,7 @@
   std::set<std::string> awaiting_read_answer_;
   std::multimap<uint64_t, std::string> awaiting_apply_;
   uint64_t next_read_id_ = 1;
+  KeyConfirmation key_confirmation_;
   std::optional<uint64_t> read_in_flight_;
   // Time from which the next read index may be requested, even if the last one
   // has not been answered.
--- a/src/coordination/internal/control_service_leases.cc
+++ b/src/coordination/internal/control_service_leases.cc
@@ -44,7 +44,11 @@
   }
   counters_->Add(state::Counter::kLeasesRenewed);
   Session* session = UpdateSession(connection, renew, now);
-  Reply(renew.instance_, session, Confirmation::kUnconfirmed, now);
+  if (renew.requires_confirmed_keys_) {
+    key_confirmation_.Require(session->lease_until_, now);
+  }
+  Reply(renew.instance_, session, Confirmation::kUnconfirmed, renew.renewal_,
+        now);
   if (session->requires_confirmed_) {
     awaiting_read_request_.insert(renew.instance_);
     RequestRead(now);
@@ -120,8 +124,10 @@
 size_t ControlService::Impl::Reply(const std::string& instance,
                                    Session* session,
                                    Confirmation confirmation,
+                                   uint64_t renewal,
                                    state::Millis now) {
-  const LeaseReply reply = MakeReply(instance, session, confirmation, now);
+  const LeaseReply reply =
+      MakeReply(instance, session, confirmation, renewal, now);
   step_.commands_.push_back(
       ReplyToPeer{.connection_ = session->connection_, .message_ = reply});
   return reply.membership_.size();
@@ -130,6 +136,8 @@
 LeaseReply ControlService::Impl::MakeRefusal(const std::string& instance,
                                              state::Millis now) const {
   const state::MembershipRecord* known = table_.Find(instance);
+  const std::optional<KeyConfirmation::Confirmed> confirmed =
+      key_confirmation_.Last(now);
   return LeaseReply{
       .control_instance_ = self_.instance_,
       .granted_ = false,
@@ -137,12 +145,16 @@
           known == nullptr ? 0 : known->record_.version_.incarnation_,
       .staleness_ = Staleness(now),
       .leader_address_ =
-          status_.has_value() ? status_->leader_address_ : std::string()};
+          status_.has_value() ? status_->leader_address_ : std::string(),
+      .confirmed_index_ = confirmed.has_value() ? confirmed->index_ : 0,
+      .confirmed_age_ =
+          confirmed.has_value() ? now - confirmed->at_ : state::Millis(0)};
 }
 
 LeaseReply ControlService::Impl::MakeReply(const std::string& instance,
                                            Session* session,
                                            Confirmation confirmation,
+                                           uint64_t renewal,
                                            state::Millis now) {
   const state::IndexedConfiguration current = configurations_.current();
   const bool is_confirmed = confirmation == Confirmation::kConfirmed;
@@ -191,6 +203,9 @@
       .control_members_ = ControlMembers(),
       .withdrawal_ = known == nullptr ? state::TargetWithdrawal()
                                       : known->record_.withdrawal_,
+      .renewal_ = renewal,
+      .confirmed_index_ = common_fields.confirmed_index_,
+      .confirmed_age_ = common_fields.confirmed_age_,
       .evacuations_ = evacuations_.Snapshot()};
 }
 
@@ -247,7 +262,7 @@
   for (auto& [instance, session] : sessions_) {
     const bool may_send = sends_membership || session.membership_epoch_ == 0;
     if (all || (may_send && HasUnpushedChanges(session))) {
-      records += Reply(instance, &session, Confirmation::kUnconfirmed, now);
+      records += Reply(instance, &session, Confirmation::kUnconfirmed, 0, now);
     }
   }
   next_push_at_ = now + state::Millis(static_cast<double>(records) /
@@ -265,8 +280,22 @@
   step_.read_ids_.push_back(*read_in_flight_);
 }
 
+void ControlService::Impl::RequestKeyRead(state::Millis now) {
+  if (!key_confirmation_.IsReadDue(now)) {
+    return;
+  }
+  const uint64_t read_id = next_read_id_++;
+  key_confirmation_.OnReadStarted(read_id, now);
+  step_.read_ids_.push_back(read_id);
+}
+
 void ControlService::Impl::On(const ReadIndexAnswered& event,
                               state::Millis now) {
+  if (key_confirmation_.OnReadAnswered(event)) {
+    key_confirmation_.OnApplied(applied_index_,
+                                configurations_.current().index_);
+    return;
+  }
   if (read_in_flight_ != event.read_id_) {
     return;
   }
@@ -284,13 +313,14 @@
 }
 
 void ControlService::Impl::ReplyWithConfirmed(state::Millis now) {
+  key_confirmation_.OnApplied(applied_index_, configurations_.current().index_);
   while (!awaiting_apply_.empty() &&
          awaiting_apply_.begin()->first <= applied_index_) {
     const std::string instance = awaiting_apply_.begin()->second;
     awaiting_apply_.erase(awaiting_apply_.begin());
     const auto session = sessions_.find(instance);
     if (session != sessions_.end()) {
-      Reply(instance, &session->second, Confirmation::kConfirmed, now);
+      Reply(instance, &session->second, Confirmation::kConfirmed, 0, now);
     }
   }
 }
