Serve calls with API keys only under a valid authorization lease

Change: AuthorizationLease counts from the sending of a renewal; AccessCheck decides at receipt and again before each retry and hedge, by the newest configuration in force; guards refuse queued work, and the target duty and the peer duty do not begin to send after the end of the lease. Metrics: calls by access decision, lease time left, age of the confirmation; log lines for a lost and a regained lease. Counters gets gauges. The work queue compares the tenant's priority before the route's.

--- a/src/coordination/api/commands.h
+++ b/src/coordination/api/commands.h
@@ -18,6 +18,9 @@
 struct SendToPeer {
   const std::string address_ = {};
   const PeerMessage message_ = {};
+  // Point on the daemon's clock from which the message must not be sent any
+  // more. Set for attempts only, whose sender then gets a refusal.
+  const std::optional<state::Millis> send_before_ = {};
 };
 
 // Replies on a connection that a peer opened. `connection_` is the connection
@@ -75,6 +78,9 @@
   // The daemon's own request for the target's load, not a caller's request.
   const bool is_load_probe_ = false;
   const state::Millis timeout_ = {};
+  // Point on the daemon's clock from which the request must not be begun to be
+  // sent: the API key of the call is not known to be valid any more.
+  const std::optional<state::Millis> send_before_ = {};
   // Use only a new connection, or one that was idle for a short time at most.
   const bool fresh_connection_ = false;
 };
--- a/src/coordination/api/events.h
+++ b/src/coordination/api/events.h
@@ -55,6 +55,7 @@
   kAnswered,          // The answer is complete.
   kConnectFailed,     // No byte of the request was sent.
   kNotSent,           // Not tried: the queue to the target workers was full.
+  kTooLateToSend,     // No byte was sent before the delivery's `send_before_`.
   kIncompleteAnswer,  // Sent in part or in full; the answer is missing or
                       // incomplete.
   kTimeout,           // Sent; no complete answer within the timeout.
--- a/src/coordination/api/ingress.h
+++ b/src/coordination/api/ingress.h
@@ -14,17 +14,21 @@
 
 namespace gooseberrygap::coordination {
 
+class AuthorizationLease;
+
 // Decides for the calls that this daemon accepts: classifies them, sends
 // attempts, retries and hedges lookups within their budgets, and resolves
 // actions through the register. Not thread-safe.
 class Ingress {
  public:
   // `request_id_prefix` is unique to this daemon's incarnation. The router, the
-  // register client and the counters must outlive the ingress.
+  // register client, the counters and the lease must outlive the ingress.
+  // Without a lease API keys need no confirmation.
   Ingress(std::string request_id_prefix,
           Router* router,
           RegisterClient* register_client,
-          state::Counters* counters);
+          state::Counters* counters,
+          const AuthorizationLease* lease = nullptr);
   ~Ingress();
 
   // Applies a configuration to the calls received from now on.
--- a/src/coordination/internal/action_calls.cc
+++ b/src/coordination/internal/action_calls.cc
@@ -49,7 +49,7 @@
 
 Commands ActionCalls::OnCall(const ClassifiedCall& call, state::Millis now) {
   const auto [entry, inserted] = actions_.emplace(
-      call.request_id_, std::make_unique<Action>(call, router_));
+      call.request_id_, std::make_unique<Action>(call, router_, access_));
   Action* action = entry->second.get();
   const state::Millis margin =
       std::min(kFenceMargin, (call.deadline_ - now) / 4);
@@ -139,10 +139,20 @@
 Commands ActionCalls::SendNext(Action* action, state::Millis now) {
   const ClassifiedCall& call = action->call_;
   AttemptSet& attempts = action->attempts_;
-  const AttemptSet::NextTarget next = attempts.ChooseNext(now);
+  const RefusalReason denial = attempts.CheckAccess(now);
+  const AttemptSet::NextTarget next = denial == RefusalReason::kNone
+                                          ? attempts.ChooseNext(now)
+                                          : AttemptSet::NextTarget();
   if (!next.target_.has_value()) {
     if (attempts.sent() == 0) {
-      return Finish(action, NotRunAnswer(call, RefusalReason::kNoTarget), now);
+      return Finish(action,
+                    NotRunAnswer(call, denial == RefusalReason::kNone
+                                           ? RefusalReason::kNoTarget
+                                           : denial),
+                    now);
+    }
+    if (denial != RefusalReason::kNone) {
+      action->last_reason_ = denial;
     }
     action->no_more_attempts_ = true;
     return Fence(action, action->register_attempt_, now);
@@ -191,7 +201,9 @@
   }
   const bool is_final =
       action->no_more_attempts_ || action->refusals_ >= kMaxRefusals ||
-      answer.refusal_ == RefusalReason::kPoisoned || now >= action->fence_at_;
+      answer.refusal_ == RefusalReason::kPoisoned ||
+      answer.refusal_ == RefusalReason::kAuthorizationExpired ||
+      now >= action->fence_at_;
   if (is_final) {
     action->no_more_attempts_ = true;
     return Fence(action, action->register_attempt_, now);
--- a/src/coordination/internal/action_calls.h
+++ b/src/coordination/internal/action_calls.h
@@ -17,8 +17,10 @@
  public:
   ActionCalls(Router* router,
               RegisterClient* register_client,
+              const AccessCheck* access,
               state::Counters* counters)
       : router_(router),
+        access_(access),
         register_client_(register_client),
         counters_(counters) {}
 
@@ -42,8 +44,10 @@
   };
 
   struct Action {
-    explicit Action(const ClassifiedCall& classified, Router* router)
-        : call_(classified), attempts_(call_, router) {}
+    Action(const ClassifiedCall& classified,
+           Router* router,
+           const AccessCheck* access)
+        : call_(classified), attempts_(call_, router, access) {}
 
     const ClassifiedCall call_;
     AttemptSet attempts_;
@@ -80,6 +84,7 @@
                         state::Millis now);
 
   Router* const router_;
+  const AccessCheck* const access_;
   RegisterClient* const register_client_;
   state::Counters* const counters_;
   std::map<std::string, std::unique_ptr<Action>> actions_;
--- a/src/coordination/internal/call.cc
+++ b/src/coordination/internal/call.cc
@@ -46,34 +46,42 @@
       OpenAttempt{.number_ = number, .target_ = target, .sent_at_ = now});
   tried_.push_back(target.target_);
   router_->OnSent(target.target_, now);
+  const std::optional<state::Millis> authorized_until =
+      access_->AuthorizedUntil(call_.tenant_, now);
   return SendToPeer{
       .address_ = target.guard_address_,
-      .message_ = Attempt{
-          .request_id_ = call_.request_id_,
-          .attempt_ = number,
-          .service_ = call_.service_->name_,
-          .target_ = target.target_,
-          .request_ = call_.request_,
-          .deadline_left_ = call_.deadline_ - now,
-          .depth_ = call_.depth_,
-          .request_class_ = call_.request_class_,
-          .configuration_index_ = call_.configuration_index_,
-          .may_queue_ = options.may_queue_,
-          .is_hedged_ = options.is_hedged_,
-          .run_alone_ = options.run_alone_,
-          .objective_left_ = call_.objective_ - now,
-          .priority_ = call_.priority_,
-          .origin_service_ = call_.origin_service_,
-          .host_ = call_.host_,
-          .route_ = call_.route_,
-          .tenant_ = call_.tenant_.has_value() ? (*call_.tenant_)->name_
-                                               : std::string(),
-          .tenant_priority_ =
-              call_.tenant_.has_value() ? (*call_.tenant_)->priority_ : 0,
-          .unkeyed_ = call_.is_unkeyed_,
-          .key_ = call_.key_,
-          .digest_ = call_.digest_,
-          .register_attempt_ = options.register_attempt_}};
+      .message_ =
+          Attempt{.request_id_ = call_.request_id_,
+                  .attempt_ = number,
+                  .service_ = call_.service_->name_,
+                  .target_ = target.target_,
+                  .request_ = call_.request_,
+                  .deadline_left_ = call_.deadline_ - now,
+                  .depth_ = call_.depth_,
+                  .request_class_ = call_.request_class_,
+                  .configuration_index_ = call_.configuration_index_,
+                  .may_queue_ = options.may_queue_,
+                  .is_hedged_ = options.is_hedged_,
+                  .run_alone_ = options.run_alone_,
+                  .objective_left_ = call_.objective_ - now,
+                  .priority_ = call_.priority_,
+                  .origin_service_ = call_.origin_service_,
+                  .host_ = call_.host_,
+                  .route_ = call_.route_,
+                  .tenant_ = call_.tenant_.has_value() ? (*call_.tenant_)->name_
+                                                       : std::string(),
+                  .tenant_priority_ = call_.tenant_.has_value()
+                                          ? (*call_.tenant_)->priority_
+                                          : 0,
+                  .authorization_left_ =
+                      authorized_until.has_value()
+                          ? std::optional(*authorized_until - now)
+                          : std::nullopt,
+                  .unkeyed_ = call_.is_unkeyed_,
+                  .key_ = call_.key_,
+                  .digest_ = call_.digest_,
+                  .register_attempt_ = options.register_attempt_},
+      .send_before_ = authorized_until};
 }
 
 bool AttemptSet::End(uint32_t number,
--- a/src/coordination/internal/call.h
+++ b/src/coordination/internal/call.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "coordination/coordination.h"
+#include "coordination/internal/access_check.h"
 
 namespace gooseberrygap::coordination {
 
@@ -41,6 +42,9 @@
   const bool is_unkeyed_ = false;
   // The tenant whose API key the call had, if any.
   const std::optional<state::Shared<state::Tenant>> tenant_ = {};
+  // That key, which stays in this process: it is looked up again before each
+  // attempt.
+  const std::string api_key_ = {};
   const state::AllowedRegions allowed_regions_ = {};
 };
 
@@ -55,8 +59,15 @@
 // router.
 class AttemptSet {
  public:
-  AttemptSet(const ClassifiedCall& call, Router* router)
-      : call_(call), router_(router) {}
+  AttemptSet(const ClassifiedCall& call,
+             Router* router,
+             const AccessCheck* access)
+      : call_(call), router_(router), access_(access) {}
+
+  // Returns why the credentials of the call allow no further attempt, or kNone.
+  state::RefusalReason CheckAccess(state::Millis now) const {
+    return access_->CheckAgain(call_.tenant_, call_.api_key_, now);
+  }
 
   // Target for the next attempt, if there is one. With `all_tried_`, only
   // targets that the call has already tried were available.
@@ -72,7 +83,7 @@
     const bool run_alone_ = false;
     const uint64_t register_attempt_ = 0;
   };
-  // Sends the next attempt to the target.
+  // Sends the next attempt to the target. Precondition: CheckAccess allows it.
   SendToPeer Send(const state::TargetRecord& target,
                   const SendOptions& options,
                   state::Millis now);
@@ -96,6 +107,7 @@
  private:
   const ClassifiedCall& call_;
   Router* const router_;
+  const AccessCheck* const access_;
   std::vector<OpenAttempt> open_;
   std::vector<std::string> tried_;
   uint32_t sent_ = 0;
--- a/src/coordination/internal/guard.cc
+++ b/src/coordination/internal/guard.cc
@@ -70,7 +70,10 @@
   }
   recent_peers_.OnWork(connection, now);
   last_work_ = now;
-  RefusalReason refusal = target_.CheckState(attempt);
+  const bool is_expired = attempt.authorization_left_.value_or(
+                              state::Millis(1)) <= state::Millis(0);
+  RefusalReason refusal = is_expired ? RefusalReason::kAuthorizationExpired
+                                     : target_.CheckState(attempt);
   if (refusal == RefusalReason::kNone) {
     refusal = attempt.host_.empty()
                   ? target_.CheckLoad(attempt, running_count(), queued_count(),
@@ -86,6 +89,10 @@
       .attempt_ = attempt,
       .arrival_ = now,
       .deadline_ = deadline,
+      .authorized_until_ =
+          attempt.authorization_left_.has_value()
+              ? std::optional(now + *attempt.authorization_left_)
+              : std::nullopt,
       .objective_ = attempt.host_.empty()
                         ? deadline
                         : now + UsefulTime(attempt.objective_left_,
@@ -168,9 +175,10 @@
        next != nullptr && MayStart(*next);
        next = queue_.Next(service_time_percent_, now)) {
     const GuardWork work = queue_.Take(next);
-    if (now >= work.deadline_) {
-      commands.push_back(Reply(
-          work.connection_, Refusal(work.attempt_, RefusalReason::kDeadline)));
+    const RefusalReason too_late = work.WhyTooLate(now);
+    if (too_late != RefusalReason::kNone) {
+      commands.push_back(
+          Reply(work.connection_, Refusal(work.attempt_, too_late)));
       continue;
     }
     Append(&commands, Start(work, now));
@@ -219,6 +227,7 @@
                          .origin_service_ = work.attempt_.origin_service_,
                          .tenant_ = work.attempt_.tenant_,
                          .timeout_ = work.deadline_ - now,
+                         .send_before_ = work.authorized_until_,
                          .fresh_connection_ = work.attempt_.request_class_ ==
                                               state::RequestClass::kAction};
 }
@@ -246,10 +255,16 @@
 }
 
 Commands Guard::Impl::RefuseExpired(state::Millis now) {
-  return RefuseAll(queue_.TakeIf([now](const GuardWork& work) {
-    return now >= work.deadline_;
-  }),
-                   RefusalReason::kDeadline);
+  Commands commands;
+  for (const RefusalReason reason :
+       {RefusalReason::kDeadline, RefusalReason::kAuthorizationExpired}) {
+    Append(&commands,
+           RefuseAll(queue_.TakeIf([now, reason](const GuardWork& work) {
+             return work.WhyTooLate(now) == reason;
+           }),
+                     reason));
+  }
+  return commands;
 }
 
 Commands Guard::Impl::RefuseMissedObjectives(state::Millis now) {
--- a/src/coordination/internal/guard_delivery.cc
+++ b/src/coordination/internal/guard_delivery.cc
@@ -49,6 +49,10 @@
       commands =
           OnNotDelivered(running, RefusalReason::kInternalQueueFull, now);
       break;
+    case DeliveryEnd::kTooLateToSend:
+      commands =
+          OnNotDelivered(running, RefusalReason::kAuthorizationExpired, now);
+      break;
     case DeliveryEnd::kIncompleteAnswer:
       crash_detector_.OnIncompleteAnswer(running.work_.attempt_.digest_,
                                          in_flight, running.started_, now);
--- a/src/coordination/internal/guard_register.cc
+++ b/src/coordination/internal/guard_register.cc
@@ -48,9 +48,10 @@
                                 RunningWork* running,
                                 state::Millis now) {
   const GuardWork work = running->work_;
-  const bool may_deliver =
-      now < work.deadline_ && (target_.state() == TargetState::kServing ||
-                               target_.state() == TargetState::kDraining);
+  const RefusalReason too_late = work.WhyTooLate(now);
+  const bool may_deliver = too_late == RefusalReason::kNone &&
+                           (target_.state() == TargetState::kServing ||
+                            target_.state() == TargetState::kDraining);
   if (may_deliver) {
     running->started_ = now;
     return {Deliver(delivery_id, work, now)};
@@ -59,8 +60,9 @@
   running_.erase(delivery_id);
   // A target that has left can no longer be reached.
   return Release(ended,
-                 now < work.deadline_ ? RefusalReason::kConnectFailed
-                                      : RefusalReason::kDeadline,
+                 too_late == RefusalReason::kNone
+                     ? RefusalReason::kConnectFailed
+                     : too_late,
                  now);
 }
 
--- a/src/coordination/internal/guard_work.h
+++ b/src/coordination/internal/guard_work.h
@@ -21,9 +21,21 @@
   const Attempt attempt_ = {};
   const state::Millis arrival_ = {};
   const state::Millis deadline_ = {};
+  // Time from which the API key of the call is not known to be valid.
+  const std::optional<state::Millis> authorized_until_ = {};
   // Time until which an answer is useful to the caller.
   const state::Millis objective_ = {};
   const bool run_alone_ = false;
+
+  // Returns why the work must not be started any more, or kNone.
+  state::RefusalReason WhyTooLate(state::Millis now) const {
+    if (now >= deadline_) {
+      return state::RefusalReason::kDeadline;
+    }
+    return authorized_until_.has_value() && now >= *authorized_until_
+               ? state::RefusalReason::kAuthorizationExpired
+               : state::RefusalReason::kNone;
+  }
 };
 
 // Records recent attempts, so that a message that the network duplicates is not
--- a/src/coordination/internal/ingress.cc
+++ b/src/coordination/internal/ingress.cc
@@ -2,10 +2,10 @@
 
 #include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
+#include "coordination/internal/access_check.h"
 #include "coordination/internal/action_calls.h"
 #include "coordination/internal/lookup_calls.h"
 #include "coordination/internal/split_choice.h"
-#include "coordination/internal/tenant_directory.h"
 
 namespace gooseberrygap::coordination {
 
@@ -30,16 +30,18 @@
   Impl(std::string request_id_prefix,
        Router* router,
        RegisterClient* register_client,
-       state::Counters* counters)
+       state::Counters* counters,
+       const AuthorizationLease* lease)
       : request_id_prefix_(std::move(request_id_prefix)),
         counters_(counters),
-        lookups_(router, counters),
-        actions_(router, register_client, counters) {}
+        access_(lease, counters),
+        lookups_(router, &access_, counters),
+        actions_(router, register_client, &access_, counters) {}
 
   void UpdateConfiguration(const state::IndexedConfiguration& configuration) {
     configuration_.emplace(configuration);
     if (configuration.configuration_ != nullptr) {
-      tenants_.Update(*configuration.configuration_);
+      access_.UpdateConfiguration(*configuration.configuration_);
     }
     splits_.Reset();
   }
@@ -199,19 +201,10 @@
       return refuse(routes_recent_ ? RefusalReason::kNoRoute
                                    : RefusalReason::kControlTooOld);
     }
-    const std::optional<RefusalReason> denial =
-        CheckAccess(received, route->allows_anonymous_);
-    if (denial.has_value()) {
-      return refuse(*denial);
-    }
-    const state::Shared<state::Tenant>* tenant = TenantOf(received);
-    const state::AllowedRegions allowed_regions =
-        state::AllowedRegions(route->allowed_regions_)
-            .Intersect(tenant == nullptr ? state::AllowedRegions()
-                                         : state::AllowedRegions(
-                                               (*tenant)->allowed_regions_));
-    if (allowed_regions.allows_none()) {
-      return refuse(RefusalReason::kNoAllowedRegion);
+    const Admission admission =
+        Admit(received, route->allows_anonymous_, route->allowed_regions_, now);
+    if (admission.refusal_ != RefusalReason::kNone) {
+      return refuse(admission.refusal_);
     }
     const state::Service* service =
         state::FindService(*configuration, splits_.Choose(*route));
@@ -237,7 +230,7 @@
             .configuration_index_ = configuration_->index_,
             .service_ = service,
             .request_class_ = route->request_class_,
-            .request_ = RequestToPassOn(received),
+            .request_ = access_.RequestToPassOn(received),
             .digest_ = digest,
             .is_suspect_ = suspects_.contains(digest),
             .received_at_ = now,
@@ -251,59 +244,52 @@
             .host_ = received.host_,
             .route_ = route->name_,
             .is_unkeyed_ = is_action,
-            .tenant_ =
-                tenant == nullptr ? std::nullopt : std::optional(*tenant),
-            .allowed_regions_ = allowed_regions},
+            .tenant_ = admission.tenant_,
+            .api_key_ = received.api_key_.value_or(std::string()),
+            .allowed_regions_ = admission.allowed_regions_},
         now);
   }
 
-  // Returns the tenant whose key the call has, or null.
-  const state::Shared<state::Tenant>* TenantOf(
-      const CallReceived& received) const {
-    return received.api_key_.has_value()
-               ? tenants_.FindByKey(*received.api_key_)
-               : nullptr;
-  }
-
-  // Returns why the call may not be made with its credentials, or nothing.
-  std::optional<RefusalReason> CheckAccess(const CallReceived& received,
-                                           bool allows_anonymous) const {
-    if (!tenants_.has_tenants()) {
-      return std::nullopt;
-    }
-    const bool is_allowed = received.api_key_.has_value()
-                                ? TenantOf(received) != nullptr
-                                : allows_anonymous;
-    if (is_allowed) {
-      return std::nullopt;
-    }
-    return routes_recent_ ? RefusalReason::kUnknownKey
-                          : RefusalReason::kControlTooOld;
-  }
-
-  // Returns the request with the credentials that are none of a tenant.
-  state::HttpRequest RequestToPassOn(const CallReceived& received) const {
-    if (tenants_.has_tenants() || received.credentials_.empty()) {
-      return received.request_;
-    }
-    std::vector<state::HttpHeader> headers = received.request_.headers_;
-    for (const state::HttpHeader& credential : received.credentials_) {
-      headers.push_back(credential);
+  // Whether and where a call may run.
+  struct Admission {
+    const RefusalReason refusal_ = RefusalReason::kNone;
+    const std::optional<state::Shared<state::Tenant>> tenant_ = {};
+    const state::AllowedRegions allowed_regions_ = {};
+  };
+
+  // Takes the steps that precede the choice of a target: the check of the
+  // credentials, then the regions that both the rule or route of the call and
+  // its tenant allow.
+  Admission Admit(const CallReceived& received,
+                  bool allows_anonymous,
+                  const std::vector<std::string>& allowed_regions,
+                  state::Millis now) {
+    const AccessCheck::Decision access =
+        access_.Check(received.api_key_, allows_anonymous, routes_recent_, now);
+    if (access.refusal_ != RefusalReason::kNone) {
+      return Admission{.refusal_ = access.refusal_};
     }
-    return state::HttpRequest{.method_ = received.request_.method_,
-                              .path_ = received.request_.path_,
-                              .headers_ = headers,
-                              .body_ = received.request_.body_};
+    const state::AllowedRegions regions =
+        state::AllowedRegions(allowed_regions)
+            .Intersect(
+                access.tenant_.has_value()
+                    ? state::AllowedRegions((*access.tenant_)->allowed_regions_)
+                    : state::AllowedRegions());
+    return Admission{.refusal_ = regions.allows_none()
+                                     ? RefusalReason::kNoAllowedRegion
+                                     : RefusalReason::kNone,
+                     .tenant_ = access.tenant_,
+                     .allowed_regions_ = regions};
   }
 
   const std::string request_id_prefix_;
   state::Counters* const counters_;
+  AccessCheck access_;
   LookupCalls lookups_;
   ActionCalls actions_;
   std::optional<state::IndexedConfiguration> configuration_;
   absl::flat_hash_set<std::string> convicted_;
   absl::flat_hash_set<std::string> suspects_;
-  TenantDirectory tenants_;
   SplitChoice splits_;
   bool actions_allowed_ = false;
   bool routes_recent_ = true;
@@ -313,11 +299,13 @@
 Ingress::Ingress(std::string request_id_prefix,
                  Router* router,
                  RegisterClient* register_client,
-                 state::Counters* counters)
+                 state::Counters* counters,
+                 const AuthorizationLease* lease)
     : impl_(std::make_unique<Impl>(std::move(request_id_prefix),
                                    router,
                                    register_client,
-                                   counters)) {}
+                                   counters,
+                                   lease)) {}
 
 Ingress::~Ingress() = default;
 
--- a/src/coordination/internal/lookup_calls.cc
+++ b/src/coordination/internal/lookup_calls.cc
@@ -33,7 +33,7 @@
 
 Commands LookupCalls::OnCall(const ClassifiedCall& call, state::Millis now) {
   const auto [entry, inserted] = lookups_.emplace(
-      call.request_id_, std::make_unique<Lookup>(call, router_));
+      call.request_id_, std::make_unique<Lookup>(call, router_, access_));
   Lookup* lookup = entry->second.get();
   const bool is_outermost = call.depth_ == 0;
   // A suspect is not hedged: two copies of a request that crashes its targets
@@ -52,6 +52,11 @@
 
 Commands LookupCalls::SendNext(Lookup* lookup, state::Millis now) {
   AttemptSet& attempts = lookup->attempts_;
+  const state::RefusalReason denial = attempts.CheckAccess(now);
+  if (denial != state::RefusalReason::kNone) {
+    lookup->last_reason_ = denial;
+    return attempts.open().empty() ? GiveUp(lookup, now) : Commands();
+  }
   const AttemptSet::NextTarget next = attempts.ChooseNext(now);
   if (!next.target_.has_value()) {
     if (lookup->last_reason_ == state::RefusalReason::kNone) {
--- a/src/coordination/internal/lookup_calls.h
+++ b/src/coordination/internal/lookup_calls.h
@@ -14,8 +14,11 @@
 // for lookups retries and hedges. Not thread-safe.
 class LookupCalls {
  public:
-  LookupCalls(Router* router, state::Counters* counters)
-      : router_(router), counters_(counters) {}
+  // All must outlive this object.
+  LookupCalls(Router* router,
+              const AccessCheck* access,
+              state::Counters* counters)
+      : router_(router), access_(access), counters_(counters) {}
 
   Commands OnCall(const ClassifiedCall& call, state::Millis now);
   // Returns nothing when the answer belongs to no lookup in progress.
@@ -32,8 +35,10 @@
 
  private:
   struct Lookup {
-    explicit Lookup(const ClassifiedCall& classified, Router* router)
-        : call_(classified), attempts_(call_, router) {}
+    Lookup(const ClassifiedCall& classified,
+           Router* router,
+           const AccessCheck* access)
+        : call_(classified), attempts_(call_, router, access) {}
 
     const ClassifiedCall call_;
     AttemptSet attempts_;
@@ -73,6 +78,7 @@
   Commands GiveUp(Lookup* lookup, state::Millis now);
 
   Router* const router_;
+  const AccessCheck* const access_;
   state::Counters* const counters_;
   Lookups lookups_;
   std::map<uint64_t, std::string> request_by_call_;
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -3,6 +3,7 @@
 #include "absl/strings/str_cat.h"
 #include "coordination/api/service_time.h"
 #include "coordination/coordination.h"
+#include "coordination/internal/authorization_lease.h"
 #include "coordination/internal/decision_log.h"
 #include "coordination/internal/early_calls.h"
 #include "coordination/internal/register_tags.h"
@@ -50,12 +51,18 @@
         counters_(counters),
         router_(options.self_, random, counters),
         register_client_(AddressesOf(options.control_instances_), counters),
-        control_client_(options.self_, options.control_instances_, counters),
+        control_client_(
+            options.self_,
+            options.control_instances_,
+            counters,
+            {.requires_confirmed_keys_ = options.revocation_.is_strict_}),
+        lease_(options.revocation_),
         ingress_(
             absl::StrCat(self_.instance_, "-", self_.version_.incarnation_),
             &router_,
             &register_client_,
-            counters),
+            counters,
+            &lease_),
         guard_(self_.instance_,
                self_.version_.incarnation_,
                &register_client_,
@@ -163,7 +170,12 @@
   }
 
   Commands On(const Ticked&, state::Millis now) {
+    const bool has_configuration = control_client_.configuration().index_ > 0;
+    if (has_configuration && lease_.IsRunningLow(now)) {
+      control_client_.RenewSoon();
+    }
     Commands commands = Apply(control_client_.Tick(now), now);
+    Append(&commands, ReportLease(now));
     ingress_.SetActionsAllowed(control_client_.Staleness(now) <= kMaxStaleness);
     for (const CallReceived& call :
          early_calls_.Release(HasRequiredState(now), now)) {
@@ -268,6 +280,8 @@
                      state::Millis now) {
     Commands commands =
         Apply(control_client_.OnReply(received.address_, reply, now), now);
+    lease_.OnReply(reply, control_client_.configuration().index_, now);
+    Append(&commands, ReportLease(now));
     guard_.SetIncarnation(control_client_.record().version_.incarnation_);
     Append(&commands,
            guard_.RestoreWithdrawal(control_client_.kept_withdrawal()));
@@ -307,6 +321,21 @@
     return std::move(step.commands_);
   }
 
+  // Updates the metrics of the authorization lease, and returns a log line if
+  // it was lost or regained.
+  Commands ReportLease(state::Millis now) {
+    const auto value_of = [](const std::optional<state::Millis>& time) {
+      return time.has_value() ? std::optional(time->value()) : std::nullopt;
+    };
+    state::Gauges& gauges = counters_->gauges();
+    gauges.Set(state::Gauge::kAuthorizationLeft, value_of(lease_.Left(now)));
+    gauges.Set(state::Gauge::kConfirmationAge,
+               value_of(lease_.ConfirmationAge(now)));
+    const std::optional<state::LogEvent> change = lease_.TakeChange(now);
+    return change.has_value() ? Commands{WriteLog{.event_ = *change}}
+                              : Commands();
+  }
+
   Commands Apply(RegisterClient::Step step, state::Millis now) {
     Commands commands = std::move(step.commands_);
     for (const RegisterEnd& end : step.ends_) {
@@ -418,6 +447,9 @@
     if (std::holds_alternative<Attempt>(send.message_)) {
       counters_->Add(state::Counter::kAttemptsSent);
     }
+    if (const auto* renew = std::get_if<LeaseRenew>(&send.message_)) {
+      lease_.OnRenewalSent(renew->renewal_, now);
+    }
     if (expects_answer) {
       link_monitor_.OnSent(send.address_, now);
     }
@@ -449,6 +481,7 @@
   Router router_;
   RegisterClient register_client_;
   ControlClient control_client_;
+  AuthorizationLease lease_;
   LinkMonitor link_monitor_;
   EarlyCalls early_calls_;
   Ingress ingress_;
--- a/src/coordination/internal/work_queue.cc
+++ b/src/coordination/internal/work_queue.cc
@@ -27,10 +27,11 @@
 
 const GuardWork* WorkQueue::Next(int percent, state::Millis now) const {
   const GuardWork* best = nullptr;
-  std::tuple<bool, int> best_rank;
+  std::tuple<bool, int, int> best_rank;
   for (const GuardWork& work : works_) {
-    const std::tuple<bool, int> rank(!MeetsObjective(work, percent, now),
-                                     work.attempt_.priority_);
+    const std::tuple<bool, int, int> rank(!MeetsObjective(work, percent, now),
+                                          work.attempt_.tenant_priority_,
+                                          work.attempt_.priority_);
     if (best == nullptr || rank < best_rank) {
       best = &work;
       best_rank = rank;
--- a/src/coordination/internal/work_queue.h
+++ b/src/coordination/internal/work_queue.h
@@ -28,9 +28,9 @@
 
 // Work that waits for a slot of the target. Under a load above the target's
 // capacity, work that can still be answered within its objective starts first,
-// by priority and then by arrival, and work that no longer can is to be
-// refused, since it would only delay other work. `percent` is the current
-// service time of the target. Not thread-safe.
+// by the priority of the tenant, that of the route and then by arrival, and
+// work that no longer can is to be refused, since it would only delay other
+// work. `percent` is the current service time of the target. Not thread-safe.
 class WorkQueue {
  public:
   // `times` must outlive the queue.
--- a/src/daemon/http_front.cc
+++ b/src/daemon/http_front.cc
@@ -32,7 +32,8 @@
 };
 
 // Reasons that are not listed are answered with 503.
-constexpr std::array<StatusRow, 10> kStatusRows = {{
+constexpr std::array<StatusRow, 11> kStatusRows = {{
+    {RefusalReason::kUnknownKey, 401},
     {RefusalReason::kBadRequest, 400},
     {RefusalReason::kKeyMissing, 400},
     {RefusalReason::kTooDeep, 400},
@@ -308,6 +309,7 @@
                               .value_ = "text/plain; version=0.0.4"}},
       .body_ = state::Bytes(absl::StrCat(
           protocol::PrintMetrics(counters_->Samples()),
+          protocol::PrintGauges(counters_->gauges().Samples()),
           protocol::PrintHistograms(counters_->histograms().Samples())))};
 }
 
--- a/src/daemon/node_duty.cc
+++ b/src/daemon/node_duty.cc
@@ -215,6 +215,7 @@
       .connect_only_ = command.connect_only_,
       .is_load_probe_ = command.is_load_probe_,
       .timeout_ = command.timeout_,
+      .send_before_ = command.send_before_,
       .fresh_connection_ = command.fresh_connection_});
   if (!accepted) {
     follow_ups_.emplace_back(coordination::DeliveryEnded{
--- a/src/protocol/api/metrics_text.h
+++ b/src/protocol/api/metrics_text.h
@@ -12,6 +12,8 @@
 // of one family follow each other, as Counters::Samples returns them.
 // Thread-safe.
 std::string PrintMetrics(const std::vector<state::CounterSample>& samples);
+// Returns the gauges in the same format. Thread-safe.
+std::string PrintGauges(const std::vector<state::GaugeSample>& samples);
 // Returns the histograms in the same format. Thread-safe.
 std::string PrintHistograms(const std::vector<state::HistogramSample>& samples);
 
--- a/src/protocol/internal/metrics_text.cc
+++ b/src/protocol/internal/metrics_text.cc
@@ -30,6 +30,16 @@
   return text;
 }
 
+std::string PrintGauges(const std::vector<state::GaugeSample>& samples) {
+  std::string text;
+  for (const state::GaugeSample& sample : samples) {
+    absl::StrAppend(&text, "# HELP ", sample.name_, " ",
+                    EscapeHelp(sample.help_), "\n# TYPE ", sample.name_,
+                    " gauge\n", sample.name_, " ", sample.value_, "\n");
+  }
+  return text;
+}
+
 std::string PrintHistograms(
     const std::vector<state::HistogramSample>& samples) {
   std::string text;
--- a/src/state/api/counters.h
+++ b/src/state/api/counters.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "state/api/gauges.h"
 #include "state/api/histograms.h"
 #include "state/api/reasons.h"
 
@@ -74,28 +75,32 @@
 // The value of one counter.
 struct CounterSample {
   const std::string name_ = {};    // Name of the metric family.
-  const std::string labels_ = {};  // `reason="..."` or empty.
+  const std::string labels_ = {};  // Such as `reason="..."`; may be empty.
   const std::string help_ = {};
   const uint64_t value_ = 0;
 
   friend bool operator==(const CounterSample&, const CounterSample&) = default;
 };
 
-// All counters and histograms of a process. Counters never decrease.
+// All counters, gauges and histograms of a process. Counters never decrease.
 // Thread-safe.
 class Counters {
  public:
   void Add(Counter counter, uint64_t amount = 1);
   void Add(RefusalReason reason);
   void Add(RetryReason reason);
+  void Add(AccessOutcome outcome);
   uint64_t Get(Counter counter) const;
   uint64_t Get(RefusalReason reason) const;
   uint64_t Get(RetryReason reason) const;
+  uint64_t Get(AccessOutcome outcome) const;
   // Returns all counters, including those at zero, grouped by family.
   std::vector<CounterSample> Samples() const;
 
   Histograms& histograms() { return histograms_; }
   const Histograms& histograms() const { return histograms_; }
+  Gauges& gauges() { return gauges_; }
+  const Gauges& gauges() const { return gauges_; }
 
  private:
   template <class Enum>
@@ -105,7 +110,9 @@
   Table<Counter> counters_ = {};
   Table<RefusalReason> refusals_ = {};
   Table<RetryReason> retries_ = {};
+  Table<AccessOutcome> access_ = {};
   Histograms histograms_;
+  Gauges gauges_;
 };
 
 }  // namespace gooseberrygap::state
--- a/src/state/api/reasons.h
+++ b/src/state/api/reasons.h
@@ -67,9 +67,22 @@
   kCount,
 };
 
+// What the check of a call's credentials decided.
+enum class AccessOutcome {
+  kOpen,          // The configuration has no tenants.
+  kAnonymous,     // Without a key, on a route that allows it.
+  kTenant,        // With the key of a tenant.
+  kKeyMissing,    // Without a key, on a route that needs one.
+  kKeyUnknown,    // With a key of no tenant.
+  kUncertain,     // As the last two, but a change may have been missed.
+  kLeaseExpired,  // The keys have not been confirmed for too long.
+  kCount,
+};
+
 // Return the snake_case name used in headers and metrics. Thread-safe.
 absl::string_view NameOf(RefusalReason reason);
 absl::string_view NameOf(RetryReason reason);
+absl::string_view NameOf(AccessOutcome outcome);
 
 }  // namespace gooseberrygap::state
 
--- a/src/state/internal/clock.cc
+++ b/src/state/internal/clock.cc
@@ -15,8 +15,8 @@
 Millis SteadyClock::Now() const {
   timespec now = {};
   clock_gettime(CLOCK_BOOTTIME, &now);
-  const auto since_start = std::chrono::seconds(now.tv_sec) +
-                           std::chrono::nanoseconds(now.tv_nsec);
+  const auto since_start =
+      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
   return Millis(DoubleMillis(since_start).count());
 }
 
--- a/src/state/internal/counters.cc
+++ b/src/state/internal/counters.cc
@@ -126,16 +126,18 @@
 }
 static_assert(RowsAreInEnumOrder(), "kRows must follow the enum's order.");
 
+// Appends one sample for each value of the enum, which `label` distinguishes.
 template <class Enum, class Table>
-void AppendReasons(absl::string_view family,
-                   absl::string_view help,
-                   const Table& table,
-                   std::vector<CounterSample>* samples) {
+void AppendLabelled(absl::string_view family,
+                    absl::string_view help,
+                    absl::string_view label,
+                    const Table& table,
+                    std::vector<CounterSample>* samples) {
   for (size_t i = 0; i < table.size(); ++i) {
-    const absl::string_view reason = NameOf(static_cast<Enum>(i));
+    const absl::string_view name = NameOf(static_cast<Enum>(i));
     samples->push_back(
         CounterSample{.name_ = std::string(family),
-                      .labels_ = absl::StrCat("reason=\"", reason, "\""),
+                      .labels_ = absl::StrCat(label, "=\"", name, "\""),
                       .help_ = std::string(help),
                       .value_ = table.at(i).load()});
   }
@@ -155,6 +157,10 @@
   retries_.at(static_cast<size_t>(reason)).fetch_add(1);
 }
 
+void Counters::Add(AccessOutcome outcome) {
+  access_.at(static_cast<size_t>(outcome)).fetch_add(1);
+}
+
 uint64_t Counters::Get(Counter counter) const {
   return counters_.at(static_cast<size_t>(counter)).load();
 }
@@ -167,6 +173,10 @@
   return retries_.at(static_cast<size_t>(reason)).load();
 }
 
+uint64_t Counters::Get(AccessOutcome outcome) const {
+  return access_.at(static_cast<size_t>(outcome)).load();
+}
+
 std::vector<CounterSample> Counters::Samples() const {
   std::vector<CounterSample> samples;
   for (const CounterRow& row : kRows) {
@@ -175,11 +185,16 @@
         .help_ = std::string(row.help_),
         .value_ = Get(row.counter_)});
   }
-  AppendReasons<RefusalReason>("gooseberrygap_refusal_total",
-                               "Refusals by reason.", refusals_, &samples);
-  AppendReasons<RetryReason>("gooseberrygap_retry_total",
-                             "Retries and second copies by reason.", retries_,
-                             &samples);
+  AppendLabelled<RefusalReason>("gooseberrygap_refusal_total",
+                                "Refusals by reason.", "reason", refusals_,
+                                &samples);
+  AppendLabelled<RetryReason>("gooseberrygap_retry_total",
+                              "Retries and second copies by reason.", "reason",
+                              retries_, &samples);
+  AppendLabelled<AccessOutcome>("gooseberrygap_access_total",
+                                "Calls by what the check of their credentials "
+                                "decided.",
+                                "decision", access_, &samples);
   return samples;
 }
 
--- a/src/state/internal/reasons.cc
+++ b/src/state/internal/reasons.cc
@@ -68,6 +68,13 @@
         "budget_exhausted",
 };
 
+constexpr std::array<absl::string_view,
+                     static_cast<size_t>(AccessOutcome::kCount)>
+    kAccessNames = {
+        "open",        "anonymous", "tenant",        "key_missing",
+        "key_unknown", "uncertain", "lease_expired",
+};
+
 }  // namespace
 
 absl::string_view NameOf(RefusalReason reason) {
@@ -78,4 +85,8 @@
   return kRetryNames.at(static_cast<size_t>(reason));
 }
 
+absl::string_view NameOf(AccessOutcome outcome) {
+  return kAccessNames.at(static_cast<size_t>(outcome));
+}
+
 }  // namespace gooseberrygap::state
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -16,6 +16,7 @@
 #include "state/api/error.h"
 #include "state/api/evacuation.h"
 #include "state/api/evacuation_table.h"
+#include "state/api/gauges.h"
 #include "state/api/histograms.h"
 #include "state/api/http.h"
 #include "state/api/log.h"
--- a/src/transport/internal/peer_endpoint.cc
+++ b/src/transport/internal/peer_endpoint.cc
@@ -155,12 +155,25 @@
 }
 
 void PeerEndpointImpl::Execute(const coordination::SendToPeer& command) {
+  const auto* attempt = std::get_if<coordination::Attempt>(&command.message_);
+  if (attempt != nullptr && command.send_before_.has_value() &&
+      clock_.Now() >= *command.send_before_) {
+    // The process was stopped, or held up, since the attempt was decided.
+    handler_({.address_ = command.address_,
+              .message_ = coordination::AttemptAnswer{
+                  .request_id_ = attempt->request_id_,
+                  .attempt_ = attempt->attempt_,
+                  .result_ = coordination::AttemptResult::kRefused,
+                  .refusal_ = state::RefusalReason::kAuthorizationExpired,
+                  .target_ = attempt->target_}});
+    return;
+  }
   Link* link = DealerFor(command.address_);
   if (link == nullptr) {
     counters_->Add(state::Counter::kPeerSendsRefused);
     return;
   }
-  if (std::holds_alternative<coordination::Attempt>(command.message_)) {
+  if (attempt != nullptr) {
     ++link->unanswered_;
   } else if (std::holds_alternative<coordination::Cancel>(command.message_)) {
     link->OnAttemptEnded();
--- a/src/transport/internal/target_link.cc
+++ b/src/transport/internal/target_link.cc
@@ -95,6 +95,10 @@
   if (delivery_->connect_only_) {
     return End(DeliveryEnd::kAnswered);
   }
+  const std::optional<state::Millis>& send_before = delivery_->send_before_;
+  if (sent_ == 0 && send_before.has_value() && now >= *send_before) {
+    return Abandon(DeliveryEnd::kTooLateToSend);
+  }
   const bool can_send = SendRest();
   const ReadEnd read_end = Receive();
   std::optional<DeliveryEnded> end = Parse(read_end, now);
