--- a/src/coordination/internal/guard_impl.h
+++ b/src/coordination/internal/guard_impl.h
@@ -37,7 +37,7 @@
 // answers, also on links that have replaced others, guard_register.cc
 // calls the action register, guard_delivery.cc handles the ends of deliveries
 // and crashes, guard_service_time.cc handles changes of the target's service
-// time.
+// time, guard_refusals.cc refuses queued work.
 class Guard::Impl {
  public:
   Impl(std::string instance,
