--- a/src/coordination/internal/guard_delivery.cc
+++ b/src/coordination/internal/guard_delivery.cc
@@ -89,13 +89,12 @@
     RecordServiceTime(running, run_time);
   }
   Commands commands = {Reply(
-      work.connection_, AttemptAnswer{.request_id_ = work.attempt_.request_id_,
-                                      .attempt_ = work.attempt_.attempt_,
-                                      .answer_ = answer,
-                                      .guard_time_ = now - work.arrival_,
-                                      .run_time_ = is_success
-                                                       ? run_time
-                                                       : state::Millis()})};
+      work.connection_,
+      AttemptAnswer{.request_id_ = work.attempt_.request_id_,
+                    .attempt_ = work.attempt_.attempt_,
+                    .answer_ = answer,
+                    .guard_time_ = now - work.arrival_,
+                    .run_time_ = is_success ? run_time : state::Millis()})};
   if (IsKeyed(work.attempt_)) {
     Append(&commands,
            CallRegister(kNoDelivery, running, RegisterOperation::kFinish,
--- a/src/coordination/tests/router_members_test.cc
+++ b/src/coordination/tests/router_members_test.cc
@@ -83,8 +83,8 @@
   const auto count = [&router](Millis now) {
     std::map<std::string, int> chosen;
     for (int i = 0; i < 20; ++i) {
-      const auto target = router.Choose(
-          {.service_ = "s", .deadline_left_ = Millis(1000)}, now);
+      const auto target =
+          router.Choose({.service_ = "s", .deadline_left_ = Millis(1000)}, now);
       REQUIRE(target.has_value());
       router.OnSent(target->target_, now);
       ++chosen[target->target_];
--- a/src/transport/internal/peer_endpoint.cc
+++ b/src/transport/internal/peer_endpoint.cc
@@ -329,8 +329,7 @@
 bool PeerEndpointImpl::IsToBeClosed(const Link& link, state::Millis now) const {
   const bool has_attempts = link.unanswered_ > 0;
   const bool is_silent = link.is_replaced_if_silent_ && !link.has_received_ &&
-                         !has_attempts &&
-                         now - link.opened_at_ > kMaxSilentAge;
+                         !has_attempts && now - link.opened_at_ > kMaxSilentAge;
   const state::Millis limit = has_attempts ? options_.close_unanswered_after_
                                            : options_.close_unused_after_;
   return is_silent || now - link.last_used_ > limit;
--- a/src/transport/tests/connect_schedule_test.cc
+++ b/src/transport/tests/connect_schedule_test.cc
@@ -17,9 +17,8 @@
   for (int i = 0; i < 4; ++i) {
     times.push_back(schedule.OnLinkOpened("a").connect_);
   }
-  CHECK(times ==
-        std::vector<Millis>{Millis(300), Millis(1000), Millis(3500),
-                            Millis(3500)});
+  CHECK(times == std::vector<Millis>{Millis(300), Millis(1000), Millis(3500),
+                                     Millis(3500)});
   CHECK(schedule.OnLinkOpened("b").connect_ == Millis(300));
   schedule.OnReceived("a");
   CHECK(schedule.OnLinkOpened("a").connect_ == Millis(300));
