--- a/src/coordination/internal/call.cc
+++ b/src/coordination/internal/call.cc
@@ -87,7 +87,8 @@
 bool AttemptSet::End(uint32_t number,
                      AttemptEnd end,
                      const std::optional<state::GuardLoad>& load,
-                     state::Millis now) {
+                     state::Millis now,
+                     const std::optional<ServedAttempt>& served) {
   std::vector<OpenAttempt> still_open;
   bool found = false;
   for (const OpenAttempt& attempt : open_) {
@@ -100,7 +101,8 @@
                                   .target_ = attempt.target_.target_,
                                   .end_ = end,
                                   .latency_ = now - attempt.sent_at_,
-                                  .load_ = load},
+                                  .load_ = load,
+                                  .served_ = served},
                    now);
   }
   open_.swap(still_open);
@@ -177,6 +179,15 @@
                             .caller_id_ = call.caller_id_}};
 }
 
+ServedAttempt ServedBy(const ClassifiedCall& call,
+                       const AttemptAnswer& answer) {
+  return ServedAttempt{
+      .route_ = call.route_,
+      .bytes_ = call.request_.body_.size() + answer.answer_.body_.size(),
+      .guard_time_ = answer.guard_time_,
+      .run_time_ = answer.run_time_};
+}
+
 AnswerCall CompleteAnswer(const ClassifiedCall& call,
                           const AttemptAnswer& answer,
                           state::Millis now) {
--- a/src/coordination/internal/call.h
+++ b/src/coordination/internal/call.h
@@ -91,7 +91,8 @@
   bool End(uint32_t number,
            AttemptEnd end,
            const std::optional<state::GuardLoad>& load,
-           state::Millis now);
+           state::Millis now,
+           const std::optional<ServedAttempt>& served = std::nullopt);
   // Ends all open attempts, and returns the cancels for their guards.
   Commands CancelAll(state::Millis now);
   // Returns requests to answer the open attempts at this address on the new
@@ -113,6 +114,9 @@
   uint32_t sent_ = 0;
 };
 
+// Returns what the answer shows of the call's route and of the link.
+ServedAttempt ServedBy(const ClassifiedCall& call, const AttemptAnswer& answer);
+
 // The following functions return the answers that end a call.
 
 AnswerCall NotRunAnswer(const ClassifiedCall& call,
--- a/src/coordination/internal/guard_delivery.cc
+++ b/src/coordination/internal/guard_delivery.cc
@@ -11,6 +11,12 @@
 using state::RegisterOperation;
 using state::TargetState;
 
+// Errors are often answered much sooner than requests that are served.
+bool IsSuccess(int status) {
+  constexpr int kFirstError = 400;
+  return status < kFirstError;
+}
+
 // A request that had less time than this and whose deadline passed before a
 // byte was sent says nothing about its target.
 constexpr state::Millis kConnectTime(100);
@@ -77,15 +83,18 @@
                                  state::Millis now) {
   const GuardWork& work = running.work_;
   latency_.Add(now - running.started_);
-  if (IsUsualServiceTime(running.service_time_percent_) &&
-      IsUsualServiceTime(service_time_percent_)) {
-    RecordUsualServiceTime(running, now - running.started_);
+  const bool is_success = IsSuccess(answer.status_);
+  const state::Millis run_time = now - running.started_;
+  if (is_success) {
+    RecordServiceTime(running, run_time);
   }
   Commands commands = {Reply(
-      work.connection_, AttemptAnswer{.request_id_ = work.attempt_.request_id_,
-                                      .attempt_ = work.attempt_.attempt_,
-                                      .answer_ = answer,
-                                      .guard_time_ = now - work.arrival_})};
+      work.connection_,
+      AttemptAnswer{.request_id_ = work.attempt_.request_id_,
+                    .attempt_ = work.attempt_.attempt_,
+                    .answer_ = answer,
+                    .guard_time_ = now - work.arrival_,
+                    .run_time_ = is_success ? run_time : state::Millis()})};
   if (IsKeyed(work.attempt_)) {
     Append(&commands,
            CallRegister(kNoDelivery, running, RegisterOperation::kFinish,
@@ -94,9 +103,18 @@
   return commands;
 }
 
-void Guard::Impl::RecordUsualServiceTime(const RunningWork& running,
-                                         state::Millis time) {
+void Guard::Impl::RecordServiceTime(const RunningWork& running,
+                                    state::Millis time) {
   const std::string& route = running.work_.attempt_.route_;
+  const int percent = running.service_time_percent_;
+  if (!IsUsualServiceTime(percent) ||
+      !IsUsualServiceTime(service_time_percent_)) {
+    const bool is_steady = percent > 0 && percent == service_time_percent_;
+    if (is_steady && !IsSlowServiceTime(percent)) {
+      service_times_.AddAtSpeed(route, time, percent);
+    }
+    return;
+  }
   const state::Millis usual = service_times_.For(route);
   if (usual > state::Millis(0)) {
     slot_limit_.Add(running.running_at_start_, target_.slots(),
--- a/src/coordination/internal/work_queue.cc
+++ b/src/coordination/internal/work_queue.cc
@@ -7,16 +7,6 @@
 
 namespace gooseberrygap::coordination {
 
-void ServiceTimes::Add(const std::string& route, state::Millis time) {
-  routes_[route].Add(time);
-  all_.Add(time);
-}
-
-state::Millis ServiceTimes::For(const std::string& route) const {
-  const auto entry = routes_.find(route);
-  return entry == routes_.end() ? all_.mean() : entry->second.mean();
-}
-
 bool WorkQueue::MeetsObjective(const GuardWork& work,
                                int percent,
                                state::Millis now) const {
--- a/src/coordination/internal/work_queue.h
+++ b/src/coordination/internal/work_queue.h
@@ -9,23 +9,10 @@
 #include <vector>
 
 #include "coordination/internal/guard_work.h"
+#include "coordination/internal/service_times.h"
 
 namespace gooseberrygap::coordination {
 
-// Smoothed service times of a target for each route, recorded while work takes
-// its usual time there. Not thread-safe.
-class ServiceTimes {
- public:
-  void Add(const std::string& route, state::Millis time);
-  // Returns the mean of the route, or of all routes while the route has none.
-  state::Millis For(const std::string& route) const;
-  state::Millis mean() const { return all_.mean(); }
-
- private:
-  std::map<std::string, LatencyEstimate> routes_;
-  LatencyEstimate all_;
-};
-
 // Work that waits for a slot of the target. Under a load above the target's
 // capacity, work that can still be answered within its objective starts first,
 // by the priority of the tenant, that of the route and then by arrival, and
--- a/src/transport/internal/peer_endpoint.cc
+++ b/src/transport/internal/peer_endpoint.cc
@@ -21,6 +21,10 @@
 constexpr state::Millis kAcceptedHeartbeatInterval(10000);
 constexpr state::Millis kAcceptedHeartbeatTimeout(30000);
 constexpr state::Millis kShutdownLinger(300);
+// A link without an attempt on which nothing has come since it was opened is
+// replaced after this time by one whose connects may take longer. The last
+// times of the schedule stay, since some links only ever send.
+constexpr state::Millis kMaxSilentAge(2500);
 
 ZmqOptions RouterOptions(const PeerEndpoint::Options& options) {
   return {.high_water_mark_ = options.high_water_mark_,
@@ -29,11 +33,14 @@
           .max_message_bytes_ = options.max_message_bytes_};
 }
 
-ZmqOptions DealerOptions(const PeerEndpoint::Options& options) {
+ZmqOptions DealerOptions(const PeerEndpoint::Options& options,
+                         const ConnectSchedule::Times& times) {
   return {.high_water_mark_ = options.high_water_mark_,
           .heartbeat_interval_ = options.heartbeat_interval_,
           .heartbeat_timeout_ = options.heartbeat_timeout_,
-          .max_message_bytes_ = options.max_message_bytes_};
+          .max_message_bytes_ = options.max_message_bytes_,
+          .connect_timeout_ = times.connect_,
+          .reconnect_pause_ = times.pause_};
 }
 
 }  // namespace
@@ -229,6 +236,10 @@
       return true;
     }
     link->last_used_ = clock_.Now();
+    if (!link->has_received_) {
+      link->has_received_ = true;
+      connect_schedule_.OnReceived(link->address_);
+    }
     HandleFrames(link, frames);
   }
   return false;
@@ -264,14 +275,16 @@
   if (known != dealers_.end()) {
     return known->second;
   }
+  const ConnectSchedule::Times times = connect_schedule_.OnLinkOpened(address);
   state::Result<ZmqSocket> socket = ZmqSocket::Open(
-      context_.get(), ZmqKind::kDealer, DealerOptions(options_));
+      context_.get(), ZmqKind::kDealer, DealerOptions(options_, times));
   const absl::string_view listen = options_.listen_address_;
   const absl::string_view source_host = listen.substr(0, listen.rfind(':'));
   if (!socket || !socket.value().Connect(source_host, address)) {
     return nullptr;
   }
   Link* link = AddLink(address, std::move(socket).value());
+  link->is_replaced_if_silent_ = times.is_replaced_;
   dealers_.emplace(address, link);
   return link;
 }
@@ -280,7 +293,8 @@
                                                   ZmqSocket socket) {
   const int fd = socket.PollDescriptor();
   auto link = std::make_unique<Link>(address, fd, std::move(socket));
-  link->last_used_ = clock_.Now();
+  link->opened_at_ = clock_.Now();
+  link->last_used_ = link->opened_at_;
   Link* added = link.get();
   links_.emplace(fd, std::move(link));
   poller_->Add(fd, EPOLLIN);
@@ -303,10 +317,7 @@
   next_link_check_ = now + kLinkCheckInterval;
   std::vector<Link*> unused;
   for (const auto& [address, link] : dealers_) {
-    const state::Millis limit = link->unanswered_ > 0
-                                    ? options_.close_unanswered_after_
-                                    : options_.close_unused_after_;
-    if (now - link->last_used_ > limit) {
+    if (IsToBeClosed(*link, now)) {
       unused.push_back(link);
     }
   }
@@ -315,4 +326,13 @@
   }
 }
 
+bool PeerEndpointImpl::IsToBeClosed(const Link& link, state::Millis now) const {
+  const bool has_attempts = link.unanswered_ > 0;
+  const bool is_silent = link.is_replaced_if_silent_ && !link.has_received_ &&
+                         !has_attempts && now - link.opened_at_ > kMaxSilentAge;
+  const state::Millis limit = has_attempts ? options_.close_unanswered_after_
+                                           : options_.close_unused_after_;
+  return is_silent || now - link.last_used_ > limit;
+}
+
 }  // namespace gooseberrygap::transport
