Take operators' orders to evacuate a failure domain

What callers saw: an operator of a platform who ordered the evacuation of a zone got 404, whatever instance was asked, and the order was never in the log.

The front did not know the two calls, and there was no message from the instance that receives an order to the leader.

The leader proposes the order and replies when the entry has been applied. - The loop of OperatorGateway that looks for the leader serves configurations and orders; it asks before each message whether the order may still be sent. - EvacuationSubmission decides without clock or thread: it reads the last order with a linearizable read, acknowledges at once when it has the wanted state, submits with the index read, and reads again after a conflict. A result that is not certain is answered with 503. - EvacuationOrders carries the steps out, counts the outcomes and writes one log line for each order. A gauge has the index of the newest order.

Why this works: an acknowledgement follows the application of a committed entry at the leader, or a quorum's confirmation that such an entry is the last one for the failure domain. An order with an outdated index changes nothing.

--- a/src/coordination/api/control_service.h
+++ b/src/coordination/api/control_service.h
@@ -128,6 +128,8 @@
   uint64_t applied_index() const;
   // Returns the newest committed configuration; index 0 when there is none.
   state::IndexedConfiguration configuration() const;
+  // Returns the last evacuation orders after the last committed entry.
+  state::Evacuations evacuations() const;
   // Returns all records of the membership table, for the status page.
   std::vector<state::MembershipRecord> Members() const;
 
--- a/src/coordination/api/messages.h
+++ b/src/coordination/api/messages.h
@@ -298,6 +298,33 @@
                          const ConfigSubmitReply&) = default;
 };
 
+// Submits an operator's order to evacuate a failure domain to the leader.
+struct EvacuationSubmit {
+  const uint64_t call_id_ = 0;
+  const state::EvacuationOrder order_ = {};
+
+  friend bool operator==(const EvacuationSubmit&,
+                         const EvacuationSubmit&) = default;
+};
+
+enum class EvacuationStatus {
+  kAccepted,   // Applied at the leader; `index_` is the domain's last order.
+  kConflict,   // The submitter did not know the domain's last order.
+  kNotLeader,  // Not attempted; retry at `leader_address_` if it is set.
+  kNoQuorum,   // Not attempted: the leader has no contact with a quorum.
+  kNotFormed,
+};
+
+struct EvacuationReply {
+  const uint64_t call_id_ = 0;
+  const EvacuationStatus status_ = EvacuationStatus::kAccepted;
+  const uint64_t index_ = 0;
+  const std::string leader_address_ = {};
+
+  friend bool operator==(const EvacuationReply&,
+                         const EvacuationReply&) = default;
+};
+
 // Requests membership in the control group. Any member forwards it to the
 // leader.
 struct JoinRequest {
@@ -421,14 +448,16 @@
                                  ReadIndexReply,
                                  JoinRequest,
                                  LoadNotice,
-                                 ResumeAttempt>;
+                                 ResumeAttempt,
+                                 EvacuationSubmit,
+                                 EvacuationReply>;
 
 // The part of a daemon that handles a message.
 enum class MessageRecipient {
   kNode,       // The call path.
   kControl,    // The control service.
   kLog,        // The replicated log of the control group.
-  kOperators,  // Operators' pending configuration submissions.
+  kOperators,  // Operators' pending submissions.
 };
 
 // Returns the part of a daemon that handles the message. Thread-safe.
--- a/src/coordination/internal/control_service.cc
+++ b/src/coordination/internal/control_service.cc
@@ -45,6 +45,10 @@
   return impl_->applied_index();
 }
 
+state::Evacuations ControlService::evacuations() const {
+  return impl_->evacuations().Snapshot();
+}
+
 state::IndexedConfiguration ControlService::configuration() const {
   return impl_->configurations().current();
 }
--- a/src/coordination/internal/control_service_impl.h
+++ b/src/coordination/internal/control_service_impl.h
@@ -15,9 +15,10 @@
 
 namespace gooseberrygap::coordination {
 
-// Implemented in three files: control_service.cc dispatches events and runs
-// periodic work, control_service_leases.cc serves the leases of daemons, and
-// control_service_log.cc proposes and applies commands.
+// Implemented in four files: control_service.cc dispatches events and runs
+// periodic work, control_service_leases.cc serves the leases of daemons,
+// control_service_log.cc proposes and applies commands, and
+// control_service_evacuations.cc handles orders to evacuate failure domains.
 class ControlService::Impl {
  public:
   Impl(ControlAddress self,
@@ -33,6 +34,7 @@
   const state::ConfigurationStore& configurations() const {
     return configurations_;
   }
+  const state::EvacuationTable& evacuations() const { return evacuations_; }
   const state::MembershipTable& table() const { return table_; }
 
  private:
@@ -65,7 +67,13 @@
     state::Millis crashed_at_;
     std::optional<state::Millis> sent_at_;  // Absent until it is first sent.
   };
-  enum class ProposalKind { kRegisterCall, kConfigSubmit, kAbandon, kExpire };
+  enum class ProposalKind {
+    kRegisterCall,
+    kConfigSubmit,
+    kEvacuation,
+    kAbandon,
+    kExpire,
+  };
   // A proposal of this instance whose outcome is unknown.
   struct PendingProposal {
     ProposalKind kind_ = ProposalKind::kExpire;
@@ -96,6 +104,9 @@
   void OnMessage(const std::string& connection,
                  const ConfigSubmit& submit,
                  state::Millis now);
+  void OnMessage(const std::string& connection,
+                 const EvacuationSubmit& submit,
+                 state::Millis now);
   void OnMessage(const std::string& connection,
                  const MembershipSync& sync,
                  state::Millis now);
@@ -165,6 +176,8 @@
   void ProposeExpiry(state::Millis now);
   void RefuseCall(const Caller& caller);
   void RefuseSubmit(const Caller& caller);
+  void RefuseEvacuation(const Caller& caller);
+  void UpdateEvacuationGauge();
   void RemovePending(std::map<uint64_t, PendingProposal>::iterator pending);
   void ApplyConfigurationPolicy();
   // Applies one change; one overload for each kind.
--- a/src/coordination/internal/control_service_log.cc
+++ b/src/coordination/internal/control_service_log.cc
@@ -138,6 +138,8 @@
       RefuseCall(pending->second.caller_);
     } else if (pending->second.kind_ == ProposalKind::kConfigSubmit) {
       RefuseSubmit(pending->second.caller_);
+    } else if (pending->second.kind_ == ProposalKind::kEvacuation) {
+      RefuseEvacuation(pending->second.caller_);
     }
   }
   RemovePending(pending);
@@ -242,16 +244,6 @@
   TakePending(*entry.command_);
 }
 
-void ControlService::Impl::Apply(const state::EvacuationOrder& change,
-                                 const EntryCommitted& entry,
-                                 state::Millis now) {
-  if (evacuations_.Apply(entry.index_, change)) {
-    push_all_ = true;
-    SchedulePush(now);
-  }
-  TakePending(*entry.command_);
-}
-
 void ControlService::Impl::ApplyConfigurationPolicy() {
   const state::IndexedConfiguration current = configurations_.current();
   if (current.configuration_ != nullptr) {
@@ -265,6 +257,7 @@
   register_.Restore(event.state_.register_);
   configurations_.Restore(event.state_.configurations_, event.state_.accepted_);
   evacuations_.Restore(event.state_.evacuations_);
+  UpdateEvacuationGauge();
   ApplyConfigurationPolicy();
   push_all_ = true;
   SchedulePush(now);
--- a/src/coordination/internal/messages.cc
+++ b/src/coordination/internal/messages.cc
@@ -24,6 +24,9 @@
 constexpr MessageRecipient RecipientFor(const ConfigSubmit&) {
   return MessageRecipient::kControl;
 }
+constexpr MessageRecipient RecipientFor(const EvacuationSubmit&) {
+  return MessageRecipient::kControl;
+}
 constexpr MessageRecipient RecipientFor(const JoinRequest&) {
   return MessageRecipient::kControl;
 }
@@ -51,6 +54,9 @@
 constexpr MessageRecipient RecipientFor(const ConfigSubmitReply&) {
   return MessageRecipient::kOperators;
 }
+constexpr MessageRecipient RecipientFor(const EvacuationReply&) {
+  return MessageRecipient::kOperators;
+}
 
 }  // namespace
 
--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -159,10 +159,22 @@
 
 std::optional<state::IndexedConfiguration> ControlDuty::ReadConfiguration(
     state::Millis timeout) {
+  const auto view = ReadConfirmed(timeout);
+  return view.has_value() ? std::optional(view->configuration_) : std::nullopt;
+}
+
+std::optional<state::Evacuations> ControlDuty::ReadEvacuations(
+    state::Millis timeout) {
+  const auto view = ReadConfirmed(timeout);
+  return view.has_value() ? std::optional(view->evacuations_) : std::nullopt;
+}
+
+std::optional<ControlDuty::OperatorView> ControlDuty::ReadConfirmed(
+    state::Millis timeout) {
   auto slot = std::make_shared<ReadSlot>();
-  if (!ring_.TryPush(Item(ReadRequest{.slot_ = slot}))) {
-    return std::nullopt;
-  }
+  // A request that does not fit into the ring waits as long as one without an
+  // answer, so that a reader that repeats it does not spin.
+  ring_.TryPush(Item(ReadRequest{.slot_ = slot}));
   return slot->Wait(timeout);
 }
 
@@ -398,7 +410,9 @@
   // not confirmed gets no answer: its reader times out and asks another
   // instance.
   if (read.confirmed_) {
-    pending->second->Put(service_.configuration());
+    pending->second->Put(
+        OperatorView{.configuration_ = service_.configuration(),
+                     .evacuations_ = service_.evacuations()});
   }
   pending_reads_.erase(pending);
 }
--- a/src/daemon/control_duty.h
+++ b/src/daemon/control_duty.h
@@ -60,6 +60,9 @@
   // Thread-safe.
   std::optional<state::IndexedConfiguration> ReadConfiguration(
       state::Millis timeout);
+  // Returns the last evacuation orders, confirmed in the same way; nothing
+  // without a confirmation within `timeout`. Blocks. Thread-safe.
+  std::optional<state::Evacuations> ReadEvacuations(state::Millis timeout);
   // Replaces the peer addresses of the seeds. Thread-safe.
   void SetSeeds(const std::vector<std::string>& seeds);
 
@@ -72,7 +75,12 @@
   struct StatusRequest {
     std::shared_ptr<StatusSlot> slot_;
   };
-  using ReadSlot = transport::AnswerSlot<state::IndexedConfiguration>;
+  // What operators read from the replicated state.
+  struct OperatorView {
+    const state::IndexedConfiguration configuration_ = {};
+    const state::Evacuations evacuations_ = {};
+  };
+  using ReadSlot = transport::AnswerSlot<OperatorView>;
   struct ReadRequest {
     std::shared_ptr<ReadSlot> slot_;
   };
@@ -120,6 +128,7 @@
   // empty without one.
   std::string CurrentError() const;
   void AnswerStatus(StatusSlot* slot) const;
+  std::optional<OperatorView> ReadConfirmed(state::Millis timeout);
   void LogOutage(state::Millis now);
   // Proposes a membership change with a new tag and waits for its outcome.
   state::Result<void> ChangeMembership(
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -182,6 +182,8 @@
       peers_.get());
   if (control_ != nullptr) {
     control_->Start(peers_.get());
+    evacuation_orders_ = std::make_unique<EvacuationOrders>(
+        control_.get(), gateway_.get(), &counters_);
   }
   BOOST_OUTCOME_TRYV(StartPlatformFront());
   node_->Start(peers_.get());
@@ -219,7 +221,8 @@
       platform::MakeFrontDialect(PlatformService(*settings_.platform_));
   if (control_ != nullptr) {
     operators_ = std::make_unique<OperatorDuty>(front_dialect_.get(),
-                                                control_.get(), gateway_.get());
+                                                control_.get(), gateway_.get(),
+                                                evacuation_orders_.get());
   }
   event_front_ = std::make_unique<EventFront>(front_dialect_.get(), node_.get(),
                                               operators_.get(), &counters_);
@@ -266,8 +269,7 @@
     case coordination::MessageRecipient::kOperators:
       // The control service relays submissions, so a control instance may wait
       // for this reply instead of an operator here.
-      gateway_->OnReply(
-          std::get<coordination::ConfigSubmitReply>(arrival.message_));
+      gateway_->OnReply(arrival.message_);
       return;
     case coordination::MessageRecipient::kControl:
     case coordination::MessageRecipient::kLog:
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -53,6 +53,7 @@
   std::unique_ptr<NodeDuty> node_;
   std::unique_ptr<transport::PeerEndpoint> peers_;
   std::unique_ptr<OperatorGateway> gateway_;
+  std::unique_ptr<EvacuationOrders> evacuation_orders_;
   std::unique_ptr<OperatorDuty> operators_;
   std::unique_ptr<EventFront> event_front_;
   std::unique_ptr<HttpFront> front_;
--- a/src/daemon/event_front.cc
+++ b/src/daemon/event_front.cc
@@ -84,6 +84,7 @@
 }
 
 void EventFront::OnCallerDisconnected(uint64_t request_id) {
+  order_callers_.OnDisconnected(request_id);
   node_->Post(
       coordination::CallerDisconnected{.call_id_ = request_id | kCallBit});
 }
@@ -154,6 +155,13 @@
   PostOperatorRequest(id, request);
 }
 
+void EventFront::Handle(uint64_t id, const protocol::OrderEvacuation& request) {
+  PostOperatorRequest(id,
+                      ReceivedOrder{.order_ = request,
+                                    .received_at_ = clock_.Now(),
+                                    .caller_waits_ = order_callers_.Open(id)});
+}
+
 void EventFront::Handle(uint64_t id, const protocol::RefusedRequest& request) {
   if (request.counter_.has_value()) {
     counters_->Add(*request.counter_);
@@ -170,9 +178,11 @@
       operators_ != nullptr &&
       operators_->Post(std::move(request),
                        [this, id](const state::HttpAnswer& answer) {
+                         order_callers_.Close(id);
                          server_->Answer(id, answer);
                        });
   if (!accepted) {
+    order_callers_.Close(id);
     server_->Answer(id, dialect_->PrintSubmissionOutcome(
                             protocol::SubmissionOutcome::kNotCertain,
                             "This daemon takes no orders at the moment."));
--- a/src/daemon/event_front.h
+++ b/src/daemon/event_front.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "absl/synchronization/notification.h"
+#include "daemon/caller_presence.h"
 #include "daemon/node_duty.h"
 #include "daemon/operator_duty.h"
 #include "protocol/protocol.h"
@@ -63,9 +64,11 @@
   void Handle(uint64_t id, const protocol::ReadConfiguration& request);
   void Handle(uint64_t id, const protocol::ReplaceConfiguration& request);
   void Handle(uint64_t id, const protocol::ChangeConfiguration& request);
+  void Handle(uint64_t id, const protocol::OrderEvacuation& request);
   void Handle(uint64_t id, const protocol::RefusedRequest& request);
   void PostOperatorRequest(uint64_t id, OperatorRequest request);
 
+  const state::SteadyClock clock_;
   const protocol::FrontDialect* const dialect_;
   NodeDuty* const node_;
   OperatorDuty* const operators_;
@@ -73,6 +76,7 @@
   std::string service_;
   std::vector<Listener> listeners_;
   std::optional<size_t> calls_listener_;  // Index of the callers' address.
+  CallerPresence order_callers_;
   std::atomic<bool> stopping_ = false;
   absl::Notification started_;
   std::unique_ptr<transport::CallServer> server_;
--- a/src/daemon/operator_duty.cc
+++ b/src/daemon/operator_duty.cc
@@ -22,10 +22,12 @@
 
 OperatorDuty::OperatorDuty(const protocol::FrontDialect* dialect,
                            ControlDuty* control,
-                           OperatorGateway* gateway)
+                           OperatorGateway* gateway,
+                           EvacuationOrders* evacuations)
     : dialect_(dialect),
       control_(control),
       gateway_(gateway),
+      evacuations_(evacuations),
       ring_(kRingCapacity) {
   for (int i = 0; i < kThreads; ++i) {
     threads_.push_back(
@@ -110,6 +112,16 @@
                                      .configuration_ = changed});
 }
 
+state::HttpAnswer OperatorDuty::Handle(const ReceivedOrder& request) {
+  const EvacuationSubmission::End end = evacuations_->CarryOut(request);
+  return end.outcome_ == OrderOutcome::kAccepted
+             ? dialect_->PrintSubmissionOutcome(SubmissionOutcome::kAccepted,
+                                                "")
+             : dialect_->PrintSubmissionOutcome(
+                   SubmissionOutcome::kNotCertain,
+                   "No quorum has answered in time.");
+}
+
 state::HttpAnswer OperatorDuty::Submit(
     const state::SubmittedConfiguration& submitted) {
   const coordination::ConfigSubmitReply reply = gateway_->Submit(submitted);
--- a/src/daemon/operator_duty.h
+++ b/src/daemon/operator_duty.h
@@ -7,16 +7,18 @@
 #include <vector>
 
 #include "daemon/control_duty.h"
+#include "daemon/evacuation_orders.h"
 #include "daemon/operator_gateway.h"
 #include "protocol/protocol.h"
 #include "transport/transport.h"
 
 namespace gooseberrygap::daemon {
 
-// A read or a submission of the configuration.
+// A read or a submission of the configuration, or an evacuation order.
 using OperatorRequest = std::variant<protocol::ReadConfiguration,
                                      protocol::ReplaceConfiguration,
-                                     protocol::ChangeConfiguration>;
+                                     protocol::ChangeConfiguration,
+                                     ReceivedOrder>;
 
 // The `operator` duties: handle operators' requests on a few threads, since
 // each request blocks until a quorum has answered.
@@ -28,7 +30,8 @@
   // All arguments must outlive the duty.
   OperatorDuty(const protocol::FrontDialect* dialect,
                ControlDuty* control,
-               OperatorGateway* gateway);
+               OperatorGateway* gateway,
+               EvacuationOrders* evacuations);
   ~OperatorDuty();
 
   // Queues a request. Returns false when the ring is full; `handler` is then
@@ -46,11 +49,13 @@
   state::HttpAnswer Handle(const protocol::ReadConfiguration& request);
   state::HttpAnswer Handle(const protocol::ReplaceConfiguration& request);
   state::HttpAnswer Handle(const protocol::ChangeConfiguration& request);
+  state::HttpAnswer Handle(const ReceivedOrder& request);
   state::HttpAnswer Submit(const state::SubmittedConfiguration& submitted);
 
   const protocol::FrontDialect* const dialect_;
   ControlDuty* const control_;
   OperatorGateway* const gateway_;
+  EvacuationOrders* const evacuations_;
   transport::Ring<Item> ring_;
   std::vector<std::unique_ptr<transport::DutyThread>> threads_;
 };
--- a/src/daemon/operator_gateway.h
+++ b/src/daemon/operator_gateway.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_OPERATOR_GATEWAY_H_
 #define DAEMON_OPERATOR_GATEWAY_H_
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -9,8 +10,8 @@
 
 namespace gooseberrygap::daemon {
 
-// Submits an operator's configuration to the leader of the control group, from
-// the daemon that received it.
+// Submits what operators send to the leader of the control group, from the
+// daemon that received it.
 class OperatorGateway {
  public:
   struct Options {
@@ -28,17 +29,36 @@
   coordination::ConfigSubmitReply Submit(
       const state::SubmittedConfiguration& submission);
 
-  // Passes a reply to the submission that waits for it. Thread-safe.
-  void OnReply(const coordination::ConfigSubmitReply& reply);
+  // Submits an evacuation order in the same way, for at most `timeout`.
+  // `may_send` is asked before each message; after it has returned false,
+  // nothing more is sent and the status is kNoQuorum. Blocks. Thread-safe.
+  coordination::EvacuationReply SubmitEvacuation(
+      const state::EvacuationOrder& order,
+      state::Millis timeout,
+      const std::function<bool()>& may_send);
+
+  // Passes a reply to the submission that waits for it; ignores messages that
+  // are no such reply. Thread-safe.
+  void OnReply(const coordination::PeerMessage& message);
 
  private:
-  using Slots = transport::AnswerSlots<coordination::ConfigSubmitReply>;
-  class Tries;
+  // A submission and how to send it.
+  struct Submission {
+    // Returns the message with this call id.
+    std::function<coordination::PeerMessage(uint64_t call_id)> message_;
+    std::function<bool()> may_send_;
+    state::Millis timeout_;
+  };
+
+  template <class Reply>
+  Reply SubmitToLeader(const Submission& submission,
+                       transport::AnswerSlots<Reply>* slots);
 
   const std::vector<std::string> control_addresses_;
   const state::Millis timeout_;
   transport::PeerEndpoint* const peers_;
-  Slots slots_;
+  transport::AnswerSlots<coordination::ConfigSubmitReply> configuration_slots_;
+  transport::AnswerSlots<coordination::EvacuationReply> evacuation_slots_;
 };
 
 }  // namespace gooseberrygap::daemon
--- a/src/protocol/api/front_dialect.h
+++ b/src/protocol/api/front_dialect.h
@@ -46,6 +46,16 @@
   const state::ConfigurationChange change_ = {};
 };
 
+// Orders that nothing more is sent to the targets of a failure domain, or
+// withdraws such an order.
+struct OrderEvacuation {
+  const std::string failure_domain_ = {};
+  const bool evacuates_ = true;  // False withdraws the order.
+
+  friend bool operator==(const OrderEvacuation&,
+                         const OrderEvacuation&) = default;
+};
+
 // A request that means nothing here, with its answer.
 struct RefusedRequest {
   const state::HttpAnswer answer_ = {};
@@ -60,6 +70,7 @@
                                   ReadConfiguration,
                                   ReplaceConfiguration,
                                   ChangeConfiguration,
+                                  OrderEvacuation,
                                   RefusedRequest>;
 
 // The end of an operator's order.
--- a/src/protocol/internal/peer_codec.cc
+++ b/src/protocol/internal/peer_codec.cc
@@ -259,6 +259,18 @@
     out->set_winner_submission(message.winner_submission_);
     out->set_leader_address(message.leader_address_);
   }
+  void operator()(const coordination::EvacuationSubmit& message) const {
+    wire::EvacuationSubmit* out = envelope_->mutable_evacuation_submit();
+    out->set_call_id(message.call_id_);
+    ToWire(message.order_, out->mutable_order());
+  }
+  void operator()(const coordination::EvacuationReply& message) const {
+    wire::EvacuationReply* out = envelope_->mutable_evacuation_reply();
+    out->set_call_id(message.call_id_);
+    out->set_status(static_cast<uint32_t>(message.status_));
+    out->set_index(message.index_);
+    out->set_leader_address(message.leader_address_);
+  }
   void operator()(const coordination::LoadNotice& message) const {
     wire::LoadNotice* out = envelope_->mutable_load_notice();
     out->set_target(message.target_);
@@ -633,6 +645,24 @@
                                      .incarnation_ = in.incarnation()};
 }
 
+PeerMessage ReadEvacuationSubmit(const wire::Envelope& envelope,
+                                 WireReader* reader) {
+  const wire::EvacuationSubmit& in = envelope.evacuation_submit();
+  return coordination::EvacuationSubmit{.call_id_ = in.call_id(),
+                                        .order_ = FromWire(in.order(), reader)};
+}
+
+PeerMessage ReadEvacuationReply(const wire::Envelope& envelope,
+                                WireReader* reader) {
+  const wire::EvacuationReply& in = envelope.evacuation_reply();
+  return coordination::EvacuationReply{
+      .call_id_ = in.call_id(),
+      .status_ = reader->EnumOf(in.status(),
+                                coordination::EvacuationStatus::kNotFormed),
+      .index_ = in.index(),
+      .leader_address_ = in.leader_address()};
+}
+
 struct DecoderRow {
   const wire::Envelope::MessageCase kind_;
   PeerMessage (*const read_)(const wire::Envelope&, WireReader*);
@@ -662,6 +692,8 @@
     {wire::Envelope::kJoinRequest, ReadJoinRequest},
     {wire::Envelope::kLoadNotice, ReadLoadNotice},
     {wire::Envelope::kResumeAttempt, ReadResumeAttempt},
+    {wire::Envelope::kEvacuationSubmit, ReadEvacuationSubmit},
+    {wire::Envelope::kEvacuationReply, ReadEvacuationReply},
 };
 
 state::Error Malformed(absl::string_view what) {
--- a/src/protocol/tests/peer_codec_test.cc
+++ b/src/protocol/tests/peer_codec_test.cc
@@ -63,6 +63,28 @@
   }
 }
 
+// Guards against an order or its reply that arrives with other contents, so
+// that it is refused, or taken for an order of the opposite kind.
+TEST_CASE("evacuation orders and their replies keep their contents",
+          "[evacuation]") {
+  const coordination::PeerMessage messages[] = {
+      coordination::EvacuationSubmit{
+          .call_id_ = 3,
+          .order_ = state::EvacuationOrder{.failure_domain_ = "zone-1",
+                                           .evacuates_ = false,
+                                           .known_index_ = 9}},
+      coordination::EvacuationReply{
+          .call_id_ = 3,
+          .status_ = coordination::EvacuationStatus::kNotFormed,
+          .index_ = 9,
+          .leader_address_ = "addr"}};
+  for (const coordination::PeerMessage& message : messages) {
+    const auto decoded = DecodePeerMessage(EncodePeerMessage(message));
+    REQUIRE(decoded);
+    CHECK(decoded.value() == message);
+  }
+}
+
 // Guards against bytes of another program that end the process or are taken for
 // a message.
 TEST_CASE("bytes that are no message are refused") {
--- a/src/state/api/evacuation.h
+++ b/src/state/api/evacuation.h
@@ -40,6 +40,11 @@
   friend bool operator==(const Evacuations&, const Evacuations&) = default;
 };
 
+// Returns the last order for the failure domain; not evacuated at index 0 when
+// it never had one. Thread-safe.
+EvacuationState FindEvacuation(const Evacuations& evacuations,
+                               const std::string& failure_domain);
+
 }  // namespace gooseberrygap::state
 
 #endif  // STATE_API_EVACUATION_H_
--- a/src/state/internal/counters.cc
+++ b/src/state/internal/counters.cc
@@ -107,6 +107,14 @@
         {Counter::kAnnouncementsRefused, "announcement_refused",
          "Announcements and withdrawals of targets that could not be read or "
          "had values out of range."},
+        {Counter::kEvacuationOrdersAccepted, "evacuation_order_accepted",
+         "Evacuation orders that were acknowledged."},
+        {Counter::kEvacuationOrdersNotCertain, "evacuation_order_not_certain",
+         "Evacuation orders that ended without a certain result."},
+        {Counter::kEvacuationOrdersNotSubmitted,
+         "evacuation_order_not_submitted",
+         "Evacuation orders dropped before they were submitted, because their "
+         "caller had left or they had waited too long."},
         {Counter::kHttpRequestsMalformed, "http_request_malformed",
          "HTTP requests refused as malformed, too large or not whole in time."},
         {Counter::kHttpConnectionsAccepted, "http_connection_accepted",
--- a/src/state/internal/evacuation_table.cc
+++ b/src/state/internal/evacuation_table.cc
@@ -6,6 +6,16 @@
 
 namespace gooseberrygap::state {
 
+EvacuationState FindEvacuation(const Evacuations& evacuations,
+                               const std::string& failure_domain) {
+  for (const EvacuationState& domain : evacuations.domains_) {
+    if (domain.failure_domain_ == failure_domain) {
+      return domain;
+    }
+  }
+  return EvacuationState{.failure_domain_ = failure_domain};
+}
+
 bool EvacuationTable::Apply(uint64_t index, const EvacuationOrder& order) {
   const auto last = domains_.find(order.failure_domain_);
   const bool is_evacuated = last != domains_.end() && last->second.evacuated_;
--- a/src/state/internal/gauges.cc
+++ b/src/state/internal/gauges.cc
@@ -19,6 +19,9 @@
      "Time for which calls with an API key may still be served."},
     {Gauge::kConfirmationAge, "authorization_confirmation_age_ms",
      "Time since a quorum confirmed the API keys."},
+    {Gauge::kEvacuationOrderIndex, "evacuation_order_index",
+     "Log index of the newest evacuation order that this control instance has "
+     "applied; 0 without one."},
 }};
 
 constexpr bool RowsAreInEnumOrder() {
