Send no attempt to a target in an evacuated failure domain

What callers saw: an operator's order to evacuate a failure domain had no effect on calls. First attempts, retries and hedges went to its targets.

Cause: lease replies carry the evacuations, but no code of a daemon read them.

Change: ControlClient keeps the newest list, by its log index, from every reply, also from one that grants no lease: an order does not depend on the lease, and the index says which list is newer. Without contact to the control group the list stays in force. A call whose service has serving targets only in evacuated domains is refused at once with kEvacuated, as not run. Three gauges and a log line for each change show what is in force.

--- a/src/coordination/api/control_client.h
+++ b/src/coordination/api/control_client.h
@@ -35,13 +35,15 @@
                 ControlClientOptions options = {});
   ~ControlClient();
 
-  // Result of handling an event. A flag is set when configuration(), Targets()
-  // or refused_fingerprints() may return a different value than before.
+  // Result of handling an event. A flag is set when configuration(), Targets(),
+  // refused_fingerprints() or evacuations() may return a different value than
+  // before.
   struct Step {
     Commands commands_;
     bool configuration_changed_ = false;
     bool membership_changed_ = false;
     bool refused_fingerprints_changed_ = false;
+    bool evacuations_changed_ = false;
   };
 
   // Adds peer addresses of control instances to contact when no known instance
@@ -78,6 +80,9 @@
   // Returns all known targets, of every service, that have not left.
   std::vector<state::TargetRecord> Targets() const;
   const std::vector<RefusedFingerprint>& refused_fingerprints() const;
+  // Returns the newest evacuations that any reply has carried. They stay in
+  // force while the daemon has no contact with the control group.
+  const state::Evacuations& evacuations() const;
   // Returns the leader's address from the last granted reply that named one, or
   // an empty string.
   const std::string& leader_address() const;
--- a/src/coordination/api/router.h
+++ b/src/coordination/api/router.h
@@ -75,6 +75,10 @@
   void UpdateTargets(const std::vector<state::TargetRecord>& targets,
                      state::Millis now);
 
+  // Excludes the targets in the evacuated failure domains from now on, and
+  // admits those in all others.
+  void UpdateEvacuations(const state::Evacuations& evacuations);
+
   // Returns the target for the next attempt, or nothing if no target is
   // eligible or none is expected to answer in time.
   std::optional<state::TargetRecord> Choose(const ChoiceQuery& query,
@@ -83,6 +87,10 @@
   // allows.
   bool HasTarget(absl::string_view service,
                  const state::AllowedRegions& allowed = {}) const;
+  // Returns whether the service has serving targets in regions that `allowed`
+  // allows, and all of them are in evacuated failure domains.
+  bool IsEvacuated(absl::string_view service,
+                   const state::AllowedRegions& allowed) const;
   // Records an attempt that was sent to the target.
   void OnSent(absl::string_view target, state::Millis now);
   // Records the end of an attempt. Each OnSent has exactly one OnEnd.
--- a/src/coordination/internal/action_calls.cc
+++ b/src/coordination/internal/action_calls.cc
@@ -147,7 +147,7 @@
     if (attempts.sent() == 0) {
       return Finish(action,
                     NotRunAnswer(call, denial == RefusalReason::kNone
-                                           ? RefusalReason::kNoTarget
+                                           ? ReasonWithoutTarget(call)
                                            : denial),
                     now);
     }
@@ -167,6 +167,13 @@
       now)};
 }
 
+RefusalReason ActionCalls::ReasonWithoutTarget(
+    const ClassifiedCall& call) const {
+  return router_->IsEvacuated(call.service_->name_, call.allowed_regions_)
+             ? RefusalReason::kEvacuated
+             : RefusalReason::kNoTarget;
+}
+
 std::optional<Commands> ActionCalls::OnAnswer(const AttemptAnswer& answer,
                                               state::Millis now) {
   const auto entry = actions_.find(answer.request_id_);
--- a/src/coordination/internal/action_calls.h
+++ b/src/coordination/internal/action_calls.h
@@ -70,6 +70,8 @@
   Commands Begin(Action* action, state::Millis now);
   Commands Fence(Action* action, uint64_t attempt, state::Millis now);
   Commands SendNext(Action* action, state::Millis now);
+  // Returns why no target can be chosen for the call.
+  state::RefusalReason ReasonWithoutTarget(const ClassifiedCall& call) const;
   Commands OnBegun(Action* action, const RegisterEnd& end, state::Millis now);
   Commands OnFenced(Action* action, const RegisterEnd& end, state::Millis now);
   // Handles an entry that is not open: ends the action if the entry is done or
--- a/src/coordination/internal/control_client.cc
+++ b/src/coordination/internal/control_client.cc
@@ -106,6 +106,7 @@
     if (choice_.empty()) {
       return step;
     }
+    step.evacuations_changed_ = followed_.ApplyEvacuations(reply);
     const std::optional<ControlMoveReason> move_reason =
         choice_.OnStalenessReport(reply.control_instance_,
                                   UsableStaleness(reply, address, now), now);
@@ -450,6 +451,10 @@
   return impl_->followed().refused_fingerprints();
 }
 
+const state::Evacuations& ControlClient::evacuations() const {
+  return impl_->followed().evacuations();
+}
+
 const std::string& ControlClient::leader_address() const {
   return impl_->leader_address();
 }
--- a/src/coordination/internal/decision_log.cc
+++ b/src/coordination/internal/decision_log.cc
@@ -125,6 +125,15 @@
                               {"staleness_ms", reply.staleness_.value()}}};
 }
 
+LogEvent EvacuationLine(const state::EvacuationState& domain, bool is_own) {
+  return LogEvent{
+      .level_ = LogLevel::kWarning,
+      .event_ = domain.evacuated_ ? "evacuation_in_force" : "evacuation_ended",
+      .fields_ = {{"failure_domain", domain.failure_domain_},
+                  {"index", static_cast<int64_t>(domain.index_)},
+                  {"is_own", is_own}}};
+}
+
 state::LogEvent OwnControlRoleSilentLine() {
   return state::LogEvent{.level_ = state::LogLevel::kWarning,
                          .event_ = "own_control_role_silent"};
--- a/src/coordination/internal/decision_log.h
+++ b/src/coordination/internal/decision_log.h
@@ -51,6 +51,11 @@
 state::LogEvent ControlQueryAnsweredLine(const std::string& current,
                                          const LeaseReply& reply);
 
+// Returns the line for a failure domain whose evacuation has come into force or
+// has ended at this daemon. `is_own` says that it is the daemon's own domain.
+state::LogEvent EvacuationLine(const state::EvacuationState& domain,
+                               bool is_own);
+
 // Returns the line of a daemon whose own control role does not answer it.
 state::LogEvent OwnControlRoleSilentLine();
 
--- a/src/coordination/internal/followed_state.cc
+++ b/src/coordination/internal/followed_state.cc
@@ -164,6 +164,14 @@
   return true;
 }
 
+bool FollowedState::ApplyEvacuations(const LeaseReply& reply) {
+  if (reply.evacuations_.index_ <= evacuations_->index_) {
+    return false;
+  }
+  evacuations_.emplace(reply.evacuations_);
+  return true;
+}
+
 bool FollowedState::RemoveExpired(state::Millis now) {
   std::vector<RefusedFingerprint> left;
   for (const RefusedFingerprint& refused : refused_) {
--- a/src/coordination/internal/followed_state.h
+++ b/src/coordination/internal/followed_state.h
@@ -13,8 +13,9 @@
 namespace gooseberrygap::coordination {
 
 // A daemon's copy of the state that it receives with its lease replies: the
-// configuration, the membership table and the refused fingerprints. Never
-// replaces a configuration or a record by an older one. Not thread-safe.
+// configuration, the membership table, the refused fingerprints and the
+// evacuations. Never replaces a configuration, a record or the evacuations by
+// an older version. Not thread-safe.
 class FollowedState {
  public:
   // `counters` must outlive this object.
@@ -32,6 +33,9 @@
 
   // Applies the content of a reply. Precondition: `reply.granted_`.
   Changes Apply(const LeaseReply& reply, state::Millis now);
+  // Applies the evacuations of a reply. Returns whether they have changed. The
+  // reply need not be granted: the index says which orders are newer.
+  bool ApplyEvacuations(const LeaseReply& reply);
   // Removes refused fingerprints whose hold has expired. Returns whether there
   // were any.
   bool RemoveExpired(state::Millis now);
@@ -47,6 +51,7 @@
   const std::vector<RefusedFingerprint>& refused_fingerprints() const {
     return refused_;
   }
+  const state::Evacuations& evacuations() const { return *evacuations_; }
 
  private:
   bool ApplyConfiguration(const LeaseReply& reply);
@@ -63,6 +68,7 @@
   uint64_t membership_version_ = 0;
   std::map<std::string, state::TargetRecord> records_;  // By instance.
   std::vector<RefusedFingerprint> refused_;
+  std::optional<state::Evacuations> evacuations_ = state::Evacuations();
   state::Millis refused_at_;  // Time at which `refused_` was received.
 };
 
--- a/src/coordination/internal/lookup_calls.cc
+++ b/src/coordination/internal/lookup_calls.cc
@@ -78,6 +78,9 @@
 state::RefusalReason LookupCalls::ReasonWithoutTarget(
     const ClassifiedCall& call) const {
   const std::string& service = call.service_->name_;
+  if (router_->IsEvacuated(service, call.allowed_regions_)) {
+    return state::RefusalReason::kEvacuated;
+  }
   if (router_->HasTarget(service, call.allowed_regions_)) {
     return state::RefusalReason::kOverloaded;
   }
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -6,6 +6,7 @@
 #include "coordination/internal/authorization_lease.h"
 #include "coordination/internal/decision_log.h"
 #include "coordination/internal/early_calls.h"
+#include "coordination/internal/evacuation_report.h"
 #include "coordination/internal/register_tags.h"
 
 namespace gooseberrygap::coordination {
@@ -57,6 +58,7 @@
             counters,
             {.requires_confirmed_keys_ = options.revocation_.is_strict_}),
         lease_(options.revocation_),
+        evacuation_report_(self_.failure_domain_, &counters->gauges()),
         ingress_(
             absl::StrCat(self_.instance_, "-", self_.version_.incarnation_),
             &router_,
@@ -318,6 +320,12 @@
           control_client_.refused_fingerprints());
       guard_.UpdateRefusedFingerprints(control_client_.refused_fingerprints());
     }
+    if (step.evacuations_changed_) {
+      // The router first: calls whose attempts the guard refuses choose again.
+      const state::Evacuations& evacuations = control_client_.evacuations();
+      router_.UpdateEvacuations(evacuations);
+      Append(&step.commands_, evacuation_report_.Update(evacuations));
+    }
     return std::move(step.commands_);
   }
 
@@ -482,6 +490,7 @@
   RegisterClient register_client_;
   ControlClient control_client_;
   AuthorizationLease lease_;
+  EvacuationReport evacuation_report_;
   LinkMonitor link_monitor_;
   EarlyCalls early_calls_;
   Ingress ingress_;
--- a/src/coordination/internal/router.cc
+++ b/src/coordination/internal/router.cc
@@ -57,6 +57,10 @@
   impl_->UpdateTargets(targets, now);
 }
 
+void Router::UpdateEvacuations(const state::Evacuations& evacuations) {
+  impl_->UpdateEvacuations(evacuations);
+}
+
 std::optional<TargetRecord> Router::Choose(const ChoiceQuery& query,
                                            state::Millis now) {
   return impl_->Choose(query, now);
@@ -67,6 +71,11 @@
   return impl_->HasTarget(service, allowed);
 }
 
+bool Router::IsEvacuated(absl::string_view service,
+                         const state::AllowedRegions& allowed) const {
+  return impl_->IsEvacuated(service, allowed);
+}
+
 void Router::OnSent(absl::string_view target, state::Millis now) {
   impl_->OnSent(target, now);
 }
--- a/src/coordination/internal/router_choice.cc
+++ b/src/coordination/internal/router_choice.cc
@@ -77,6 +77,7 @@
     const bool takes_work =
         record.state_ == TargetState::kServing && GuardTakesWork(*target, now);
     if (is_local != local || is_tried || !takes_work ||
+        IsInEvacuatedDomain(record) ||
         !query.allowed_regions_.Allows(record.region_)) {
       continue;
     }
--- a/src/coordination/internal/router_impl.h
+++ b/src/coordination/internal/router_impl.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "coordination/coordination.h"
 #include "coordination/internal/latency_window.h"
 #include "coordination/internal/link_times.h"
@@ -24,8 +25,9 @@
 
 // The state of a router. router_members.cc follows the configuration and the
 // membership, router_choice.cc chooses among the members, router_load.cc
-// records loads and ends of attempts, ejects and probes targets, and router.cc
-// holds the budgets for retries and hedges.
+// records loads and ends of attempts, ejects and probes targets,
+// router_evacuation.cc excludes evacuated targets, and router.cc holds the
+// budgets for retries and hedges.
 class Router::Impl {
  public:
   Impl(const state::TargetRecord& self,
@@ -40,10 +42,13 @@
   void UpdateConfiguration(const state::Configuration& configuration);
   void UpdateTargets(const std::vector<state::TargetRecord>& targets,
                      state::Millis now);
+  void UpdateEvacuations(const state::Evacuations& evacuations);
   std::optional<state::TargetRecord> Choose(const ChoiceQuery& query,
                                             state::Millis now);
   bool HasTarget(absl::string_view service,
                  const state::AllowedRegions& allowed) const;
+  bool IsEvacuated(absl::string_view service,
+                   const state::AllowedRegions& allowed) const;
   void OnSent(absl::string_view target, state::Millis);
   void OnEnd(const AttemptOutcome& outcome, state::Millis now);
   bool TakeProbe(const std::string& address, state::Millis now);
@@ -97,6 +102,9 @@
                                 const ChoiceQuery& query,
                                 bool local,
                                 state::Millis now) const;
+  bool IsInEvacuatedDomain(const state::TargetRecord& record) const {
+    return evacuated_domains_.contains(record.failure_domain_);
+  }
   // Returns whether the last report of the target's guard allows new work.
   // After a report of draining the target is not tried until a probe reply or
   // the membership reports that it serves again: without control instances the
@@ -134,6 +142,7 @@
   state::Counters* const counters_;
   std::map<std::string, ServiceState, std::less<>> services_;
   absl::flat_hash_map<std::string, std::unique_ptr<Target>> targets_;
+  absl::flat_hash_set<std::string> evacuated_domains_;
   // Smoothed size of the calls of each route, in kilobytes.
   absl::flat_hash_map<std::string, double> call_kilobytes_;
   ServiceTimes route_times_;  // Of all targets, for each route.
--- a/src/state/api/gauges.h
+++ b/src/state/api/gauges.h
@@ -12,8 +12,11 @@
 
 // Values that rise and fall. Each has a row with its name in gauges.cc.
 enum class Gauge {
-  kAuthorizationLeft,  // Milliseconds.
-  kConfirmationAge,    // Milliseconds.
+  kAuthorizationLeft,   // Milliseconds.
+  kConfirmationAge,     // Milliseconds.
+  kOwnDomainEvacuated,  // 1 or 0.
+  kEvacuationIndex,     // Log index of the newest order.
+  kEvacuatedDomains,
   kCount,
 };
 
--- a/src/state/internal/gauges.cc
+++ b/src/state/internal/gauges.cc
@@ -19,6 +19,12 @@
      "Time for which calls with an API key may still be served."},
     {Gauge::kConfirmationAge, "authorization_confirmation_age_ms",
      "Time since a quorum confirmed the API keys."},
+    {Gauge::kOwnDomainEvacuated, "evacuation_own_domain",
+     "1 while the daemon's own failure domain is evacuated, else 0."},
+    {Gauge::kEvacuationIndex, "evacuation_index",
+     "Log index of the newest evacuation order in force at this daemon."},
+    {Gauge::kEvacuatedDomains, "evacuation_domains",
+     "Number of evacuated failure domains."},
 }};
 
 constexpr bool RowsAreInEnumOrder() {
