--- a/src/state/api/gauges.h
+++ b/src/state/api/gauges.h
@@ -15,6 +15,9 @@
   kAuthorizationLeft,  // Milliseconds.
   kConfirmationAge,    // Milliseconds.
   kEvacuationOrderIndex,
+  kOwnDomainEvacuated,  // 1 or 0.
+  kEvacuationIndex,     // Log index of the newest order.
+  kEvacuatedDomains,
   kCount,
 };
 
--- a/src/state/internal/gauges.cc
+++ b/src/state/internal/gauges.cc
@@ -22,6 +22,12 @@
     {Gauge::kEvacuationOrderIndex, "evacuation_order_index",
      "Log index of the newest evacuation order that this control instance has "
      "applied; 0 without one."},
+    {Gauge::kOwnDomainEvacuated, "evacuation_own_domain",
+     "1 while the daemon's own failure domain is evacuated, else 0."},
+    {Gauge::kEvacuationIndex, "evacuation_index",
+     "Log index of the newest evacuation order in force at this daemon."},
+    {Gauge::kEvacuatedDomains, "evacuation_domains",
+     "Number of evacuated failure domains."},
 }};
 
 constexpr bool RowsAreInEnumOrder() {
