Limit the requests that a guard hands to a cold target

Callers saw refused connections and unknown outcomes: a target that had just started received more requests in one second than its service's configuration allows, and crashed.

Cause: the warm-up policy, the tolerance of the settings and the reports of a target that it is cold were accepted, but no decision read them.

Change: WarmupLimit counts the deliveries of the guard by their times, and the guard refuses what exceeds the limit with kWarmingUp, or queues it when the ingress has no other target. The limit is in force while the target reports that it is cold, and while its state is uncertain: after a new process, a failed delivery or connection, a start or pause of the guard, or the end of an evacuation. A health request that was sent later ends the uncertainty. Without a policy nothing changes. Guard::OnEvacuationEnded is for the enforcement of evacuations.

Why this works: all requests to the target pass its guard. A delivery must begin to be sent within 500 ms, and at most the maximum of a second is handed over in 1.5 s, so that no second in which the target receives requests has more.

Evidence: coordination_tests "[warmup]" with a policy that is never in force:

warmup_limit_test.cc:176: FAILED: CHECK( test.MostInSecond(from) <= kMaxInSecond - 6 ) 505 (0x1f9) <= 21 warmup_limit_test.cc:218: FAILED: CHECK( test.MostInSecond(from) <= kMaxInSecond ) 541 (0x21d) <= 27 warmup_limit_test.cc:242: FAILED: CHECK( test.times_.size() - sent <= 20 )

With the change: All tests passed (86 assertions in 6 test cases).

--- a/src/coordination/api/guard.h
+++ b/src/coordination/api/guard.h
@@ -7,6 +7,7 @@
 
 #include "coordination/api/commands.h"
 #include "coordination/api/events.h"
+#include "coordination/api/policies.h"
 #include "coordination/api/register_client.h"
 
 namespace gooseberrygap::coordination {
@@ -22,12 +23,14 @@
 class Guard {
  public:
   // `instance` and `incarnation` identify this daemon in the register. The
-  // register client and the counters must outlive the guard.
+  // register client and the counters must outlive the guard. `warmup` is how
+  // closely the limit of a cold target is kept.
   Guard(std::string instance,
         uint64_t incarnation,
         RegisterClient* register_client,
         state::Counters* counters,
-        state::Millis announcement_lifetime = kAnnouncementLifetime);
+        state::Millis announcement_lifetime = kAnnouncementLifetime,
+        const WarmupTolerance& warmup = {});
   ~Guard();
 
   // Sets the incarnation, adopted from the lease, that later register
@@ -65,6 +68,9 @@
   // crash reports.
   Commands OnCrashesReported(state::Millis now);
   Commands Tick(state::Millis now);
+  // Must be called when the target's failure domain is no longer evacuated: the
+  // target may have become cold.
+  void OnEvacuationEnded(state::Millis now);
 
   // Returns the load that answers, probe replies and load notices carry.
   state::GuardLoad Load() const;
--- a/src/coordination/internal/decision_log.cc
+++ b/src/coordination/internal/decision_log.cc
@@ -22,6 +22,9 @@
                                                       "draining", "left"};
 constexpr std::array<absl::string_view, 3> kMoveReasons = {"silent", "stale",
                                                            "other_region"};
+constexpr std::array<absl::string_view, 7> kWarmupReasons = {
+    "none",        "reported_cold",   "guard_started",   "guard_paused",
+    "new_process", "delivery_failed", "evacuation_ended"};
 constexpr int kFirstServerError = 500;
 
 template <class Names, class Enum>
@@ -125,6 +128,19 @@
                               {"staleness_ms", reply.staleness_.value()}}};
 }
 
+LogEvent WarmupLimitLine(const WarmupChange& change,
+                         const std::string& target,
+                         double requests_per_second) {
+  std::vector<LogField> fields = {
+      {"target", target}, {"reason", NameIn(kWarmupReasons, change.reason_)}};
+  if (change.in_force_) {
+    fields.push_back({"requests_per_second", requests_per_second});
+  }
+  return LogEvent{.event_ = change.in_force_ ? "warmup_limit_in_force"
+                                             : "warmup_limit_ended",
+                  .fields_ = std::move(fields)};
+}
+
 state::LogEvent OwnControlRoleSilentLine() {
   return state::LogEvent{.level_ = state::LogLevel::kWarning,
                          .event_ = "own_control_role_silent"};
--- a/src/coordination/internal/decision_log.h
+++ b/src/coordination/internal/decision_log.h
@@ -6,6 +6,7 @@
 
 #include "coordination/api/commands.h"
 #include "coordination/api/router.h"
+#include "coordination/internal/warmup_limit.h"
 
 namespace gooseberrygap::coordination {
 
@@ -51,6 +52,12 @@
 state::LogEvent ControlQueryAnsweredLine(const std::string& current,
                                          const LeaseReply& reply);
 
+// Returns the line for a change of the limit of the own target.
+// `requests_per_second` is the sustained rate while it is in force.
+state::LogEvent WarmupLimitLine(const WarmupChange& change,
+                                const std::string& target,
+                                double requests_per_second);
+
 // Returns the line of a daemon whose own control role does not answer it.
 state::LogEvent OwnControlRoleSilentLine();
 
--- a/src/coordination/internal/guard.cc
+++ b/src/coordination/internal/guard.cc
@@ -28,6 +28,7 @@
                                   state::Millis now) {
   const TargetState before = target_.state();
   const bool is_new_process = target_.Announce(announced, now);
+  OnAnnouncedWarmup(announced, now);
   Commands commands;
   if (is_new_process) {
     ReportCrash(now);
@@ -80,6 +81,9 @@
                                       ExpectedLatency())
                   : CheckRoutedLoad(attempt, now);
   }
+  if (refusal == RefusalReason::kNone) {
+    refusal = CheckWarmup(attempt, now);
+  }
   if (refusal != RefusalReason::kNone) {
     return {Reply(connection, Refusal(attempt, refusal))};
   }
@@ -135,18 +139,21 @@
   Append(&commands, SendDelayedReplies(now, false));
   Append(&commands, RefuseExpired(now));
   Append(&commands, RefuseMissedObjectives(now));
+  Append(&commands, TickWarmup(now));
   Append(&commands, ProbeTargetLoad(now));
   return commands;
 }
 
 state::GuardLoad Guard::Impl::Load() const {
-  return state::GuardLoad{.in_flight_ = running_count(),
-                          .queued_ = queued_count(),
-                          .slots_ = slots(),
-                          .latency_ = ExpectedLatency(),
-                          .state_ = target_.state(),
-                          .service_time_percent_ = service_time_percent_,
-                          .service_time_ = service_times_.mean()};
+  return state::GuardLoad{
+      .in_flight_ = running_count(),
+      .queued_ = queued_count(),
+      .slots_ = slots(),
+      .latency_ = ExpectedLatency(),
+      .state_ = target_.state(),
+      .service_time_percent_ = service_time_percent_,
+      .service_time_ = service_times_.mean(),
+      .admissions_per_second_ = warmup_.admissions_per_second()};
 }
 
 std::vector<CrashReport> Guard::Impl::TakeCrashReports() {
@@ -172,7 +179,7 @@
 Commands Guard::Impl::StartQueued(state::Millis now) {
   Commands commands;
   for (const GuardWork* next = queue_.Next(service_time_percent_, now);
-       next != nullptr && MayStart(*next);
+       next != nullptr && MayStart(*next, now);
        next = queue_.Next(service_time_percent_, now)) {
     const GuardWork work = queue_.Take(next);
     const RefusalReason too_late = work.WhyTooLate(now);
@@ -186,12 +193,13 @@
   return commands;
 }
 
-bool Guard::Impl::MayStart(const GuardWork& work) const {
+bool Guard::Impl::MayStart(const GuardWork& work, state::Millis now) const {
   const bool has_slot = running_count() < slots();
   // Work that must run alone is the only entry while it runs.
   const bool is_exclusive_running =
       !running_.empty() && running_.begin()->second.work_.run_alone_;
   return has_slot && !is_exclusive_running &&
+         warmup_.TimeToTurn(requested_starts(), now) <= state::Millis(0) &&
          (!work.run_alone_ || running_.empty());
 }
 
@@ -204,6 +212,7 @@
                       .service_time_percent_ = service_time_percent_,
                       .running_at_start_ = running_count() + 1};
   if (!IsKeyed(work.attempt_)) {
+    running.is_delivered_ = true;
     running_.emplace(delivery_id, running);
     return {Deliver(delivery_id, work, now)};
   }
@@ -217,6 +226,7 @@
                                      const GuardWork& work,
                                      state::Millis now) {
   counters_->Add(state::Counter::kDeliveries);
+  warmup_.OnDelivered(delivery_id, now);
   return DeliverToTarget{.delivery_id_ = delivery_id,
                          .address_ = target_.announcement().address_,
                          .request_ = work.attempt_.request_,
@@ -227,7 +237,7 @@
                          .origin_service_ = work.attempt_.origin_service_,
                          .tenant_ = work.attempt_.tenant_,
                          .timeout_ = work.deadline_ - now,
-                         .send_before_ = work.authorized_until_,
+                         .send_before_ = SendBefore(work, now),
                          .fresh_connection_ = work.attempt_.request_class_ ==
                                               state::RequestClass::kAction};
 }
@@ -273,12 +283,14 @@
              uint64_t incarnation,
              RegisterClient* register_client,
              state::Counters* counters,
-             state::Millis announcement_lifetime)
+             state::Millis announcement_lifetime,
+             const WarmupTolerance& warmup)
     : impl_(std::make_unique<Impl>(std::move(instance),
                                    incarnation,
                                    register_client,
                                    counters,
-                                   announcement_lifetime)) {}
+                                   announcement_lifetime,
+                                   warmup)) {}
 
 Guard::~Guard() = default;
 
@@ -288,7 +300,7 @@
 
 void Guard::UpdateConfiguration(
     const state::IndexedConfiguration& configuration) {
-  impl_->target()->UpdateConfiguration(configuration);
+  impl_->UpdateConfiguration(configuration);
 }
 
 void Guard::UpdateRefusedFingerprints(
@@ -298,6 +310,7 @@
 
 Commands Guard::OnAnnounced(const TargetAnnounced& announced,
                             state::Millis now) {
+  impl_->Observe(now);
   return impl_->OnAnnounced(announced, now);
 }
 
@@ -320,6 +333,7 @@
 Commands Guard::OnAttempt(const std::string& connection,
                           const Attempt& attempt,
                           state::Millis now) {
+  impl_->Observe(now);
   return impl_->OnAttempt(connection, attempt, now);
 }
 
@@ -329,14 +343,17 @@
 }
 
 Commands Guard::OnCancel(const Cancel& cancel, state::Millis now) {
+  impl_->Observe(now);
   return impl_->OnCancel(cancel, now);
 }
 
 Commands Guard::OnDeliveryEnded(const DeliveryEnded& ended, state::Millis now) {
+  impl_->Observe(now);
   return impl_->OnDeliveryEnded(ended, now);
 }
 
 Commands Guard::OnRegisterEnd(const RegisterEnd& end, state::Millis now) {
+  impl_->Observe(now);
   return impl_->OnRegisterEnd(end, now);
 }
 
@@ -345,9 +362,15 @@
 }
 
 Commands Guard::Tick(state::Millis now) {
+  impl_->Observe(now);
   return impl_->Tick(now);
 }
 
+void Guard::OnEvacuationEnded(state::Millis now) {
+  impl_->Observe(now);
+  impl_->OnEvacuationEnded(now);
+}
+
 state::GuardLoad Guard::Load() const {
   return impl_->Load();
 }
--- a/src/coordination/internal/guard_delivery.cc
+++ b/src/coordination/internal/guard_delivery.cc
@@ -25,11 +25,13 @@
 
 Commands Guard::Impl::OnDeliveryEnded(const DeliveryEnded& ended,
                                       state::Millis now) {
+  OnDeliveryEndedWarmup(ended, now);
   if (ended.delivery_id_ == crash_check_delivery_) {
     return OnCrashCheckEnded(ended.end_, now);
   }
   if (ended.delivery_id_ == load_probe_delivery_) {
     load_probe_delivery_ = 0;
+    OnLoadProbeEndedWarmup(ended, now);
     service_time_checked_at_ = now;
     return ended.service_time_percent_ > 0
                ? OnServiceTimePercent(ended.service_time_percent_, nullptr, now)
@@ -56,8 +58,7 @@
           OnNotDelivered(running, RefusalReason::kInternalQueueFull, now);
       break;
     case DeliveryEnd::kTooLateToSend:
-      commands =
-          OnNotDelivered(running, RefusalReason::kAuthorizationExpired, now);
+      commands = OnNotDelivered(running, WhyNotSent(running.work_, now), now);
       break;
     case DeliveryEnd::kIncompleteAnswer:
       crash_detector_.OnIncompleteAnswer(running.work_.attempt_.digest_,
@@ -150,6 +151,7 @@
   if (was_too_short) {
     return OnNotDelivered(running, RefusalReason::kDeadline, now);
   }
+  warmup_.OnUncertain(WarmupReason::kDeliveryFailed, now);
   // A refused connection confirms that the process has exited. No work is
   // admitted until the next announcement.
   ReportCrash(now);
@@ -173,6 +175,7 @@
 Commands Guard::Impl::OnUnanswered(const RunningWork& running,
                                    RefusalReason reason,
                                    state::Millis now) {
+  warmup_.OnUncertain(WarmupReason::kDeliveryFailed, now);
   if (running.cancelled_) {
     return {};
   }
@@ -207,6 +210,7 @@
 
 Commands Guard::Impl::OnCrashCheckEnded(DeliveryEnd end, state::Millis now) {
   if (end == DeliveryEnd::kConnectFailed) {
+    warmup_.OnUncertain(WarmupReason::kDeliveryFailed, now);
     ReportCrash(now);
     target_.SetState(TargetState::kStarting);
   }
--- a/src/coordination/internal/guard_impl.h
+++ b/src/coordination/internal/guard_impl.h
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -14,6 +15,7 @@
 #include "coordination/internal/recent_answers.h"
 #include "coordination/internal/recent_peers.h"
 #include "coordination/internal/slot_limit.h"
+#include "coordination/internal/warmup_limit.h"
 #include "coordination/internal/work_queue.h"
 
 namespace gooseberrygap::coordination {
@@ -37,23 +39,34 @@
 // answers, also on links that have replaced others, guard_register.cc
 // calls the action register, guard_delivery.cc handles the ends of deliveries
 // and crashes, guard_service_time.cc handles changes of the target's service
-// time, guard_refusals.cc refuses queued work.
+// time, guard_refusals.cc refuses queued work, guard_warmup.cc limits the
+// requests to a cold target.
 class Guard::Impl {
  public:
   Impl(std::string instance,
        uint64_t incarnation,
        RegisterClient* register_client,
        state::Counters* counters,
-       state::Millis announcement_lifetime)
+       state::Millis announcement_lifetime,
+       const WarmupTolerance& warmup)
       : instance_(std::move(instance)),
         incarnation_(incarnation),
         register_client_(register_client),
         counters_(counters),
         target_(announcement_lifetime),
+        requires_configuration_(!(warmup == WarmupTolerance())),
+        warmup_(warmup),
         crash_detector_(absl::StrCat(instance_, "-", incarnation, "-")) {}
 
   void SetIncarnation(uint64_t incarnation) { incarnation_ = incarnation; }
 
+  // Must be called with the time of each event before the event is handled.
+  void Observe(state::Millis now) { warmup_.Observe(now); }
+  void UpdateConfiguration(const state::IndexedConfiguration& configuration);
+  void OnEvacuationEnded(state::Millis now) {
+    warmup_.OnUncertain(WarmupReason::kEvacuationEnded, now);
+  }
+
   GuardTarget* target() { return &target_; }
   const GuardTarget& target() const { return target_; }
 
@@ -91,6 +104,7 @@
  private:
   struct RunningWork {
     GuardWork work_;
+    bool is_delivered_ = false;
     state::Millis started_;
     std::string nonce_;
     bool cancelled_ = false;
@@ -131,10 +145,14 @@
 
   Commands StartQueued(state::Millis now);
 
-  bool MayStart(const GuardWork& work) const;
+  bool MayStart(const GuardWork& work, state::Millis now) const;
 
   Commands Start(const GuardWork& work, state::Millis now);
 
+  // Returns the time from which the work must not be sent any more, if any.
+  std::optional<state::Millis> SendBefore(const GuardWork& work,
+                                          state::Millis now) const;
+
   DeliverToTarget Deliver(uint64_t delivery_id,
                           const GuardWork& work,
                           state::Millis now);
@@ -143,6 +161,27 @@
                      RunningWork* running,
                      state::Millis now);
 
+  // Returns why an attempt that the target could run is refused while the
+  // target is cold or may be, or kNone.
+  state::RefusalReason CheckWarmup(const Attempt& attempt,
+                                   state::Millis now) const;
+  // Returns why an action whose start was granted must not be delivered, or
+  // kNone.
+  state::RefusalReason CheckGranted(const RunningWork& running,
+                                    state::Millis now) const;
+  // Returns how many starts of actions are requested and not granted yet. Each
+  // will be a delivery.
+  int requested_starts() const;
+  // Records an announcement that was accepted.
+  void OnAnnouncedWarmup(const TargetAnnounced& announced, state::Millis now);
+  // Records what the end of a delivery says of the target's state.
+  void OnDeliveryEndedWarmup(const DeliveryEnded& ended, state::Millis now);
+  // Records what the end of a request for the target's load says of it.
+  void OnLoadProbeEndedWarmup(const DeliveryEnded& ended, state::Millis now);
+  // Reports a change of the limit, and refuses queued work for which other
+  // targets may have room when it comes into force.
+  Commands TickWarmup(state::Millis now);
+
   // Releases a granted start when no byte has reached the target. The ingress
   // gets the refusal once the register has processed the release, since its
   // next attempt would otherwise find the action started.
@@ -176,6 +215,8 @@
   // work, or often send some.
   std::set<std::string> ConcernedPeers(const GuardWork* ended,
                                        state::Millis now);
+  // Sends the target's load to the concerned peers.
+  Commands NotifyLoad(const GuardWork* ended, state::Millis now);
   // Requests the target's load when the last report is too old.
   Commands ProbeTargetLoad(state::Millis now);
 
@@ -197,6 +238,10 @@
                           state::RefusalReason reason,
                           state::Millis now);
 
+  // Returns why a delivery was not sent in time.
+  state::RefusalReason WhyNotSent(const GuardWork& work,
+                                  state::Millis now) const;
+
   // Handles a delivered request without a complete answer.
   Commands OnUnanswered(const RunningWork& running,
                         state::RefusalReason reason,
@@ -226,6 +271,9 @@
   RegisterClient* const register_client_;
   state::Counters* const counters_;
   GuardTarget target_;
+  // The settings promise a limit, which only the configuration tells.
+  const bool requires_configuration_;
+  WarmupLimit warmup_;
   AttemptDeduplicator deduplicator_;
   LatencyEstimate latency_;
   CrashDetector crash_detector_;
--- a/src/coordination/internal/guard_register.cc
+++ b/src/coordination/internal/guard_register.cc
@@ -49,20 +49,24 @@
                                 state::Millis now) {
   const GuardWork work = running->work_;
   const RefusalReason too_late = work.WhyTooLate(now);
+  const RefusalReason limited = CheckGranted(*running, now);
   const bool may_deliver = too_late == RefusalReason::kNone &&
+                           limited == RefusalReason::kNone &&
                            (target_.state() == TargetState::kServing ||
                             target_.state() == TargetState::kDraining);
   if (may_deliver) {
     running->started_ = now;
+    running->is_delivered_ = true;
     return {Deliver(delivery_id, work, now)};
   }
   const RunningWork ended = *running;
   running_.erase(delivery_id);
   // A target that has left can no longer be reached.
   return Release(ended,
-                 too_late == RefusalReason::kNone
-                     ? RefusalReason::kConnectFailed
-                     : too_late,
+                 too_late != RefusalReason::kNone ? too_late
+                 : limited != RefusalReason::kNone
+                     ? limited
+                     : RefusalReason::kConnectFailed,
                  now);
 }
 
--- a/src/coordination/internal/guard_service_time.cc
+++ b/src/coordination/internal/guard_service_time.cc
@@ -27,13 +27,7 @@
   if (!has_changed) {
     return {};
   }
-  Commands commands;
-  for (const std::string& connection : ConcernedPeers(ended, now)) {
-    commands.push_back(ReplyToPeer{
-        .connection_ = connection,
-        .message_ = LoadNotice{.target_ = target_.announcement().target_,
-                               .load_ = Load()}});
-  }
+  Commands commands = NotifyLoad(ended, now);
   if (!IsSlowServiceTime(percent)) {
     return commands;
   }
@@ -44,6 +38,17 @@
   return commands;
 }
 
+Commands Guard::Impl::NotifyLoad(const GuardWork* ended, state::Millis now) {
+  Commands commands;
+  for (const std::string& connection : ConcernedPeers(ended, now)) {
+    commands.push_back(ReplyToPeer{
+        .connection_ = connection,
+        .message_ = LoadNotice{.target_ = target_.announcement().target_,
+                               .load_ = Load()}});
+  }
+  return commands;
+}
+
 std::set<std::string> Guard::Impl::ConcernedPeers(const GuardWork* ended,
                                                   state::Millis now) {
   const std::vector<std::string> frequent = recent_peers_.TakeFrequent(now);
@@ -68,15 +73,20 @@
 
 Commands Guard::Impl::ProbeTargetLoad(state::Millis now) {
   const std::string path = target_.HealthPath();
-  const bool is_due = service_time_percent_ > 0 && load_probe_delivery_ == 0 &&
-                      now - service_time_checked_at_ >= kMaxServiceTimeAge &&
-                      now - last_work_ < kProbeIdleLimit &&
+  const bool is_report_due =
+      service_time_percent_ > 0 &&
+      now - service_time_checked_at_ >= kMaxServiceTimeAge &&
+      now - last_work_ < kProbeIdleLimit;
+  const bool is_wanted =
+      warmup_.IsUncertain(now) ? warmup_.IsHealthDue(now) : is_report_due;
+  const bool is_due = is_wanted && load_probe_delivery_ == 0 &&
                       target_.state() == TargetState::kServing;
   if (path.empty() || !is_due) {
     return {};
   }
   load_probe_delivery_ = next_delivery_++;
   counters_->Add(state::Counter::kPaceProbes);
+  warmup_.OnHealthSent(now);
   return {DeliverToTarget{
       .delivery_id_ = load_probe_delivery_,
       .address_ = target_.announcement().address_,
--- a/src/coordination/internal/guard_target.cc
+++ b/src/coordination/internal/guard_target.cc
@@ -179,16 +179,23 @@
   return has_announcement() ? *announcement_ : kNone;
 }
 
+const state::Service* GuardTarget::OwnService() const {
+  return has_announcement() && has_configuration()
+             ? state::FindService(*configuration_->configuration_,
+                                  announcement_->service_)
+             : nullptr;
+}
+
 std::string GuardTarget::HealthPath() const {
-  if (!has_announcement() || !configuration_.has_value() ||
-      configuration_->configuration_ == nullptr) {
-    return {};
-  }
-  const state::Service* service = state::FindService(
-      *configuration_->configuration_, announcement_->service_);
+  const state::Service* service = OwnService();
   return service == nullptr ? std::string() : service->properties_.health_path_;
 }
 
+state::WarmupPolicy GuardTarget::warmup() const {
+  const state::Service* service = OwnService();
+  return service == nullptr ? state::WarmupPolicy() : service->warmup_;
+}
+
 RefusalReason GuardTarget::CheckState(const Attempt& attempt) const {
   if (!has_announcement() || state() == TargetState::kStarting) {
     return RefusalReason::kNotServing;
--- a/src/coordination/internal/guard_target.h
+++ b/src/coordination/internal/guard_target.h
@@ -60,11 +60,21 @@
   // there was none. A drain or stop of this daemon is none.
   const state::TargetWithdrawal& withdrawal() const;
 
+  // Returns the warm-up policy of the target's service.
+  state::WarmupPolicy warmup() const;
+  // Returns whether any configuration is known.
+  bool has_configuration() const {
+    return configuration_.has_value() &&
+           configuration_->configuration_ != nullptr;
+  }
+
   bool is_draining() const { return draining_; }
   // Returns the path at which the target reports its load; empty without one.
   std::string HealthPath() const;
 
  private:
+  // Returns the target's service in the configuration, or null.
+  const state::Service* OwnService() const;
   // Returns whether the announcement is older than the last one or than the
   // withdrawal.
   bool IsStale(const TargetAnnounced& announced) const;
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -67,7 +67,8 @@
                self_.version_.incarnation_,
                &register_client_,
                counters,
-               options.announcement_lifetime_) {}
+               options.announcement_lifetime_,
+               options.warmup_) {}
 
   Commands Handle(const NodeEvent& event, state::Millis now) {
     Commands commands = std::visit(
--- /dev/null
+++ b/src/coordination/tests/warmup_limit_test.cc
@@ -0,0 +1,340 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "coordination/coordination.h"
+
+namespace gooseberrygap::coordination {
+namespace {
+
+using state::Millis;
+using state::RefusalReason;
+
+// 13 x 1.5 + 8.
+constexpr int kMaxInSecond = 27;
+
+// A guard of a target with a warm-up policy, and the times at which the target
+// got requests.
+class WarmGuard {
+ public:
+  WarmGuard() {
+    Start();
+    Announce(1, Millis(0));
+    Health(Millis(0));
+    Run(Millis(4000));
+  }
+
+  // Starts the guard, in place of the one that runs.
+  void Start() {
+    guard_ = std::make_unique<Guard>(
+        "g", ++incarnation_, &register_client_, &counters_, Millis(60000),
+        WarmupTolerance{.overshoot_ = 1.5, .slack_ = 8});
+    guard_->UpdateConfiguration(
+        {.index_ = 1,
+         .configuration_ =
+             std::make_shared<const state::Configuration>(state::Configuration{
+                 .services_ = {{.name_ = "s",
+                                .properties_ = {.health_path_ = "/health"},
+                                .warmup_ = {.duration_ = Millis(20000),
+                                            .requests_per_second_ = 13}}}})});
+  }
+
+  void Announce(uint64_t process, Millis remaining) {
+    guard_->OnAnnounced(TargetAnnounced{.target_ = "t",
+                                        .service_ = "s",
+                                        .address_ = "t-address",
+                                        .slots_ = 200,
+                                        .state_ = state::TargetState::kServing,
+                                        .incarnation_ = process,
+                                        .sequence_ = ++sequence_,
+                                        .warmup_remaining_ = remaining},
+                        now_);
+  }
+
+  // Sends an attempt; returns the id of its delivery, or 0.
+  uint64_t Send(bool may_queue = false, RefusalReason* reason = nullptr) {
+    const Commands commands =
+        guard_->OnAttempt("c",
+                          Attempt{.request_id_ = std::to_string(++requests_),
+                                  .attempt_ = 1,
+                                  .service_ = "s",
+                                  .target_ = "t",
+                                  .deadline_left_ = Millis(1000),
+                                  .configuration_index_ = 1,
+                                  .may_queue_ = may_queue},
+                          now_);
+    return Take(commands, reason);
+  }
+
+  uint64_t Take(const Commands& commands, RefusalReason* reason = nullptr) {
+    uint64_t delivered = 0;
+    for (const Command& command : commands) {
+      const auto* delivery = std::get_if<DeliverToTarget>(&command);
+      const auto* reply = std::get_if<ReplyToPeer>(&command);
+      if (delivery != nullptr && delivery->is_load_probe_) {
+        health_ = delivery->delivery_id_;
+        ++health_requests_;
+      } else if (delivery != nullptr && !delivery->connect_only_) {
+        delivered = delivery->delivery_id_;
+        times_.push_back(now_.value());
+      } else if (reply != nullptr && reason != nullptr) {
+        const auto* answer = std::get_if<AttemptAnswer>(&reply->message_);
+        *reason = answer == nullptr ? *reason : answer->refusal_;
+      }
+    }
+    return delivered;
+  }
+
+  void End(uint64_t id, DeliveryEnd end, int status = 200) {
+    Take(guard_->OnDeliveryEnded(DeliveryEnded{.delivery_id_ = id,
+                                               .end_ = end,
+                                               .answer_ = {.status_ = status},
+                                               .sent_ = true,
+                                               .declined_ = status == 421},
+                                 now_));
+  }
+
+  // From now on the target answers health requests with `remaining`, or with
+  // nothing.
+  void Health(std::optional<Millis> remaining) {
+    answers_health_ = remaining.has_value();
+    remaining_ = remaining.value_or(Millis(0));
+  }
+
+  // Lets the guard run; with `load`, five attempts arrive every 10 ms.
+  void Run(Millis time, bool load = false, bool may_queue = false) {
+    for (const Millis end = now_ + time; now_ < end;) {
+      now_ = now_ + Millis(10);
+      Take(guard_->Tick(now_));
+      AnswerHealth();
+      for (int i = 0; load && i < 5; ++i) {
+        if (const uint64_t id = Send(may_queue)) {
+          End(id, DeliveryEnd::kAnswered);
+        }
+      }
+    }
+  }
+
+  void AnswerHealth() {
+    const uint64_t id = std::exchange(health_, 0);
+    if (id != 0 && answers_health_) {
+      guard_->OnDeliveryEnded(DeliveryEnded{.delivery_id_ = id,
+                                            .answer_ = {.status_ = 200},
+                                            .sent_ = true,
+                                            .warmup_remaining_ = remaining_},
+                              now_);
+    } else if (id != 0) {
+      guard_->OnDeliveryEnded(
+          DeliveryEnded{.delivery_id_ = id, .end_ = DeliveryEnd::kTimeout},
+          now_);
+    }
+  }
+
+  // Returns the most requests in any second that begins at `from` or later.
+  int MostInSecond(Millis from) const {
+    int most = 0;
+    for (auto first = times_.begin(); first != times_.end(); ++first) {
+      if (*first >= from.value()) {
+        const auto last = std::find_if(
+            first, times_.end(), [&](double at) { return at > *first + 1000; });
+        most = std::max(most, static_cast<int>(last - first));
+      }
+    }
+    return most;
+  }
+
+  Millis now_ = Millis(1e6);
+  state::Counters counters_;
+  RegisterClient register_client_{{"control"}, &counters_};
+  std::unique_ptr<Guard> guard_;
+  std::vector<double> times_;
+  int health_requests_ = 0;
+
+ private:
+  uint64_t incarnation_ = 0;
+  uint64_t sequence_ = 0;
+  uint64_t requests_ = 0;
+  uint64_t health_ = 0;
+  bool answers_health_ = true;
+  Millis remaining_;
+};
+
+// Guards against a limit that counts arrivals in fixed seconds, or that forgets
+// the requests from before the target became cold.
+TEST_CASE("a cold target gets its limit in any second", "[warmup]") {
+  WarmGuard test;
+  for (int i = 0; i < 15; ++i) {
+    REQUIRE(test.Send() != 0);
+  }
+  const Millis from = test.now_;
+  test.Announce(1, Millis(5000));
+  test.Run(Millis(900), false);
+  test.Health(Millis(5000));
+  test.Run(Millis(4000), /*load=*/true, GENERATE(false, true));
+  CHECK(test.MostInSecond(from) <= kMaxInSecond - 6);
+  CHECK(test.times_.size() >= 15 + 13 * 3);
+}
+
+// Guards against a target that is flooded after an event since which it may
+// have restarted, and against a limit that stays after the target said it is
+// warm.
+TEST_CASE("a target that may be cold is limited until it answers", "[warmup]") {
+  WarmGuard test;
+  test.Health(std::nullopt);
+  const auto event = GENERATE(0, 1, 2, 3, 4, 5);
+  const uint64_t id = test.Send();
+  REQUIRE(id != 0);
+  const int before = test.health_requests_;
+  switch (event) {
+    case 0:
+      test.Announce(2, Millis(0));
+      break;
+    case 1:
+      test.End(id, DeliveryEnd::kIncompleteAnswer);
+      break;
+    case 2:
+      test.End(id, DeliveryEnd::kTimeout);
+      break;
+    case 3:
+      test.End(id, DeliveryEnd::kConnectFailed);
+      test.Announce(1, Millis(0));
+      break;
+    case 4:
+      test.guard_->OnEvacuationEnded(test.now_);
+      break;
+    default:
+      // Frozen; the first event after it is an attempt.
+      test.now_ = test.now_ + Millis(3000);
+      break;
+  }
+  const Millis from = test.now_;
+  for (int i = 0; i < 40; ++i) {
+    test.Send();
+  }
+  test.Announce(event == 0 ? 2 : 1, Millis(0));  // May be from before.
+  test.Run(Millis(3000), /*load=*/true);
+  CHECK(test.MostInSecond(from) <= kMaxInSecond);
+  CHECK(test.guard_->Load().admissions_per_second_ == 13);
+  CHECK(test.health_requests_ - before <= 16);
+  test.Health(Millis(0));
+  test.Run(Millis(500));
+  const size_t sent = test.times_.size();
+  test.Run(Millis(100), /*load=*/true);
+  CHECK(test.times_.size() == sent + 50);
+  CHECK(test.guard_->Load().admissions_per_second_ == 0);
+}
+
+// Guards against a guard that ends its doubt by an answer to a health request
+// from before the event, as one that was frozen meanwhile gets.
+TEST_CASE("an older answer to a health request ends no doubt", "[warmup]") {
+  WarmGuard test;
+  test.guard_->OnEvacuationEnded(test.now_);
+  const Commands asked = test.guard_->Tick(test.now_);
+  test.Take(asked);
+  test.now_ = test.now_ + Millis(2000);
+  test.AnswerHealth();
+  const size_t sent = test.times_.size();
+  for (int i = 0; i < 60; ++i) {
+    test.Send();
+  }
+  CHECK(test.times_.size() - sent <= 20);
+}
+
+// Guards against a daemon that restarts and sends the limit a second time
+// within the second in which its last process used it.
+TEST_CASE("a guard that restarts sends a cold target no second burst",
+          "[warmup]") {
+  WarmGuard test;
+  test.Health(Millis(9000));
+  test.Announce(1, Millis(9000));
+  test.Run(Millis(1500));
+  const Millis from = test.now_;
+  for (int i = 0; i < 60; ++i) {
+    test.Send();
+  }
+  test.now_ = test.now_ + Millis(100);
+  test.Start();
+  test.Announce(1, Millis(9000));
+  test.Run(Millis(3000), /*load=*/true);
+  CHECK(test.MostInSecond(from) <= kMaxInSecond);
+  CHECK(test.times_.back() > from.value() + 2000);
+}
+
+// Guards against deliveries that wait in the target client and are sent late in
+// a bunch, against requests that count although the target did not get them,
+// and against an attempt without another target that is refused at once.
+TEST_CASE("a cold target's limit counts what it gets", "[warmup]") {
+  WarmGuard test;
+  test.Announce(1, Millis(9000));
+  test.Health(Millis(9000));
+  test.Run(Millis(2000));
+  RefusalReason reason = RefusalReason::kNone;
+  uint64_t id = 0;
+  int sent = 0;
+  while (const uint64_t next = test.Send(false, &reason)) {
+    id = next;
+    ++sent;
+  }
+  CHECK(sent <= 20);
+  CHECK(reason == RefusalReason::kWarmingUp);
+  test.End(id, DeliveryEnd::kAnswered, 421);
+  test.Announce(1, Millis(9000));
+  id = test.Send(false, &reason);
+  CHECK(id != 0);
+  reason = RefusalReason::kNone;
+  CHECK(test.Send(true, &reason) == 0);
+  CHECK(reason == RefusalReason::kNone);
+  const size_t before = test.times_.size();
+  test.Run(Millis(1100));
+  CHECK(test.times_.size() == before + 1);
+  const Commands commands =
+      test.guard_->OnAttempt("c",
+                             Attempt{.request_id_ = "late",
+                                     .attempt_ = 1,
+                                     .service_ = "s",
+                                     .target_ = "t",
+                                     .deadline_left_ = Millis(5000),
+                                     .configuration_index_ = 1},
+                             test.now_);
+  REQUIRE(commands.size() == 1);
+  const auto& delivery = std::get<DeliverToTarget>(commands[0]);
+  REQUIRE(delivery.send_before_.has_value());
+  CHECK(*delivery.send_before_ <= test.now_ + Millis(500));
+}
+
+// Guards against an action that the register lets start after its target has
+// become cold.
+TEST_CASE("an action granted after its target became cold is released",
+          "[warmup]") {
+  WarmGuard test;
+  const Commands started = test.guard_->OnAttempt(
+      "c",
+      Attempt{.request_id_ = "a",
+              .attempt_ = 1,
+              .service_ = "s",
+              .target_ = "t",
+              .deadline_left_ = Millis(1000),
+              .request_class_ = state::RequestClass::kAction,
+              .configuration_index_ = 1,
+              .key_ = "k",
+              .register_attempt_ = 1},
+      test.now_);
+  REQUIRE(started.size() == 1);
+  const auto call =
+      std::get<RegisterCall>(std::get<SendToPeer>(started[0]).message_);
+  test.Run(Millis(20));
+  test.Announce(1, Millis(5000));
+  const RegisterClient::Step step = test.register_client_.OnReply(
+      RegisterReply{.call_id_ = call.call_id_,
+                    .result_ = {.granted_ = true,
+                                .state_ = state::ActionState::kStarted,
+                                .attempt_ = 1}},
+      test.now_);
+  REQUIRE(step.ends_.size() == 1);
+  const Commands granted = test.guard_->OnRegisterEnd(step.ends_[0], test.now_);
+  REQUIRE(granted.size() == 1);
+  CHECK(std::get<RegisterCall>(std::get<SendToPeer>(granted[0]).message_)
+            .command_.operation_ == state::RegisterOperation::kRelease);
+}
+
+}  // namespace
+}  // namespace gooseberrygap::coordination
--- a/src/state/api/gauges.h
+++ b/src/state/api/gauges.h
@@ -14,6 +14,8 @@
 enum class Gauge {
   kAuthorizationLeft,  // Milliseconds.
   kConfirmationAge,    // Milliseconds.
+  kTargetCold,         // 1 or 0.
+  kTargetUncertain,    // 1 or 0.
   kCount,
 };
 
--- a/src/state/internal/gauges.cc
+++ b/src/state/internal/gauges.cc
@@ -19,6 +19,10 @@
      "Time for which calls with an API key may still be served."},
     {Gauge::kConfirmationAge, "authorization_confirmation_age_ms",
      "Time since a quorum confirmed the API keys."},
+    {Gauge::kTargetCold, "target_cold",
+     "Whether the own target reports that it is cold."},
+    {Gauge::kTargetUncertain, "target_warmup_uncertain",
+     "Whether the own target may be cold."},
 }};
 
 constexpr bool RowsAreInEnumOrder() {
