--- a/src/state/api/gauges.h
+++ b/src/state/api/gauges.h
@@ -18,6 +18,8 @@
   kOwnDomainEvacuated,  // 1 or 0.
   kEvacuationIndex,     // Log index of the newest order.
   kEvacuatedDomains,
+  kTargetCold,       // 1 or 0.
+  kTargetUncertain,  // 1 or 0.
   kCount,
 };
 
--- a/src/state/internal/gauges.cc
+++ b/src/state/internal/gauges.cc
@@ -28,6 +28,10 @@
      "Log index of the newest evacuation order in force at this daemon."},
     {Gauge::kEvacuatedDomains, "evacuation_domains",
      "Number of evacuated failure domains."},
+    {Gauge::kTargetCold, "target_cold",
+     "Whether the own target reports that it is cold."},
+    {Gauge::kTargetUncertain, "target_warmup_uncertain",
+     "Whether the own target may be cold."},
 }};
 
 constexpr bool RowsAreInEnumOrder() {
