Offer evacuation orders on the project's own interface and in gooseberrygapctl

What callers saw: without a platform there was no way to order an evacuation, and none to see which orders are in force.

Change: POST /-/evacuations/start and /-/evacuations/stop on a control instance use the same EvacuationOrders as the platform's calls. GET /-/evacuations lists the last order for each failure domain with its log index, from a linearizable read that is repeated for at most 4 s. gooseberrygapctl has evacuation start, stop and list.

Why this works: the acknowledgement and the list both come from the replicated log, after a quorum has confirmed them. The server of these endpoints does not report callers that leave, so only the limit of 4 s applies to their orders.

--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -54,6 +54,9 @@
 state::Result<Report> RunControlStatus(const Invocation& invocation);
 state::Result<Report> RunControlAdd(const Invocation& invocation);
 state::Result<Report> RunControlRemove(const Invocation& invocation);
+state::Result<Report> RunEvacuationStart(const Invocation& invocation);
+state::Result<Report> RunEvacuationStop(const Invocation& invocation);
+state::Result<Report> RunEvacuationList(const Invocation& invocation);
 
 }  // namespace gooseberrygap::ctl
 
--- a/src/ctl/command_table.cc
+++ b/src/ctl/command_table.cc
@@ -20,7 +20,16 @@
     "3  an instance could not be reached, or did not answer in time;\n"
     "   the change may have been made, which 'control status' shows";
 
-constexpr std::array<Command, 11> kCommands = {{
+// Exit codes of the commands that give an evacuation order.
+constexpr absl::string_view kOrderExitCodes =
+    "0  accepted: the order is durable, and every daemon follows it within\n"
+    "   5 s\n"
+    "1  refused, or not certain: repeat the command\n"
+    "2  wrong use of the tool\n"
+    "3  the daemon could not be reached, or did not answer in time;\n"
+    "   repeat the command";
+
+constexpr std::array<Command, 14> kCommands = {{
     {.name_ = "config check",
      .arguments_ = "FILE",
      .summary_ = "Checks a configuration without submitting it.",
@@ -214,6 +223,49 @@
      .max_arguments_ = 1,
      .takes_submission_ = false,
      .run_ = &RunControlRemove},
+    {.name_ = "evacuation start",
+     .arguments_ = "DOMAIN",
+     .summary_ = "Orders that a failure domain's targets get no requests.",
+     .description_ =
+         "Asks the control group, through the control instance named by\n"
+         "--daemon, to evacuate the failure domain DOMAIN. Requests that are\n"
+         "running there end normally. The order holds until it is withdrawn.\n"
+         "A DOMAIN that no target is in is accepted, since its targets may\n"
+         "come later. Repeating the command has no further effect.",
+     .exit_codes_ = kOrderExitCodes,
+     .examples_ =
+         "gooseberrygapctl --daemon=10.0.0.1:8101 evacuation start zone-2",
+     .min_arguments_ = 1,
+     .max_arguments_ = 1,
+     .takes_submission_ = false,
+     .run_ = &RunEvacuationStart},
+    {.name_ = "evacuation stop",
+     .arguments_ = "DOMAIN",
+     .summary_ = "Withdraws the order to evacuate a failure domain.",
+     .description_ =
+         "Asks the control group, through the control instance named by\n"
+         "--daemon, to withdraw the order. Repeating the command has no\n"
+         "further effect.",
+     .exit_codes_ = kOrderExitCodes,
+     .examples_ =
+         "gooseberrygapctl --daemon=10.0.0.1:8101 evacuation stop zone-2",
+     .min_arguments_ = 1,
+     .max_arguments_ = 1,
+     .takes_submission_ = false,
+     .run_ = &RunEvacuationStop},
+    {.name_ = "evacuation list",
+     .arguments_ = "",
+     .summary_ = "Lists the last order for each failure domain.",
+     .description_ =
+         "Prints one line for each failure domain that ever had an order:\n"
+         "its name, whether it is evacuated, and the index of the order in\n"
+         "the log. A majority of the control group confirms the list.",
+     .exit_codes_ = kAskExitCodes,
+     .examples_ = "gooseberrygapctl --daemon=10.0.0.1:8101 evacuation list",
+     .min_arguments_ = 0,
+     .max_arguments_ = 0,
+     .takes_submission_ = false,
+     .run_ = &RunEvacuationList},
 }};
 
 }  // namespace
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -243,8 +243,9 @@
 }
 
 state::Result<void> Daemon::StartHttp() {
-  front_ = std::make_unique<HttpFront>(
-      node_.get(), &call_slots_, gateway_.get(), control_.get(), &counters_);
+  front_ = std::make_unique<HttpFront>(node_.get(), &call_slots_,
+                                       gateway_.get(), control_.get(),
+                                       evacuation_orders_.get(), &counters_);
   const protocol::HttpSettings& http = settings_.http_;
   auto server = transport::HttpServer::Start(
       transport::HttpServer::Options{
--- a/src/daemon/http_front.cc
+++ b/src/daemon/http_front.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/strip.h"
+#include "daemon/http_answers.h"
 
 namespace gooseberrygap::daemon {
 
@@ -122,23 +123,6 @@
                                                        ": ", reason, "\n"))};
 }
 
-HttpAnswer Json(int status, std::string body) {
-  return HttpAnswer{.status_ = status,
-                    .headers_ = {HttpHeader{.name_ = "Content-Type",
-                                            .value_ = "application/json"}},
-                    .body_ = state::Bytes(std::move(body))};
-}
-
-HttpAnswer ErrorAnswer(int status, const state::Error& error) {
-  return Json(status, protocol::PrintError(error));
-}
-
-HttpAnswer ErrorAnswer(int status,
-                       state::ErrorKind kind,
-                       absl::string_view what) {
-  return ErrorAnswer(status, state::MakeError(kind, what));
-}
-
 int StatusOf(coordination::SubmitStatus status) {
   switch (status) {
     case coordination::SubmitStatus::kAccepted:
@@ -167,17 +151,22 @@
     {"POST", "/-/control/add", &HttpFront::AddMember},
     {"POST", "/-/control/remove", &HttpFront::RemoveMember},
     {"GET", "/-/control/status", &HttpFront::ShowControlStatus},
+    {"GET", "/-/evacuations", &HttpFront::ShowEvacuations},
+    {"POST", "/-/evacuations/start", &HttpFront::StartEvacuation},
+    {"POST", "/-/evacuations/stop", &HttpFront::StopEvacuation},
 };
 
 HttpFront::HttpFront(NodeDuty* node,
                      CallSlots* slots,
                      OperatorGateway* gateway,
                      ControlDuty* control,
+                     EvacuationOrders* evacuations,
                      state::Counters* counters)
     : node_(node),
       slots_(slots),
       gateway_(gateway),
       control_(control),
+      evacuations_(evacuations),
       counters_(counters) {}
 
 HttpAnswer HttpFront::Handle(const HttpRequest& request) {
@@ -338,60 +327,4 @@
   return Json(StatusOf(reply.status_), protocol::PrintSubmitReply(reply));
 }
 
-HttpAnswer HttpFront::FormGroup(const HttpRequest& request) {
-  const auto members = protocol::ParseMembers(request.body_.view());
-  if (!members) {
-    return ErrorAnswer(400, members.error());
-  }
-  if (control_ == nullptr) {
-    return ErrorAnswer(404, state::ErrorKind::kNotFound,
-                       "This daemon has no control role; send the request to a "
-                       "control instance");
-  }
-  const auto formed = control_->Form(members.value());
-  return formed ? Json(200, "{}") : ErrorAnswer(409, formed.error());
-}
-
-HttpAnswer HttpFront::AddMember(const HttpRequest& request) {
-  const auto member = protocol::ParseMember(request.body_.view());
-  if (!member) {
-    return ErrorAnswer(400, member.error());
-  }
-  if (control_ == nullptr) {
-    return ErrorAnswer(404, state::ErrorKind::kNotFound,
-                       "This daemon has no control role; send the request to a "
-                       "control instance");
-  }
-  const auto added = control_->AddMember(member.value());
-  return added ? Json(200, "{}") : ErrorAnswer(409, added.error());
-}
-
-HttpAnswer HttpFront::RemoveMember(const HttpRequest& request) {
-  const auto identity = protocol::ParseIdentity(request.body_.view());
-  if (!identity) {
-    return ErrorAnswer(400, identity.error());
-  }
-  if (control_ == nullptr) {
-    return ErrorAnswer(404, state::ErrorKind::kNotFound,
-                       "This daemon has no control role; send the request to a "
-                       "control instance");
-  }
-  const auto removed = control_->RemoveMember(identity.value());
-  return removed ? Json(200, "{}") : ErrorAnswer(409, removed.error());
-}
-
-HttpAnswer HttpFront::ShowControlStatus(const HttpRequest&) {
-  if (control_ == nullptr) {
-    return ErrorAnswer(404, state::ErrorKind::kNotFound,
-                       "This daemon has no control role; send the request to a "
-                       "control instance");
-  }
-  const auto status = control_->Status();
-  if (!status.has_value()) {
-    return ErrorAnswer(503, state::ErrorKind::kTimeout,
-                       "The control duty did not answer in time; try again");
-  }
-  return Json(200, protocol::PrintControlStatus(*status));
-}
-
 }  // namespace gooseberrygap::daemon
--- a/src/daemon/http_front.h
+++ b/src/daemon/http_front.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "daemon/control_duty.h"
+#include "daemon/evacuation_orders.h"
 #include "daemon/node_duty.h"
 #include "daemon/operator_gateway.h"
 
@@ -15,12 +16,13 @@
 // "/-/". Runs on the HTTP workers.
 class HttpFront {
  public:
-  // All arguments must outlive the front. `control` is null without the control
-  // role.
+  // All arguments must outlive the front. `control` and `evacuations` are null
+  // without the control role.
   HttpFront(NodeDuty* node,
             CallSlots* slots,
             OperatorGateway* gateway,
             ControlDuty* control,
+            EvacuationOrders* evacuations,
             state::Counters* counters);
 
   // Answers a request; blocks until the call has ended. Thread-safe.
@@ -52,6 +54,11 @@
   state::HttpAnswer AddMember(const state::HttpRequest& request);
   state::HttpAnswer RemoveMember(const state::HttpRequest& request);
   state::HttpAnswer ShowControlStatus(const state::HttpRequest& request);
+  state::HttpAnswer ShowEvacuations(const state::HttpRequest& request);
+  state::HttpAnswer StartEvacuation(const state::HttpRequest& request);
+  state::HttpAnswer StopEvacuation(const state::HttpRequest& request);
+  state::HttpAnswer OrderEvacuation(const state::HttpRequest& request,
+                                    bool evacuates);
 
   // Posts an event to the node. Answers 200 once it is queued, and 503 when the
   // ring is full.
@@ -63,6 +70,7 @@
   CallSlots* const slots_;
   OperatorGateway* const gateway_;
   ControlDuty* const control_;
+  EvacuationOrders* const evacuations_;
   state::Counters* const counters_;
 };
 
--- a/src/protocol/api/operator_json.h
+++ b/src/protocol/api/operator_json.h
@@ -86,6 +86,20 @@
 std::string PrintIdentity(const std::string& identity);
 state::Result<std::string> ParseIdentity(absl::string_view json);
 
+// Body of POST /-/evacuations/start and /-/evacuations/stop: the name of a
+// failure domain.
+std::string PrintFailureDomain(const std::string& failure_domain);
+state::Result<std::string> ParseFailureDomain(absl::string_view json);
+
+// Answer to POST /-/evacuations/start and /-/evacuations/stop: the last order
+// for the failure domain.
+std::string PrintEvacuation(const state::EvacuationState& evacuation);
+state::Result<state::EvacuationState> ParseEvacuation(absl::string_view json);
+
+// Answer to GET /-/evacuations.
+std::string PrintEvacuations(const state::Evacuations& evacuations);
+state::Result<state::Evacuations> ParseEvacuations(absl::string_view json);
+
 // Answer of an endpoint that refuses or fails, with the error's kind and
 // message. Parsing returns nothing when the text is not such an answer, and
 // kRefused for a kind that is unknown here.
--- a/src/protocol/internal/operator_json.cc
+++ b/src/protocol/internal/operator_json.cc
@@ -11,6 +11,8 @@
 using coordination::SubmitStatus;
 using state::ControlMember;
 using state::CounterSample;
+using state::Evacuations;
+using state::EvacuationState;
 using state::IndexedConfiguration;
 using state::TargetRecord;
 using state::TargetState;
@@ -124,6 +126,21 @@
     NamedListOf(kNewMemberRecord, 5, "identity", &ControlMember::identity_));
 constexpr auto kRemoveRecord = EnvelopeOf<std::string>("identity", kNameText);
 
+// Bounds the name of a failure domain, which every lease reply repeats.
+constexpr auto kFailureDomainRecord =
+    EnvelopeOf<std::string>("failure_domain", kNameText);
+
+constexpr auto kEvacuationRecord = RecordOf<EvacuationState>(
+    Required("failure_domain", &EvacuationState::failure_domain_, kAnyText),
+    Required("evacuated", &EvacuationState::evacuated_, Flag{}),
+    Required("index", &EvacuationState::index_, kCount));
+
+constexpr auto kEvacuationsRecord =
+    RecordOf<Evacuations>(Required("index", &Evacuations::index_, kCount),
+                          Required("evacuations",
+                                   &Evacuations::domains_,
+                                   ListOf(kEvacuationRecord, kMaxElements)));
+
 struct NamedError {
   const std::string error_ = {};
   const std::string message_ = {};
@@ -248,6 +265,30 @@
   return Unwrap(ReadRequest(kRemoveRecord, json));
 }
 
+std::string PrintFailureDomain(const std::string& failure_domain) {
+  return PrintDocument(kFailureDomainRecord, {.value_ = failure_domain});
+}
+
+state::Result<std::string> ParseFailureDomain(absl::string_view json) {
+  return Unwrap(ReadRequest(kFailureDomainRecord, json));
+}
+
+std::string PrintEvacuation(const EvacuationState& evacuation) {
+  return PrintDocument(kEvacuationRecord, evacuation);
+}
+
+state::Result<EvacuationState> ParseEvacuation(absl::string_view json) {
+  return ReadAnswer(kEvacuationRecord, json);
+}
+
+std::string PrintEvacuations(const Evacuations& evacuations) {
+  return PrintDocument(kEvacuationsRecord, evacuations);
+}
+
+state::Result<Evacuations> ParseEvacuations(absl::string_view json) {
+  return ReadAnswer(kEvacuationsRecord, json);
+}
+
 std::string PrintError(const state::Error& error) {
   return PrintDocument(kErrorRecord,
                        {.error_ = std::string(state::NameOf(error.kind_)),
