Refuse attempts at guards in an evacuated failure domain

What callers saw: a daemon that had not received an order, or had sent its attempt before it, still reached targets of the evacuated failure domain.

Cause: the guard, which alone sees all requests of its target, did not know the evacuations.

Change: Node passes each newer list to Guard::UpdateEvacuations. While the own domain is evacuated, the guard refuses new and queued attempts (kEvacuated) and releases an action whose start the register grants later; running requests end normally. A released start is refused with kConnectFailed, as for a target that has left: by this reason the ingress raises its attempt number. OnEvacuationEnded is called when the own domain is no longer evacuated.

--- a/src/coordination/api/guard.h
+++ b/src/coordination/api/guard.h
@@ -21,13 +21,15 @@
 // from slow answers. Not thread-safe.
 class Guard {
  public:
-  // `instance` and `incarnation` identify this daemon in the register. The
+  // `instance` and `incarnation` identify this daemon in the register;
+  // `failure_domain` is its own, which an operator may evacuate. The
   // register client and the counters must outlive the guard.
   Guard(std::string instance,
         uint64_t incarnation,
         RegisterClient* register_client,
         state::Counters* counters,
-        state::Millis announcement_lifetime = kAnnouncementLifetime);
+        state::Millis announcement_lifetime = kAnnouncementLifetime,
+        std::string failure_domain = {});
   ~Guard();
 
   // Sets the incarnation, adopted from the lease, that later register
@@ -37,6 +39,13 @@
   void UpdateRefusedFingerprints(
       const std::vector<RefusedFingerprint>& fingerprints);
 
+  // Applies the orders to evacuate failure domains. While the guard's own is
+  // evacuated, new and queued attempts are refused and granted starts of
+  // actions are released; running requests end normally. Precondition:
+  // `evacuations` is not older than that of the last call. Not thread-safe.
+  Commands UpdateEvacuations(const state::Evacuations& evacuations,
+                             state::Millis now);
+
   Commands OnAnnounced(const TargetAnnounced& announced, state::Millis now);
   Commands OnWithdrawn(const TargetWithdrawn& withdrawn);
   // Applies the withdrawal that the control group has kept, so that a daemon
--- a/src/coordination/internal/guard.cc
+++ b/src/coordination/internal/guard.cc
@@ -72,8 +72,9 @@
   last_work_ = now;
   const bool is_expired = attempt.authorization_left_.value_or(
                               state::Millis(1)) <= state::Millis(0);
-  RefusalReason refusal = is_expired ? RefusalReason::kAuthorizationExpired
-                                     : target_.CheckState(attempt);
+  RefusalReason refusal = is_expired      ? RefusalReason::kAuthorizationExpired
+                          : is_evacuated_ ? RefusalReason::kEvacuated
+                                          : target_.CheckState(attempt);
   if (refusal == RefusalReason::kNone) {
     refusal = attempt.host_.empty()
                   ? target_.CheckLoad(attempt, running_count(), queued_count(),
@@ -273,12 +274,14 @@
              uint64_t incarnation,
              RegisterClient* register_client,
              state::Counters* counters,
-             state::Millis announcement_lifetime)
+             state::Millis announcement_lifetime,
+             std::string failure_domain)
     : impl_(std::make_unique<Impl>(std::move(instance),
                                    incarnation,
                                    register_client,
                                    counters,
-                                   announcement_lifetime)) {}
+                                   announcement_lifetime,
+                                   std::move(failure_domain))) {}
 
 Guard::~Guard() = default;
 
@@ -296,6 +299,11 @@
   impl_->target()->UpdateRefusedFingerprints(fingerprints);
 }
 
+Commands Guard::UpdateEvacuations(const state::Evacuations& evacuations,
+                                  state::Millis now) {
+  return impl_->UpdateEvacuations(evacuations, now);
+}
+
 Commands Guard::OnAnnounced(const TargetAnnounced& announced,
                             state::Millis now) {
   return impl_->OnAnnounced(announced, now);
--- a/src/coordination/internal/guard_impl.h
+++ b/src/coordination/internal/guard_impl.h
@@ -37,15 +37,18 @@
 // answers, also on links that have replaced others, guard_register.cc
 // calls the action register, guard_delivery.cc handles the ends of deliveries
 // and crashes, guard_service_time.cc handles changes of the target's service
-// time, guard_refusals.cc refuses queued work.
+// time, guard_evacuation.cc applies evacuations, guard_refusals.cc refuses
+// queued work.
 class Guard::Impl {
  public:
   Impl(std::string instance,
        uint64_t incarnation,
        RegisterClient* register_client,
        state::Counters* counters,
-       state::Millis announcement_lifetime)
-      : instance_(std::move(instance)),
+       state::Millis announcement_lifetime,
+       std::string failure_domain)
+      : failure_domain_(std::move(failure_domain)),
+        instance_(std::move(instance)),
         incarnation_(incarnation),
         register_client_(register_client),
         counters_(counters),
@@ -57,6 +60,9 @@
   GuardTarget* target() { return &target_; }
   const GuardTarget& target() const { return target_; }
 
+  Commands UpdateEvacuations(const state::Evacuations& evacuations,
+                             state::Millis now);
+
   Commands OnAnnounced(const TargetAnnounced& announced, state::Millis now);
 
   Commands OnWithdrawn(const TargetWithdrawn& withdrawn);
@@ -210,6 +216,10 @@
 
   Commands SendDelayedReplies(state::Millis now, bool all);
 
+  // Called when the own failure domain is no longer evacuated. The state of the
+  // target is not known then: it may have restarted and be cold.
+  Commands OnEvacuationEnded(state::Millis now);
+
   Commands RefuseQueued(state::RefusalReason reason);
   // Refuses the queued attempts that are meant for another target.
   Commands RefuseReplaced();
@@ -221,6 +231,8 @@
   Commands RefuseAll(const std::vector<GuardWork>& works,
                      state::RefusalReason reason);
 
+  const std::string failure_domain_;
+  bool is_evacuated_ = false;
   const std::string instance_;
   uint64_t incarnation_;
   RegisterClient* const register_client_;
--- a/src/coordination/internal/guard_register.cc
+++ b/src/coordination/internal/guard_register.cc
@@ -49,7 +49,7 @@
                                 state::Millis now) {
   const GuardWork work = running->work_;
   const RefusalReason too_late = work.WhyTooLate(now);
-  const bool may_deliver = too_late == RefusalReason::kNone &&
+  const bool may_deliver = too_late == RefusalReason::kNone && !is_evacuated_ &&
                            (target_.state() == TargetState::kServing ||
                             target_.state() == TargetState::kDraining);
   if (may_deliver) {
@@ -58,7 +58,9 @@
   }
   const RunningWork ended = *running;
   running_.erase(delivery_id);
-  // A target that has left can no longer be reached.
+  // A target that has left or is evacuated can no longer be reached. The reason
+  // tells the ingress that the start was granted and released, so that it sends
+  // its next attempt under the next attempt number; kEvacuated would not.
   return Release(ended,
                  too_late == RefusalReason::kNone
                      ? RefusalReason::kConnectFailed
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -69,7 +69,8 @@
                self_.version_.incarnation_,
                &register_client_,
                counters,
-               options.announcement_lifetime_) {}
+               options.announcement_lifetime_,
+               self_.failure_domain_) {}
 
   Commands Handle(const NodeEvent& event, state::Millis now) {
     Commands commands = std::visit(
@@ -325,6 +326,7 @@
       const state::Evacuations& evacuations = control_client_.evacuations();
       router_.UpdateEvacuations(evacuations);
       Append(&step.commands_, evacuation_report_.Update(evacuations));
+      Append(&step.commands_, guard_.UpdateEvacuations(evacuations, now));
     }
     return std::move(step.commands_);
   }
