--- a/src/coordination/api/guard.h
+++ b/src/coordination/api/guard.h
@@ -22,14 +22,16 @@
 // from slow answers. Not thread-safe.
 class Guard {
  public:
-  // `instance` and `incarnation` identify this daemon in the register. The
-  // register client and the counters must outlive the guard. `warmup` is how
-  // closely the limit of a cold target is kept.
+  // `instance` and `incarnation` identify this daemon in the register;
+  // `failure_domain` is its own, which an operator may evacuate. The register
+  // client and the counters must outlive the guard. `warmup` is how closely the
+  // limit of a cold target is kept.
   Guard(std::string instance,
         uint64_t incarnation,
         RegisterClient* register_client,
         state::Counters* counters,
         state::Millis announcement_lifetime = kAnnouncementLifetime,
+        std::string failure_domain = {},
         const WarmupTolerance& warmup = {});
   ~Guard();
 
@@ -40,6 +42,13 @@
   void UpdateRefusedFingerprints(
       const std::vector<RefusedFingerprint>& fingerprints);
 
+  // Applies the orders to evacuate failure domains. While the guard's own is
+  // evacuated, new and queued attempts are refused and granted starts of
+  // actions are released; running requests end normally. Precondition:
+  // `evacuations` is not older than that of the last call. Not thread-safe.
+  Commands UpdateEvacuations(const state::Evacuations& evacuations,
+                             state::Millis now);
+
   Commands OnAnnounced(const TargetAnnounced& announced, state::Millis now);
   Commands OnWithdrawn(const TargetWithdrawn& withdrawn);
   // Applies the withdrawal that the control group has kept, so that a daemon
@@ -68,9 +77,6 @@
   // crash reports.
   Commands OnCrashesReported(state::Millis now);
   Commands Tick(state::Millis now);
-  // Must be called when the target's failure domain is no longer evacuated: the
-  // target may have become cold.
-  void OnEvacuationEnded(state::Millis now);
 
   // Returns the load that answers, probe replies and load notices carry.
   state::GuardLoad Load() const;
--- a/src/coordination/internal/guard.cc
+++ b/src/coordination/internal/guard.cc
@@ -73,8 +73,9 @@
   last_work_ = now;
   const bool is_expired = attempt.authorization_left_.value_or(
                               state::Millis(1)) <= state::Millis(0);
-  RefusalReason refusal = is_expired ? RefusalReason::kAuthorizationExpired
-                                     : target_.CheckState(attempt);
+  RefusalReason refusal = is_expired      ? RefusalReason::kAuthorizationExpired
+                          : is_evacuated_ ? RefusalReason::kEvacuated
+                                          : target_.CheckState(attempt);
   if (refusal == RefusalReason::kNone) {
     refusal = attempt.host_.empty()
                   ? target_.CheckLoad(attempt, running_count(), queued_count(),
@@ -284,12 +285,14 @@
              RegisterClient* register_client,
              state::Counters* counters,
              state::Millis announcement_lifetime,
+             std::string failure_domain,
              const WarmupTolerance& warmup)
     : impl_(std::make_unique<Impl>(std::move(instance),
                                    incarnation,
                                    register_client,
                                    counters,
                                    announcement_lifetime,
+                                   std::move(failure_domain),
                                    warmup)) {}
 
 Guard::~Guard() = default;
@@ -308,6 +311,12 @@
   impl_->target()->UpdateRefusedFingerprints(fingerprints);
 }
 
+Commands Guard::UpdateEvacuations(const state::Evacuations& evacuations,
+                                  state::Millis now) {
+  impl_->Observe(now);
+  return impl_->UpdateEvacuations(evacuations, now);
+}
+
 Commands Guard::OnAnnounced(const TargetAnnounced& announced,
                             state::Millis now) {
   impl_->Observe(now);
@@ -366,11 +375,6 @@
   return impl_->Tick(now);
 }
 
-void Guard::OnEvacuationEnded(state::Millis now) {
-  impl_->Observe(now);
-  impl_->OnEvacuationEnded(now);
-}
-
 state::GuardLoad Guard::Load() const {
   return impl_->Load();
 }
--- a/src/coordination/internal/guard_impl.h
+++ b/src/coordination/internal/guard_impl.h
@@ -39,8 +39,8 @@
 // answers, also on links that have replaced others, guard_register.cc
 // calls the action register, guard_delivery.cc handles the ends of deliveries
 // and crashes, guard_service_time.cc handles changes of the target's service
-// time, guard_refusals.cc refuses queued work, guard_warmup.cc limits the
-// requests to a cold target.
+// time, guard_evacuation.cc applies evacuations, guard_refusals.cc refuses
+// queued work, guard_warmup.cc limits the requests to a cold target.
 class Guard::Impl {
  public:
   Impl(std::string instance,
@@ -48,8 +48,10 @@
        RegisterClient* register_client,
        state::Counters* counters,
        state::Millis announcement_lifetime,
+       std::string failure_domain,
        const WarmupTolerance& warmup)
-      : instance_(std::move(instance)),
+      : failure_domain_(std::move(failure_domain)),
+        instance_(std::move(instance)),
         incarnation_(incarnation),
         register_client_(register_client),
         counters_(counters),
@@ -63,13 +65,13 @@
   // Must be called with the time of each event before the event is handled.
   void Observe(state::Millis now) { warmup_.Observe(now); }
   void UpdateConfiguration(const state::IndexedConfiguration& configuration);
-  void OnEvacuationEnded(state::Millis now) {
-    warmup_.OnUncertain(WarmupReason::kEvacuationEnded, now);
-  }
 
   GuardTarget* target() { return &target_; }
   const GuardTarget& target() const { return target_; }
 
+  Commands UpdateEvacuations(const state::Evacuations& evacuations,
+                             state::Millis now);
+
   Commands OnAnnounced(const TargetAnnounced& announced, state::Millis now);
 
   Commands OnWithdrawn(const TargetWithdrawn& withdrawn);
@@ -266,6 +268,8 @@
   Commands RefuseAll(const std::vector<GuardWork>& works,
                      state::RefusalReason reason);
 
+  const std::string failure_domain_;
+  bool is_evacuated_ = false;
   const std::string instance_;
   uint64_t incarnation_;
   RegisterClient* const register_client_;
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -70,6 +70,7 @@
                &register_client_,
                counters,
                options.announcement_lifetime_,
+               self_.failure_domain_,
                options.warmup_) {}
 
   Commands Handle(const NodeEvent& event, state::Millis now) {
@@ -326,6 +327,7 @@
       const state::Evacuations& evacuations = control_client_.evacuations();
       router_.UpdateEvacuations(evacuations);
       Append(&step.commands_, evacuation_report_.Update(evacuations));
+      Append(&step.commands_, guard_.UpdateEvacuations(evacuations, now));
     }
     return std::move(step.commands_);
   }
--- a/src/coordination/tests/warmup_limit_test.cc
+++ b/src/coordination/tests/warmup_limit_test.cc
@@ -26,7 +26,7 @@
   // Starts the guard, in place of the one that runs.
   void Start() {
     guard_ = std::make_unique<Guard>(
-        "g", ++incarnation_, &register_client_, &counters_, Millis(60000),
+        "g", ++incarnation_, &register_client_, &counters_, Millis(60000), "d",
         WarmupTolerance{.overshoot_ = 1.5, .slack_ = 8});
     guard_->UpdateConfiguration(
         {.index_ = 1,
@@ -114,6 +114,16 @@
     }
   }
 
+  // Evacuates the guard's failure domain and withdraws the order at once.
+  void EvacuateAndReturn() {
+    for (const bool evacuated : {true, false}) {
+      guard_->UpdateEvacuations(
+          {.index_ = 1,
+           .domains_ = {{.failure_domain_ = "d", .evacuated_ = evacuated}}},
+          now_);
+    }
+  }
+
   void AnswerHealth() {
     const uint64_t id = std::exchange(health_, 0);
     if (id != 0 && answers_health_) {
@@ -199,7 +209,7 @@
       test.Announce(1, Millis(0));
       break;
     case 4:
-      test.guard_->OnEvacuationEnded(test.now_);
+      test.EvacuateAndReturn();
       break;
     default:
       // Frozen; the first event after it is an attempt.
@@ -227,7 +237,7 @@
 // from before the event, as one that was frozen meanwhile gets.
 TEST_CASE("an older answer to a health request ends no doubt", "[warmup]") {
   WarmGuard test;
-  test.guard_->OnEvacuationEnded(test.now_);
+  test.EvacuateAndReturn();
   const Commands asked = test.guard_->Tick(test.now_);
   test.Take(asked);
   test.now_ = test.now_ + Millis(2000);
