Keep calls away from cold targets while others have room

Callers saw calls fail with warming_up although other targets had room: when a failure domain came back, ingresses sent its targets a full part of the calls, and four refusals end a call.

Cause: the router did not read the rate of admissions that a guard reports, and refusals of cold targets counted like those of full ones.

Change: the router chooses a cold target only if no other is expected to meet the objective, and then within this daemon's share of the target's rate. A target with a new record counts as cold until its guard reports, if its service has a warm-up policy. Refusals of cold targets count apart, up to eight. An action with a key reads its attempt number again after such a refusal, since the guard may have released a granted start.

Why this works: all daemons together send a cold target its rate at most, apart from calls that have no other target; the guard keeps the limit in any case.

Evidence: coordination_tests "[warmup]" without the change, or without the part of it that the test names:

router_warmup_test.cc:141: FAILED: CHECK( test.sent_[6] + test.sent_[7] == 0 ) 53 == 0 router_warmup_test.cc:155: FAILED: CHECK( probes == 2 ) 0 == 2 router_warmup_test.cc:167: FAILED (refusals counted together): CHECK( test.Call(1, [](int target) { return target == 7; }) == 1 ) 0 == 1 router_warmup_test.cc:177: FAILED (no attempt beyond the share): CHECK( test.Call(20, [](int) { return true; }) == 20 ) 16 == 20 router_warmup_test.cc:174: FAILED (same attempt number sent again): due to unexpected exception with message: std::get: wrong index for variant

With the change all tests of "[warmup]" and all unit tests pass.

--- a/src/coordination/internal/action_calls.cc
+++ b/src/coordination/internal/action_calls.cc
@@ -16,6 +16,9 @@
 constexpr uint32_t kMaxRefusals = 8;
 // Refused attempts after which the guard may queue the next one.
 constexpr uint32_t kRefusalsBeforeQueueing = 2;
+// Refusals by cold targets after which an action is fenced. They count apart,
+// since other targets have room.
+constexpr uint32_t kMaxColdRefusals = 8;
 // Number of attempts lost with their link that may be retried.
 constexpr uint32_t kMaxLostAttempts = 3;
 // Time between two polls of the register for a started action.
@@ -196,12 +199,14 @@
   }
   action->no_more_attempts_ =
       action->no_more_attempts_ || MeansEntryChanged(answer.refusal_);
-  ++action->refusals_;
+  const bool is_cold = answer.refusal_ == RefusalReason::kWarmingUp;
+  ++(is_cold ? action->cold_refusals_ : action->refusals_);
   if (MeansStartReleased(answer.refusal_)) {
     ++action->register_attempt_;
   }
   const bool is_final =
       action->no_more_attempts_ || action->refusals_ >= kMaxRefusals ||
+      action->cold_refusals_ >= kMaxColdRefusals ||
       answer.refusal_ == RefusalReason::kPoisoned ||
       answer.refusal_ == RefusalReason::kAuthorizationExpired ||
       now >= action->fence_at_;
@@ -210,6 +215,12 @@
     return Fence(action, action->register_attempt_, now);
   }
   counters_->Add(state::RetryReason::kRefused);
+  if (is_cold) {
+    // The guard may have refused before it asked the register, or have released
+    // a granted start, which raised the attempt number: the register tells.
+    action->phase_ = ActionPhase::kBeginning;
+    return Begin(action, now);
+  }
   // The same register attempt can be sent again: the register grants at most
   // one start of it.
   return SendNext(action, now);
--- a/src/coordination/internal/action_calls.h
+++ b/src/coordination/internal/action_calls.h
@@ -56,7 +56,8 @@
     // The action may not be sent again: another request under the same key has
     // fenced this one off, or this request has given up.
     bool no_more_attempts_ = false;
-    uint32_t refusals_ = 0;
+    uint32_t refusals_ = 0;       // Without those of cold targets.
+    uint32_t cold_refusals_ = 0;  // Of cold targets.
     uint32_t lost_attempts_ = 0;
     // When to fence an attempt that has not been answered.
     state::Millis fence_at_;
--- a/src/coordination/internal/lookup_calls.cc
+++ b/src/coordination/internal/lookup_calls.cc
@@ -12,6 +12,10 @@
 // Refused attempts after which the guard may queue the next one. Giving up
 // instead failed 1 to 7% of the calls in a trial.
 constexpr uint32_t kRefusalsBeforeQueueing = 2;
+// Refusals by cold targets after which a call is not sent again. They count
+// apart: a failure domain that returns is cold as a whole, while the targets of
+// other domains have room.
+constexpr uint32_t kMaxColdRefusals = 8;
 
 // Links to the guard of an open attempt that may be replaced before a call that
 // may not be sent elsewhere is given up. Each was silent for 400 ms, so that
@@ -65,7 +69,8 @@
     return attempts.open().empty() ? GiveUp(lookup, now) : Commands();
   }
   const bool may_queue =
-      next.all_tried_ || lookup->refusals_ >= kRefusalsBeforeQueueing;
+      next.all_tried_ ||
+      lookup->refusals_ - lookup->cold_refusals_ >= kRefusalsBeforeQueueing;
   return {attempts.Send(
       *next.target_,
       AttemptSet::SendOptions{
@@ -128,14 +133,18 @@
                                 const AttemptAnswer& answer,
                                 state::Millis now) {
   ++lookup->refusals_;
+  lookup->cold_refusals_ +=
+      answer.refusal_ == state::RefusalReason::kWarmingUp ? 1 : 0;
   lookup->last_reason_ = answer.refusal_;
   // Guards with a newer route refuse the call on every target of the service.
   const bool is_rerouted =
       !lookup->call_.host_.empty() &&
       answer.refusal_ == state::RefusalReason::kStaleConfiguration;
-  const bool is_final = answer.refusal_ == state::RefusalReason::kPoisoned ||
-                        is_rerouted || lookup->refusals_ >= kMaxRefusals ||
-                        now >= lookup->call_.deadline_;
+  const bool is_final =
+      answer.refusal_ == state::RefusalReason::kPoisoned || is_rerouted ||
+      lookup->refusals_ - lookup->cold_refusals_ >= kMaxRefusals ||
+      lookup->cold_refusals_ >= kMaxColdRefusals ||
+      now >= lookup->call_.deadline_;
   if (is_final) {
     return lookup->attempts_.open().empty() ? GiveUp(lookup, now) : Commands();
   }
--- a/src/coordination/internal/lookup_calls.h
+++ b/src/coordination/internal/lookup_calls.h
@@ -46,6 +46,7 @@
     // When the answer is sent after the last attempt crashed its target.
     std::optional<state::Millis> give_up_at_;
     uint32_t refusals_ = 0;
+    uint32_t cold_refusals_ = 0;  // Of these, those of cold targets.
     uint32_t failures_ = 0;
     uint32_t crashes_ = 0;
     uint32_t resumes_ = 0;  // Times the link of an open attempt was replaced.
--- a/src/coordination/internal/router_choice.cc
+++ b/src/coordination/internal/router_choice.cc
@@ -30,6 +30,13 @@
 // Assumed size of a call, in kilobytes, on a route that has had no answer yet.
 constexpr double kDefaultCallKilobytes = 2;
 
+// Returns whether a call may be sent to a cold target beyond this daemon's
+// share of its requests. The other daemons may not use their shares, so that a
+// call without another target tries once, and queues when it is sent again.
+bool AllowsExhausted(const ChoiceQuery& query) {
+  return query.tried_.empty();
+}
+
 }  // namespace
 
 std::optional<TargetRecord> Router::Impl::Choose(const ChoiceQuery& query,
@@ -43,8 +50,9 @@
   if (service.strategy_->weighs_links()) {
     return ChooseInAllRegions(&service, query, now);
   }
-  const std::vector<Target*> local =
-      Eligible(service, query, /*local=*/true, now);
+  const ByWarmth split = SplitByWarmth(
+      service, Eligible(service, query, /*local=*/true, now), now);
+  const std::vector<Target*> local = Preferred(split, false);
   const bool local_in_time =
       std::any_of(local.begin(), local.end(), [&](const Target* target) {
         return MeetsDeadline(*target, query.deadline_left_, now);
@@ -52,14 +60,16 @@
   if (local_in_time) {
     return ChooseAmong(&service, local, query, now);
   }
-  const std::vector<Target*> remote =
-      Eligible(service, query, /*local=*/false, now);
+  const std::vector<Target*> remote = Preferred(
+      SplitByWarmth(service, Eligible(service, query, /*local=*/false, now),
+                    now),
+      false);
   if (!remote.empty() && cross_region_bytes_.Take(kChargedCallBytes, now)) {
     counters_->Add(state::Counter::kCallsCrossRegion);
     return ChooseAmong(&service, remote, query, now);
   }
-  return local.empty() ? std::nullopt
-                       : ChooseAmong(&service, local, query, now);
+  const std::vector<Target*> left = Preferred(split, AllowsExhausted(query));
+  return left.empty() ? std::nullopt : ChooseAmong(&service, left, query, now);
 }
 
 std::vector<Router::Impl::Target*> Router::Impl::Eligible(
@@ -108,16 +118,26 @@
     ServiceState* service,
     const ChoiceQuery& query,
     state::Millis now) {
-  std::vector<Target*> targets = Eligible(*service, query, /*local=*/true, now);
+  std::vector<Target*> eligible =
+      Eligible(*service, query, /*local=*/true, now);
   const std::vector<Target*> remote =
       Eligible(*service, query, /*local=*/false, now);
-  const size_t local_count = targets.size();
-  targets.insert(targets.end(), remote.begin(), remote.end());
+  eligible.insert(eligible.end(), remote.begin(), remote.end());
+  const ByWarmth split = SplitByWarmth(*service, eligible, now);
+  std::vector<Target*> targets = Preferred(split, AllowsExhausted(query));
   if (targets.empty()) {
     return std::nullopt;
   }
   std::optional<TargetRecord> chosen =
       ChooseAmong(service, targets, query, now);
+  const bool needs_cold = !service->strategy_->can_meet_objective() &&
+                          !split.warm_.empty() &&
+                          !split.cold_with_share_.empty();
+  if (needs_cold) {
+    targets = split.cold_with_share_;
+    chosen.reset();
+    chosen.emplace(*ChooseAmong(service, targets, query, now));
+  }
   if (!service->strategy_->can_meet_objective()) {
     return std::nullopt;
   }
@@ -128,7 +148,9 @@
     counters_->Add(state::Counter::kCallsCrossRegion);
     return chosen;
   }
-  targets.resize(local_count);
+  std::erase_if(targets, [this](const Target* target) {
+    return LinkTo(*target->record_) == LinkClass::kCrossRegion;
+  });
   return targets.empty() ? std::nullopt
                          : ChooseAmong(service, targets, query, now);
 }
@@ -144,6 +166,7 @@
     candidates.push_back(CandidateOf(*target, *service->policy_, query, now));
   }
   const size_t index = service->strategy_->Choose(candidates, random_);
+  TakeShare(*targets[index]->record_);
   return *targets[index]->record_;
 }
 
--- a/src/coordination/internal/router_impl.h
+++ b/src/coordination/internal/router_impl.h
@@ -23,7 +23,8 @@
 inline constexpr state::Millis kEjectionTime(1000);
 
 // The state of a router. router_members.cc follows the configuration and the
-// membership, router_choice.cc chooses among the members, router_load.cc
+// membership, router_choice.cc chooses among the members, router_warmup.cc
+// leaves cold ones out, router_load.cc
 // records loads and ends of attempts, ejects and probes targets, and router.cc
 // holds the budgets for retries and hedges.
 class Router::Impl {
@@ -68,6 +69,16 @@
     state::Millis serving_since_;
     int failures_ = 0;
     state::Millis ejected_until_;
+    // This daemon's share of the requests that the target admits while it is
+    // cold, and when it was last updated; nothing while the target is warm.
+    double share_ = 0;
+    std::optional<state::Millis> share_at_;
+    std::optional<state::Millis> cold_probe_at_;
+  };
+  struct ByWarmth {
+    std::vector<Target*> warm_;
+    std::vector<Target*> cold_with_share_;
+    std::vector<Target*> cold_;  // Without a share left.
   };
 
   struct ServiceState {
@@ -97,6 +108,25 @@
                                 const ChoiceQuery& query,
                                 bool local,
                                 state::Millis now) const;
+  // Returns the rate at which a cold target admits requests, or 0 for one that
+  // is not known to be cold. A target that has started to serve counts as cold
+  // until its guard reports.
+  static double ColdRate(const Target& target,
+                         const state::WarmupPolicy& policy,
+                         state::Millis now);
+  // Returns whether this daemon's share of `rate` has room for a request.
+  bool HasShare(Target* target, double rate, state::Millis now);
+  ByWarmth SplitByWarmth(const ServiceState& service,
+                         const std::vector<Target*>& targets,
+                         state::Millis now);
+  // Returns the targets to choose among: cold ones only without a warm one, and
+  // those without a share left only if `allows_exhausted`.
+  static std::vector<Target*> Preferred(const ByWarmth& split,
+                                        bool allows_exhausted);
+  // Charges a request to the share of the chosen target if it is cold.
+  void TakeShare(const state::TargetRecord& chosen);
+  // Probes cold targets, which get too few calls to tell when they are warm.
+  Commands ProbeCold(const ServiceState& service, state::Millis now);
   // Returns whether the last report of the target's guard allows new work.
   // After a report of draining the target is not tried until a probe reply or
   // the membership reports that it serves again: without control instances the
