Log evacuation orders that change nothing

What operators could see: an order that was acknowledged is undone by an opposite order from before it, which was delayed on a link.

Cause: an order that found the wanted state was acknowledged without an entry in the log, so that the index did not change and the delayed order, submitted with that index, still applied.

Change: each order becomes an entry, and an entry whose submitter knew the last one takes its place also without an effect.

--- a/src/coordination/tests/evacuation_order_test.cc
+++ b/src/coordination/tests/evacuation_order_test.cc
@@ -93,6 +93,21 @@
   CHECK_FALSE(leader.service_.evacuations().domains_[0].evacuated_);
 }
 
+// Guards against a withdrawal that is delayed on a link, is not known to have
+// failed, and takes effect after a new order has been acknowledged.
+TEST_CASE("a delayed withdrawal does not undo an order that repeats the last",
+          "[evacuation]") {
+  Leader leader;
+  leader.Commit(leader.Submit(Order(1, true, 0)));
+  CHECK(ReplyOf(leader.Commit(leader.Submit(Order(2, true, 1)))) ==
+        EvacuationReply{.call_id_ = 2, .index_ = 2});
+  CHECK(ReplyOf(leader.Commit(leader.Submit(Order(3, false, 1)))) ==
+        EvacuationReply{.call_id_ = 3,
+                        .status_ = EvacuationStatus::kConflict,
+                        .index_ = 2});
+  CHECK(leader.service_.evacuations().domains_[0].evacuated_);
+}
+
 // Guards against a submitter that is told nothing by an instance that does not
 // lead, or that takes a lost proposal for an acknowledged one.
 TEST_CASE("an instance that does not lead names the leader to a submitter",
--- a/src/daemon/evacuation_submission.cc
+++ b/src/daemon/evacuation_submission.cc
@@ -35,9 +35,6 @@
   }
   const state::EvacuationState last =
       state::FindEvacuation(*evacuations, order_.failure_domain_);
-  if (last.evacuated_ == order_.evacuates_) {
-    return End{.outcome_ = OrderOutcome::kAccepted, .index_ = last.index_};
-  }
   if (!MaySubmit(situation)) {
     return GiveUp(situation);
   }
--- a/src/daemon/evacuation_submission.h
+++ b/src/daemon/evacuation_submission.h
@@ -19,9 +19,12 @@
 
 // Decides how one evacuation order is brought into the replicated log: reads
 // the last order for the failure domain, submits the new one with the index of
-// that one, and reads again after a conflict. An order is not submitted when
-// its caller has left or it has waited too long, since the operator may have
-// given another order elsewhere in the meantime. Not thread-safe.
+// that one, and reads again after a conflict. An order that changes nothing is
+// submitted too: only its entry in the log keeps an opposite order, submitted
+// earlier and still on its way, from taking effect after the acknowledgement.
+// An order is not submitted when its caller has left or it has waited too long,
+// since the operator may have given another order elsewhere in the meantime.
+// Not thread-safe.
 class EvacuationSubmission {
  public:
   // Time from the receipt of an order to its end. A caller resends an order
--- a/src/state/api/evacuation_table.h
+++ b/src/state/api/evacuation_table.h
@@ -13,10 +13,11 @@
 // machine, so that replicas that apply the same orders agree. Not thread-safe.
 class EvacuationTable {
  public:
-  // Applies the order of the log entry `index`. Returns false, and changes
-  // nothing, when its submitter did not know the last order for the failure
-  // domain and that one has another effect. An order that changes nothing is
-  // accepted: it is a resend.
+  // Applies the order of the log entry `index`. Returns whether it is in force.
+  // An order whose submitter did not know the last one for the failure domain
+  // changes nothing, and is in force only if that one has the same effect. Any
+  // other takes the place of the last one, even with the same effect: a delayed
+  // order that was submitted before it must not undo it.
   bool Apply(uint64_t index, const EvacuationOrder& order);
 
   Evacuations Snapshot() const;
--- a/src/state/internal/evacuation_table.cc
+++ b/src/state/internal/evacuation_table.cc
@@ -19,12 +19,9 @@
 bool EvacuationTable::Apply(uint64_t index, const EvacuationOrder& order) {
   const auto last = domains_.find(order.failure_domain_);
   const bool is_evacuated = last != domains_.end() && last->second.evacuated_;
-  if (order.evacuates_ == is_evacuated) {
-    return true;
-  }
   const uint64_t last_index = last == domains_.end() ? 0 : last->second.index_;
   if (order.known_index_ != last_index) {
-    return false;
+    return order.evacuates_ == is_evacuated;
   }
   index_ = index;
   Replace(&domains_, order.failure_domain_,
