End the doubt about a target by each answer to a health request

Cause: a target that is warm names no remaining time in its health answers, and such an answer was taken to say nothing. So each failed delivery held its target to the limit for the whole warm-up; the log shows each limit ending 3 s after it came into force. An answer that names a time did not end the doubt either: the report in it made the request count as older than the doubt.

Change: a successful answer to a health request that was sent after the event ends the doubt. Without a time it leaves what an announcement has said.

Evidence, before: warmup_limit_test.cc:262 CHECK( health_requests_ - asked <= 1 ) 10 <= 1. The test of an answer without a time was written with the fix and not run before it. After: coordination_tests pass.

--- a/src/coordination/internal/guard_delivery.cc
+++ b/src/coordination/internal/guard_delivery.cc
@@ -25,7 +25,9 @@
 
 Commands Guard::Impl::OnDeliveryEnded(const DeliveryEnded& ended,
                                       state::Millis now) {
-  OnDeliveryEndedWarmup(ended, now);
+  if (ended.delivery_id_ != load_probe_delivery_) {
+    OnDeliveryEndedWarmup(ended, now);
+  }
   if (ended.delivery_id_ == crash_check_delivery_) {
     return OnCrashCheckEnded(ended.end_, now);
   }
--- a/src/coordination/internal/guard_warmup.cc
+++ b/src/coordination/internal/guard_warmup.cc
@@ -11,6 +11,7 @@
 
 using state::RefusalReason;
 
+constexpr int kOk = 200;
 constexpr int kMisdirectedRequest = 421;
 
 // Returns whether the request does not count as received by the target.
@@ -65,7 +66,8 @@
 
 void Guard::Impl::OnLoadProbeEndedWarmup(const DeliveryEnded& ended,
                                          state::Millis now) {
-  if (ended.end_ == DeliveryEnd::kAnswered) {
+  if (ended.end_ == DeliveryEnd::kAnswered && !ended.declined_ &&
+      ended.answer_.status_ == kOk) {
     warmup_.OnHealthAnswered(ended.warmup_remaining_, now);
   } else if (ended.end_ == DeliveryEnd::kConnectFailed ||
              ended.end_ == DeliveryEnd::kIncompleteAnswer) {
--- a/src/coordination/internal/warmup_limit.cc
+++ b/src/coordination/internal/warmup_limit.cc
@@ -109,14 +109,13 @@
 
 void WarmupLimit::OnHealthAnswered(std::optional<state::Millis> remaining,
                                    state::Millis now) {
-  if (!remaining.has_value()) {
-    return;
-  }
   if (health_is_newer_) {
     is_uncertain_ = false;
-    cold_until_ = now;
+    // An answer that does not name the time does not contradict an
+    // announcement.
+    cold_until_ = remaining.has_value() ? now : cold_until_;
   }
-  OnReported(*remaining, now);
+  OnReported(remaining.value_or(state::Millis(0)), now);
   Update(now);
 }
 
--- a/src/coordination/internal/warmup_limit.h
+++ b/src/coordination/internal/warmup_limit.h
@@ -66,8 +66,8 @@
   // Precondition: none is in progress.
   bool IsHealthDue(state::Millis now) const;
   void OnHealthSent(state::Millis now);
-  // Handles the answer to the last health request. Without `remaining` it says
-  // nothing of the target's state.
+  // Handles a successful answer to the last health request. A target that is
+  // warm need not say so: without `remaining` it is not cold.
   void OnHealthAnswered(std::optional<state::Millis> remaining,
                         state::Millis now);
 
--- a/src/coordination/tests/warmup_limit_test.cc
+++ b/src/coordination/tests/warmup_limit_test.cc
@@ -124,6 +124,14 @@
     }
   }
 
+  void AnswerHealthWithoutTime() {
+    guard_->OnDeliveryEnded(
+        DeliveryEnded{.delivery_id_ = std::exchange(health_, 0),
+                      .answer_ = {.status_ = 200},
+                      .sent_ = true},
+        now_);
+  }
+
   void AnswerHealth() {
     const uint64_t id = std::exchange(health_, 0);
     if (id != 0 && answers_health_) {
@@ -249,6 +257,35 @@
   CHECK(test.times_.size() - sent <= 20);
 }
 
+// Guards against a health answer that names the remaining time and leaves the
+// doubt, so that the target is asked five times a second while it is cold.
+TEST_CASE("a health answer that reports a cold target ends the doubt",
+          "[warmup]") {
+  WarmGuard test;
+  test.Health(Millis(9000));
+  test.EvacuateAndReturn();
+  test.Run(Millis(100));
+  const int asked = test.health_requests_;
+  test.Run(Millis(2000));
+  CHECK(test.health_requests_ - asked <= 1);
+}
+
+// Guards against a target that is warm, names no time in its health answers,
+// and is held to the limit for the whole warm-up after each failed delivery.
+TEST_CASE("a health answer without a time ends the doubt", "[warmup]") {
+  WarmGuard test;
+  test.End(test.Send(), DeliveryEnd::kIncompleteAnswer);
+  const Commands asked = test.guard_->Tick(test.now_);
+  test.Take(asked);
+  test.AnswerHealthWithoutTime();
+  test.Run(Millis(10));
+  const size_t sent = test.times_.size();
+  for (int i = 0; i < 60; ++i) {
+    test.Send();
+  }
+  CHECK(test.times_.size() - sent == 60);
+}
+
 // Guards against a daemon that restarts and sends the limit a second time
 // within the second in which its last process used it.
 TEST_CASE("a guard that restarts sends a cold target no second burst",
