Take no work for a target whose service the guard does not know

Cause: a guard whose configuration is older than that of an ingress, and lacks the service of its target, handed attempts over without the limit of a cold target. Found by the review of the limit, by reading.

Change: where the settings promise the limit, such a guard refuses with no_configuration until it has the service.

--- a/src/coordination/internal/guard_target.h
+++ b/src/coordination/internal/guard_target.h
@@ -62,17 +62,18 @@
 
   // Returns the warm-up policy of the target's service.
   state::WarmupPolicy warmup() const;
-  // Returns whether any configuration is known.
-  bool has_configuration() const {
-    return configuration_.has_value() &&
-           configuration_->configuration_ != nullptr;
-  }
+  // Returns whether the known configuration has the target's service.
+  bool knows_own_service() const { return OwnService() != nullptr; }
 
   bool is_draining() const { return draining_; }
   // Returns the path at which the target reports its load; empty without one.
   std::string HealthPath() const;
 
  private:
+  bool has_configuration() const {
+    return configuration_.has_value() &&
+           configuration_->configuration_ != nullptr;
+  }
   // Returns the target's service in the configuration, or null.
   const state::Service* OwnService() const;
   // Returns whether the announcement is older than the last one or than the
--- a/src/coordination/internal/guard_warmup.cc
+++ b/src/coordination/internal/guard_warmup.cc
@@ -77,7 +77,8 @@
 
 RefusalReason Guard::Impl::CheckWarmup(const Attempt& attempt,
                                        state::Millis now) const {
-  if (requires_configuration_ && !target_.has_configuration()) {
+  // Without the service's policy, nothing is known of the limit.
+  if (requires_configuration_ && !target_.knows_own_service()) {
     return RefusalReason::kNoConfiguration;
   }
   if (!warmup_.IsInForce(now)) {
--- a/src/coordination/tests/warmup_limit_test.cc
+++ b/src/coordination/tests/warmup_limit_test.cc
@@ -286,6 +286,21 @@
   CHECK(test.times_.size() - sent == 60);
 }
 
+// Guards against a guard whose configuration is older than that of an ingress,
+// does not have the target's service yet, and hands over without any limit.
+TEST_CASE("a guard that does not know the target's service takes no work",
+          "[warmup]") {
+  WarmGuard test;
+  test.Start();
+  test.guard_->UpdateConfiguration(
+      {.index_ = 1,
+       .configuration_ = std::make_shared<const state::Configuration>()});
+  test.Announce(1, Millis(0));
+  RefusalReason reason = RefusalReason::kNone;
+  CHECK(test.Send(false, &reason) == 0);
+  CHECK(reason == RefusalReason::kNoConfiguration);
+}
+
 // Guards against a daemon that restarts and sends the limit a second time
 // within the second in which its last process used it.
 TEST_CASE("a guard that restarts sends a cold target no second burst",
