Free the place of a start that the register does not answer

Cause: each start of an action that was requested and not granted kept a place in the limit of a cold target for its whole deadline, so that without a quorum a target without work refused lookups.

Change: the place is kept for a second; a later grant asks for room again.

Evidence, before: warmup_limit_test.cc:365 CHECK( test.Send() != 0 ) 0 != 0. After: passes.

--- a/src/coordination/internal/guard.cc
+++ b/src/coordination/internal/guard.cc
@@ -200,7 +200,7 @@
   const bool is_exclusive_running =
       !running_.empty() && running_.begin()->second.work_.run_alone_;
   return has_slot && !is_exclusive_running &&
-         warmup_.TimeToTurn(requested_starts(), now) <= state::Millis(0) &&
+         warmup_.TimeToTurn(requested_starts(now), now) <= state::Millis(0) &&
          (!work.run_alone_ || running_.empty());
 }
 
--- a/src/coordination/internal/guard_impl.h
+++ b/src/coordination/internal/guard_impl.h
@@ -173,7 +173,7 @@
                                     state::Millis now) const;
   // Returns how many starts of actions are requested and not granted yet. Each
   // will be a delivery.
-  int requested_starts() const;
+  int requested_starts(state::Millis now) const;
   // Records an announcement that was accepted.
   void OnAnnouncedWarmup(const TargetAnnounced& announced, state::Millis now);
   // Records what the end of a delivery says of the target's state.
--- a/src/coordination/internal/guard_warmup.cc
+++ b/src/coordination/internal/guard_warmup.cc
@@ -13,6 +13,10 @@
 
 constexpr int kOk = 200;
 constexpr int kMisdirectedRequest = 421;
+// How long a start that the register has not answered keeps its place in the
+// limit. Without a quorum it gets no answer, and would keep the place for its
+// whole deadline; one that is granted later asks for room again.
+constexpr state::Millis kStartReservation(1000);
 
 // Returns whether the request does not count as received by the target.
 bool IsNotReceived(const DeliveryEnded& ended) {
@@ -85,7 +89,7 @@
     return RefusalReason::kNone;
   }
   const state::Millis to_turn =
-      warmup_.TimeToTurn(queued_count() + requested_starts(), now);
+      warmup_.TimeToTurn(queued_count() + requested_starts(now), now);
   if (to_turn <= state::Millis(0)) {
     return RefusalReason::kNone;
   }
@@ -112,10 +116,12 @@
              : RefusalReason::kNone;
 }
 
-int Guard::Impl::requested_starts() const {
-  return static_cast<int>(std::count_if(
-      running_.begin(), running_.end(),
-      [](const auto& entry) { return !entry.second.is_delivered_; }));
+int Guard::Impl::requested_starts(state::Millis now) const {
+  return static_cast<int>(
+      std::count_if(running_.begin(), running_.end(), [now](const auto& entry) {
+        return !entry.second.is_delivered_ &&
+               now - entry.second.started_ < kStartReservation;
+      }));
 }
 
 std::optional<state::Millis> Guard::Impl::SendBefore(const GuardWork& work,
--- a/src/coordination/tests/warmup_limit_test.cc
+++ b/src/coordination/tests/warmup_limit_test.cc
@@ -363,6 +363,32 @@
   CHECK(*delivery.send_before_ <= test.now_ + Millis(500));
 }
 
+// Guards against starts that the register does not answer, each of which keeps
+// a place in the limit, so that lookups are refused by a target without work.
+TEST_CASE("starts without an answer do not keep a cold target from lookups",
+          "[warmup]") {
+  WarmGuard test;
+  test.Announce(1, Millis(9000));
+  test.Health(Millis(9000));
+  test.Run(Millis(2000));
+  for (int i = 0; i < 7; ++i) {
+    test.guard_->OnAttempt(
+        "c",
+        Attempt{.request_id_ = "action" + std::to_string(i),
+                .attempt_ = 1,
+                .service_ = "s",
+                .target_ = "t",
+                .deadline_left_ = Millis(5000),
+                .request_class_ = state::RequestClass::kAction,
+                .configuration_index_ = 1,
+                .key_ = "k" + std::to_string(i),
+                .register_attempt_ = 1},
+        test.now_);
+  }
+  test.Run(Millis(1500));
+  CHECK(test.Send() != 0);
+}
+
 // Guards against an action that the register lets start after its target has
 // become cold.
 TEST_CASE("an action granted after its target became cold is released",
