Ask the register for the attempt number after each possible release

What callers could see: an action that a guard had released before its target got a byte ended as not run, although other targets had room.

Cause: a release raises the attempt number, and the ingress knew that of two refusal reasons only.

Change: after a refusal that may or may not follow a release the ingress asks the register.

Evidence, before: router_warmup_test.cc:184, two of three reasons: unexpected exception, std::get: wrong index for variant. After: passes.

--- a/src/coordination/internal/action_calls.cc
+++ b/src/coordination/internal/action_calls.cc
@@ -48,6 +48,14 @@
          reason == RefusalReason::kTargetShed;
 }
 
+// The guard may have refused before it asked the register, or have released a
+// granted start, which raised the attempt number: only the register tells.
+bool MayMeanStartReleased(RefusalReason reason) {
+  return reason == RefusalReason::kWarmingUp ||
+         reason == RefusalReason::kInternalQueueFull ||
+         reason == RefusalReason::kMisdirected;
+}
+
 }  // namespace
 
 Commands ActionCalls::OnCall(const ClassifiedCall& call, state::Millis now) {
@@ -222,9 +230,7 @@
     return Fence(action, action->register_attempt_, now);
   }
   counters_->Add(state::RetryReason::kRefused);
-  if (is_cold) {
-    // The guard may have refused before it asked the register, or have released
-    // a granted start, which raised the attempt number: the register tells.
+  if (MayMeanStartReleased(answer.refusal_)) {
     action->phase_ = ActionPhase::kBeginning;
     return Begin(action, now);
   }
--- a/src/coordination/tests/router_warmup_test.cc
+++ b/src/coordination/tests/router_warmup_test.cc
@@ -184,6 +184,9 @@
         RegisterReply{.call_id_ = call.call_id_,
                       .result_ = {.state_ = state::ActionState::kOpen,
                                   .attempt_ = attempt}},
+  const auto reason = GENERATE(state::RefusalReason::kWarmingUp,
+                               state::RefusalReason::kInternalQueueFull,
+                               state::RefusalReason::kMisdirected);
         test.now_);
     REQUIRE(step.ends_.size() == 1);
     const Commands sent = test.ingress_.OnRegisterEnd(step.ends_[0], test.now_);
@@ -199,12 +202,11 @@
           test.now_),
       1);
   const Attempt second = register_reply(
-      test.ingress_.OnAnswer(
-          AttemptAnswer{.request_id_ = first.request_id_,
-                        .attempt_ = first.attempt_,
-                        .result_ = AttemptResult::kRefused,
-                        .refusal_ = state::RefusalReason::kWarmingUp},
-          test.now_),
+      test.ingress_.OnAnswer(AttemptAnswer{.request_id_ = first.request_id_,
+                                           .attempt_ = first.attempt_,
+                                           .result_ = AttemptResult::kRefused,
+                                           .refusal_ = reason},
+                             test.now_),
       2);
   CHECK(second.register_attempt_ == 2);
   CHECK(second.target_ != first.target_);
