Count targets that return from an evacuation as cold

What callers could see: when an evacuation ends, each ingress learns by a refusal of its own that a target may be cold.

Cause: the router kept the load from before the evacuation.

Change: the router forgets what it knew of targets that return, so that they count as new until their guards report.

--- a/src/coordination/api/router.h
+++ b/src/coordination/api/router.h
@@ -76,8 +76,10 @@
                      state::Millis now);
 
   // Excludes the targets in the evacuated failure domains from now on, and
-  // admits those in all others.
-  void UpdateEvacuations(const state::Evacuations& evacuations);
+  // admits those in all others. What was known of targets that return is
+  // forgotten: they may have become cold.
+  void UpdateEvacuations(const state::Evacuations& evacuations,
+                         state::Millis now);
 
   // Returns the target for the next attempt, or nothing if no target is
   // eligible or none is expected to answer in time.
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -325,7 +325,7 @@
     if (step.evacuations_changed_) {
       // The router first: calls whose attempts the guard refuses choose again.
       const state::Evacuations& evacuations = control_client_.evacuations();
-      router_.UpdateEvacuations(evacuations);
+      router_.UpdateEvacuations(evacuations, now);
       Append(&step.commands_, evacuation_report_.Update(evacuations));
       Append(&step.commands_, guard_.UpdateEvacuations(evacuations, now));
     }
--- a/src/coordination/internal/router.cc
+++ b/src/coordination/internal/router.cc
@@ -57,8 +57,9 @@
   impl_->UpdateTargets(targets, now);
 }
 
-void Router::UpdateEvacuations(const state::Evacuations& evacuations) {
-  impl_->UpdateEvacuations(evacuations);
+void Router::UpdateEvacuations(const state::Evacuations& evacuations,
+                               state::Millis now) {
+  impl_->UpdateEvacuations(evacuations, now);
 }
 
 std::optional<TargetRecord> Router::Choose(const ChoiceQuery& query,
--- a/src/coordination/internal/router_evacuation.cc
+++ b/src/coordination/internal/router_evacuation.cc
@@ -2,11 +2,22 @@
 
 namespace gooseberrygap::coordination {
 
-void Router::Impl::UpdateEvacuations(const state::Evacuations& evacuations) {
-  evacuated_domains_.clear();
+void Router::Impl::UpdateEvacuations(const state::Evacuations& evacuations,
+                                     state::Millis now) {
+  absl::flat_hash_set<std::string> evacuated;
   for (const state::EvacuationState& domain : evacuations.domains_) {
     if (domain.evacuated_) {
-      evacuated_domains_.insert(domain.failure_domain_);
+      evacuated.insert(domain.failure_domain_);
+    }
+  }
+  evacuated_domains_.swap(evacuated);
+  for (const auto& [name, target] : targets_) {
+    const state::TargetRecord& record = *target->record_;
+    if (evacuated.contains(record.failure_domain_) &&
+        !IsInEvacuatedDomain(record)) {
+      target->load_.reset();
+      target->cold_probe_at_.reset();
+      target->serving_since_ = now;
     }
   }
 }
--- a/src/coordination/internal/router_impl.h
+++ b/src/coordination/internal/router_impl.h
@@ -42,7 +42,8 @@
   void UpdateConfiguration(const state::Configuration& configuration);
   void UpdateTargets(const std::vector<state::TargetRecord>& targets,
                      state::Millis now);
-  void UpdateEvacuations(const state::Evacuations& evacuations);
+  void UpdateEvacuations(const state::Evacuations& evacuations,
+                         state::Millis now);
   std::optional<state::TargetRecord> Choose(const ChoiceQuery& query,
                                             state::Millis now);
   bool HasTarget(absl::string_view service,
--- a/src/coordination/tests/router_warmup_test.cc
+++ b/src/coordination/tests/router_warmup_test.cc
@@ -36,8 +36,11 @@
     router_.UpdateTargets(Records(1), Millis(0));
   }
 
-  // Returns eight targets; the last two started with this incarnation.
-  static std::vector<state::TargetRecord> Records(uint64_t incarnation) {
+  // Returns eight targets; the last two are in `domain` and started with this
+  // incarnation.
+  static std::vector<state::TargetRecord> Records(
+      uint64_t incarnation,
+      const std::string& domain = "d") {
     std::vector<state::TargetRecord> records;
     for (int i = 0; i < 8; ++i) {
       const std::string name = "t" + std::to_string(i);
@@ -47,7 +50,7 @@
            .instance_ = name,
            .guard_address_ = name,
            .region_ = "r",
-           .failure_domain_ = "d",
+           .failure_domain_ = i < 6 ? "d" : domain,
            .slots_ = 4,
            .state_ = state::TargetState::kServing,
            .version_ = {.incarnation_ = i < 6 ? 1 : incarnation}});
@@ -114,6 +117,20 @@
     return served;
   }
 
+  // Returns how many probes `ticks` ticks, 2 ms apart, send to the last two
+  // targets.
+  int CountColdProbes(int ticks) {
+    int probes = 0;
+    for (int i = 0; i < ticks; ++i) {
+      now_ = now_ + Millis(2);
+      for (const Command& command : router_.Tick(now_)) {
+        const auto* send = std::get_if<SendToPeer>(&command);
+        probes += send != nullptr && send->address_ >= "t6" ? 1 : 0;
+      }
+    }
+    return probes;
+  }
+
   Millis now_ = Millis(60000);
   std::map<int, int> sent_;
   std::mt19937_64 random_;
@@ -148,12 +165,7 @@
   test.router_.UpdateTargets(ColdTargets::Records(2), test.now_);
   test.Call(50, [](int) { return true; });
   CHECK(test.sent_[6] + test.sent_[7] == 0);
-  int probes = 0;
-  for (const Command& command : test.router_.Tick(test.now_)) {
-    const auto* send = std::get_if<SendToPeer>(&command);
-    probes += send != nullptr && send->address_ >= "t6" ? 1 : 0;
-  }
-  CHECK(probes == 2);
+  CHECK(test.CountColdProbes(16) == 2);
   test.Load(6, 0);
   test.Call(50, [](int) { return true; });
   CHECK(test.sent_[6] > 0);
@@ -172,6 +184,9 @@
 // Guards against an action that fails after a cold target's guard has released
 // its start: the attempt number that the ingress knows is then outdated.
 TEST_CASE("an action that a cold target released runs elsewhere", "[warmup]") {
+  const auto reason = GENERATE(state::RefusalReason::kWarmingUp,
+                               state::RefusalReason::kInternalQueueFull,
+                               state::RefusalReason::kMisdirected);
   ColdTargets test;
   test.ingress_.SetActionsAllowed(true);
   const auto register_reply = [&test](const Commands& commands,
@@ -184,9 +199,6 @@
         RegisterReply{.call_id_ = call.call_id_,
                       .result_ = {.state_ = state::ActionState::kOpen,
                                   .attempt_ = attempt}},
-  const auto reason = GENERATE(state::RefusalReason::kWarmingUp,
-                               state::RefusalReason::kInternalQueueFull,
-                               state::RefusalReason::kMisdirected);
         test.now_);
     REQUIRE(step.ends_.size() == 1);
     const Commands sent = test.ingress_.OnRegisterEnd(step.ends_[0], test.now_);
@@ -212,6 +224,25 @@
   CHECK(second.target_ != first.target_);
 }
 
+// Guards against a failure domain that returns from an evacuation and is
+// flooded by daemons that take the load from before it for the present one.
+TEST_CASE("targets that return from an evacuation count as cold", "[warmup]") {
+  ColdTargets test;
+  test.router_.UpdateTargets(ColdTargets::Records(1, "e"), test.now_);
+  for (int target = 0; target < 8; ++target) {
+    test.Load(target, 0);
+  }
+  test.Call(1, [](int) { return true; });
+  CHECK(test.CountColdProbes(16) == 0);
+  for (const bool evacuated : {true, false}) {
+    test.router_.UpdateEvacuations(
+        {.index_ = evacuated ? 1U : 2U,
+         .domains_ = {{.failure_domain_ = "e", .evacuated_ = evacuated}}},
+        test.now_);
+  }
+  CHECK(test.CountColdProbes(16) == 2);
+}
+
 // Guards against a service whose targets are all cold and that gets no call.
 TEST_CASE("calls reach a service whose targets are all cold", "[warmup]") {
   ColdTargets test;
