Probe cold targets in turn, one in a tick

Cause: the loop over all targets of a service began at the same one in each tick and took the whole budget for measuring load, so that the last ones were never asked and links were checked late.

Change: a tick looks at eight targets from where the last one stopped, and sends one probe.

Evidence, before: router_warmup_test.cc:274 CHECK( probes <= 2 ) 7 <= 2. After: passes.

--- a/src/coordination/internal/router_impl.h
+++ b/src/coordination/internal/router_impl.h
@@ -90,6 +90,7 @@
     std::unique_ptr<const state::Service> policy_;
     std::unique_ptr<Strategy> strategy_;
     std::vector<Target*> members_;
+    size_t next_cold_ = 0;  // Place from which cold targets are looked for.
     RatioBudget retry_budget_;
     RatioBudget hedge_budget_;
     LatencyWindow latencies_;
@@ -133,8 +134,9 @@
                                         bool allows_exhausted);
   // Charges a request to the share of the chosen target if it is cold.
   void TakeShare(const state::TargetRecord& chosen);
-  // Probes cold targets, which get too few calls to tell when they are warm.
-  Commands ProbeCold(const ServiceState& service, state::Millis now);
+  // Probes a cold target, one in a call, in turn: cold targets get too few
+  // calls to tell when they are warm.
+  Commands ProbeCold(ServiceState* service, state::Millis now);
   // Returns whether the last report of the target's guard allows new work.
   // After a report of draining the target is not tried until a probe reply or
   // the membership reports that it serves again: without control instances the
--- a/src/coordination/internal/router_load.cc
+++ b/src/coordination/internal/router_load.cc
@@ -105,7 +105,7 @@
 Commands Router::Impl::Tick(state::Millis now) {
   Commands commands;
   for (auto& [name, service] : services_) {
-    Append(&commands, ProbeCold(service, now));
+    Append(&commands, ProbeCold(&service, now));
     if (IsProbed(service, now)) {
       Append(&commands, ProbeOne(service, now));
     }
--- a/src/coordination/internal/router_warmup.cc
+++ b/src/coordination/internal/router_warmup.cc
@@ -15,6 +15,9 @@
 // The targets of a service that this daemon has not called for this long are
 // not probed.
 constexpr state::Millis kProbeIdleLimit(1000);
+// Targets that one tick looks at, so that its cost does not grow with the
+// fleet.
+constexpr size_t kColdScan = 8;
 
 }  // namespace
 
@@ -87,26 +90,31 @@
   }
 }
 
-Commands Router::Impl::ProbeCold(const ServiceState& service,
-                                 state::Millis now) {
-  const bool is_called = service.last_call_.has_value() &&
-                         now - *service.last_call_ < kProbeIdleLimit;
-  Commands commands;
-  for (Target* target : service.members_) {
+Commands Router::Impl::ProbeCold(ServiceState* service, state::Millis now) {
+  const bool is_called = service->last_call_.has_value() &&
+                         now - *service->last_call_ < kProbeIdleLimit;
+  const size_t count = service->members_.size();
+  if (!is_called || service->policy_->warmup_.requests_per_second_ <= 0) {
+    return {};
+  }
+  for (size_t i = 0; i < std::min(count, kColdScan); ++i) {
+    Target* target = service->members_[service->next_cold_++ % count];
     const bool is_due = !target->cold_probe_at_.has_value() ||
                         now - *target->cold_probe_at_ >= kColdProbeInterval;
-    if (!is_called || !is_due ||
-        ColdRate(*target, service.policy_->warmup_, now) <= 0 ||
-        !load_meter_.TakeProbe(LinkTo(*target->record_),
-                               target->record_->target_.size(), now)) {
+    if (!is_due || ColdRate(*target, service->policy_->warmup_, now) <= 0) {
       continue;
     }
+    if (!load_meter_.TakeProbe(LinkTo(*target->record_),
+                               target->record_->target_.size(), now)) {
+      // The next tick begins with this one.
+      --service->next_cold_;
+      return {};
+    }
     target->cold_probe_at_ = now;
-    commands.push_back(
-        SendToPeer{.address_ = target->record_->guard_address_,
-                   .message_ = Probe{.probe_id_ = next_probe_id_++}});
+    return {SendToPeer{.address_ = target->record_->guard_address_,
+                       .message_ = Probe{.probe_id_ = next_probe_id_++}}};
   }
-  return commands;
+  return {};
 }
 
 }  // namespace gooseberrygap::coordination
--- a/src/coordination/tests/router_warmup_test.cc
+++ b/src/coordination/tests/router_warmup_test.cc
@@ -243,6 +243,24 @@
   CHECK(test.CountColdProbes(16) == 2);
 }
 
+// Guards against probes of cold targets that take the whole load budget, in a
+// fixed order, so that the last ones are never asked.
+TEST_CASE("cold targets are probed in turn, one in a tick", "[warmup]") {
+  ColdTargets test;
+  for (int target = 0; target < 8; ++target) {
+    test.Load(target, 13);
+  }
+  test.Call(1, [](int) { return true; });
+  test.now_ = test.now_ + Millis(2);
+  int probes = 0;
+  for (const Command& command : test.router_.Tick(test.now_)) {
+    const auto* send = std::get_if<SendToPeer>(&command);
+    probes += send != nullptr ? 1 : 0;
+  }
+  CHECK(probes <= 2);
+  CHECK(test.CountColdProbes(16) >= 2);
+}
+
 // Guards against a service whose targets are all cold and that gets no call.
 TEST_CASE("calls reach a service whose targets are all cold", "[warmup]") {
   ColdTargets test;
