Send calls to cold targets while the warm ones are full

What callers saw: calls refused as overloaded although cold targets had room.

Cause: with any warm target, a cold one was used only within the own share of its rate, which is the rate divided by all daemons; and a choice that was not sent took from the share.

Change: a first attempt for which the warm targets are too slow may go beyond the share, and only a target that is returned is charged.

Evidence, before: router_warmup_test.cc:257 CHECK( test.Call(5, [](int target) { return target >= 6; }) == 5 ) 0 == 5. After: coordination_tests pass (65,658 assertions in 175 cases).

--- a/src/coordination/internal/router_choice.cc
+++ b/src/coordination/internal/router_choice.cc
@@ -41,6 +41,15 @@
 
 std::optional<TargetRecord> Router::Impl::Choose(const ChoiceQuery& query,
                                                  state::Millis now) {
+  std::optional<TargetRecord> chosen = ChooseTarget(query, now);
+  if (chosen.has_value()) {
+    TakeShare(*chosen);
+  }
+  return chosen;
+}
+
+std::optional<TargetRecord> Router::Impl::ChooseTarget(const ChoiceQuery& query,
+                                                       state::Millis now) {
   const auto entry = services_.find(query.service_);
   if (entry == services_.end() || entry->second.strategy_ == nullptr) {
     return std::nullopt;
@@ -131,11 +140,13 @@
   }
   std::optional<TargetRecord> chosen =
       ChooseAmong(service, targets, query, now);
-  const bool needs_cold = !service->strategy_->can_meet_objective() &&
-                          !split.warm_.empty() &&
-                          !split.cold_with_share_.empty();
-  if (needs_cold) {
-    targets = split.cold_with_share_;
+  if (!service->strategy_->can_meet_objective() && !split.warm_.empty()) {
+    const ByWarmth without_warm{.cold_with_share_ = split.cold_with_share_,
+                                .cold_ = split.cold_};
+    targets = Preferred(without_warm, AllowsExhausted(query));
+    if (targets.empty()) {
+      return std::nullopt;
+    }
     chosen.reset();
     chosen.emplace(*ChooseAmong(service, targets, query, now));
   }
@@ -167,7 +178,6 @@
     candidates.push_back(CandidateOf(*target, *service->policy_, query, now));
   }
   const size_t index = service->strategy_->Choose(candidates, random_);
-  TakeShare(*targets[index]->record_);
   return *targets[index]->record_;
 }
 
--- a/src/coordination/internal/router_impl.h
+++ b/src/coordination/internal/router_impl.h
@@ -108,6 +108,9 @@
   void RecordSize(const std::string& route, size_t bytes);
   // Makes the target a member of its service if the admission policy allows it.
   void AdmitMember(Target* target);
+  // Returns the target for an attempt, without the charge to its share.
+  std::optional<state::TargetRecord> ChooseTarget(const ChoiceQuery& query,
+                                                  state::Millis now);
   // Returns the targets on this or the other side of the region's border that
   // may take the call. Ejected ones are returned only when there is no other.
   std::vector<Target*> Eligible(const ServiceState& service,
--- a/src/coordination/tests/router_warmup_test.cc
+++ b/src/coordination/tests/router_warmup_test.cc
@@ -243,6 +243,24 @@
   CHECK(test.CountColdProbes(16) == 2);
 }
 
+// Guards against calls that are refused while the warm targets are full and the
+// cold ones have room that other daemons do not use.
+TEST_CASE("calls reach cold targets while the warm ones are full", "[warmup]") {
+  ColdTargets test;
+  for (int target = 0; target < 8; ++target) {
+    test.router_.OnLoad("t" + std::to_string(target),
+                        {.in_flight_ = target < 6 ? 4 : 0,
+                         .queued_ = target < 6 ? 60 : 0,
+                         .slots_ = 4,
+                         .state_ = state::TargetState::kServing,
+                         .service_time_percent_ = 100,
+                         .service_time_ = Millis(100),
+                         .admissions_per_second_ = target < 6 ? 0.0 : 13.0},
+                        test.now_);
+  }
+  CHECK(test.Call(5, [](int target) { return target >= 6; }) == 5);
+}
+
 // Guards against probes of cold targets that take the whole load budget, in a
 // fixed order, so that the last ones are never asked.
 TEST_CASE("cold targets are probed in turn, one in a tick", "[warmup]") {
