Count a leader's contact from the beginning of the acknowledged round

A leader counted its last contact with a member from the receipt of a reply. The member may have followed another leader since it replied, so that the leader's authority ended up to a message delay later than the time-out says: two leaders could act at the same time, which tokens of quotas do not allow.

The ages that Status, ContactAge and Staleness report grow by a round trip and up to one heartbeat interval.

--- a/src/coordination/api/raft.h
+++ b/src/coordination/api/raft.h
@@ -193,8 +193,9 @@
   // Highest index known to be durable on the member; 0 when read from a
   // follower.
   const uint64_t match_index_ = 0;
-  // Time since the member's last reply, or since the leader began to track it;
-  // 0 for the leader itself and when read from a follower.
+  // Time since the beginning of the last round that the member acknowledged, or
+  // since the leader began to track it; 0 for the leader itself and when read
+  // from a follower.
   const state::Millis last_contact_age_ = {};
 
   friend bool operator==(const MemberStatus&, const MemberStatus&) = default;
--- a/src/coordination/internal/raft_impl.h
+++ b/src/coordination/internal/raft_impl.h
@@ -18,6 +18,7 @@
 #include "coordination/internal/raft_log.h"
 #include "coordination/internal/raft_progress.h"
 #include "coordination/internal/raft_reads.h"
+#include "coordination/internal/raft_rounds.h"
 
 namespace gooseberrygap::coordination {
 
@@ -149,7 +150,8 @@
   void AdvanceCommit();
   void StepDownIfRemoved();
   bool HasCommittedInCurrentTerm() const;
-  // Returns the last time at which a majority of the voters had replied.
+  // Returns the last time at which a majority of the voters followed this
+  // leader for certain.
   state::Millis LastQuorumContact(state::Millis now) const {
     return QuorumValue(now, &RaftProgress::last_contact);
   }
@@ -222,6 +224,7 @@
   // Leader.
   std::map<std::string, RaftProgress> progress_;
   uint64_t round_ = 0;  // Number of the last heartbeat round started.
+  RaftRounds rounds_;
   state::Millis heartbeat_due_;
   std::multimap<uint64_t, PendingProposal> proposals_;
 
--- a/src/coordination/internal/raft_progress.h
+++ b/src/coordination/internal/raft_progress.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 
 #include "state/state.h"
 
@@ -26,14 +27,17 @@
   uint64_t match_index() const { return match_index_; }
   uint64_t next_index() const { return next_index_; }
   uint64_t acknowledged_round() const { return acknowledged_round_; }
+  // Returns the beginning of the last round that the member has acknowledged:
+  // since then it can have followed another leader.
   state::Millis last_contact() const { return last_contact_; }
   bool MayProbe() const { return !probe_sent_; }
   bool heartbeat_due() const { return heartbeat_due_; }
   // Highest commit index sent to the member.
   uint64_t sent_commit_index() const { return sent_commit_index_; }
 
-  void OnReply(uint64_t round, state::Millis now) {
-    last_contact_ = now;
+  // `began_at` is when the acknowledged round began, if that is still known.
+  void OnReply(uint64_t round, std::optional<state::Millis> began_at) {
+    last_contact_ = std::max(last_contact_, began_at.value_or(last_contact_));
     acknowledged_round_ = std::max(acknowledged_round_, round);
   }
   void OnSuccess(uint64_t index) {
--- a/src/coordination/tests/raft_staleness_test.cc
+++ b/src/coordination/tests/raft_staleness_test.cc
@@ -282,5 +282,22 @@
   }
 }
 
+// Guards against a leader that counts its authority from the receipt of a
+// reply: the sender may have followed another leader since it replied.
+TEST_CASE("a leader's contact counts from the beginning of the round",
+          "[configuration]") {
+  constexpr int kOneWay = 60;
+  RaftCluster cluster(3, 7);
+  cluster.SetFaults({.min_delay_ = kOneWay, .max_delay_ = kOneWay});
+  cluster.Form();
+  const size_t leader = cluster.WaitForLeader();
+  cluster.Run(1000);
+  for (int i = 0; i < 500; ++i) {
+    cluster.Run(1);
+    const state::Millis now(cluster.now());
+    CHECK(cluster.raft(leader).ContactAge(now) >= state::Millis(2 * kOneWay));
+  }
+}
+
 }  // namespace
 }  // namespace gooseberrygap::coordination
