Keep the quotas of tenants in the ingress and at the leader

A tenant could run any number of calls, whatever its rate. Now each call of a tenant with a rate spends a token when the ingress admits it; retries, hedges and resumed attempts belong to the same call, and a call that is answered as not run gives its token back. A call without a token is held for at most 100 ms while the leader of the control group is asked. Calls beyond the quota are refused at once with quota_exceeded (429 on the platform) and the time until a token is expected; without an answer with quota_unavailable (503). A tenant without a rate is served as before, and without rates there are no reports.

Only a leader grants, from 500 ms after its election until 500 ms after the beginning of the last round that a quorum acknowledged; the end is compared with the time of each report, since the log's status is old after a pause. Buckets start empty, except for a tenant that is new in a configuration proposed in the same leadership, which nobody can hold tokens of: callers of a deployment that has just started are not refused.

--- a/src/coordination/api/control_service.h
+++ b/src/coordination/api/control_service.h
@@ -10,6 +10,7 @@
 
 #include "coordination/api/commands.h"
 #include "coordination/api/control_client.h"
+#include "coordination/api/policies.h"
 
 namespace gooseberrygap::coordination {
 
@@ -64,6 +65,10 @@
   // Last time at which this instance had applied every committed entry; absent
   // if never.
   const std::optional<state::Millis> last_up_to_date_ = {};
+  const uint64_t term_ = 0;
+  // While this instance leads: the time from which another leader may act,
+  // unless a quorum acknowledges a further round.
+  const state::Millis authority_until_ = {};
 };
 
 // The replicated state was replaced by a snapshot.
@@ -104,8 +109,8 @@
 // The decision logic of one control instance: grants leases, keeps the
 // membership table and synchronises it with the other control instances,
 // distributes configurations, applies the replicated log, convicts requests
-// that crash their targets, and on the leader proposes commands. Not
-// thread-safe.
+// that crash their targets, and on the leader proposes commands and owns the
+// quotas of tenants. Not thread-safe.
 class ControlService {
  public:
   // `self` is this instance as named in the settings; `control_instances` lists
@@ -116,7 +121,8 @@
                  std::vector<ControlAddress> control_instances,
                  uint64_t epoch,
                  state::Counters* counters,
-                 state::Millis now);
+                 state::Millis now,
+                 const QuotaPolicy& quota = {});
   ~ControlService();
 
   ControlStep Handle(const ControlEvent& event, state::Millis now);
--- a/src/coordination/api/ingress.h
+++ b/src/coordination/api/ingress.h
@@ -15,6 +15,7 @@
 namespace gooseberrygap::coordination {
 
 class AuthorizationLease;
+class QuotaGate;
 
 // Decides for the calls that this daemon accepts: classifies them, sends
 // attempts, retries and hedges lookups within their budgets, and resolves
@@ -22,13 +23,15 @@
 class Ingress {
  public:
   // `request_id_prefix` is unique to this daemon's incarnation. The router, the
-  // register client, the counters and the lease must outlive the ingress.
-  // Without a lease API keys need no confirmation.
+  // register client, the counters, the lease and the gate must outlive the
+  // ingress. Without a lease API keys need no confirmation; without a gate no
+  // tenant has a quota.
   Ingress(std::string request_id_prefix,
           Router* router,
           RegisterClient* register_client,
           state::Counters* counters,
-          const AuthorizationLease* lease = nullptr);
+          const AuthorizationLease* lease = nullptr,
+          QuotaGate* quota = nullptr);
   ~Ingress();
 
   // Applies a configuration to the calls received from now on.
@@ -58,6 +61,8 @@
   // The connection to this address was replaced: ends the attempts sent on it,
   // since their answers cannot be received any more.
   Commands OnLinkLost(const std::string& address, state::Millis now);
+  // Continues the calls that the gate of the quotas holds no longer.
+  Commands ReleaseHeldCalls(state::Millis now);
   Commands Tick(state::Millis now);
 
   // Returns the time when Tick is next due, or nothing if no call is pending.
--- a/src/coordination/api/messages.h
+++ b/src/coordination/api/messages.h
@@ -483,7 +483,9 @@
                                  ReadIndexReply,
                                  JoinRequest,
                                  LoadNotice,
-                                 ResumeAttempt>;
+                                 ResumeAttempt,
+                                 QuotaReport,
+                                 QuotaGrant>;
 
 // The part of a daemon that handles a message.
 enum class MessageRecipient {
--- a/src/coordination/internal/control_service.cc
+++ b/src/coordination/internal/control_service.cc
@@ -23,12 +23,14 @@
                                std::vector<ControlAddress> control_instances,
                                uint64_t epoch,
                                state::Counters* counters,
-                               state::Millis now)
+                               state::Millis now,
+                               const QuotaPolicy& quota)
     : impl_(std::make_unique<Impl>(std::move(self),
                                    control_instances,
                                    epoch,
                                    counters,
-                                   now)) {}
+                                   now,
+                                   quota)) {}
 
 ControlService::~ControlService() = default;
 
@@ -57,7 +59,8 @@
                            const std::vector<ControlAddress>& control_instances,
                            uint64_t epoch,
                            state::Counters* counters,
-                           state::Millis now)
+                           state::Millis now,
+                           const QuotaPolicy& quota)
     : self_(std::move(self)),
       epoch_(epoch),
       counters_(counters),
@@ -68,6 +71,7 @@
                 &table_,
                 counters,
                 now),
+      quota_owner_(quota),
       wall_at_(now),
       last_tick_(now) {}
 
@@ -117,6 +121,7 @@
       !event.members_.empty() &&
       (!status_.has_value() || status_->members_ != event.members_);
   status_.emplace(event);
+  UpdateQuotaLeadership(now);
   if (new_members) {
     exchange_.SetInstances(event.members_, now);
   }
--- a/src/coordination/internal/control_service_impl.h
+++ b/src/coordination/internal/control_service_impl.h
@@ -12,19 +12,22 @@
 #include "coordination/internal/crash_history.h"
 #include "coordination/internal/key_confirmation.h"
 #include "coordination/internal/membership_exchange.h"
+#include "coordination/internal/quota_owner.h"
 
 namespace gooseberrygap::coordination {
 
-// Implemented in three files: control_service.cc dispatches events and runs
-// periodic work, control_service_leases.cc serves the leases of daemons, and
-// control_service_log.cc proposes and applies commands.
+// Implemented in four files: control_service.cc dispatches events and runs
+// periodic work, control_service_leases.cc serves the leases of daemons,
+// control_service_log.cc proposes and applies commands, and
+// control_service_quota.cc connects the owner of the quotas.
 class ControlService::Impl {
  public:
   Impl(ControlAddress self,
        const std::vector<ControlAddress>& control_instances,
        uint64_t epoch,
        state::Counters* counters,
-       state::Millis now);
+       state::Millis now,
+       const QuotaPolicy& quota);
 
   ControlStep Handle(const ControlEvent& event, state::Millis now);
 
@@ -102,6 +105,9 @@
   void OnMessage(const std::string& connection,
                  const MembershipSyncAck& ack,
                  state::Millis now);
+  void OnMessage(const std::string& connection,
+                 const QuotaReport& report,
+                 state::Millis now);
   template <class Message>
   void OnMessage(const std::string&, const Message&, state::Millis) {}
 
@@ -166,7 +172,8 @@
   void RefuseCall(const Caller& caller);
   void RefuseSubmit(const Caller& caller);
   void RemovePending(std::map<uint64_t, PendingProposal>::iterator pending);
-  void ApplyConfigurationPolicy();
+  void ApplyConfigurationPolicy(QuotaOwner::NewTenants new_tenants,
+                                state::Millis now);
   // Applies one change; one overload for each kind.
   void Apply(const state::SubmittedConfiguration& change,
              const EntryCommitted& entry,
@@ -180,6 +187,8 @@
   void Apply(const state::EvacuationOrder& change,
              const EntryCommitted& entry,
              state::Millis now);
+  // Begins or ends the ownership of the quotas after a change of the status.
+  void UpdateQuotaLeadership(state::Millis now);
   // Removes and returns the pending proposal of this command, or nothing when
   // this instance has none.
   std::optional<PendingProposal> TakePending(const state::LogCommand& command);
@@ -222,6 +231,8 @@
   state::ActionRegister register_;
   state::ConfigurationStore configurations_;
   state::EvacuationTable evacuations_;
+  QuotaOwner quota_owner_;
+  uint64_t first_tag_of_leadership_ = 1;  // See `next_tag_`.
   uint64_t applied_index_ = 0;
   std::optional<LogStatus> status_;
   uint64_t next_tag_ = 1;
--- a/src/coordination/internal/control_service_log.cc
+++ b/src/coordination/internal/control_service_log.cc
@@ -184,7 +184,12 @@
   const state::SubmissionResult result =
       configurations_.Submit(entry.index_, change);
   if (result.index_ == entry.index_) {
-    ApplyConfigurationPolicy();
+    // Proposed in this leadership, it was in force under no other leader.
+    const bool is_own = entry.command_->proposer_ == epoch_ &&
+                        entry.command_->tag_ >= first_tag_of_leadership_;
+    ApplyConfigurationPolicy(is_own ? QuotaOwner::NewTenants::kHoldNoTokens
+                                    : QuotaOwner::NewTenants::kMayHoldTokens,
+                             now);
     for (const auto& [instance, session] : sessions_) {
       if (session.requires_confirmed_) {
         awaiting_read_request_.insert(instance);
@@ -252,10 +257,13 @@
   TakePending(*entry.command_);
 }
 
-void ControlService::Impl::ApplyConfigurationPolicy() {
+void ControlService::Impl::ApplyConfigurationPolicy(
+    QuotaOwner::NewTenants new_tenants,
+    state::Millis now) {
   const state::IndexedConfiguration current = configurations_.current();
   if (current.configuration_ != nullptr) {
     register_.SetPolicy(current.configuration_->actions_);
+    quota_owner_.UpdateConfiguration(*current.configuration_, new_tenants, now);
   }
 }
 
@@ -265,7 +273,7 @@
   register_.Restore(event.state_.register_);
   configurations_.Restore(event.state_.configurations_, event.state_.accepted_);
   evacuations_.Restore(event.state_.evacuations_);
-  ApplyConfigurationPolicy();
+  ApplyConfigurationPolicy(QuotaOwner::NewTenants::kMayHoldTokens, now);
   push_all_ = true;
   SchedulePush(now);
   ReplyWithConfirmed(now);
--- a/src/coordination/internal/ingress.cc
+++ b/src/coordination/internal/ingress.cc
@@ -4,6 +4,7 @@
 #include "absl/strings/str_cat.h"
 #include "coordination/internal/access_check.h"
 #include "coordination/internal/action_calls.h"
+#include "coordination/internal/limited_calls.h"
 #include "coordination/internal/lookup_calls.h"
 #include "coordination/internal/split_choice.h"
 
@@ -31,11 +32,13 @@
        Router* router,
        RegisterClient* register_client,
        state::Counters* counters,
-       const AuthorizationLease* lease)
+       const AuthorizationLease* lease,
+       QuotaGate* quota)
       : request_id_prefix_(std::move(request_id_prefix)),
         counters_(counters),
         access_(lease, counters),
         lookups_(router, &access_, counters),
+        limited_(&lookups_, quota),
         actions_(router, register_client, &access_, counters) {}
 
   void UpdateConfiguration(const state::IndexedConfiguration& configuration) {
@@ -130,7 +133,7 @@
   }
 
   Commands OnCallerDisconnected(uint64_t call_id, state::Millis now) {
-    return lookups_.OnCallerDisconnected(call_id, now);
+    return limited_.OnCallerDisconnected(call_id, now);
   }
 
   Commands OnAnswer(const AttemptAnswer& answer, state::Millis now) {
@@ -159,20 +162,28 @@
     return commands;
   }
 
+  Commands ReleaseHeldCalls(state::Millis now) { return limited_.Release(now); }
+
   Commands Tick(state::Millis now) {
-    Commands commands = lookups_.Tick(now);
+    Commands commands = limited_.Release(now);
+    Append(&commands, lookups_.Tick(now));
     Append(&commands, actions_.Tick(now));
     return commands;
   }
 
   std::optional<state::Millis> NextDue() const {
-    const std::optional<state::Millis> lookup = lookups_.NextDue();
-    const std::optional<state::Millis> action = actions_.NextDue();
-    return lookup.has_value() && action.has_value() ? std::min(*lookup, *action)
-                                                    : std::max(lookup, action);
+    std::optional<state::Millis> next;
+    for (const std::optional<state::Millis>& due :
+         {lookups_.NextDue(), actions_.NextDue(), limited_.NextDue()}) {
+      next = next.has_value() && due.has_value() ? std::min(*next, *due)
+                                                 : std::max(next, due);
+    }
+    return next;
   }
 
-  size_t calls_in_progress() const { return lookups_.size() + actions_.size(); }
+  size_t calls_in_progress() const {
+    return lookups_.size() + actions_.size() + limited_.size();
+  }
 
  private:
   static Commands Refuse(const CallReceived& received,
@@ -222,7 +233,7 @@
     }
     const bool is_action =
         route->request_class_ == state::RequestClass::kAction;
-    return lookups_.OnCall(
+    return limited_.OnCall(
         ClassifiedCall{
             .call_id_ = received.call_id_,
             .request_id_ = request_id,
@@ -286,6 +297,7 @@
   state::Counters* const counters_;
   AccessCheck access_;
   LookupCalls lookups_;
+  LimitedCalls limited_;
   ActionCalls actions_;
   std::optional<state::IndexedConfiguration> configuration_;
   absl::flat_hash_set<std::string> convicted_;
@@ -300,12 +312,14 @@
                  Router* router,
                  RegisterClient* register_client,
                  state::Counters* counters,
-                 const AuthorizationLease* lease)
+                 const AuthorizationLease* lease,
+                 QuotaGate* quota)
     : impl_(std::make_unique<Impl>(std::move(request_id_prefix),
                                    router,
                                    register_client,
                                    counters,
-                                   lease)) {}
+                                   lease,
+                                   quota)) {}
 
 Ingress::~Ingress() = default;
 
@@ -351,6 +365,10 @@
   return impl_->OnLinkLost(address, now);
 }
 
+Commands Ingress::ReleaseHeldCalls(state::Millis now) {
+  return impl_->ReleaseHeldCalls(now);
+}
+
 Commands Ingress::Tick(state::Millis now) {
   return impl_->Tick(now);
 }
--- a/src/coordination/internal/messages.cc
+++ b/src/coordination/internal/messages.cc
@@ -27,6 +27,9 @@
 constexpr MessageRecipient RecipientFor(const JoinRequest&) {
   return MessageRecipient::kControl;
 }
+constexpr MessageRecipient RecipientFor(const QuotaReport&) {
+  return MessageRecipient::kControl;
+}
 constexpr MessageRecipient RecipientFor(const VoteRequest&) {
   return MessageRecipient::kLog;
 }
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -6,6 +6,7 @@
 #include "coordination/internal/authorization_lease.h"
 #include "coordination/internal/decision_log.h"
 #include "coordination/internal/early_calls.h"
+#include "coordination/internal/quota_gate.h"
 #include "coordination/internal/register_tags.h"
 
 namespace gooseberrygap::coordination {
@@ -57,12 +58,14 @@
             counters,
             {.requires_confirmed_keys_ = options.revocation_.is_strict_}),
         lease_(options.revocation_),
+        quota_(self_.instance_, options.quota_, counters),
         ingress_(
             absl::StrCat(self_.instance_, "-", self_.version_.incarnation_),
             &router_,
             &register_client_,
             counters,
-            &lease_),
+            &lease_,
+            &quota_),
         guard_(self_.instance_,
                self_.version_.incarnation_,
                &register_client_,
@@ -73,6 +76,9 @@
     Commands commands = std::visit(
         [this, now](const auto& concrete) { return On(concrete, now); }, event);
     Append(&commands, AnnounceChanges(now));
+    Append(&commands, quota_.SendReport(
+                          control_client_.leader_address(),
+                          control_client_.record().version_.incarnation_, now));
     return DeliverLocalMessages(std::move(commands), now);
   }
 
@@ -290,6 +296,13 @@
     return commands;
   }
 
+  Commands OnMessage(const QuotaGrant& grant,
+                     const PeerMessageReceived&,
+                     state::Millis now) {
+    quota_.OnGrant(grant, now);
+    return ingress_.ReleaseHeldCalls(now);
+  }
+
   Commands OnMessage(const RegisterReply& reply,
                      const PeerMessageReceived&,
                      state::Millis now) {
@@ -307,6 +320,7 @@
       const state::IndexedConfiguration& indexed =
           control_client_.configuration();
       ingress_.UpdateConfiguration(indexed);
+      quota_.UpdateConfiguration(*indexed.configuration_);
       guard_.UpdateConfiguration(indexed);
       router_.UpdateConfiguration(*indexed.configuration_);
     }
@@ -379,6 +393,7 @@
       const Command command = commands[i];
       if (const auto* answer = std::get_if<AnswerCall>(&command)) {
         Count(answer->answer_);
+        quota_.OnAnswered(answer->call_id_, answer->answer_.outcome_, now);
         remaining.emplace_back(WriteLog{
             .event_ = CallAnsweredLine(answer->answer_, CurrentState(now))});
       }
@@ -482,6 +497,7 @@
   RegisterClient register_client_;
   ControlClient control_client_;
   AuthorizationLease lease_;
+  QuotaGate quota_;
   LinkMonitor link_monitor_;
   EarlyCalls early_calls_;
   Ingress ingress_;
--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -66,7 +66,8 @@
                options.control_instances_,
                options.incarnation_,
                counters,
-               clock_.Now()),
+               clock_.Now(),
+               options.quota_),
       ring_(kRingCapacity, kRingReserve) {
   if (options.membership_.has_value()) {
     membership_.emplace(*options.membership_);
@@ -444,7 +445,9 @@
       .has_quorum_ = leads && raft_.ContactAge(now) <= kMaxQuorumContactAge,
       .leader_address_ = raft_.leader_address(),
       .members_ = std::move(members),
-      .last_up_to_date_ = now - raft_.Staleness(now)};
+      .last_up_to_date_ = now - raft_.Staleness(now),
+      .term_ = raft_.term(),
+      .authority_until_ = now - raft_.ContactAge(now) + kMaxQuorumContactAge};
 }
 
 std::string ControlDuty::RoleName() const {
--- a/src/protocol/internal/peer_codec.cc
+++ b/src/protocol/internal/peer_codec.cc
@@ -1,5 +1,6 @@
 #include <memory>
 
+#include "protocol/internal/quota_wire.h"
 #include "protocol/internal/wire_values.h"
 #include "protocol/protocol.h"
 
@@ -264,6 +265,12 @@
     out->set_target(message.target_);
     ToWire(message.load_, out->mutable_load());
   }
+  void operator()(const coordination::QuotaReport& message) const {
+    ToWire(message, envelope_->mutable_quota_report());
+  }
+  void operator()(const coordination::QuotaGrant& message) const {
+    ToWire(message, envelope_->mutable_quota_grant());
+  }
   void operator()(const coordination::JoinRequest& message) const {
     wire::JoinRequest* out = envelope_->mutable_join_request();
     out->set_identity(message.identity_);
@@ -633,6 +640,15 @@
                                      .incarnation_ = in.incarnation()};
 }
 
+PeerMessage ReadQuotaReport(const wire::Envelope& envelope,
+                            WireReader* reader) {
+  return FromWire(envelope.quota_report(), reader);
+}
+
+PeerMessage ReadQuotaGrant(const wire::Envelope& envelope, WireReader* reader) {
+  return FromWire(envelope.quota_grant(), reader);
+}
+
 struct DecoderRow {
   const wire::Envelope::MessageCase kind_;
   PeerMessage (*const read_)(const wire::Envelope&, WireReader*);
@@ -662,6 +678,8 @@
     {wire::Envelope::kJoinRequest, ReadJoinRequest},
     {wire::Envelope::kLoadNotice, ReadLoadNotice},
     {wire::Envelope::kResumeAttempt, ReadResumeAttempt},
+    {wire::Envelope::kQuotaReport, ReadQuotaReport},
+    {wire::Envelope::kQuotaGrant, ReadQuotaGrant},
 };
 
 state::Error Malformed(absl::string_view what) {
--- a/src/protocol/tests/peer_codec_test.cc
+++ b/src/protocol/tests/peer_codec_test.cc
@@ -1,4 +1,6 @@
 #include <catch2/catch.hpp>
+#include <cmath>
+#include <limits>
 
 #include "protocol/protocol.h"
 
@@ -63,6 +65,49 @@
   }
 }
 
+// Guards against a field of the quotas' messages that is lost between a daemon
+// and the leader, and against numbers that the leader cannot compute with.
+TEST_CASE("reports and grants of quotas keep their fields") {
+  const auto report_with = [](uint64_t held, double demand) {
+    return coordination::QuotaReport{
+        .instance_ = "d",
+        .incarnation_ = 1,
+        .number_ = 2,
+        .first_number_ = 3,
+        .term_ = 4,
+        .applied_grant_ = 5,
+        .needs_ = {coordination::QuotaNeed{.tenant_ = "t",
+                                           .held_ = held,
+                                           .spent_ = 7,
+                                           .needed_ = 8,
+                                           .goal_ = 9,
+                                           .demand_ = demand,
+                                           .refused_ = 11}}};
+  };
+  const coordination::PeerMessage grant =
+      coordination::QuotaGrant{.is_owner_ = true,
+                               .leader_address_ = "a",
+                               .term_ = 1,
+                               .number_ = 2,
+                               .report_number_ = 3,
+                               .tokens_ = {coordination::QuotaTokens{
+                                   .tenant_ = "t",
+                                   .tokens_ = 4,
+                                   .denied_for_ = state::Millis(50),
+                                   .token_interval_ = state::Millis(6)}}};
+  for (const coordination::PeerMessage& message :
+       {coordination::PeerMessage(report_with(6, 0.5)), grant}) {
+    const auto decoded = DecodePeerMessage(EncodePeerMessage(message));
+    REQUIRE(decoded);
+    CHECK(decoded.value() == message);
+  }
+  CHECK_FALSE(DecodePeerMessage(
+      EncodePeerMessage(report_with(std::numeric_limits<uint64_t>::max(), 1))));
+  for (const double demand : {-1.0, std::nan("")}) {
+    CHECK_FALSE(DecodePeerMessage(EncodePeerMessage(report_with(1, demand))));
+  }
+}
+
 // Guards against bytes of another program that end the process or are taken for
 // a message.
 TEST_CASE("bytes that are no message are refused") {
--- a/src/state/api/counters.h
+++ b/src/state/api/counters.h
@@ -69,6 +69,10 @@
   kHttpRequestsMalformed,
   kHttpConnectionsAccepted,
   kHttpConnectionsRefused,
+  kQuotaReports,
+  kQuotaGrants,
+  kQuotaWaits,
+  kQuotaReportsAnswered,
   kCount,
 };
 
--- a/src/state/api/gauges.h
+++ b/src/state/api/gauges.h
@@ -14,6 +14,7 @@
 enum class Gauge {
   kAuthorizationLeft,  // Milliseconds.
   kConfirmationAge,    // Milliseconds.
+  kQuotaGrantAge,      // Milliseconds.
   kCount,
 };
 
--- a/src/state/internal/counters.cc
+++ b/src/state/internal/counters.cc
@@ -114,6 +114,14 @@
         {Counter::kHttpConnectionsRefused, "http_connection_refused",
          "HTTP connections closed because the limit of connections was "
          "reached."},
+        {Counter::kQuotaReports, "quota_report",
+         "Reports to the owner of the tenants' quotas."},
+        {Counter::kQuotaGrants, "quota_grant",
+         "Grants of quota tokens applied."},
+        {Counter::kQuotaWaits, "quota_wait",
+         "Calls held until the owner of the quotas was asked."},
+        {Counter::kQuotaReportsAnswered, "quota_report_answered",
+         "Quota reports answered with a grant by this leader."},
     }};
 
 constexpr bool RowsAreInEnumOrder() {
--- a/src/state/internal/gauges.cc
+++ b/src/state/internal/gauges.cc
@@ -19,6 +19,8 @@
      "Time for which calls with an API key may still be served."},
     {Gauge::kConfirmationAge, "authorization_confirmation_age_ms",
      "Time since a quorum confirmed the API keys."},
+    {Gauge::kQuotaGrantAge, "quota_grant_age_ms",
+     "Time from the last grant of quota tokens to the last report."},
 }};
 
 constexpr bool RowsAreInEnumOrder() {
