--- a/src/coordination/internal/messages.cc
+++ b/src/coordination/internal/messages.cc
@@ -30,6 +30,9 @@
 constexpr MessageRecipient RecipientFor(const JoinRequest&) {
   return MessageRecipient::kControl;
 }
+constexpr MessageRecipient RecipientFor(const QuotaReport&) {
+  return MessageRecipient::kControl;
+}
 constexpr MessageRecipient RecipientFor(const VoteRequest&) {
   return MessageRecipient::kLog;
 }
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -7,6 +7,7 @@
 #include "coordination/internal/decision_log.h"
 #include "coordination/internal/early_calls.h"
 #include "coordination/internal/evacuation_report.h"
+#include "coordination/internal/quota_gate.h"
 #include "coordination/internal/register_tags.h"
 
 namespace gooseberrygap::coordination {
@@ -59,12 +60,14 @@
             {.requires_confirmed_keys_ = options.revocation_.is_strict_}),
         lease_(options.revocation_),
         evacuation_report_(self_.failure_domain_, &counters->gauges()),
+        quota_(self_.instance_, options.quota_, counters),
         ingress_(
             absl::StrCat(self_.instance_, "-", self_.version_.incarnation_),
             &router_,
             &register_client_,
             counters,
-            &lease_),
+            &lease_,
+            &quota_),
         guard_(self_.instance_,
                self_.version_.incarnation_,
                &register_client_,
@@ -77,6 +80,9 @@
     Commands commands = std::visit(
         [this, now](const auto& concrete) { return On(concrete, now); }, event);
     Append(&commands, AnnounceChanges(now));
+    Append(&commands, quota_.SendReport(
+                          control_client_.leader_address(),
+                          control_client_.record().version_.incarnation_, now));
     return DeliverLocalMessages(std::move(commands), now);
   }
 
@@ -294,6 +300,13 @@
     return commands;
   }
 
+  Commands OnMessage(const QuotaGrant& grant,
+                     const PeerMessageReceived&,
+                     state::Millis now) {
+    quota_.OnGrant(grant, now);
+    return ingress_.ReleaseHeldCalls(now);
+  }
+
   Commands OnMessage(const RegisterReply& reply,
                      const PeerMessageReceived&,
                      state::Millis now) {
@@ -311,6 +324,7 @@
       const state::IndexedConfiguration& indexed =
           control_client_.configuration();
       ingress_.UpdateConfiguration(indexed);
+      quota_.UpdateConfiguration(*indexed.configuration_);
       guard_.UpdateConfiguration(indexed);
       router_.UpdateConfiguration(*indexed.configuration_);
     }
@@ -390,6 +404,7 @@
       const Command command = commands[i];
       if (const auto* answer = std::get_if<AnswerCall>(&command)) {
         Count(answer->answer_);
+        quota_.OnAnswered(answer->call_id_, answer->answer_.outcome_, now);
         remaining.emplace_back(WriteLog{
             .event_ = CallAnsweredLine(answer->answer_, CurrentState(now))});
       }
@@ -494,6 +509,7 @@
   ControlClient control_client_;
   AuthorizationLease lease_;
   EvacuationReport evacuation_report_;
+  QuotaGate quota_;
   LinkMonitor link_monitor_;
   EarlyCalls early_calls_;
   Ingress ingress_;
--- a/src/protocol/internal/peer_codec.cc
+++ b/src/protocol/internal/peer_codec.cc
@@ -1,5 +1,6 @@
 #include <memory>
 
+#include "protocol/internal/quota_wire.h"
 #include "protocol/internal/wire_values.h"
 #include "protocol/protocol.h"
 
@@ -276,6 +277,12 @@
     out->set_target(message.target_);
     ToWire(message.load_, out->mutable_load());
   }
+  void operator()(const coordination::QuotaReport& message) const {
+    ToWire(message, envelope_->mutable_quota_report());
+  }
+  void operator()(const coordination::QuotaGrant& message) const {
+    ToWire(message, envelope_->mutable_quota_grant());
+  }
   void operator()(const coordination::JoinRequest& message) const {
     wire::JoinRequest* out = envelope_->mutable_join_request();
     out->set_identity(message.identity_);
@@ -663,6 +670,15 @@
       .leader_address_ = in.leader_address()};
 }
 
+PeerMessage ReadQuotaReport(const wire::Envelope& envelope,
+                            WireReader* reader) {
+  return FromWire(envelope.quota_report(), reader);
+}
+
+PeerMessage ReadQuotaGrant(const wire::Envelope& envelope, WireReader* reader) {
+  return FromWire(envelope.quota_grant(), reader);
+}
+
 struct DecoderRow {
   const wire::Envelope::MessageCase kind_;
   PeerMessage (*const read_)(const wire::Envelope&, WireReader*);
@@ -694,6 +710,8 @@
     {wire::Envelope::kResumeAttempt, ReadResumeAttempt},
     {wire::Envelope::kEvacuationSubmit, ReadEvacuationSubmit},
     {wire::Envelope::kEvacuationReply, ReadEvacuationReply},
+    {wire::Envelope::kQuotaReport, ReadQuotaReport},
+    {wire::Envelope::kQuotaGrant, ReadQuotaGrant},
 };
 
 state::Error Malformed(absl::string_view what) {
--- a/src/state/api/counters.h
+++ b/src/state/api/counters.h
@@ -72,6 +72,10 @@
   kHttpRequestsMalformed,
   kHttpConnectionsAccepted,
   kHttpConnectionsRefused,
+  kQuotaReports,
+  kQuotaGrants,
+  kQuotaWaits,
+  kQuotaReportsAnswered,
   kCount,
 };
 
--- a/src/state/api/gauges.h
+++ b/src/state/api/gauges.h
@@ -20,6 +20,7 @@
   kEvacuatedDomains,
   kTargetCold,       // 1 or 0.
   kTargetUncertain,  // 1 or 0.
+  kQuotaGrantAge,    // Milliseconds.
   kCount,
 };
 
--- a/src/state/internal/gauges.cc
+++ b/src/state/internal/gauges.cc
@@ -32,6 +32,8 @@
      "Whether the own target reports that it is cold."},
     {Gauge::kTargetUncertain, "target_warmup_uncertain",
      "Whether the own target may be cold."},
+    {Gauge::kQuotaGrantAge, "quota_grant_age_ms",
+     "Time from the last grant of quota tokens to the last report."},
 }};
 
 constexpr bool RowsAreInEnumOrder() {
