Show operators the quotas of tenants and their use

Operators could not see which tenants use up their quotas. GET /-/quota at the leader of the control group lists each tenant with a rate: the rate, the demand, the tokens left, the calls made and refused. Another control instance names the leader. gooseberrygapctl quota prints the list.

--- a/src/coordination/api/control_service.h
+++ b/src/coordination/api/control_service.h
@@ -11,6 +11,7 @@
 #include "coordination/api/commands.h"
 #include "coordination/api/control_client.h"
 #include "coordination/api/policies.h"
+#include "coordination/api/quota_use.h"
 
 namespace gooseberrygap::coordination {
 
@@ -136,6 +137,8 @@
   state::IndexedConfiguration configuration() const;
   // Returns all records of the membership table, for the status page.
   std::vector<state::MembershipRecord> Members() const;
+  // Returns the use of the quotas, for operators.
+  QuotaOverview Quotas(state::Millis now);
 
  private:
   class Impl;
--- a/src/coordination/coordination.h
+++ b/src/coordination/coordination.h
@@ -18,6 +18,7 @@
 #include "coordination/api/messages.h"
 #include "coordination/api/node.h"
 #include "coordination/api/policies.h"
+#include "coordination/api/quota_use.h"
 #include "coordination/api/raft.h"
 #include "coordination/api/register_client.h"
 #include "coordination/api/router.h"
--- a/src/coordination/internal/control_service_impl.h
+++ b/src/coordination/internal/control_service_impl.h
@@ -37,6 +37,7 @@
     return configurations_;
   }
   const state::MembershipTable& table() const { return table_; }
+  QuotaOverview Quotas(state::Millis now);
 
  private:
   // A daemon whose lease this instance holds.
--- a/src/coordination/internal/control_service_quota.cc
+++ b/src/coordination/internal/control_service_quota.cc
@@ -4,6 +4,19 @@
 
 namespace gooseberrygap::coordination {
 
+QuotaOverview ControlService::Quotas(state::Millis now) {
+  return impl_->Quotas(now);
+}
+
+QuotaOverview ControlService::Impl::Quotas(state::Millis now) {
+  const bool is_owner = quota_owner_.MayGrant(now);
+  return QuotaOverview{
+      .is_owner_ = is_owner,
+      .leader_address_ =
+          status_.has_value() ? status_->leader_address_ : std::string(),
+      .tenants_ = is_owner ? quota_owner_.Uses(now) : std::vector<QuotaUse>()};
+}
+
 void ControlService::Impl::UpdateQuotaLeadership(state::Millis now) {
   if (!status_->leads_) {
     quota_owner_.Stop();
--- a/src/coordination/internal/quota_owner.cc
+++ b/src/coordination/internal/quota_owner.cc
@@ -293,23 +293,23 @@
                .held_ = bucket->second.held_};
 }
 
-std::vector<QuotaOwner::Use> QuotaOwner::Uses(state::Millis now) {
+std::vector<QuotaUse> QuotaOwner::Uses(state::Millis now) {
   std::vector<std::pair<double, std::string>> order;
   for (auto& [tenant, bucket] : buckets_) {
     Refill(&bucket, now);
     order.emplace_back(-bucket.demand_, tenant);
   }
   std::sort(order.begin(), order.end());
-  std::vector<Use> uses;
+  std::vector<QuotaUse> uses;
   uses.reserve(order.size());
   for (const auto& [demand, tenant] : order) {
     const Bucket& bucket = buckets_.at(tenant);
-    uses.push_back(Use{.tenant_ = tenant,
-                       .rate_ = bucket.limits_->rate_,
-                       .demand_ = bucket.demand_,
-                       .available_ = std::max(bucket.level_, 0.0),
-                       .spent_ = bucket.spent_,
-                       .refused_ = bucket.refused_});
+    uses.push_back(QuotaUse{.tenant_ = tenant,
+                            .rate_ = bucket.limits_->rate_,
+                            .demand_ = bucket.demand_,
+                            .available_ = std::max(bucket.level_, 0.0),
+                            .spent_ = bucket.spent_,
+                            .refused_ = bucket.refused_});
   }
   return uses;
 }
--- a/src/coordination/internal/quota_owner.h
+++ b/src/coordination/internal/quota_owner.h
@@ -58,19 +58,8 @@
   };
   Level LevelOf(const std::string& tenant, state::Millis now);
 
-  // Use of one tenant's quota, for operators.
-  struct Use {
-    const std::string tenant_ = {};
-    const double rate_ = 0;
-    const double demand_ = 0;  // Calls per second, refused ones included.
-    const double available_ = 0;
-    const uint64_t spent_ = 0;  // Calls since this leadership began.
-    const uint64_t refused_ = 0;
-
-    friend bool operator==(const Use&, const Use&) = default;
-  };
   // Returns all tenants with a rate, those with the highest demand first.
-  std::vector<Use> Uses(state::Millis now);
+  std::vector<QuotaUse> Uses(state::Millis now);
 
  private:
   // A grant that the daemon has not confirmed.
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -50,6 +50,7 @@
 state::Result<Report> RunDrain(const Invocation& invocation);
 state::Result<Report> RunCounters(const Invocation& invocation);
 state::Result<Report> RunExplain(const Invocation& invocation);
+state::Result<Report> RunQuota(const Invocation& invocation);
 state::Result<Report> RunControlForm(const Invocation& invocation);
 state::Result<Report> RunControlStatus(const Invocation& invocation);
 state::Result<Report> RunControlAdd(const Invocation& invocation);
--- a/src/ctl/command_table.cc
+++ b/src/ctl/command_table.cc
@@ -20,7 +20,7 @@
     "3  an instance could not be reached, or did not answer in time;\n"
     "   the change may have been made, which 'control status' shows";
 
-constexpr std::array<Command, 11> kCommands = {{
+constexpr std::array<Command, 12> kCommands = {{
     {.name_ = "config check",
      .arguments_ = "FILE",
      .summary_ = "Checks a configuration without submitting it.",
@@ -183,6 +183,21 @@
      .max_arguments_ = 0,
      .takes_submission_ = false,
      .run_ = &RunControlStatus},
+    {.name_ = "quota",
+     .arguments_ = "",
+     .summary_ = "Shows the tenants' quotas and their use.",
+     .description_ =
+         "Prints each tenant that has a quota: calls per second that the\n"
+         "quota allows, demand, tokens that no daemon holds, calls made and\n"
+         "calls refused since the leader was elected. Those with the\n"
+         "highest demand come first. The instance named by --daemon must\n"
+         "lead the control group.",
+     .exit_codes_ = kAskExitCodes,
+     .examples_ = "gooseberrygapctl --daemon=10.0.0.1:8101 quota",
+     .min_arguments_ = 0,
+     .max_arguments_ = 0,
+     .takes_submission_ = false,
+     .run_ = &RunQuota},
     {.name_ = "control add",
      .arguments_ = "ADDRESS",
      .summary_ = "Adds a control instance to the group.",
--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -171,6 +171,14 @@
   ring_.TryPush(Item(NewSeeds{.addresses_ = seeds}));
 }
 
+std::optional<coordination::QuotaOverview> ControlDuty::Quotas() {
+  auto slot = std::make_shared<QuotaSlot>();
+  if (!ring_.TryPush(Item(QuotaRequest{.slot_ = slot}))) {
+    return std::nullopt;
+  }
+  return slot->Wait(kStatusTimeout);
+}
+
 std::optional<protocol::ControlStatus> ControlDuty::Status() {
   auto slot = std::make_shared<StatusSlot>();
   if (!ring_.TryPush(Item(StatusRequest{.slot_ = slot}))) {
@@ -216,6 +224,10 @@
     AnswerStatus(request->slot_.get());
     return;
   }
+  if (const auto* request = std::get_if<QuotaRequest>(&item)) {
+    request->slot_->Put(service_.Quotas(clock_.Now()));
+    return;
+  }
   if (failed_) {
     return;
   }
--- a/src/daemon/control_duty.h
+++ b/src/daemon/control_duty.h
@@ -63,6 +63,10 @@
   // Replaces the peer addresses of the seeds. Thread-safe.
   void SetSeeds(const std::vector<std::string>& seeds);
 
+  // Returns the use of the tenants' quotas, or nothing when the duty does not
+  // answer within 2 s. Blocks. Thread-safe.
+  std::optional<coordination::QuotaOverview> Quotas();
+
   // Returns the state of the control role, or nothing when the duty does not
   // answer within 2 s. Blocks. Thread-safe.
   std::optional<protocol::ControlStatus> Status();
@@ -72,6 +76,10 @@
   struct StatusRequest {
     std::shared_ptr<StatusSlot> slot_;
   };
+  using QuotaSlot = transport::AnswerSlot<coordination::QuotaOverview>;
+  struct QuotaRequest {
+    std::shared_ptr<QuotaSlot> slot_;
+  };
   using ReadSlot = transport::AnswerSlot<state::IndexedConfiguration>;
   struct ReadRequest {
     std::shared_ptr<ReadSlot> slot_;
@@ -85,6 +93,7 @@
   using Item = std::variant<transport::ReceivedPeerMessage,
                             coordination::RaftEvent,
                             StatusRequest,
+                            QuotaRequest,
                             ReadRequest,
                             NewSeeds,
                             DiskFailed>;
--- a/src/daemon/http_front.cc
+++ b/src/daemon/http_front.cc
@@ -167,6 +167,7 @@
     {"POST", "/-/control/add", &HttpFront::AddMember},
     {"POST", "/-/control/remove", &HttpFront::RemoveMember},
     {"GET", "/-/control/status", &HttpFront::ShowControlStatus},
+    {"GET", "/-/quota", &HttpFront::ShowQuotas},
 };
 
 HttpFront::HttpFront(NodeDuty* node,
@@ -394,4 +395,18 @@
   return Json(200, protocol::PrintControlStatus(*status));
 }
 
+HttpAnswer HttpFront::ShowQuotas(const HttpRequest&) {
+  if (control_ == nullptr) {
+    return ErrorAnswer(404, state::ErrorKind::kNotFound,
+                       "This daemon has no control role; send the request to a "
+                       "control instance");
+  }
+  const auto quotas = control_->Quotas();
+  if (!quotas.has_value()) {
+    return ErrorAnswer(503, state::ErrorKind::kTimeout,
+                       "The control duty did not answer in time; try again");
+  }
+  return Json(200, protocol::PrintQuotas(*quotas));
+}
+
 }  // namespace gooseberrygap::daemon
--- a/src/daemon/http_front.h
+++ b/src/daemon/http_front.h
@@ -52,6 +52,7 @@
   state::HttpAnswer AddMember(const state::HttpRequest& request);
   state::HttpAnswer RemoveMember(const state::HttpRequest& request);
   state::HttpAnswer ShowControlStatus(const state::HttpRequest& request);
+  state::HttpAnswer ShowQuotas(const state::HttpRequest& request);
 
   // Posts an event to the node. Answers 200 once it is queued, and 503 when the
   // ring is full.
--- a/src/protocol/protocol.h
+++ b/src/protocol/protocol.h
@@ -15,6 +15,7 @@
 #include "protocol/api/numeric_address.h"
 #include "protocol/api/operator_json.h"
 #include "protocol/api/peer_codec.h"
+#include "protocol/api/quota_json.h"
 #include "protocol/api/settings.h"
 #include "protocol/api/target_dialect.h"
 
