--- a/src/coordination/internal/control_service_impl.h
+++ b/src/coordination/internal/control_service_impl.h
@@ -39,6 +39,7 @@
   }
   const state::EvacuationTable& evacuations() const { return evacuations_; }
   const state::MembershipTable& table() const { return table_; }
+  QuotaOverview Quotas(state::Millis now);
 
  private:
   // A daemon whose lease this instance holds.
--- a/src/daemon/http_front.cc
+++ b/src/daemon/http_front.cc
@@ -154,6 +154,7 @@
     {"GET", "/-/evacuations", &HttpFront::ShowEvacuations},
     {"POST", "/-/evacuations/start", &HttpFront::StartEvacuation},
     {"POST", "/-/evacuations/stop", &HttpFront::StopEvacuation},
+    {"GET", "/-/quota", &HttpFront::ShowQuotas},
 };
 
 HttpFront::HttpFront(NodeDuty* node,
--- a/src/daemon/http_front.h
+++ b/src/daemon/http_front.h
@@ -59,6 +59,7 @@
   state::HttpAnswer StopEvacuation(const state::HttpRequest& request);
   state::HttpAnswer OrderEvacuation(const state::HttpRequest& request,
                                     bool evacuates);
+  state::HttpAnswer ShowQuotas(const state::HttpRequest& request);
 
   // Posts an event to the node. Answers 200 once it is queued, and 503 when the
   // ring is full.
--- a/src/daemon/http_front_control.cc
+++ b/src/daemon/http_front_control.cc
@@ -121,4 +121,16 @@
                                       .index_ = end.index_}));
 }
 
+HttpAnswer HttpFront::ShowQuotas(const HttpRequest&) {
+  if (control_ == nullptr) {
+    return NoControlRole();
+  }
+  const auto quotas = control_->Quotas();
+  if (!quotas.has_value()) {
+    return ErrorAnswer(503, state::ErrorKind::kTimeout,
+                       "The control duty did not answer in time; try again");
+  }
+  return Json(200, protocol::PrintQuotas(*quotas));
+}
+
 }  // namespace gooseberrygap::daemon
