Test that legal but hostile callers do not exhaust a daemon's memory

Four tests with two real daemons, each with a limit of 64 MiB: an ingress, and a guard with a target. 300 callers send heads of 16 KB full of header lines, or 32 callers send bodies of 3 MiB, with a length or in chunks; most stop one byte short and stay open, and every sixth completes its request and does not read the answer. The fourth test sends bodies to the project's own front. Each test checks that both daemons live, that VmHWM stays below 64 MiB and the number of descriptors below 400, and that one ordinary request is answered afterwards.

The limit is the new setting memory_mb, which is parsed and not read yet. The test support takes settings for a single daemon.

--- a/src/protocol/api/settings.h
+++ b/src/protocol/api/settings.h
@@ -91,6 +91,9 @@
   const coordination::RevocationPolicy revocation_ = {};
   const coordination::QuotaPolicy quota_ = {};
   const coordination::WarmupTolerance warmup_ = {};
+  // Limit on the memory of the process, in MiB. Without one, a constant bounds
+  // what is held for callers.
+  const std::optional<int> memory_mb_ = {};
   const std::string log_level_ = "info";
   const int target_workers_ = 16;
 
--- a/src/protocol/internal/settings.cc
+++ b/src/protocol/internal/settings.cc
@@ -76,6 +76,10 @@
              &SeedSettings::tolerated_losses_,
              Integer{0, 6}));
 
+// A process without callers takes about 15 MiB.
+constexpr int kMinMemoryMb = 32;
+constexpr int kMaxMemoryMb = 1 << 20;
+
 constexpr double kMinuteMs = 60.0 * 1000;
 
 constexpr auto kPlatformRecord = RecordOf<PlatformSettings>(
@@ -141,6 +145,9 @@
     Optional("revocation", &Settings::revocation_, kRevocationRecord),
     Optional("quota", &Settings::quota_, kQuotaRecord),
     Optional("warmup", &Settings::warmup_, kWarmupRecord),
+    Optional("memory_mb",
+             &Settings::memory_mb_,
+             SectionOf(Integer{kMinMemoryMb, kMaxMemoryMb})),
     Optional("log_level", &Settings::log_level_, Word{kLogLevels}),
     Optional("target_workers", &Settings::target_workers_, Integer{1, 4096}));
 
--- a/src/protocol/tests/settings_test.cc
+++ b/src/protocol/tests/settings_test.cc
@@ -15,7 +15,7 @@
     {"instance": "kochi-1a", "address": "10.0.0.1:9101", "region": "kochi"},
     {"instance": "kochi-2a", "address": "10.0.0.2:9101", "region": "kochi"}],
   "control": {"data_dir": "/var/lib/gooseberrygap", "snapshot_entries": 6},
-  "log_level": "warn", "target_workers": 7})";
+  "memory_mb": 160, "log_level": "warn", "target_workers": 7})";
 
 std::string FaultsOf(const std::string& json) {
   const auto parsed = ParseSettings(json);
@@ -54,6 +54,7 @@
                                     .region_ = "kochi"}},
             .control_ = ControlSettings{.data_dir_ = "/var/lib/gooseberrygap",
                                         .snapshot_entries_ = 6},
+            .memory_mb_ = 160,
             .log_level_ = "warn",
             .target_workers_ = 7});
 }
@@ -94,6 +95,8 @@
       {R"("data_dir": "/var/lib/gooseberrygap")", R"("data_dir": "")",
        "control.data_dir: found \"\""},
       {R"("control": {)", R"("control": null, "x": {)", "control: found null"},
+      {R"("memory_mb": 160)", R"("memory_mb": 31)",
+       "memory_mb: found 31; allowed: an integer from 32"},
       {R"("warn")", R"("loud")", "log_level: found \"loud\"; allowed: one of"},
       {R"("target_workers": 7)", R"("target_workers": 0)",
        "target_workers: found 0; allowed: an integer from 1 to 4096"},
--- /dev/null
+++ b/tests/integration/caller_memory_test.cc
@@ -0,0 +1,306 @@
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "integration/fixture.h"
+#include "integration/raw_callers.h"
+#include "support/loopback.h"
+
+namespace gooseberrygap::integration {
+namespace {
+
+using nlohmann::json;
+using test_support::Address;
+using test_support::CallAnswer;
+using test_support::Deployment;
+using test_support::InstanceSpec;
+
+constexpr char kIngress[] = "ingress";
+constexpr char kGuard[] = "guard";
+constexpr char kHost[] = "assay.example";
+
+// Limits that the test sets, and the bounds that follow from them.
+constexpr int kMemoryMb = 64;
+constexpr long kMaxPeakKilobytes = kMemoryMb * 1024L;
+constexpr int kMaxConnections = 320;
+// Descriptors for links, files and the own duties beside the connections.
+constexpr int kMaxDescriptors = kMaxConnections + 80;
+constexpr int kMaxHeaderBytes = 16384;
+constexpr int kMaxBodyBytes = 4194304;
+
+constexpr int kHeadCallers = 300;
+constexpr int kBodyCallers = 32;
+constexpr int kTinyChunkCallers = 8;
+constexpr size_t kBodyBytes = 3145728;
+constexpr size_t kTinyChunkedBytes = 524288;  // Of a body in chunks of 1 byte.
+constexpr size_t kLargeChunkBytes = 65536;
+constexpr size_t kWholeBytes = 1048576;  // A caller that sends without pause.
+constexpr size_t kSmallPieceBytes = 16384;
+// One caller of so many sends its request to the end, and does not read the
+// answer.
+constexpr int kCompleteEvery = 6;
+constexpr state::Millis kAnswerTimeout(20000);
+
+// Two daemons with the front of a platform: one accepts the calls, and the
+// other has the target.
+class TwoDaemons {
+ public:
+  TwoDaemons()
+      : calls_(test_support::FreeAddress(test_support::NewLoopbackHost())),
+        administration_(test_support::FreeAddress(calls_.host_)) {
+    auto created = Deployment::Create(MakeSpec());
+    REQUIRE(created);
+    deployment_ = std::move(created).value();
+    Check(deployment_->StartAll());
+    Check(deployment_->FormControlGroup());
+    const CallAnswer submitted =
+        CallOnce(administration_, {.method_ = "POST",
+                                   .path_ = "/v1/Config.Replace",
+                                   .body_ = ConfigurationText()});
+    INFO(submitted.body_ << submitted.failure_);
+    REQUIRE(submitted.status_ == 200);
+    Check(test_support::WaitUntil("configuration", [this] {
+      const CallAnswer page = CallOnce(own_front(), {.path_ = "/-/config"});
+      return page.status_ == 200 && json::parse(page.body_)["index"] > 0;
+    }));
+    Check(deployment_->WaitForTargets(kLookupService, 1));
+    CheckOrdinaryRequest();
+  }
+
+  const Address& calls() const { return calls_; }
+  const Address& own_front() const {
+    return deployment_->AddressesOf(kIngress).http_;
+  }
+
+  void CheckOrdinaryRequest() const { CheckAnswered(calls_, "/ordinary"); }
+  void CheckAnswered(const Address& address, const std::string& path) const {
+    const CallAnswer answer =
+        CallOnce(address, {.path_ = path,
+                           .headers_ = {{.name_ = "Host", .value_ = kHost}},
+                           .timeout_ = kAnswerTimeout});
+    INFO(answer.body_ << answer.failure_);
+    CHECK(answer.status_ == 200);
+  }
+
+  // Checks that both daemons live and have stayed below the bounds.
+  void CheckBounds() const {
+    for (const char* name : {kIngress, kGuard}) {
+      test_support::Process* process = deployment_->Find(name);
+      INFO(name);
+      REQUIRE(process != nullptr);
+      REQUIRE_FALSE(process->Wait(state::Millis(0)).has_value());
+      const std::string folder = absl::StrCat("/proc/", process->pid());
+      const long peak = PeakKilobytes(folder);
+      const int descriptors = CountDescriptors(folder);
+      WARN(name << ": VmHWM " << peak << " kB, descriptors " << descriptors);
+      CHECK(peak <= kMaxPeakKilobytes);
+      CHECK(descriptors <= kMaxDescriptors);
+    }
+  }
+
+ private:
+  static void Check(const state::Result<void>& result) {
+    INFO((result ? std::string() : result.error().message_));
+    REQUIRE(result);
+  }
+
+  static long PeakKilobytes(const std::string& folder) {
+    std::ifstream status(folder + "/status");
+    std::string word;
+    long kilobytes = 0;
+    while (status >> word && word != "VmHWM:") {
+    }
+    status >> kilobytes;
+    REQUIRE(kilobytes > 0);
+    return kilobytes;
+  }
+
+  static int CountDescriptors(const std::string& folder) {
+    int count = 0;
+    for (const auto& entry :
+         std::filesystem::directory_iterator(folder + "/fd")) {
+      count += entry.path().empty() ? 0 : 1;
+    }
+    return count;
+  }
+
+  test_support::DeploymentSpec MakeSpec() const {
+    const json platform = {
+        {"platform",
+         {{"calls", test_support::ToString(calls_)},
+          {"administration", test_support::ToString(administration_)},
+          {"max_connections", kMaxConnections}}}};
+    const json limits = {{"memory_mb", kMemoryMb},
+                         {"target_workers", 64},
+                         {"http",
+                          {{"workers", 16},
+                           {"max_connections", kMaxConnections},
+                           {"max_body_bytes", kMaxBodyBytes}}}};
+    return {.instances_ = {InstanceSpec{.name_ = kIngress,
+                                        .region_ = "kochi",
+                                        .failure_domain_ = "kochi-a",
+                                        .control_ = true,
+                                        .settings_patch_ = platform.dump()},
+                           InstanceSpec{.name_ = kGuard,
+                                        .region_ = "kochi",
+                                        .failure_domain_ = "kochi-b",
+                                        .target_ =
+                                            test_support::TargetSpec{
+                                                .service_ = kLookupService}}},
+            .settings_patch_ = limits.dump()};
+  }
+
+  static std::string ConfigurationText() {
+    const auto route = [](const char* name, const std::string& host,
+                          const std::string& prefix) {
+      return json{{"name", name},          {"host", host},
+                  {"path_prefix", prefix}, {"kind", "safe"},
+                  {"timeout", 10000},      {"target_latency", 1000},
+                  {"priority", 1},         {"service", kLookupService},
+                  {"max_attempts", 1}};
+    };
+    return json{{"version", 1},
+                {"base_version", 0},
+                {"routes", json::array({route("all", kHost, "/")})},
+                {"services", json::array({{{"name", kLookupService},
+                                           {"health_path", "/health"},
+                                           {"max_connections", 240},
+                                           {"protocol", "h1"},
+                                           {"tls", false}}})},
+                {"limits",
+                 {{"max_header_bytes", kMaxHeaderBytes},
+                  {"max_body_bytes", kMaxBodyBytes},
+                  {"header_timeout", 5000},
+                  {"idle_timeout", 60000}}}}
+        .dump();
+  }
+
+  const Address calls_;
+  const Address administration_;
+  std::unique_ptr<Deployment> deployment_;
+};
+
+using Text = std::shared_ptr<const std::string>;
+
+// Returns a request with a head of nearly the largest legal size, made of the
+// lines that `line` returns for 0, 1, ...
+Text HeadFullOf(const std::function<std::string(int)>& line) {
+  constexpr size_t kEndBytes = 64;
+  std::string text =
+      absl::StrCat("POST /heads HTTP/1.1\r\nHost: ", kHost, "\r\n");
+  for (int i = 0; text.size() + kEndBytes + line(i).size() < kMaxHeaderBytes;
+       ++i) {
+    absl::StrAppend(&text, line(i));
+  }
+  absl::StrAppend(&text, "Content-Length: 2\r\n\r\nab");
+  return std::make_shared<const std::string>(std::move(text));
+}
+
+Text BodyWithLength(const std::string& path) {
+  return std::make_shared<const std::string>(absl::StrCat(
+      "POST ", path, " HTTP/1.1\r\nHost: ", kHost, "\r\nContent-Length: ",
+      kBodyBytes, "\r\n\r\n", std::string(kBodyBytes, 'b')));
+}
+
+Text ChunkedBody(size_t body_bytes, size_t chunk_bytes) {
+  std::string text = absl::StrCat("POST /chunks HTTP/1.1\r\nHost: ", kHost,
+                                  "\r\nTransfer-Encoding: chunked\r\n\r\n");
+  const std::string chunk = absl::StrCat(absl::Hex(chunk_bytes), "\r\n",
+                                         std::string(chunk_bytes, 'c'), "\r\n");
+  for (size_t bytes = 0; bytes < body_bytes; bytes += chunk_bytes) {
+    absl::StrAppend(&text, chunk);
+  }
+  absl::StrAppend(&text, "0\r\n\r\n");
+  return std::make_shared<const std::string>(std::move(text));
+}
+
+// Appends callers of which most stop just short of the end of their request.
+// Half of them send piece by piece.
+void AppendCallers(const Text& text,
+                   int count,
+                   std::vector<RawRequest>* requests) {
+  for (int i = 0; i < count; ++i) {
+    const bool is_complete = i % kCompleteEvery == 0;
+    requests->push_back(
+        {.text_ = text,
+         .sent_bytes_ = text->size() - (is_complete ? 0 : 1),
+         .piece_bytes_ = i % 2 == 0 ? kWholeBytes : kSmallPieceBytes,
+         .reads_answer_ = !is_complete});
+  }
+}
+
+// Guards against heads of legal size that hold many times their bytes, because
+// each header line costs far more than its bytes.
+TEST_CASE("heads of very many short or odd lines stay within the memory",
+          "[caller_heads]") {
+  const TwoDaemons daemons;
+  const Text shortest = HeadFullOf([](int) { return std::string("a:\r\n"); });
+  const Text distinct =
+      HeadFullOf([](int i) { return absl::StrCat("x", i, ":1\r\n"); });
+  const Text odd = HeadFullOf(
+      [](int) { return std::string("!#$%&'*+-.^_`|~: \t\"\t\r\n"); });
+  const std::vector<Text> heads = {shortest, distinct, shortest, odd};
+  std::vector<RawRequest> requests;
+  for (const Text& head : heads) {
+    AppendCallers(head, kHeadCallers / static_cast<int>(heads.size()),
+                  &requests);
+  }
+  RawCallers callers(daemons.calls(), requests);
+  callers.SendAll();
+  WARN("sent " << callers.CountSent() << ", open " << callers.CountOpen());
+  daemons.CheckOrdinaryRequest();
+  daemons.CheckBounds();
+}
+
+// Guards against many bodies that are held at once, whole or in pieces.
+TEST_CASE("large bodies that stop short stay within the memory",
+          "[caller_bodies]") {
+  const TwoDaemons daemons;
+  std::vector<RawRequest> requests;
+  AppendCallers(BodyWithLength("/bodies"), kBodyCallers, &requests);
+  RawCallers callers(daemons.calls(), requests);
+  callers.SendAll();
+  WARN("sent " << callers.CountSent() << ", open " << callers.CountOpen());
+  daemons.CheckOrdinaryRequest();
+  daemons.CheckBounds();
+}
+
+// Guards against bodies whose length is not known beforehand, and against an
+// overhead of each chunk.
+TEST_CASE("large and very small chunks stay within the memory",
+          "[caller_chunks]") {
+  const TwoDaemons daemons;
+  std::vector<RawRequest> requests;
+  AppendCallers(ChunkedBody(kBodyBytes, kLargeChunkBytes), kBodyCallers,
+                &requests);
+  AppendCallers(ChunkedBody(kTinyChunkedBytes, 1), kTinyChunkCallers,
+                &requests);
+  RawCallers callers(daemons.calls(), requests);
+  callers.SendAll();
+  WARN("sent " << callers.CountSent() << ", open " << callers.CountOpen());
+  daemons.CheckOrdinaryRequest();
+  daemons.CheckBounds();
+}
+
+// Guards against a front of the project's own interface without the limit.
+TEST_CASE("bodies at the project's own front stay within the memory",
+          "[caller_own_front]") {
+  const TwoDaemons daemons;
+  std::vector<RawRequest> requests;
+  const std::string path = absl::StrCat("/", kLookupService, "/bodies");
+  AppendCallers(BodyWithLength(path), kBodyCallers, &requests);
+  AppendCallers(ChunkedBody(kBodyBytes, kLargeChunkBytes), kBodyCallers,
+                &requests);
+  RawCallers callers(daemons.own_front(), requests);
+  callers.SendAll();
+  WARN("sent " << callers.CountSent() << ", open " << callers.CountOpen());
+  daemons.CheckAnswered(daemons.own_front(), "/-/targets");
+  daemons.CheckOrdinaryRequest();
+  daemons.CheckBounds();
+}
+
+}  // namespace
+}  // namespace gooseberrygap::integration
--- a/tests/support/deployment_plan.cc
+++ b/tests/support/deployment_plan.cc
@@ -121,7 +121,10 @@
     settings["control"] = {
         {"data_dir", absl::StrCat(folder, "/", instance.name_, ".data")}};
   }
-  settings.merge_patch(json::parse(spec.settings_patch_, nullptr, false));
+  for (const std::string& patch :
+       {spec.settings_patch_, instance.settings_patch_}) {
+    settings.merge_patch(json::parse(patch, nullptr, false));
+  }
   return settings.dump(2);
 }
 
--- a/tests/support/deployment_plan.h
+++ b/tests/support/deployment_plan.h
@@ -32,6 +32,8 @@
   const std::string failure_domain_ = {};
   const bool control_ = false;
   const std::optional<TargetSpec> target_ = {};
+  // A JSON merge patch for the settings of this daemon.
+  const std::string settings_patch_ = "{}";
 
   friend bool operator==(const InstanceSpec&, const InstanceSpec&) = default;
 };
