Account for the bytes held for a platform's callers, and refuse what does not fit

What callers saw: 300 heads full of short lines, or 32 unfinished bodies of 3 MiB, took a daemon beyond the memory of its instance, and it was killed with all its calls.

Cause: CallServer read whatever came. A header line cost about 30 times its bytes, a body was allocated as soon as its head was read, and nothing related the connections to the memory of the process.

Change: ByteAccount holds a limit that follows from memory_mb. RequestReader charges a head by its lines and a body by its capacity before they are allocated; the charge of a request ends with the last copy of its body. Without room a connection is not read (pressure.hold_ms), then refused with 503, and MemoryRelief chooses stalled connections to close (pressure.stall_ms). Small requests have a reserve. Answers count until they are sent, and large ones are no longer copied. Where memory_mb is set, the allocator returns large buffers at once. Gauges show the bytes by kind, and refusals count as memory_pressure.

Why this works: a body that was admitted has its whole room, so admitted bodies never wait for each other, and what is not admitted holds at most one buffer.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -119,7 +119,11 @@
 }
 
 Daemon::Daemon(const protocol::Settings& settings)
-    : settings_(settings), incarnation_(state::WallMillis()) {}
+    : settings_(settings),
+      incarnation_(state::WallMillis()),
+      account_(std::make_shared<transport::ByteAccount>(
+          transport::ByteAccount::OptionsFor(settings.memory_mb_),
+          &counters_)) {}
 
 Daemon::~Daemon() {
   // Threads stop before the threads that they feed. Only the peer thread posts
@@ -224,7 +228,8 @@
   event_front_ = std::make_unique<EventFront>(front_dialect_.get(), node_.get(),
                                               operators_.get(), &counters_);
   node_->AddListener(event_front_.get());
-  return event_front_->Start(*settings_.platform_);
+  return event_front_->Start(*settings_.platform_, settings_.pressure_,
+                             account_);
 }
 
 void Daemon::Reload(const protocol::Settings& settings) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -46,6 +46,7 @@
   const protocol::Settings settings_;
   const uint64_t incarnation_;
   state::Counters counters_;
+  const std::shared_ptr<transport::ByteAccount> account_;
   CallSlots call_slots_;
   std::unique_ptr<protocol::TargetDialect> target_dialect_;
   std::unique_ptr<protocol::FrontDialect> front_dialect_;
--- a/src/daemon/event_front.cc
+++ b/src/daemon/event_front.cc
@@ -33,7 +33,9 @@
       counters_(counters) {}
 
 state::Result<void> EventFront::Start(
-    const protocol::PlatformSettings& settings) {
+    const protocol::PlatformSettings& settings,
+    const protocol::PressureSettings& pressure,
+    std::shared_ptr<transport::ByteAccount> account) {
   service_ = settings.service_;
   const std::vector<Listener> listeners = {
       {settings.calls_, &protocol::FrontDialect::ReadCall},
@@ -54,7 +56,10 @@
       transport::CallServer::Options{
           .listen_addresses_ = listen,
           .max_connections_ = settings.max_connections_,
-          .limits_ = kAdministrationLimits},
+          .limits_ = kAdministrationLimits,
+          .account_ = std::move(account),
+          .hold_ = pressure.hold_,
+          .stall_ = pressure.stall_},
       this, counters_);
   if (!server) {
     return server.error();
--- a/src/daemon/event_front.h
+++ b/src/daemon/event_front.h
@@ -29,7 +29,9 @@
              state::Counters* counters);
 
   // Binds the addresses in the settings and serves them. Call it once.
-  state::Result<void> Start(const protocol::PlatformSettings& settings);
+  state::Result<void> Start(const protocol::PlatformSettings& settings,
+                            const protocol::PressureSettings& pressure,
+                            std::shared_ptr<transport::ByteAccount> account);
   // Reports not ready and closes each connection with its last answer, so that
   // callers move to other daemons; still serves requests. Call it after Start.
   // Thread-safe.
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,3 +1,4 @@
+#include <malloc.h>
 #include <pthread.h>
 
 #include <csignal>
@@ -26,6 +27,13 @@
 // signal.
 constexpr int kSettingsCheckSeconds = 2;
 
+// Of the allocator, where the memory is limited. Memory that it keeps for later
+// counts towards the limit: large buffers go back to the system at once, and
+// few arenas keep small ones.
+constexpr int kMappedBytes = 131072;
+constexpr int kTrimBytes = 1048576;
+constexpr int kArenas = 2;
+
 int ReportError(const state::Error& error, int exit_code) {
   std::fprintf(stderr, "gooseberrygapd: %s\n", error.message_.c_str());
   return exit_code;
@@ -44,6 +52,12 @@
   return protocol::ParseSettings(text.str());
 }
 
+void LimitAllocator() {
+  mallopt(M_MMAP_THRESHOLD, kMappedBytes);
+  mallopt(M_TRIM_THRESHOLD, kTrimBytes);
+  mallopt(M_ARENA_MAX, kArenas);
+}
+
 // Blocks SIGTERM, SIGINT and SIGHUP for all threads started later, and ignores
 // SIGPIPE and SIGXFSZ. Returns the blocked signals.
 sigset_t BlockStopSignals() {
@@ -95,6 +109,9 @@
     std::puts("The settings are valid.");
     return 0;
   }
+  if (settings.value().memory_mb_.has_value()) {
+    LimitAllocator();
+  }
   const sigset_t signals = BlockStopSignals();
   StartLogging(settings.value().log_level_, settings.value().instance_);
   auto daemon = Daemon::Start(settings.value());
--- a/src/protocol/api/settings.h
+++ b/src/protocol/api/settings.h
@@ -77,6 +77,17 @@
                          const ControlSettings&) = default;
 };
 
+// What happens to callers while the process holds too many bytes for them.
+struct PressureSettings {
+  // How long a request waits for room before it is refused.
+  const state::Millis hold_ = state::Millis(3000);
+  // A connection that has made no progress for so long may be closed.
+  const state::Millis stall_ = state::Millis(2000);
+
+  friend bool operator==(const PressureSettings&,
+                         const PressureSettings&) = default;
+};
+
 // A daemon's settings file. docs/OPERATIONS.md shows one.
 struct Settings {
   const std::string instance_ = {};
@@ -94,6 +105,7 @@
   // Limit on the memory of the process, in MiB. Without one, a constant bounds
   // what is held for callers.
   const std::optional<int> memory_mb_ = {};
+  const PressureSettings pressure_ = {};
   const std::string log_level_ = "info";
   const int target_workers_ = 16;
 
--- a/src/protocol/internal/settings.cc
+++ b/src/protocol/internal/settings.cc
@@ -127,6 +127,10 @@
              Number{1, 10}),
     Optional("slack", &coordination::WarmupTolerance::slack_, Number{0, 1e6}));
 
+constexpr auto kPressureRecord = RecordOf<PressureSettings>(
+    Optional("hold_ms", &PressureSettings::hold_, Number{0, kMinuteMs}),
+    Optional("stall_ms", &PressureSettings::stall_, Number{100, kMinuteMs}));
+
 constexpr auto kSettingsRecord = RecordOf<Settings>(
     Required("instance", &Settings::instance_, kNameText),
     Required("region", &Settings::region_, kNameText),
@@ -148,6 +152,7 @@
     Optional("memory_mb",
              &Settings::memory_mb_,
              SectionOf(Integer{kMinMemoryMb, kMaxMemoryMb})),
+    Optional("pressure", &Settings::pressure_, kPressureRecord),
     Optional("log_level", &Settings::log_level_, Word{kLogLevels}),
     Optional("target_workers", &Settings::target_workers_, Integer{1, 4096}));
 
--- a/src/state/api/bytes.h
+++ b/src/state/api/bytes.h
@@ -17,6 +17,9 @@
   // Takes ownership of `content`.
   explicit Bytes(std::string content)
       : content_(std::make_shared<const std::string>(std::move(content))) {}
+  // Shares content whose owner learns when the last copy of this value is gone.
+  explicit Bytes(std::shared_ptr<const std::string> content)
+      : content_(std::move(content)) {}
 
   // Returns the content; valid while any copy of this value exists.
   absl::string_view view() const {
--- a/src/state/api/gauges.h
+++ b/src/state/api/gauges.h
@@ -14,6 +14,12 @@
 enum class Gauge {
   kAuthorizationLeft,  // Milliseconds.
   kConfirmationAge,    // Milliseconds.
+  // Bytes held for callers.
+  kHeldHeadBytes,
+  kHeldBodyBytes,
+  kHeldAnswerBytes,
+  kHeldMessageBytes,
+  kHeldByteLimit,
   kCount,
 };
 
--- a/src/state/internal/gauges.cc
+++ b/src/state/internal/gauges.cc
@@ -19,6 +19,16 @@
      "Time for which calls with an API key may still be served."},
     {Gauge::kConfirmationAge, "authorization_confirmation_age_ms",
      "Time since a quorum confirmed the API keys."},
+    {Gauge::kHeldHeadBytes, "held_head_bytes",
+     "Bytes held for the heads of callers' requests."},
+    {Gauge::kHeldBodyBytes, "held_body_bytes",
+     "Bytes held for the bodies of callers' requests, with their copies."},
+    {Gauge::kHeldAnswerBytes, "held_answer_bytes",
+     "Bytes held for answers that callers have not read."},
+    {Gauge::kHeldMessageBytes, "held_message_bytes",
+     "Bytes held for attempts and answers of other daemons."},
+    {Gauge::kHeldByteLimit, "held_byte_limit",
+     "Limit of the bytes held for callers and other daemons."},
 }};
 
 constexpr bool RowsAreInEnumOrder() {
--- a/src/transport/api/call_server.h
+++ b/src/transport/api/call_server.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "state/state.h"
+#include "transport/api/byte_account.h"
 
 namespace gooseberrygap::transport {
 
@@ -20,6 +21,15 @@
     const std::vector<std::string> listen_addresses_ = {};
     const int max_connections_ = 2048;
     const state::CallerLimits limits_ = {};  // At first, of all addresses.
+    // Charged with what is held for callers.
+    const std::shared_ptr<ByteAccount> account_ =
+        std::make_shared<ByteAccount>();
+    // A request for which the account has no room is not read further. After
+    // the hold time it is refused as not run.
+    const state::Millis hold_ = state::Millis(3000);
+    // Connections without progress for so long are closed while others wait for
+    // room: those that hold most first.
+    const state::Millis stall_ = state::Millis(2000);
   };
 
   struct ReceivedRequest {
--- a/src/transport/internal/call_connection.cc
+++ b/src/transport/internal/call_connection.cc
@@ -1,55 +1,68 @@
 #include "transport/internal/call_connection.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <utility>
 
-#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
 #include "transport/internal/http_message.h"
 
 namespace gooseberrygap::transport {
 
 namespace {
 
-namespace http = boost::beast::http;
-
 constexpr size_t kReadBytes = 16384;
 // Bytes read before they are parsed and other connections get their turn: a
 // caller that sends without end must not keep the thread.
 constexpr size_t kMaxReadBytesPerTurn = 65536;
-// Bytes after the head that may wait for the end of a chunk's size line or of
-// the trailer. The parser limits heads and bodies only.
-constexpr size_t kMaxUnparsedBytes = 65536;
 // Requests read ahead of answers on one connection.
 constexpr size_t kMaxPending = 64;
 // How long a closed connection is read further, so that bytes in flight do not
 // reset it before the caller has read the last answer.
 constexpr state::Millis kLingerTime(1000);
 
-constexpr int kBadRequest = 400;
+// Bytes of printed answers that wait to be sent before more are printed.
+constexpr size_t kMaxPrintedBytes = 65536;
+// A body up to this size is sent in one piece with its head.
+constexpr size_t kMaxCopiedBytes = 16384;
+// An input buffer that is larger than its content by this factor is shrunk.
+constexpr size_t kMaxInputSlack = 2;
+
 constexpr int kRequestTimeout = 408;
-constexpr int kTooLarge = 413;
-constexpr int kHeadTooLarge = 431;
+constexpr int kUnavailable = 503;
 
-int StatusOf(const boost::system::error_code& error) {
-  if (error == http::error::body_limit) {
-    return kTooLarge;
+size_t CostOf(const state::HttpAnswer& answer) {
+  size_t cost = answer.body_.size();
+  for (const state::HttpHeader& header : answer.headers_) {
+    cost += sizeof header + header.name_.size() + header.value_.size();
   }
-  return error == http::error::header_limit ? kHeadTooLarge : kBadRequest;
+  return cost;
 }
 
 }  // namespace
 
 CallConnection::CallConnection(Descriptor socket,
-                               size_t listener,
+                               const Options& options,
                                state::Millis now)
-    : socket_(std::move(socket)), listener_(listener), last_used_(now) {}
+    : socket_(std::move(socket)),
+      number_(options.number_),
+      listener_(options.listener_),
+      account_(options.account_),
+      hold_(options.hold_),
+      input_charge_(account_, HeldKind::kHeads),
+      output_charge_(account_, HeldKind::kAnswers),
+      last_used_(now) {}
 
 void CallConnection::Read(const state::CallerLimits& limits,
                           const Take& take,
                           state::Millis now) {
+  if (held_since_.has_value()) {
+    return;
+  }
   const bool is_open = Receive();
   if (stopped_reading_) {
     input_.clear();
@@ -65,6 +78,23 @@
     Parse(limits, take, now);
     return;
   }
+  OnCallerLeft();
+}
+
+void CallConnection::ReadHeld(const state::CallerLimits& limits,
+                              const Take& take,
+                              state::Millis now) {
+  Parse(limits, take, now);
+}
+
+void CallConnection::CheckHeld() {
+  pollfd entry = {.fd = socket_.get(), .events = POLLRDHUP, .revents = 0};
+  if (poll(&entry, 1, 0) > 0) {
+    OnCallerLeft();
+  }
+}
+
+void CallConnection::OnCallerLeft() {
   // What was sent ahead of a close is not wanted any more.
   caller_left_ = !pending_.empty();
   done_ = true;
@@ -72,10 +102,14 @@
 
 bool CallConnection::Receive() {
   std::array<char, kReadBytes> buffer;
-  for (size_t received = 0; received < kMaxReadBytesPerTurn;) {
+  // Before the body has room, no more than a head is read.
+  const bool reads_body = reader_ != nullptr && reader_->is_head_done();
+  const size_t limit = reads_body ? kMaxReadBytesPerTurn : kReadBytes;
+  for (size_t received = 0; received < limit;) {
     const ssize_t count = recv(socket_.get(), buffer.data(), buffer.size(), 0);
     if (count > 0) {
       received += count;
+      moved_bytes_ += count;
       input_.append(buffer.data(), count);
       if (static_cast<size_t>(count) < buffer.size()) {
         return true;
@@ -95,74 +129,94 @@
                            state::Millis now) {
   while (!input_.empty() && !stopped_reading_ &&
          pending_.size() < kMaxPending) {
-    if (parser_ == nullptr) {
-      StartParser(limits, now);
+    if (reader_ == nullptr) {
+      reader_ = std::make_unique<RequestReader>(limits, account_);
+      sent_continue_ = false;
+      message_began_ = now;
     }
-    boost::system::error_code error;
-    const size_t taken = parser_->put(boost::asio::buffer(input_), error);
-    input_.erase(0, taken);
-    const bool is_unbounded =
-        parser_->is_header_done() && input_.size() > kMaxUnparsedBytes;
-    if (error == http::error::need_more && is_unbounded) {
-      Refuse(kBadRequest);
+    const ReadStep step = reader_->Put(&input_);
+    if (step == ReadStep::kFailed) {
+      Refuse(reader_->status());
       return;
     }
-    if (error && error != http::error::need_more) {
-      Refuse(StatusOf(error));
-      return;
+    if (step == ReadStep::kNoRoom) {
+      Hold(now);
+      break;
     }
-    if (parser_->is_done()) {
+    held_since_.reset();
+    if (step == ReadStep::kComplete) {
       TakeRequest(take);
       continue;
     }
-    const bool wants_continue =
-        parser_->is_header_done() && !sent_continue_ && pending_.empty() &&
-        absl::EqualsIgnoreCase(std::string(parser_->get()[http::field::expect]),
-                               "100-continue");
-    if (wants_continue) {
+    if (!sent_continue_ && pending_.empty() && reader_->wants_continue()) {
       sent_continue_ = true;
-      output_ += "HTTP/1.1 100 Continue\r\n\r\n";
-    }
-    if (taken == 0 || error == http::error::need_more) {
-      return;
+      output_.emplace_back(std::string("HTTP/1.1 100 Continue\r\n\r\n"));
     }
+    break;
+  }
+  if (!ChargeInput()) {
+    RefuseForRoom();
   }
-  if (input_.empty()) {
+}
+
+bool CallConnection::ChargeInput() {
+  if (input_.empty() || stopped_reading_) {
     input_ = std::string();
+  } else if (input_.capacity() > kMaxInputSlack * input_.size()) {
+    input_.shrink_to_fit();
   }
+  const size_t bytes = input_.empty() ? 0 : input_.capacity();
+  return input_charge_.TryResize(bytes, UseOf(bytes));
 }
 
-void CallConnection::StartParser(const state::CallerLimits& limits,
-                                 state::Millis now) {
-  parser_ = std::make_unique<Parser>();
-  parser_->eager(true);
-  parser_->header_limit(static_cast<uint32_t>(limits.max_header_bytes_));
-  parser_->body_limit(static_cast<uint64_t>(limits.max_body_bytes_));
-  sent_continue_ = false;
-  message_began_ = now;
+void CallConnection::Hold(state::Millis now) {
+  if (reader_->is_small()) {
+    RefuseForRoom();
+  } else if (!held_since_.has_value()) {
+    held_since_ = now;
+  }
 }
 
 void CallConnection::TakeRequest(const Take& take) {
-  const std::unique_ptr<Parser> parser = std::move(parser_);
-  auto& message = parser->get();
-  Pending pending{.has_body_ = message.method() != http::verb::head,
-                  .closes_ = !parser->keep_alive()};
+  const std::unique_ptr<RequestReader> reader = std::move(reader_);
+  Pending pending{.has_body_ = reader->answer_has_body(),
+                  .closes_ = reader->closes()};
   stopped_reading_ = pending.closes_ || closes_after_pending_;
-  const state::HttpRequest request{
-      .method_ = std::string(message.method_string()),
-      .path_ = std::string(message.target()),
-      .headers_ = HeadersOf(message),
-      .body_ = state::Bytes(std::move(message.body()))};
-  pending.request_id_ = take(request);
+  pending.request_id_ = take(reader->Take());
   pending_.push_back(std::move(pending));
 }
 
 void CallConnection::Refuse(int status) {
-  parser_.reset();
+  reader_.reset();
+  held_since_.reset();
   input_ = std::string();
+  input_charge_.Resize(0);
   stopped_reading_ = true;
-  pending_.push_back(Pending{.closes_ = true,
-                             .answer_ = state::HttpAnswer{.status_ = status}});
+  Pending refused{.closes_ = true};
+  if (status == kUnavailable) {
+    refused.answer_.emplace(state::HttpAnswer{
+        .status_ = status,
+        .headers_ = {{.name_ = "Retry-After", .value_ = "1"}},
+        .body_ = state::Bytes(absl::StrCat(
+            state::NameOf(state::RefusalReason::kMemoryPressure), "\n"))});
+  } else {
+    refused.answer_.emplace(state::HttpAnswer{.status_ = status});
+  }
+  pending_.push_back(std::move(refused));
+}
+
+void CallConnection::RefuseForRoom() {
+  ++room_refusals_;
+  Refuse(kUnavailable);
+}
+
+void CallConnection::CloseForRoom() {
+  if (waits_to_write()) {
+    ++room_refusals_;
+    OnCallerLeft();
+    return;
+  }
+  RefuseForRoom();
 }
 
 void CallConnection::Answer(uint64_t request_id,
@@ -170,42 +224,73 @@
   for (Pending& pending : pending_) {
     if (pending.request_id_ == request_id && !pending.answer_.has_value()) {
       pending.answer_.emplace(answer);
+      pending.charge_.emplace(account_, HeldKind::kAnswers);
+      pending.charge_->Resize(CostOf(answer));
       return;
     }
   }
 }
 
 void CallConnection::Flush(state::Millis now) {
+  do {
+    PrintAnswers(now);
+    if (!SendOutput()) {
+      return;
+    }
+  } while (!closing_ && !pending_.empty() &&
+           pending_.front().answer_.has_value());
+  if (closing_ && !lingering_) {
+    shutdown(socket_.get(), SHUT_WR);
+    lingering_ = true;
+    stopped_reading_ = true;
+    last_used_ = now;
+  }
+}
+
+void CallConnection::PrintAnswers(state::Millis now) {
   while (!pending_.empty() && pending_.front().answer_.has_value() &&
-         !closing_) {
-    const Pending& next = pending_.front();
+         !closing_ && output_charge_.bytes() < kMaxPrintedBytes) {
     const bool is_last = closes_after_pending_ && pending_.size() == 1;
-    closing_ = next.closes_ || is_last;
-    output_ +=
-        PrintAnswer(*next.answer_, next.has_body_,
-                    closing_ ? AfterAnswer::kClose : AfterAnswer::kKeepOpen);
+    closing_ = pending_.front().closes_ || is_last;
+    Print(std::move(pending_.front()));
     pending_.pop_front();
     last_used_ = now;
   }
-  while (waits_to_write()) {
-    const ssize_t count = send(socket_.get(), output_.data() + sent_,
-                               output_.size() - sent_, MSG_NOSIGNAL);
+}
+
+void CallConnection::Print(Pending answered) {
+  const state::HttpAnswer& answer = *answered.answer_;
+  const bool has_body = answered.has_body_ && !IsBodiless(answer.status_);
+  const bool is_copied = answer.body_.size() <= kMaxCopiedBytes;
+  output_.emplace_back(
+      PrintAnswer(answer, has_body && is_copied,
+                  closing_ ? AfterAnswer::kClose : AfterAnswer::kKeepOpen));
+  if (has_body && !is_copied) {
+    output_.push_back(answer.body_);
+  }
+  output_charge_.Resize(output_charge_.bytes() + CostOf(answer));
+}
+
+bool CallConnection::SendOutput() {
+  while (!output_.empty()) {
+    const absl::string_view piece = output_.front().view().substr(sent_);
+    const ssize_t count =
+        send(socket_.get(), piece.data(), piece.size(), MSG_NOSIGNAL);
     if (count < 0) {
       const bool can_wait = errno == EAGAIN || errno == EINTR;
       caller_left_ = caller_left_ || (!can_wait && !pending_.empty());
       done_ = done_ || !can_wait;
-      return;
+      return false;
     }
+    moved_bytes_ += count;
     sent_ += count;
+    if (sent_ == output_.front().size()) {
+      output_.pop_front();
+      sent_ = 0;
+    }
   }
-  output_ = std::string();
-  sent_ = 0;
-  if (closing_ && !lingering_) {
-    shutdown(socket_.get(), SHUT_WR);
-    lingering_ = true;
-    stopped_reading_ = true;
-    last_used_ = now;
-  }
+  output_charge_.Resize(0);
+  return true;
 }
 
 void CallConnection::CheckTime(const state::CallerLimits& limits,
@@ -214,10 +299,16 @@
     done_ = done_ || now - last_used_ >= kLingerTime;
     return;
   }
-  const bool reads_head = parser_ != nullptr && !parser_->is_header_done();
+  if (held_since_.has_value()) {
+    if (now - *held_since_ >= hold_) {
+      RefuseForRoom();
+    }
+    return;
+  }
+  const bool reads_head = reader_ != nullptr && !reader_->is_head_done();
   const bool is_late =
       (reads_head && now - message_began_ >= limits.header_timeout_) ||
-      (parser_ != nullptr && reading_limit_.has_value() &&
+      (reader_ != nullptr && reading_limit_.has_value() &&
        now >= *reading_limit_);
   if (is_late) {
     Refuse(kRequestTimeout);
@@ -231,8 +322,10 @@
 void CallConnection::CloseAfterPending() {
   closes_after_pending_ = true;
   if (!pending_.empty()) {
-    parser_.reset();
+    reader_.reset();
+    held_since_.reset();
     input_ = std::string();
+    input_charge_.Resize(0);
     stopped_reading_ = true;
   }
 }
@@ -242,13 +335,38 @@
 }
 
 void CallConnection::CloseIfIdle() {
-  if (!is_busy() && parser_ == nullptr && input_.empty() && !lingering_) {
+  if (!is_busy() && reader_ == nullptr && input_.empty() && !lingering_) {
     done_ = true;
   }
 }
 
 bool CallConnection::waits_to_read() const {
-  return lingering_ || (!stopped_reading_ && pending_.size() < kMaxPending);
+  return lingering_ || (!stopped_reading_ && !held_since_.has_value() &&
+                        pending_.size() < kMaxPending);
+}
+
+size_t CallConnection::missing_bytes() const {
+  return held_since_.has_value() ? reader_->missing_bytes() : 0;
+}
+
+MemoryRelief::Load CallConnection::load() const {
+  return MemoryRelief::Load{.connection_ = number_,
+                            .held_bytes_ = held_bytes(),
+                            .moved_bytes_ = moved_bytes_,
+                            .waits_for_caller_ = waits_for_caller()};
+}
+
+size_t CallConnection::held_bytes() const {
+  size_t held = input_charge_.bytes() + output_charge_.bytes();
+  held += reader_ == nullptr ? 0 : reader_->held_bytes();
+  for (const Pending& pending : pending_) {
+    held += pending.charge_.has_value() ? pending.charge_->bytes() : 0;
+  }
+  return held;
+}
+
+bool CallConnection::waits_for_caller() const {
+  return waits_to_write() || (reader_ != nullptr && !held_since_.has_value());
 }
 
 std::vector<uint64_t> CallConnection::Unanswered() const {
@@ -261,4 +379,19 @@
   return requests;
 }
 
+std::vector<CallConnection*> HeldByAge(
+    const std::vector<CallConnection*>& connections) {
+  std::vector<CallConnection*> held;
+  for (CallConnection* connection : connections) {
+    if (connection->held_since().has_value()) {
+      held.push_back(connection);
+    }
+  }
+  std::sort(held.begin(), held.end(),
+            [](const CallConnection* left, const CallConnection* right) {
+              return *left->held_since() < *right->held_since();
+            });
+  return held;
+}
+
 }  // namespace gooseberrygap::transport
--- a/src/transport/internal/call_server.cc
+++ b/src/transport/internal/call_server.cc
@@ -2,6 +2,7 @@
 
 #include <sys/epoll.h>
 
+#include <atomic>
 #include <cerrno>
 #include <map>
 #include <optional>
@@ -13,6 +14,7 @@
 #include "transport/api/ring.h"
 #include "transport/internal/call_connection.h"
 #include "transport/internal/listen_socket.h"
+#include "transport/internal/memory_relief.h"
 #include "transport/internal/poller.h"
 
 namespace gooseberrygap::transport {
@@ -28,6 +30,8 @@
 constexpr state::Millis kStopReadTime(1000);
 // How often connections are looked through for those that last too long.
 constexpr state::Millis kTimeCheck(500);
+// Room that is made for each request that was refused for want of it.
+constexpr size_t kRefusedBytes = 65536;
 constexpr uint32_t kAlways = EPOLLRDHUP;
 constexpr uint32_t kReadable = EPOLLIN;
 constexpr uint32_t kWritable = EPOLLOUT;
@@ -58,7 +62,12 @@
         counters_(counters),
         poller_(std::move(poller)),
         listeners_(std::move(listeners)),
-        ring_(kRingCapacity, kRingReserve) {
+        ring_(kRingCapacity, kRingReserve),
+        relief_(options.stall_) {
+    waiter_ = options_.account_->AddWaiter([this] {
+      has_room_.store(true);
+      poller_->Wake();
+    });
     limits_.resize(listeners_.size(), MakeLimits(options.limits_));
     for (const ListenSocket& listener : listeners_) {
       addresses_.push_back(listener.address_);
@@ -68,6 +77,7 @@
   }
 
   ~CallServerImpl() override {
+    options_.account_->RemoveWaiter(waiter_);
     ring_.Close();
     poller_->Wake();
     thread_->Join();
@@ -116,6 +126,9 @@
       while (std::optional<Order> order = ring_.TryPop()) {
         std::visit([this](const auto& concrete) { On(concrete); }, *order);
       }
+      if (has_room_.exchange(false)) {
+        ReadHeld();
+      }
       CheckTime();
       if (stopping_ && connections_.empty() &&
           !all_answered_.HasBeenNotified()) {
@@ -176,9 +189,14 @@
       }
     }
     const auto entry = connections_.find(descriptor);
-    if (entry != connections_.end()) {
-      Read(entry->second.get());
+    if (entry == connections_.end()) {
+      return;
     }
+    CallConnection* connection = entry->second.get();
+    if (connection->held_since().has_value()) {
+      connection->CheckHeld();
+    }
+    Read(connection);
   }
 
   void Accept(size_t listener) {
@@ -200,7 +218,12 @@
       const int descriptor = accepted.get();
       poller_->Add(descriptor, EPOLLIN | kAlways);
       auto connection = std::make_unique<CallConnection>(
-          std::move(accepted), listener, clock_.Now());
+          std::move(accepted),
+          CallConnection::Options{.number_ = next_connection_++,
+                                  .listener_ = listener,
+                                  .account_ = options_.account_,
+                                  .hold_ = options_.hold_},
+          clock_.Now());
       CallConnection* opened = connection.get();
       if (closes_) {
         opened->CloseAfterPending();
@@ -218,17 +241,28 @@
 
   // Reads what has arrived and passes whole requests to the handler.
   void TakeRequests(CallConnection* connection) {
-    const size_t listener = connection->listener();
-    connection->Read(
-        *limits_[listener],
-        [this, connection, listener](const state::HttpRequest& request) {
-          const uint64_t id = next_request_++;
-          requests_[id] = connection;
-          handler_->OnRequest(ReceivedRequest{
-              .request_id_ = id, .listener_ = listener, .request_ = request});
-          return id;
-        },
-        clock_.Now());
+    connection->Read(*limits_[connection->listener()], TakeFor(connection),
+                     clock_.Now());
+  }
+
+  CallConnection::Take TakeFor(CallConnection* connection) {
+    return [this, connection](const state::HttpRequest& request) {
+      const uint64_t id = next_request_++;
+      requests_[id] = connection;
+      handler_->OnRequest(ReceivedRequest{.request_id_ = id,
+                                          .listener_ = connection->listener(),
+                                          .request_ = request});
+      return id;
+    };
+  }
+
+  // Goes on with the requests that waited for room, the oldest first.
+  void ReadHeld() {
+    for (CallConnection* connection : HeldByAge(All())) {
+      connection->ReadHeld(*limits_[connection->listener()],
+                           TakeFor(connection), clock_.Now());
+      Continue(connection);
+    }
   }
 
   // Sends what is ready, reads what was left, and removes what has ended.
@@ -236,6 +270,10 @@
     if (!connection->is_done()) {
       connection->Flush(clock_.Now());
     }
+    for (int refused = connection->TakeRoomRefusals(); refused > 0; --refused) {
+      counters_->Add(state::RefusalReason::kMemoryPressure);
+      ++refused_for_room_;
+    }
     if (connection->is_done()) {
       Remove(connection);
       return;
@@ -265,11 +303,32 @@
       connection->CheckTime(*limits_[connection->listener()], now);
       Continue(connection);
     }
+    Relieve(now);
     if (stopping_) {
       CloseIdle();
     }
   }
 
+  // Closes connections that hold room while others need it.
+  void Relieve(state::Millis now) {
+    std::map<uint64_t, CallConnection*> connections;
+    std::vector<MemoryRelief::Load> loads;
+    const size_t held = options_.account_->held();
+    const size_t limit = options_.account_->limit();
+    size_t wanted = kRefusedBytes * std::exchange(refused_for_room_, 0);
+    wanted += held > limit ? held - limit : 0;
+    for (CallConnection* connection : All()) {
+      wanted += connection->missing_bytes();
+      loads.push_back(connection->load());
+      connections.emplace(loads.back().connection_, connection);
+    }
+    for (const uint64_t number : relief_.Choose(loads, wanted, now)) {
+      CallConnection* connection = connections.at(number);
+      connection->CloseForRoom();
+      Continue(connection);
+    }
+  }
+
   void CloseIdle() {
     for (CallConnection* connection : All()) {
       // A request may have arrived since the last wait for events. Closing the
@@ -304,6 +363,12 @@
   bool closes_ = false;
   bool stopping_ = false;
   state::Millis check_at_;
+  MemoryRelief relief_;
+  size_t refused_for_room_ = 0;  // Since the last check of the time.
+  uint64_t next_connection_ = 1;
+  uint64_t waiter_ = 0;
+  // Bytes were given back to the account after a refusal.
+  std::atomic<bool> has_room_ = false;
   absl::Notification all_answered_;
   std::unique_ptr<DutyThread> thread_;
 };
--- a/src/transport/internal/http_message.cc
+++ b/src/transport/internal/http_message.cc
@@ -25,15 +25,6 @@
   return method == "POST" || method == "PUT" || method == "PATCH";
 }
 
-// Answers with these statuses have no body and state no length.
-bool IsBodiless(int status) {
-  constexpr int kFirstFinalStatus = 200;
-  constexpr int kNoContent = 204;
-  constexpr int kNotModified = 304;
-  return status < kFirstFinalStatus || status == kNoContent ||
-         status == kNotModified;
-}
-
 void AppendHeaders(const std::vector<state::HttpHeader>& headers,
                    std::string* text) {
   for (const state::HttpHeader& header : headers) {
@@ -82,6 +73,14 @@
   return text;
 }
 
+bool IsBodiless(int status) {
+  constexpr int kFirstFinalStatus = 200;
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return status < kFirstFinalStatus || status == kNoContent ||
+         status == kNotModified;
+}
+
 std::string PrintAnswer(const state::HttpAnswer& answer,
                         bool has_body,
                         AfterAnswer after) {
--- a/src/transport/internal/http_message.h
+++ b/src/transport/internal/http_message.h
@@ -29,6 +29,9 @@
 std::string PrintRequest(const state::HttpRequest& request,
                          absl::string_view address);
 
+// Returns whether answers with this status have no body and state no length.
+bool IsBodiless(int status);
+
 enum class AfterAnswer { kKeepOpen, kClose };
 
 // Returns the text of an answer. `has_body` is false for an answer to HEAD.
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -5,6 +5,7 @@
 // that join them, the HTTP server and client, and the peer endpoint.
 
 #include "transport/api/answer_slot.h"
+#include "transport/api/byte_account.h"
 #include "transport/api/call_server.h"
 #include "transport/api/duty_thread.h"
 #include "transport/api/http_server.h"
