Account for the bytes of callers at the project's own front

What callers saw: 64 unfinished bodies of 3 MiB took a daemon with 16 workers far beyond the memory of its instance.

Cause: each worker read its body into a buffer that doubled, whatever the other workers held; a worker also kept its last request and answer until the next.

Change: HttpServer charges the same account as the platform's front: a head before it is parsed, a body with a length as a whole, a chunked body when its buffer grows, an answer until it is sent. What does not fit is refused at once with 503 and the outcome not-run, since a worker that waits could not serve small requests. A worker without work holds nothing.

Why this works: every path of a request ends in Serve, which ends its charges, or in the last copy of its body.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -254,7 +254,8 @@
           .workers_ = http.workers_,
           .max_connections_ = http.max_connections_,
           .max_header_bytes_ = static_cast<size_t>(http.max_header_bytes_),
-          .max_body_bytes_ = static_cast<size_t>(http.max_body_bytes_)},
+          .max_body_bytes_ = static_cast<size_t>(http.max_body_bytes_),
+          .account_ = account_},
       [this](const state::HttpRequest& request) {
         return front_->Handle(request);
       },
--- a/src/transport/api/http_server.h
+++ b/src/transport/api/http_server.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "state/state.h"
+#include "transport/api/byte_account.h"
 
 namespace gooseberrygap::transport {
 
@@ -25,6 +26,10 @@
     // Added to the answers that the server gives itself: 400, 408, 413 and 431,
     // when a request is refused before the handler sees it.
     const std::vector<state::HttpHeader> refusal_headers_ = {};
+    // Charged with what is held for callers. A request for which it has no room
+    // is refused with 503, before it has run.
+    const std::shared_ptr<ByteAccount> account_ =
+        std::make_shared<ByteAccount>();
   };
 
   // Answers a request. Runs on a worker thread and may block it. The path is
--- a/src/transport/internal/request_reader.cc
+++ b/src/transport/internal/request_reader.cc
@@ -1,9 +1,11 @@
 #include "transport/internal/request_reader.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "absl/strings/match.h"
+#include "transport/internal/body_buffer.h"
 #include "transport/internal/http_head.h"
 #include "transport/internal/http_message.h"
 
@@ -16,8 +18,6 @@
 // Bytes after the head that may wait for the end of a chunk's size line or of
 // the trailer. The parser limits heads and bodies only.
 constexpr size_t kMaxUnparsedBytes = 65536;
-// First capacity for a body whose length is not known.
-constexpr size_t kMinChunkedBytes = 4096;
 
 constexpr int kBadRequest = 400;
 constexpr int kTooLarge = 413;
@@ -90,21 +90,16 @@
 
 bool RequestReader::ReserveChunks(size_t next_bytes) {
   std::string& body = parser_.get().body();
-  const size_t needed = std::min(body.size() + next_bytes, max_body_bytes_);
-  if (needed <= body.capacity()) {
+  const std::optional<size_t> capacity =
+      NeededCapacity(body, next_bytes, max_body_bytes_);
+  if (!capacity.has_value()) {
     return true;
   }
-  const size_t capacity =
-      std::max(needed, std::min(std::max(kMinChunkedBytes, 2 * body.capacity()),
-                                max_body_bytes_));
   // The charge for the copy covers the old buffer while both exist.
-  if (!TryCharge(&charge_.body_, BodyCost(capacity))) {
+  if (!TryCharge(&charge_.body_, BodyCost(*capacity))) {
     return false;
   }
-  std::string larger;
-  larger.reserve(capacity);
-  larger.append(body);
-  body.swap(larger);
+  Enlarge(&body, *capacity);
   return true;
 }
 
--- a/src/transport/internal/request_runner.cc
+++ b/src/transport/internal/request_runner.cc
@@ -6,6 +6,8 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "protocol/protocol.h"
+#include "transport/internal/body_buffer.h"
 
 namespace gooseberrygap::transport {
 
@@ -17,6 +19,10 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
+constexpr int kUnavailable = 503;
+// The answer's body exists in the answer, in httplib's response and in the
+// stream's output.
+constexpr size_t kAnswerCopies = 3;
 
 constexpr char kAnyPath[] = "/";
 constexpr char kContentLength[] = "Content-Length";
@@ -30,6 +36,7 @@
     {kBadRequest, "Bad Request"},
     {kRequestTimeout, "Request Timeout"},
     {kHeadersTooLarge, "Request Header Fields Too Large"},
+    {kUnavailable, "Service Unavailable"},
 };
 
 }  // namespace
@@ -69,6 +76,13 @@
 }
 
 ConnectionFate RequestRunner::Serve(HttpConnection* connection) {
+  const ConnectionFate fate = ServeNext(connection);
+  // A worker without work holds nothing.
+  exchange_.reset();
+  return fate;
+}
+
+ConnectionFate RequestRunner::ServeNext(HttpConnection* connection) {
   SocketStream& stream = connection->stream();
   stream.BeginMessage(clock_.Now() + options_.request_timeout_);
   if (!stream.LoadHead()) {
@@ -76,14 +90,20 @@
   }
   exchange_.emplace();
   exchange_->connection_ = connection;
+  exchange_->charge_.emplace(options_.account_);
+  const size_t head_cost = HeadCost(stream.head());
+  if (!exchange_->charge_->head_.TryResize(head_cost, UseOf(head_cost))) {
+    return SendRefusal(connection, kUnavailable);
+  }
   bool connection_closed = false;
   process_request(stream, false, connection_closed,
                   [this](httplib::Request& request) { TakeHead(&request); });
-  if (!exchange_->answer_) {
+  if (!exchange_->answer_ && exchange_->refusal_ != kUnavailable) {
     counters_->Add(state::Counter::kHttpRequestsMalformed);
   }
   stream.SetDeadline(clock_.Now() + options_.request_timeout_);
-  if (!stream.Flush()) {
+  const bool is_sent = stream.Flush();
+  if (!is_sent) {
     return ConnectionFate::kClosed;
   }
   if (!exchange_->closes_) {
@@ -101,11 +121,33 @@
     return ConnectionFate::kClosed;
   }
   counters_->Add(state::Counter::kHttpRequestsMalformed);
-  stream.SendRefusal(RefusalResponse(too_large ? kHeadersTooLarge : kBadRequest,
-                                     options_.refusal_headers_));
+  return SendRefusal(connection, too_large ? kHeadersTooLarge : kBadRequest);
+}
+
+ConnectionFate RequestRunner::SendRefusal(HttpConnection* connection,
+                                          int status) {
+  if (status == kUnavailable) {
+    counters_->Add(state::RefusalReason::kMemoryPressure);
+  }
+  connection->stream().SendRefusal(
+      RefusalResponse(status, RefusalHeaders(status)));
   return ConnectionFate::kLingers;
 }
 
+std::vector<state::HttpHeader> RequestRunner::RefusalHeaders(int status) const {
+  std::vector<state::HttpHeader> headers = options_.refusal_headers_;
+  if (status == kUnavailable) {
+    const absl::string_view reason =
+        state::NameOf(state::RefusalReason::kMemoryPressure);
+    headers.push_back(
+        {.name_ = std::string(protocol::kOutcomeHeader), .value_ = "not-run"});
+    headers.push_back({.name_ = std::string(protocol::kReasonHeader),
+                       .value_ = std::string(reason)});
+    headers.push_back({.name_ = "Retry-After", .value_ = "1"});
+  }
+  return headers;
+}
+
 void RequestRunner::TakeHead(httplib::Request* request) {
   exchange_->method_ = request->method;
   exchange_->path_ = request->target;
@@ -140,6 +182,10 @@
   std::string body;
   const int refusal = ReadBody(read_content, &body);
   if (refusal != 0) {
+    if (refusal == kUnavailable) {
+      counters_->Add(state::RefusalReason::kMemoryPressure);
+    }
+    exchange_->refusal_ = refusal;
     response->status = refusal;
     return;
   }
@@ -147,8 +193,12 @@
       handler_({.method_ = exchange_->method_,
                 .path_ = exchange_->path_,
                 .headers_ = exchange_->headers_,
-                .body_ = state::Bytes(std::move(body))}));
+                .body_ = ChargedBytes(std::move(body),
+                                      std::move(*exchange_->charge_))}));
   response->status = exchange_->answer_->status_;
+  exchange_->answer_charge_.emplace(options_.account_, HeldKind::kAnswers);
+  exchange_->answer_charge_->Resize(kAnswerCopies *
+                                    exchange_->answer_->body_.size());
   if (HasBody(response->status)) {
     response->body = exchange_->answer_->body_.ToString();
   }
@@ -164,16 +214,36 @@
   if (too_large) {
     return kPayloadTooLarge;
   }
+  if (exchange_->length_ > 0) {
+    if (!ChargeBody(exchange_->length_)) {
+      return kUnavailable;
+    }
+    body->reserve(exchange_->length_);
+  }
+  bool has_room = true;
   const bool whole = read_content([&](const char* bytes, size_t size) {
     too_large = body->size() + size > max_bytes;
-    if (!too_large) {
-      body->append(bytes, size);
+    if (too_large) {
+      return false;
+    }
+    const std::optional<size_t> capacity =
+        NeededCapacity(*body, size, max_bytes);
+    has_room = !capacity.has_value() || ChargeBody(*capacity);
+    if (!has_room) {
+      return false;
+    }
+    if (capacity.has_value()) {
+      Enlarge(body, *capacity);
     }
-    return !too_large;
+    body->append(bytes, size);
+    return true;
   });
   if (too_large) {
     return kPayloadTooLarge;
   }
+  if (!has_room) {
+    return kUnavailable;
+  }
   const SocketStream& stream = exchange_->connection_->stream();
   if (whole && stream.ChunksComplete()) {
     return 0;
@@ -181,10 +251,16 @@
   return stream.end() == StreamEnd::kTimeout ? kRequestTimeout : kBadRequest;
 }
 
+bool RequestRunner::ChargeBody(size_t capacity) {
+  RequestCharge& charge = *exchange_->charge_;
+  const size_t cost = BodyCost(capacity);
+  return charge.body_.TryResize(cost, UseOf(charge.head_.bytes() + cost));
+}
+
 void RequestRunner::FinishHeaders(httplib::Response* response) {
-  const std::vector<state::HttpHeader>& headers =
+  const std::vector<state::HttpHeader> headers =
       exchange_->answer_ ? exchange_->answer_->headers_
-                         : options_.refusal_headers_;
+                         : RefusalHeaders(exchange_->refusal_);
   response->headers.clear();
   for (const state::HttpHeader& header : EndToEndHeaders(headers)) {
     response->set_header(header.name_, header.value_);
--- a/src/transport/internal/request_runner.h
+++ b/src/transport/internal/request_runner.h
@@ -30,7 +30,10 @@
   Framing framing_ = Framing::kInvalid;
   size_t length_ = 0;
   bool closes_ = true;
+  int refusal_ = 0;  // Status of a refusal before the handler, if not 0.
   std::optional<state::HttpAnswer> answer_;
+  std::optional<RequestCharge> charge_;
+  std::optional<ByteCharge> answer_charge_;
 };
 
 // Runs requests one after the other for a worker: httplib parses the head and
@@ -54,7 +57,9 @@
   ConnectionFate Serve(HttpConnection* connection);
 
  private:
+  ConnectionFate ServeNext(HttpConnection* connection);
   ConnectionFate Refuse(HttpConnection* connection);
+  ConnectionFate SendRefusal(HttpConnection* connection, int status);
   // Called by httplib in this order.
   void TakeHead(httplib::Request* request);
   void Answer(httplib::Response* response,
@@ -63,6 +68,9 @@
 
   // Returns the status of the refusal, or 0 and the body.
   int ReadBody(const httplib::ContentReader& read_content, std::string* body);
+  // Returns whether the account has room for a body of that capacity.
+  bool ChargeBody(size_t capacity);
+  std::vector<state::HttpHeader> RefusalHeaders(int status) const;
   bool HasBody(int status) const;
   bool ShouldClose();
 
--- a/src/transport/internal/socket_stream.h
+++ b/src/transport/internal/socket_stream.h
@@ -67,6 +67,8 @@
   StreamEnd end() const { return end_; }
   // Returns whether any byte was handed to the system since BeginMessage.
   bool has_sent() const { return has_sent_; }
+  // Returns the escaped head, after LoadHead.
+  absl::string_view head() const { return head_; }
   // Returns whether the head of the message has come.
   bool has_head() const { return head_loaded_; }
 
--- a/src/transport/tests/http_server_test.cc
+++ b/src/transport/tests/http_server_test.cc
@@ -370,5 +370,36 @@
   CHECK(named.error().kind_ == state::ErrorKind::kInvalidSettings);
 }
 
+// Guards against bodies and heads that fill the memory, and against a refusal
+// that does not promise that the request was not run.
+TEST_CASE("an HTTP request without room in the account is refused as not run") {
+  const auto account = std::make_shared<ByteAccount>(
+      ByteAccount::Options{.limit_bytes_ = 100000, .reserve_bytes_ = 20000});
+  Server server(
+      {.listen_address_ = "127.0.0.1:0", .workers_ = 1, .account_ = account});
+  const std::string head = "POST / HTTP/1.1\r\nHost: h\r\n";
+  std::string lines;
+  for (int i = 0; i < 1000; ++i) {
+    lines += "a:\r\n";
+  }
+  const std::string chunk = "8000\r\n" + std::string(0x8000, 'x') + "\r\n";
+  const std::vector<std::string> requests = {
+      head + "Content-Length: 50000\r\n\r\n",
+      head + "Transfer-Encoding: chunked\r\n\r\n" + chunk + chunk,
+      head + lines + "\r\n"};
+  for (const std::string& request : requests) {
+    const std::string answer = server.Exchange(request);
+    CHECK(answer.rfind("HTTP/1.1 503", 0) == 0);
+    CHECK(Contains(answer, "Gooseberrygap-Outcome: not-run\r\n"));
+    CHECK(Eventually([&] { return account->held() == 0; }));
+  }
+  CHECK(server.requests_ == 0);
+  CHECK(server.counters_.Get(state::RefusalReason::kMemoryPressure) == 3);
+  CHECK(Contains(server.Exchange(head + "Content-Length: 2\r\nConnection: "
+                                        "close\r\n\r\nab"),
+                 "POST / ab."));
+  CHECK(Eventually([&] { return account->held() == 0; }));
+}
+
 }  // namespace
 }  // namespace gooseberrygap::transport
