Account for attempts at the guard, and carry large bodies with one copy

What callers saw: the memory of a guard was not bounded, since it took every attempt of every daemon; and a body of 64 MiB, which the limits allow, was never forwarded: its message exceeded the limit of the peers' link.

Cause: PeerEndpoint decoded and passed on whatever came. A body was copied into the envelope, the encoding and the link's message, and again twice at the guard.

Change: the body of an attempt is charged to the account when it is decoded, until its last copy ends; an attempt that does not fit is refused as not run with memory_pressure. A body of 64 KiB and more is encoded behind the rest of its message, as a second occurrence of the message's field, which every parser merges, with the magic number at the end, so that a cut message is still refused. The encoding goes to ZeroMQ without a copy, and decoding moves the body. The limit of a message is 65 MiB. Both changes are in one commit because the charge needs the decoder that hands the body over.

Why this works: of a large body each daemon holds two copies at a time, which is what the account charges.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -169,7 +169,8 @@
           // it is not answered.
           .heartbeat_interval_ = settings_.control_.has_value()
                                      ? kLogLinkHeartbeat
-                                     : state::Millis(0)},
+                                     : state::Millis(0),
+          .account_ = account_},
       [this](transport::ReceivedPeerMessage arrival) {
         OnPeerMessage(std::move(arrival));
       },
--- a/src/protocol/internal/peer_codec.cc
+++ b/src/protocol/internal/peer_codec.cc
@@ -1,5 +1,6 @@
 #include <memory>
 
+#include "protocol/internal/large_body.h"
 #include "protocol/internal/wire_values.h"
 #include "protocol/protocol.h"
 
@@ -70,9 +71,15 @@
   out->set_to(message.to_);
 }
 
+template <class Part>
+void SetBody(const state::Bytes& body, Part* out) {
+  out->set_body(body.view().data(), body.size());
+}
+
 // One overload for each message: writes it into the envelope.
 struct Encoder {
   wire::Envelope* envelope_;
+  bool leaves_out_body_ = false;  // Of an attempt or an answer.
 
   void operator()(const coordination::Attempt& message) const {
     wire::Attempt* out = envelope_->mutable_attempt();
@@ -80,7 +87,10 @@
     out->set_attempt(message.attempt_);
     out->set_service(message.service_);
     out->set_target(message.target_);
-    ToWire(message.request_, out->mutable_request());
+    HeadToWire(message.request_, out->mutable_request());
+    if (!leaves_out_body_) {
+      SetBody(message.request_.body_, out->mutable_request());
+    }
     out->set_deadline_left(message.deadline_left_.value());
     out->set_depth(message.depth_);
     out->set_request_class(static_cast<uint32_t>(message.request_class_));
@@ -111,7 +121,10 @@
     out->set_attempt(message.attempt_);
     out->set_result(static_cast<uint32_t>(message.result_));
     out->set_refusal(static_cast<uint32_t>(message.refusal_));
-    ToWire(message.answer_, out->mutable_answer());
+    HeadToWire(message.answer_, out->mutable_answer());
+    if (!leaves_out_body_) {
+      SetBody(message.answer_.body_, out->mutable_answer());
+    }
     ToWire(message.load_, out->mutable_load());
     out->set_target(message.target_);
     out->set_guard_time(message.guard_time_.value());
@@ -664,6 +677,22 @@
     {wire::Envelope::kResumeAttempt, ReadResumeAttempt},
 };
 
+// Moves the body of an attempt or an answer to the reader.
+void MoveBody(wire::Envelope* envelope,
+              const MakeBody& make_body,
+              WireReader* reader) {
+  if (envelope->has_attempt()) {
+    std::string body = std::move(
+        *envelope->mutable_attempt()->mutable_request()->mutable_body());
+    reader->SetBody(make_body ? make_body(std::move(body))
+                              : state::Bytes(std::move(body)));
+  } else if (envelope->has_attempt_answer()) {
+    reader->SetBody(state::Bytes(std::move(*envelope->mutable_attempt_answer()
+                                                ->mutable_answer()
+                                                ->mutable_body())));
+  }
+}
+
 state::Error Malformed(absl::string_view what) {
   return state::MakeError(state::ErrorKind::kMalformedMessage, what);
 }
@@ -671,14 +700,30 @@
 }  // namespace
 
 std::string EncodePeerMessage(const coordination::PeerMessage& message) {
+  const std::optional<LargeBody> large = LargeBodyOf(message);
   wire::Envelope envelope;
-  envelope.set_magic(kMagic);
-  std::visit(Encoder{.envelope_ = &envelope}, message);
-  return envelope.SerializeAsString();
+  std::visit(
+      Encoder{.envelope_ = &envelope, .leaves_out_body_ = large.has_value()},
+      message);
+  if (!large.has_value()) {
+    envelope.set_magic(kMagic);
+    return envelope.SerializeAsString();
+  }
+  std::string bytes;
+  bytes.reserve(envelope.ByteSizeLong() + large->content_.size() +
+                kLargeBodyOverhead);
+  envelope.AppendToString(&bytes);
+  AppendLargeBody(*large, &bytes);
+  // Behind the body, so that a message that is cut off before it is refused.
+  wire::Envelope end;
+  end.set_magic(kMagic);
+  end.AppendToString(&bytes);
+  return bytes;
 }
 
 state::Result<coordination::PeerMessage> DecodePeerMessage(
-    absl::string_view bytes) {
+    absl::string_view bytes,
+    const MakeBody& make_body) {
   wire::Envelope envelope;
   if (!envelope.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
     return Malformed("The peer message is not a whole envelope");
@@ -691,6 +736,7 @@
       continue;
     }
     WireReader reader;
+    MoveBody(&envelope, make_body, &reader);
     PeerMessage message = row.read_(envelope, &reader);
     if (!reader.valid()) {
       return Malformed("The peer message has a field that is out of range");
--- a/src/protocol/internal/wire_values.cc
+++ b/src/protocol/internal/wire_values.cc
@@ -206,17 +206,25 @@
   return state::Millis(value);
 }
 
-void ToWire(const state::HttpRequest& value, wire::HttpRequest* out) {
+void HeadToWire(const state::HttpRequest& value, wire::HttpRequest* out) {
   out->set_method(value.method_);
   out->set_path(value.path_);
   HeadersToWire(value.headers_, out);
-  out->set_body(value.body_.ToString());
 }
 
-void ToWire(const state::HttpAnswer& value, wire::HttpAnswer* out) {
+void HeadToWire(const state::HttpAnswer& value, wire::HttpAnswer* out) {
   out->set_status(value.status_);
   HeadersToWire(value.headers_, out);
-  out->set_body(value.body_.ToString());
+}
+
+void ToWire(const state::HttpRequest& value, wire::HttpRequest* out) {
+  HeadToWire(value, out);
+  out->set_body(value.body_.view().data(), value.body_.size());
+}
+
+void ToWire(const state::HttpAnswer& value, wire::HttpAnswer* out) {
+  HeadToWire(value, out);
+  out->set_body(value.body_.view().data(), value.body_.size());
 }
 
 void ToWire(const state::GuardLoad& value, wire::GuardLoad* out) {
@@ -333,17 +341,17 @@
   out->set_content(value.content_.ToString());
 }
 
-state::HttpRequest FromWire(const wire::HttpRequest& in, WireReader*) {
+state::HttpRequest FromWire(const wire::HttpRequest& in, WireReader* reader) {
   return state::HttpRequest{.method_ = in.method(),
                             .path_ = in.path(),
                             .headers_ = HeadersFromWire(in),
-                            .body_ = state::Bytes(in.body())};
+                            .body_ = reader->BodyOf(in.body())};
 }
 
-state::HttpAnswer FromWire(const wire::HttpAnswer& in, WireReader*) {
+state::HttpAnswer FromWire(const wire::HttpAnswer& in, WireReader* reader) {
   return state::HttpAnswer{.status_ = in.status(),
                            .headers_ = HeadersFromWire(in),
-                           .body_ = state::Bytes(in.body())};
+                           .body_ = reader->BodyOf(in.body())};
 }
 
 state::GuardLoad FromWire(const wire::GuardLoad& in, WireReader* reader) {
--- a/src/protocol/internal/wire_values.h
+++ b/src/protocol/internal/wire_values.h
@@ -1,7 +1,9 @@
 #ifndef PROTOCOL_INTERNAL_WIRE_VALUES_H_
 #define PROTOCOL_INTERNAL_WIRE_VALUES_H_
 
+#include <optional>
 #include <string>
+#include <utility>
 
 #include "peer.pb.h"
 #include "state/state.h"
@@ -32,13 +34,22 @@
   }
   // Returns a duration; one that is not a finite number is a fault.
   state::Millis MillisOf(double value);
+  // Sets the body that BodyOf returns next instead of a copy of the field.
+  void SetBody(state::Bytes body) { body_.emplace(std::move(body)); }
+  state::Bytes BodyOf(const std::string& field) {
+    return body_.has_value() ? *body_ : state::Bytes(field);
+  }
   void SetInvalid() { valid_ = false; }
   bool valid() const { return valid_; }
 
  private:
   bool valid_ = true;
+  std::optional<state::Bytes> body_;
 };
 
+// HeadToWire leaves the body out.
+void HeadToWire(const state::HttpRequest& value, wire::HttpRequest* out);
+void HeadToWire(const state::HttpAnswer& value, wire::HttpAnswer* out);
 void ToWire(const state::HttpRequest& value, wire::HttpRequest* out);
 void ToWire(const state::HttpAnswer& value, wire::HttpAnswer* out);
 void ToWire(const state::GuardLoad& value, wire::GuardLoad* out);
--- a/src/protocol/tests/peer_codec_test.cc
+++ b/src/protocol/tests/peer_codec_test.cc
@@ -40,6 +40,32 @@
   CHECK(decoded_call.value() == call);
 }
 
+// Guards against a large body that is lost, cut or mixed up, since it is
+// encoded apart from the rest of its message.
+TEST_CASE("large bodies of attempts and answers are carried whole") {
+  const std::string content(200000, 'z');
+  const state::Bytes body(content);
+  const coordination::PeerMessage attempt = coordination::Attempt{
+      .request_id_ = "r-1",
+      .request_ = {.method_ = "POST", .path_ = "/p", .body_ = body},
+      .host_ = "h.example"};
+  const coordination::PeerMessage answer =
+      coordination::AttemptAnswer{.request_id_ = "r-1",
+                                  .answer_ = {.status_ = 200, .body_ = body},
+                                  .target_ = "t"};
+  for (const coordination::PeerMessage& message : {attempt, answer}) {
+    const std::string whole = EncodePeerMessage(message);
+    const auto decoded = DecodePeerMessage(whole);
+    REQUIRE(decoded);
+    CHECK(decoded.value() == message);
+    for (size_t size = 0; size < whole.size(); size += size < 100 ? 1 : 9999) {
+      CHECK_FALSE(DecodePeerMessage(whole.substr(0, size)));
+    }
+    CHECK_FALSE(DecodePeerMessage(whole.substr(0, whole.size() - 1)));
+    CHECK_FALSE(DecodePeerMessage(whole.substr(0, whole.size() - 5)));
+  }
+}
+
 // Guards against a withdrawal that is lost between a daemon and the control
 // group, and against a message of an earlier build that is read as one.
 TEST_CASE("a withdrawal is carried by renewals and replies") {
--- a/src/transport/api/byte_account.h
+++ b/src/transport/api/byte_account.h
@@ -105,8 +105,10 @@
 
 // What one request is charged.
 struct RequestCharge {
-  explicit RequestCharge(const std::shared_ptr<ByteAccount>& account)
-      : head_(account, HeldKind::kHeads), body_(account, HeldKind::kBodies) {}
+  explicit RequestCharge(const std::shared_ptr<ByteAccount>& account,
+                         HeldKind head = HeldKind::kHeads,
+                         HeldKind body = HeldKind::kBodies)
+      : head_(account, head), body_(account, body) {}
 
   size_t bytes() const { return head_.bytes() + body_.bytes(); }
 
--- a/src/transport/api/peer_endpoint.h
+++ b/src/transport/api/peer_endpoint.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "coordination/coordination.h"
+#include "transport/api/byte_account.h"
 
 namespace gooseberrygap::transport {
 
@@ -31,12 +32,17 @@
     const state::Millis heartbeat_timeout_ = state::Millis(3000);
     const size_t ring_capacity_ = 8192;
     // Larger messages are refused by the sender and by the receiver.
-    const size_t max_message_bytes_ = 67108864;
+    // Room for a body of the largest size and its head.
+    const size_t max_message_bytes_ = 68157440;
     // A connection to an address without traffic for longer is closed, so that
     // their number follows from the calls and not from the number of peers. One
     // on which an attempt is unanswered is kept for longer.
     const state::Millis close_unused_after_ = state::Millis(30000);
     const state::Millis close_unanswered_after_ = state::Millis(300000);
+    // Charged with the attempts of other daemons. One for which it has no room
+    // is refused as not run.
+    const std::shared_ptr<ByteAccount> account_ =
+        std::make_shared<ByteAccount>();
   };
 
   // Called on the peer thread for each decoded message; must not block.
--- a/src/transport/internal/peer_endpoint.cc
+++ b/src/transport/internal/peer_endpoint.cc
@@ -20,6 +20,9 @@
 // without a close, so they may be rare: their number grows with the peers.
 constexpr state::Millis kAcceptedHeartbeatInterval(10000);
 constexpr state::Millis kAcceptedHeartbeatTimeout(30000);
+// Memory of an attempt without its body, as a multiple of its encoding: a
+// header has two strings in each value that holds the attempt.
+constexpr size_t kHeadFactor = 16;
 constexpr state::Millis kShutdownLinger(300);
 // A link without an attempt on which nothing has come since it was opened is
 // replaced after this time by one whose connects may take longer. The last
@@ -202,18 +205,18 @@
 }
 
 void PeerEndpointImpl::SendOn(Link* link,
-                              std::vector<absl::string_view> frames,
+                              const std::vector<absl::string_view>& frames,
                               const coordination::PeerMessage& message) {
-  const std::string payload = protocol::EncodePeerMessage(message);
-  frames.push_back(payload);
+  std::string payload = protocol::EncodePeerMessage(message);
+  const size_t bytes = payload.size();
   // A receiver closes the connection on a message above the limit, which would
   // lose the others in flight.
-  if (payload.size() > options_.max_message_bytes_ ||
-      !link->socket_.Send(frames)) {
+  if (bytes > options_.max_message_bytes_ ||
+      !link->socket_.Send(frames, std::move(payload))) {
     counters_->Add(state::Counter::kPeerSendsRefused);
   } else {
     counters_->Add(state::Counter::kPeerMessagesSent);
-    counters_->Add(state::Counter::kPeerBytesSent, payload.size());
+    counters_->Add(state::Counter::kPeerBytesSent, bytes);
   }
   link->last_used_ = clock_.Now();
   // Sending may take the signal of an arrival off the poll descriptor.
@@ -240,35 +243,65 @@
       link->has_received_ = true;
       connect_schedule_.OnReceived(link->address_);
     }
-    HandleFrames(link, frames);
+    HandleFrames(link, std::exchange(frames, {}));
   }
   return false;
 }
 
 void PeerEndpointImpl::HandleFrames(Link* link,
-                                    const std::vector<std::string>& frames) {
+                                    std::vector<std::string> frames) {
   const size_t expected = link == router_ ? 2 : 1;
   if (frames.size() != expected) {
     counters_->Add(state::Counter::kPeerMessagesMalformed);
     return;
   }
-  const std::string& payload = frames.back();
+  bool has_room = true;
+  const size_t bytes = frames.back().size();
   state::Result<coordination::PeerMessage> message =
-      protocol::DecodePeerMessage(payload);
+      Decode(frames.back(), &has_room);
   if (!message) {
     counters_->Add(state::Counter::kPeerMessagesMalformed);
     return;
   }
+  // The body exists a second time from here on.
+  frames.back() = std::string();
   if (std::holds_alternative<coordination::AttemptAnswer>(message.value())) {
     link->OnAttemptEnded();
   }
   counters_->Add(state::Counter::kPeerMessagesReceived);
-  counters_->Add(state::Counter::kPeerBytesReceived, payload.size());
+  counters_->Add(state::Counter::kPeerBytesReceived, bytes);
+  const auto* attempt = std::get_if<coordination::Attempt>(&message.value());
+  if (attempt != nullptr && !has_room) {
+    counters_->Add(state::RefusalReason::kMemoryPressure);
+    SendOn(link, {frames.begin(), frames.end() - 1},
+           coordination::AttemptAnswer{
+               .request_id_ = attempt->request_id_,
+               .attempt_ = attempt->attempt_,
+               .result_ = coordination::AttemptResult::kRefused,
+               .refusal_ = state::RefusalReason::kMemoryPressure,
+               .target_ = attempt->target_});
+    return;
+  }
   handler_({.connection_ = link == router_ ? frames.front() : std::string(),
             .address_ = link->address_,
             .message_ = std::move(message).value()});
 }
 
+state::Result<coordination::PeerMessage> PeerEndpointImpl::Decode(
+    const std::string& payload,
+    bool* has_room) {
+  return protocol::DecodePeerMessage(payload, [&](std::string body) {
+    RequestCharge charge(options_.account_, HeldKind::kMessages,
+                         HeldKind::kMessages);
+    const size_t head = kHeadFactor * (payload.size() - body.size());
+    const size_t cost = head + BodyCost(body.capacity());
+    const ByteUse use = UseOf(cost);
+    *has_room = charge.body_.TryResize(cost, use);
+    return *has_room ? ChargedBytes(std::move(body), std::move(charge))
+                     : state::Bytes();
+  });
+}
+
 PeerEndpointImpl::Link* PeerEndpointImpl::DealerFor(
     const std::string& address) {
   const auto known = dealers_.find(address);
--- a/src/transport/internal/peer_endpoint_impl.h
+++ b/src/transport/internal/peer_endpoint_impl.h
@@ -82,14 +82,18 @@
   void Execute(const coordination::SendToPeer& command);
   void Execute(const coordination::ReplyToPeer& command);
   void Execute(const coordination::ResetLink& command);
-  // Appends the encoded message to `frames` and sends them.
+  // Sends `frames` and the encoded message.
   void SendOn(Link* link,
-              std::vector<absl::string_view> frames,
+              const std::vector<absl::string_view>& frames,
               const coordination::PeerMessage& message);
   void ReceiveAll();
   // Returns true when the socket has no message left.
   bool ReceiveSome(Link* link);
-  void HandleFrames(Link* link, const std::vector<std::string>& frames);
+  void HandleFrames(Link* link, std::vector<std::string> frames);
+  // Returns the message, with the body of an attempt charged to the account;
+  // `has_room` tells whether it fits.
+  state::Result<coordination::PeerMessage> Decode(const std::string& payload,
+                                                  bool* has_room);
   // Returns nullptr when the address is not valid.
   Link* DealerFor(const std::string& address);
   Link* AddLink(const std::string& address, ZmqSocket socket);
--- a/src/transport/internal/zmq_socket.cc
+++ b/src/transport/internal/zmq_socket.cc
@@ -119,16 +119,25 @@
   return fd;
 }
 
-bool ZmqSocket::Send(const std::vector<absl::string_view>& frames) {
-  for (size_t i = 0; i < frames.size(); ++i) {
-    const int more = i + 1 < frames.size() ? ZMQ_SNDMORE : 0;
+bool ZmqSocket::Send(const std::vector<absl::string_view>& frames,
+                     std::string payload) {
+  for (const absl::string_view frame : frames) {
     // Only the first frame can be refused: ZeroMQ takes a message as a whole.
-    if (zmq_send(socket_, frames[i].data(), frames[i].size(),
-                 ZMQ_DONTWAIT | more) < 0) {
+    if (zmq_send(socket_, frame.data(), frame.size(),
+                 ZMQ_DONTWAIT | ZMQ_SNDMORE) < 0) {
       return false;
     }
   }
-  return true;
+  auto* owned = new std::string(std::move(payload));
+  zmq_msg_t message;
+  zmq_msg_init_data(
+      &message, owned->data(), owned->size(),
+      [](void*, void* hint) { delete static_cast<std::string*>(hint); }, owned);
+  const bool is_sent = zmq_msg_send(&message, socket_, ZMQ_DONTWAIT) >= 0;
+  if (!is_sent) {
+    zmq_msg_close(&message);
+  }
+  return is_sent;
 }
 
 bool ZmqSocket::Receive(std::vector<std::string>* frames) {
--- a/src/transport/internal/zmq_socket.h
+++ b/src/transport/internal/zmq_socket.h
@@ -51,9 +51,9 @@
   // stays readable until Receive has returned false.
   int PollDescriptor() const;
 
-  // Sends all frames or nothing. Returns false when the peer is gone or its
-  // queue is full.
-  bool Send(const std::vector<absl::string_view>& frames);
+  // Sends all frames, then the payload, or nothing. The payload is not copied.
+  // Returns false when the peer is gone or its queue is full.
+  bool Send(const std::vector<absl::string_view>& frames, std::string payload);
   // Takes the next message. Returns false when there is none.
   bool Receive(std::vector<std::string>* frames);
 
--- a/tests/integration/caller_memory_test.cc
+++ b/tests/integration/caller_memory_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
@@ -7,6 +8,7 @@
 #include "absl/strings/str_cat.h"
 #include "integration/fixture.h"
 #include "integration/raw_callers.h"
+#include "support/execution_log.h"
 #include "support/loopback.h"
 
 namespace gooseberrygap::integration {
@@ -24,7 +26,6 @@
 
 // Limits that the test sets, and the bounds that follow from them.
 constexpr int kMemoryMb = 64;
-constexpr long kMaxPeakKilobytes = kMemoryMb * 1024L;
 constexpr int kMaxConnections = 320;
 // Descriptors for links, files and the own duties beside the connections.
 constexpr int kMaxDescriptors = kMaxConnections + 80;
@@ -48,8 +49,11 @@
 // other has the target.
 class TwoDaemons {
  public:
-  TwoDaemons()
-      : calls_(test_support::FreeAddress(test_support::NewLoopbackHost())),
+  explicit TwoDaemons(int memory_mb = kMemoryMb,
+                      int max_body_bytes = kMaxBodyBytes)
+      : memory_mb_(memory_mb),
+        max_body_bytes_(max_body_bytes),
+        calls_(test_support::FreeAddress(test_support::NewLoopbackHost())),
         administration_(test_support::FreeAddress(calls_.host_)) {
     auto created = Deployment::Create(MakeSpec());
     REQUIRE(created);
@@ -86,6 +90,15 @@
     CHECK(answer.status_ == 200);
   }
 
+  // Returns whether the target has run a request with that path.
+  bool HasRun(const std::string& path) const {
+    const auto log = test_support::ReadExecutionLog(
+        test_support::ExecutionLogPath(deployment_->folder(), kGuard));
+    return std::any_of(log.begin(), log.end(), [&path](const auto& line) {
+      return line.path_ == path && line.result_ == "complete";
+    });
+  }
+
   // Checks that both daemons live and have stayed below the bounds.
   void CheckBounds() const {
     for (const char* name : {kIngress, kGuard}) {
@@ -97,7 +110,7 @@
       const long peak = PeakKilobytes(folder);
       const int descriptors = CountDescriptors(folder);
       WARN(name << ": VmHWM " << peak << " kB, descriptors " << descriptors);
-      CHECK(peak <= kMaxPeakKilobytes);
+      CHECK(peak <= memory_mb_ * 1024L);
       CHECK(descriptors <= kMaxDescriptors);
     }
   }
@@ -134,7 +147,7 @@
          {{"calls", test_support::ToString(calls_)},
           {"administration", test_support::ToString(administration_)},
           {"max_connections", kMaxConnections}}}};
-    const json limits = {{"memory_mb", kMemoryMb},
+    const json limits = {{"memory_mb", memory_mb_},
                          {"target_workers", 64},
                          {"http",
                           {{"workers", 16},
@@ -154,7 +167,7 @@
             .settings_patch_ = limits.dump()};
   }
 
-  static std::string ConfigurationText() {
+  std::string ConfigurationText() const {
     const auto route = [](const char* name, const std::string& host,
                           const std::string& prefix) {
       return json{{"name", name},          {"host", host},
@@ -173,12 +186,14 @@
                                            {"tls", false}}})},
                 {"limits",
                  {{"max_header_bytes", kMaxHeaderBytes},
-                  {"max_body_bytes", kMaxBodyBytes},
+                  {"max_body_bytes", max_body_bytes_},
                   {"header_timeout", 5000},
                   {"idle_timeout", 60000}}}}
         .dump();
   }
 
+  const int memory_mb_;
+  const int max_body_bytes_;
   const Address calls_;
   const Address administration_;
   std::unique_ptr<Deployment> deployment_;
@@ -200,10 +215,10 @@
   return std::make_shared<const std::string>(std::move(text));
 }
 
-Text BodyWithLength(const std::string& path) {
+Text BodyWithLength(const std::string& path, size_t bytes = kBodyBytes) {
   return std::make_shared<const std::string>(absl::StrCat(
-      "POST ", path, " HTTP/1.1\r\nHost: ", kHost, "\r\nContent-Length: ",
-      kBodyBytes, "\r\n\r\n", std::string(kBodyBytes, 'b')));
+      "POST ", path, " HTTP/1.1\r\nHost: ", kHost,
+      "\r\nContent-Length: ", bytes, "\r\n\r\n", std::string(bytes, 'b')));
 }
 
 Text ChunkedBody(size_t body_bytes, size_t chunk_bytes) {
@@ -286,6 +301,22 @@
   daemons.CheckBounds();
 }
 
+// Guards against an account that leaves no room for the largest legal body, and
+// against copies of it that exceed the memory of the platform's instances.
+TEST_CASE("one body of 64 MiB is served within 160 MiB", "[caller_largest]") {
+  constexpr int kLargestBody = 67108864;
+  const TwoDaemons daemons(160, kLargestBody);
+  const Text text = BodyWithLength("/largest", kLargestBody);
+  RawCallers callers(daemons.calls(), {{.text_ = text,
+                                        .sent_bytes_ = text->size(),
+                                        .piece_bytes_ = kWholeBytes}});
+  callers.SendAll();
+  CHECK(callers.CountSent() == 1);
+  CHECK(daemons.HasRun("/largest"));
+  daemons.CheckOrdinaryRequest();
+  daemons.CheckBounds();
+}
+
 // Guards against a front of the project's own interface without the limit.
 TEST_CASE("bodies at the project's own front stay within the memory",
           "[caller_own_front]") {
