--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -119,7 +119,11 @@
 }
 
 Daemon::Daemon(const protocol::Settings& settings)
-    : settings_(settings), incarnation_(state::WallMillis()) {}
+    : settings_(settings),
+      incarnation_(state::WallMillis()),
+      account_(std::make_shared<transport::ByteAccount>(
+          transport::ByteAccount::OptionsFor(settings.memory_mb_),
+          &counters_)) {}
 
 Daemon::~Daemon() {
   // Threads stop before the threads that they feed. Only the peer thread posts
@@ -165,7 +169,8 @@
           // it is not answered.
           .heartbeat_interval_ = settings_.control_.has_value()
                                      ? kLogLinkHeartbeat
-                                     : state::Millis(0)},
+                                     : state::Millis(0),
+          .account_ = account_},
       [this](transport::ReceivedPeerMessage arrival) {
         OnPeerMessage(std::move(arrival));
       },
@@ -227,7 +232,8 @@
   event_front_ = std::make_unique<EventFront>(front_dialect_.get(), node_.get(),
                                               operators_.get(), &counters_);
   node_->AddListener(event_front_.get());
-  return event_front_->Start(*settings_.platform_);
+  return event_front_->Start(*settings_.platform_, settings_.pressure_,
+                             account_);
 }
 
 void Daemon::Reload(const protocol::Settings& settings) {
@@ -253,7 +259,8 @@
           .workers_ = http.workers_,
           .max_connections_ = http.max_connections_,
           .max_header_bytes_ = static_cast<size_t>(http.max_header_bytes_),
-          .max_body_bytes_ = static_cast<size_t>(http.max_body_bytes_)},
+          .max_body_bytes_ = static_cast<size_t>(http.max_body_bytes_),
+          .account_ = account_},
       [this](const state::HttpRequest& request) {
         return front_->Handle(request);
       },
--- a/src/protocol/internal/settings.cc
+++ b/src/protocol/internal/settings.cc
@@ -76,6 +76,10 @@
              &SeedSettings::tolerated_losses_,
              Integer{0, 6}));
 
+// A process without callers takes about 15 MiB.
+constexpr int kMinMemoryMb = 32;
+constexpr int kMaxMemoryMb = 1 << 20;
+
 constexpr double kMinuteMs = 60.0 * 1000;
 
 constexpr auto kPlatformRecord = RecordOf<PlatformSettings>(
@@ -123,6 +127,10 @@
              Number{1, 10}),
     Optional("slack", &coordination::WarmupTolerance::slack_, Number{0, 1e6}));
 
+constexpr auto kPressureRecord = RecordOf<PressureSettings>(
+    Optional("hold_ms", &PressureSettings::hold_, Number{0, kMinuteMs}),
+    Optional("stall_ms", &PressureSettings::stall_, Number{100, kMinuteMs}));
+
 constexpr auto kSettingsRecord = RecordOf<Settings>(
     Required("instance", &Settings::instance_, kNameText),
     Required("region", &Settings::region_, kNameText),
@@ -141,6 +149,10 @@
     Optional("revocation", &Settings::revocation_, kRevocationRecord),
     Optional("quota", &Settings::quota_, kQuotaRecord),
     Optional("warmup", &Settings::warmup_, kWarmupRecord),
+    Optional("memory_mb",
+             &Settings::memory_mb_,
+             SectionOf(Integer{kMinMemoryMb, kMaxMemoryMb})),
+    Optional("pressure", &Settings::pressure_, kPressureRecord),
     Optional("log_level", &Settings::log_level_, Word{kLogLevels}),
     Optional("target_workers", &Settings::target_workers_, Integer{1, 4096}));
 
--- a/src/state/api/gauges.h
+++ b/src/state/api/gauges.h
@@ -21,6 +21,12 @@
   kTargetCold,       // 1 or 0.
   kTargetUncertain,  // 1 or 0.
   kQuotaGrantAge,    // Milliseconds.
+  // Bytes held for callers.
+  kHeldHeadBytes,
+  kHeldBodyBytes,
+  kHeldAnswerBytes,
+  kHeldMessageBytes,
+  kHeldByteLimit,
   kCount,
 };
 
--- a/src/state/internal/gauges.cc
+++ b/src/state/internal/gauges.cc
@@ -34,6 +34,16 @@
      "Whether the own target may be cold."},
     {Gauge::kQuotaGrantAge, "quota_grant_age_ms",
      "Time from the last grant of quota tokens to the last report."},
+    {Gauge::kHeldHeadBytes, "held_head_bytes",
+     "Bytes held for the heads of callers' requests."},
+    {Gauge::kHeldBodyBytes, "held_body_bytes",
+     "Bytes held for the bodies of callers' requests, with their copies."},
+    {Gauge::kHeldAnswerBytes, "held_answer_bytes",
+     "Bytes held for answers that callers have not read."},
+    {Gauge::kHeldMessageBytes, "held_message_bytes",
+     "Bytes held for attempts and answers of other daemons."},
+    {Gauge::kHeldByteLimit, "held_byte_limit",
+     "Limit of the bytes held for callers and other daemons."},
 }};
 
 constexpr bool RowsAreInEnumOrder() {
