--- a/src/coordination/internal/quota_stock.cc
+++ b/src/coordination/internal/quota_stock.cc
@@ -28,8 +28,8 @@
 // the longer one applies to reports that are sent anyway.
 constexpr state::Millis kRenewBefore(1200);
 constexpr state::Millis kRenewEarly(1700);
-// Time after which an instance that does not own the quotas yet is told again
-// which tokens are held here.
+// Time after which an instance that does not own the quotas yet is notified
+// again which tokens are held here.
 constexpr state::Millis kOwnerRepeat(100);
 // Time after which a stock is asked for again that was not granted.
 constexpr state::Millis kGoalRepeat(5000);
--- a/src/coordination/tests/quota_node_test.cc
+++ b/src/coordination/tests/quota_node_test.cc
@@ -230,7 +230,8 @@
 
 // Guards against a new leader that does not learn of a daemon's tokens, or only
 // after they have been spent.
-TEST_CASE("an instance that does not own the quotas is told again", "[quota]") {
+TEST_CASE("an instance that does not own the quotas is notified again",
+          "[quota]") {
   QuotaDaemon daemon;
   daemon.Run(100);
   daemon.Call("l");
--- a/src/coordination/tests/quota_test.cc
+++ b/src/coordination/tests/quota_test.cc
@@ -162,7 +162,7 @@
 }
 
 // Guards against reports that cost the control group much: of idle daemons, or
-// with tenants that were not served lately.
+// with tenants that were not served recently.
 TEST_CASE("idle daemons send no reports", "[quota]") {
   QuotaCluster cluster(10, {Limited("t", 10, 30), Limited("u", 10, 30)}, 7);
   RunLoad(&cluster, 8, 5000, 1);
--- a/src/coordination/tests/warmup_limit_test.cc
+++ b/src/coordination/tests/warmup_limit_test.cc
@@ -241,9 +241,10 @@
   CHECK(test.guard_->Load().admissions_per_second_ == 0);
 }
 
-// Guards against a guard that ends its doubt by an answer to a health request
-// from before the event, as one that was frozen meanwhile gets.
-TEST_CASE("an older answer to a health request ends no doubt", "[warmup]") {
+// Guards against a guard that takes an answer to a health request from before
+// the event for a new report, as one that was frozen meanwhile gets.
+TEST_CASE("an older answer to a health request does not end the uncertainty",
+          "[warmup]") {
   WarmGuard test;
   test.EvacuateAndReturn();
   const Commands asked = test.guard_->Tick(test.now_);
@@ -258,8 +259,9 @@
 }
 
 // Guards against a health answer that names the remaining time and leaves the
-// doubt, so that the target is asked five times a second while it is cold.
-TEST_CASE("a health answer that reports a cold target ends the doubt",
+// target uncertain, so that the target is asked five times a second while it is
+// cold.
+TEST_CASE("a health answer that reports a cold target ends the uncertainty",
           "[warmup]") {
   WarmGuard test;
   test.Health(Millis(9000));
@@ -272,7 +274,7 @@
 
 // Guards against a target that is warm, names no time in its health answers,
 // and is held to the limit for the whole warm-up after each failed delivery.
-TEST_CASE("a health answer without a time ends the doubt", "[warmup]") {
+TEST_CASE("a health answer without a time ends the uncertainty", "[warmup]") {
   WarmGuard test;
   test.End(test.Send(), DeliveryEnd::kIncompleteAnswer);
   const Commands asked = test.guard_->Tick(test.now_);
