--- a/src/coordination/internal/raft_impl.h
+++ b/src/coordination/internal/raft_impl.h
@@ -18,7 +18,7 @@
 #include "coordination/internal/raft_log.h"
 #include "coordination/internal/raft_progress.h"
 #include "coordination/internal/raft_reads.h"
-#include "coordination/internal/raft_rounds.h"
+#include "coordination/internal/sent_times.h"
 
 namespace gooseberrygap::coordination {
 
@@ -224,7 +224,7 @@
   // Leader.
   std::map<std::string, RaftProgress> progress_;
   uint64_t round_ = 0;  // Number of the last heartbeat round started.
-  RaftRounds rounds_;
+  SentTimes rounds_;
   state::Millis heartbeat_due_;
   std::multimap<uint64_t, PendingProposal> proposals_;
 
--- a/src/coordination/internal/raft_leader.cc
+++ b/src/coordination/internal/raft_leader.cc
@@ -9,7 +9,7 @@
   role_ = RaftRole::kLeader;
   leader_ = identity_;
   progress_.clear();
-  rounds_.Begin(++round_, now_);
+  rounds_.Record(++round_, now_);
   heartbeat_due_ = now_ + options_.heartbeat_interval_;
   // Entries of earlier terms are committed only together with one of this term.
   AppendNewEntry(state::LogEntryKind::kNoop, {}, {});
@@ -44,7 +44,7 @@
 }
 
 void Raft::Impl::StartRound() {
-  rounds_.Begin(++round_, now_);
+  rounds_.Record(++round_, now_);
   heartbeat_due_ = now_ + options_.heartbeat_interval_;
   if (HasCommittedInCurrentTerm()) {
     reads_.OnRoundStarted(round_, commit_index_);
@@ -66,7 +66,7 @@
     return;
   }
   RaftProgress& progress = entry->second;
-  progress.OnReply(reply.round_, rounds_.BeganAt(reply.round_));
+  progress.OnReply(reply.round_, rounds_.SentAt(reply.round_));
   if (!reply.success_) {
     progress.OnRefusal(reply.index_, reply.round_);
     return;
