Log late replies, the configurations of control instances and failed starts

The late reply names its wait and what it claims, each control instance the configuration that it has and its own age.

--- a/src/coordination/internal/control_client.cc
+++ b/src/coordination/internal/control_client.cc
@@ -5,6 +5,7 @@
 #include "coordination/internal/control_choice.h"
 #include "coordination/internal/decision_log.h"
 #include "coordination/internal/followed_state.h"
+#include "coordination/internal/sent_times.h"
 
 namespace gooseberrygap::coordination {
 
@@ -39,6 +40,9 @@
 // latest, when it is too old to say anything about its request.
 constexpr state::Millis kCrashReportMinTime(1000);
 constexpr state::Millis kCrashReportMaxTime(60000);
+// A reply that is handled this long after its renewal was sent is logged: it
+// has waited on the way, or in a process that did not run.
+constexpr state::Millis kLateReply(500);
 
 }  // namespace
 
@@ -106,6 +110,7 @@
     if (choice_.empty()) {
       return step;
     }
+    LogIfLate(reply, now, &step);
     step.evacuations_changed_ = followed_.ApplyEvacuations(reply);
     const std::optional<ControlMoveReason> move_reason =
         choice_.OnStalenessReport(reply.control_instance_,
@@ -191,6 +196,15 @@
            now - *awaiting_reply_since_ >= time;
   }
 
+  void LogIfLate(const LeaseReply& reply, state::Millis now, Step* step) const {
+    const std::optional<state::Millis> sent_at =
+        renewals_.SentAt(reply.renewal_);
+    if (sent_at.has_value() && now - *sent_at >= kLateReply) {
+      step->commands_.emplace_back(
+          WriteLog{.event_ = ControlReplyLateLine(reply, now - *sent_at)});
+    }
+  }
+
   // Returns how stale the replying instance is for this daemon. One that hears
   // its leader but cannot confirm the API keys, because its own messages to the
   // leader are lost, is of no use to a daemon that needs the confirmation.
@@ -337,6 +351,7 @@
     }
     renewed_at_ = now;
     renew_at_ = now + kRenewInterval;
+    renewals_.Record(next_renewal_, now);
     if (!awaiting_reply_since_.has_value()) {
       awaiting_reply_since_ = now;
     }
@@ -376,6 +391,7 @@
   state::Millis renew_at_;
   state::Millis renewed_at_;
   uint64_t next_renewal_ = 1;
+  SentTimes renewals_;
   // Time at which the current instance was chosen, or at which the first
   // configuration came into force.
   state::Millis followed_since_;
--- a/src/coordination/internal/decision_log.cc
+++ b/src/coordination/internal/decision_log.cc
@@ -128,6 +128,17 @@
                               {"staleness_ms", reply.staleness_.value()}}};
 }
 
+LogEvent ControlReplyLateLine(const LeaseReply& reply, state::Millis waited) {
+  return LogEvent{
+      .level_ = LogLevel::kWarning,
+      .event_ = "control_reply_late",
+      .fields_ = {{"control", reply.control_instance_},
+                  {"waited_ms", waited.value()},
+                  {"staleness_ms", reply.staleness_.value()},
+                  {"configuration",
+                   static_cast<int64_t>(reply.configuration_index_)}}};
+}
+
 LogEvent EvacuationLine(const state::EvacuationState& domain, bool is_own) {
   return LogEvent{
       .level_ = LogLevel::kWarning,
--- a/src/coordination/internal/decision_log.h
+++ b/src/coordination/internal/decision_log.h
@@ -52,6 +52,12 @@
 state::LogEvent ControlQueryAnsweredLine(const std::string& current,
                                          const LeaseReply& reply);
 
+// Returns the line for a reply that was handled long after its renewal had been
+// sent. `waited` counts from then; the reply's own staleness does not contain
+// it.
+state::LogEvent ControlReplyLateLine(const LeaseReply& reply,
+                                     state::Millis waited);
+
 // Returns the line for a failure domain whose evacuation has come into force or
 // has ended at this daemon. `is_own` says that it is the daemon's own domain.
 state::LogEvent EvacuationLine(const state::EvacuationState& domain,
--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -358,6 +358,7 @@
                                      .command_ = command.value()},
         raft_events);
   }
+  LogConfiguration();
   for (const coordination::ProposalResult& end : step.proposal_results_) {
     CompleteProposal(end, raft_events);
   }
@@ -517,6 +518,20 @@
   }
 }
 
+void ControlDuty::LogConfiguration() {
+  const state::IndexedConfiguration current = service_.configuration();
+  if (current.index_ == logged_configuration_) {
+    return;
+  }
+  logged_configuration_ = current.index_;
+  Log({.event_ = "control_configuration",
+       .fields_ = {
+           {"index", static_cast<int64_t>(current.index_)},
+           {"version", static_cast<int64_t>(current.configuration_->version_)},
+           {"term", static_cast<int64_t>(raft_.term())},
+           {"staleness_ms", raft_.Staleness(clock_.Now()).value()}}});
+}
+
 void ControlDuty::LogDiskFailed(const state::Error& error) {
   disk_failed_ = true;
   error_ = error.message_;
--- a/src/daemon/control_duty.h
+++ b/src/daemon/control_duty.h
@@ -143,6 +143,8 @@
   state::Result<void> ChangeMembership(
       const std::function<coordination::RaftEvent(uint64_t tag)>& make_event);
   void OnDiskResult(const state::Result<uint64_t>& result);
+  // Logs a configuration that the committed entries have brought into force.
+  void LogConfiguration();
   // Logs the first failed write, and that the disk takes writes again.
   void LogDiskFailed(const state::Error& error);
   void LogDiskWorks();
@@ -169,6 +171,7 @@
   bool disk_failed_ = false;  // The disk refuses writes, which are repeated.
   std::string error_;         // Of the stopped role or the failed disk.
   ControlOutageLog outage_log_;
+  uint64_t logged_configuration_ = 0;  // Index.
   std::unique_ptr<DiskDuty> disk_;
   std::unique_ptr<transport::DutyThread> thread_;
 };
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -100,6 +100,17 @@
   }
 }
 
+// Shows an error that ends the start in the log, too, where the lines of a
+// process are collected.
+int FailStart(const state::Error& error) {
+  Log({.level_ = state::LogLevel::kError,
+       .event_ = "start_failed",
+       .fields_ = {{"kind", std::string(NameOf(error.kind_))},
+                   {"error", error.message_}}});
+  StopLogging();
+  return ReportError(error, kExitFailed);
+}
+
 int Run() {
   const auto settings = ReadSettings(absl::GetFlag(FLAGS_settings));
   if (!settings) {
@@ -116,7 +127,7 @@
   StartLogging(settings.value().log_level_, settings.value().instance_);
   auto daemon = Daemon::Start(settings.value());
   if (!daemon) {
-    return ReportError(daemon.error(), kExitFailed);
+    return FailStart(daemon.error());
   }
   Log({.event_ = "started",
        .fields_ = {{"http", settings.value().http_.listen_},
--- a/src/daemon/node_duty.cc
+++ b/src/daemon/node_duty.cc
@@ -158,7 +158,9 @@
          .fields_ = {{"index", static_cast<int64_t>(index)},
                      {"version",
                       static_cast<int64_t>(
-                          node_.configuration().configuration_->version_)}}});
+                          node_.configuration().configuration_->version_)},
+                     {"staleness_ms",
+                      node_.Status(clock_.Now()).staleness_.value()}}});
   }
 }
 
