Count a member's age from its own reply, not from the leader's message

A member of the control group took its knowledge for as old as the receipt of the leader's last message. A message that waits, on a slow link or in a process that does not run, made it look fresh for the whole wait, and daemons behind it denied new routes, services and keys.

A member now numbers its replies, and the leader's requests echo the last one that it has handled and how long after it the commit index was the newest. The member counts from the sending of that reply, so that no wait enters the age and no common clock is needed. The leader's own contact with a quorum is taken into account beyond two rounds.

Ruled out: a time stamp of the leader, since wall clocks may jump; a read index for each heartbeat, which costs a round more.

--- a/src/coordination/api/messages.h
+++ b/src/coordination/api/messages.h
@@ -202,7 +202,7 @@
   const std::vector<ControlAddress> control_members_ = {};
   // The last withdrawal that the control group knows of the daemon's targets.
   const state::TargetWithdrawal withdrawal_ = {};
-  // The renewal that this reply answers; 0 when it answers none.
+  // The last renewal that was handled before this reply was made; 0 for none.
   const uint64_t renewal_ = 0;
   // At the time `confirmed_age_` before this reply, a quorum confirmed that the
   // configuration with this index was the newest. 0 without a confirmation.
@@ -373,6 +373,11 @@
   // sender was still the leader after the round began.
   const uint64_t round_ = 0;
   const std::vector<state::LogEntry> entries_ = {};
+  // The receiver's last reply that the leader has handled; 0 if it has handled
+  // none, or cannot tell whether `commit_index_` is the newest.
+  const uint64_t echoed_reply_ = 0;
+  // `commit_index_` was the newest this long after that reply had been sent.
+  const state::Millis echo_age_ = {};
 
   friend bool operator==(const AppendRequest&, const AppendRequest&) = default;
 };
@@ -386,6 +391,8 @@
   // On success the last durable index; on failure the index to try next.
   const uint64_t index_ = 0;
   const uint64_t round_ = 0;
+  // Number of this reply, which the leader's next requests echo; not 0.
+  const uint64_t reply_ = 0;
 
   friend bool operator==(const AppendReply&, const AppendReply&) = default;
 };
--- a/src/coordination/internal/raft.cc
+++ b/src/coordination/internal/raft.cc
@@ -1,6 +1,7 @@
 #include "coordination/api/raft.h"
 
 #include <array>
+#include <limits>
 #include <utility>
 #include "absl/random/uniform_int_distribution.h"
 
@@ -38,6 +39,9 @@
       voted_for_(log.vote_.voted_for_),
       commit_index_(log_.snapshot_index()),
       delivered_index_(commit_index_),
+      next_reply_(absl::uniform_int_distribution<uint64_t>(
+          1,
+          std::numeric_limits<uint64_t>::max() / 2)(random_)),
       verified_index_(commit_index_),
       restore_pending_(log_.snapshot() != nullptr) {
   // The first election is due soon: after a restart of all members there is no
--- a/src/coordination/internal/raft_follower.cc
+++ b/src/coordination/internal/raft_follower.cc
@@ -80,10 +80,13 @@
 // constant changes a member may never have reached the latest one.
 void Raft::Impl::OnCommitReported(const AppendRequest& request) {
   FinishAwaitedCommit();
-  const bool is_delayed = request.round_ < leader_round_;
-  if (!is_delayed && !awaited_commit_.has_value()) {
-    awaited_commit_.emplace(
-        ReportedCommit{.index_ = request.commit_index_, .received_at_ = now_});
+  // Not the time of receipt: the request may have waited for any time.
+  const std::optional<state::Millis> replied_at =
+      replies_.SentAt(request.echoed_reply_);
+  if (replied_at.has_value() && !awaited_commit_.has_value()) {
+    awaited_commit_.emplace(ReportedCommit{
+        .index_ = request.commit_index_,
+        .known_at_ = std::min(now_, *replied_at + request.echo_age_)});
     FinishAwaitedCommit();
   }
 }
@@ -95,7 +98,9 @@
   // A leader that has not committed an entry of its own term may not know yet
   // that earlier entries are committed.
   if (log_.TermAt(awaited_commit_->index_) == term_) {
-    last_up_to_date_ = awaited_commit_->received_at_;
+    last_up_to_date_ =
+        std::max(last_up_to_date_.value_or(awaited_commit_->known_at_),
+                 awaited_commit_->known_at_);
   }
   awaited_commit_.reset();
 }
@@ -109,7 +114,13 @@
                                .term_ = term_,
                                .success_ = true,
                                .index_ = acknowledged_index_,
-                               .round_ = leader_round_});
+                               .round_ = leader_round_,
+                               .reply_ = NumberReply()});
+}
+
+uint64_t Raft::Impl::NumberReply() {
+  replies_.Record(next_reply_, now_);
+  return next_reply_++;
 }
 
 void Raft::Impl::RefuseAppend(uint64_t hint) {
@@ -118,7 +129,8 @@
                                                    .to_ = leader_,
                                                    .term_ = term_,
                                                    .index_ = hint,
-                                                   .round_ = leader_round_});
+                                                   .round_ = leader_round_,
+                                                   .reply_ = NumberReply()});
 }
 
 void Raft::Impl::OnPeer(const InstallSnapshot& request,
--- a/src/coordination/internal/raft_impl.h
+++ b/src/coordination/internal/raft_impl.h
@@ -63,10 +63,11 @@
     const uint64_t term_ = 0;
     const uint64_t tag_ = 0;
   };
-  // The commit index that the leader of this term has reported.
+  // A commit index of the leader of this term, and a time at which it was the
+  // newest.
   struct ReportedCommit {
     const uint64_t index_ = 0;
-    const state::Millis received_at_;
+    const state::Millis known_at_;
   };
 
   // Events (raft.cc). The tables have one handler for each alternative of the
@@ -133,6 +134,8 @@
   void OnCommitReported(const AppendRequest& request);
   void FinishAwaitedCommit();
   void AcknowledgeAppend();
+  // Returns the number of a reply that is about to be sent.
+  uint64_t NumberReply();
   void RefuseAppend(uint64_t hint);
 
   // Leader.
@@ -150,6 +153,7 @@
   void AdvanceCommit();
   void StepDownIfRemoved();
   bool HasCommittedInCurrentTerm() const;
+  state::Millis CommitKnownAt() const;
   // Returns the last time at which a majority of the voters followed this
   // leader for certain.
   state::Millis LastQuorumContact(state::Millis now) const {
@@ -212,6 +216,10 @@
   // The earliest commit index reported since then that was not reached yet.
   std::optional<ReportedCommit> awaited_commit_;
   uint64_t leader_round_ = 0;  // Last round of the leader of this term.
+  // Replies to leaders, by number. The numbers begin at random, so that an echo
+  // of a reply that was sent before a restart is unknown.
+  SentTimes replies_;
+  uint64_t next_reply_;
   // The log equals the leader's up to this index.
   uint64_t verified_index_ = 0;
   uint64_t acknowledged_index_ = 0;  // Last index acknowledged in this term.
--- a/src/coordination/internal/raft_leader.cc
+++ b/src/coordination/internal/raft_leader.cc
@@ -66,7 +66,12 @@
     return;
   }
   RaftProgress& progress = entry->second;
-  progress.OnReply(reply.round_, rounds_.SentAt(reply.round_));
+  if (progress.last_reply() == 0 && HasCommittedInCurrentTerm()) {
+    // Until it receives an echo, the member counts as stale.
+    progress.RequestHeartbeat();
+  }
+  progress.OnReply(reply.round_, rounds_.SentAt(reply.round_), reply.reply_,
+                   now_);
   if (!reply.success_) {
     progress.OnRefusal(reply.index_, reply.round_);
     return;
@@ -127,6 +132,14 @@
   }
 }
 
+// Returns the time at which the commit index was the newest for certain. While
+// the last contact with a quorum is younger than two rounds take, this is now:
+// the members in contact with this leader elect no other one.
+state::Millis Raft::Impl::CommitKnownAt() const {
+  return std::min(now_,
+                  LastQuorumContact(now_) + options_.heartbeat_interval_ * 2);
+}
+
 // Sends one message with the entries up to `last_index`, within the limits of a
 // message. With `last_index` 0 the message has no entries.
 void Raft::Impl::SendAppend(const std::string& identity,
@@ -142,15 +155,19 @@
                          options_.max_append_bytes_);
   }
   const uint64_t last_sent = previous + entries.size();
-  Send(identity, AppendRequest{.group_ = options_.group_,
-                               .from_ = identity_,
-                               .to_ = identity,
-                               .term_ = term_,
-                               .previous_index_ = previous,
-                               .previous_term_ = *log_.TermAt(previous),
-                               .commit_index_ = commit_index_,
-                               .round_ = round_,
-                               .entries_ = std::move(entries)});
+  const bool can_vouch = HasCommittedInCurrentTerm();
+  Send(identity,
+       AppendRequest{.group_ = options_.group_,
+                     .from_ = identity_,
+                     .to_ = identity,
+                     .term_ = term_,
+                     .previous_index_ = previous,
+                     .previous_term_ = *log_.TermAt(previous),
+                     .commit_index_ = commit_index_,
+                     .round_ = round_,
+                     .entries_ = std::move(entries),
+                     .echoed_reply_ = can_vouch ? progress->last_reply() : 0,
+                     .echo_age_ = CommitKnownAt() - progress->last_reply_at()});
   progress->OnSent(last_sent, commit_index_);
 }
 
--- a/src/coordination/internal/raft_progress.h
+++ b/src/coordination/internal/raft_progress.h
@@ -27,6 +27,9 @@
   uint64_t match_index() const { return match_index_; }
   uint64_t next_index() const { return next_index_; }
   uint64_t acknowledged_round() const { return acknowledged_round_; }
+  // Number of the member's last reply, 0 for none, and when it was handled.
+  uint64_t last_reply() const { return last_reply_; }
+  state::Millis last_reply_at() const { return last_reply_at_; }
   // Returns the beginning of the last round that the member has acknowledged:
   // since then it can have followed another leader.
   state::Millis last_contact() const { return last_contact_; }
@@ -36,7 +39,12 @@
   uint64_t sent_commit_index() const { return sent_commit_index_; }
 
   // `began_at` is when the acknowledged round began, if that is still known.
-  void OnReply(uint64_t round, std::optional<state::Millis> began_at) {
+  void OnReply(uint64_t round,
+               std::optional<state::Millis> began_at,
+               uint64_t reply,
+               state::Millis now) {
+    last_reply_ = reply;
+    last_reply_at_ = now;
     last_contact_ = std::max(last_contact_, began_at.value_or(last_contact_));
     acknowledged_round_ = std::max(acknowledged_round_, round);
   }
@@ -74,6 +82,7 @@
     next_index_ = index + 1;
     heartbeat_due_ = false;
   }
+  void RequestHeartbeat() { heartbeat_due_ = true; }
   void OnRoundStarted() {
     heartbeat_due_ = true;
     probe_sent_ = false;
@@ -84,6 +93,8 @@
   uint64_t match_index_ = 0;
   uint64_t next_index_ = 1;
   uint64_t acknowledged_round_ = 0;
+  uint64_t last_reply_ = 0;
+  state::Millis last_reply_at_;
   uint64_t sent_commit_index_ = 0;
   uint64_t snapshot_index_ = 0;
   uint64_t snapshot_round_ = 0;
--- a/src/coordination/tests/raft_cluster.h
+++ b/src/coordination/tests/raft_cluster.h
@@ -127,6 +127,11 @@
     nodes_[node]->isolated_ = isolated;
   }
   bool IsIsolated(size_t node) const { return nodes_[node]->isolated_; }
+  // From now on, messages reach the node this much later, as where its process
+  // lags behind what has arrived.
+  void SetInboundDelay(size_t node, int millis) {
+    nodes_[node]->inbound_delay_ = millis;
+  }
   // While the disk of a node hangs, none of its writes completes.
   void SetDiskHangs(size_t node, bool hangs) {
     nodes_[node]->disk_hangs_ = hangs;
@@ -242,6 +247,7 @@
   struct Node {
     bool isolated_ = false;
     bool disk_hangs_ = false;
+    int inbound_delay_ = 0;
     std::unique_ptr<RaftDisk> disk_;
     std::unique_ptr<Raft> raft_;
     // Batches being written, with the time when each write completes.
@@ -373,7 +379,8 @@
         std::make_shared<const RaftMessageReceived>(RaftMessageReceived{
             .connection_ = absl::StrCat(from), .message_ = message});
     for (int copy = Chance(faults_->duplicate_) ? 0 : 1; copy < 2; ++copy) {
-      const int delay = Between(faults_->min_delay_, faults_->max_delay_);
+      const int delay = nodes_[std::stoul(to)]->inbound_delay_ +
+                        Between(faults_->min_delay_, faults_->max_delay_);
       messages_in_transit_.push_back(MessageInTransit{.due_ = now_ + delay,
                                                       .from_ = from,
                                                       .to_ = std::stoul(to),
--- a/src/coordination/tests/raft_staleness_test.cc
+++ b/src/coordination/tests/raft_staleness_test.cc
@@ -256,6 +256,30 @@
   CHECK(cluster.StalenessOf(member).value() <= kMaxUnderstatement);
 }
 
+// Guards against a member that passes as up to date because old messages of its
+// leader reach it one after another.
+TEST_CASE("a member that handles its leader's messages late reports their age",
+          "[configuration]") {
+  constexpr int kLag = 2000;
+  const unsigned seed = GENERATE(range(1U, 11U));
+  CAPTURE(seed);
+  RaftCluster cluster(3, seed);
+  cluster.Form();
+  const size_t leader = cluster.WaitForLeader();
+  StalenessMonitor monitor(&cluster);
+  monitor.RunWithProposals(200, 20);
+  const size_t member = (leader + 1) % 3;
+  cluster.SetInboundDelay(member, kLag);
+  monitor.RunWithProposals(3 * kLag, 50);
+  CHECK(cluster.Leader() == leader);
+  CHECK(cluster.StalenessOf(member).value() >= kLag);
+  CHECK(monitor.max_understatement() <= kMaxUnderstatement);
+  cluster.SetInboundDelay(member, 0);
+  monitor.Run(300);
+  CHECK(cluster.StalenessOf(member).value() <= kMaxUnderstatement);
+  CHECK(monitor.max_understatement() <= kMaxUnderstatement);
+}
+
 // Guards against followers that pass as stale for a heartbeat longer than the
 // election takes, although nothing is missing any more.
 TEST_CASE("followers are up to date soon after an election",
--- a/src/protocol/internal/peer_codec.cc
+++ b/src/protocol/internal/peer_codec.cc
@@ -325,6 +325,8 @@
     for (const state::LogEntry& entry : message.entries_) {
       ToWire(entry, out->add_entries());
     }
+    out->set_echoed_reply(message.echoed_reply_);
+    out->set_echo_age_ms(message.echo_age_.value());
   }
   void operator()(const coordination::AppendReply& message) const {
     wire::AppendReply* out = envelope_->mutable_append_reply();
@@ -332,6 +334,7 @@
     out->set_success(message.success_);
     out->set_index(message.index_);
     out->set_round(message.round_);
+    out->set_reply(message.reply_);
   }
   void operator()(const coordination::InstallSnapshot& message) const {
     wire::InstallSnapshot* out = envelope_->mutable_install_snapshot();
@@ -593,15 +596,18 @@
   for (const wire::LogEntry& entry : in.entries()) {
     entries.push_back(FromWire(entry, reader));
   }
-  return coordination::AppendRequest{.group_ = in.route().group(),
-                                     .from_ = in.route().from(),
-                                     .to_ = in.route().to(),
-                                     .term_ = in.route().term(),
-                                     .previous_index_ = in.previous_index(),
-                                     .previous_term_ = in.previous_term(),
-                                     .commit_index_ = in.commit_index(),
-                                     .round_ = in.round(),
-                                     .entries_ = entries};
+  return coordination::AppendRequest{
+      .group_ = in.route().group(),
+      .from_ = in.route().from(),
+      .to_ = in.route().to(),
+      .term_ = in.route().term(),
+      .previous_index_ = in.previous_index(),
+      .previous_term_ = in.previous_term(),
+      .commit_index_ = in.commit_index(),
+      .round_ = in.round(),
+      .entries_ = entries,
+      .echoed_reply_ = in.echoed_reply(),
+      .echo_age_ = reader->MillisOf(in.echo_age_ms())};
 }
 
 PeerMessage ReadAppendReply(const wire::Envelope& envelope, WireReader*) {
@@ -612,7 +618,8 @@
                                    .term_ = in.route().term(),
                                    .success_ = in.success(),
                                    .index_ = in.index(),
-                                   .round_ = in.round()};
+                                   .round_ = in.round(),
+                                   .reply_ = in.reply()};
 }
 
 PeerMessage ReadInstallSnapshot(const wire::Envelope& envelope,
--- a/src/protocol/tests/peer_codec_test.cc
+++ b/src/protocol/tests/peer_codec_test.cc
@@ -91,6 +91,31 @@
   }
 }
 
+// Guards against an age of a member's knowledge that is lost on the way, or
+// that loses its sign.
+TEST_CASE("requests of the log and their replies keep the echo") {
+  const coordination::PeerMessage messages[] = {
+      coordination::AppendRequest{.from_ = "a",
+                                  .to_ = "b",
+                                  .term_ = 4,
+                                  .commit_index_ = 7,
+                                  .round_ = 3,
+                                  .echoed_reply_ = uint64_t{1} << 63,
+                                  .echo_age_ = state::Millis(-12.5)},
+      coordination::AppendReply{.from_ = "b",
+                                .to_ = "a",
+                                .term_ = 4,
+                                .success_ = true,
+                                .index_ = 7,
+                                .round_ = 3,
+                                .reply_ = uint64_t{1} << 63}};
+  for (const coordination::PeerMessage& message : messages) {
+    const auto decoded = DecodePeerMessage(EncodePeerMessage(message));
+    REQUIRE(decoded);
+    CHECK(decoded.value() == message);
+  }
+}
+
 // Guards against an order or its reply that arrives with other contents, so
 // that it is refused, or taken for an order of the opposite kind.
 TEST_CASE("evacuation orders and their replies keep their contents",
--- a/tests/integration/control_freeze_test.cc
+++ b/tests/integration/control_freeze_test.cc
@@ -32,7 +32,11 @@
 constexpr const char* kBlocked =
     R"({"forward":{"blocked":true},"backward":{"blocked":true}})";
 constexpr const char* kOpen =
-    R"({"forward":{"blocked":false},"backward":{"blocked":false}})";
+    R"({"forward":{"blocked":false,"delay_ms":0},"backward":{"blocked":false}})";
+// Longer than kInForce, shorter than the timeout of the links' heartbeats.
+constexpr int kLateMs = 2500;
+// The delay rises in steps, so that the member never misses its leader.
+constexpr int kDelayStepMs = 250;
 
 const std::vector<std::string> kMembers = {"lookup-0", "lookup-1", "lookup-2",
                                            "lookup-3", "lookup-4"};
@@ -239,6 +243,24 @@
   return submitters;
 }
 
+// What the other members send to the one that most daemons follow arrives late.
+std::vector<std::string> DelayFollowed(Deployment* deployment,
+                                       std::mt19937_64* /*random*/) {
+  const std::string leader = WaitForLeader(*deployment, kMembers);
+  const std::string late = MostFollowed(*deployment, leader);
+  auto others = Without(kMembers, {late});
+  for (int delay = kDelayStepMs; delay <= kLateMs; delay += kDelayStepMs) {
+    const std::string patch =
+        absl::StrCat(R"({"forward":{"delay_ms":)", delay, "}}");
+    for (const std::string& other : others) {
+      SetLinks(*deployment, other, late, patch.c_str());
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(kDelayStepMs));
+  }
+  std::this_thread::sleep_for(kSettle);
+  return others;
+}
+
 void EndDisruption(Deployment* deployment) {
   for (const std::string& member : kMembers) {
     deployment->Resume(member);
@@ -258,6 +280,7 @@
     {"leader and most followed frozen", FreezeLeaderAndFollowed},
     {"core split, minority answers", SplitCore},
     {"leader and another frozen, daemons reach one other", CutDaemons},
+    {"messages to one member late", DelayFollowed},
 };
 
 void RunRounds(const Disruption& disruption, int rounds) {
@@ -285,6 +308,13 @@
   RunRounds(kDisruptions[0], 2);
 }
 
+// Guards against daemons that deny a service which an accepted configuration
+// has added, because their control instance lags behind its leader unnoticed.
+TEST_CASE("a configuration is in force where one member's messages are late",
+          "[control_freeze]") {
+  RunRounds(kDisruptions[4], 1);
+}
+
 // The same in many rounds and kinds, by hand.
 TEST_CASE("rounds of configurations in a disrupted core",
           "[.][disrupted_core]") {
