Count a daemon's age from its renewal, not from the reply

A daemon took its configuration for as recent as the receipt of a reply, less the age that the reply named. What the reply had waited, in a socket, behind a link or in a process that did not run, counted as freshness.

Each reply now names the last renewal that it follows, pushes and the first confirmed reply included, and the daemon counts from the sending of that renewal: the reply was made after it.

The tests that had no renewal numbers in their replies have them now; the bounds are the same, reckoned from the renewal.

--- a/src/coordination/api/control_client.h
+++ b/src/coordination/api/control_client.h
@@ -72,6 +72,9 @@
   // Makes the next renewal due sooner than usual. Call it while the daemon's
   // authorization lease runs low.
   void RenewSoon();
+  // Renews at once, unless the last renewal is only some milliseconds old. Call
+  // it, again at each tick, while a call waits for recent knowledge.
+  Step RenewNow(state::Millis now);
 
   // Returns the configuration in force; index 0 when none has been applied.
   const state::IndexedConfiguration& configuration() const;
@@ -86,9 +89,9 @@
   // Returns the leader's address from the last granted reply that named one, or
   // an empty string.
   const std::string& leader_address() const;
-  // Returns the time since the configuration in force here was the newest one,
-  // as far as the instances that this daemon has followed could tell; infinity
-  // if never.
+  // Returns an upper bound of the time since the configuration in force here
+  // was the newest one, as far as the instances that this daemon has followed
+  // could tell; infinity if never.
   state::Millis Staleness(state::Millis now) const;
   // Returns the withdrawal that the last granted reply carried; one without a
   // name when there is none.
--- a/src/coordination/internal/control_client.cc
+++ b/src/coordination/internal/control_client.cc
@@ -28,6 +28,8 @@
 // leader, and the next renewal is sent after the shorter interval.
 constexpr state::Millis kSuspectStaleness(300);
 constexpr state::Millis kSuspectRenewInterval(250);
+// Minimum time between two renewals while a call waits for recent knowledge.
+constexpr state::Millis kMinRenewInterval(100);
 // Minimum time between a renewal and the next one after a refusal or an
 // unusable delta, so that two daemons with the same name do not displace each
 // other in a tight loop.
@@ -166,6 +168,11 @@
     renew_at_ = std::min(renew_at_, renewed_at_ + kSuspectRenewInterval);
   }
 
+  Step RenewNow(state::Millis now) {
+    renew_at_ = std::min(renew_at_, renewed_at_ + kMinRenewInterval);
+    return Step{.commands_ = RenewIfDue(now)};
+  }
+
   const FollowedState& followed() const { return followed_; }
   const state::TargetRecord& record() const { return *record_; }
   const state::TargetWithdrawal& kept_withdrawal() const {
@@ -174,9 +181,7 @@
   const std::string& leader_address() const { return leader_address_; }
 
   state::Millis Staleness(state::Millis now) const {
-    return up_to_date_at_.has_value()
-               ? now - *up_to_date_at_
-               : state::Millis(std::numeric_limits<double>::infinity());
+    return now - up_to_date_at_;
   }
 
  private:
@@ -277,12 +282,14 @@
   }
 
   // Call it only for a reply whose configuration is in force here: an answer to
-  // a query or a refusal carries none.
+  // a query or a refusal carries none. Counts from the sending of the renewal,
+  // since the reply was made after it and may have waited for any time.
   void UpdateUpToDate(const LeaseReply& reply, state::Millis now) {
-    const state::Millis up_to_date_at = now - reply.staleness_;
-    if (reply.staleness_ < kNeverContacted &&
-        (!up_to_date_at_.has_value() || up_to_date_at > *up_to_date_at_)) {
-      up_to_date_at_ = up_to_date_at;
+    const std::optional<state::Millis> sent_at =
+        renewals_.SentAt(reply.renewal_);
+    if (sent_at.has_value() && reply.staleness_ < kNeverContacted) {
+      up_to_date_at_ =
+          std::max(up_to_date_at_, std::min(*sent_at, now) - reply.staleness_);
     }
   }
 
@@ -401,7 +408,8 @@
   state::Millis current_staleness_;
   // Last time at which the configuration in force here was the newest one, as
   // far as the instances that this daemon has followed could tell.
-  std::optional<state::Millis> up_to_date_at_;
+  state::Millis up_to_date_at_ =
+      state::Millis(-std::numeric_limits<double>::infinity());
   std::string leader_address_;
 };
 
@@ -475,6 +483,10 @@
   return impl_->leader_address();
 }
 
+ControlClient::Step ControlClient::RenewNow(state::Millis now) {
+  return impl_->RenewNow(now);
+}
+
 state::Millis ControlClient::Staleness(state::Millis now) const {
   return impl_->Staleness(now);
 }
--- a/src/coordination/internal/control_service_impl.h
+++ b/src/coordination/internal/control_service_impl.h
@@ -52,6 +52,7 @@
     uint64_t membership_epoch_ = 0;
     uint64_t membership_version_ = 0;
     bool requires_confirmed_ = false;
+    uint64_t renewal_ = 0;  // Number of the last renewal.
     // Version of the membership table that was last sent.
     uint64_t pushed_version_ = 0;
     state::Millis lease_until_;
@@ -138,15 +139,13 @@
   LeaseReply MakeReply(const std::string& instance,
                        Session* session,
                        Confirmation confirmation,
-                       uint64_t renewal,
                        state::Millis now);
   LeaseReply MakeRefusal(const std::string& instance, state::Millis now) const;
-  // Sends a reply to the daemon: to the renewal with this number, or a push
-  // with 0. Returns the number of membership records in it.
+  // Sends a reply to the daemon's last renewal, or a push after it. Returns the
+  // number of membership records in it.
   size_t Reply(const std::string& instance,
                Session* session,
                Confirmation confirmation,
-               uint64_t renewal,
                state::Millis now);
   std::vector<state::TargetRecord> MembershipFor(const Session& session,
                                                  uint64_t since,
--- a/src/coordination/internal/control_service_leases.cc
+++ b/src/coordination/internal/control_service_leases.cc
@@ -47,8 +47,7 @@
   if (renew.requires_confirmed_keys_) {
     key_confirmation_.Require(session->lease_until_, now);
   }
-  Reply(renew.instance_, session, Confirmation::kUnconfirmed, renew.renewal_,
-        now);
+  Reply(renew.instance_, session, Confirmation::kUnconfirmed, now);
   if (session->requires_confirmed_) {
     awaiting_read_request_.insert(renew.instance_);
     RequestRead(now);
@@ -86,6 +85,7 @@
   session.membership_epoch_ = renew.membership_epoch_;
   session.membership_version_ = renew.membership_version_;
   session.requires_confirmed_ = renew.requires_confirmed_;
+  session.renewal_ = renew.renewal_;
   session.lease_until_ = now + kLeaseTime;
   return &session;
 }
@@ -124,10 +124,8 @@
 size_t ControlService::Impl::Reply(const std::string& instance,
                                    Session* session,
                                    Confirmation confirmation,
-                                   uint64_t renewal,
                                    state::Millis now) {
-  const LeaseReply reply =
-      MakeReply(instance, session, confirmation, renewal, now);
+  const LeaseReply reply = MakeReply(instance, session, confirmation, now);
   step_.commands_.push_back(
       ReplyToPeer{.connection_ = session->connection_, .message_ = reply});
   return reply.membership_.size();
@@ -154,7 +152,6 @@
 LeaseReply ControlService::Impl::MakeReply(const std::string& instance,
                                            Session* session,
                                            Confirmation confirmation,
-                                           uint64_t renewal,
                                            state::Millis now) {
   const state::IndexedConfiguration current = configurations_.current();
   const bool is_confirmed = confirmation == Confirmation::kConfirmed;
@@ -203,7 +200,7 @@
       .control_members_ = ControlMembers(),
       .withdrawal_ = known == nullptr ? state::TargetWithdrawal()
                                       : known->record_.withdrawal_,
-      .renewal_ = renewal,
+      .renewal_ = session->renewal_,
       .confirmed_index_ = common_fields.confirmed_index_,
       .confirmed_age_ = common_fields.confirmed_age_,
       .evacuations_ = evacuations_.Snapshot()};
@@ -262,7 +259,7 @@
   for (auto& [instance, session] : sessions_) {
     const bool may_send = sends_membership || session.membership_epoch_ == 0;
     if (all || (may_send && HasUnpushedChanges(session))) {
-      records += Reply(instance, &session, Confirmation::kUnconfirmed, 0, now);
+      records += Reply(instance, &session, Confirmation::kUnconfirmed, now);
     }
   }
   next_push_at_ = now + state::Millis(static_cast<double>(records) /
@@ -320,7 +317,7 @@
     awaiting_apply_.erase(awaiting_apply_.begin());
     const auto session = sessions_.find(instance);
     if (session != sessions_.end()) {
-      Reply(instance, &session->second, Confirmation::kConfirmed, 0, now);
+      Reply(instance, &session->second, Confirmation::kConfirmed, now);
     }
   }
 }
--- a/src/coordination/tests/control_client_test.cc
+++ b/src/coordination/tests/control_client_test.cc
@@ -49,7 +49,9 @@
                                     .version_ = {incarnation, 0}},
                 kInstances,
                 &counters_) {
-    current_ = RenewalsOf(client_.Tick(now_).commands_).at(0).address_;
+    const SentRenewal first = RenewalsOf(client_.Tick(now_).commands_).at(0);
+    current_ = first.address_;
+    renewal_ = first.renew_.renewal_;
   }
 
   // Ticks every 10 ms; returns the renewals that were sent.
@@ -59,6 +61,10 @@
       now_ = now_ + Millis(10);
       for (const SentRenewal& sent : RenewalsOf(client_.Tick(now_).commands_)) {
         all.push_back(sent);
+        if (sent.renew_.renewal_ > renewal_) {
+          renewal_ = sent.renew_.renewal_;
+          renewed_at_ = now_;
+        }
       }
     }
     return all;
@@ -79,6 +85,8 @@
   ControlClient client_;
   Millis now_;
   std::string current_;
+  uint64_t renewal_ = 0;  // Number of the last renewal.
+  Millis renewed_at_;
 };
 
 LeaseReply WithConfiguration(uint64_t index,
@@ -193,7 +201,8 @@
         address,
         LeaseReply{.control_instance_ = daemon.InstanceAt(address),
                    .granted_ = address == daemon.current_,
-                   .staleness_ = Millis(staleness)},
+                   .staleness_ = Millis(staleness),
+                   .renewal_ = daemon.renewal_},
         daemon.now_);
   };
   const state::LeaseVersion before = daemon.client_.record().version_;
@@ -218,8 +227,10 @@
   CHECK(moved[0].address_ == other);
   CHECK(moved[0].renew_.record_.version_ > before);
   // The answer to the query carried no configuration.
-  CHECK(daemon.client_.Staleness(daemon.now_) == Millis(5000));
+  CHECK(daemon.client_.Staleness(daemon.now_) ==
+        Millis(5000) + (daemon.now_ - daemon.renewed_at_));
   daemon.current_ = other;
+  daemon.renewal_ = moved[0].renew_.renewal_;
   reply_with_staleness(other, 100);
   CHECK(daemon.client_.Staleness(daemon.now_) == Millis(100));
 }
@@ -466,7 +477,8 @@
   Daemon daemon;
   daemon.Reply({.control_instance_ = daemon.InstanceAt(daemon.current_),
                 .granted_ = true,
-                .staleness_ = Millis(50)});
+                .staleness_ = Millis(50),
+                .renewal_ = daemon.renewal_});
   CHECK(daemon.client_.Staleness(daemon.now_) == Millis(50));
   daemon.now_ = daemon.now_ + Millis(900);
   daemon.client_.OnReply("f", {.control_instance_ = "far"}, daemon.now_);
@@ -476,6 +488,31 @@
   CHECK(daemon.client_.Staleness(daemon.now_) == Millis(950));
 }
 
+// Guards against a daemon that takes its configuration for recent because it
+// has handled a reply which had waited, in a socket or in a process that did
+// not run.
+TEST_CASE("a reply that waited does not make the configuration recent",
+          "[configuration]") {
+  Daemon daemon;
+  const LeaseReply reply{
+      .control_instance_ = daemon.InstanceAt(daemon.current_),
+      .granted_ = true,
+      .staleness_ = Millis(50),
+      .renewal_ = daemon.renewal_};
+  daemon.now_ = daemon.now_ + Millis(3000);
+  const ControlClient::Step step = daemon.Reply(reply);
+  CHECK(daemon.client_.Staleness(daemon.now_) == Millis(3050));
+  CHECK(std::any_of(
+      step.commands_.begin(), step.commands_.end(), [](const Command& command) {
+        const auto* log = std::get_if<WriteLog>(&command);
+        return log != nullptr && log->event_.event_ == "control_reply_late";
+      }));
+  // A second reply after the same renewal shows nothing more.
+  daemon.now_ = daemon.now_ + Millis(100);
+  daemon.Reply(reply);
+  CHECK(daemon.client_.Staleness(daemon.now_) == Millis(3150));
+}
+
 // Guards against a daemon that goes to an instance of its own region which is
 // still catching up, and leaves it again at once.
 TEST_CASE("a daemon returns to its own region only for a fresh instance",
--- a/src/coordination/tests/evacuation_daemon.h
+++ b/src/coordination/tests/evacuation_daemon.h
@@ -1,6 +1,7 @@
 #ifndef COORDINATION_TESTS_EVACUATION_DAEMON_H_
 #define COORDINATION_TESTS_EVACUATION_DAEMON_H_
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <optional>
 #include <random>
@@ -54,7 +55,7 @@
                .control_instances_ = {{"c", kControl, "r"}}},
               random_,
               &counters_) {
-    node_.Handle(Ticked{}, now_);
+    Tick();
     node_.Handle(TargetAnnounced{.target_ = "own",
                                  .service_ = "o",
                                  .address_ = "own-address",
@@ -62,7 +63,16 @@
                                  .state_ = state::TargetState::kServing},
                  now_);
     Reply({});
-    node_.Handle(Ticked{}, now_);
+    Tick();
+  }
+
+  // Remembers the number of the last renewal.
+  Commands Tick() {
+    Commands commands = node_.Handle(Ticked{}, now_);
+    for (const LeaseRenew& renew : AllOf<LeaseRenew>(commands)) {
+      renewal_ = std::max(renewal_, renew.renewal_);
+    }
+    return commands;
   }
 
   // Handles a lease reply with the last orders of all failure domains.
@@ -91,6 +101,7 @@
                               .membership_full_ = true,
                               .membership_ = targets_,
                               .leader_address_ = kControl,
+                              .renewal_ = renewal_,
                               .evacuations_ = evacuations});
   }
   // Handles a lease reply in which only this failure domain has had an order.
@@ -191,6 +202,7 @@
   }
 
   state::Millis now_ = state::Millis(1);
+  uint64_t renewal_ = 0;
   std::mt19937_64 random_;
   state::Counters counters_;
   const std::vector<state::TargetRecord> targets_;
--- a/src/coordination/tests/node_test.cc
+++ b/src/coordination/tests/node_test.cc
@@ -21,7 +21,7 @@
                .control_instances_ = {{"c", kControl, "kochi"}}},
               random_,
               &counters_) {
-    node_.Handle(Ticked{}, Millis(0));
+    Handle(Ticked{}, 0);
     node_.Handle(TargetAnnounced{.target_ = "t",
                                  .service_ = "s",
                                  .address_ = "t-address",
@@ -30,6 +30,20 @@
                  Millis(0));
   }
 
+  // Remembers the number of the last renewal.
+  Commands Handle(const NodeEvent& event, double now) {
+    Commands commands = node_.Handle(event, Millis(now));
+    for (const Command& command : commands) {
+      const auto* send = std::get_if<SendToPeer>(&command);
+      const auto* renew =
+          send == nullptr ? nullptr : std::get_if<LeaseRenew>(&send->message_);
+      if (renew != nullptr) {
+        renewal_ = std::max(renewal_, renew->renewal_);
+      }
+    }
+    return commands;
+  }
+
   Commands Lease(uint64_t known_incarnation) {
     return node_.Handle(
         PeerMessageReceived{
@@ -51,12 +65,14 @@
                     .membership_epoch_ = 1,
                     .membership_version_ = 1,
                     .membership_full_ = true,
-                    .leader_address_ = kControl}},
+                    .leader_address_ = kControl,
+                    .renewal_ = renewal_}},
         Millis(1));
   }
 
   std::mt19937_64 random_;
   state::Counters counters_;
+  uint64_t renewal_ = 0;
   Node node_;
 };
 
@@ -119,10 +135,13 @@
   };
   CHECK(reason_at(1500) == state::RefusalReason::kNoRoute);
   CHECK(reason_at(2500) == state::RefusalReason::kControlTooOld);
+  test.Handle(Ticked{}, 2590);
   test.node_.Handle(
       PeerMessageReceived{
           .address_ = kControl,
-          .message_ = LeaseReply{.control_instance_ = "c", .granted_ = true}},
+          .message_ = LeaseReply{.control_instance_ = "c",
+                                 .granted_ = true,
+                                 .renewal_ = test.renewal_}},
       Millis(2600));
   CHECK(reason_at(2700) == state::RefusalReason::kNoRoute);
 }
