Deny a call only when the control group confirms it

A daemon denied a route on knowledge of up to 2,000 ms, which is the time in which a change must be in force, so that no delay on the way had any room; an own service or rule on knowledge of any age, also without a configuration.

A denial now rests on knowledge at most 500 ms older than the call, or half of the new setting configuration_apply_ms. Otherwise the call is held for at most 300 ms while the daemon renews at once; the next reply confirms the denial or brings the change that allows the call. Without one it is refused as not run, and at once while the control group is out of reach. This holds for routes, services, rules and API keys. Calls that waited in the queue of a daemon that has just started keep all their fields.

The test 'a daemon that may have missed a change denies no route' expected a denial on knowledge of 1,500 ms. It now expects none, and a refusal after 300 ms, and keeps its other checks.

Before: 'a route is denied only when the control group confirms it' failed (denied 900 ms after the last reply).

--- a/src/coordination/api/events.h
+++ b/src/coordination/api/events.h
@@ -38,6 +38,10 @@
   const std::vector<state::HttpHeader> credentials_ = {};
 };
 
+// Returns the call with the time that it has waited taken off its deadline.
+// Thread-safe.
+CallReceived AfterWait(const CallReceived& call, state::Millis waited);
+
 // The caller has disconnected: the call needs no answer.
 struct CallerDisconnected {
   const uint64_t call_id_ = 0;
--- a/src/coordination/api/ingress.h
+++ b/src/coordination/api/ingress.h
@@ -42,10 +42,13 @@
   // Sets whether actions with a key are accepted. The last contact with a
   // control instance must be recent enough for them.
   void SetActionsAllowed(bool allowed);
-  // Sets whether the routes are recent enough to tell a caller that there is
-  // none for its call. While they are not, such a call is refused with
-  // kControlTooOld, since a route for it may have been added.
-  void SetRoutesRecent(bool recent);
+  // Sets whether the configuration is recent enough to tell a caller that it
+  // does not allow its call. While it is not, such a call is refused with
+  // kControlTooOld, since a change may allow it.
+  void SetConfigurationRecent(bool recent);
+  // Returns whether the configuration in force does not allow the call: there
+  // is no route, service or rule for it, or its API key is unknown.
+  bool Denies(const CallReceived& call) const;
 
   Commands OnCall(const CallReceived& call, state::Millis now);
   // Cancels the attempts of a lookup or of an action without a key whose caller
--- a/src/coordination/api/node.h
+++ b/src/coordination/api/node.h
@@ -39,6 +39,8 @@
     const std::vector<ControlAddress> control_instances_ = {};
     // Time without an announcement after which the target counts as stopped.
     const state::Millis announcement_lifetime_ = kAnnouncementLifetime;
+    // Time in which an accepted configuration must be in force here.
+    const state::Millis configuration_apply_ = state::Millis(2000);
     const RevocationPolicy revocation_ = {};
     const QuotaPolicy quota_ = {};
     const WarmupTolerance warmup_ = {};
--- a/src/coordination/internal/access_check.h
+++ b/src/coordination/internal/access_check.h
@@ -36,6 +36,14 @@
                  bool keys_recent,
                  state::Millis now);
 
+  // Returns whether a call with these credentials lacks a known key.
+  bool Denies(const std::optional<std::string>& api_key,
+              bool allows_anonymous) const {
+    return tenants_.has_tenants() &&
+           (api_key.has_value() ? tenants_.FindByKey(*api_key) == nullptr
+                                : !allows_anonymous);
+  }
+
   // Returns why a call that was admitted with this tenant and key may not be
   // sent now, or kNone.
   state::RefusalReason CheckAgain(
--- a/src/coordination/internal/early_calls.h
+++ b/src/coordination/internal/early_calls.h
@@ -36,17 +36,7 @@
       return calls;
     }
     for (const QueuedCall& queued : queued_) {
-      std::optional<state::Millis> left;
-      if (queued.call_.deadline_left_.has_value()) {
-        left.emplace(*queued.call_.deadline_left_ - (now - queued.at_));
-      }
-      calls.push_back(
-          CallReceived{.call_id_ = queued.call_.call_id_,
-                       .service_ = queued.call_.service_,
-                       .request_ = queued.call_.request_,
-                       .idempotency_key_ = queued.call_.idempotency_key_,
-                       .deadline_left_ = left,
-                       .depth_ = queued.call_.depth_});
+      calls.push_back(AfterWait(queued.call_, now - queued.at_));
     }
     queued_.clear();
     return calls;
--- a/src/coordination/internal/ingress.cc
+++ b/src/coordination/internal/ingress.cc
@@ -60,7 +60,26 @@
   }
 
   void SetActionsAllowed(bool allowed) { actions_allowed_ = allowed; }
-  void SetRoutesRecent(bool recent) { routes_recent_ = recent; }
+  void SetConfigurationRecent(bool recent) { configuration_recent_ = recent; }
+
+  bool Denies(const CallReceived& call) const {
+    if (!configuration_.has_value() ||
+        configuration_->configuration_ == nullptr) {
+      return false;
+    }
+    const state::Configuration& configuration = *configuration_->configuration_;
+    if (call.service_.empty()) {
+      const state::Route* route =
+          state::FindRoute(configuration, call.host_, call.request_.path_);
+      return route == nullptr ||
+             access_.Denies(call.api_key_, route->allows_anonymous_);
+    }
+    const state::Service* service =
+        state::FindService(configuration, call.service_);
+    return service == nullptr ||
+           state::FindRule(*service, call.request_.method_,
+                           call.request_.path_) == nullptr;
+  }
 
   Commands OnCall(const CallReceived& received, state::Millis now) {
     counters_->Add(state::Counter::kCallsReceived);
@@ -79,18 +98,18 @@
                                : refuse(RefusalReason::kNoConfiguration);
     }
     if (!has_configuration) {
-      return refuse(RefusalReason::kNoService);
+      return refuse(RefusalReason::kNoConfiguration);
     }
     const auto configuration = configuration_->configuration_;
     const state::Service* service =
         state::FindService(*configuration, received.service_);
     if (service == nullptr) {
-      return refuse(RefusalReason::kNoService);
+      return refuse(DenialReason(RefusalReason::kNoService));
     }
     const state::Rule* rule = state::FindRule(
         *service, received.request_.method_, received.request_.path_);
     if (rule == nullptr) {
-      return refuse(RefusalReason::kNoRule);
+      return refuse(DenialReason(RefusalReason::kNoRule));
     }
     const std::string digest = DigestOf(service->name_, received.request_);
     if (convicted_.contains(digest)) {
@@ -198,6 +217,11 @@
                                          .retry_after_ = kRetryAfterRefusal}}};
   }
 
+  // A change that allows the call may have been missed here.
+  RefusalReason DenialReason(RefusalReason reason) const {
+    return configuration_recent_ ? reason : RefusalReason::kControlTooOld;
+  }
+
   // Precondition: there is a configuration.
   Commands OnRoutedCall(const CallReceived& received,
                         const std::string& request_id,
@@ -209,8 +233,7 @@
     const state::Route* route = state::FindRoute(*configuration, received.host_,
                                                  received.request_.path_);
     if (route == nullptr) {
-      return refuse(routes_recent_ ? RefusalReason::kNoRoute
-                                   : RefusalReason::kControlTooOld);
+      return refuse(DenialReason(RefusalReason::kNoRoute));
     }
     const Admission admission =
         Admit(received, route->allows_anonymous_, route->allowed_regions_, now);
@@ -275,8 +298,8 @@
                   bool allows_anonymous,
                   const std::vector<std::string>& allowed_regions,
                   state::Millis now) {
-    const AccessCheck::Decision access =
-        access_.Check(received.api_key_, allows_anonymous, routes_recent_, now);
+    const AccessCheck::Decision access = access_.Check(
+        received.api_key_, allows_anonymous, configuration_recent_, now);
     if (access.refusal_ != RefusalReason::kNone) {
       return Admission{.refusal_ = access.refusal_};
     }
@@ -304,7 +327,7 @@
   absl::flat_hash_set<std::string> suspects_;
   SplitChoice splits_;
   bool actions_allowed_ = false;
-  bool routes_recent_ = true;
+  bool configuration_recent_ = true;
   uint64_t next_request_ = 1;
 };
 
@@ -337,8 +360,12 @@
   impl_->SetActionsAllowed(allowed);
 }
 
-void Ingress::SetRoutesRecent(bool recent) {
-  impl_->SetRoutesRecent(recent);
+void Ingress::SetConfigurationRecent(bool recent) {
+  impl_->SetConfigurationRecent(recent);
+}
+
+bool Ingress::Denies(const CallReceived& call) const {
+  return impl_->Denies(call);
 }
 
 Commands Ingress::OnCall(const CallReceived& call, state::Millis now) {
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -9,6 +9,7 @@
 #include "coordination/internal/evacuation_report.h"
 #include "coordination/internal/quota_gate.h"
 #include "coordination/internal/register_tags.h"
+#include "coordination/internal/unconfirmed_denials.h"
 
 namespace gooseberrygap::coordination {
 
@@ -18,10 +19,6 @@
 // accepts no actions with a key, since their rules may have changed. Lookups
 // continue.
 constexpr state::Millis kMaxStaleness(10 * 1000);
-// After more than this time without contact to a control instance, a daemon
-// does not deny that a route exists: an accepted configuration must be in force
-// within 2 s on the users' platform.
-constexpr state::Millis kMaxRouteStaleness(2000);
 
 // The shortest time between two ticks, also used while probes are sent: a
 // reported load is accurate for some milliseconds only.
@@ -50,6 +47,7 @@
        absl::BitGenRef random,
        state::Counters* counters)
       : self_(options.self_),
+        configuration_apply_(options.configuration_apply_),
         counters_(counters),
         router_(options.self_, random, counters),
         register_client_(AddressesOf(options.control_instances_), counters),
@@ -61,6 +59,7 @@
         lease_(options.revocation_),
         evacuation_report_(self_.failure_domain_, &counters->gauges()),
         quota_(self_.instance_, options.quota_, counters),
+        denials_(options.configuration_apply_),
         ingress_(
             absl::StrCat(self_.instance_, "-", self_.version_.incarnation_),
             &router_,
@@ -87,7 +86,7 @@
   }
 
   state::Millis NextTick(state::Millis now) const {
-    const bool is_busy = ingress_.calls_in_progress() +
+    const bool is_busy = denials_.size() + ingress_.calls_in_progress() +
                              guard_.work_in_progress() +
                              guard_.reports_in_progress() >
                          0;
@@ -113,8 +112,8 @@
         .staleness_ = control_client_.Staleness(now),
         .record_ = control_client_.record(),
         .load_ = guard_.Load(),
-        .calls_in_progress_ =
-            ingress_.calls_in_progress() + early_calls_.size(),
+        .calls_in_progress_ = ingress_.calls_in_progress() +
+                              early_calls_.size() + denials_.size(),
         .work_in_progress_ = guard_.work_in_progress(),
         .reports_in_progress_ = guard_.reports_in_progress()};
   }
@@ -136,15 +135,43 @@
     // A routed call is refused immediately: its caller retries after the time
     // given in the answer.
     const bool is_routed = call.service_.empty();
-    ingress_.SetRoutesRecent(control_client_.Staleness(now) <=
-                             kMaxRouteStaleness);
-    return !is_routed && early_calls_.Add(call, now)
-               ? Commands()
-               : ingress_.OnCall(call, now);
+    return !is_routed && early_calls_.Add(call, now) ? Commands()
+                                                     : StartCall(call, now);
+  }
+
+  Commands StartCall(const CallReceived& call, state::Millis now) {
+    const state::Millis staleness = control_client_.Staleness(now);
+    const bool is_recent = staleness <= denials_.max_age();
+    // Later, the control group is out of reach, and no reply that confirms the
+    // denial is to be expected soon.
+    const bool may_learn = staleness <= configuration_apply_;
+    if (!is_recent && may_learn && ingress_.Denies(call) &&
+        denials_.Add(call, now)) {
+      counters_->Add(state::Counter::kDenialsHeld);
+      return Apply(control_client_.RenewNow(now), now);
+    }
+    ingress_.SetConfigurationRecent(is_recent);
+    return ingress_.OnCall(call, now);
+  }
+
+  // Starts or refuses the held calls for which the daemon knows enough now, and
+  // asks the control instance again for the others.
+  Commands ReleaseDenials(state::Millis now) {
+    Commands commands;
+    while (const auto released =
+               denials_.Release(control_client_.Staleness(now), now)) {
+      ingress_.SetConfigurationRecent(released->is_confirmed_);
+      Append(&commands, ingress_.OnCall(released->call_, now));
+    }
+    if (denials_.size() > 0) {
+      Append(&commands, Apply(control_client_.RenewNow(now), now));
+    }
+    return commands;
   }
 
   Commands On(const CallerDisconnected& disconnected, state::Millis now) {
     early_calls_.Remove(disconnected.call_id_);
+    denials_.Remove(disconnected.call_id_);
     return ingress_.OnCallerDisconnected(disconnected.call_id_, now);
   }
 
@@ -189,8 +216,9 @@
     ingress_.SetActionsAllowed(control_client_.Staleness(now) <= kMaxStaleness);
     for (const CallReceived& call :
          early_calls_.Release(HasRequiredState(now), now)) {
-      Append(&commands, ingress_.OnCall(call, now));
+      Append(&commands, StartCall(call, now));
     }
+    Append(&commands, ReleaseDenials(now));
     Append(&commands, Apply(register_client_.Tick(now), now));
     Append(&commands, ingress_.Tick(now));
     Append(&commands, guard_.Tick(now));
@@ -297,6 +325,7 @@
            guard_.RestoreWithdrawal(control_client_.kept_withdrawal()));
     register_client_.SetLeader(control_client_.leader_address());
     Append(&commands, guard_.OnCrashesReported(now));
+    Append(&commands, ReleaseDenials(now));
     return commands;
   }
 
@@ -503,6 +532,7 @@
   }
 
   const state::TargetRecord self_;
+  const state::Millis configuration_apply_;
   state::Counters* const counters_;
   Router router_;
   RegisterClient register_client_;
@@ -512,6 +542,7 @@
   QuotaGate quota_;
   LinkMonitor link_monitor_;
   EarlyCalls early_calls_;
+  UnconfirmedDenials denials_;
   Ingress ingress_;
   Guard guard_;
 };
--- a/src/coordination/tests/node_test.cc
+++ b/src/coordination/tests/node_test.cc
@@ -13,12 +13,13 @@
 // A daemon's node with a target of its own, a configuration with one action
 // service, and the leader's address.
 struct TestNode {
-  TestNode()
+  explicit TestNode(Millis configuration_apply = Millis(2000))
       : node_({.self_ = {.instance_ = "g",
                          .guard_address_ = "g-address",
                          .region_ = "kochi",
                          .version_ = {.incarnation_ = 5, .sequence_ = 1}},
-               .control_instances_ = {{"c", kControl, "kochi"}}},
+               .control_instances_ = {{"c", kControl, "kochi"}},
+               .configuration_apply_ = configuration_apply},
               random_,
               &counters_) {
     Handle(Ticked{}, 0);
@@ -44,6 +45,37 @@
     return commands;
   }
 
+  // Calls a path for which there is no route.
+  Commands CallUnknownRoute(uint64_t id, double now) {
+    return Handle(
+        CallReceived{.call_id_ = id,
+                     .host_ = "h",
+                     .request_ = {.method_ = "GET", .path_ = "/new/"}},
+        now);
+  }
+
+  // Answers the last renewal; without a route nothing has changed.
+  Commands Reply(double now, const std::vector<state::Route>& routes = {}) {
+    return Handle(
+        PeerMessageReceived{
+            .address_ = kControl,
+            .message_ =
+                LeaseReply{
+                    .control_instance_ = "c",
+                    .granted_ = true,
+                    .configuration_index_ = routes.empty() ? 0U : 2U,
+                    .configuration_ =
+                        routes.empty()
+                            ? nullptr
+                            : std::make_shared<const state::Configuration>(
+                                  state::Configuration{
+                                      .version_ = 2,
+                                      .services_ = {{.name_ = "s"}},
+                                      .routes_ = routes}),
+                    .renewal_ = renewal_}},
+        now);
+  }
+
   Commands Lease(uint64_t known_incarnation) {
     return node_.Handle(
         PeerMessageReceived{
@@ -76,6 +108,17 @@
   Node node_;
 };
 
+// Returns the reason in the answer to a call; nothing without an answer.
+std::optional<state::RefusalReason> ReasonIn(const Commands& commands) {
+  for (const Command& command : commands) {
+    if (const auto* answer = std::get_if<AnswerCall>(&command)) {
+      CHECK(answer->answer_.outcome_ == Outcome::kNotRun);
+      return answer->answer_.reason_;
+    }
+  }
+  return std::nullopt;
+}
+
 // Returns the first register call, or an empty one.
 RegisterCall RegisterCallOf(const Commands& commands) {
   for (const Command& command : commands) {
@@ -120,30 +163,57 @@
           "[configuration]") {
   TestNode test;
   test.Lease(5);
-  const auto reason_at = [&test](double now) {
-    for (const Command& command :
-         test.node_.Handle(CallReceived{.call_id_ = 1,
-         .host_ = "h",
-         .request_ = {.method_ = "GET", .path_ = "/new/"}},
-                           Millis(now))) {
-      if (const auto* answer = std::get_if<AnswerCall>(&command)) {
-        CHECK(answer->answer_.outcome_ == Outcome::kNotRun);
-        return answer->answer_.reason_;
-      }
-    }
-    return state::RefusalReason::kNone;
-  };
-  CHECK(reason_at(1500) == state::RefusalReason::kNoRoute);
-  CHECK(reason_at(2500) == state::RefusalReason::kControlTooOld);
-  test.Handle(Ticked{}, 2590);
-  test.node_.Handle(
-      PeerMessageReceived{
-          .address_ = kControl,
-          .message_ = LeaseReply{.control_instance_ = "c",
-                                 .granted_ = true,
-                                 .renewal_ = test.renewal_}},
-      Millis(2600));
-  CHECK(reason_at(2700) == state::RefusalReason::kNoRoute);
+  CHECK(ReasonIn(test.CallUnknownRoute(1, 400)) ==
+        state::RefusalReason::kNoRoute);
+  // Older knowledge denies nothing, and asks in vain.
+  CHECK(ReasonIn(test.CallUnknownRoute(2, 1500)) == std::nullopt);
+  CHECK(ReasonIn(test.Handle(Ticked{}, 1790)) == std::nullopt);
+  CHECK(ReasonIn(test.Handle(Ticked{}, 1800)) ==
+        state::RefusalReason::kControlTooOld);
+  CHECK(ReasonIn(test.CallUnknownRoute(3, 2500)) ==
+        state::RefusalReason::kControlTooOld);
+  test.Handle(Ticked{}, 2600);
+  test.Reply(2610);
+  CHECK(ReasonIn(test.CallUnknownRoute(4, 2700)) ==
+        state::RefusalReason::kNoRoute);
+}
+
+// Guards against a caller that is told for good that a route does not exist
+// which was accepted since the daemon's last renewal.
+TEST_CASE("a route is denied only when the control group confirms it",
+          "[configuration]") {
+  TestNode test;
+  test.Lease(5);
+  CHECK(ReasonIn(test.CallUnknownRoute(1, 900)) == std::nullopt);
+  const uint64_t asked = test.renewal_;
+  CHECK(ReasonIn(test.CallUnknownRoute(2, 910)) == std::nullopt);
+  CHECK(test.renewal_ == asked);
+  CHECK(test.node_.Status(Millis(910)).calls_in_progress_ == 2);
+  const bool is_added = GENERATE(false, true);
+  const std::vector<state::Route> added = {
+      {.name_ = "new",
+       .host_ = "h",
+       .path_prefix_ = "/new/",
+       .destinations_ = {{.service_ = "s", .weight_ = 1}}}};
+  const Commands answered =
+      test.Reply(930, is_added ? added : std::vector<state::Route>());
+  REQUIRE(ReasonIn(answered).has_value());
+  CHECK((ReasonIn(answered) == state::RefusalReason::kNoRoute) == !is_added);
+  CHECK(test.counters_.Get(state::Counter::kDenialsHeld) == 2);
+  CHECK(test.node_.Status(Millis(930)).calls_in_progress_ == 0);
+}
+
+// Guards against a daemon that denies a route which must be in force already,
+// where changes must be in force sooner than usual.
+TEST_CASE("the age of knowledge that denies follows the settings",
+          "[configuration]") {
+  TestNode test(Millis(300));
+  test.Lease(5);
+  CHECK(ReasonIn(test.CallUnknownRoute(1, 150)) ==
+        state::RefusalReason::kNoRoute);
+  CHECK(ReasonIn(test.CallUnknownRoute(2, 200)) == std::nullopt);
+  CHECK(ReasonIn(test.CallUnknownRoute(3, 301)) ==
+        state::RefusalReason::kControlTooOld);
 }
 
 // Guards against an empty answer that is returned as the stored one, when the
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -155,6 +155,7 @@
                   .announcement_lifetime_ =
                       has_platform ? settings_.platform_->announcement_lifetime_
                                    : coordination::kAnnouncementLifetime,
+                  .configuration_apply_ = settings_.configuration_apply_,
                   .revocation_ = settings_.revocation_,
                   .quota_ = settings_.quota_,
                   .warmup_ = settings_.warmup_},
--- a/src/daemon/node_duty.cc
+++ b/src/daemon/node_duty.cc
@@ -155,12 +155,11 @@
       listener->OnConfiguration(node_.configuration());
     }
     Log({.event_ = "configuration_in_force",
-         .fields_ = {{"index", static_cast<int64_t>(index)},
-                     {"version",
-                      static_cast<int64_t>(
-                          node_.configuration().configuration_->version_)},
-                     {"staleness_ms",
-                      node_.Status(clock_.Now()).staleness_.value()}}});
+         .fields_ = {
+             {"index", static_cast<int64_t>(index)},
+             {"version", static_cast<int64_t>(
+                             node_.configuration().configuration_->version_)},
+             {"staleness_ms", node_.Status(clock_.Now()).staleness_.value()}}});
   }
 }
 
--- a/src/protocol/api/settings.h
+++ b/src/protocol/api/settings.h
@@ -99,6 +99,9 @@
   const std::optional<ControlSettings> control_ = {};
   const std::optional<SeedSettings> seeds_ = {};
   const std::optional<PlatformSettings> platform_ = {};
+  // Time from the acknowledgement of a configuration until it must be in force
+  // at every daemon in contact with the control group.
+  const state::Millis configuration_apply_ = state::Millis(2000);
   const coordination::RevocationPolicy revocation_ = {};
   const coordination::QuotaPolicy quota_ = {};
   const coordination::WarmupTolerance warmup_ = {};
--- a/src/protocol/tests/settings_test.cc
+++ b/src/protocol/tests/settings_test.cc
@@ -15,7 +15,7 @@
     {"instance": "kochi-1a", "address": "10.0.0.1:9101", "region": "kochi"},
     {"instance": "kochi-2a", "address": "10.0.0.2:9101", "region": "kochi"}],
   "control": {"data_dir": "/var/lib/gooseberrygap", "snapshot_entries": 6},
-  "memory_mb": 160, "pressure": {"hold_ms": 8, "stall_ms": 900}, "log_level": "warn", "target_workers": 7})";
+  "configuration_apply_ms": 1500, "memory_mb": 160, "pressure": {"hold_ms": 8, "stall_ms": 900}, "log_level": "warn", "target_workers": 7})";
 
 std::string FaultsOf(const std::string& json) {
   const auto parsed = ParseSettings(json);
@@ -54,6 +54,7 @@
                                     .region_ = "kochi"}},
             .control_ = ControlSettings{.data_dir_ = "/var/lib/gooseberrygap",
                                         .snapshot_entries_ = 6},
+            .configuration_apply_ = state::Millis(1500),
             .memory_mb_ = 160,
             .pressure_ = {.hold_ = state::Millis(8),
                           .stall_ = state::Millis(900)},
--- a/src/state/api/counters.h
+++ b/src/state/api/counters.h
@@ -46,6 +46,7 @@
   kLinksReset,
   kLeasesRenewed,
   kLeaseControlMoves,
+  kDenialsHeld,
   kConfigurationsApplied,
   kConfigurationsOlderIgnored,
   kMembershipChanges,
--- a/src/state/internal/counters.cc
+++ b/src/state/internal/counters.cc
@@ -71,6 +71,9 @@
         {Counter::kLeasesRenewed, "lease_renewed", "Leases renewed."},
         {Counter::kLeaseControlMoves, "lease_control_move",
          "Moves of the lease to another control instance."},
+        {Counter::kDenialsHeld, "ingress_denial_held",
+         "Calls that the configuration does not allow, held until the control "
+         "group has confirmed it."},
         {Counter::kConfigurationsApplied, "configuration_applied",
          "Configurations taken into force."},
         {Counter::kConfigurationsOlderIgnored, "configuration_older_ignored",
