Wait at the start for what may become free by itself

A process ended with 1 or 2 when one of its addresses was held for a moment, for example by an outgoing connection or an earlier process that was still ending, when the lock of its data folder was, or when its settings file was being replaced. Restarts at once met the same cause, and three ends count as a fault.

Stop signals are blocked before anything else, since a SIGHUP in the first milliseconds ended the process. Wrong settings and a corrupt log still end it at once. The node starts last, so that a start that is stopped has no call in progress. Messages no longer end with two full stops.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -112,9 +112,10 @@
 }  // namespace
 
 state::Result<std::unique_ptr<Daemon>> Daemon::Start(
-    const protocol::Settings& settings) {
+    const protocol::Settings& settings,
+    StartRetry* retry) {
   std::unique_ptr<Daemon> daemon(new Daemon(settings));
-  BOOST_OUTCOME_TRYV(daemon->StartDuties());
+  BOOST_OUTCOME_TRYV(daemon->StartDuties(retry));
   return daemon;
 }
 
@@ -141,8 +142,8 @@
   event_front_.reset();
 }
 
-state::Result<void> Daemon::StartDuties() {
-  BOOST_OUTCOME_TRYV(OpenControl());
+state::Result<void> Daemon::StartDuties(StartRetry* retry) {
+  BOOST_OUTCOME_TRYV(retry->Run([this] { return OpenControl(); }));
   const bool has_platform = settings_.platform_.has_value();
   target_dialect_ = has_platform ? platform::MakeTargetDialect()
                                  : protocol::MakeTargetDialect();
@@ -162,6 +163,27 @@
           .target_workers_ = settings_.target_workers_,
           .accepts_until_close_ = has_platform},
       target_dialect_.get(), &call_slots_, &counters_);
+  BOOST_OUTCOME_TRYV(retry->Run([this] { return StartPeers(); }));
+  gateway_ = std::make_unique<OperatorGateway>(
+      OperatorGateway::Options{
+          .control_addresses_ = ControlAddresses(settings_),
+          .timeout_ =
+              has_platform ? kPlatformSubmissionTimeout : kSubmissionTimeout},
+      peers_.get());
+  if (control_ != nullptr) {
+    control_->Start(peers_.get());
+    evacuation_orders_ = std::make_unique<EvacuationOrders>(
+        control_.get(), gateway_.get(), &counters_);
+  }
+  BOOST_OUTCOME_TRYV(StartPlatformFront(retry));
+  BOOST_OUTCOME_TRYV(retry->Run([this] { return StartHttp(); }));
+  // Last, so that a start that is stopped while it waits has no call in
+  // progress.
+  node_->Start(peers_.get());
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+state::Result<void> Daemon::StartPeers() {
   auto peers = transport::PeerEndpoint::Start(
       transport::PeerEndpoint::Options{
           .listen_address_ = settings_.peer_.listen_,
@@ -180,20 +202,7 @@
     return peers.error();
   }
   peers_ = std::move(peers).value();
-  gateway_ = std::make_unique<OperatorGateway>(
-      OperatorGateway::Options{
-          .control_addresses_ = ControlAddresses(settings_),
-          .timeout_ =
-              has_platform ? kPlatformSubmissionTimeout : kSubmissionTimeout},
-      peers_.get());
-  if (control_ != nullptr) {
-    control_->Start(peers_.get());
-    evacuation_orders_ = std::make_unique<EvacuationOrders>(
-        control_.get(), gateway_.get(), &counters_);
-  }
-  BOOST_OUTCOME_TRYV(StartPlatformFront());
-  node_->Start(peers_.get());
-  return StartHttp();
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
 state::Result<void> Daemon::OpenControl() {
@@ -219,7 +228,7 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-state::Result<void> Daemon::StartPlatformFront() {
+state::Result<void> Daemon::StartPlatformFront(StartRetry* retry) {
   if (!settings_.platform_.has_value()) {
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
@@ -233,8 +242,10 @@
   event_front_ = std::make_unique<EventFront>(front_dialect_.get(), node_.get(),
                                               operators_.get(), &counters_);
   node_->AddListener(event_front_.get());
-  return event_front_->Start(*settings_.platform_, settings_.pressure_,
-                             account_);
+  return retry->Run([this] {
+    return event_front_->Start(*settings_.platform_, settings_.pressure_,
+                               account_);
+  });
 }
 
 void Daemon::Reload(const protocol::Settings& settings) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -8,15 +8,18 @@
 #include "daemon/http_front.h"
 #include "daemon/node_duty.h"
 #include "daemon/operator_gateway.h"
+#include "daemon/start_retry.h"
 
 namespace gooseberrygap::daemon {
 
 // One running daemon. Owns the duties, the servers and the rings between them.
 class Daemon {
  public:
-  // Binds the listen addresses and starts all duties.
+  // Binds the listen addresses and starts all duties. Repeats with `retry` what
+  // fails for a cause that may pass.
   static state::Result<std::unique_ptr<Daemon>> Start(
-      const protocol::Settings& settings);
+      const protocol::Settings& settings,
+      StartRetry* retry);
   ~Daemon();
 
   // Applies the settings that can change without a restart: the seeds.
@@ -35,10 +38,11 @@
   void WaitUntilIdle();
   explicit Daemon(const protocol::Settings& settings);
 
-  state::Result<void> StartDuties();
+  state::Result<void> StartDuties(StartRetry* retry);
   state::Result<void> OpenControl();
+  state::Result<void> StartPeers();
   state::Result<void> StartHttp();
-  state::Result<void> StartPlatformFront();
+  state::Result<void> StartPlatformFront(StartRetry* retry);
   void OnPeerMessage(transport::ReceivedPeerMessage arrival);
   void PostToNode(const transport::ReceivedPeerMessage& arrival);
   void RefusePeerMessage(const transport::ReceivedPeerMessage& arrival);
--- a/src/daemon/event_front.cc
+++ b/src/daemon/event_front.cc
@@ -37,6 +37,8 @@
     const protocol::PressureSettings& pressure,
     std::shared_ptr<transport::ByteAccount> account) {
   service_ = settings.service_;
+  // An earlier start may have failed.
+  listeners_.clear();
   const std::vector<Listener> listeners = {
       {settings.calls_, &protocol::FrontDialect::ReadCall},
       {settings.readiness_, &protocol::FrontDialect::ReadReadiness},
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -12,6 +12,8 @@
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
 #include "daemon/daemon.h"
 #include "daemon/logging.h"
 
@@ -26,6 +28,10 @@
 // Interval at which the settings file is read again for changes made without a
 // signal.
 constexpr int kSettingsCheckSeconds = 2;
+// Limit of the wait at the start for settings that cannot be read or parsed,
+// for example while the file is being replaced.
+constexpr state::Millis kMaxSettingsWait(3000);
+constexpr double kNanosPerMilli = 1e6;
 
 // Of the allocator, where the memory is limited. Memory that it keeps for later
 // counts towards the limit: large buffers go back to the system at once, and
@@ -43,13 +49,19 @@
   std::ifstream file(path);
   if (!file) {
     return state::MakeError(
-        state::ErrorKind::kInvalidSettings,
+        state::ErrorKind::kFileUnreadable,
         "The settings file \"" + path +
             "\" cannot be read; pass a readable JSON file with --settings");
   }
   std::stringstream text;
   text << file.rdbuf();
-  return protocol::ParseSettings(text.str());
+  const std::string content = text.str();
+  if (!absl::EndsWith(absl::StripTrailingAsciiWhitespace(content), "}")) {
+    return state::MakeError(
+        state::ErrorKind::kFileIncomplete,
+        "The settings file \"" + path + "\" ends before its last brace");
+  }
+  return protocol::ParseSettings(content);
 }
 
 void LimitAllocator() {
@@ -100,6 +112,19 @@
   }
 }
 
+// Waits for a signal to stop; returns whether one has come. Others stay
+// pending.
+bool WaitForStopFor(state::Millis time) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  const timespec wait = {
+      .tv_sec = 0,
+      .tv_nsec = static_cast<int64_t>(time.value() * kNanosPerMilli)};
+  return sigtimedwait(&signals, nullptr, &wait) > 0;
+}
+
 // Shows an error that ends the start in the log, too, where the lines of a
 // process are collected.
 int FailStart(const state::Error& error) {
@@ -111,21 +136,43 @@
   return ReportError(error, kExitFailed);
 }
 
-int Run() {
+// Ends the process once all duties have ended. Skips the destructors of the
+// libraries' static objects: on the users' platform they did not return, which
+// delayed each restart until the process was killed.
+[[noreturn]] void Exit() {
+  StopLogging();
+  std::_Exit(0);
+}
+
+int CheckSettings() {
   const auto settings = ReadSettings(absl::GetFlag(FLAGS_settings));
   if (!settings) {
     return ReportError(settings.error(), kExitUsage);
   }
-  if (absl::GetFlag(FLAGS_check)) {
-    std::puts("The settings are valid.");
-    return 0;
+  std::puts("The settings are valid.");
+  return 0;
+}
+
+int Run(const sigset_t& signals) {
+  StartRetry retry(WaitForStopFor);
+  const auto settings =
+      retry.Run([] { return ReadSettings(absl::GetFlag(FLAGS_settings)); },
+                kMaxSettingsWait);
+  if (retry.stopped()) {
+    Exit();
+  }
+  if (!settings) {
+    return ReportError(settings.error(), kExitUsage);
   }
   if (settings.value().memory_mb_.has_value()) {
     LimitAllocator();
   }
-  const sigset_t signals = BlockStopSignals();
   StartLogging(settings.value().log_level_, settings.value().instance_);
-  auto daemon = Daemon::Start(settings.value());
+  auto daemon = Daemon::Start(settings.value(), &retry);
+  if (retry.stopped()) {
+    Log({.event_ = "stopped"});
+    Exit();
+  }
   if (!daemon) {
     return FailStart(daemon.error());
   }
@@ -138,17 +185,16 @@
   daemon.value()->StopGracefully();
   daemon.value().reset();
   Log({.event_ = "stopped"});
-  StopLogging();
-  // All duties have ended. Skips the destructors of the libraries' static
-  // objects: on the users' platform they did not return, which delayed each
-  // restart until the process was killed.
-  std::_Exit(0);
+  Exit();
 }
 
 }  // namespace
 }  // namespace gooseberrygap::daemon
 
 int main(int argc, char** argv) {
+  // Before anything else: a change of the settings is told by SIGHUP, which
+  // would end a process that has just started.
+  const sigset_t signals = gooseberrygap::daemon::BlockStopSignals();
   absl::SetProgramUsageMessage(
       "The gooseberrygap daemon. It runs beside one target, accepts calls over "
       "HTTP, and guards its target.\n\n"
@@ -160,5 +206,6 @@
       "Exit codes: 0 stopped gracefully, 1 could not start, 2 invalid settings "
       "or flags.");
   absl::ParseCommandLine(argc, argv);
-  return gooseberrygap::daemon::Run();
+  return absl::GetFlag(FLAGS_check) ? gooseberrygap::daemon::CheckSettings()
+                                    : gooseberrygap::daemon::Run(signals);
 }
--- a/src/state/api/error.h
+++ b/src/state/api/error.h
@@ -16,6 +16,8 @@
   kInvalidRequest,
   kMalformedMessage,
   kAddressInUse,
+  kAddressUnavailable,
+  kNoResources,
   kUnreachable,
   kTimeout,
   kCorruptLog,
@@ -30,6 +32,7 @@
   kMalformedAnswer,
   kRefused,
   kFileUnreadable,
+  kFileIncomplete,
   kUsage,
   kNoConfiguration,
   kCount,
@@ -56,6 +59,10 @@
 // Returns what the operator can do about an error of this kind. Thread-safe.
 absl::string_view RemedyOf(ErrorKind kind);
 
+// Returns whether the cause of an error of this kind may pass by itself, so
+// that it is worth trying again. Thread-safe.
+bool MayPass(ErrorKind kind);
+
 // Returns an error whose message is `what` followed by the remedy.
 // Thread-safe.
 Error MakeError(ErrorKind kind, absl::string_view what);
--- a/src/state/internal/error.cc
+++ b/src/state/internal/error.cc
@@ -12,6 +12,7 @@
   const ErrorKind kind_;
   const absl::string_view name_;
   const absl::string_view remedy_;
+  const bool may_pass_ = false;
 };
 
 constexpr std::array<ErrorRow, static_cast<size_t>(ErrorKind::kCount)> kRows = {
@@ -29,7 +30,12 @@
          "connect "
          "to the peer port."},
         {ErrorKind::kAddressInUse, "address_in_use",
-         "Stop the process that listens there or choose another address."},
+         "Stop the process that listens there or choose another address.",
+         true},
+        {ErrorKind::kAddressUnavailable, "address_unavailable",
+         "Give the instance this address or choose another one.", true},
+        {ErrorKind::kNoResources, "no_resources",
+         "Raise the limits of open files and of memory.", true},
         {ErrorKind::kUnreachable, "unreachable",
          "Check that the instance runs and that its address is right."},
         {ErrorKind::kTimeout, "timeout",
@@ -42,13 +48,16 @@
         {ErrorKind::kDiskFailed, "disk_failed",
          "Replace the disk, start the instance with an empty data folder and "
          "add "
-         "it with 'gooseberrygapctl control add'."},
+         "it with 'gooseberrygapctl control add'.",
+         true},
         {ErrorKind::kDiskFull, "disk_full",
          "Free space on the disk of the data folder and start the instance "
-         "again."},
+         "again.",
+         true},
         {ErrorKind::kFolderInUse, "folder_in_use",
          "Stop the other process that uses the data folder or choose another "
-         "folder."},
+         "folder.",
+         true},
         {ErrorKind::kNotFormed, "not_formed",
          "Form the control group with 'gooseberrygapctl control form'."},
         {ErrorKind::kAlreadyFormed, "already_formed",
@@ -66,7 +75,9 @@
         {ErrorKind::kRefused, "refused",
          "Check the instance's log and 'gooseberrygapctl counters'."},
         {ErrorKind::kFileUnreadable, "file_unreadable",
-         "Check the path and the permissions of the file."},
+         "Check the path and the permissions of the file.", true},
+        {ErrorKind::kFileIncomplete, "file_incomplete",
+         "Correct the syntax of the file.", true},
         {ErrorKind::kUsage, "usage",
          "'gooseberrygapctl COMMAND --help' describes each command."},
         {ErrorKind::kNoConfiguration, "no_configuration",
@@ -88,6 +99,10 @@
   return RowOf(kind).remedy_;
 }
 
+bool MayPass(ErrorKind kind) {
+  return RowOf(kind).may_pass_;
+}
+
 Error MakeError(ErrorKind kind, absl::string_view what) {
   return Error{.kind_ = kind,
                .message_ = absl::StrCat(what, ". ", RemedyOf(kind))};
--- a/src/transport/internal/listen_socket.cc
+++ b/src/transport/internal/listen_socket.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "transport/internal/listen_error.h"
 #include "transport/internal/socket_address.h"
 
 namespace gooseberrygap::transport {
@@ -40,12 +41,9 @@
 
 state::Error ListenError(const std::string& address) {
   const int code = errno;
-  const state::ErrorKind kind = code == EADDRINUSE
-                                    ? state::ErrorKind::kAddressInUse
-                                    : state::ErrorKind::kInvalidSettings;
-  return state::MakeError(
-      kind, absl::StrCat("Cannot listen for HTTP at ", address, ": ",
-                         strerror(code), "."));
+  return state::MakeError(KindOfListenError(code),
+                          absl::StrCat("Cannot listen for HTTP at ", address,
+                                       ": ", strerror(code)));
 }
 
 std::string BoundAddress(int fd, const SocketAddress& requested) {
@@ -69,6 +67,9 @@
   }
   Descriptor opened(socket(parsed.value().storage_.ss_family,
                            SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!opened.valid()) {
+    return ListenError(address);
+  }
   setsockopt(opened.get(), SOL_SOCKET, SO_REUSEADDR, &kOn, sizeof kOn);
   if (bind(opened.get(), parsed.value().get(), parsed.value().size_) != 0 ||
       listen(opened.get(), kBacklog) != 0) {
--- a/src/transport/internal/poller.cc
+++ b/src/transport/internal/poller.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "transport/internal/listen_error.h"
 
 namespace gooseberrygap::transport {
 
@@ -26,10 +27,10 @@
   Descriptor epoll(epoll_create1(EPOLL_CLOEXEC));
   Descriptor wake(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK));
   if (!epoll.valid() || !wake.valid()) {
+    const int code = errno;
     return state::MakeError(
-        state::ErrorKind::kInvalidSettings,
-        absl::StrCat("Cannot create an epoll: ", strerror(errno),
-                     ". The limit of open files may be too low."));
+        KindOfListenError(code),
+        absl::StrCat("Cannot create an epoll: ", strerror(code)));
   }
   std::unique_ptr<Poller> poller(new Poller(std::move(epoll), std::move(wake)));
   poller->Add(poller->wake_.get(), EPOLLIN);
--- a/src/transport/internal/zmq_socket.cc
+++ b/src/transport/internal/zmq_socket.cc
@@ -8,6 +8,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/strip.h"
+#include "transport/internal/listen_error.h"
 
 namespace gooseberrygap::transport {
 
@@ -27,11 +28,9 @@
 
 state::Error ZmqError(absl::string_view what, absl::string_view address) {
   const int code = zmq_errno();
-  const state::ErrorKind kind = code == EADDRINUSE
-                                    ? state::ErrorKind::kAddressInUse
-                                    : state::ErrorKind::kInvalidSettings;
   return state::MakeError(
-      kind, absl::StrCat(what, " ", address, ": ", zmq_strerror(code), "."));
+      KindOfListenError(code),
+      absl::StrCat(what, " ", address, ": ", zmq_strerror(code)));
 }
 
 bool SetAll(void* socket, const std::vector<IntOption>& options) {
