--- a/src/transport/internal/request_reader.cc
+++ b/src/transport/internal/request_reader.cc
@@ -43,6 +43,9 @@
 
 ReadStep RequestReader::Put(std::string* input) {
   while (!input->empty()) {
+    if (!parser_.is_header_done() && HeadSize(*input) == 0) {
+      return AwaitHead(*input);
+    }
     if (!Reserve(*input)) {
       return ReadStep::kNoRoom;
     }
@@ -69,6 +72,16 @@
   return ReadStep::kNeedsMore;
 }
 
+// The parser would store the lines that are whole, each at many times its
+// bytes, before the cost of the head is known.
+ReadStep RequestReader::AwaitHead(const std::string& input) {
+  if (input.size() <= max_head_bytes_) {
+    return ReadStep::kNeedsMore;
+  }
+  status_ = kHeadTooLarge;
+  return ReadStep::kFailed;
+}
+
 bool RequestReader::Reserve(const std::string& input) {
   if (!parser_.is_header_done()) {
     // The parser takes the head as a whole.
--- a/src/transport/internal/request_reader.h
+++ b/src/transport/internal/request_reader.h
@@ -50,6 +50,8 @@
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+  // Decides about a head that is not whole yet.
+  ReadStep AwaitHead(const std::string& input);
   // Return whether there is room for what the parser takes next.
   bool Reserve(const std::string& input);
   bool ReserveChunks(size_t next_bytes);
--- a/tests/integration/caller_memory_test.cc
+++ b/tests/integration/caller_memory_test.cc
@@ -271,6 +271,27 @@
   daemons.CheckBounds();
 }
 
+// Guards against heads that hold many times their bytes before they are whole:
+// they stop behind a line, without the blank one.
+TEST_CASE("heads that stop before their blank line stay within the memory",
+          "[caller_heads]") {
+  const TwoDaemons daemons;
+  const Text head = HeadFullOf([](int) { return std::string("a:\r\n"); });
+  constexpr size_t kBlankLineAndBodyBytes = 4;
+  std::vector<RawRequest> requests;
+  for (int i = 0; i < kHeadCallers; ++i) {
+    requests.push_back(
+        {.text_ = head,
+         .sent_bytes_ = head->size() - kBlankLineAndBodyBytes,
+         .piece_bytes_ = i % 2 == 0 ? kWholeBytes : kSmallPieceBytes});
+  }
+  RawCallers callers(daemons.calls(), requests);
+  callers.SendAll();
+  WARN("sent " << callers.CountSent() << ", open " << callers.CountOpen());
+  daemons.CheckOrdinaryRequest();
+  daemons.CheckBounds();
+}
+
 // Guards against many bodies that are held at once, whole or in pieces.
 TEST_CASE("large bodies that stop short stay within the memory",
           "[caller_bodies]") {
