Keep calls that wait in one kind of queue

The queue of a daemon that has just started and the one of unconfirmed denials stood twice, with the removal of a caller that has left and the deadline that the wait reduces.

--- a/src/coordination/internal/decision_log.cc
+++ b/src/coordination/internal/decision_log.cc
@@ -132,11 +132,11 @@
   return LogEvent{
       .level_ = LogLevel::kWarning,
       .event_ = "control_reply_late",
-      .fields_ = {{"control", reply.control_instance_},
-                  {"waited_ms", waited.value()},
-                  {"staleness_ms", reply.staleness_.value()},
-                  {"configuration",
-                   static_cast<int64_t>(reply.configuration_index_)}}};
+      .fields_ = {
+          {"control", reply.control_instance_},
+          {"waited_ms", waited.value()},
+          {"staleness_ms", reply.staleness_.value()},
+          {"configuration", static_cast<int64_t>(reply.configuration_index_)}}};
 }
 
 LogEvent EvacuationLine(const state::EvacuationState& domain, bool is_own) {
--- a/src/coordination/internal/unconfirmed_denials.h
+++ b/src/coordination/internal/unconfirmed_denials.h
@@ -2,10 +2,9 @@
 #define COORDINATION_INTERNAL_UNCONFIRMED_DENIALS_H_
 
 #include <algorithm>
-#include <deque>
 #include <optional>
 
-#include "coordination/coordination.h"
+#include "coordination/internal/call_queue.h"
 
 namespace gooseberrygap::coordination {
 
@@ -31,50 +30,30 @@
 
   // Returns whether the call was held.
   bool Add(const CallReceived& call, state::Millis now) {
-    if (held_.size() >= kMaxHeld) {
-      return false;
-    }
-    held_.push_back(HeldCall{.call_ = call, .at_ = now});
-    return true;
+    return held_.Add(call, now);
   }
 
   // Returns the next call for which the knowledge, which is `staleness` old, is
   // recent enough, or whose time is over.
   std::optional<Released> Release(state::Millis staleness, state::Millis now) {
-    if (held_.empty()) {
+    if (held_.size() == 0) {
       return std::nullopt;
     }
-    const HeldCall& first = held_.front();
-    const state::Millis waited = now - first.at_;
+    const state::Millis waited = held_.FirstWaited(now);
     const bool is_confirmed = staleness - waited <= max_age_;
     if (!is_confirmed && waited < kMaxWait) {
       return std::nullopt;
     }
-    const Released released{.call_ = AfterWait(first.call_, waited),
-                            .is_confirmed_ = is_confirmed};
-    held_.pop_front();
-    return released;
+    return Released{.call_ = held_.TakeFirst(now),
+                    .is_confirmed_ = is_confirmed};
   }
 
   // Removes the call of a caller that has disconnected.
-  void Remove(uint64_t call_id) {
-    std::deque<HeldCall> remaining;
-    for (const HeldCall& held : held_) {
-      if (held.call_.call_id_ != call_id) {
-        remaining.push_back(held);
-      }
-    }
-    held_.swap(remaining);
-  }
+  void Remove(uint64_t call_id) { held_.Remove(call_id); }
 
   size_t size() const { return held_.size(); }
 
  private:
-  struct HeldCall {
-    const CallReceived call_ = {};
-    const state::Millis at_ = {};
-  };
-
   // Longer than the age that a control instance in contact with its leader
   // reports, and the round trip to it.
   static constexpr state::Millis kMaxAge = state::Millis(500);
@@ -87,7 +66,7 @@
   static constexpr state::Millis kMaxWait = state::Millis(300);
 
   const state::Millis max_age_;
-  std::deque<HeldCall> held_;
+  CallQueue held_{kMaxHeld};
 };
 
 }  // namespace gooseberrygap::coordination
