Log as late only the first reply after a renewal

The second reply in 'a reply that waited does not make the configuration recent' was logged; now it is not.

--- a/src/coordination/internal/control_client.cc
+++ b/src/coordination/internal/control_client.cc
@@ -201,7 +201,12 @@
            now - *awaiting_reply_since_ >= time;
   }
 
-  void LogIfLate(const LeaseReply& reply, state::Millis now, Step* step) const {
+  // Pushes name the renewal before them, too, however long ago it was answered.
+  void LogIfLate(const LeaseReply& reply, state::Millis now, Step* step) {
+    if (reply.renewal_ <= answered_renewal_) {
+      return;
+    }
+    answered_renewal_ = reply.renewal_;
     const std::optional<state::Millis> sent_at =
         renewals_.SentAt(reply.renewal_);
     if (sent_at.has_value() && now - *sent_at >= kLateReply) {
@@ -399,6 +404,7 @@
   state::Millis renewed_at_;
   uint64_t next_renewal_ = 1;
   SentTimes renewals_;
+  uint64_t answered_renewal_ = 0;  // Number of the last one.
   // Time at which the current instance was chosen, or at which the first
   // configuration came into force.
   state::Millis followed_since_;
--- a/src/coordination/tests/control_client_test.cc
+++ b/src/coordination/tests/control_client_test.cc
@@ -502,14 +502,18 @@
   daemon.now_ = daemon.now_ + Millis(3000);
   const ControlClient::Step step = daemon.Reply(reply);
   CHECK(daemon.client_.Staleness(daemon.now_) == Millis(3050));
-  CHECK(std::any_of(
-      step.commands_.begin(), step.commands_.end(), [](const Command& command) {
-        const auto* log = std::get_if<WriteLog>(&command);
-        return log != nullptr && log->event_.event_ == "control_reply_late";
-      }));
-  // A second reply after the same renewal shows nothing more.
+  const auto is_logged = [](const ControlClient::Step& handled) {
+    return std::any_of(handled.commands_.begin(), handled.commands_.end(),
+                       [](const Command& command) {
+                         const auto* log = std::get_if<WriteLog>(&command);
+                         return log != nullptr &&
+                                log->event_.event_ == "control_reply_late";
+                       });
+  };
+  CHECK(is_logged(step));
+  // A push after the same renewal shows nothing more, and is not late.
   daemon.now_ = daemon.now_ + Millis(100);
-  daemon.Reply(reply);
+  CHECK_FALSE(is_logged(daemon.Reply(reply)));
   CHECK(daemon.client_.Staleness(daemon.now_) == Millis(3150));
 }
 
