--- a/review/support-2/lab.py
+++ b/review/support-2/lab.py
@@ -16,6 +16,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 DAEMON = ROOT / "target/src/daemon/gooseberrygapd"
@@ -293,7 +294,7 @@
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
                 status, extra, text = await self._answer(method, path, headers, body)
                 out = [f"HTTP/1.1 {status} X", f"Content-Length: {len(text)}",
-                       f"X-Gooseberrygap-Server-Load: 0,0,9,100"] + extra
+                       "X-Gooseberrygap-Server-Load: 0,0,9,100"] + extra
                 if "x-gooseberrygap-attempt-id" in headers:
                     out.append("X-Gooseberrygap-Attempt-Id: "
                                + headers["x-gooseberrygap-attempt-id"])
@@ -382,15 +383,18 @@
 
 def main(case_folder, run):
     """Runs the case and ends the process with the exit code of its result."""
-    lab = None
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
+    lab, result = None, NOT_RUN
     try:
         lab = Lab(case_folder)
         result = run(lab)
     except CannotRun as error:
         print(f"cannot run: {error}", file=sys.stderr)
-        result = NOT_RUN
+    except Exception:  # A fault of the script is no result.
+        traceback.print_exc()
     finally:
         if lab is not None:
             lab.close()
-    sys.stdout.flush()
-    os._exit(result)
+        sys.stdout.flush()
+        sys.stderr.flush()
+        os._exit(result)
