Give the place of a stopping voter to its successor before it ends

Cause: a stopping instance did not leave the group. Its ready successor stayed a learner until the old voter had been silent for 3 s, and anew with each leader, so that the old voter and two lost disks were three of five.

Change: the instance requests to leave until the group has answered. The mark is in the replicated member list; a ready learner becomes a voter, then the marked one is removed, and the process ends after that.

--- a/src/coordination/api/group_membership.h
+++ b/src/coordination/api/group_membership.h
@@ -20,13 +20,15 @@
   const state::Millis contact_age_ = {};
   const uint64_t last_index_ = 0;
   const std::vector<MemberStatus> members_ = {};
+  const bool members_committed_ = false;
 };
 
 // Forms the control group at the first start, and maintains its members without
-// an operator: an instance requests to join, and becomes a voter in place of an
-// unresponsive one. An instance that lost its disk immediately replaces the
-// identity that it had at the same address. The number of voters falls below
-// the configured number only during a replacement. Not thread-safe.
+// an operator: an instance requests to join, and becomes a voter in place of
+// one that is unresponsive or leaving. An instance that lost its disk
+// immediately replaces the identity that it had at the same address. The number
+// of voters falls below the configured number only during the replacement of an
+// unresponsive one. Not thread-safe.
 class GroupMembership {
  public:
   struct Options {
@@ -52,22 +54,45 @@
   Step OnJoin(const JoinRequest& request,
               const GroupView& view,
               state::Millis now);
+  // Handles a request to leave: forwards it to the leader, or on the leader
+  // records that the voter is leaving, or removes the learner.
+  Step OnLeave(const LeaveRequest& request, const GroupView& view) const;
+  void OnLeft(const LeaveReply& reply, const GroupView& view);
+  // From now on, this instance requests to leave instead of to join. Call it
+  // when the process begins to stop.
+  void Leave();
+  // Returns whether the process need not wait for the group any longer: this
+  // instance is removed, or the group has noted that it leaves and has no
+  // learner that could take its place.
+  bool HasLeft(const GroupView& view) const;
   // Replaces the seeds.
   void SetSeeds(const std::vector<std::string>& seeds);
 
  private:
   Step RequestToJoin(const GroupView& view, state::Millis now);
-  // Returns the identity of an unresponsive member to remove: a learner, or a
-  // voter that is surplus or that a ready learner replaces. Returns nothing
-  // when there is none.
+  Step RequestToLeave(const GroupView& view, state::Millis now);
+  // Returns the next address at which to ask for the leader; empty when none is
+  // known.
+  std::string NextAddress(const GroupView& view);
+  // Returns the change of its own mark that the leader proposes, if any: set
+  // while it is leaving, cleared when it has returned.
+  Step UpdateOwnMark(const GroupView& view) const;
+  // Returns the identity of a member to remove: an unresponsive learner, or a
+  // voter that is leaving or unresponsive and whose place is taken. Returns
+  // nothing when there is none.
   std::optional<std::string> MemberToRemove(const GroupView& view) const;
+  // Returns whether the voter may be removed: it is surplus, or a ready learner
+  // takes its place.
+  bool MayRemove(const GroupView& view, const MemberStatus& voter) const;
 
   std::vector<std::string> seeds_;
   const bool first_start_;
   const size_t voters_;
   bool has_proposed_group_ = false;
+  bool leaving_ = false;
+  bool has_left_ = false;
   size_t next_address_ = 0;
-  state::Millis join_request_at_;
+  state::Millis request_at_;  // Of the next request to join or to leave.
   state::Millis removal_check_at_;
 };
 
--- a/src/coordination/api/messages.h
+++ b/src/coordination/api/messages.h
@@ -335,6 +335,23 @@
   friend bool operator==(const JoinRequest&, const JoinRequest&) = default;
 };
 
+// Tells the control group that the process of a member is stopping, so that a
+// ready learner takes the member's place. Any member forwards it to the leader.
+struct LeaveRequest {
+  const std::string identity_ = {};
+  const std::string address_ = {};  // Peer address for the reply.
+
+  friend bool operator==(const LeaveRequest&, const LeaveRequest&) = default;
+};
+
+// The leader's answer to a request to leave, once the removal is committed. The
+// log does not tell a member that it is removed.
+struct LeaveReply {
+  const std::string identity_ = {};
+
+  friend bool operator==(const LeaveReply&, const LeaveReply&) = default;
+};
+
 // Messages of the replicated log. `from_` and `to_` are member identities; a
 // message whose `to_` is not the receiver's identity is dropped.
 
@@ -521,7 +538,9 @@
                                  EvacuationSubmit,
                                  EvacuationReply,
                                  QuotaReport,
-                                 QuotaGrant>;
+                                 QuotaGrant,
+                                 LeaveRequest,
+                                 LeaveReply>;
 
 // The part of a daemon that handles a message.
 enum class MessageRecipient {
--- a/src/coordination/api/raft.h
+++ b/src/coordination/api/raft.h
@@ -47,8 +47,8 @@
   const uint64_t max_uncommitted_entries_ = 8192;
   // A learner is promoted to voter when it lacks at most this many entries.
   const uint64_t max_promotion_lag_ = 64;
-  // Learners are not promoted while the group has this many voters; 0 for no
-  // limit.
+  // Learners are not promoted while the group has this many voters, without
+  // those that are leaving; 0 for no limit.
   const uint64_t max_voters_ = 0;
 
   friend bool operator==(const RaftOptions&, const RaftOptions&) = default;
@@ -98,6 +98,14 @@
   const std::string identity_ = {};
 };
 
+// Records in the member list whether a voter is leaving. The place of a leaving
+// voter is given to a learner that has caught up.
+struct RaftSetLeaving {
+  const uint64_t tag_ = 0;
+  const std::string identity_ = {};
+  const bool leaving_ = true;
+};
+
 // Requests a read index: an index at or above that of every entry acknowledged
 // as committed before this event. `read_id_` is unique among the pending reads
 // of this member.
@@ -121,6 +129,7 @@
                                RaftForm,
                                RaftAddMember,
                                RaftRemoveMember,
+                               RaftSetLeaving,
                                RaftReadIndex,
                                RaftSnapshotMade,
                                RaftTick>;
@@ -246,6 +255,8 @@
   uint64_t last_index() const;
   // The latest member list in the log, committed or not.
   const std::vector<state::ControlMember>& members() const;
+  // Returns whether that list is committed.
+  bool members_committed() const;
   // Returns the replication status of every member in the latest list.
   std::vector<MemberStatus> Status(state::Millis now) const;
   // Returns the time since this member's last contact with a leader or, on the
--- a/src/coordination/internal/messages.cc
+++ b/src/coordination/internal/messages.cc
@@ -30,6 +30,12 @@
 constexpr MessageRecipient RecipientFor(const JoinRequest&) {
   return MessageRecipient::kControl;
 }
+constexpr MessageRecipient RecipientFor(const LeaveRequest&) {
+  return MessageRecipient::kControl;
+}
+constexpr MessageRecipient RecipientFor(const LeaveReply&) {
+  return MessageRecipient::kControl;
+}
 constexpr MessageRecipient RecipientFor(const QuotaReport&) {
   return MessageRecipient::kControl;
 }
--- a/src/coordination/internal/raft.cc
+++ b/src/coordination/internal/raft.cc
@@ -274,6 +274,10 @@
   return impl_->log().members();
 }
 
+bool Raft::members_committed() const {
+  return impl_->members_committed();
+}
+
 std::vector<MemberStatus> Raft::Status(state::Millis now) const {
   return impl_->Status(now);
 }
--- a/src/coordination/internal/raft_impl.h
+++ b/src/coordination/internal/raft_impl.h
@@ -50,6 +50,9 @@
   std::string AddressOf(const std::string& identity) const;
   uint64_t commit_index() const { return commit_index_; }
   const RaftLog& log() const { return log_; }
+  bool members_committed() const {
+    return log_.members_index() <= commit_index_;
+  }
   std::vector<MemberStatus> Status(state::Millis now) const;
   state::Millis ContactAge(state::Millis now) const;
   state::Millis Staleness(state::Millis now) const;
@@ -90,6 +93,7 @@
   void On(const RaftForm& event);
   void On(const RaftAddMember& event);
   void On(const RaftRemoveMember& event);
+  void On(const RaftSetLeaving& event);
   void On(const RaftReadIndex& event);
   void On(const RaftSnapshotMade& event);
   void On(const RaftTick& event);
@@ -188,6 +192,11 @@
   void FinishCommittedProposals();
   std::optional<ProposalStatus> MembershipChangeRefusal() const;
   void PromoteLearner();
+  // Returns whether the group has enough voters that stay. A voter that is
+  // leaving counts once it is out of contact: it is removed before its place is
+  // taken, since a dead voter would raise the majority.
+  bool HasEnoughVoters() const;
+  bool IsInContact(const std::string& identity) const;
   void AnswerLeaderReads(const std::vector<LeaderRead>& reads, bool confirmed);
   void OnPeer(const ReadIndexRequest& request, const std::string& connection);
   void OnPeer(const ReadIndexReply& reply, const std::string& connection);
--- a/src/coordination/internal/raft_proposals.cc
+++ b/src/coordination/internal/raft_proposals.cc
@@ -142,10 +142,50 @@
   Propose(event.tag_, state::LogEntryKind::kMembers, {}, std::move(members));
 }
 
+void Raft::Impl::On(const RaftSetLeaving& event) {
+  if (const std::optional<ProposalStatus> refusal = MembershipChangeRefusal()) {
+    FinishProposal(event.tag_, *refusal);
+    return;
+  }
+  const state::ControlMember* member =
+      FindMember(log_.members(), event.identity_);
+  if (member == nullptr || !member->voter_ ||
+      member->leaving_ == event.leaving_) {
+    FinishProposal(event.tag_, ProposalStatus::kInvalidChange);
+    return;
+  }
+  std::vector<state::ControlMember> members;
+  for (const state::ControlMember& old : log_.members()) {
+    members.push_back(state::ControlMember{
+        .identity_ = old.identity_,
+        .instance_ = old.instance_,
+        .address_ = old.address_,
+        .voter_ = old.voter_,
+        .leaving_ =
+            old.identity_ == event.identity_ ? event.leaving_ : old.leaving_});
+  }
+  Propose(event.tag_, state::LogEntryKind::kMembers, {}, std::move(members));
+}
+
+bool Raft::Impl::IsInContact(const std::string& identity) const {
+  const auto progress = progress_.find(identity);
+  return identity == identity_ || (progress != progress_.end() &&
+                                   now_ - progress->second.last_contact() <=
+                                       options_.election_timeout_min_);
+}
+
+bool Raft::Impl::HasEnoughVoters() const {
+  const std::vector<state::ControlMember>& members = log_.members();
+  const auto stays = [this](const state::ControlMember& member) {
+    return member.voter_ && !(member.leaving_ && IsInContact(member.identity_));
+  };
+  const auto staying = std::count_if(members.begin(), members.end(), stays);
+  return options_.max_voters_ > 0 &&
+         static_cast<uint64_t>(staying) >= options_.max_voters_;
+}
+
 void Raft::Impl::PromoteLearner() {
-  const bool is_complete = options_.max_voters_ > 0 &&
-                           CountVoters(log_.members()) >= options_.max_voters_;
-  if (is_complete || MembershipChangeRefusal()) {
+  if (HasEnoughVoters() || MembershipChangeRefusal()) {
     return;
   }
   const auto is_caught_up = [&](const state::ControlMember& member) {
@@ -154,8 +194,7 @@
            progress->second.match_index() > 0 &&
            progress->second.match_index() + options_.max_promotion_lag_ >=
                log_.last_index() &&
-           now_ - progress->second.last_contact() <=
-               options_.election_timeout_min_;
+           IsInContact(member.identity_);
   };
   const auto learner =
       std::find_if(log_.members().begin(), log_.members().end(), is_caught_up);
@@ -168,7 +207,8 @@
         .identity_ = member.identity_,
         .instance_ = member.instance_,
         .address_ = member.address_,
-        .voter_ = member.voter_ || member.identity_ == learner->identity_});
+        .voter_ = member.voter_ || member.identity_ == learner->identity_,
+        .leaving_ = member.leaving_});
   }
   AppendNewEntry(state::LogEntryKind::kMembers, {}, std::move(members));
 }
--- a/src/coordination/tests/group_membership_test.cc
+++ b/src/coordination/tests/group_membership_test.cc
@@ -144,6 +144,59 @@
             .empty());
 }
 
+// Guards against a group that bears fewer losses while a voter that still runs
+// hands over its place, and one that counts it for longer.
+TEST_CASE("a leaving voter is removed once another has its place",
+          "[membership]") {
+  const auto leaving = [](Millis last_contact_age) {
+    const MemberStatus voter = Member("b", true, last_contact_age);
+    return MemberStatus{
+        .member_ = ControlMember{.identity_ = "b",
+                                 .instance_ = "b",
+                                 .address_ = voter.member_.address_,
+                                 .voter_ = true,
+                                 .leaving_ = true},
+        .match_index_ = 100,
+        .last_contact_age_ = last_contact_age};
+  };
+  const auto removed = [](const MemberStatus& voter,
+                          const std::vector<MemberStatus>& more) {
+    std::vector<MemberStatus> others = {voter, Member("c", true, kRecent),
+                                        Member("d", true, kRecent),
+                                        Member("e", true, kRecent)};
+    for (const MemberStatus& member : more) {
+      others.push_back(member);
+    }
+    GroupMembership membership = Make(false);
+    return RemovedBy(membership.Tick(LeaderView(others), Millis(1000)));
+  };
+  CHECK(removed(leaving(kRecent), {}).empty());
+  CHECK(removed(leaving(kLongAgo), {}).empty());
+  CHECK(removed(leaving(kRecent), {Member("f", false, kRecent)}).empty());
+  CHECK(removed(leaving(kRecent), {Member("f", true, kRecent)}) == "b");
+  CHECK(removed(leaving(Millis(600)), {Member("f", false, kRecent)}) == "b");
+}
+
+// Guards against a stop that no member learns of: its request, or the leader
+// that had it, is lost.
+TEST_CASE("a request to leave is repeated until the group has noted it",
+          "[membership]") {
+  GroupMembership membership = Make(false);
+  const std::vector<MemberStatus> members = {Member("a", true, Millis(0)),
+                                             Member("b", true, Millis(0))};
+  const GroupView unknown{
+      .self_ = members[1].member_, .formed_ = true, .members_ = members};
+  membership.Leave();
+  for (int i = 0; i < 4; ++i) {
+    const auto step = membership.Tick(unknown, Millis(1000.0 * i));
+    REQUIRE(step.commands_.size() == 1);
+    const auto& send = std::get<SendToPeer>(step.commands_[0]);
+    CHECK(send.address_ == "a-address");
+    CHECK(std::get<LeaveRequest>(send.message_).identity_ == "b");
+    CHECK_FALSE(membership.HasLeft(unknown));
+  }
+}
+
 // Guards against a request to join that is lost at a follower.
 TEST_CASE("a follower forwards a request to join to the leader",
           "[membership]") {
--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -183,6 +183,14 @@
   ring_.TryPush(Item(NewSeeds{.addresses_ = seeds}));
 }
 
+void ControlDuty::Leave() {
+  ring_.TryPush(Item(LeaveGroup{}));
+}
+
+bool ControlDuty::WaitUntilLeft(state::Millis timeout) {
+  return !membership_.has_value() || left_slot_.Wait(timeout).has_value();
+}
+
 std::optional<coordination::QuotaOverview> ControlDuty::Quotas() {
   auto slot = std::make_shared<QuotaSlot>();
   if (!ring_.TryPush(Item(QuotaRequest{.slot_ = slot}))) {
@@ -266,16 +274,18 @@
     }
     return;
   }
-  const auto& arrival = std::get<transport::ReceivedPeerMessage>(item);
-  if (const auto* join =
-          std::get_if<coordination::JoinRequest>(&arrival.message_)) {
-    const state::Millis now = clock_.Now();
+  if (std::holds_alternative<LeaveGroup>(item)) {
+    leaves_ = true;
+    next_membership_tick_ = state::Millis(0);
     if (membership_.has_value()) {
-      Apply(membership_->OnJoin(*join, CurrentGroupView(now), now),
-            raft_events);
+      membership_->Leave();
     }
     return;
   }
+  const auto& arrival = std::get<transport::ReceivedPeerMessage>(item);
+  if (DispatchMembership(arrival.message_, raft_events)) {
+    return;
+  }
   const std::string& connection =
       arrival.connection_.empty() ? arrival.address_ : arrival.connection_;
   if (coordination::RecipientOf(arrival.message_) ==
@@ -290,13 +300,45 @@
       raft_events);
 }
 
+bool ControlDuty::DispatchMembership(const coordination::PeerMessage& message,
+                                     RaftEvents* raft_events) {
+  const auto* join = std::get_if<coordination::JoinRequest>(&message);
+  const auto* leave = std::get_if<coordination::LeaveRequest>(&message);
+  const auto* left = std::get_if<coordination::LeaveReply>(&message);
+  if (join == nullptr && leave == nullptr && left == nullptr) {
+    return false;
+  }
+  if (!membership_.has_value()) {
+    return true;
+  }
+  const state::Millis now = clock_.Now();
+  const coordination::GroupView view = CurrentGroupView(now);
+  if (join != nullptr) {
+    Apply(membership_->OnJoin(*join, view, now), raft_events);
+  } else if (leave != nullptr) {
+    Apply(membership_->OnLeave(*leave, view), raft_events);
+  } else {
+    membership_->OnLeft(*left, view);
+  }
+  return true;
+}
+
+void ControlDuty::TickMembership(state::Millis now, RaftEvents* raft_events) {
+  if (!membership_.has_value() || now < next_membership_tick_) {
+    return;
+  }
+  next_membership_tick_ = now + kMembershipInterval;
+  const coordination::GroupView view = CurrentGroupView(now);
+  Apply(membership_->Tick(view, now), raft_events);
+  if (leaves_ && membership_->HasLeft(view)) {
+    left_slot_.Put(true);
+  }
+}
+
 void ControlDuty::Tick(RaftEvents* raft_events) {
   const state::Millis now = clock_.Now();
   raft_events->emplace_back(coordination::RaftTick{});
-  if (membership_.has_value() && now >= next_membership_tick_) {
-    next_membership_tick_ = now + kMembershipInterval;
-    Apply(membership_->Tick(CurrentGroupView(now), now), raft_events);
-  }
+  TickMembership(now, raft_events);
   ProcessControlEvent(CurrentLogStatus(clock_.Now()), raft_events);
   ProcessControlEvent(
       coordination::ControlTick{.wall_millis_ = state::WallMillis()},
@@ -406,7 +448,8 @@
       .leader_address_ = raft_.leader_address(),
       .contact_age_ = raft_.ContactAge(now),
       .last_index_ = raft_.last_index(),
-      .members_ = raft_.Status(now)};
+      .members_ = raft_.Status(now),
+      .members_committed_ = raft_.members_committed()};
 }
 
 void ControlDuty::CompleteRead(const coordination::ReadIndexResult& read,
--- a/src/daemon/control_duty.h
+++ b/src/daemon/control_duty.h
@@ -66,6 +66,15 @@
   // Replaces the peer addresses of the seeds. Thread-safe.
   void SetSeeds(const std::vector<std::string>& seeds);
 
+  // Begins to leave a group that replaces its members itself, so that a ready
+  // learner takes this member's place before the process ends. Thread-safe.
+  void Leave();
+  // Waits until the group knows that this member leaves and has replaced it if
+  // it can, for at most `timeout`. Returns whether it has; also true for a
+  // group whose members an operator changes. Call it after Leave. Blocks.
+  // Thread-safe.
+  bool WaitUntilLeft(state::Millis timeout);
+
   // Returns the use of the tenants' quotas, or nothing when the duty does not
   // answer within 2 s. Blocks. Thread-safe.
   std::optional<coordination::QuotaOverview> Quotas();
@@ -95,6 +104,7 @@
   struct NewSeeds {
     std::vector<std::string> addresses_;
   };
+  struct LeaveGroup {};
   struct DiskFailed {
     const state::Error error_ = {};
   };
@@ -104,6 +114,7 @@
                             QuotaRequest,
                             ReadRequest,
                             NewSeeds,
+                            LeaveGroup,
                             DiskFailed>;
   using RaftEvents = std::vector<coordination::RaftEvent>;
 
@@ -115,6 +126,11 @@
   // Handles an item, or appends it to `raft_events` if it is one for the log.
   void Dispatch(const Item& item, RaftEvents* raft_events);
   void Tick(RaftEvents* raft_events);
+  void TickMembership(state::Millis now, RaftEvents* raft_events);
+  // Handles a message that concerns the members of the group. Returns whether
+  // it is one.
+  bool DispatchMembership(const coordination::PeerMessage& message,
+                          RaftEvents* raft_events);
   // Handles events of the log, then the events that result from them.
   void ProcessRaftEvents(RaftEvents events);
   void Apply(coordination::Raft::Step step, RaftEvents* raft_events);
@@ -161,6 +177,8 @@
   coordination::ControlService service_;
   std::optional<coordination::GroupMembership> membership_;
   state::Millis next_membership_tick_;
+  bool leaves_ = false;
+  transport::AnswerSlot<bool> left_slot_;
   // Reads that wait for a quorum, by read id.
   std::map<uint64_t, std::shared_ptr<ReadSlot>> pending_reads_;
   uint64_t next_read_id_ = 1;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -35,6 +35,13 @@
 // stays `started`, and the action is never run again.
 constexpr state::Millis kReportTimeout(4000);
 
+// Limit, from the beginning of a stop, of the wait until a successor has the
+// place of this member of the control group. A learner that has just been added
+// catches up within it, and a stop that has waited for it still ends within the
+// grace of a platform.
+constexpr state::Millis kLeaveTimeout(4000);
+constexpr state::Millis kShortestLeaveWait(50);
+
 constexpr state::Millis kLogLinkHeartbeat(1000);
 
 std::string AdvertisedAddress(const protocol::Settings& settings) {
@@ -331,6 +338,11 @@
 
 void Daemon::StopGracefully() {
   Log({.event_ = "stop_begun"});
+  const state::SteadyClock clock;
+  const state::Millis begun_at = clock.Now();
+  if (control_ != nullptr) {
+    control_->Leave();
+  }
   if (event_front_ != nullptr) {
     event_front_->AnnounceStop();
     // The target keeps running while its daemon stops, so that its slots stay
@@ -349,9 +361,23 @@
   WaitUntilIdle();
   node_->Post(coordination::TargetWithdrawn{});
   absl::SleepFor(kWorkPollInterval);
+  WaitUntilLeft(kLeaveTimeout - (clock.Now() - begun_at));
   Log({.event_ = "stop_work_done"});
 }
 
+void Daemon::WaitUntilLeft(state::Millis timeout) {
+  if (control_ == nullptr) {
+    return;
+  }
+  const bool has_left =
+      control_->WaitUntilLeft(std::max(timeout, kShortestLeaveWait));
+  if (!has_left) {
+    Log({.level_ = state::LogLevel::kWarning,
+         .event_ = "stop_without_successor",
+         .fields_ = {{"waited_ms", kLeaveTimeout.value()}}});
+  }
+}
+
 void Daemon::WaitUntilIdle() {
   const state::SteadyClock clock;
   std::optional<state::Millis> waiting_for_register_since;
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -36,6 +36,8 @@
   // then, for at most kReportTimeout, until the register has confirmed the ends
   // of actions.
   void WaitUntilIdle();
+  // Waits until this member of the control group has left it.
+  void WaitUntilLeft(state::Millis timeout);
   explicit Daemon(const protocol::Settings& settings);
 
   state::Result<void> StartDuties(StartRetry* retry);
--- a/src/protocol/internal/operator_json.cc
+++ b/src/protocol/internal/operator_json.cc
@@ -82,13 +82,15 @@
     Required("identity", &ControlMember::identity_, kNameText),
     Required("instance", &ControlMember::instance_, kNameText),
     Required("address", &ControlMember::address_, kAddressText),
-    Absent(&ControlMember::voter_));
+    Absent(&ControlMember::voter_),
+    Absent(&ControlMember::leaving_));
 
 constexpr auto kMemberRecord = RecordOf<ControlMember>(
     Required("identity", &ControlMember::identity_, kAnyText),
     Required("instance", &ControlMember::instance_, kAnyText),
     Required("address", &ControlMember::address_, kAnyText),
-    Required("voter", &ControlMember::voter_, Flag{}));
+    Required("voter", &ControlMember::voter_, Flag{}),
+    Optional("leaving", &ControlMember::leaving_, Flag{}));
 
 constexpr auto kStatusRecord = RecordOf<ControlStatus>(
     Required("identity", &ControlStatus::identity_, kAnyText),
--- a/src/protocol/internal/peer_codec.cc
+++ b/src/protocol/internal/peer_codec.cc
@@ -302,6 +302,14 @@
     out->set_instance(message.instance_);
     out->set_address(message.address_);
   }
+  void operator()(const coordination::LeaveRequest& message) const {
+    wire::LeaveRequest* out = envelope_->mutable_leave_request();
+    out->set_identity(message.identity_);
+    out->set_address(message.address_);
+  }
+  void operator()(const coordination::LeaveReply& message) const {
+    envelope_->mutable_leave_reply()->set_identity(message.identity_);
+  }
   void operator()(const coordination::VoteRequest& message) const {
     wire::VoteRequest* out = envelope_->mutable_vote_request();
     RouteToWire(message, out->mutable_route());
@@ -665,6 +673,17 @@
                                    .address_ = in.address()};
 }
 
+PeerMessage ReadLeaveRequest(const wire::Envelope& envelope, WireReader*) {
+  const wire::LeaveRequest& in = envelope.leave_request();
+  return coordination::LeaveRequest{.identity_ = in.identity(),
+                                    .address_ = in.address()};
+}
+
+PeerMessage ReadLeaveReply(const wire::Envelope& envelope, WireReader*) {
+  return coordination::LeaveReply{.identity_ =
+                                      envelope.leave_reply().identity()};
+}
+
 PeerMessage ReadResumeAttempt(const wire::Envelope& envelope, WireReader*) {
   const wire::ResumeAttempt& in = envelope.resume_attempt();
   return coordination::ResumeAttempt{.request_id_ = in.request_id(),
@@ -726,6 +745,8 @@
     {wire::Envelope::kReadIndexRequest, ReadReadIndexRequest},
     {wire::Envelope::kReadIndexReply, ReadReadIndexReply},
     {wire::Envelope::kJoinRequest, ReadJoinRequest},
+    {wire::Envelope::kLeaveRequest, ReadLeaveRequest},
+    {wire::Envelope::kLeaveReply, ReadLeaveReply},
     {wire::Envelope::kLoadNotice, ReadLoadNotice},
     {wire::Envelope::kResumeAttempt, ReadResumeAttempt},
     {wire::Envelope::kEvacuationSubmit, ReadEvacuationSubmit},
--- a/src/protocol/internal/wire_values.cc
+++ b/src/protocol/internal/wire_values.cc
@@ -180,6 +180,7 @@
     wire_member->set_instance(member.instance_);
     wire_member->set_address(member.address_);
     wire_member->set_voter(member.voter_);
+    wire_member->set_leaving(member.leaving_);
   }
 }
 
@@ -191,7 +192,8 @@
     members.push_back(state::ControlMember{.identity_ = member.identity(),
                                            .instance_ = member.instance(),
                                            .address_ = member.address(),
-                                           .voter_ = member.voter()});
+                                           .voter_ = member.voter(),
+                                           .leaving_ = member.leaving()});
   }
   return members;
 }
--- a/src/state/api/log.h
+++ b/src/state/api/log.h
@@ -16,6 +16,9 @@
   const std::string instance_ = {};
   const std::string address_ = {};  // Peer address.
   const bool voter_ = true;         // False for a learner.
+  // The voter's process is stopping or has stopped as planned, so that a ready
+  // learner takes its place at once. Cleared when the member is back.
+  const bool leaving_ = false;
 
   friend bool operator==(const ControlMember&, const ControlMember&) = default;
 };
--- a/src/state/internal/log_frame.cc
+++ b/src/state/internal/log_frame.cc
@@ -53,6 +53,11 @@
       .length_ = length, .synced_offset_ = synced, .payload_crc_ = payload_crc};
 }
 
+// Bits of a member's flags. Folders written before kLeavingFlag existed hold 0
+// or 1.
+constexpr uint8_t kVoterFlag = 1;
+constexpr uint8_t kLeavingFlag = 2;
+
 void PutMembers(BinaryWriter* writer,
                 const std::vector<ControlMember>& members) {
   writer->U32(static_cast<uint32_t>(members.size()));
@@ -60,7 +65,8 @@
     writer->String(member.identity_);
     writer->String(member.instance_);
     writer->String(member.address_);
-    writer->U8(member.voter_ ? 1 : 0);
+    writer->U8(static_cast<uint8_t>((member.voter_ ? kVoterFlag : 0) |
+                                    (member.leaving_ ? kLeavingFlag : 0)));
   }
 }
 
@@ -71,10 +77,12 @@
     std::string identity = reader->String();
     std::string instance = reader->String();
     std::string address = reader->String();
+    const uint8_t flags = reader->U8();
     members.push_back(ControlMember{.identity_ = std::move(identity),
                                     .instance_ = std::move(instance),
                                     .address_ = std::move(address),
-                                    .voter_ = reader->U8() != 0});
+                                    .voter_ = (flags & kVoterFlag) != 0,
+                                    .leaving_ = (flags & kLeavingFlag) != 0});
   }
   return members;
 }
