Store the withdrawals of targets in the replicated log

Cause: the withdrawal lived in the memory of the daemon and of the control instances only. After a kill of all processes a late heartbeat counted as the first one of a new target.

Change: the withdrawal is a command of the log. A daemon announces its target only after a reply of an instance that has been up to date since its start.

The member list of log_store_test now has a member that leaves.

--- a/src/coordination/api/commands.h
+++ b/src/coordination/api/commands.h
@@ -90,6 +90,14 @@
   const uint64_t delivery_id_ = 0;
 };
 
+// Answers an announcement whose sender waits. A withdrawal is acknowledged only
+// once the log of the control group has it, since the acknowledgement holds
+// after a restart of all processes.
+struct AnswerAnnouncement {
+  const uint64_t call_id_ = 0;
+  const bool acknowledged_ = false;
+};
+
 // Writes a line to the log.
 struct WriteLog {
   const state::LogEvent event_ = {};
@@ -101,6 +109,7 @@
                              AnswerCall,
                              DeliverToTarget,
                              CancelDelivery,
+                             AnswerAnnouncement,
                              WriteLog>;
 using Commands = std::vector<Command>;
 
--- a/src/coordination/api/control_client.h
+++ b/src/coordination/api/control_client.h
@@ -52,8 +52,9 @@
 
   // Announces a change of this daemon's target with an immediate renewal. Sends
   // nothing when nothing has changed. An empty service withdraws the target.
-  // The target is sent only after the first granted reply, which carries the
-  // withdrawal that a daemon has forgotten by its restart.
+  // The target is sent only after the first granted reply of an instance that
+  // has been up to date, which carries the withdrawal that a daemon has
+  // forgotten by its restart.
   Step Announce(const std::string& target,
                 const std::string& service,
                 int slots,
@@ -96,6 +97,9 @@
   // Returns the withdrawal that the last granted reply carried; one without a
   // name when there is none.
   const state::TargetWithdrawal& kept_withdrawal() const;
+  // Returns the last withdrawal of this daemon's targets that is in the log of
+  // the control group; one without a name when there is none.
+  const state::TargetWithdrawal& stored_withdrawal() const;
   // Returns this daemon's record, which its renewals announce after the first
   // granted reply.
   const state::TargetRecord& record() const;
--- a/src/coordination/api/events.h
+++ b/src/coordination/api/events.h
@@ -106,6 +106,13 @@
   const uint64_t incarnation_ = 0;
 };
 
+// An announcement or a withdrawal whose sender waits. Its answer is the command
+// AnswerAnnouncement with the same id.
+struct AnnouncementReceived {
+  const uint64_t call_id_ = 0;
+  const std::variant<TargetAnnounced, TargetWithdrawn> announcement_ = {};
+};
+
 // The daemon must drain: its target receives no new work.
 struct DrainRequested {};
 
@@ -123,6 +130,7 @@
                                DeliveryEnded,
                                TargetAnnounced,
                                TargetWithdrawn,
+                               AnnouncementReceived,
                                DrainRequested,
                                SeedsChanged,
                                Ticked>;
--- a/src/coordination/api/messages.h
+++ b/src/coordination/api/messages.h
@@ -200,8 +200,10 @@
   const std::string leader_address_ = {};  // Empty when unknown.
   // The members of the control group, and their regions where they are known.
   const std::vector<ControlAddress> control_members_ = {};
-  // The last withdrawal that the control group knows of the daemon's targets.
+  // The last withdrawal that the control group knows of the daemon's targets,
+  // and the last one in its log, which outlives a restart of all processes.
   const state::TargetWithdrawal withdrawal_ = {};
+  const state::TargetWithdrawal stored_withdrawal_ = {};
   // The last renewal that was handled before this reply was made; 0 for none.
   const uint64_t renewal_ = 0;
   // At the time `confirmed_age_` before this reply, a quorum confirmed that the
@@ -325,6 +327,17 @@
                          const EvacuationReply&) = default;
 };
 
+// Submits the withdrawal of a daemon's target to the leader, which appends it
+// to the log. Not answered: the sender waits for the entry and repeats the
+// message.
+struct WithdrawalSubmit {
+  const std::string instance_ = {};
+  const state::TargetWithdrawal withdrawal_ = {};
+
+  friend bool operator==(const WithdrawalSubmit&,
+                         const WithdrawalSubmit&) = default;
+};
+
 // Requests membership in the control group. Any member forwards it to the
 // leader.
 struct JoinRequest {
@@ -540,7 +553,8 @@
                                  QuotaReport,
                                  QuotaGrant,
                                  LeaveRequest,
-                                 LeaveReply>;
+                                 LeaveReply,
+                                 WithdrawalSubmit>;
 
 // The part of a daemon that handles a message.
 enum class MessageRecipient {
--- a/src/coordination/internal/control_client.cc
+++ b/src/coordination/internal/control_client.cc
@@ -178,6 +178,9 @@
   const state::TargetWithdrawal& kept_withdrawal() const {
     return *kept_withdrawal_;
   }
+  const state::TargetWithdrawal& stored_withdrawal() const {
+    return *stored_withdrawal_;
+  }
   const std::string& leader_address() const { return leader_address_; }
 
   state::Millis Staleness(state::Millis now) const {
@@ -251,8 +254,11 @@
     }
     counters_->Add(state::Counter::kLeasesRenewed);
     kept_withdrawal_.emplace(reply.withdrawal_);
-    if (!has_been_granted_) {
-      has_been_granted_ = true;
+    stored_withdrawal_.emplace(reply.stored_withdrawal_);
+    // An instance that has just started may lack a withdrawal that is in the
+    // log.
+    if (!knows_withdrawal_ && reply.staleness_ < kNeverContacted) {
+      knows_withdrawal_ = true;
       AnnounceHeldTarget(now);
     }
     if (!reply.leader_address_.empty()) {
@@ -277,10 +283,10 @@
     }
   }
 
-  // Announces the target that was not sent before the first granted reply. Not
+  // Announces the target that was not sent before its withdrawal was known. Not
   // with this call: the reply's withdrawal must be applied to the target first.
   void AnnounceHeldTarget(state::Millis now) {
-    if (!record_->target_.empty()) {
+    if (!record_->target_.empty() || !record_->withdrawal_.target_.empty()) {
       RaiseSequence();
       renew_at_ = now + kHeldTargetDelay;
     }
@@ -340,11 +346,12 @@
   }
 
   // Returns the record that a renewal carries. Before the first granted reply
-  // the daemon does not know whether its target has withdrawn, so that no other
-  // daemon may choose the target yet.
+  // of an instance that has been up to date, the daemon does not know whether
+  // its target has withdrawn, so that no other daemon may choose the target
+  // yet.
   state::TargetRecord RecordToSend() const {
     const state::TargetRecord& record = *record_;
-    return has_been_granted_
+    return knows_withdrawal_
                ? record
                : state::TargetRecord{.instance_ = record.instance_,
                                      .guard_address_ = record.guard_address_,
@@ -398,7 +405,9 @@
   std::optional<state::TargetRecord> record_;
   std::optional<state::TargetWithdrawal> kept_withdrawal_ =
       state::TargetWithdrawal();
-  bool has_been_granted_ = false;
+  std::optional<state::TargetWithdrawal> stored_withdrawal_ =
+      state::TargetWithdrawal();
+  bool knows_withdrawal_ = false;
   std::deque<ReportedCrash> crashes_;
   state::Millis renew_at_;
   state::Millis renewed_at_;
@@ -501,6 +510,10 @@
   return impl_->kept_withdrawal();
 }
 
+const state::TargetWithdrawal& ControlClient::stored_withdrawal() const {
+  return impl_->stored_withdrawal();
+}
+
 const state::TargetRecord& ControlClient::record() const {
   return impl_->record();
 }
--- a/src/coordination/internal/control_service.cc
+++ b/src/coordination/internal/control_service.cc
@@ -144,6 +144,7 @@
     ExpireLeases(now);
     AbandonOutdatedIncarnations(now);
     SendCrashAbandons(now);
+    SendUnstoredWithdrawals(now);
     ProposeExpiry(now);
   }
   if (now >= maintenance_at_) {
--- a/src/coordination/internal/control_service_impl.h
+++ b/src/coordination/internal/control_service_impl.h
@@ -16,11 +16,12 @@
 
 namespace gooseberrygap::coordination {
 
-// Implemented in five files: control_service.cc dispatches events and runs
+// Implemented in six files: control_service.cc dispatches events and runs
 // periodic work, control_service_leases.cc serves the leases of daemons,
 // control_service_log.cc proposes and applies commands,
 // control_service_evacuations.cc handles orders to evacuate failure domains,
-// and control_service_quota.cc connects the owner of the quotas.
+// control_service_withdrawals.cc stores the withdrawals of targets, and
+// control_service_quota.cc connects the owner of the quotas.
 class ControlService::Impl {
  public:
   Impl(ControlAddress self,
@@ -78,6 +79,7 @@
     kEvacuation,
     kAbandon,
     kExpire,
+    kWithdrawal,
   };
   // A proposal of this instance whose outcome is unknown.
   struct PendingProposal {
@@ -86,6 +88,13 @@
     std::string guard_;  // Set for kAbandon.
   };
 
+  // A withdrawal that a daemon reported to this instance and that is not known
+  // to be in the log.
+  struct UnstoredWithdrawal {
+    state::TargetWithdrawal withdrawal_;
+    std::optional<state::Millis> sent_at_;  // Absent until it is first sent.
+  };
+
   // Whether a read index has confirmed that the configuration in a lease reply
   // is current.
   enum class Confirmation { kUnconfirmed, kConfirmed };
@@ -112,6 +121,9 @@
   void OnMessage(const std::string& connection,
                  const EvacuationSubmit& submit,
                  state::Millis now);
+  void OnMessage(const std::string& connection,
+                 const WithdrawalSubmit& submit,
+                 state::Millis now);
   void OnMessage(const std::string& connection,
                  const MembershipSync& sync,
                  state::Millis now);
@@ -200,6 +212,16 @@
   void Apply(const state::EvacuationOrder& change,
              const EntryCommitted& entry,
              state::Millis now);
+  void Apply(const state::WithdrawTarget& change,
+             const EntryCommitted& entry,
+             state::Millis now);
+  // Has the withdrawal appended to the log unless the log covers it.
+  void StoreWithdrawal(const std::string& instance,
+                       const state::TargetWithdrawal& withdrawal,
+                       state::Millis now);
+  // Proposes the unstored withdrawals that are due, or sends them to the
+  // leader.
+  void SendUnstoredWithdrawals(state::Millis now);
   // Begins or ends the ownership of the quotas after a change of the status.
   void UpdateQuotaLeadership(state::Millis now);
   // Removes and returns the pending proposal of this command, or nothing when
@@ -244,6 +266,8 @@
   state::ActionRegister register_;
   state::ConfigurationStore configurations_;
   state::EvacuationTable evacuations_;
+  state::WithdrawalTable withdrawals_;
+  std::map<std::string, UnstoredWithdrawal> unstored_withdrawals_;
   QuotaOwner quota_owner_;
   uint64_t first_tag_of_leadership_ = 1;  // See `next_tag_`.
   uint64_t applied_index_ = 0;
--- a/src/coordination/internal/control_service_leases.cc
+++ b/src/coordination/internal/control_service_leases.cc
@@ -47,6 +47,7 @@
   if (renew.requires_confirmed_keys_) {
     key_confirmation_.Require(session->lease_until_, now);
   }
+  StoreWithdrawal(renew.instance_, renew.record_.withdrawal_, now);
   Reply(renew.instance_, session, Confirmation::kUnconfirmed, now);
   if (session->requires_confirmed_) {
     awaiting_read_request_.insert(renew.instance_);
@@ -174,6 +175,9 @@
   }
   const LeaseReply common_fields = MakeRefusal(instance, now);
   const state::MembershipRecord* known = table_.Find(instance);
+  const state::TargetWithdrawal& stored = withdrawals_.Find(instance);
+  const bool has_later_record =
+      known != nullptr && state::Covers(known->record_.withdrawal_, stored);
   return LeaseReply{
       .control_instance_ = common_fields.control_instance_,
       .granted_ = true,
@@ -198,8 +202,8 @@
       .staleness_ = common_fields.staleness_,
       .leader_address_ = common_fields.leader_address_,
       .control_members_ = ControlMembers(),
-      .withdrawal_ = known == nullptr ? state::TargetWithdrawal()
-                                      : known->record_.withdrawal_,
+      .withdrawal_ = has_later_record ? known->record_.withdrawal_ : stored,
+      .stored_withdrawal_ = stored,
       .renewal_ = session->renewal_,
       .confirmed_index_ = common_fields.confirmed_index_,
       .confirmed_age_ = common_fields.confirmed_age_,
--- a/src/coordination/internal/control_service_log.cc
+++ b/src/coordination/internal/control_service_log.cc
@@ -265,6 +265,7 @@
   register_.Restore(event.state_.register_);
   configurations_.Restore(event.state_.configurations_, event.state_.accepted_);
   evacuations_.Restore(event.state_.evacuations_);
+  withdrawals_.Restore(event.state_.withdrawals_);
   UpdateEvacuationGauge();
   ApplyConfigurationPolicy(QuotaOwner::NewTenants::kMayHoldTokens, now);
   push_all_ = true;
@@ -277,7 +278,8 @@
       .register_ = register_.Snapshot(),
       .configurations_ = configurations_.Snapshot(),
       .accepted_ = configurations_.AcceptedSubmissions(),
-      .evacuations_ = evacuations_.Snapshot()};
+      .evacuations_ = evacuations_.Snapshot(),
+      .withdrawals_ = withdrawals_.Snapshot()};
 }
 
 void ControlService::Impl::ProposeAbandon(const std::string& guard,
--- a/src/coordination/internal/guard_target.cc
+++ b/src/coordination/internal/guard_target.cc
@@ -127,7 +127,7 @@
 }
 
 bool GuardTarget::RestoreWithdrawal(const state::TargetWithdrawal& withdrawal) {
-  if (withdrawal_.has_value() || withdrawal.target_.empty()) {
+  if (state::Covers(GuardTarget::withdrawal(), withdrawal)) {
     return false;
   }
   withdrawal_.emplace(withdrawal);
--- a/src/coordination/internal/messages.cc
+++ b/src/coordination/internal/messages.cc
@@ -33,6 +33,9 @@
 constexpr MessageRecipient RecipientFor(const LeaveRequest&) {
   return MessageRecipient::kControl;
 }
+constexpr MessageRecipient RecipientFor(const WithdrawalSubmit&) {
+  return MessageRecipient::kControl;
+}
 constexpr MessageRecipient RecipientFor(const LeaveReply&) {
   return MessageRecipient::kControl;
 }
--- a/src/coordination/internal/node.cc
+++ b/src/coordination/internal/node.cc
@@ -10,6 +10,7 @@
 #include "coordination/internal/quota_gate.h"
 #include "coordination/internal/register_tags.h"
 #include "coordination/internal/unconfirmed_denials.h"
+#include "coordination/internal/withdrawal_acknowledgements.h"
 
 namespace gooseberrygap::coordination {
 
@@ -86,7 +87,8 @@
   }
 
   state::Millis NextTick(state::Millis now) const {
-    const bool is_busy = denials_.size() + ingress_.calls_in_progress() +
+    const bool is_busy = acknowledgements_.size() + denials_.size() +
+                             ingress_.calls_in_progress() +
                              guard_.work_in_progress() +
                              guard_.reports_in_progress() >
                          0;
@@ -196,6 +198,45 @@
     return guard_.OnWithdrawn(withdrawn);
   }
 
+  Commands On(const AnnouncementReceived& received, state::Millis now) {
+    Commands commands = std::visit(
+        [this, now](const auto& announced) { return On(announced, now); },
+        received.announcement_);
+    const state::TargetWithdrawal withdrawal = std::visit(
+        [this](const auto& announced) { return WithdrawalBy(announced); },
+        received.announcement_);
+    acknowledgements_.Add(received.call_id_, withdrawal, now);
+    Append(&commands, ReleaseAcknowledgements(now));
+    return commands;
+  }
+
+  // Returns the withdrawal that the announcement has brought about or repeats;
+  // an empty one if it withdraws nothing.
+  state::TargetWithdrawal WithdrawalBy(const TargetAnnounced& announced) const {
+    const bool withdraws = announced.state_ == state::TargetState::kDraining ||
+                           announced.state_ == state::TargetState::kLeft;
+    return withdraws && guard_.withdrawal().target_ == announced.target_
+               ? guard_.withdrawal()
+               : state::TargetWithdrawal();
+  }
+
+  state::TargetWithdrawal WithdrawalBy(const TargetWithdrawn& withdrawn) const {
+    return guard_.withdrawal().target_ == withdrawn.target_
+               ? guard_.withdrawal()
+               : state::TargetWithdrawal();
+  }
+
+  Commands ReleaseAcknowledgements(state::Millis now) {
+    Commands answers =
+        acknowledgements_.Release(control_client_.stored_withdrawal(), now);
+    for (const Command& command : answers) {
+      if (!std::get<AnswerAnnouncement>(command).acknowledged_) {
+        counters_->Add(state::Counter::kWithdrawalsNotStored);
+      }
+    }
+    return answers;
+  }
+
   Commands On(const DrainRequested&, state::Millis) {
     guard_.Drain();
     return {};
@@ -219,6 +260,7 @@
       Append(&commands, StartCall(call, now));
     }
     Append(&commands, ReleaseDenials(now));
+    Append(&commands, ReleaseAcknowledgements(now));
     Append(&commands, Apply(register_client_.Tick(now), now));
     Append(&commands, ingress_.Tick(now));
     Append(&commands, guard_.Tick(now));
@@ -326,6 +368,7 @@
     register_client_.SetLeader(control_client_.leader_address());
     Append(&commands, guard_.OnCrashesReported(now));
     Append(&commands, ReleaseDenials(now));
+    Append(&commands, ReleaseAcknowledgements(now));
     return commands;
   }
 
@@ -411,7 +454,10 @@
                          target.slots_ == record.slots_ &&
                          target.state_ == record.state_ &&
                          guard_.withdrawal() == record.withdrawal_;
-    if (!target.target_.empty() && !is_same) {
+    // A withdrawal may come before the first announcement after a restart.
+    const bool has_news =
+        !target.target_.empty() || !guard_.withdrawal().target_.empty();
+    if (has_news && !is_same) {
       commands = Apply(control_client_.Announce(target.target_, target.service_,
                                                 target.slots_, target.state_,
                                                 now, guard_.withdrawal()),
@@ -543,6 +589,7 @@
   LinkMonitor link_monitor_;
   EarlyCalls early_calls_;
   UnconfirmedDenials denials_;
+  WithdrawalAcknowledgements acknowledgements_;
   Ingress ingress_;
   Guard guard_;
 };
--- a/src/daemon/event_front.cc
+++ b/src/daemon/event_front.cc
@@ -103,6 +103,13 @@
   }
 }
 
+void EventFront::OnAnnouncementAnswered(uint64_t call_id, bool acknowledged) {
+  if ((call_id & kCallBit) != 0) {
+    server_->Answer(call_id & ~kCallBit,
+                    dialect_->PrintAcknowledgement(acknowledged));
+  }
+}
+
 void EventFront::OnConfiguration(
     const state::IndexedConfiguration& configuration) {
   started_.WaitForNotification();
@@ -139,12 +146,21 @@
 
 void EventFront::Handle(uint64_t id,
                         const coordination::TargetAnnounced& request) {
-  server_->Answer(id, dialect_->PrintAcknowledgement(node_->Post(request)));
+  PostAnnouncement(coordination::AnnouncementReceived{
+      .call_id_ = id | kCallBit, .announcement_ = request});
 }
 
 void EventFront::Handle(uint64_t id,
                         const coordination::TargetWithdrawn& request) {
-  server_->Answer(id, dialect_->PrintAcknowledgement(node_->Post(request)));
+  PostAnnouncement(coordination::AnnouncementReceived{
+      .call_id_ = id | kCallBit, .announcement_ = request});
+}
+
+void EventFront::PostAnnouncement(
+    const coordination::AnnouncementReceived& announcement) {
+  if (!node_->Post(announcement)) {
+    OnAnnouncementAnswered(announcement.call_id_, false);
+  }
 }
 
 void EventFront::Handle(uint64_t id,
--- a/src/daemon/event_front.h
+++ b/src/daemon/event_front.h
@@ -46,6 +46,7 @@
   void OnCallerDisconnected(uint64_t request_id) override;
   void OnAnswer(uint64_t call_id,
                 const coordination::CallAnswer& answer) override;
+  void OnAnnouncementAnswered(uint64_t call_id, bool acknowledged) override;
   void OnConfiguration(
       const state::IndexedConfiguration& configuration) override;
 
@@ -69,6 +70,7 @@
   void Handle(uint64_t id, const protocol::OrderEvacuation& request);
   void Handle(uint64_t id, const protocol::RefusedRequest& request);
   void PostOperatorRequest(uint64_t id, OperatorRequest request);
+  void PostAnnouncement(const coordination::AnnouncementReceived& announcement);
 
   const state::SteadyClock clock_;
   const protocol::FrontDialect* const dialect_;
--- a/src/daemon/http_front.cc
+++ b/src/daemon/http_front.cc
@@ -271,7 +271,11 @@
     counters_->Add(state::Counter::kAnnouncementsRefused);
     return ErrorAnswer(400, announced.error());
   }
-  return Post(announced.value());
+  if (!node_->Announce(announced.value())) {
+    return ErrorAnswer(503, state::ErrorKind::kTimeout,
+                       "The announcement is not acknowledged; try again");
+  }
+  return Json(200, "{}");
 }
 
 HttpAnswer HttpFront::Withdraw(const HttpRequest&) {
--- a/src/daemon/node_duty.cc
+++ b/src/daemon/node_duty.cc
@@ -85,6 +85,16 @@
   return ring_.TryPush(Item(std::move(event)));
 }
 
+bool NodeDuty::Announce(const coordination::TargetAnnounced& announced) {
+  const auto opened = announcement_slots_.Open();
+  const bool accepted = Post(coordination::AnnouncementReceived{
+      .call_id_ = opened.id_, .announcement_ = announced});
+  const std::optional<bool> acknowledged =
+      accepted ? opened.slot_->Wait(kViewTimeout) : std::nullopt;
+  announcement_slots_.Close(opened.id_);
+  return acknowledged.value_or(false);
+}
+
 std::optional<NodeView> NodeDuty::View() {
   auto slot = std::make_shared<ViewSlot>();
   if (!ring_.TryPush(Item(ViewRequest{.slot_ = slot}))) {
@@ -200,6 +210,13 @@
   }
 }
 
+void NodeDuty::CarryOut(const coordination::AnswerAnnouncement& command) {
+  announcement_slots_.Put(command.call_id_, command.acknowledged_);
+  for (NodeListener* listener : listeners_) {
+    listener->OnAnnouncementAnswered(command.call_id_, command.acknowledged_);
+  }
+}
+
 void NodeDuty::CarryOut(const coordination::DeliverToTarget& command) {
   const bool accepted = target_client_->Deliver(coordination::DeliverToTarget{
       .delivery_id_ = command.delivery_id_,
--- a/src/daemon/node_duty.h
+++ b/src/daemon/node_duty.h
@@ -28,6 +28,8 @@
   // Called for each answered call, also for calls of other fronts.
   virtual void OnAnswer(uint64_t call_id,
                         const coordination::CallAnswer& answer) = 0;
+  // Called for each answered announcement, also for those to other fronts.
+  virtual void OnAnnouncementAnswered(uint64_t call_id, bool acknowledged) = 0;
   // Called when another configuration comes into force.
   virtual void OnConfiguration(
       const state::IndexedConfiguration& configuration) = 0;
@@ -65,6 +67,11 @@
   // closed. Thread-safe.
   bool Post(coordination::NodeEvent event);
 
+  // Hands an announcement to the node and returns whether it is acknowledged,
+  // which for a withdrawal takes until the control group has stored it. Blocks
+  // for at most 2 s. Thread-safe.
+  bool Announce(const coordination::TargetAnnounced& announced);
+
   // Returns whether callers should be sent to this daemon. Thread-safe.
   bool is_ready() const { return ready_.load(); }
   // Returns a snapshot of the node, or nothing when the duty does not answer
@@ -88,12 +95,14 @@
   void CarryOut(const coordination::AnswerCall& command);
   void CarryOut(const coordination::DeliverToTarget& command);
   void CarryOut(const coordination::CancelDelivery& command);
+  void CarryOut(const coordination::AnswerAnnouncement& command);
   void CarryOut(const coordination::WriteLog& command);
 
   const state::SteadyClock clock_;
   absl::BitGen random_;
   const protocol::TargetDialect* const dialect_;
   CallSlots* const slots_;
+  transport::AnswerSlots<bool> announcement_slots_;
   std::vector<NodeListener*> listeners_;
   std::atomic<bool> ready_ = false;
   coordination::Node node_;
--- a/src/protocol/internal/log_codec.cc
+++ b/src/protocol/internal/log_codec.cc
@@ -46,6 +46,11 @@
   void operator()(const state::EvacuationOrder& change) const {
     ToWire(change, out_->mutable_command()->mutable_evacuation());
   }
+  void operator()(const state::WithdrawTarget& change) const {
+    wire::WithdrawTarget* out = out_->mutable_command()->mutable_withdrawal();
+    out->set_instance(change.instance_);
+    ToWire(change.withdrawal_, out->mutable_withdrawal());
+  }
 };
 
 state::LogChange ReadConfiguration(const wire::LogCommand& in,
@@ -67,6 +72,13 @@
   return FromWire(in.evacuation(), reader);
 }
 
+state::LogChange ReadWithdrawal(const wire::LogCommand& in,
+                                WireReader* reader) {
+  return state::WithdrawTarget{
+      .instance_ = in.withdrawal().instance(),
+      .withdrawal_ = FromWire(in.withdrawal().withdrawal(), reader)};
+}
+
 struct ChangeRow {
   const wire::LogCommand::CommandCase kind_;
   state::LogChange (*const read_)(const wire::LogCommand&, WireReader*);
@@ -77,6 +89,7 @@
     {wire::LogCommand::kRegisterCommand, ReadRegisterCommand},
     {wire::LogCommand::kExpireKeys, ReadExpireKeys},
     {wire::LogCommand::kEvacuation, ReadEvacuation},
+    {wire::LogCommand::kWithdrawal, ReadWithdrawal},
 };
 
 void EntryToWire(const state::KeyedRegisterEntry& keyed,
@@ -170,6 +183,13 @@
     wire_accepted->set_index(accepted.index_);
   }
   ToWire(state.evacuations_, out.mutable_evacuations());
+  for (const state::StoredWithdrawal& stored : state.withdrawals_) {
+    wire::StoredWithdrawal* wire_stored = out.add_withdrawals();
+    wire_stored->set_wall_millis(stored.wall_millis_);
+    wire::WithdrawTarget* command = wire_stored->mutable_command();
+    command->set_instance(stored.instance_);
+    ToWire(stored.withdrawal_, command->mutable_withdrawal());
+  }
   return out.SerializeAsString();
 }
 
@@ -199,6 +219,14 @@
         .submission_ = entry.submission(), .index_ = entry.index()});
   }
   state::Evacuations evacuations = FromWire(in.evacuations(), &reader);
+  std::vector<state::StoredWithdrawal> withdrawals;
+  withdrawals.reserve(in.withdrawals_size());
+  for (const wire::StoredWithdrawal& stored : in.withdrawals()) {
+    withdrawals.push_back(state::StoredWithdrawal{
+        .instance_ = stored.command().instance(),
+        .withdrawal_ = FromWire(stored.command().withdrawal(), &reader),
+        .wall_millis_ = stored.wall_millis()});
+  }
   if (!reader.valid()) {
     return Malformed("The replicated state has a field that is out of range");
   }
@@ -209,7 +237,8 @@
                                            .entries_ = std::move(entries)},
       .configurations_ = std::move(configurations),
       .accepted_ = std::move(accepted),
-      .evacuations_ = std::move(evacuations)};
+      .evacuations_ = std::move(evacuations),
+      .withdrawals_ = std::move(withdrawals)};
 }
 
 }  // namespace gooseberrygap::protocol
--- a/src/protocol/internal/peer_codec.cc
+++ b/src/protocol/internal/peer_codec.cc
@@ -209,6 +209,9 @@
     if (!message.withdrawal_.target_.empty()) {
       ToWire(message.withdrawal_, out->mutable_withdrawal());
     }
+    if (!message.stored_withdrawal_.target_.empty()) {
+      ToWire(message.stored_withdrawal_, out->mutable_stored_withdrawal());
+    }
     out->set_renewal(message.renewal_);
     out->set_confirmed_index(message.confirmed_index_);
     out->set_confirmed_age(message.confirmed_age_.value());
@@ -307,6 +310,11 @@
     out->set_identity(message.identity_);
     out->set_address(message.address_);
   }
+  void operator()(const coordination::WithdrawalSubmit& message) const {
+    wire::WithdrawalSubmit* out = envelope_->mutable_withdrawal_submit();
+    out->set_instance(message.instance_);
+    ToWire(message.withdrawal_, out->mutable_withdrawal());
+  }
   void operator()(const coordination::LeaveReply& message) const {
     envelope_->mutable_leave_reply()->set_identity(message.identity_);
   }
@@ -497,6 +505,7 @@
       .leader_address_ = in.leader_address(),
       .control_members_ = std::move(control_members),
       .withdrawal_ = FromWire(in.withdrawal(), reader),
+      .stored_withdrawal_ = FromWire(in.stored_withdrawal(), reader),
       .renewal_ = in.renewal(),
       .confirmed_index_ = in.confirmed_index(),
       .confirmed_age_ = reader->MillisOf(in.confirmed_age()),
@@ -679,6 +688,14 @@
                                     .address_ = in.address()};
 }
 
+PeerMessage ReadWithdrawalSubmit(const wire::Envelope& envelope,
+                                 WireReader* reader) {
+  const wire::WithdrawalSubmit& in = envelope.withdrawal_submit();
+  return coordination::WithdrawalSubmit{
+      .instance_ = in.instance(),
+      .withdrawal_ = FromWire(in.withdrawal(), reader)};
+}
+
 PeerMessage ReadLeaveReply(const wire::Envelope& envelope, WireReader*) {
   return coordination::LeaveReply{.identity_ =
                                       envelope.leave_reply().identity()};
@@ -747,6 +764,7 @@
     {wire::Envelope::kJoinRequest, ReadJoinRequest},
     {wire::Envelope::kLeaveRequest, ReadLeaveRequest},
     {wire::Envelope::kLeaveReply, ReadLeaveReply},
+    {wire::Envelope::kWithdrawalSubmit, ReadWithdrawalSubmit},
     {wire::Envelope::kLoadNotice, ReadLoadNotice},
     {wire::Envelope::kResumeAttempt, ReadResumeAttempt},
     {wire::Envelope::kEvacuationSubmit, ReadEvacuationSubmit},
--- a/src/state/api/counters.h
+++ b/src/state/api/counters.h
@@ -47,6 +47,7 @@
   kLeasesRenewed,
   kLeaseControlMoves,
   kDenialsHeld,
+  kWithdrawalsNotStored,
   kConfigurationsApplied,
   kConfigurationsOlderIgnored,
   kMembershipChanges,
--- a/src/state/api/log_command.h
+++ b/src/state/api/log_command.h
@@ -11,6 +11,7 @@
 #include "state/api/action_register.h"
 #include "state/api/configuration_store.h"
 #include "state/api/evacuation.h"
+#include "state/api/withdrawal_table.h"
 
 namespace gooseberrygap::state {
 
@@ -22,7 +23,8 @@
 using LogChange = std::variant<SubmittedConfiguration,
                                RegisterCommand,
                                ExpireKeys,
-                               EvacuationOrder>;
+                               EvacuationOrder,
+                               WithdrawTarget>;
 
 // The decoded payload of a kCommand log entry.
 struct LogCommand {
@@ -44,6 +46,7 @@
   const std::vector<StoredConfiguration> configurations_ = {};
   const std::vector<AcceptedSubmission> accepted_ = {};
   const Evacuations evacuations_ = {};
+  const std::vector<StoredWithdrawal> withdrawals_ = {};
 
   friend bool operator==(const ReplicatedState&,
                          const ReplicatedState&) = default;
--- a/src/state/internal/counters.cc
+++ b/src/state/internal/counters.cc
@@ -74,6 +74,9 @@
         {Counter::kDenialsHeld, "ingress_denial_held",
          "Calls that the configuration does not allow, held until the control "
          "group has confirmed it."},
+        {Counter::kWithdrawalsNotStored, "withdrawal_not_stored",
+         "Withdrawals of targets that were not acknowledged, since the control "
+         "group had not stored them in time."},
         {Counter::kConfigurationsApplied, "configuration_applied",
          "Configurations taken into force."},
         {Counter::kConfigurationsOlderIgnored, "configuration_older_ignored",
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -29,5 +29,6 @@
 #include "state/api/shared.h"
 #include "state/api/target.h"
 #include "state/api/token_bucket.h"
+#include "state/api/withdrawal_table.h"
 
 #endif  // STATE_STATE_H_
--- a/src/state/tests/log_store_test.cc
+++ b/src/state/tests/log_store_test.cc
@@ -45,19 +45,23 @@
                                .instance_ = "control-1",
                                .address_ = "127.0.0.1:7001",
                                .voter_ = false};
+const ControlMember kLeavingMember = {.identity_ = "id-2",
+                                      .instance_ = "control-2",
+                                      .address_ = "127.0.0.1:7002",
+                                      .leaving_ = true};
 
 const std::vector<LogEntry> kEntries = {
     Entry(1, 1, "begin batch-17"),
     LogEntry{.index_ = 2,
              .term_ = 1,
              .kind_ = LogEntryKind::kMembers,
-             .members_ = {kMember}},
+             .members_ = {kMember, kLeavingMember}},
     LogEntry{.index_ = 3, .term_ = 2}, Entry(4, 2, std::string(16, '\0')),
     Entry(5, 3, "finish batch-17")};
 
 const LogSnapshot kSnapshot = {.index_ = 3,
                                .term_ = 2,
-                               .members_ = {kMember},
+                               .members_ = {kMember, kLeavingMember},
                                .content_ = Bytes("register")};
 
 std::unique_ptr<LogStore> OpenStore(const std::string& folder,
