Store crash reports in the replicated log

Cause: crashes and convictions lived in the memory of the control instances only, and a daemon replaced its list of refused requests by the empty one of the first reply after the restart.

Change: crash reports are commands of the log, and each instance rebuilds its history from them, each report at its own time. A daemon repeats a report until it is stored. A conviction lasts at a daemon until the end of its own hold; a suspicion ends only by an instance that has been up to date since its start.

--- a/src/coordination/api/messages.h
+++ b/src/coordination/api/messages.h
@@ -132,14 +132,7 @@
   friend bool operator==(const LoadNotice&, const LoadNotice&) = default;
 };
 
-// A request that was in flight when a target crashed.
-struct CrashReport {
-  const std::string fingerprint_ = {};
-  const std::string crash_id_ = {};  // Identifies one crash of one target.
-  const bool alone_ = false;         // No other request was in flight.
-
-  friend bool operator==(const CrashReport&, const CrashReport&) = default;
-};
+using CrashReport = state::CrashReport;
 
 // Renews a daemon's lease, announces its target and requests updates of the
 // configuration and the membership.
@@ -211,6 +204,9 @@
   const uint64_t confirmed_index_ = 0;
   const state::Millis confirmed_age_ = {};
   const state::Evacuations evacuations_ = {};
+  // Crashes of the daemon's last renewal whose reports are in the log of the
+  // control group, so that the daemon need not repeat them.
+  const std::vector<std::string> stored_crashes_ = {};
 
   friend bool operator==(const LeaseReply&, const LeaseReply&) = default;
 };
@@ -338,6 +334,13 @@
                          const WithdrawalSubmit&) = default;
 };
 
+// Submits crash reports of a daemon to the leader, in the same way.
+struct CrashSubmit {
+  const std::vector<CrashReport> reports_ = {};
+
+  friend bool operator==(const CrashSubmit&, const CrashSubmit&) = default;
+};
+
 // Requests membership in the control group. Any member forwards it to the
 // leader.
 struct JoinRequest {
@@ -554,7 +557,8 @@
                                  QuotaGrant,
                                  LeaveRequest,
                                  LeaveReply,
-                                 WithdrawalSubmit>;
+                                 WithdrawalSubmit,
+                                 CrashSubmit>;
 
 // The part of a daemon that handles a message.
 enum class MessageRecipient {
--- a/src/coordination/internal/control_client.cc
+++ b/src/coordination/internal/control_client.cc
@@ -37,10 +37,8 @@
 // Delay before a target is announced that was held back until the first granted
 // reply: shorter than the time between two ticks.
 constexpr state::Millis kHeldTargetDelay(1);
-// Every renewal repeats a crash report until a reply arrives at least the first
-// time after the crash. The report is discarded after the second time at the
-// latest, when it is too old to say anything about its request.
-constexpr state::Millis kCrashReportMinTime(1000);
+// Every renewal repeats a crash report until the control group has stored it,
+// for at most this time: then it is too old to say anything about its request.
 constexpr state::Millis kCrashReportMaxTime(60000);
 // A reply that is handled this long after its renewal was sent is logged: it
 // has waited on the way, or in a process that did not run.
@@ -265,7 +263,7 @@
       leader_address_ = reply.leader_address_;
     }
     choice_.SetInstances(reply.control_members_);
-    RemoveReportedCrashes(now);
+    RemoveStoredCrashes(reply);
     const bool was_without_configuration =
         followed_.configuration().index_ == 0;
     const FollowedState::Changes changes = followed_.Apply(reply, now);
@@ -304,11 +302,17 @@
     }
   }
 
-  void RemoveReportedCrashes(state::Millis now) {
-    while (!crashes_.empty() &&
-           now - crashes_.front().at_ >= kCrashReportMinTime) {
-      crashes_.pop_front();
+  void RemoveStoredCrashes(const LeaseReply& reply) {
+    std::deque<ReportedCrash> unstored;
+    for (const ReportedCrash& crash : crashes_) {
+      const bool is_stored =
+          std::count(reply.stored_crashes_.begin(), reply.stored_crashes_.end(),
+                     crash.report_.crash_id_) > 0;
+      if (!is_stored) {
+        unstored.push_back(crash);
+      }
     }
+    crashes_.swap(unstored);
   }
 
   void OnLeaseMoved(const std::string& from,
--- a/src/coordination/internal/control_service.cc
+++ b/src/coordination/internal/control_service.cc
@@ -145,6 +145,7 @@
     AbandonOutdatedIncarnations(now);
     SendCrashAbandons(now);
     SendUnstoredWithdrawals(now);
+    SendUnstoredCrashes(now);
     ProposeExpiry(now);
   }
   if (now >= maintenance_at_) {
--- a/src/coordination/internal/control_service_impl.h
+++ b/src/coordination/internal/control_service_impl.h
@@ -16,11 +16,12 @@
 
 namespace gooseberrygap::coordination {
 
-// Implemented in six files: control_service.cc dispatches events and runs
+// Implemented in seven files: control_service.cc dispatches events and runs
 // periodic work, control_service_leases.cc serves the leases of daemons,
 // control_service_log.cc proposes and applies commands,
 // control_service_evacuations.cc handles orders to evacuate failure domains,
-// control_service_withdrawals.cc stores the withdrawals of targets, and
+// control_service_withdrawals.cc stores the withdrawals of targets,
+// control_service_crashes.cc handles the crashes of targets, and
 // control_service_quota.cc connects the owner of the quotas.
 class ControlService::Impl {
  public:
@@ -53,7 +54,8 @@
     uint64_t membership_epoch_ = 0;
     uint64_t membership_version_ = 0;
     bool requires_confirmed_ = false;
-    uint64_t renewal_ = 0;  // Number of the last renewal.
+    uint64_t renewal_ = 0;              // Number of the last renewal.
+    std::vector<CrashReport> crashes_;  // In the last renewal.
     // Version of the membership table that was last sent.
     uint64_t pushed_version_ = 0;
     state::Millis lease_until_;
@@ -80,6 +82,7 @@
     kAbandon,
     kExpire,
     kWithdrawal,
+    kCrashes,
   };
   // A proposal of this instance whose outcome is unknown.
   struct PendingProposal {
@@ -95,6 +98,13 @@
     std::optional<state::Millis> sent_at_;  // Absent until it is first sent.
   };
 
+  // Crash reports of a daemon that are not known to be in the log.
+  struct UnstoredCrashes {
+    std::vector<CrashReport> reports_;
+    state::Millis reported_at_;
+    std::optional<state::Millis> sent_at_;  // Absent until they are first sent.
+  };
+
   // Whether a read index has confirmed that the configuration in a lease reply
   // is current.
   enum class Confirmation { kUnconfirmed, kConfirmed };
@@ -124,6 +134,9 @@
   void OnMessage(const std::string& connection,
                  const WithdrawalSubmit& submit,
                  state::Millis now);
+  void OnMessage(const std::string& connection,
+                 const CrashSubmit& submit,
+                 state::Millis now);
   void OnMessage(const std::string& connection,
                  const MembershipSync& sync,
                  state::Millis now);
@@ -147,7 +160,26 @@
   Session* UpdateSession(const std::string& connection,
                          const LeaseRenew& renew,
                          state::Millis now);
-  void RecordCrashes(const LeaseRenew& renew, state::Millis now);
+  void ReceiveCrashes(const LeaseRenew& renew, state::Millis now);
+  // Adds the reports of a crash at that time to the history. Returns those that
+  // have changed it.
+  std::vector<CrashReport> AddCrashes(const std::vector<CrashReport>& reports,
+                                      state::Millis at);
+  // Has the reports appended to the log unless it contains them.
+  void StoreCrashes(const std::string& instance,
+                    const std::vector<CrashReport>& reports,
+                    state::Millis now);
+  // Proposes the unstored reports that are due, or sends them to the leader.
+  void SendUnstoredCrashes(state::Millis now);
+  std::vector<CrashReport> UnstoredOf(
+      const std::vector<CrashReport>& reports) const;
+  // Returns the ids of the crashes whose reports are all in the log.
+  std::vector<std::string> StoredCrashIds(
+      const std::vector<CrashReport>& reports) const;
+  // Rebuilds the history from the stored reports.
+  void ReplayCrashes(state::Millis now);
+  // Returns the time on this instance's clock of an entry with that wall time.
+  state::Millis TimeOf(uint64_t wall_millis, state::Millis now) const;
   LeaseReply MakeReply(const std::string& instance,
                        Session* session,
                        Confirmation confirmation,
@@ -215,6 +247,9 @@
   void Apply(const state::WithdrawTarget& change,
              const EntryCommitted& entry,
              state::Millis now);
+  void Apply(const state::RecordCrashes& change,
+             const EntryCommitted& entry,
+             state::Millis now);
   // Has the withdrawal appended to the log unless the log covers it.
   void StoreWithdrawal(const std::string& instance,
                        const state::TargetWithdrawal& withdrawal,
@@ -268,6 +303,8 @@
   state::EvacuationTable evacuations_;
   state::WithdrawalTable withdrawals_;
   std::map<std::string, UnstoredWithdrawal> unstored_withdrawals_;
+  state::CrashTable crash_table_;
+  std::map<std::string, UnstoredCrashes> unstored_crashes_;  // By instance.
   QuotaOwner quota_owner_;
   uint64_t first_tag_of_leadership_ = 1;  // See `next_tag_`.
   uint64_t applied_index_ = 0;
--- a/src/coordination/internal/control_service_leases.cc
+++ b/src/coordination/internal/control_service_leases.cc
@@ -34,7 +34,7 @@
   const bool is_query = renew.record_.version_.incarnation_ == 0;
   const bool granted = !is_query && MergeRecord(renew, now);
   if (!is_query) {
-    RecordCrashes(renew, now);
+    ReceiveCrashes(renew, now);
   }
   if (!granted) {
     step_.commands_.push_back(
@@ -87,41 +87,12 @@
   session.membership_version_ = renew.membership_version_;
   session.requires_confirmed_ = renew.requires_confirmed_;
   session.renewal_ = renew.renewal_;
+  std::vector<CrashReport> crashes = renew.crashes_;
+  session.crashes_.swap(crashes);
   session.lease_until_ = now + kLeaseTime;
   return &session;
 }
 
-void ControlService::Impl::RecordCrashes(const LeaseRenew& renew,
-                                         state::Millis now) {
-  bool changed = false;
-  bool is_new_crash = false;
-  const size_t convictions = crash_history_.convictions();
-  for (const CrashReport& crash : renew.crashes_) {
-    is_new_crash = is_new_crash || !crash_history_.HasCrash(crash.crash_id_);
-    if (crash_history_.Add(crash, poison_policy(), now)) {
-      recent_crashes_.emplace_back(now, crash);
-      changed = true;
-    }
-  }
-  changed =
-      crash_history_.ConvictSharedFingerprint(poison_policy(), now) || changed;
-  counters_->Add(state::Counter::kFingerprintsConvicted,
-                 crash_history_.convictions() - convictions);
-  if (is_new_crash) {
-    // Plus one, since an abandon covers lower incarnations only, and the crash
-    // ended the actions of the guard's current incarnation too.
-    crash_abandons_[renew.instance_] =
-        CrashAbandon{.incarnation_ = renew.record_.version_.incarnation_ + 1,
-                     .crashed_at_ = now};
-    SendCrashAbandons(now);
-  }
-  if (changed) {
-    exchange_.ScheduleSend();
-    push_all_ = true;
-    SchedulePush(now);
-  }
-}
-
 size_t ControlService::Impl::Reply(const std::string& instance,
                                    Session* session,
                                    Confirmation confirmation,
@@ -207,7 +178,8 @@
       .renewal_ = session->renewal_,
       .confirmed_index_ = common_fields.confirmed_index_,
       .confirmed_age_ = common_fields.confirmed_age_,
-      .evacuations_ = evacuations_.Snapshot()};
+      .evacuations_ = evacuations_.Snapshot(),
+      .stored_crashes_ = StoredCrashIds(session->crashes_)};
 }
 
 bool ControlService::Impl::Concerns(const Session& session,
--- a/src/coordination/internal/control_service_log.cc
+++ b/src/coordination/internal/control_service_log.cc
@@ -266,8 +266,10 @@
   configurations_.Restore(event.state_.configurations_, event.state_.accepted_);
   evacuations_.Restore(event.state_.evacuations_);
   withdrawals_.Restore(event.state_.withdrawals_);
+  crash_table_.Restore(event.state_.crashes_);
   UpdateEvacuationGauge();
   ApplyConfigurationPolicy(QuotaOwner::NewTenants::kMayHoldTokens, now);
+  ReplayCrashes(now);
   push_all_ = true;
   SchedulePush(now);
   ReplyWithConfirmed(now);
@@ -279,7 +281,8 @@
       .configurations_ = configurations_.Snapshot(),
       .accepted_ = configurations_.AcceptedSubmissions(),
       .evacuations_ = evacuations_.Snapshot(),
-      .withdrawals_ = withdrawals_.Snapshot()};
+      .withdrawals_ = withdrawals_.Snapshot(),
+      .crashes_ = crash_table_.Snapshot()};
 }
 
 void ControlService::Impl::ProposeAbandon(const std::string& guard,
--- a/src/coordination/internal/followed_state.cc
+++ b/src/coordination/internal/followed_state.cc
@@ -151,15 +151,44 @@
   return true;
 }
 
+std::vector<RefusedFingerprint> FollowedState::MergeRefused(
+    const LeaseReply& reply,
+    state::Millis elapsed) const {
+  std::map<std::string, RefusedFingerprint> merged;
+  for (const RefusedFingerprint& refused : reply.refused_fingerprints_) {
+    merged.emplace(refused.fingerprint_, refused);
+  }
+  // An instance that has not been up to date since its start may lack what the
+  // log has.
+  const bool may_lack_suspects = reply.staleness_ >= kNeverContacted;
+  for (const RefusedFingerprint& known : refused_) {
+    const auto entry = merged.find(known.fingerprint_);
+    const bool is_replaced = entry != merged.end() &&
+                             (entry->second.convicted_ || !known.convicted_);
+    const bool is_kept = known.convicted_ || may_lack_suspects;
+    if (known.left_ > elapsed && is_kept && !is_replaced) {
+      state::Replace(&merged, known.fingerprint_,
+                     RefusedFingerprint{.fingerprint_ = known.fingerprint_,
+                                        .left_ = known.left_ - elapsed,
+                                        .convicted_ = known.convicted_});
+    }
+  }
+  std::vector<RefusedFingerprint> refused;
+  refused.reserve(merged.size());
+  for (const auto& [fingerprint, entry] : merged) {
+    refused.push_back(entry);
+  }
+  return refused;
+}
+
 bool FollowedState::ApplyRefusedFingerprints(const LeaseReply& reply,
                                              state::Millis now) {
-  const bool is_same =
-      HaveSameHolds(refused_, reply.refused_fingerprints_, now - refused_at_);
-  if (is_same) {
+  const state::Millis elapsed = now - refused_at_;
+  std::vector<RefusedFingerprint> refused = MergeRefused(reply, elapsed);
+  if (HaveSameHolds(refused_, refused, elapsed)) {
     return false;
   }
   refused_at_ = now;
-  std::vector<RefusedFingerprint> refused = reply.refused_fingerprints_;
   refused_.swap(refused);
   return true;
 }
--- a/src/coordination/internal/followed_state.h
+++ b/src/coordination/internal/followed_state.h
@@ -55,6 +55,11 @@
 
  private:
   bool ApplyConfiguration(const LeaseReply& reply);
+  // Returns the refused fingerprints after a reply. A conviction that is known
+  // here lasts until the end of its hold, whatever the reply lists: an instance
+  // that does not know it has not lifted it.
+  std::vector<RefusedFingerprint> MergeRefused(const LeaseReply& reply,
+                                               state::Millis elapsed) const;
   bool ApplyMembership(const LeaseReply& reply);
   bool ReplaceMembership(const LeaseReply& reply);
   bool ApplyRecord(const state::TargetRecord& record);
--- a/src/coordination/internal/messages.cc
+++ b/src/coordination/internal/messages.cc
@@ -36,6 +36,9 @@
 constexpr MessageRecipient RecipientFor(const WithdrawalSubmit&) {
   return MessageRecipient::kControl;
 }
+constexpr MessageRecipient RecipientFor(const CrashSubmit&) {
+  return MessageRecipient::kControl;
+}
 constexpr MessageRecipient RecipientFor(const LeaveReply&) {
   return MessageRecipient::kControl;
 }
--- a/src/coordination/tests/control_client_test.cc
+++ b/src/coordination/tests/control_client_test.cc
@@ -348,7 +348,7 @@
 
 // Guards against a crash report that is lost with its control instance, and
 // against a fingerprint that is refused after its hold has expired.
-TEST_CASE("crashes are reported until a later reply", "[poison]") {
+TEST_CASE("crashes are reported until they are stored", "[poison]") {
   Daemon daemon;
   const auto reported = RenewalsOf(
       daemon.client_.ReportCrash({{"f", "x1", true}}, daemon.now_).commands_);
@@ -361,11 +361,50 @@
                          .refused_fingerprints_ = {{"f", Millis(1500), true}}};
   CHECK(daemon.Reply(reply).refused_fingerprints_changed_);
   CHECK_FALSE(daemon.Reply(reply).refused_fingerprints_changed_);
+  CHECK(daemon.Run(1000).back().renew_.crashes_.size() == 1);
+  daemon.Reply(LeaseReply{.control_instance_ = reply.control_instance_,
+                          .granted_ = true,
+                          .stored_crashes_ = {"x1"}});
   CHECK(daemon.Run(1000).back().renew_.crashes_.empty());
   daemon.Run(1000);
   CHECK(daemon.client_.refused_fingerprints().empty());
 }
 
+// Guards against a request that crashes more targets after a restart of the
+// control group: its first reply, or one of an instance that is behind, lists
+// no refused request. And against one that is refused for longer than the hold.
+TEST_CASE("a conviction outlives a reply that does not list it", "[poison]") {
+  Daemon daemon;
+  const auto reply = [&daemon](std::vector<RefusedFingerprint> refused,
+                               Millis staleness = Millis(0)) {
+    return daemon.Reply(
+        LeaseReply{.control_instance_ = daemon.InstanceAt(daemon.current_),
+                   .granted_ = true,
+                   .refused_fingerprints_ = std::move(refused),
+                   .staleness_ = staleness});
+  };
+  const auto listed = [&daemon](const std::string& fingerprint) {
+    const auto& refused = daemon.client_.refused_fingerprints();
+    return std::any_of(refused.begin(), refused.end(),
+                       [&fingerprint](const RefusedFingerprint& entry) {
+                         return entry.fingerprint_ == fingerprint;
+                       });
+  };
+  reply({{"guilty", Millis(5000), true}, {"suspect", Millis(5000), false}});
+  // The instance has just started.
+  reply({}, kNeverContacted);
+  CHECK(listed("guilty"));
+  CHECK(listed("suspect"));
+  // It knows all that is stored: the suspicion has ended.
+  reply({});
+  CHECK(listed("guilty"));
+  CHECK_FALSE(listed("suspect"));
+  daemon.Run(5100);
+  CHECK_FALSE(listed("guilty"));
+  reply({});
+  CHECK_FALSE(listed("guilty"));
+}
+
 // Guards against a configuration that is not in force in time at daemons whose
 // control instance was partitioned at the same time as the change.
 TEST_CASE("a daemon leaves an instance that has lost its leader",
--- a/src/daemon/control_duty.cc
+++ b/src/daemon/control_duty.cc
@@ -208,8 +208,14 @@
 }
 
 void ControlDuty::Run() {
+  // The ages of what is stored are reckoned from the wall time.
+  RaftEvents first_events;
+  ProcessControlEvent(
+      coordination::ControlTick{.wall_millis_ = state::WallMillis()},
+      &first_events);
   // The first step restores the snapshot in the data folder.
-  ProcessRaftEvents({coordination::RaftTick{}});
+  first_events.emplace_back(coordination::RaftTick{});
+  ProcessRaftEvents(std::move(first_events));
   state::Millis next_tick = clock_.Now();
   while (!ring_.closed()) {
     const state::Millis wait =
--- a/src/protocol/internal/log_codec.cc
+++ b/src/protocol/internal/log_codec.cc
@@ -46,6 +46,12 @@
   void operator()(const state::EvacuationOrder& change) const {
     ToWire(change, out_->mutable_command()->mutable_evacuation());
   }
+  void operator()(const state::RecordCrashes& change) const {
+    wire::RecordCrashes* out = out_->mutable_command()->mutable_crashes();
+    for (const state::CrashReport& report : change.reports_) {
+      ToWire(report, out->add_reports());
+    }
+  }
   void operator()(const state::WithdrawTarget& change) const {
     wire::WithdrawTarget* out = out_->mutable_command()->mutable_withdrawal();
     out->set_instance(change.instance_);
@@ -53,6 +59,11 @@
   }
 };
 
+state::LogChange ReadCrashes(const wire::LogCommand& in, WireReader*) {
+  return state::RecordCrashes{.reports_ =
+                                  CrashesFromWire(in.crashes().reports())};
+}
+
 state::LogChange ReadConfiguration(const wire::LogCommand& in,
                                    WireReader* reader) {
   return SubmittedFromWire(in.configuration(), reader);
@@ -90,6 +101,7 @@
     {wire::LogCommand::kExpireKeys, ReadExpireKeys},
     {wire::LogCommand::kEvacuation, ReadEvacuation},
     {wire::LogCommand::kWithdrawal, ReadWithdrawal},
+    {wire::LogCommand::kCrashes, ReadCrashes},
 };
 
 void EntryToWire(const state::KeyedRegisterEntry& keyed,
@@ -190,6 +202,11 @@
     command->set_instance(stored.instance_);
     ToWire(stored.withdrawal_, command->mutable_withdrawal());
   }
+  for (const state::StoredCrash& stored : state.crashes_) {
+    wire::StoredCrash* wire_stored = out.add_crashes();
+    wire_stored->set_wall_millis(stored.wall_millis_);
+    ToWire(stored.report_, wire_stored->mutable_report());
+  }
   return out.SerializeAsString();
 }
 
@@ -227,6 +244,12 @@
         .withdrawal_ = FromWire(stored.command().withdrawal(), &reader),
         .wall_millis_ = stored.wall_millis()});
   }
+  std::vector<state::StoredCrash> crashes;
+  crashes.reserve(in.crashes_size());
+  for (const wire::StoredCrash& stored : in.crashes()) {
+    crashes.push_back(state::StoredCrash{.report_ = FromWire(stored.report()),
+                                         .wall_millis_ = stored.wall_millis()});
+  }
   if (!reader.valid()) {
     return Malformed("The replicated state has a field that is out of range");
   }
@@ -238,7 +261,8 @@
       .configurations_ = std::move(configurations),
       .accepted_ = std::move(accepted),
       .evacuations_ = std::move(evacuations),
-      .withdrawals_ = std::move(withdrawals)};
+      .withdrawals_ = std::move(withdrawals),
+      .crashes_ = std::move(crashes)};
 }
 
 }  // namespace gooseberrygap::protocol
--- a/src/protocol/internal/peer_codec.cc
+++ b/src/protocol/internal/peer_codec.cc
@@ -14,26 +14,6 @@
 
 using coordination::PeerMessage;
 
-void CrashToWire(const coordination::CrashReport& value,
-                 wire::CrashReport* out) {
-  out->set_fingerprint(value.fingerprint_);
-  out->set_crash_id(value.crash_id_);
-  out->set_alone(value.alone_);
-}
-
-template <class Repeated>
-std::vector<coordination::CrashReport> CrashesFromWire(const Repeated& in) {
-  std::vector<coordination::CrashReport> crashes;
-  crashes.reserve(in.size());
-  for (const wire::CrashReport& crash : in) {
-    crashes.push_back(
-        coordination::CrashReport{.fingerprint_ = crash.fingerprint(),
-                                  .crash_id_ = crash.crash_id(),
-                                  .alone_ = crash.alone()});
-  }
-  return crashes;
-}
-
 void RefusedToWire(const coordination::RefusedFingerprint& value,
                    wire::RefusedFingerprint* out) {
   out->set_fingerprint(value.fingerprint_);
@@ -163,7 +143,7 @@
       out->add_services(service);
     }
     for (const coordination::CrashReport& crash : message.crashes_) {
-      CrashToWire(crash, out->add_crashes());
+      ToWire(crash, out->add_crashes());
     }
     out->set_renewal(message.renewal_);
     out->set_requires_confirmed_keys(message.requires_confirmed_keys_);
@@ -218,6 +198,9 @@
     if (message.evacuations_.index_ > 0) {
       ToWire(message.evacuations_, out->mutable_evacuations());
     }
+    for (const std::string& crash_id : message.stored_crashes_) {
+      out->add_stored_crashes(crash_id);
+    }
   }
   void operator()(const coordination::RegisterCall& message) const {
     wire::RegisterCall* out = envelope_->mutable_register_call();
@@ -247,7 +230,7 @@
       RefusedToWire(refused, out->add_refused_fingerprints());
     }
     for (const coordination::CrashReport& crash : message.crashes_) {
-      CrashToWire(crash, out->add_crashes());
+      ToWire(crash, out->add_crashes());
     }
   }
   void operator()(const coordination::MembershipSyncAck& message) const {
@@ -315,6 +298,12 @@
     out->set_instance(message.instance_);
     ToWire(message.withdrawal_, out->mutable_withdrawal());
   }
+  void operator()(const coordination::CrashSubmit& message) const {
+    wire::CrashSubmit* out = envelope_->mutable_crash_submit();
+    for (const coordination::CrashReport& report : message.reports_) {
+      ToWire(report, out->add_reports());
+    }
+  }
   void operator()(const coordination::LeaveReply& message) const {
     envelope_->mutable_leave_reply()->set_identity(message.identity_);
   }
@@ -509,7 +498,9 @@
       .renewal_ = in.renewal(),
       .confirmed_index_ = in.confirmed_index(),
       .confirmed_age_ = reader->MillisOf(in.confirmed_age()),
-      .evacuations_ = FromWire(in.evacuations(), reader)};
+      .evacuations_ = FromWire(in.evacuations(), reader),
+      .stored_crashes_ = {in.stored_crashes().begin(),
+                          in.stored_crashes().end()}};
 }
 
 PeerMessage ReadRegisterCall(const wire::Envelope& envelope,
@@ -696,6 +687,11 @@
       .withdrawal_ = FromWire(in.withdrawal(), reader)};
 }
 
+PeerMessage ReadCrashSubmit(const wire::Envelope& envelope, WireReader*) {
+  return coordination::CrashSubmit{
+      .reports_ = CrashesFromWire(envelope.crash_submit().reports())};
+}
+
 PeerMessage ReadLeaveReply(const wire::Envelope& envelope, WireReader*) {
   return coordination::LeaveReply{.identity_ =
                                       envelope.leave_reply().identity()};
@@ -765,6 +761,7 @@
     {wire::Envelope::kLeaveRequest, ReadLeaveRequest},
     {wire::Envelope::kLeaveReply, ReadLeaveReply},
     {wire::Envelope::kWithdrawalSubmit, ReadWithdrawalSubmit},
+    {wire::Envelope::kCrashSubmit, ReadCrashSubmit},
     {wire::Envelope::kLoadNotice, ReadLoadNotice},
     {wire::Envelope::kResumeAttempt, ReadResumeAttempt},
     {wire::Envelope::kEvacuationSubmit, ReadEvacuationSubmit},
--- a/src/protocol/internal/wire_values.cc
+++ b/src/protocol/internal/wire_values.cc
@@ -241,6 +241,12 @@
       static_cast<float>(value.admissions_per_second_));
 }
 
+void ToWire(const state::CrashReport& value, wire::CrashReport* out) {
+  out->set_fingerprint(value.fingerprint_);
+  out->set_crash_id(value.crash_id_);
+  out->set_alone(value.alone_);
+}
+
 void ToWire(const state::TargetWithdrawal& value, wire::TargetWithdrawal* out) {
   out->set_target(value.target_);
   out->set_incarnation(value.incarnation_);
@@ -368,6 +374,22 @@
       .admissions_per_second_ = in.admissions_per_second()};
 }
 
+state::CrashReport FromWire(const wire::CrashReport& in) {
+  return state::CrashReport{.fingerprint_ = in.fingerprint(),
+                            .crash_id_ = in.crash_id(),
+                            .alone_ = in.alone()};
+}
+
+std::vector<state::CrashReport> CrashesFromWire(
+    const google::protobuf::RepeatedPtrField<wire::CrashReport>& in) {
+  std::vector<state::CrashReport> crashes;
+  crashes.reserve(in.size());
+  for (const wire::CrashReport& crash : in) {
+    crashes.push_back(FromWire(crash));
+  }
+  return crashes;
+}
+
 state::TargetWithdrawal FromWire(const wire::TargetWithdrawal& in,
                                  WireReader* reader) {
   // A message without the field, as earlier builds send it, names no target.
--- a/src/protocol/internal/wire_values.h
+++ b/src/protocol/internal/wire_values.h
@@ -54,6 +54,7 @@
 void ToWire(const state::HttpAnswer& value, wire::HttpAnswer* out);
 void ToWire(const state::GuardLoad& value, wire::GuardLoad* out);
 void ToWire(const state::TargetWithdrawal& value, wire::TargetWithdrawal* out);
+void ToWire(const state::CrashReport& value, wire::CrashReport* out);
 void ToWire(const state::TargetRecord& value, wire::TargetRecord* out);
 void ToWire(const state::RegisterCommand& value, wire::RegisterCommand* out);
 void ToWire(const state::RegisterResult& value, wire::RegisterResult* out);
@@ -66,6 +67,9 @@
 state::HttpRequest FromWire(const wire::HttpRequest& in, WireReader* reader);
 state::HttpAnswer FromWire(const wire::HttpAnswer& in, WireReader* reader);
 state::GuardLoad FromWire(const wire::GuardLoad& in, WireReader* reader);
+state::CrashReport FromWire(const wire::CrashReport& in);
+std::vector<state::CrashReport> CrashesFromWire(
+    const google::protobuf::RepeatedPtrField<wire::CrashReport>& in);
 state::TargetWithdrawal FromWire(const wire::TargetWithdrawal& in,
                                  WireReader* reader);
 state::TargetRecord FromWire(const wire::TargetRecord& in, WireReader* reader);
--- a/src/state/api/log_command.h
+++ b/src/state/api/log_command.h
@@ -10,6 +10,7 @@
 #include "state/api/action.h"
 #include "state/api/action_register.h"
 #include "state/api/configuration_store.h"
+#include "state/api/crash_table.h"
 #include "state/api/evacuation.h"
 #include "state/api/withdrawal_table.h"
 
@@ -24,7 +25,8 @@
                                RegisterCommand,
                                ExpireKeys,
                                EvacuationOrder,
-                               WithdrawTarget>;
+                               WithdrawTarget,
+                               RecordCrashes>;
 
 // The decoded payload of a kCommand log entry.
 struct LogCommand {
@@ -47,6 +49,7 @@
   const std::vector<AcceptedSubmission> accepted_ = {};
   const Evacuations evacuations_ = {};
   const std::vector<StoredWithdrawal> withdrawals_ = {};
+  const std::vector<StoredCrash> crashes_ = {};
 
   friend bool operator==(const ReplicatedState&,
                          const ReplicatedState&) = default;
