Ignore heartbeats that lack the incarnation or come first of all, late

Change: once a target or its withdrawal has an incarnation, an announcement without one is ignored; number 0 is old once a higher one is known.

--- a/src/coordination/internal/guard_target.cc
+++ b/src/coordination/internal/guard_target.cc
@@ -74,7 +74,7 @@
     return announced.incarnation_ < withdrawal_->incarnation_;
   }
   return withdrawal_->state_ == TargetState::kLeft ||
-         (announced.sequence_ != 0 &&
+         (withdrawal_->sequence_ != 0 &&
           announced.sequence_ <= withdrawal_->sequence_);
 }
 
@@ -82,14 +82,22 @@
   if (IsWithdrawn(announced)) {
     return true;
   }
-  if (!has_announcement() || announced.incarnation_ == 0 ||
-      announcement_->incarnation_ == 0) {
+  const uint64_t known_incarnation = has_announcement()
+                                         ? announcement_->incarnation_
+                                         : withdrawal().incarnation_;
+  if (announced.incarnation_ == 0 && known_incarnation != 0) {
+    // The target reports its incarnation, so that this comes from another
+    // writer.
+    return true;
+  }
+  if (!has_announcement() || announcement_->incarnation_ == 0) {
     return false;
   }
   if (announced.incarnation_ != announcement_->incarnation_) {
     return announced.incarnation_ < announcement_->incarnation_;
   }
-  return withdrawn_ || (announced.sequence_ != 0 &&
+  // A target may count from 0; one that does not count always says 0.
+  return withdrawn_ || (announcement_->sequence_ != 0 &&
                         announced.sequence_ <= announcement_->sequence_);
 }
 
--- a/src/coordination/tests/target_withdrawal_test.cc
+++ b/src/coordination/tests/target_withdrawal_test.cc
@@ -336,6 +336,37 @@
   CHECK(deployment.Delivers("after"));
 }
 
+// Guards against requests to a target that has left, because a heartbeat of
+// another writer lacks its incarnation, or the first one, with number 0, is
+// late.
+TEST_CASE("an incomplete or late heartbeat undoes no withdrawal",
+          "[target_withdrawal]") {
+  const bool drains = GENERATE(false, true);
+  const bool restarts = GENERATE(false, true);
+  const TargetAnnounced odd =
+      GENERATE(Heartbeat(0, 0, TargetState::kServing),
+               Heartbeat(0, 9, TargetState::kServing),
+               Heartbeat(kBorn, 0, TargetState::kServing));
+  Deployment deployment;
+  deployment.Handle(Ticked{});
+  deployment.Handle(Heartbeat(kBorn, 0, TargetState::kServing));
+  deployment.Handle(Heartbeat(kBorn, 1, TargetState::kServing));
+  REQUIRE(deployment.Delivers("before"));
+  if (drains) {
+    deployment.Handle(Heartbeat(kBorn, 2, TargetState::kDraining));
+  } else {
+    deployment.Handle(TargetWithdrawn{.target_ = "t", .incarnation_ = kBorn});
+  }
+  if (restarts) {
+    deployment.StartDaemon();
+    deployment.Handle(Ticked{});
+  }
+  deployment.Handle(odd);
+  deployment.Tick(Millis(100));
+  CHECK_FALSE(deployment.ListsTarget());
+  CHECK_FALSE(deployment.Delivers("after"));
+}
+
 // Guards against a withdrawal that is lost between the control instance of the
 // daemon and the leader.
 TEST_CASE("a withdrawal is sent to the leader until it is stored",
