Let earlier builds read the new log commands as the expiry of keys

Found when the diff was read again: a member of an earlier build stops its control role at a log entry of an unknown kind. In a rolling upgrade the first withdrawal or crash report would stop the members that are not upgraded yet.

Change: the two new commands travel beside an ExpireKeys, which earlier builds apply and which the new build applies with them, so that the registers of both agree. Members of a control group need no common version for it.

Test: "earlier builds read new commands as the expiry of keys"; before, the commands were kinds of their own. The round trips of log_codec_test now cover both commands and the stored state.

--- a/src/coordination/internal/control_service_crashes.cc
+++ b/src/coordination/internal/control_service_crashes.cc
@@ -142,6 +142,8 @@
   const state::PoisonPolicy policy = poison_policy();
   const std::vector<CrashReport> stored =
       crash_table_.Apply(change, wall_millis, policy.window_ + policy.hold_);
+  // As earlier builds do, which know the entry as an ExpireKeys.
+  register_.Expire(wall_millis);
   TakePending(*entry.command_);
   const state::Millis at = TimeOf(wall_millis, now);
   crash_history_.Tick(policy, at);
--- a/src/coordination/internal/control_service_withdrawals.cc
+++ b/src/coordination/internal/control_service_withdrawals.cc
@@ -73,6 +73,8 @@
                                  const EntryCommitted& entry,
                                  state::Millis now) {
   withdrawals_.Apply(change, entry.command_->wall_millis_);
+  // As earlier builds do, which know the entry as an ExpireKeys.
+  register_.Expire(entry.command_->wall_millis_);
   TakePending(*entry.command_);
   // The daemon waits for it before it acknowledges the withdrawal.
   const auto session = sessions_.find(change.instance_);
--- a/src/protocol/internal/log_codec.cc
+++ b/src/protocol/internal/log_codec.cc
@@ -1,4 +1,5 @@
 #include <memory>
+#include <optional>
 #include <utility>
 
 #include "protocol/internal/wire_values.h"
@@ -47,23 +48,20 @@
     ToWire(change, out_->mutable_command()->mutable_evacuation());
   }
   void operator()(const state::RecordCrashes& change) const {
-    wire::RecordCrashes* out = out_->mutable_command()->mutable_crashes();
+    wire::RecordCrashes* out = out_->mutable_crashes();
     for (const state::CrashReport& report : change.reports_) {
       ToWire(report, out->add_reports());
     }
+    (*this)(state::ExpireKeys());
   }
   void operator()(const state::WithdrawTarget& change) const {
-    wire::WithdrawTarget* out = out_->mutable_command()->mutable_withdrawal();
+    wire::WithdrawTarget* out = out_->mutable_withdrawal();
     out->set_instance(change.instance_);
     ToWire(change.withdrawal_, out->mutable_withdrawal());
+    (*this)(state::ExpireKeys());
   }
 };
 
-state::LogChange ReadCrashes(const wire::LogCommand& in, WireReader*) {
-  return state::RecordCrashes{.reports_ =
-                                  CrashesFromWire(in.crashes().reports())};
-}
-
 state::LogChange ReadConfiguration(const wire::LogCommand& in,
                                    WireReader* reader) {
   return SubmittedFromWire(in.configuration(), reader);
@@ -83,13 +81,6 @@
   return FromWire(in.evacuation(), reader);
 }
 
-state::LogChange ReadWithdrawal(const wire::LogCommand& in,
-                                WireReader* reader) {
-  return state::WithdrawTarget{
-      .instance_ = in.withdrawal().instance(),
-      .withdrawal_ = FromWire(in.withdrawal().withdrawal(), reader)};
-}
-
 struct ChangeRow {
   const wire::LogCommand::CommandCase kind_;
   state::LogChange (*const read_)(const wire::LogCommand&, WireReader*);
@@ -100,10 +91,46 @@
     {wire::LogCommand::kRegisterCommand, ReadRegisterCommand},
     {wire::LogCommand::kExpireKeys, ReadExpireKeys},
     {wire::LogCommand::kEvacuation, ReadEvacuation},
-    {wire::LogCommand::kWithdrawal, ReadWithdrawal},
-    {wire::LogCommand::kCrashes, ReadCrashes},
 };
 
+state::LogChange ReadWithdrawal(const wire::ProposedCommand& in,
+                                WireReader* reader) {
+  return state::WithdrawTarget{
+      .instance_ = in.withdrawal().instance(),
+      .withdrawal_ = FromWire(in.withdrawal().withdrawal(), reader)};
+}
+
+state::LogChange ReadCrashes(const wire::ProposedCommand& in, WireReader*) {
+  return state::RecordCrashes{.reports_ =
+                                  CrashesFromWire(in.crashes().reports())};
+}
+
+struct ExtensionRow {
+  const wire::ProposedCommand::ExtensionCase kind_;
+  state::LogChange (*const read_)(const wire::ProposedCommand&, WireReader*);
+};
+
+constexpr ExtensionRow kExtensions[] = {
+    {wire::ProposedCommand::kWithdrawal, ReadWithdrawal},
+    {wire::ProposedCommand::kCrashes, ReadCrashes},
+};
+
+// Returns the change in the command, or nothing for an unknown kind.
+std::optional<state::LogChange> ReadChange(const wire::ProposedCommand& in,
+                                           WireReader* reader) {
+  for (const ExtensionRow& row : kExtensions) {
+    if (row.kind_ == in.extension_case()) {
+      return row.read_(in, reader);
+    }
+  }
+  for (const ChangeRow& row : kChanges) {
+    if (row.kind_ == in.command().command_case()) {
+      return row.read_(in.command(), reader);
+    }
+  }
+  return std::nullopt;
+}
+
 void EntryToWire(const state::KeyedRegisterEntry& keyed,
                  wire::RegisterEntry* out) {
   const state::RegisterEntry& entry = keyed.entry_;
@@ -159,22 +186,18 @@
   if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
     return Malformed("The log command is not whole");
   }
-  for (const ChangeRow& row : kChanges) {
-    if (row.kind_ != in.command().command_case()) {
-      continue;
-    }
-    WireReader reader;
-    const state::LogCommand command{
-        .proposer_ = in.proposer(),
-        .tag_ = in.tag(),
-        .wall_millis_ = in.wall_millis(),
-        .change_ = row.read_(in.command(), &reader)};
-    if (!reader.valid()) {
-      return Malformed("The log command has a field that is out of range");
-    }
-    return command;
+  WireReader reader;
+  const std::optional<state::LogChange> change = ReadChange(in, &reader);
+  if (!change.has_value()) {
+    return Malformed("The log command is of no known kind");
+  }
+  if (!reader.valid()) {
+    return Malformed("The log command has a field that is out of range");
   }
-  return Malformed("The log command is of no known kind");
+  return state::LogCommand{.proposer_ = in.proposer(),
+                           .tag_ = in.tag(),
+                           .wall_millis_ = in.wall_millis(),
+                           .change_ = *change};
 }
 
 std::string EncodeReplicatedState(const state::ReplicatedState& state) {
--- a/src/protocol/tests/log_codec_test.cc
+++ b/src/protocol/tests/log_codec_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "protocol/internal/generated/peer.pb.h"
 #include "protocol/protocol.h"
 
 namespace gooseberrygap::protocol {
@@ -31,8 +32,17 @@
       .answer_ = state::HttpAnswer{.status_ = 201,
                                    .headers_ = {{"A", "b"}},
                                    .body_ = state::Bytes("body")}};
-  const std::vector<state::LogChange> changes = {Submitted(), finish,
-                                                 state::ExpireKeys{}};
+  const state::WithdrawTarget withdraw{
+      .instance_ = "i",
+      .withdrawal_ = {.target_ = "t",
+                      .incarnation_ = 7,
+                      .sequence_ = 8,
+                      .state_ = state::TargetState::kDraining}};
+  const state::RecordCrashes crashes{
+      .reports_ = {{.fingerprint_ = "f", .crash_id_ = "c", .alone_ = true},
+                   {.fingerprint_ = "g", .crash_id_ = "c"}}};
+  const std::vector<state::LogChange> changes = {
+      Submitted(), finish, state::ExpireKeys{}, withdraw, crashes};
   for (const state::LogChange& change : changes) {
     const state::LogCommand command{
         .proposer_ = 4, .tag_ = 5, .wall_millis_ = 6, .change_ = change};
@@ -45,6 +55,21 @@
   CHECK_FALSE(DecodeLogCommand(""));
 }
 
+// Guards against an upgrade that stops the control roles of members of the
+// build before: they know neither kind of entry, and end at an unknown one.
+TEST_CASE("earlier builds read new commands as the expiry of keys") {
+  const std::vector<state::LogChange> changes = {state::WithdrawTarget{},
+                                                 state::RecordCrashes{}};
+  for (const state::LogChange& change : changes) {
+    const std::string bytes = EncodeLogCommand(
+        state::LogCommand{.wall_millis_ = 6, .change_ = change});
+    wire::ProposedCommand command;
+    REQUIRE(command.ParseFromString(bytes));
+    CHECK(command.command().has_expire_keys());
+    CHECK(command.command().expire_keys().now() == 6);
+  }
+}
+
 // Guards against a replica that differs after it was restored.
 TEST_CASE("the replicated state survives encoding") {
   const state::ReplicatedState state{
@@ -75,8 +100,15 @@
                                   .attempt_ = 2,
                                   .opened_by_ =
                                       "r"}}}},
-      .configurations_ = {
-          state::StoredConfiguration{.index_ = 12, .submitted_ = Submitted()}}};
+      .configurations_ = {state::StoredConfiguration{
+          .index_ = 12, .submitted_ = Submitted()}},
+      .withdrawals_ = {state::StoredWithdrawal{
+          .instance_ = "i",
+          .withdrawal_ = {.target_ = "t", .incarnation_ = 7, .sequence_ = 8},
+          .wall_millis_ = 13}},
+      .crashes_ = {state::StoredCrash{
+          .report_ = {.fingerprint_ = "f", .crash_id_ = "c", .alone_ = true},
+          .wall_millis_ = 14}}};
   const auto decoded = DecodeReplicatedState(EncodeReplicatedState(state));
   REQUIRE(decoded.has_value());
   CHECK(decoded.value() == state);
