--- a/src/protocol/tests/log_codec_test.cc
+++ b/src/protocol/tests/log_codec_test.cc
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "protocol/internal/generated/peer.pb.h"
+#include "peer.pb.h"
 #include "protocol/protocol.h"
 
 namespace gooseberrygap::protocol {
