Count and log configuration deltas that a daemon cannot use

Change: counters for configurations sent as a delta, sent as a whole document and received as an unusable delta, and the log line configuration_delta_unusable with the base, the index and the configuration in force.

--- a/src/coordination/internal/control_client.cc
+++ b/src/coordination/internal/control_client.cc
@@ -274,6 +274,9 @@
     step->membership_changed_ = changes.membership_;
     step->refused_fingerprints_changed_ = changes.refused_fingerprints_;
     if (changes.needs_full_configuration_) {
+      step->commands_.emplace_back(
+          WriteLog{.event_ = ConfigurationDeltaUnusableLine(
+                       reply, followed_.configuration().index_)});
       renew_at_ = std::max(now, renewed_at_ + kRefusalRetryDelay);
     }
     if (reply.configuration_index_ <= followed_.configuration().index_) {
--- a/src/coordination/internal/control_service_leases.cc
+++ b/src/coordination/internal/control_service_leases.cc
@@ -135,6 +135,10 @@
           ? configurations_.DeltaFrom(session->configuration_index_)
           : std::nullopt;
   const bool has_delta = delta.has_value();
+  if (sends_configuration) {
+    counters_->Add(has_delta ? state::Counter::kConfigurationDeltasSent
+                             : state::Counter::kConfigurationDocumentsSent);
+  }
   const bool sends_membership = CanSendMembership(now);
   // A daemon without a membership table receives the records known here even
   // while they may be incomplete.
--- a/src/coordination/internal/followed_state.cc
+++ b/src/coordination/internal/followed_state.cc
@@ -67,6 +67,7 @@
   }
   if (reply.delta_base_index_ != 0 &&
       reply.delta_base_index_ != current.index_) {
+    counters_->Add(state::Counter::kConfigurationDeltasUnusable);
     wants_full_configuration_ = true;
     return false;
   }
