Make deltas from what a daemon was sent, not from its last renewal

Cause: a control instance made each delta from the index of the daemon's last renewal, which is up to 1 s old. The second change within a second had a base that the daemon had left. The daemon then reported index 0 to get the whole document, which followed with each push and reply until its next renewal. A document takes a link of 3.3 Mbit/s about 0.4 s, and everything else waited behind it.

Change: replies are numbered, and a renewal names the last reply handled. A configuration that was sent counts as received until a renewal on the same connection contradicts it (SentVersion). This works because the connection keeps the order: replies after the named one are on the way, and what the daemon reports must be what the replies up to the named one carried. Each reply names the newest index, so a daemon that misses a configuration renews within 50 ms and gets a delta from what it has. A whole document is sent only when that is too old for a delta. With a peer of an earlier build the base is the reported index, as before.

--- a/src/coordination/api/messages.h
+++ b/src/coordination/api/messages.h
@@ -154,6 +154,10 @@
   // The daemon serves calls under API keys, so that the control instance has to
   // keep its confirmation by a quorum recent.
   const bool requires_confirmed_keys_ = false;
+  // Number of the last reply of this control instance that the daemon has
+  // handled, 0 for none since it chose the instance. Absent from builds that do
+  // not number replies.
+  const std::optional<uint64_t> received_reply_ = {};
 
   friend bool operator==(const LeaseRenew&, const LeaseRenew&) = default;
 };
@@ -175,8 +179,10 @@
   const std::string control_instance_ = {};
   const bool granted_ = false;
   const uint64_t known_incarnation_ = 0;
-  // Set if the daemon's configuration is older. Either the whole document, or a
-  // delta with only the changed items and the names of the removed ones.
+  // Index of the newest configuration that is known here; 0 in a refusal. Comes
+  // with the whole document, with a delta of the changed items and the names of
+  // the removed ones, or with neither if the daemon has the configuration or an
+  // earlier message on the connection carried it.
   const uint64_t configuration_index_ = 0;
   const bool configuration_confirmed_ = false;
   const uint64_t delta_base_index_ = 0;  // 0 for a whole document.
@@ -207,6 +213,9 @@
   // Crashes of the daemon's last renewal whose reports are in the log of the
   // control group, so that the daemon need not repeat them.
   const std::vector<std::string> stored_crashes_ = {};
+  // Rises with each reply of a control instance. 0 in refusals and from builds
+  // that do not number replies.
+  const uint64_t number_ = 0;
 
   friend bool operator==(const LeaseReply&, const LeaseReply&) = default;
 };
--- a/src/coordination/internal/control_client.cc
+++ b/src/coordination/internal/control_client.cc
@@ -30,8 +30,8 @@
 constexpr state::Millis kSuspectRenewInterval(250);
 // Minimum time between two renewals while a call waits for recent knowledge.
 constexpr state::Millis kMinRenewInterval(100);
-// Minimum time between a renewal and the next one after a refusal or an
-// unusable delta, so that two daemons with the same name do not displace each
+// Minimum time between a renewal and the next one after a refusal or a lost
+// configuration, so that two daemons with the same name do not displace each
 // other in a tight loop.
 constexpr state::Millis kRefusalRetryDelay(50);
 // Delay before a target is announced that was held back until the first granted
@@ -119,6 +119,9 @@
     if (is_current) {
       awaiting_reply_since_.reset();
       current_staleness_ = reply.staleness_;
+      if (reply.number_ != 0) {
+        received_reply_ = reply.number_;
+      }
       ApplyReply(reply, now, &step);
       RenewEarlyIfSuspect(reply.staleness_, now);
     } else {
@@ -273,9 +276,9 @@
     }
     step->membership_changed_ = changes.membership_;
     step->refused_fingerprints_changed_ = changes.refused_fingerprints_;
-    if (changes.needs_full_configuration_) {
+    if (changes.misses_configuration_) {
       step->commands_.emplace_back(
-          WriteLog{.event_ = ConfigurationDeltaUnusableLine(
+          WriteLog{.event_ = ConfigurationMissedLine(
                        reply, followed_.configuration().index_)});
       renew_at_ = std::max(now, renewed_at_ + kRefusalRetryDelay);
     }
@@ -327,6 +330,7 @@
         WriteLog{.event_ = ControlMovedLine(from, choice_.address(), reason,
                                             current_staleness_)});
     awaiting_reply_since_.reset();
+    received_reply_ = 0;
     followed_since_ = now;
     RaiseSequence();
     renew_at_ = now;
@@ -395,14 +399,15 @@
         .message_ = LeaseRenew{
             .instance_ = record_->instance_,
             .record_ = RecordToSend(),
-            .configuration_index_ = followed_.index_to_report(),
+            .configuration_index_ = followed_.configuration().index_,
             .requires_confirmed_ = followed_.configuration().index_ == 0,
             .membership_epoch_ = followed_.membership_epoch(),
             .membership_version_ = followed_.membership_version(),
             .services_ = options_.services_,
             .crashes_ = crashes,
             .renewal_ = next_renewal_++,
-            .requires_confirmed_keys_ = options_.requires_confirmed_keys_}}};
+            .requires_confirmed_keys_ = options_.requires_confirmed_keys_,
+            .received_reply_ = received_reply_}}};
   }
 
   ControlChoice choice_;
@@ -421,6 +426,8 @@
   uint64_t next_renewal_ = 1;
   SentTimes renewals_;
   uint64_t answered_renewal_ = 0;  // Number of the last one.
+  // Number of the current instance's last reply; 0 until it replies.
+  uint64_t received_reply_ = 0;
   // Time at which the current instance was chosen, or at which the first
   // configuration came into force.
   state::Millis followed_since_;
--- a/src/coordination/internal/control_service_impl.h
+++ b/src/coordination/internal/control_service_impl.h
@@ -13,6 +13,7 @@
 #include "coordination/internal/key_confirmation.h"
 #include "coordination/internal/membership_exchange.h"
 #include "coordination/internal/quota_owner.h"
+#include "coordination/internal/sent_version.h"
 
 namespace gooseberrygap::coordination {
 
@@ -48,9 +49,11 @@
   struct Session {
     std::string connection_;  // Connection of the last renewal.
     std::set<std::string> services_;
-    // State that the daemon reported with its last renewal. Pushes contain the
-    // changes since then and not since the last push, which may have been lost.
-    uint64_t configuration_index_ = 0;
+    // Index of the configuration that the daemon has or will receive.
+    SentVersion configuration_;
+    // Membership that the daemon reported with its last renewal. Pushes contain
+    // the changes since then and not since the last push, which may have been
+    // lost.
     uint64_t membership_epoch_ = 0;
     uint64_t membership_version_ = 0;
     bool requires_confirmed_ = false;
@@ -59,6 +62,12 @@
     // Version of the membership table that was last sent.
     uint64_t pushed_version_ = 0;
     state::Millis lease_until_;
+
+    // Returns whether the daemon may receive no configuration before a quorum
+    // has confirmed one.
+    bool AwaitsConfirmed() const {
+      return requires_confirmed_ && configuration_.base() == 0;
+    }
   };
 
   // Sender of a request whose reply waits until a command is applied.
@@ -274,6 +283,7 @@
   MembershipExchange exchange_;
   CrashHistory crash_history_;
   std::map<std::string, Session> sessions_;  // By instance.
+  uint64_t next_reply_ = 1;                  // Number of the next lease reply.
   // Recent crashes that daemons reported to this instance, with the time of the
   // report. Sent to the other control instances.
   std::deque<std::pair<state::Millis, CrashReport>> recent_crashes_;
--- a/src/coordination/internal/control_service_leases.cc
+++ b/src/coordination/internal/control_service_leases.cc
@@ -49,7 +49,7 @@
   }
   StoreWithdrawal(renew.instance_, renew.record_.withdrawal_, now);
   Reply(renew.instance_, session, Confirmation::kUnconfirmed, now);
-  if (session->requires_confirmed_) {
+  if (session->AwaitsConfirmed()) {
     awaiting_read_request_.insert(renew.instance_);
     RequestRead(now);
   }
@@ -80,9 +80,11 @@
     const LeaseRenew& renew,
     state::Millis now) {
   Session& session = sessions_[renew.instance_];
+  session.configuration_.OnReported(renew.configuration_index_,
+                                    renew.received_reply_,
+                                    session.connection_ == connection);
   session.connection_ = connection;
   session.services_ = {renew.services_.begin(), renew.services_.end()};
-  session.configuration_index_ = renew.configuration_index_;
   session.membership_epoch_ = renew.membership_epoch_;
   session.membership_version_ = renew.membership_version_;
   session.requires_confirmed_ = renew.requires_confirmed_;
@@ -125,17 +127,17 @@
                                            Session* session,
                                            Confirmation confirmation,
                                            state::Millis now) {
+  const uint64_t number = next_reply_++;
   const state::IndexedConfiguration current = configurations_.current();
   const bool is_confirmed = confirmation == Confirmation::kConfirmed;
+  const uint64_t base = session->configuration_.base();
   const bool sends_configuration =
-      current.index_ > session->configuration_index_ &&
-      (is_confirmed || !session->requires_confirmed_);
+      current.index_ > base && (is_confirmed || !session->AwaitsConfirmed());
   const std::optional<state::ConfigurationDelta> delta =
-      sends_configuration
-          ? configurations_.DeltaFrom(session->configuration_index_)
-          : std::nullopt;
+      sends_configuration ? configurations_.DeltaFrom(base) : std::nullopt;
   const bool has_delta = delta.has_value();
   if (sends_configuration) {
+    session->configuration_.OnSent(current.index_, number);
     counters_->Add(has_delta ? state::Counter::kConfigurationDeltasSent
                              : state::Counter::kConfigurationDocumentsSent);
   }
@@ -157,8 +159,7 @@
       .control_instance_ = common_fields.control_instance_,
       .granted_ = true,
       .known_incarnation_ = common_fields.known_incarnation_,
-      .configuration_index_ =
-          sends_configuration || is_confirmed ? current.index_ : 0,
+      .configuration_index_ = current.index_,
       .configuration_confirmed_ = is_confirmed,
       .delta_base_index_ = has_delta ? delta->base_index_ : 0,
       .removed_ = has_delta ? delta->removed_ : state::RemovedItems(),
@@ -183,7 +184,8 @@
       .confirmed_index_ = common_fields.confirmed_index_,
       .confirmed_age_ = common_fields.confirmed_age_,
       .evacuations_ = evacuations_.Snapshot(),
-      .stored_crashes_ = StoredCrashIds(session->crashes_)};
+      .stored_crashes_ = StoredCrashIds(session->crashes_),
+      .number_ = number};
 }
 
 bool ControlService::Impl::Concerns(const Session& session,
--- a/src/coordination/internal/control_service_log.cc
+++ b/src/coordination/internal/control_service_log.cc
@@ -193,7 +193,7 @@
                                     : QuotaOwner::NewTenants::kMayHoldTokens,
                              now);
     for (const auto& [instance, session] : sessions_) {
-      if (session.requires_confirmed_) {
+      if (session.AwaitsConfirmed()) {
         awaiting_read_request_.insert(instance);
       }
     }
--- a/src/coordination/internal/decision_log.cc
+++ b/src/coordination/internal/decision_log.cc
@@ -139,11 +139,11 @@
           {"configuration", static_cast<int64_t>(reply.configuration_index_)}}};
 }
 
-LogEvent ConfigurationDeltaUnusableLine(const LeaseReply& reply,
-                                        uint64_t configuration) {
+LogEvent ConfigurationMissedLine(const LeaseReply& reply,
+                                 uint64_t configuration) {
   return LogEvent{
       .level_ = LogLevel::kWarning,
-      .event_ = "configuration_delta_unusable",
+      .event_ = "configuration_missed",
       .fields_ = {{"control", reply.control_instance_},
                   {"base", static_cast<int64_t>(reply.delta_base_index_)},
                   {"index", static_cast<int64_t>(reply.configuration_index_)},
--- a/src/coordination/internal/decision_log.h
+++ b/src/coordination/internal/decision_log.h
@@ -58,10 +58,10 @@
 state::LogEvent ControlReplyLateLine(const LeaseReply& reply,
                                      state::Millis waited);
 
-// Returns the line for a delta whose base is not the configuration in force,
-// which has the index `configuration`.
-state::LogEvent ConfigurationDeltaUnusableLine(const LeaseReply& reply,
-                                               uint64_t configuration);
+// Returns the line for a reply that names a newer configuration than the one in
+// force after it, which has the index `configuration`.
+state::LogEvent ConfigurationMissedLine(const LeaseReply& reply,
+                                        uint64_t configuration);
 
 // Returns the line for a failure domain whose evacuation has come into force or
 // has ended at this daemon. `is_own` says that it is the daemon's own domain.
--- a/src/coordination/internal/followed_state.cc
+++ b/src/coordination/internal/followed_state.cc
@@ -39,19 +39,18 @@
 FollowedState::Changes FollowedState::Apply(const LeaseReply& reply,
                                             state::Millis now) {
   Changes changes;
-  const bool wanted_full = wants_full_configuration_;
   changes.configuration_ = ApplyConfiguration(reply);
   changes.membership_ = ApplyMembership(reply);
   changes.refused_fingerprints_ = ApplyRefusedFingerprints(reply, now);
-  changes.needs_full_configuration_ = wants_full_configuration_ && !wanted_full;
+  // A daemon without a configuration waits for the confirmation of one.
+  changes.misses_configuration_ =
+      configuration_->index_ != 0 &&
+      reply.configuration_index_ > configuration_->index_;
   return changes;
 }
 
 bool FollowedState::ApplyConfiguration(const LeaseReply& reply) {
   const state::IndexedConfiguration& current = *configuration_;
-  if (reply.configuration_ != nullptr && reply.delta_base_index_ == 0) {
-    wants_full_configuration_ = false;
-  }
   if (reply.configuration_ == nullptr ||
       reply.configuration_index_ == current.index_) {
     return false;
@@ -68,7 +67,6 @@
   if (reply.delta_base_index_ != 0 &&
       reply.delta_base_index_ != current.index_) {
     counters_->Add(state::Counter::kConfigurationDeltasUnusable);
-    wants_full_configuration_ = true;
     return false;
   }
   const std::shared_ptr<const state::Configuration> newer =
@@ -221,10 +219,6 @@
   return *configuration_;
 }
 
-uint64_t FollowedState::index_to_report() const {
-  return wants_full_configuration_ ? 0 : configuration_->index_;
-}
-
 std::vector<state::TargetRecord> FollowedState::Targets() const {
   std::vector<state::TargetRecord> targets;
   targets.reserve(records_.size());
--- a/src/coordination/internal/followed_state.h
+++ b/src/coordination/internal/followed_state.h
@@ -26,9 +26,9 @@
     bool configuration_ = false;
     bool membership_ = false;
     bool refused_fingerprints_ = false;
-    // A delta had another base than the current configuration, so the next
-    // renewal requests the whole document.
-    bool needs_full_configuration_ = false;
+    // The control instance has a newer configuration than the one in force
+    // after the reply: a delta had another base, or an earlier reply was lost.
+    bool misses_configuration_ = false;
   };
 
   // Applies the content of a reply. Precondition: `reply.granted_`.
@@ -41,9 +41,6 @@
   bool RemoveExpired(state::Millis now);
 
   const state::IndexedConfiguration& configuration() const;
-  // Returns the configuration index to report with a renewal; 0 requests the
-  // whole document.
-  uint64_t index_to_report() const;
   uint64_t membership_epoch() const { return membership_epoch_; }
   uint64_t membership_version() const { return membership_version_; }
   // Returns all targets that have not left.
@@ -68,7 +65,6 @@
 
   state::Counters* counters_;
   std::optional<state::IndexedConfiguration> configuration_;
-  bool wants_full_configuration_ = false;
   uint64_t membership_epoch_ = 0;
   uint64_t membership_version_ = 0;
   std::map<std::string, state::TargetRecord> records_;  // By instance.
--- a/src/protocol/internal/peer_codec.cc
+++ b/src/protocol/internal/peer_codec.cc
@@ -147,6 +147,9 @@
     }
     out->set_renewal(message.renewal_);
     out->set_requires_confirmed_keys(message.requires_confirmed_keys_);
+    if (message.received_reply_.has_value()) {
+      out->set_received_reply(*message.received_reply_);
+    }
   }
   void operator()(const coordination::LeaseReply& message) const {
     wire::LeaseReply* out = envelope_->mutable_lease_reply();
@@ -201,6 +204,7 @@
     for (const std::string& crash_id : message.stored_crashes_) {
       out->add_stored_crashes(crash_id);
     }
+    out->set_number(message.number_);
   }
   void operator()(const coordination::RegisterCall& message) const {
     wire::RegisterCall* out = envelope_->mutable_register_call();
@@ -449,7 +453,10 @@
       .services_ = {in.services().begin(), in.services().end()},
       .crashes_ = CrashesFromWire(in.crashes()),
       .renewal_ = in.renewal(),
-      .requires_confirmed_keys_ = in.requires_confirmed_keys()};
+      .requires_confirmed_keys_ = in.requires_confirmed_keys(),
+      .received_reply_ = in.has_received_reply()
+                             ? std::optional(in.received_reply())
+                             : std::nullopt};
 }
 
 PeerMessage ReadLeaseReply(const wire::Envelope& envelope, WireReader* reader) {
@@ -500,7 +507,8 @@
       .confirmed_age_ = reader->MillisOf(in.confirmed_age()),
       .evacuations_ = FromWire(in.evacuations(), reader),
       .stored_crashes_ = {in.stored_crashes().begin(),
-                          in.stored_crashes().end()}};
+                          in.stored_crashes().end()},
+      .number_ = in.number()};
 }
 
 PeerMessage ReadRegisterCall(const wire::Envelope& envelope,
--- a/src/protocol/tests/peer_codec_test.cc
+++ b/src/protocol/tests/peer_codec_test.cc
@@ -91,6 +91,27 @@
   }
 }
 
+// Guards against a number of a reply that is lost on the way, so that what the
+// reply carries is sent again, and against a message of an earlier build that
+// is read as one that acknowledges replies.
+TEST_CASE("the numbers of replies are carried by replies and renewals",
+          "[configuration]") {
+  const std::optional<uint64_t> numbers[] = {std::nullopt, 0, 1,
+                                             uint64_t{1} << 63};
+  for (const std::optional<uint64_t> number : numbers) {
+    const coordination::PeerMessage messages[] = {
+        coordination::LeaseRenew{.instance_ = "i", .received_reply_ = number},
+        coordination::LeaseReply{.granted_ = true,
+                                 .configuration_index_ = 9,
+                                 .number_ = number.value_or(0)}};
+    for (const coordination::PeerMessage& message : messages) {
+      const auto decoded = DecodePeerMessage(EncodePeerMessage(message));
+      REQUIRE(decoded);
+      CHECK(decoded.value() == message);
+    }
+  }
+}
+
 // Guards against an age of a member's knowledge that is lost on the way, or
 // that loses its sign.
 TEST_CASE("requests of the log and their replies keep the echo") {
