Wait for the configuration of an instance that has replied

With thousands of routes the document takes a slow link 0.4 s and more, and that of the control instance longer when many daemons start at once.

Cause: without a configuration a daemon left its control instance after 200 ms without a reply to a renewal, also when the instance had replied before and the next reply waited behind the document. The next instance sent the document again.

Change: the short time-out holds until the instance has replied; then the usual one of 1 s holds.

Failing test: "a daemon waits for the configuration of an instance that replied" (control_client_test) with the time-out as before: 4 of its 6 assertions fail, since the daemon tries three instances within 1.9 s.

Measured: coordination tests pass (221 cases).

--- a/src/coordination/internal/control_client.cc
+++ b/src/coordination/internal/control_client.cc
@@ -15,10 +15,10 @@
 // The lease moves away from an instance that has not replied for this time.
 // Shorter than the lease, so that another instance holds it before it expires.
 constexpr state::Millis kReplyTimeout(1000);
-// Reply timeout while the daemon has no configuration and refuses all calls.
-// Longer than a round trip between regions. Short because after a power loss
-// the control instances start one after another, so that the first one
-// contacted may not be running yet.
+// Reply timeout while the daemon has no configuration and refuses all calls,
+// until the instance has replied. Longer than a round trip between regions.
+// Short because after a power loss the control instances start one after
+// another, so that the first one contacted may not be running yet.
 constexpr state::Millis kFirstReplyTimeout(200);
 // After this time without a reply, other instances are asked for their
 // staleness, so that the lease moves to one that works and not from one silent
@@ -194,9 +194,13 @@
     state::Millis at_;
   };
 
+  // An instance that has replied is running, and its next reply may wait behind
+  // the configuration: a document of thousands of routes takes a slow link more
+  // than kFirstReplyTimeout, and another instance would only send it again.
   state::Millis ReplyTimeout() const {
-    return followed_.configuration().index_ == 0 ? kFirstReplyTimeout
-                                                 : kReplyTimeout;
+    const bool is_first_contact =
+        followed_.configuration().index_ == 0 && received_reply_ == 0;
+    return is_first_contact ? kFirstReplyTimeout : kReplyTimeout;
   }
 
   // Returns whether a renewal has been without a reply for that time.
--- a/src/coordination/tests/control_client_test.cc
+++ b/src/coordination/tests/control_client_test.cc
@@ -202,6 +202,21 @@
   CHECK(WithoutQueries(daemon.Run(500)).size() <= 1);
 }
 
+// Guards against a daemon that leaves each instance that sends it a long first
+// configuration, so that the document is sent again and again.
+TEST_CASE("a daemon waits for the configuration of an instance that replied",
+          "[configuration]") {
+  Daemon daemon;
+  daemon.Reply(
+      LeaseReply{.granted_ = true, .configuration_index_ = 12, .number_ = 1});
+  // The next renewal is sent after 1 s, and its reply is not due before 1 s
+  // more.
+  for (const SentRenewal& sent : WithoutQueries(daemon.Run(1900))) {
+    CHECK(sent.address_ == daemon.current_);
+  }
+  CHECK(WithoutQueries(daemon.Run(200)).back().address_ != daemon.current_);
+}
+
 // Guards against a daemon that stays with a partitioned instance, and against
 // leases that move back and forth while no instance has contact to a leader.
 TEST_CASE("a lease leaves a stale control instance only for a fresh one",
