Send each membership change to a daemon once

Cause: a push contained all records that had changed since the version in the daemon's last renewal, which is up to 1 s old, so that a lost push would be made up for by the next one.

Change: the version that was sent counts as received until a renewal contradicts it (SentVersion, as for the configuration). A reply names the version from which its records lead on; a daemon that misses some takes the records, keeps its version and renews within 50 ms. Daemons of earlier builds do not number replies and get the changes since their last renewal, as before.

Failing test: "each membership change is sent to a daemon once" on the commit before: 148 and 160 records for 40 changes, with delays of 1 and 80 ms. "a lost membership change is sent again" guards the reverse and passes before and after.

Measured: coordination and protocol tests pass.

--- a/src/coordination/api/messages.h
+++ b/src/coordination/api/messages.h
@@ -190,6 +190,9 @@
   const std::shared_ptr<const state::Configuration> configuration_ = {};
   const uint64_t membership_epoch_ = 0;
   const uint64_t membership_version_ = 0;
+  // Version from which the records lead to `membership_version_`. 0 for a whole
+  // table and from builds that start from the version in the last renewal.
+  const uint64_t membership_base_version_ = 0;
   const bool membership_full_ = false;  // Replaces the daemon's table.
   const std::vector<state::TargetRecord> membership_ = {};
   const std::vector<RefusedFingerprint> refused_fingerprints_ = {};
--- a/src/coordination/internal/control_client.cc
+++ b/src/coordination/internal/control_client.cc
@@ -31,7 +31,7 @@
 // Minimum time between two renewals while a call waits for recent knowledge.
 constexpr state::Millis kMinRenewInterval(100);
 // Minimum time between a renewal and the next one after a refusal or a lost
-// configuration, so that two daemons with the same name do not displace each
+// reply, so that two daemons with the same name do not displace each
 // other in a tight loop.
 constexpr state::Millis kRefusalRetryDelay(50);
 // Delay before a target is announced that was held back until the first granted
@@ -284,6 +284,8 @@
       step->commands_.emplace_back(
           WriteLog{.event_ = ConfigurationMissedLine(
                        reply, followed_.configuration().index_)});
+    }
+    if (changes.misses_configuration_ || changes.misses_membership_) {
       renew_at_ = std::max(now, renewed_at_ + kRefusalRetryDelay);
     }
     if (reply.configuration_index_ <= followed_.configuration().index_) {
--- a/src/coordination/internal/control_service_impl.h
+++ b/src/coordination/internal/control_service_impl.h
@@ -49,13 +49,12 @@
   struct Session {
     std::string connection_;  // Connection of the last renewal.
     std::set<std::string> services_;
-    // Index of the configuration that the daemon has or will receive.
+    // Index of the configuration and version of this instance's membership
+    // table that the daemon has or will receive.
     SentVersion configuration_;
-    // Membership that the daemon reported with its last renewal. Pushes contain
-    // the changes since then and not since the last push, which may have been
-    // lost.
+    SentVersion membership_;
+    // Epoch of the table that the daemon reported with its last renewal.
     uint64_t membership_epoch_ = 0;
-    uint64_t membership_version_ = 0;
     bool requires_confirmed_ = false;
     uint64_t renewal_ = 0;              // Number of the last renewal.
     std::vector<CrashReport> crashes_;  // In the last renewal.
--- a/src/coordination/internal/control_service_leases.cc
+++ b/src/coordination/internal/control_service_leases.cc
@@ -10,8 +10,8 @@
 // Delay before a push, so that changes within this time are sent together.
 constexpr state::Millis kPushDelay(20);
 // Upper bound of the records that are pushed per millisecond, on average. While
-// a large fleet starts, each push repeats to each daemon all records that have
-// changed since its last renewal.
+// a large fleet starts, each record goes to each daemon, and what changes in
+// the pause after a push shares a message.
 constexpr double kPushedRecordsPerMilli = 10;
 // Delay before a read index that was not confirmed is requested again.
 constexpr state::Millis kReadRetryDelay(200);
@@ -80,13 +80,15 @@
     const LeaseRenew& renew,
     state::Millis now) {
   Session& session = sessions_[renew.instance_];
+  const bool is_same_connection = session.connection_ == connection;
   session.configuration_.OnReported(renew.configuration_index_,
-                                    renew.received_reply_,
-                                    session.connection_ == connection);
+                                    renew.received_reply_, is_same_connection);
+  session.membership_.OnReported(
+      renew.membership_epoch_ == epoch_ ? renew.membership_version_ : 0,
+      renew.received_reply_, is_same_connection);
   session.connection_ = connection;
   session.services_ = {renew.services_.begin(), renew.services_.end()};
   session.membership_epoch_ = renew.membership_epoch_;
-  session.membership_version_ = renew.membership_version_;
   session.requires_confirmed_ = renew.requires_confirmed_;
   session.renewal_ = renew.renewal_;
   std::vector<CrashReport> crashes = renew.crashes_;
@@ -145,11 +147,15 @@
   // A daemon without a membership table receives the records known here even
   // while they may be incomplete.
   const bool has_no_membership = session->membership_epoch_ == 0;
-  const bool full = session->membership_epoch_ != epoch_ ||
-                    !table_.HasChangesSince(session->membership_version_);
+  const uint64_t membership_base = session->membership_.base();
+  const bool full =
+      membership_base == 0 || !table_.HasChangesSince(membership_base);
   if (sends_membership || has_no_membership) {
     session->pushed_version_ = table_.version();
   }
+  if (sends_membership) {
+    session->membership_.OnSent(table_.version(), number);
+  }
   const LeaseReply common_fields = MakeRefusal(instance, now);
   const state::MembershipRecord* known = table_.Find(instance);
   const state::TargetWithdrawal& stored = withdrawals_.Find(instance);
@@ -168,11 +174,12 @@
                                               : nullptr,
       .membership_epoch_ = sends_membership ? epoch_ : 0,
       .membership_version_ = sends_membership ? table_.version() : 0,
+      .membership_base_version_ =
+          sends_membership && !full ? membership_base : 0,
       .membership_full_ = sends_membership && full,
       .membership_ =
           sends_membership || has_no_membership
-              ? MembershipFor(*session, full ? 0 : session->membership_version_,
-                              full)
+              ? MembershipFor(*session, full ? 0 : membership_base, full)
               : std::vector<state::TargetRecord>(),
       .refused_fingerprints_ = crash_history_.Refused(poison_policy(), now),
       .staleness_ = common_fields.staleness_,
--- a/src/coordination/internal/followed_state.cc
+++ b/src/coordination/internal/followed_state.cc
@@ -46,6 +46,10 @@
   changes.misses_configuration_ =
       configuration_->index_ != 0 &&
       reply.configuration_index_ > configuration_->index_;
+  changes.misses_membership_ =
+      reply.membership_epoch_ != 0 &&
+      (reply.membership_epoch_ != membership_epoch_ ||
+       reply.membership_version_ > membership_version_);
   return changes;
 }
 
@@ -94,7 +98,11 @@
       reply.membership_version_ < membership_version_) {
     return false;
   }
-  membership_version_ = reply.membership_version_;
+  // Records that lead on from a version that was lost on the way are valid by
+  // themselves; the version stays, so that the lost ones are sent again.
+  if (reply.membership_base_version_ <= membership_version_) {
+    membership_version_ = reply.membership_version_;
+  }
   return ApplyRecords(reply.membership_);
 }
 
--- a/src/coordination/internal/followed_state.h
+++ b/src/coordination/internal/followed_state.h
@@ -29,6 +29,8 @@
     // The control instance has a newer configuration than the one in force
     // after the reply: a delta had another base, or an earlier reply was lost.
     bool misses_configuration_ = false;
+    // The same for the membership table.
+    bool misses_membership_ = false;
   };
 
   // Applies the content of a reply. Precondition: `reply.granted_`.
--- a/src/coordination/tests/lease_push_test.cc
+++ b/src/coordination/tests/lease_push_test.cc
@@ -60,6 +60,22 @@
     }
   }
 
+  // Has another daemon's target announce itself, or announce a change.
+  void Announce(const std::string& instance, uint64_t sequence, int slots) {
+    const LeaseRenew renew{
+        .instance_ = instance,
+        .record_ = state::TargetRecord{.target_ = "t-" + instance,
+                                       .service_ = "s",
+                                       .instance_ = instance,
+                                       .slots_ = slots,
+                                       .version_ = {1, sequence}}};
+    Control& control = controls_.at(current_);
+    Deliver(
+        current_,
+        control.service_->Handle(
+            ControlMessage{.connection_ = "other", .message_ = renew}, now_));
+  }
+
   // Replaces the process of a control instance by one with the same log.
   void Restart(const std::string& address) {
     for (const ControlAddress& instance : kInstances) {
@@ -95,6 +111,15 @@
     return current.index_ == index_ &&
            *current.configuration_ == *Version(index_);
   }
+  // Returns the slots of another daemon's target as the daemon knows them.
+  int SlotsOf(const std::string& instance) const {
+    for (const state::TargetRecord& record : client_.Targets()) {
+      if (record.instance_ == instance) {
+        return record.slots_;
+      }
+    }
+    return -1;
+  }
   uint64_t Index() const { return index_; }
   uint64_t Applied() const { return client_.configuration().index_; }
   uint64_t Documents() const {
@@ -106,6 +131,8 @@
 
   double delay_ = 20;               // Of each message, in ms.
   int configurations_to_lose_ = 0;  // Number of the next ones on the way.
+  int memberships_to_lose_ = 0;     // The same for replies with records.
+  size_t records_ = 0;              // Membership records sent to the daemon.
   std::set<std::string> silent_;    // Addresses that send nothing.
   std::string current_;             // Address of the last renewal.
 
@@ -179,11 +206,19 @@
           !std::holds_alternative<LeaseReply>(reply->message_)) {
         continue;
       }
-      if (std::get<LeaseReply>(reply->message_).configuration_ != nullptr &&
-          configurations_to_lose_ > 0) {
+      const auto& sent = std::get<LeaseReply>(reply->message_);
+      if (reply->connection_ != control.connection_) {
+        continue;
+      }
+      if (sent.configuration_ != nullptr && configurations_to_lose_ > 0) {
         --configurations_to_lose_;
         continue;
       }
+      if (!sent.membership_.empty() && memberships_to_lose_ > 0) {
+        --memberships_to_lose_;
+        continue;
+      }
+      records_ += sent.membership_.size();
       to_daemon_.push_back(OnTheWay{.due_ = now_ + Millis(delay_),
                                     .address_ = address,
                                     .connection_ = control.connection_,
@@ -328,5 +363,51 @@
   CHECK(deployment.Documents() - documents <= 1);
 }
 
+// Guards against membership changes that each push repeats until the daemon's
+// next renewal: links and daemons then pay for a change many times.
+TEST_CASE("each membership change is sent to a daemon once", "[membership]") {
+  Deployment deployment;
+  deployment.Run(4000);
+  REQUIRE(deployment.IsUpToDate());
+  deployment.delay_ = GENERATE(1, 80);
+  deployment.records_ = 0;
+  for (int i = 1; i <= 40; ++i) {
+    deployment.Announce("e" + std::to_string(i % 4), i, i);
+    deployment.Run(50);
+  }
+  deployment.Run(100 + deployment.delay_);
+  for (int i = 37; i <= 40; ++i) {
+    CHECK(deployment.SlotsOf("e" + std::to_string(i % 4)) == i);
+  }
+  CHECK(deployment.records_ == 40);
+}
+
+// Guards against a target that a daemon does not learn of, or that it takes for
+// unchanged, because what it was sent counts as received.
+TEST_CASE("a lost membership change is sent again", "[membership]") {
+  const int lost = GENERATE(1, 2, 5);
+  const bool goes_on = GENERATE(false, true);
+  CAPTURE(lost, goes_on);
+  Deployment deployment;
+  // No reply to a renewal is among the lost ones: its loss ends the lease.
+  deployment.Run(4300);
+  REQUIRE(deployment.IsUpToDate());
+  deployment.memberships_to_lose_ = lost;
+  for (int i = 1; i <= lost; ++i) {
+    deployment.Announce("lost", i, i);
+    deployment.Run(50);
+  }
+  for (int i = 1; i <= 20; ++i) {
+    if (goes_on) {
+      deployment.Announce("other", i, i);
+    }
+    deployment.Run(50);
+  }
+  // The reply to the next renewal shows the loss, and the one after brings it.
+  deployment.Run(200);
+  CHECK(deployment.SlotsOf("lost") == lost);
+  CHECK(deployment.SlotsOf("other") == (goes_on ? 20 : -1));
+}
+
 }  // namespace
 }  // namespace gooseberrygap::coordination
--- a/src/protocol/internal/peer_codec.cc
+++ b/src/protocol/internal/peer_codec.cc
@@ -205,6 +205,7 @@
       out->add_stored_crashes(crash_id);
     }
     out->set_number(message.number_);
+    out->set_membership_base_version(message.membership_base_version_);
   }
   void operator()(const coordination::RegisterCall& message) const {
     wire::RegisterCall* out = envelope_->mutable_register_call();
@@ -493,6 +494,7 @@
                             : nullptr,
       .membership_epoch_ = in.membership_epoch(),
       .membership_version_ = in.membership_version(),
+      .membership_base_version_ = in.membership_base_version(),
       .membership_full_ = in.membership_full(),
       .membership_ = membership,
       .refused_fingerprints_ =
--- a/src/protocol/tests/peer_codec_test.cc
+++ b/src/protocol/tests/peer_codec_test.cc
@@ -103,6 +103,7 @@
         coordination::LeaseRenew{.instance_ = "i", .received_reply_ = number},
         coordination::LeaseReply{.granted_ = true,
                                  .configuration_index_ = 9,
+                                 .membership_base_version_ = 5,
                                  .number_ = number.value_or(0)}};
     for (const coordination::PeerMessage& message : messages) {
       const auto decoded = DecodePeerMessage(EncodePeerMessage(message));
