--- a/src/coordination/internal/quota_stock.h
+++ b/src/coordination/internal/quota_stock.h
@@ -29,7 +29,7 @@
 
   enum class Decision {
     kTaken,    // A token was spent, or the tenant has no limit.
-    kDenied,   // The owner has said lately that no token is left.
+    kDenied,   // A recent answer of the owner left no token.
     kUnknown,  // No token here; the owner has to be asked.
   };
   // Decides on a call that was received now.
--- a/src/coordination/tests/target_withdrawal_test.cc
+++ b/src/coordination/tests/target_withdrawal_test.cc
@@ -307,8 +307,8 @@
   }
 }
 
-// Guards against a leave that is never stored, since it is the first that a
-// daemon hears of its target after a restart.
+// Guards against a leave that is never stored when it is the first message of
+// the target after a restart of the daemon.
 TEST_CASE("a leave right after the daemon's start is stored",
           "[target_withdrawal]") {
   Deployment deployment;
--- a/tests/support/loopback.h
+++ b/tests/support/loopback.h
@@ -11,8 +11,7 @@
 // that tests that run at the same time cannot take each other's ports, and a
 // restarted process finds its port free.
 
-// Returns a loopback host of this process's block that was not returned lately.
-// Thread-safe.
+// Returns the hosts of this process's block in turn. Thread-safe.
 std::string NewLoopbackHost();
 
 // Returns a free port on the host, below the range that the kernel uses for
